--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -1,34 +1,108 @@
 package slateseam;
 
 import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import slateseam.router.Router;
+import slateseam.router.config.NodeConfig;
+import slateseam.router.config.NodeConfig.InvalidConfigException;
+import slateseam.router.net.Clock;
+import slateseam.router.net.Log;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
 
-/** Command line entry: {@code wirehost} serves the bench's wire on standard input and output. */
+/** The command line. */
 public final class Main {
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+    private static final String HELP = """
+            usage: java -jar slateseam.jar COMMAND [--config FILE]
+              serve         runs one router until it gets SIGTERM
+              check-config  reads a router's configuration and says what is wrong with it
+              benchlink     serves the simulator's wire on standard input and output
+              version       prints the version
+            --config FILE is a router's configuration (serve, check-config); without it NODE_CONFIG names the file""";
+
     private Main() {
     }
 
-    /**
-     * Runs the named command.
-     *
-     * @param args exactly one argument, {@code wirehost}
-     */
+    /** Runs the named command and exits: 0 in order, 1 if it failed, 2 if it was called or configured wrongly. */
     public static void main(String[] args) {
-        System.exit(run(args));
+        int status = run(args, System.out, System.err);
+        if (status != 0) {
+            System.exit(status);
+        }
     }
 
-    static int run(String[] args) {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar slateseam.jar wirehost");
-            return 2;
-        }
+    static int run(String[] args, PrintStream out, PrintStream err) {
+        String command = args.length == 0 ? "" : args[0];
         try {
-            new WireHost().serve(System.in, System.out);
+            Options options = new Options();
+            boolean configured = command.equals("serve") || command.equals("check-config");
+            if (configured) {
+                options.addOption(Option.builder().longOpt("config").hasArg().get());
+            }
+            String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
+            CommandLine line = new DefaultParser().parse(options, rest);
+            if (!line.getArgList().isEmpty()) {
+                throw new ParseException("unexpected " + line.getArgList().get(0));
+            }
+            switch (command) {
+                case "serve" -> serve(config(line), err);
+                case "check-config" -> out.println("the configuration of " + config(line).name() + " is in order");
+                case "benchlink" -> new WireHost().serve(System.in, out);
+                case "version" -> out.println("slateseam " + version());
+                case "help", "--help", "-h" -> out.println(HELP);
+                default -> throw new ParseException(command.isEmpty() ? "no command" : "unknown command " + command);
+            }
             return 0;
+        } catch (ParseException e) {
+            err.println("slateseam: " + e.getMessage());
+            err.println(HELP);
+            return USAGE;
+        } catch (InvalidConfigException e) {
+            err.println("slateseam: bad configuration: " + e.getMessage());
+            return USAGE;
         } catch (MalformedFrameException | IOException e) {
-            System.err.println("wirehost: " + e.getMessage());
-            return 1;
+            err.println("slateseam: " + command + ": " + e.getMessage());
+            return FAILED;
+        }
+    }
+
+    private static NodeConfig config(CommandLine line) throws ParseException, InvalidConfigException {
+        String file = line.getOptionValue("config", System.getenv("NODE_CONFIG"));
+        if (file == null) {
+            throw new ParseException("neither --config nor NODE_CONFIG names a configuration");
         }
+        return NodeConfig.read(Path.of(file));
+    }
+
+    private static void serve(NodeConfig config, PrintStream err) throws IOException {
+        Clock clock = Clock.system();
+        Log log = new Log(config.name(), clock, err);
+        Router router = new Router(config, clock, log);
+        Thread serving = Thread.currentThread();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            router.end();
+            try {
+                serving.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+        log.line("serving", "at " + router.address());
+        router.run();
+        log.line("ended", "every connection was closed between requests");
+    }
+
+    private static String version() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        return version == null ? "(not packaged)" : version;
     }
 }
--- a/src/main/java/slateseam/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -1,4 +1,4 @@
-package slateseam;
+package slateseam.decision;
 
 /** One router's part of a budget that all routers divide, its demand, and what it may spend at once. */
 final class Account {
--- a/src/main/java/slateseam/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -1,4 +1,4 @@
-package slateseam;
+package slateseam.decision;
 
 import java.util.List;
 
--- a/src/main/java/slateseam/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -1,8 +1,8 @@
-package slateseam;
+package slateseam.decision;
 
 import java.util.*;
 import java.util.function.*;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 
 /**
  * Every decision of one router; its interface (settings, events, actions) is {@link Api}. Not thread-safe.
--- a/src/main/java/slateseam/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -1,11 +1,11 @@
-package slateseam;
+package slateseam.decision;
 
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.ToLongFunction;
-import slateseam.Api.RequestArrived;
-import slateseam.Api.RequestClass;
+import slateseam.decision.Api.RequestArrived;
+import slateseam.decision.Api.RequestClass;
 
 /** The state of a request that is owed its final answer; {@link Brain} alone reads and changes it. */
 final class Job {
--- a/src/main/java/slateseam/JumpHash.java
+++ b/src/main/java/slateseam/decision/JumpHash.java
@@ -1,4 +1,4 @@
-package slateseam;
+package slateseam.decision;
 
 /** Jump consistent hash (Lamping and Veach), and a mixing function; neither decides anything. */
 final class JumpHash {
--- a/src/main/java/slateseam/SupplyMessage.java
+++ b/src/main/java/slateseam/decision/SupplyMessage.java
@@ -1,4 +1,4 @@
-package slateseam;
+package slateseam.decision;
 
 import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
--- /dev/null
+++ b/src/main/java/slateseam/router/Router.java
@@ -0,0 +1,94 @@
+package slateseam.router;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import slateseam.decision.Api.Limits;
+import slateseam.router.config.NodeConfig;
+import slateseam.router.core.Core;
+import slateseam.router.farm.Farm;
+import slateseam.router.farm.Watch;
+import slateseam.router.net.Clock;
+import slateseam.router.net.Log;
+import slateseam.router.net.Loop;
+import slateseam.router.net.MalformedException;
+import slateseam.router.pass.Passes;
+import slateseam.router.peer.Peers;
+import slateseam.router.useragent.Acceptor;
+import slateseam.router.useragent.RespFront;
+
+/** One router: puts the stages together and ends them in order. */
+public final class Router {
+    /** Descriptors of the virtual machine, the selector, discovery and peers. */
+    private static final int OTHER_SOCKETS = 48;
+    /** New connections come for up to 0.4 s after a planned end is announced. */
+    private static final long LINGER_NANOS = 550_000_000L;
+
+    private final Loop loop;
+    private final Core core;
+    private final RespFront front;
+    private final Acceptor acceptor;
+
+    /** Opens a router; it serves once {@link #run} is called. */
+    public Router(NodeConfig config, Clock clock, Log log) throws IOException {
+        loop = new Loop(clock, log);
+        Limits limits = config.settings().limits();
+        int half = (config.sockets() - OTHER_SOCKETS) / 2;
+        Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
+        core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
+        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(), half);
+        Watch watch = new Watch(loop, config.discovery(), farm, core::happened);
+        Peers peers = config.peerListen() == null ? null
+                : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
+        core.start(passes, peers, watch);
+        try {
+            core.happened(farm.take(config.known(), true));
+        } catch (MalformedException e) {
+            log.line("farm-malformed", "the known list was dropped: " + e.getMessage());
+        }
+        if (!config.settings().askedDiscovery()) {
+            watch.begin();
+        }
+        front = new RespFront(loop, core, config.settings(), half);
+        acceptor = new Acceptor(loop, config.listen(), front);
+    }
+
+    /** Where user agents connect. */
+    public InetSocketAddress address() throws IOException {
+        return acceptor.address();
+    }
+
+    /** The loop that everything lives on. */
+    public Loop loop() {
+        return loop;
+    }
+
+    /** Serves until it has ended in order. */
+    public void run() throws IOException {
+        loop.run();
+    }
+
+    /**
+     * Begins a planned end; may be called from any thread. New connections are taken for a while yet, then connections
+     * are closed between requests, and when the last has gone the loop ends.
+     */
+    public void end() {
+        loop.handOver(() -> loop.after(LINGER_NANOS, this::close));
+    }
+
+    private void close() {
+        try {
+            acceptor.close();
+        } catch (IOException e) {
+            loop.log().line("socket-error", e.toString());
+        }
+        front.onClose(this::stopWhenEmpty);
+        front.close();
+        stopWhenEmpty();
+    }
+
+    private void stopWhenEmpty() {
+        if (front.isEmpty()) {
+            loop.stop();
+        }
+    }
+}
--- a/src/main/java/slateseam/wire/SettingsParser.java
+++ b/src/main/java/slateseam/router/config/SettingsParser.java
@@ -1,20 +1,23 @@
-package slateseam.wire;
+package slateseam.router.config;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import slateseam.Api.CacheMode;
-import slateseam.Api.Effect;
-import slateseam.Api.Group;
-import slateseam.Api.Limits;
-import slateseam.Api.RequestClass;
-import slateseam.Api.Rules;
-import slateseam.Api.Settings;
-import slateseam.Api.Tenant;
-
-/** Reads the start-up parameters (path=value lines) into {@link Settings}; unknown keys are ignored. */
+import slateseam.decision.Api.CacheMode;
+import slateseam.decision.Api.Effect;
+import slateseam.decision.Api.Group;
+import slateseam.decision.Api.Limits;
+import slateseam.decision.Api.RequestClass;
+import slateseam.decision.Api.Rules;
+import slateseam.decision.Api.Settings;
+import slateseam.decision.Api.Tenant;
+
+/**
+ * Reads the start-up parameters into {@link Settings}: path=value lines on the simulator's wire, the same paths as a map
+ * from a router's configuration. Unknown paths are ignored.
+ */
 public final class SettingsParser {
     /** A parameter is missing or cannot be read. */
     public static final class InvalidSettingException extends RuntimeException {
@@ -25,24 +28,35 @@
         }
     }
 
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values;
 
-    private SettingsParser(String text) {
+    private SettingsParser(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /**
+     * Parses the text of a launch record.
+     *
+     * @throws InvalidSettingException naming key and value of what is missing or unreadable
+     */
+    public static Settings parse(String text) {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int at = line.indexOf('=');
             if (at > 0) {
                 values.put(line.substring(0, at).trim(), line.substring(at + 1).trim());
             }
         }
+        return parse(values);
     }
 
     /**
-     * Parses the text of a launch record.
+     * Reads the values of paths.
      *
      * @throws InvalidSettingException naming key and value of what is missing or unreadable
      */
-    public static Settings parse(String text) {
-        return new SettingsParser(text).settings();
+    public static Settings parse(Map<String, String> values) {
+        return new SettingsParser(values).settings();
     }
 
     private Settings settings() {
--- /dev/null
+++ b/src/main/java/slateseam/router/core/Answer.java
@@ -0,0 +1,16 @@
+package slateseam.router.core;
+
+/** The one final answer of a request. */
+public sealed interface Answer {
+    /** The value or the write's receipt, as an application server or the origin gave it for this request. */
+    record Served(byte[] value) implements Answer {
+    }
+
+    /** An unavailable answer: trying again is harmless, after so long; 0 gives no advice. */
+    record Unavailable(long retryAfterNanos) implements Answer {
+    }
+
+    /** Not served, nothing promised. */
+    record Failed() implements Answer {
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -0,0 +1,200 @@
+package slateseam.router.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.function.Supplier;
+import slateseam.decision.Api.Action;
+import slateseam.decision.Api.AttemptEnded;
+import slateseam.decision.Api.Cancel;
+import slateseam.decision.Api.ClientGone;
+import slateseam.decision.Api.CloseIdle;
+import slateseam.decision.Api.Event;
+import slateseam.decision.Api.Fail;
+import slateseam.decision.Api.Log;
+import slateseam.decision.Api.Outcome;
+import slateseam.decision.Api.Probe;
+import slateseam.decision.Api.Refuse;
+import slateseam.decision.Api.RequestArrived;
+import slateseam.decision.Api.Send;
+import slateseam.decision.Api.SetTimer;
+import slateseam.decision.Api.Settings;
+import slateseam.decision.Api.Started;
+import slateseam.decision.Api.Subscribe;
+import slateseam.decision.Api.TellPeer;
+import slateseam.decision.Api.TimerFired;
+import slateseam.decision.Brain;
+import slateseam.router.farm.Watch;
+import slateseam.router.net.Deadlines.Deadline;
+import slateseam.router.net.Hash;
+import slateseam.router.net.Loop;
+import slateseam.router.net.Slots;
+import slateseam.router.pass.PassListener;
+import slateseam.router.pass.Passes;
+import slateseam.router.peer.Peers;
+import slateseam.router.useragent.Front;
+
+/** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
+public final class Core implements PassListener {
+    /** A request that is owed its final answer. */
+    private static final class Slot {
+        final Request request;
+        final Front front;
+        final long exchange;
+        final long deadline;
+        Deadline overdue;
+        int attempts;
+
+        Slot(Request request, Front front, long exchange, long deadline) {
+            this.request = request;
+            this.front = front;
+            this.exchange = exchange;
+            this.deadline = deadline;
+        }
+    }
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Brain brain;
+    private final Slots<Slot> slots;
+    /** What has happened; an action may make something happen at once, which waits its turn here. */
+    private final Queue<Supplier<Event>> happenings = new ArrayDeque<>();
+    private boolean handling;
+    private Passes passes;
+    private Peers peers;
+    private Watch watch;
+
+    /** Creates the core of a router that holds at most so many requests. */
+    public Core(Loop loop, Settings settings, long seed, int mostHeld) {
+        this.loop = loop;
+        this.settings = settings;
+        this.brain = new Brain(settings, seed);
+        this.slots = new Slots<>(mostHeld);
+    }
+
+    /** Begins, with those who carry actions out; {@code peers} is null where routers do not talk. */
+    public void start(Passes passes, Peers peers, Watch watch) {
+        this.passes = passes;
+        this.peers = peers;
+        this.watch = watch;
+        happened(new Started());
+    }
+
+    /** Something happened that concerns no request. */
+    public void happened(Event event) {
+        happened(() -> event);
+    }
+
+    /** How many requests are owed an answer. */
+    public int held() {
+        return slots.size();
+    }
+
+    /** Takes a request and returns its ticket; -1 if it was answered at once, for want of room. */
+    public long arrived(Request request, Front front, long exchange) {
+        if (slots.isFull()) {
+            front.answer(exchange, new Answer.Unavailable(settings.limits().maxRetryAfterNanos()));
+            return -1;
+        }
+        Slot slot = new Slot(request, front, exchange, loop.now() + request.ttlNanos());
+        long ticket = slots.add(slot);
+        // Guards the rule that every request gets its answer in time, should the module ever leave one out.
+        slot.overdue = loop.after(request.ttlNanos() + settings.rules().answerSlackNanos(), () -> overdue(ticket));
+        happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.requestClass(),
+                request.isWrite(), request.repeated(), 0, request.ttlNanos()));
+        return ticket;
+    }
+
+    /** The user agent has left; nothing is owed any more. */
+    public void left(long ticket) {
+        if (release(ticket) != null) {
+            happened(new ClientGone(ticket));
+        }
+    }
+
+    private void overdue(long ticket) {
+        loop.log().line("overdue", "the module left a request without an answer");
+        finish(ticket, new Answer.Failed());
+        happened(new ClientGone(ticket));
+    }
+
+    @Override
+    public void passEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching, byte[] value,
+            long durationNanos) {
+        if (outcome == Outcome.OK) {
+            finish(ticket, new Answer.Served(value));
+        }
+        happened(() -> new AttemptEnded(ticket, server, attempt, outcome, fetching, slots.get(ticket) == null,
+                durationNanos));
+    }
+
+    private void happened(Supplier<Event> happening) {
+        happenings.add(happening);
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            for (Supplier<Event> next; (next = happenings.poll()) != null;) {
+                List<Action> actions = new ArrayList<>();
+                brain.handle(loop.now(), next.get(), actions::add);
+                actions.forEach(this::carryOut);
+            }
+        } finally {
+            handling = false;
+        }
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Send a) {
+            send(a);
+        } else if (action instanceof Cancel a) {
+            passes.cancel(a.request(), a.attempt());
+        } else if (action instanceof Refuse a) {
+            finish(a.request(), new Answer.Unavailable(a.retryAfterNanos()));
+        } else if (action instanceof Fail a) {
+            finish(a.request(), new Answer.Failed());
+        } else if (action instanceof SetTimer a) {
+            loop.after(a.delayNanos(), () -> happened(new TimerFired(a.tag())));
+        } else if (action instanceof Probe a) {
+            passes.probe(a.member());
+        } else if (action instanceof CloseIdle a) {
+            passes.closeIdle(a.member());
+        } else if (action instanceof TellPeer a && peers != null) {
+            peers.send(a.to(), a.payload());
+        } else if (action instanceof Subscribe) {
+            watch.begin();
+        } else if (action instanceof Log a) {
+            loop.log().line("module", a.text());
+        }
+    }
+
+    private void send(Send send) {
+        Slot slot = slots.get(send.request());
+        int attempt = slot == null ? 0 : slot.attempts;
+        long left = slot == null ? 0 : slot.deadline - loop.now();
+        if (left <= 0 || attempt >= settings.limits().attempts()) {
+            passEnded(send.request(), attempt, send.member(), Outcome.MOOT, false, null, 0);
+            return;
+        }
+        slot.attempts++;
+        long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
+        passes.begin(send.request(), slot.request, attempt, send.member(), timeout);
+    }
+
+    private void finish(long ticket, Answer answer) {
+        Slot slot = release(ticket);
+        if (slot != null) {
+            slot.front.answer(slot.exchange, answer);
+        }
+    }
+
+    private Slot release(long ticket) {
+        Slot slot = slots.remove(ticket);
+        if (slot != null) {
+            loop.cancel(slot.overdue);
+        }
+        return slot;
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -0,0 +1,113 @@
+package slateseam.router.farm;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+import slateseam.decision.Api.ListKind;
+import slateseam.decision.Api.Member;
+import slateseam.decision.Api.MemberState;
+import slateseam.decision.Api.MembersChanged;
+import slateseam.router.config.NodeConfig;
+import slateseam.router.net.Hash;
+import slateseam.router.net.MalformedException;
+
+/** The farm as discovery last told it: who is in it, where, and in what state. */
+public final class Farm {
+    private static final long MILLI = 1_000_000L;
+    private static final int MOST_ENTRIES = 4096;
+
+    /** An application server or the origin. */
+    public record Entry(String host, InetSocketAddress address, Member member, boolean isOrigin) {
+        /** Whether it wants new requests. */
+        public boolean isReady() {
+            return member.state() == MemberState.READY;
+        }
+    }
+
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final int originKind;
+    private Map<Long, Entry> entries = new HashMap<>();
+    private long version;
+
+    /** Creates an empty farm; zones and kinds are numbered by their places in the settings' lists. */
+    public Farm(List<String> zones, List<String> kinds, int originKind) {
+        this.zones = zones;
+        this.kinds = kinds;
+        this.originKind = originKind;
+    }
+
+    /** What is listed under an id; null if nothing is. */
+    public Entry entry(long id) {
+        return entries.get(id);
+    }
+
+    /** The version of what discovery told last. */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Takes in a list of discovery's, or none of it.
+     *
+     * @param cached whether it is what the router had before its start, which may be old
+     * @throws MalformedException if it cannot be read
+     */
+    public MembersChanged take(JSONObject list, boolean cached) throws MalformedException {
+        try {
+            boolean whole = cached || list.getBoolean("whole");
+            long newVersion = list.getLong("seq");
+            JSONArray hosts = list.getJSONArray("hosts");
+            if (hosts.length() > MOST_ENTRIES) {
+                throw new MalformedException("a list of " + hosts.length() + " hosts");
+            }
+            Map<Long, Entry> taken = whole ? new HashMap<>() : new HashMap<>(entries);
+            List<Member> members = new ArrayList<>();
+            for (int i = 0; i < hosts.length(); i++) {
+                Entry entry = entry(hosts.getJSONObject(i));
+                taken.put(entry.member.id(), entry);
+                members.add(entry.member);
+            }
+            entries = taken;
+            version = newVersion;
+            return new MembersChanged(cached ? ListKind.CACHED : whole ? ListKind.FULL : ListKind.DELTA, members);
+        } catch (JSONException e) {
+            throw new MalformedException(e.getMessage());
+        }
+    }
+
+    private Entry entry(JSONObject json) throws MalformedException {
+        String host = json.getString("host");
+        MemberState state = switch (json.getString("health")) {
+            case "ready" -> MemberState.READY;
+            case "draining" -> MemberState.DRAINING;
+            case "gone" -> MemberState.GONE;
+            default -> throw new MalformedException("unknown health of " + host);
+        };
+        InetSocketAddress address = NodeConfig.address(json.optString("dial"));
+        if (address == null && state != MemberState.GONE) {
+            throw new MalformedException("no address of " + host);
+        }
+        int kind = number(kinds, json.optString("class"));
+        Member member = new Member(id(host), number(zones, json.optString("site")), kind, json.optInt("block"),
+                state, json.optDouble("share", 1), json.optLong("born_ms") * MILLI);
+        return new Entry(host, address, member, originKind >= 0 && kind == originKind);
+    }
+
+    /** Derived from the host's name alone, so that it is the same at every router and after every restart. */
+    static long id(String host) {
+        return Hash.of(host.getBytes(StandardCharsets.UTF_8)) >>> 1;
+    }
+
+    /** A name's place in the settings' list; one past the end if the settings do not know it. */
+    private static int number(List<String> names, String name) {
+        int place = names.indexOf(name);
+        return place < 0 ? names.size() : place;
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -0,0 +1,134 @@
+package slateseam.router.farm;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+import org.json.JSONException;
+import org.json.JSONObject;
+import slateseam.decision.Api.ListKind;
+import slateseam.decision.Api.MembersChanged;
+import slateseam.router.net.Connection;
+import slateseam.router.net.Deadlines.Deadline;
+import slateseam.router.net.HttpReply;
+import slateseam.router.net.Loop;
+import slateseam.router.net.MalformedException;
+
+/** Watches discovery: one call is always out, the next follows each answer at once. */
+public final class Watch {
+    private static final long MILLI = 1_000_000L;
+    private static final long WAIT_MILLIS = 5_000;
+    /** Beyond its wait an answer is late: the connection may be dead, so a new one is tried. */
+    private static final long LATE_MILLIS = 1_000;
+    private static final long RETRY_MILLIS = 50;
+
+    private final Loop loop;
+    private final InetSocketAddress discovery;
+    private final Farm farm;
+    private final Consumer<MembersChanged> listener;
+    private boolean begun;
+    private boolean listed;
+    private Call call;
+    private Deadline late;
+
+    /** Creates a watch that reports what changed. */
+    public Watch(Loop loop, InetSocketAddress discovery, Farm farm, Consumer<MembersChanged> listener) {
+        this.loop = loop;
+        this.discovery = discovery;
+        this.farm = farm;
+        this.listener = listener;
+    }
+
+    /** Begins, with the whole list first; a watch that goes on already is left alone. */
+    public void begin() {
+        if (!begun) {
+            begun = true;
+            connect();
+        }
+    }
+
+    private void connect() {
+        try {
+            call = new Call();
+            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * MILLI, this::tooLate);
+        } catch (IOException e) {
+            failed(e.toString());
+        }
+    }
+
+    private void tooLate() {
+        call.close();
+        failed("no answer in time");
+    }
+
+    private void failed(String why) {
+        loop.cancel(late);
+        loop.log().line("farm-unreachable", why);
+        listener.accept(new MembersChanged(ListKind.FAILED, List.of()));
+        loop.after(RETRY_MILLIS * MILLI, this::connect);
+    }
+
+    private final class Call extends Connection {
+        Call() throws IOException {
+            super(loop, discovery);
+        }
+
+        @Override
+        protected void connected() {
+            ask();
+        }
+
+        private void ask() {
+            loop.cancel(late);
+            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * MILLI, Watch.this::tooLate);
+            String query = listed ? "?index=" + farm.version() + "&wait=" + WAIT_MILLIS : "";
+            String head = "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + discovery.getHostString() + "\r\n\r\n";
+            write(ByteBuffer.wrap(head.getBytes(StandardCharsets.US_ASCII)));
+        }
+
+        @Override
+        protected void received(ByteBuffer in) throws MalformedException {
+            HttpReply reply = HttpReply.read(in);
+            if (reply == null) {
+                return;
+            }
+            if (reply.status() != 200) {
+                throw new MalformedException("status " + reply.status());
+            }
+            MembersChanged changed = read(reply);
+            listed = true;
+            if (reply.keepsAlive()) {
+                ask();
+            } else {
+                close();
+                loop.cancel(late);
+                connect();
+            }
+            listener.accept(changed);
+        }
+
+        private MembersChanged read(HttpReply reply) throws MalformedException {
+            try {
+                return farm.take(new JSONObject(new String(reply.body(), StandardCharsets.UTF_8)), false);
+            } catch (JSONException e) {
+                throw new MalformedException(e.getMessage());
+            }
+        }
+
+        /** What cannot be read is dropped; a new call asks for the whole list. */
+        @Override
+        protected void malformed(MalformedException e) {
+            loop.log().line("farm-malformed", e.getMessage());
+            listed = false;
+            close();
+            failed("the answer was dropped");
+        }
+
+        @Override
+        protected void broken() {
+            failed("the connection broke");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -0,0 +1,216 @@
+package slateseam.router.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** A TCP connection on the loop: a bounded input buffer, parsed in place, and gathered writes. */
+public abstract class Connection implements Loop.Handler {
+    /** The longest value that the protocols carry. */
+    public static final int VALUE_LIMIT = 64 * 1024;
+    private static final int INPUT_LIMIT = VALUE_LIMIT + 8 * 1024;
+    private static final int FIRST_INPUT = 4 * 1024;
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
+    private final Loop loop;
+    private final SocketChannel channel;
+    private final SelectionKey key;
+    private final Deque<ByteBuffer> unwritten = new ArrayDeque<>();
+    private ByteBuffer input = NOTHING;
+    private boolean paused;
+    private boolean closed;
+
+    /** Takes over an accepted channel. */
+    protected Connection(Loop loop, SocketChannel accepted) throws IOException {
+        this.loop = loop;
+        this.channel = accepted;
+        accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        this.key = loop.register(accepted, SelectionKey.OP_READ, this);
+    }
+
+    /** Begins to connect; {@link #connected} or {@link #broken} follows. */
+    protected Connection(Loop loop, InetSocketAddress to) throws IOException {
+        this.loop = loop;
+        this.channel = SocketChannel.open();
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.configureBlocking(false);
+            boolean up = channel.connect(to);
+            this.key = loop.register(channel, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+            if (up) {
+                loop.after(0, () -> {
+                    if (!closed) {
+                        connected();
+                    }
+                });
+            }
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    /** The connection is up. */
+    protected void connected() {
+    }
+
+    /**
+     * Bytes have come. Takes whole messages from the buffer and leaves the rest.
+     *
+     * @throws MalformedException if what came can never become a message
+     */
+    protected abstract void received(ByteBuffer in) throws MalformedException;
+
+    /** The other side sent what breaks the protocol. */
+    protected abstract void malformed(MalformedException e);
+
+    /** The other side has closed the connection, or it broke, or it never came up; it is closed now. */
+    protected abstract void broken();
+
+    /** All that was to be written has been. */
+    protected void written() {
+    }
+
+    /** Whether all that was to be written has been handed to the system. */
+    protected final boolean isFlushed() {
+        return unwritten.isEmpty();
+    }
+
+    /** The loop that the connection lives on. */
+    protected final Loop loop() {
+        return loop;
+    }
+
+    /** Whether it was closed, by whichever side. */
+    public final boolean isClosed() {
+        return closed;
+    }
+
+    /** Stops or goes on with reading. What lies in the buffer already is handed out again when reading goes on. */
+    protected final void pause(boolean stop) {
+        if (paused != stop && !closed) {
+            paused = stop;
+            interest();
+            if (!stop && input.position() > 0) {
+                loop.after(0, this::handOut);
+            }
+        }
+    }
+
+    /** Writes the buffers, in order, as far as the system takes them; the rest follows. */
+    protected final void write(ByteBuffer... buffers) {
+        if (closed) {
+            return;
+        }
+        for (ByteBuffer b : buffers) {
+            if (b.hasRemaining()) {
+                unwritten.add(b);
+            }
+        }
+        flush();
+    }
+
+    /** Closes it from this side; {@link #broken} is not called. */
+    public final void close() {
+        if (!closed) {
+            closed = true;
+            input = NOTHING;
+            unwritten.clear();
+            try {
+                channel.close();
+            } catch (IOException e) {
+                loop.log().line("socket-error", "close: " + e);
+            }
+        }
+    }
+
+    @Override
+    public final void ready(SelectionKey ready) {
+        try {
+            if (ready.isConnectable()) {
+                channel.finishConnect();
+                interest();
+                connected();
+            }
+            if (!closed && ready.isWritable()) {
+                flush();
+            }
+            if (!closed && ready.isReadable() && !paused) {
+                read();
+            }
+        } catch (IOException e) {
+            breakOff();
+        }
+    }
+
+    private void breakOff() {
+        if (!closed) {
+            close();
+            broken();
+        }
+    }
+
+    private void read() throws IOException {
+        if (!input.hasRemaining()) {
+            int larger = Math.min(INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
+            input = ByteBuffer.allocate(larger).put(input.flip());
+        }
+        if (channel.read(input) < 0) {
+            breakOff();
+            return;
+        }
+        handOut();
+    }
+
+    private void handOut() {
+        if (closed || paused) {
+            return;
+        }
+        ByteBuffer in = input.flip();
+        try {
+            received(in);
+            if (closed) {
+                return;
+            }
+            in.compact();
+            if (in.position() == 0) {
+                input = NOTHING;
+            } else if (in.position() == INPUT_LIMIT && !paused) {
+                throw new MalformedException("a message is longer than " + INPUT_LIMIT + " bytes");
+            }
+        } catch (MalformedException e) {
+            malformed(e);
+        }
+    }
+
+    private void flush() {
+        try {
+            while (!unwritten.isEmpty()) {
+                channel.write(unwritten.toArray(new ByteBuffer[0]));
+                while (!unwritten.isEmpty() && !unwritten.peek().hasRemaining()) {
+                    unwritten.poll();
+                }
+                if (!unwritten.isEmpty()) {
+                    interest();
+                    return;
+                }
+            }
+            interest();
+            written();
+        } catch (IOException e) {
+            // Guards the writer, which may be in the middle of its own bookkeeping, against a call back.
+            loop.after(0, this::breakOff);
+        }
+    }
+
+    private void interest() {
+        if (key.isValid() && channel.isConnected()) {
+            key.interestOps((paused ? 0 : SelectionKey.OP_READ) | (unwritten.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -0,0 +1,112 @@
+package slateseam.router.net;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * An HTTP/1.1 answer, read in place.
+ *
+ * @param status the status code
+ * @param headers the headers, their names in lower case
+ * @param body a copy of the body
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+    private static final int MOST_HEADERS = 64;
+
+    /** Whether the connection may be used again. */
+    public boolean keepsAlive() {
+        return !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
+    }
+
+    /**
+     * Reads an answer and moves the buffer past it.
+     *
+     * @return null, with the buffer as it was, while it is not whole
+     */
+    public static HttpReply read(ByteBuffer in) throws MalformedException {
+        int start = in.position();
+        HttpReply reply = whole(in);
+        if (reply == null) {
+            in.position(start);
+        }
+        return reply;
+    }
+
+    private static HttpReply whole(ByteBuffer in) throws MalformedException {
+        ByteBuffer first = Resp.line(in);
+        if (first == null) {
+            return null;
+        }
+        String[] words = text(first).split(" ", 3);
+        if (words.length < 2 || !words[0].startsWith("HTTP/1.") || !words[1].matches("[1-5][0-9][0-9]")) {
+            throw new MalformedException("not an HTTP/1.1 status line");
+        }
+        Map<String, String> headers = new HashMap<>();
+        for (ByteBuffer line; (line = Resp.line(in)) == null || line.hasRemaining();) {
+            if (line == null) {
+                return null;
+            }
+            String header = text(line);
+            int colon = header.indexOf(':');
+            if (colon <= 0 || headers.size() >= MOST_HEADERS) {
+                throw new MalformedException("a header has no name, or there are too many");
+            }
+            headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).trim());
+        }
+        boolean chunked = headers.getOrDefault("transfer-encoding", "").equalsIgnoreCase("chunked");
+        byte[] body = chunked ? chunks(in) : bytes(in, length(headers.getOrDefault("content-length", "0"), 10));
+        return body == null ? null : new HttpReply(Integer.parseInt(words[1]), headers, body);
+    }
+
+    private static byte[] chunks(ByteBuffer in) throws MalformedException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            ByteBuffer line = Resp.line(in);
+            if (line == null) {
+                return null;
+            }
+            int length = length(text(line).split(";", 2)[0].trim(), 16);
+            byte[] chunk = bytes(in, length);
+            ByteBuffer end = chunk == null ? null : Resp.line(in);
+            if (end == null) {
+                return null;
+            }
+            if (end.hasRemaining()) {
+                throw new MalformedException("a chunk does not end where it should, or trailers follow");
+            }
+            if (length == 0) {
+                return body.toByteArray();
+            }
+            body.writeBytes(chunk);
+        }
+    }
+
+    private static byte[] bytes(ByteBuffer in, int length) {
+        if (in.remaining() < length) {
+            return null;
+        }
+        byte[] bytes = new byte[length];
+        in.get(bytes);
+        return bytes;
+    }
+
+    private static int length(String digits, int radix) throws MalformedException {
+        try {
+            int length = Integer.parseInt(digits, radix);
+            if (length >= 0 && length <= Connection.VALUE_LIMIT) {
+                return length;
+            }
+        } catch (NumberFormatException e) {
+            // reported below
+        }
+        throw new MalformedException("a length is no number from 0 to " + Connection.VALUE_LIMIT);
+    }
+
+    private static String text(ByteBuffer bytes) {
+        return StandardCharsets.ISO_8859_1.decode(bytes).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -0,0 +1,128 @@
+package slateseam.router.net;
+
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** The one thread's loop: waits for sockets and deadlines and hands each to whom it concerns. */
+public final class Loop {
+    private static final long MILLI = 1_000_000L;
+    private static final long LONGEST_WAIT = 1_000 * MILLI;
+
+    /** Takes what a socket is ready for. */
+    @FunctionalInterface
+    public interface Handler {
+        /** The socket of this key can go on. */
+        void ready(SelectionKey key) throws IOException;
+    }
+
+    private final Selector selector;
+    private final Clock clock;
+    private final Log log;
+    private final Deadlines deadlines = new Deadlines();
+    private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
+    private long now;
+    private boolean stopped;
+
+    /** Creates a loop without sockets. */
+    public Loop(Clock clock, Log log) throws IOException {
+        this.selector = Selector.open();
+        this.clock = clock;
+        this.log = log;
+        this.now = clock.nanos();
+    }
+
+    /** The time at which the current happening was taken up. */
+    public long now() {
+        return now;
+    }
+
+    /** The operators' log. */
+    public Log log() {
+        return log;
+    }
+
+    /** Registers a channel, non-blocking, for the operations. */
+    public SelectionKey register(SelectableChannel channel, int operations, Handler handler) throws IOException {
+        channel.configureBlocking(false);
+        return channel.register(selector, operations, handler);
+    }
+
+    /** Runs an action so long from now. */
+    public Deadlines.Deadline after(long nanos, Runnable action) {
+        return deadlines.set(now + Math.max(0, nanos), action);
+    }
+
+    /** Cancels a deadline; null and one that has passed are ignored. */
+    public void cancel(Deadlines.Deadline deadline) {
+        deadlines.cancel(deadline);
+    }
+
+    /** Runs an action on the loop's thread; the only call that other threads may make. */
+    public void handOver(Runnable action) {
+        handedOver.add(action);
+        selector.wakeup();
+    }
+
+    /** Ends {@link #run} after the current round. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Runs until stopped, then closes every socket. */
+    public void run() throws IOException {
+        while (!stopped) {
+            round(LONGEST_WAIT);
+        }
+        for (SelectionKey key : selector.keys()) {
+            key.channel().close();
+        }
+        selector.close();
+    }
+
+    /** One round: waits at most so long for a socket or a deadline, then handles all that is ready or due. */
+    public void round(long mostNanos) throws IOException {
+        long wait = Math.min(mostNanos, deadlines.next() - clock.nanos());
+        if (wait <= 0) {
+            selector.selectNow(this::dispatch);
+        } else {
+            selector.select(this::dispatch, (wait + MILLI - 1) / MILLI);
+        }
+        now = clock.nanos();
+        for (Runnable action; (action = handedOver.poll()) != null;) {
+            guarded(action);
+        }
+        for (Runnable action; (action = deadlines.due(now)) != null;) {
+            guarded(action);
+        }
+    }
+
+    private void dispatch(SelectionKey key) {
+        now = clock.nanos();
+        guarded(() -> {
+            try {
+                if (key.isValid()) {
+                    ((Handler) key.attachment()).ready(key);
+                }
+            } catch (ClosedChannelException e) {
+                key.cancel();
+            } catch (IOException e) {
+                log.line("socket-error", e.toString());
+            }
+        });
+    }
+
+    /** Guards the loop, and so every other request, against a fault in the handling of one happening. */
+    private void guarded(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            log.line("internal-error", e + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -0,0 +1,147 @@
+package slateseam.router.net;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** RESP2, read in place: what is returned looks into the buffer that was read. */
+public final class Resp {
+    private static final int MOST_ITEMS = 16;
+    private static final int DEEPEST = 3;
+    private static final int LONGEST_LINE = 1024;
+
+    /**
+     * A value.
+     *
+     * @param type the byte that it began with
+     * @param bytes the text of a line or a bulk string; null for null, and for arrays
+     * @param items the items of an array, else empty
+     */
+    public record Value(char type, ByteBuffer bytes, List<Value> items) {
+        /** Whether this is a bulk string that is not null. */
+        public boolean isBulk() {
+            return type == '$' && bytes != null;
+        }
+
+        /** The text; empty where there is none. */
+        public String text() {
+            return bytes == null ? "" : StandardCharsets.ISO_8859_1.decode(bytes.duplicate()).toString();
+        }
+    }
+
+    private Resp() {
+    }
+
+    /**
+     * Reads a command, an array of bulk strings, and moves the buffer past it.
+     *
+     * @return null, with the buffer as it was, while it is not whole
+     */
+    public static List<ByteBuffer> command(ByteBuffer in) throws MalformedException {
+        if (in.hasRemaining() && in.get(in.position()) != '*') {
+            throw new MalformedException("a command must be an array");
+        }
+        Value array = reply(in);
+        if (array == null) {
+            return null;
+        }
+        if (array.items.isEmpty() || !array.items.stream().allMatch(Value::isBulk)) {
+            throw new MalformedException("a command must hold bulk strings");
+        }
+        return array.items.stream().map(Value::bytes).toList();
+    }
+
+    /**
+     * Reads any value and moves the buffer past it.
+     *
+     * @return null, with the buffer as it was, while it is not whole
+     */
+    public static Value reply(ByteBuffer in) throws MalformedException {
+        int start = in.position();
+        Value value = value(in, DEEPEST);
+        if (value == null) {
+            in.position(start);
+        }
+        return value;
+    }
+
+    private static Value value(ByteBuffer in, int depth) throws MalformedException {
+        ByteBuffer line = line(in);
+        if (line == null) {
+            return null;
+        }
+        if (!line.hasRemaining()) {
+            throw new MalformedException("an empty line");
+        }
+        char type = (char) line.get();
+        return switch (type) {
+            case '+', '-', ':' -> new Value(type, line, List.of());
+            case '$' -> bulk(in, number(line, Connection.VALUE_LIMIT));
+            case '*' -> array(in, number(line, MOST_ITEMS), depth);
+            default -> throw new MalformedException("unknown type " + (int) type);
+        };
+    }
+
+    private static Value bulk(ByteBuffer in, int length) throws MalformedException {
+        if (length < 0) {
+            return new Value('$', null, List.of());
+        }
+        if (in.remaining() < length + 2) {
+            return null;
+        }
+        ByteBuffer bytes = in.slice(in.position(), length);
+        in.position(in.position() + length);
+        if (in.get() != '\r' || in.get() != '\n') {
+            throw new MalformedException("a bulk string does not end where it should");
+        }
+        return new Value('$', bytes, List.of());
+    }
+
+    private static Value array(ByteBuffer in, int length, int depth) throws MalformedException {
+        if (depth == 0) {
+            throw new MalformedException("arrays nested too deep");
+        }
+        List<Value> items = new ArrayList<>();
+        for (int i = 0; i < length; i++) {
+            Value item = value(in, depth - 1);
+            if (item == null) {
+                return null;
+            }
+            items.add(item);
+        }
+        return new Value('*', null, items);
+    }
+
+    /** A length from -1 to the limit. */
+    private static int number(ByteBuffer digits, int limit) throws MalformedException {
+        boolean negative = digits.hasRemaining() && digits.get(digits.position()) == '-';
+        if (negative) {
+            digits.get();
+        }
+        int number = digits.hasRemaining() ? 0 : limit + 1;
+        while (digits.hasRemaining() && number <= limit) {
+            byte b = digits.get();
+            number = b >= '0' && b <= '9' ? 10 * number + b - '0' : limit + 1;
+        }
+        if (number > limit || negative && number != 1) {
+            throw new MalformedException("a length is no number from -1 to " + limit);
+        }
+        return negative ? -1 : number;
+    }
+
+    /** The text up to the next CRLF, which is passed; null while that has not come. */
+    static ByteBuffer line(ByteBuffer in) throws MalformedException {
+        for (int i = in.position(); i + 1 < in.limit(); i++) {
+            if (in.get(i) == '\r' && in.get(i + 1) == '\n') {
+                ByteBuffer line = in.slice(in.position(), i - in.position());
+                in.position(i + 2);
+                return line;
+            }
+        }
+        if (in.remaining() > LONGEST_LINE) {
+            throw new MalformedException("a line is longer than " + LONGEST_LINE + " bytes");
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/net/Slots.java
@@ -0,0 +1,82 @@
+package slateseam.router.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A table of numbered slots. An entry's ticket is its slot's number and the slot's generation, so that a ticket kept too
+ * long never meets the entry that uses the slot next.
+ */
+public final class Slots<T> {
+    private static final int SLOT_BITS = 16;
+    /** The most entries that a table holds. */
+    public static final int MOST = 1 << SLOT_BITS;
+    private static final int GENERATION_MASK = Integer.MAX_VALUE;
+
+    private final int limit;
+    private final List<T> entries = new ArrayList<>();
+    private final List<Integer> generations = new ArrayList<>();
+    private final List<Integer> free = new ArrayList<>();
+
+    /** Creates a table of at most so many slots. */
+    public Slots(int limit) {
+        this.limit = Math.min(limit, MOST);
+    }
+
+    /** Whether every slot is taken. */
+    public boolean isFull() {
+        return size() >= limit;
+    }
+
+    /** How many slots are taken. */
+    public int size() {
+        return entries.size() - free.size();
+    }
+
+    /**
+     * Puts an entry into a free slot and returns its ticket.
+     *
+     * @throws IllegalStateException if every slot is taken
+     */
+    public long add(T entry) {
+        Objects.requireNonNull(entry);
+        if (isFull()) {
+            throw new IllegalStateException("all " + limit + " slots are taken");
+        }
+        int slot;
+        if (free.isEmpty()) {
+            slot = entries.size();
+            entries.add(entry);
+            generations.add(1);
+        } else {
+            slot = free.remove(free.size() - 1);
+            entries.set(slot, entry);
+        }
+        return (long) generations.get(slot) << SLOT_BITS | slot;
+    }
+
+    /** The entry of a ticket; null if it has been removed. */
+    public T get(long ticket) {
+        int slot = (int) (ticket & MOST - 1);
+        boolean current = slot < entries.size() && generations.get(slot) == ticket >>> SLOT_BITS;
+        return current ? entries.get(slot) : null;
+    }
+
+    /** Frees the slot of a ticket and returns what it held; null if that was removed before. */
+    public T remove(long ticket) {
+        T entry = get(ticket);
+        if (entry != null) {
+            int slot = (int) (ticket & MOST - 1);
+            entries.set(slot, null);
+            generations.set(slot, generations.get(slot) + 1 & GENERATION_MASK);
+            free.add(slot);
+        }
+        return entry;
+    }
+
+    /** The entries, lowest slot first, as they are now. */
+    public List<T> all() {
+        return entries.stream().filter(Objects::nonNull).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -0,0 +1,65 @@
+package slateseam.router.pass;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import slateseam.decision.Api.Outcome;
+import slateseam.router.core.Request;
+import slateseam.router.net.HttpReply;
+import slateseam.router.net.MalformedException;
+
+/** HTTP/1.1, as the origin speaks it. */
+final class HttpOrigin implements ServerProtocol {
+    private final String host;
+
+    HttpOrigin(String host) {
+        this.host = host;
+    }
+
+    @Override
+    public ByteBuffer[] command(Request request, long waitMillis) {
+        StringBuilder head = head(request.isWrite() ? "PUT" : "GET", "/" + text(request.key()));
+        head.append("X-Correlation-Id: ").append(text(request.id())).append("\r\nX-Facts: ")
+                .append(text(request.facts())).append("\r\n");
+        if (!request.isWrite()) {
+            return new ByteBuffer[] {bytes(head.append("\r\n"))};
+        }
+        head.append("Content-Length: ").append(request.value().length).append("\r\n\r\n");
+        return new ByteBuffer[] {bytes(head), ByteBuffer.wrap(request.value())};
+    }
+
+    @Override
+    public ByteBuffer[] probe() {
+        return new ByteBuffer[] {bytes(head("GET", "/-/healthy").append("\r\n"))};
+    }
+
+    private StringBuilder head(String method, String path) {
+        return new StringBuilder(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ").append(host)
+                .append("\r\n");
+    }
+
+    @Override
+    public Reply reply(ByteBuffer in) throws MalformedException {
+        HttpReply reply = HttpReply.read(in);
+        if (reply == null) {
+            return null;
+        }
+        boolean neverRan = (reply.status() == 503 || reply.status() == 504)
+                && reply.headers().getOrDefault("x-unprocessed", "").equals("1");
+        Outcome outcome = reply.status() == 200 ? Outcome.OK : neverRan ? Outcome.FULL : Outcome.ERROR;
+        return new Reply(outcome, false, outcome == Outcome.OK ? reply.body() : null, reply.keepsAlive());
+    }
+
+    @Override
+    public Reply probeReply(ByteBuffer in) throws MalformedException {
+        Reply reply = reply(in);
+        return reply == null ? null : new Reply(reply.outcome(), false, null, reply.reusable());
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private static ByteBuffer bytes(StringBuilder text) {
+        return StandardCharsets.ISO_8859_1.encode(text.toString());
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/pass/PassListener.java
@@ -0,0 +1,14 @@
+package slateseam.router.pass;
+
+import slateseam.decision.Api.Event;
+import slateseam.decision.Api.Outcome;
+
+/** Whom proxy passes and probes report to. */
+public interface PassListener {
+    /** A proxy pass ended; called once for each that was begun. The value is there if it was served. */
+    void passEnded(long request, int attempt, long server, Outcome outcome, boolean fetching, byte[] value,
+            long durationNanos);
+
+    /** Something happened that concerns no request: a probe ended. */
+    void happened(Event event);
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -0,0 +1,139 @@
+package slateseam.router.pass;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import slateseam.decision.Api.Outcome;
+import slateseam.decision.Api.ProbeEnded;
+import slateseam.router.core.Request;
+import slateseam.router.farm.Farm;
+import slateseam.router.net.Loop;
+
+/** The proxy passes that are out. */
+public final class Passes {
+    private static final long PROBE_NANOS = 1_000_000_000L;
+    /** Of the time for which a server keeps an idle connection: closed before that, lest a pass meets the close. */
+    private static final double IDLE_PART = 0.8;
+
+    private final Loop loop;
+    private final Farm farm;
+    private final PassListener listener;
+    private final long connectNanos;
+    private final long idleNanos;
+    private final int mostConnections;
+    private final Map<Long, ApplicationServer> servers = new HashMap<>();
+    private final Map<Long, Pass> byTicket = new HashMap<>();
+    private int connections;
+
+    /** Creates the table; servers keep an idle connection for so long. */
+    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, long keptNanos,
+            int mostConnections) {
+        this.loop = loop;
+        this.farm = farm;
+        this.listener = listener;
+        this.connectNanos = connectNanos;
+        this.idleNanos = (long) (keptNanos * IDLE_PART);
+        this.mostConnections = mostConnections;
+    }
+
+    /** Begins an attempt of a request. */
+    public void begin(long ticket, Request request, int attempt, long serverId, long timeoutNanos) {
+        ApplicationServer server = server(serverId);
+        if (server == null || !mayWrite(server)) {
+            listener.passEnded(ticket, attempt, serverId, Outcome.MOOT, false, null, 0);
+            return;
+        }
+        Pass pass = new Pass(ticket, attempt, request, server, loop.now(), loop.now() + timeoutNanos);
+        byTicket.put(ticket, pass);
+        begin(pass, timeoutNanos);
+    }
+
+    /** Probes a server. */
+    public void probe(long serverId) {
+        ApplicationServer server = server(serverId);
+        if (server == null) {
+            listener.happened(new ProbeEnded(serverId, Outcome.MOOT, 0));
+        } else {
+            begin(new Pass(-1, 0, null, server, loop.now(), loop.now() + PROBE_NANOS), PROBE_NANOS);
+        }
+    }
+
+    private void begin(Pass pass, long timeoutNanos) {
+        pass.timeout = loop.after(timeoutNanos, () -> stop(pass, Outcome.TIMEOUT));
+        pass.server.begin(pass);
+    }
+
+    /** Stops waiting for an attempt that is out; any other is passed over. */
+    public void cancel(long ticket, int attempt) {
+        Pass pass = byTicket.get(ticket);
+        if (pass != null && pass.attempt == attempt) {
+            stop(pass, Outcome.CANCELLED);
+        }
+    }
+
+    private void stop(Pass pass, Outcome outcome) {
+        pass.server.stop(pass);
+        boolean neverSent = outcome == Outcome.TIMEOUT && !pass.written;
+        end(pass, new ServerProtocol.Reply(neverSent ? Outcome.CONNECT_FAILED : outcome));
+    }
+
+    /** Closes the idle connections to a server. */
+    public void closeIdle(long serverId) {
+        ApplicationServer server = servers.get(serverId);
+        if (server != null) {
+            server.closeIdle();
+        }
+    }
+
+    void end(Pass pass, ServerProtocol.Reply reply) {
+        loop.cancel(pass.timeout);
+        long duration = loop.now() - pass.begunAt;
+        if (pass.isProbe()) {
+            listener.happened(new ProbeEnded(pass.server.id(), reply.outcome(), duration));
+            return;
+        }
+        byTicket.remove(pass.ticket, pass);
+        listener.passEnded(pass.ticket, pass.attempt, pass.server.id(), reply.outcome(), reply.fetching(),
+                reply.value(), duration);
+    }
+
+    /** The server as the farm lists it now; one that moved to another address begins anew. */
+    private ApplicationServer server(long id) {
+        Farm.Entry entry = farm.entry(id);
+        ApplicationServer server = servers.get(id);
+        if (entry != null && (server == null || !server.address().equals(entry.address()))) {
+            if (server != null) {
+                server.closeIdle();
+            }
+            server = new ApplicationServer(this, entry);
+            servers.put(id, server);
+        }
+        return entry == null ? null : server;
+    }
+
+    boolean isCurrent(ApplicationServer server) {
+        return servers.get(server.id()) == server;
+    }
+
+    boolean mayWrite(ApplicationServer server) {
+        Farm.Entry entry = farm.entry(server.id());
+        return isCurrent(server) && entry != null && entry.isReady();
+    }
+
+    long idleNanos() {
+        return idleNanos;
+    }
+
+    void open(ApplicationServer server) throws IOException {
+        if (connections >= mostConnections) {
+            loop.log().line("pool-full", "all " + mostConnections + " connections to servers are taken");
+            throw new IOException("too many connections");
+        }
+        new ServerConnection(loop, server, connectNanos);
+        connections++;
+    }
+
+    void closed() {
+        connections--;
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -0,0 +1,78 @@
+package slateseam.router.pass;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import slateseam.decision.Api.Outcome;
+import slateseam.router.core.Facts;
+import slateseam.router.core.Request;
+import slateseam.router.net.MalformedException;
+import slateseam.router.net.Resp;
+
+/** RESP2, as application servers speak it. */
+final class RespServer implements ServerProtocol {
+    private static final byte[] GET = ascii("*4\r\n$9\r\nCACHE.GET\r\n");
+    private static final byte[] SET = ascii("*5\r\n$9\r\nCACHE.SET\r\n");
+    private static final byte[] PING = ascii("*1\r\n$4\r\nPING\r\n");
+    private static final byte[] LINE_END = ascii("\r\n");
+
+    @Override
+    public ByteBuffer[] command(Request request, long waitMillis) {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        head.writeBytes(request.isWrite() ? SET : GET);
+        for (byte[] part : List.of(request.key(), request.id(), Facts.withTimeLeft(request.facts(), waitMillis))) {
+            head.writeBytes(ascii("$" + part.length + "\r\n"));
+            head.writeBytes(part);
+            head.writeBytes(LINE_END);
+        }
+        if (!request.isWrite()) {
+            return new ByteBuffer[] {ByteBuffer.wrap(head.toByteArray())};
+        }
+        head.writeBytes(ascii("$" + request.value().length + "\r\n"));
+        return new ByteBuffer[] {ByteBuffer.wrap(head.toByteArray()), ByteBuffer.wrap(request.value()),
+                ByteBuffer.wrap(LINE_END)};
+    }
+
+    @Override
+    public ByteBuffer[] probe() {
+        return new ByteBuffer[] {ByteBuffer.wrap(PING)};
+    }
+
+    @Override
+    public Reply reply(ByteBuffer in) throws MalformedException {
+        Resp.Value reply = Resp.reply(in);
+        if (reply == null) {
+            return null;
+        }
+        return switch (reply.type()) {
+            case '*' -> answered(reply.items());
+            case '-' -> new Reply(reply.text().startsWith("BUSY") ? Outcome.FULL : Outcome.ERROR);
+            default -> throw new MalformedException("an answer must be an array or an error");
+        };
+    }
+
+    private static Reply answered(List<Resp.Value> items) throws MalformedException {
+        if (items.isEmpty() || items.get(0).type() != '$') {
+            throw new MalformedException("an answer's array must begin with a bulk string");
+        }
+        if (!items.get(0).isBulk()) {
+            boolean fetching = items.size() > 1 && items.get(1).text().equals("pending");
+            return new Reply(Outcome.MISS, fetching, null, true);
+        }
+        ByteBuffer bytes = items.get(0).bytes();
+        byte[] value = new byte[bytes.remaining()];
+        bytes.get(value);
+        return new Reply(Outcome.OK, false, value, true);
+    }
+
+    @Override
+    public Reply probeReply(ByteBuffer in) throws MalformedException {
+        Resp.Value reply = Resp.reply(in);
+        return reply == null ? null : new Reply(reply.type() == '+' ? Outcome.OK : Outcome.ERROR);
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -0,0 +1,111 @@
+package slateseam.router.pass;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import slateseam.decision.Api.Outcome;
+import slateseam.router.net.Connection;
+import slateseam.router.net.Deadlines.Deadline;
+import slateseam.router.net.Loop;
+import slateseam.router.net.MalformedException;
+
+/** A connection to a server; it carries one proxy pass at a time. */
+final class ServerConnection extends Connection {
+    private static final long MILLI = 1_000_000L;
+
+    private final ApplicationServer server;
+    private boolean up;
+    private Pass current;
+    /** Until when it may stay as it is: connecting, or idle. */
+    private Deadline limit;
+
+    ServerConnection(Loop loop, ApplicationServer server, long connectNanos) throws IOException {
+        super(loop, server.address());
+        this.server = server;
+        limit = loop.after(connectNanos, () -> {
+            close();
+            broken();
+        });
+    }
+
+    /** Closes it after so long without a pass. */
+    void rest(long idleNanos) {
+        limit = loop().after(idleNanos, () -> {
+            close();
+            server.lost(this);
+        });
+    }
+
+    void carry(Pass pass) {
+        loop().cancel(limit);
+        current = pass;
+        pass.connection = this;
+        long wait = Math.max(1, (pass.endsAt - loop().now() + MILLI - 1) / MILLI);
+        write(pass.isProbe() ? server.protocol().probe() : server.protocol().command(pass.request, wait));
+    }
+
+    /** Gives up its pass, and so itself: the answer would come before any other. */
+    void giveUp() {
+        current = null;
+        close();
+        server.lost(this);
+    }
+
+    @Override
+    protected void connected() {
+        up = true;
+        loop().cancel(limit);
+        server.connected(this);
+    }
+
+    @Override
+    protected void written() {
+        if (current != null) {
+            current.written = true;
+        }
+    }
+
+    @Override
+    protected void received(ByteBuffer in) throws MalformedException {
+        if (current == null) {
+            throw new MalformedException("an answer to nothing");
+        }
+        ServerProtocol protocol = server.protocol();
+        ServerProtocol.Reply reply = current.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
+        if (reply == null) {
+            return;
+        }
+        Pass done = current;
+        current = null;
+        boolean reusable = reply.reusable() && done.written && !in.hasRemaining();
+        if (!reusable) {
+            close();
+            server.lost(this);
+        }
+        server.ended(done, reply);
+        if (reusable) {
+            server.free(this);
+        }
+    }
+
+    @Override
+    protected void malformed(MalformedException e) {
+        loop().log().line("server-malformed", server.address() + ": " + e.getMessage());
+        close();
+        broken();
+    }
+
+    @Override
+    protected void broken() {
+        loop().cancel(limit);
+        Pass cut = current;
+        current = null;
+        if (!up) {
+            server.connectFailed(this);
+            return;
+        }
+        server.lost(this);
+        if (cut != null) {
+            server.ended(cut, new ServerProtocol.Reply(cut.written ? Outcome.RESET : Outcome.CONNECT_FAILED));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/pass/ServerProtocol.java
@@ -0,0 +1,28 @@
+package slateseam.router.pass;
+
+import java.nio.ByteBuffer;
+import slateseam.decision.Api.Outcome;
+import slateseam.router.core.Request;
+import slateseam.router.net.MalformedException;
+
+/** How one kind of server is spoken to. */
+interface ServerProtocol {
+    /** What a server answered; {@code reusable} if the connection can carry another pass. */
+    record Reply(Outcome outcome, boolean fetching, byte[] value, boolean reusable) {
+        Reply(Outcome outcome) {
+            this(outcome, false, null, true);
+        }
+    }
+
+    /** The buffers that ask for this, when the router will wait so long. */
+    ByteBuffer[] command(Request request, long waitMillis);
+
+    /** The buffers of a probe. */
+    ByteBuffer[] probe();
+
+    /** Reads the answer to a request; null, with the buffer as it was, while it is not whole. */
+    Reply reply(ByteBuffer in) throws MalformedException;
+
+    /** Reads the answer to a probe; null, with the buffer as it was, while it is not whole. */
+    Reply probeReply(ByteBuffer in) throws MalformedException;
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -0,0 +1,69 @@
+package slateseam.router.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.util.List;
+import java.util.function.Consumer;
+import slateseam.decision.Api.PeerMessage;
+import slateseam.router.net.Loop;
+
+/** Datagrams between routers; they may come late or not at all. */
+public final class Peers {
+    private static final int MOST_BYTES = 256;
+    private static final int EVERY_PEER = -1;
+    private static final int MOST_AT_ONCE = 64;
+
+    private final Loop loop;
+    private final List<InetSocketAddress> peers;
+    private final InetSocketAddress all;
+    private final Consumer<PeerMessage> listener;
+    private final DatagramChannel channel;
+    private final ByteBuffer input = ByteBuffer.allocate(MOST_BYTES + 1);
+
+    /** Listens for the other routers' messages. */
+    public Peers(Loop loop, InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all,
+            Consumer<PeerMessage> listener) throws IOException {
+        this.loop = loop;
+        this.peers = peers;
+        this.all = all;
+        this.listener = listener;
+        this.channel = DatagramChannel.open();
+        channel.bind(listen);
+        loop.register(channel, SelectionKey.OP_READ, key -> receive());
+    }
+
+    /** Sends a message to a router by its number, or to every router. */
+    public void send(int to, byte[] payload) {
+        InetSocketAddress address = to == EVERY_PEER ? all : to >= 0 && to < peers.size() ? peers.get(to) : null;
+        if (address == null || payload.length > MOST_BYTES) {
+            loop.log().line("peer-dropped", "a message of " + payload.length + " bytes to router " + to);
+            return;
+        }
+        try {
+            channel.send(ByteBuffer.wrap(payload), address);
+        } catch (IOException e) {
+            loop.log().line("peer-dropped", e.toString());
+        }
+    }
+
+    private void receive() throws IOException {
+        for (int i = 0; i < MOST_AT_ONCE; i++) {
+            SocketAddress from = channel.receive(input.clear());
+            if (from == null) {
+                return;
+            }
+            byte[] payload = new byte[input.flip().remaining()];
+            input.get(payload);
+            int sender = peers.indexOf(from);
+            if (sender < 0 || payload.length > MOST_BYTES) {
+                loop.log().line("peer-dropped", "a message of " + payload.length + " bytes from " + from);
+            } else {
+                listener.accept(new PeerMessage(sender, payload));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -0,0 +1,70 @@
+package slateseam.router.useragent;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import slateseam.router.net.Loop;
+
+/** Accepts the connections of user agents. */
+public final class Acceptor {
+    private static final int BACKLOG = 512;
+    private static final long PAUSE_NANOS = 100_000_000L;
+    private static final int MOST_AT_ONCE = 64;
+
+    private final Loop loop;
+    private final RespFront front;
+    private final ServerSocketChannel channel;
+    private final SelectionKey key;
+    private boolean closed;
+
+    /** Listens at an address. */
+    public Acceptor(Loop loop, InetSocketAddress listen, RespFront front) throws IOException {
+        this.loop = loop;
+        this.front = front;
+        this.channel = ServerSocketChannel.open();
+        channel.bind(listen, BACKLOG);
+        this.key = loop.register(channel, SelectionKey.OP_ACCEPT, ready -> accept());
+        front.onClose(this::resume);
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) channel.getLocalAddress();
+    }
+
+    /** Stops listening. */
+    public void close() throws IOException {
+        closed = true;
+        front.onClose(() -> { });
+        channel.close();
+    }
+
+    private void accept() {
+        try {
+            for (int i = 0; i < MOST_AT_ONCE && !front.isFull(); i++) {
+                SocketChannel accepted = channel.accept();
+                if (accepted == null) {
+                    return;
+                }
+                front.accept(accepted);
+            }
+            if (front.isFull()) {
+                loop.log().line("user-agents-full", "no further connection is taken until one closes");
+                key.interestOps(0);
+            }
+        } catch (IOException e) {
+            // Guards the loop when descriptors run out: the ready backlog would keep it spinning.
+            loop.log().line("accept-failed", e.toString());
+            key.interestOps(0);
+            loop.after(PAUSE_NANOS, this::resume);
+        }
+    }
+
+    private void resume() {
+        if (!closed && !front.isFull()) {
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -0,0 +1,245 @@
+package slateseam.router.useragent;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import slateseam.decision.Api.RequestClass;
+import slateseam.decision.Api.Settings;
+import slateseam.decision.Api.Tenant;
+import slateseam.router.core.Answer;
+import slateseam.router.core.Core;
+import slateseam.router.core.Facts;
+import slateseam.router.core.Request;
+import slateseam.router.net.Connection;
+import slateseam.router.net.Loop;
+import slateseam.router.net.MalformedException;
+import slateseam.router.net.Resp;
+import slateseam.router.net.Slots;
+
+/** The platform's protocol, RESP2, towards user agents. Answers of a connection go out in the order of its commands. */
+public final class RespFront implements Front {
+    private static final long MILLI = 1_000_000L;
+    private static final int MOST_EXCHANGES = 16;
+    private static final int READ_ITEMS = 4;
+    private static final int WRITE_ITEMS = 5;
+    private static final byte[] PONG = ascii("+PONG\r\n");
+    private static final byte[] OK = ascii("+OK\r\n");
+    private static final byte[] FAILED = ascii("-ERR failed\r\n");
+    private static final byte[] LINE_END = ascii("\r\n");
+
+    /** A command and its answer, which waits for those ahead of it. */
+    private static final class Exchange {
+        final UserAgent from;
+        long request = -1;
+        ByteBuffer[] answer;
+
+        Exchange(UserAgent from) {
+            this.from = from;
+        }
+    }
+
+    private final Loop loop;
+    private final Core core;
+    private final List<String> classes;
+    private final List<String> tenants;
+    private final Settings settings;
+    private final Slots<UserAgent> userAgents;
+    private final Slots<Exchange> exchanges = new Slots<>(Slots.MOST);
+    private Runnable whenClosed = () -> { };
+    private boolean closing;
+
+    /** Creates the front for at most so many connections. */
+    public RespFront(Loop loop, Core core, Settings settings, int mostConnections) {
+        this.loop = loop;
+        this.core = core;
+        this.settings = settings;
+        this.classes = settings.classes().stream().map(RequestClass::name).toList();
+        this.tenants = settings.tenants().stream().map(Tenant::name).toList();
+        this.userAgents = new Slots<>(mostConnections);
+    }
+
+    /** Whether no further connection can be taken. */
+    public boolean isFull() {
+        return userAgents.isFull();
+    }
+
+    /** Whether no connection is open. */
+    public boolean isEmpty() {
+        return userAgents.size() == 0;
+    }
+
+    /** Calls back after each close of a connection. */
+    public void onClose(Runnable action) {
+        whenClosed = action;
+    }
+
+    /** Takes a connection. */
+    public void accept(SocketChannel channel) throws IOException {
+        UserAgent userAgent = new UserAgent(channel);
+        userAgent.ticket = userAgents.add(userAgent);
+    }
+
+    /** Closes every connection as soon as it stands between requests. */
+    public void close() {
+        closing = true;
+        userAgents.all().forEach(UserAgent::closeIfDone);
+    }
+
+    @Override
+    public void answer(long exchange, Answer answer) {
+        Exchange done = exchanges.remove(exchange);
+        if (done != null) {
+            done.answer = bytes(answer);
+            done.from.flushAnswers();
+        }
+    }
+
+    private static ByteBuffer[] bytes(Answer answer) {
+        if (answer instanceof Answer.Served served) {
+            return new ByteBuffer[] {ByteBuffer.wrap(ascii("$" + served.value().length + "\r\n")),
+                    ByteBuffer.wrap(served.value()), ByteBuffer.wrap(LINE_END)};
+        }
+        if (answer instanceof Answer.Unavailable unavailable) {
+            long millis = (unavailable.retryAfterNanos() + MILLI - 1) / MILLI;
+            return line(ascii(millis > 0 ? "-BUSY " + millis + "\r\n" : "-BUSY\r\n"));
+        }
+        return line(FAILED);
+    }
+
+    private static ByteBuffer[] line(byte[] text) {
+        return new ByteBuffer[] {ByteBuffer.wrap(text)};
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** One connection of a user agent. */
+    private final class UserAgent extends Connection {
+        private final Deque<Exchange> inOrder = new ArrayDeque<>();
+        private long ticket;
+        private boolean last;
+
+        UserAgent(SocketChannel channel) throws IOException {
+            super(RespFront.this.loop, channel);
+        }
+
+        @Override
+        protected void received(ByteBuffer in) throws MalformedException {
+            while (!isClosed() && !last && inOrder.size() < MOST_EXCHANGES && isFlushed()) {
+                List<ByteBuffer> command = Resp.command(in);
+                if (command == null) {
+                    return;
+                }
+                take(command);
+            }
+            pause(true);
+        }
+
+        private void take(List<ByteBuffer> command) {
+            Exchange exchange = new Exchange(this);
+            inOrder.add(exchange);
+            String name = text(command.get(0)).toUpperCase(Locale.ROOT);
+            boolean write = name.equals("CACHE.SET");
+            switch (name) {
+                case "CACHE.GET", "CACHE.SET" -> {
+                    if (command.size() == (write ? WRITE_ITEMS : READ_ITEMS)) {
+                        request(exchange, command, write);
+                    } else {
+                        exchange.answer = line(ascii("-ERR wrong number of arguments\r\n"));
+                    }
+                }
+                case "PING" -> exchange.answer = line(PONG);
+                case "CLIENT", "SELECT" -> exchange.answer = line(OK);
+                default -> exchange.answer = line(ascii("-ERR unknown command\r\n"));
+            }
+            flushAnswers();
+        }
+
+        private void request(Exchange exchange, List<ByteBuffer> command, boolean write) {
+            byte[] facts = copy(command.get(3));
+            int requestClass = classes.indexOf(Facts.value(facts, 'c'));
+            long waitMillis = millis(Facts.value(facts, 'd'));
+            if (requestClass < 0 || waitMillis < 0) {
+                exchange.answer = line(ascii("-ERR unknown class or no time to wait\r\n"));
+                return;
+            }
+            int tenant = tenants.indexOf(Facts.value(facts, 't'));
+            long ttl = Math.min(waitMillis * MILLI, settings.classes().get(requestClass).deadlineNanos());
+            Request request = new Request(copy(command.get(1)), copy(command.get(2)), facts,
+                    write ? copy(command.get(4)) : null, requestClass, tenant < 0 ? tenants.size() : tenant,
+                    "1".equals(Facts.value(facts, 'r')), ttl);
+            long number = exchanges.add(exchange);
+            exchange.request = core.arrived(request, RespFront.this, number);
+        }
+
+        void flushAnswers() {
+            while (!inOrder.isEmpty() && inOrder.peek().answer != null) {
+                write(inOrder.poll().answer);
+            }
+            closeIfDone();
+        }
+
+        @Override
+        protected void written() {
+            if (inOrder.size() < MOST_EXCHANGES && !last) {
+                pause(false);
+            }
+            closeIfDone();
+        }
+
+        void closeIfDone() {
+            if ((closing || last) && inOrder.isEmpty() && isFlushed() && !isClosed()) {
+                close();
+                forget();
+            }
+        }
+
+        @Override
+        protected void malformed(MalformedException e) {
+            loop().log().line("user-agent-malformed", e.getMessage());
+            last = true;
+            pause(true);
+            Exchange refused = new Exchange(this);
+            refused.answer = line(ascii("-ERR protocol error: " + e.getMessage() + "\r\n"));
+            inOrder.add(refused);
+            flushAnswers();
+        }
+
+        @Override
+        protected void broken() {
+            forget();
+            for (Exchange exchange : inOrder) {
+                if (exchange.request >= 0) {
+                    core.left(exchange.request);
+                }
+            }
+            inOrder.clear();
+        }
+
+        private void forget() {
+            userAgents.remove(ticket);
+            whenClosed.run();
+        }
+
+        private byte[] copy(ByteBuffer slice) {
+            byte[] bytes = new byte[slice.remaining()];
+            slice.get(bytes);
+            return bytes;
+        }
+
+        private String text(ByteBuffer slice) {
+            return StandardCharsets.ISO_8859_1.decode(slice).toString();
+        }
+
+        /** A number of milliseconds; -1 if it is none. */
+        private long millis(String digits) {
+            return digits != null && digits.matches("[0-9]{1,9}") ? Long.parseLong(digits) : -1;
+        }
+    }
+}
--- a/src/main/java/slateseam/wire/WireHost.java
+++ b/src/main/java/slateseam/wire/WireHost.java
@@ -5,12 +5,13 @@
 import java.io.OutputStream;
 import java.util.HashMap;
 import java.util.Map;
-import slateseam.Api.Event;
-import slateseam.Api.Settings;
-import slateseam.Api.Started;
-import slateseam.Brain;
+import slateseam.decision.Api.Event;
+import slateseam.decision.Api.Settings;
+import slateseam.decision.Api.Started;
+import slateseam.decision.Brain;
 import slateseam.wire.Frames.MalformedFrameException;
-import slateseam.wire.SettingsParser.InvalidSettingException;
+import slateseam.router.config.SettingsParser;
+import slateseam.router.config.SettingsParser.InvalidSettingException;
 
 /** Hosts many instances of the module on one wire; it translates and routes, and decides nothing. */
 public final class WireHost implements Frames.BatchHandler {
--- a/src/test/java/slateseam/MainTest.java
+++ b/src/test/java/slateseam/MainTest.java
@@ -1,14 +1,41 @@
 package slateseam;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class MainTest {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int run(String... args) {
+        return Main.run(args, new PrintStream(out, true), new PrintStream(err, true));
+    }
+
+    @Test
+    void anUnknownCommandOrOptionIsAUsageError() {
+        assertThat(run()).isEqualTo(2);
+        assertThat(run("wirehost")).isEqualTo(2);
+        assertThat(run("version", "more")).isEqualTo(2);
+        assertThat(run("benchlink", "--config", "x")).isEqualTo(2);
+        assertThat(err.toString()).contains("unknown command wirehost", "unexpected more");
+    }
+
+    @Test
+    void aBadConfigurationIsOnePlainLine(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(dir.resolve("config.json"), "{\"name\":\n7}");
+        assertThat(run("serve", "--config", file.toString())).isEqualTo(2);
+        assertThat(err.toString()).startsWith("slateseam: bad configuration: ").containsOnlyOnce("\n");
+    }
+
     @Test
-    void anythingButWirehostIsAUsageError() {
-        assertEquals(2, Main.run(new String[0]));
-        assertEquals(2, Main.run(new String[] {"serve"}));
-        assertEquals(2, Main.run(new String[] {"wirehost", "more"}));
+    void versionPrintsALine() {
+        assertThat(run("version")).isZero();
+        assertThat(out.toString()).startsWith("slateseam ");
     }
 }
--- a/src/test/java/slateseam/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -1,8 +1,8 @@
-package slateseam;
+package slateseam.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
-import static slateseam.World.MS;
-import static slateseam.World.ORIGIN;
+import static slateseam.decision.World.MS;
+import static slateseam.decision.World.ORIGIN;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 
 /** The ordinary path, and one small test for each failure found. */
 class BrainTest {
--- a/src/test/java/slateseam/EmbeddingExampleTest.java
+++ b/src/test/java/slateseam/decision/EmbeddingExampleTest.java
@@ -1,11 +1,11 @@
-package slateseam;
+package slateseam.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 
 /** The example of the README. */
 class EmbeddingExampleTest {
--- a/src/test/java/slateseam/JumpHashTest.java
+++ b/src/test/java/slateseam/decision/JumpHashTest.java
@@ -1,4 +1,4 @@
-package slateseam;
+package slateseam.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/slateseam/ModuleLimitsTest.java
+++ b/src/test/java/slateseam/decision/ModuleLimitsTest.java
@@ -1,4 +1,4 @@
-package slateseam;
+package slateseam.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +11,7 @@
 class ModuleLimitsTest {
     @Test
     void moduleStaysWithinItsLines() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/slateseam/Brain.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/slateseam/decision/Brain.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= 550, "Brain.java has " + filled + " non-blank lines");
         for (int i = 0; i < lines.size(); i++) {
--- a/src/test/java/slateseam/RulesPropertyTest.java
+++ b/src/test/java/slateseam/decision/RulesPropertyTest.java
@@ -1,7 +1,7 @@
-package slateseam;
+package slateseam.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
-import static slateseam.World.MS;
+import static slateseam.decision.World.MS;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 
 /** The four rules over random event histories. */
 class RulesPropertyTest {
--- a/src/test/java/slateseam/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -1,7 +1,7 @@
-package slateseam;
+package slateseam.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
-import static slateseam.World.MS;
+import static slateseam.decision.World.MS;
 
 import java.lang.reflect.Field;
 import java.util.Map;
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 
 /** Supply is never minted, whatever happens to messages and routers. */
 class SupplyTest {
--- a/src/test/java/slateseam/World.java
+++ b/src/test/java/slateseam/decision/World.java
@@ -1,8 +1,8 @@
-package slateseam;
+package slateseam.decision;
 
 import java.util.ArrayList;
 import java.util.List;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 
 /** Feeds one instance with events and keeps its actions; the tests decide what happens. */
 final class World {
--- a/src/test/java/slateseam/wire/WireTest.java
+++ b/src/test/java/slateseam/wire/WireTest.java
@@ -11,9 +11,10 @@
 import java.util.HexFormat;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import slateseam.Api.*;
+import slateseam.decision.Api.*;
 import slateseam.wire.Frames.MalformedFrameException;
-import slateseam.wire.SettingsParser.InvalidSettingException;
+import slateseam.router.config.SettingsParser;
+import slateseam.router.config.SettingsParser.InvalidSettingException;
 
 class WireTest {
     private static final String SETTINGS = String.join("\n", "me=0", "replicas_of_me=2", "discovery=ask",
