Play recorded byte exchanges against the router

Reading the code for them found: an idle connection closed on the module's wish was counted twice (ServerConnection.giveUp left its deadline set); a user agent that left kept its slots in the exchange table; a planned end could close over commands that were read already; a freed connection was offered only after the outcome was told, so that a retry opened another.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import slateseam.decision.Api.Limits;
+import slateseam.decision.Api.RequestClass;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
@@ -24,7 +25,7 @@
     private static final long LINGER_NANOS = 550_000_000L;
 
     private final Loop loop;
-    private final Core core;
+    private final long longestNanos;
     private final RespFront front;
     private final Acceptor acceptor;
 
@@ -34,9 +35,14 @@
         Limits limits = config.settings().limits();
         int half = (config.sockets() - OTHER_SOCKETS) / 2;
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
-        core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
+        longestNanos = config.settings().classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
+                + config.settings().rules().answerSlackNanos();
+        Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
         Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(), half);
-        Watch watch = new Watch(loop, config.discovery(), farm, core::happened);
+        Watch watch = new Watch(loop, config.discovery(), farm, changed -> {
+            passes.farmChanged();
+            core.happened(changed);
+        });
         Peers peers = config.peerListen() == null ? null
                 : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
         core.start(passes, peers, watch);
@@ -84,6 +90,8 @@
         front.onClose(this::stopWhenEmpty);
         front.close();
         stopWhenEmpty();
+        // Guards against a user agent that never finishes its command: by then every answer is out.
+        loop.after(longestNanos, loop::stop);
     }
 
     private void stopWhenEmpty() {
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -37,6 +37,9 @@
 
 /** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
 public final class Core implements PassListener {
+    /** Of values to be written, so that they cannot fill the heap. */
+    private static final long MOST_HELD_BYTES = 16 << 20;
+
     /** A request that is owed its final answer. */
     private static final class Slot {
         final Request request;
@@ -61,6 +64,7 @@
     /** What has happened; an action may make something happen at once, which waits its turn here. */
     private final Queue<Supplier<Event>> happenings = new ArrayDeque<>();
     private boolean handling;
+    private long heldBytes;
     private Passes passes;
     private Peers peers;
     private Watch watch;
@@ -86,19 +90,15 @@
         happened(() -> event);
     }
 
-    /** How many requests are owed an answer. */
-    public int held() {
-        return slots.size();
-    }
-
     /** Takes a request and returns its ticket; -1 if it was answered at once, for want of room. */
     public long arrived(Request request, Front front, long exchange) {
-        if (slots.isFull()) {
+        if (slots.isFull() || heldBytes + request.valueBytes() > MOST_HELD_BYTES) {
             front.answer(exchange, new Answer.Unavailable(settings.limits().maxRetryAfterNanos()));
             return -1;
         }
         Slot slot = new Slot(request, front, exchange, loop.now() + request.ttlNanos());
         long ticket = slots.add(slot);
+        heldBytes += request.valueBytes();
         // Guards the rule that every request gets its answer in time, should the module ever leave one out.
         slot.overdue = loop.after(request.ttlNanos() + settings.rules().answerSlackNanos(), () -> overdue(ticket));
         happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.requestClass(),
@@ -194,6 +194,7 @@
         Slot slot = slots.remove(ticket);
         if (slot != null) {
             loop.cancel(slot.overdue);
+            heldBytes -= slot.request.valueBytes();
         }
         return slot;
     }
--- a/src/main/java/slateseam/router/core/Request.java
+++ b/src/main/java/slateseam/router/core/Request.java
@@ -18,4 +18,9 @@
     public boolean isWrite() {
         return value != null;
     }
+
+    /** The size of the value that it carries. */
+    int valueBytes() {
+        return value == null ? 0 : value.length;
+    }
 }
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -71,7 +71,11 @@
             List<Member> members = new ArrayList<>();
             for (int i = 0; i < hosts.length(); i++) {
                 Entry entry = entry(hosts.getJSONObject(i));
-                taken.put(entry.member.id(), entry);
+                if (entry.member.state() == MemberState.GONE) {
+                    taken.remove(entry.member.id());
+                } else {
+                    taken.put(entry.member.id(), entry);
+                }
                 members.add(entry.member);
             }
             entries = taken;
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -4,11 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.function.Consumer;
 import org.json.JSONException;
 import org.json.JSONObject;
-import slateseam.decision.Api.ListKind;
 import slateseam.decision.Api.MembersChanged;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Deadlines.Deadline;
@@ -16,7 +14,7 @@
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 
-/** Watches discovery: one call is always out, the next follows each answer at once. */
+/** Watches discovery: one call is always out, the next follows each answer at once; a call that fails is made anew. */
 public final class Watch {
     private static final long MILLI = 1_000_000L;
     private static final long WAIT_MILLIS = 5_000;
@@ -66,7 +64,6 @@
     private void failed(String why) {
         loop.cancel(late);
         loop.log().line("farm-unreachable", why);
-        listener.accept(new MembersChanged(ListKind.FAILED, List.of()));
         loop.after(RETRY_MILLIS * MILLI, this::connect);
     }
 
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -81,6 +81,11 @@
         return unwritten.isEmpty();
     }
 
+    /** Whether bytes have come that {@link #received} has left. */
+    protected final boolean hasInput() {
+        return input.position() > 0;
+    }
+
     /** The loop that the connection lives on. */
     protected final Loop loop() {
         return loop;
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -73,6 +73,11 @@
         stopped = true;
     }
 
+    /** Whether {@link #stop} was called. */
+    public boolean isStopped() {
+        return stopped;
+    }
+
     /** Runs until stopped, then closes every socket. */
     public void run() throws IOException {
         while (!stopped) {
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import slateseam.decision.Api.Outcome;
 import slateseam.decision.Api.ProbeEnded;
@@ -85,6 +86,15 @@
         }
     }
 
+    /** The farm has changed: lets go of servers that are no longer in it. */
+    public void farmChanged() {
+        List<ApplicationServer> left = servers.values().stream().filter(s -> farm.entry(s.id()) == null).toList();
+        for (ApplicationServer server : left) {
+            servers.remove(server.id());
+            server.closeIdle();
+        }
+    }
+
     void end(Pass pass, ServerProtocol.Reply reply) {
         loop.cancel(pass.timeout);
         long duration = loop.now() - pass.begunAt;
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -45,6 +45,7 @@
 
     /** Gives up its pass, and so itself: the answer would come before any other. */
     void giveUp() {
+        loop().cancel(limit);
         current = null;
         close();
         server.lost(this);
@@ -76,15 +77,14 @@
         }
         Pass done = current;
         current = null;
-        boolean reusable = reply.reusable() && done.written && !in.hasRemaining();
-        if (!reusable) {
+        // Freed before the outcome is told, so that what the outcome makes the router send can use it at once.
+        if (reply.reusable() && done.written && !in.hasRemaining()) {
+            server.free(this);
+        } else {
             close();
             server.lost(this);
         }
         server.ended(done, reply);
-        if (reusable) {
-            server.free(this);
-        }
     }
 
     @Override
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -27,6 +27,7 @@
     private static final int MOST_EXCHANGES = 16;
     private static final int READ_ITEMS = 4;
     private static final int WRITE_ITEMS = 5;
+    private static final byte DELETE = 0x7f;
     private static final byte[] PONG = ascii("+PONG\r\n");
     private static final byte[] OK = ascii("+OK\r\n");
     private static final byte[] FAILED = ascii("-ERR failed\r\n");
@@ -35,6 +36,7 @@
     /** A command and its answer, which waits for those ahead of it. */
     private static final class Exchange {
         final UserAgent from;
+        long number = -1;
         long request = -1;
         ByteBuffer[] answer;
 
@@ -80,14 +82,19 @@
 
     /** Takes a connection. */
     public void accept(SocketChannel channel) throws IOException {
-        UserAgent userAgent = new UserAgent(channel);
-        userAgent.ticket = userAgents.add(userAgent);
+        try {
+            UserAgent userAgent = new UserAgent(channel);
+            userAgent.ticket = userAgents.add(userAgent);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
     }
 
     /** Closes every connection as soon as it stands between requests. */
     public void close() {
         closing = true;
-        userAgents.all().forEach(UserAgent::closeIfDone);
+        userAgents.all().forEach(UserAgent::closeWhenDone);
     }
 
     @Override
@@ -163,6 +170,12 @@
 
         private void request(Exchange exchange, List<ByteBuffer> command, boolean write) {
             byte[] facts = copy(command.get(3));
+            byte[] key = copy(command.get(1));
+            byte[] id = copy(command.get(2));
+            if (!isPlain(key) || !isPlain(id) || !isPlain(facts)) {
+                exchange.answer = line(ascii("-ERR a key, id or fact is no visible ASCII\r\n"));
+                return;
+            }
             int requestClass = classes.indexOf(Facts.value(facts, 'c'));
             long waitMillis = millis(Facts.value(facts, 'd'));
             if (requestClass < 0 || waitMillis < 0) {
@@ -171,18 +184,17 @@
             }
             int tenant = tenants.indexOf(Facts.value(facts, 't'));
             long ttl = Math.min(waitMillis * MILLI, settings.classes().get(requestClass).deadlineNanos());
-            Request request = new Request(copy(command.get(1)), copy(command.get(2)), facts,
-                    write ? copy(command.get(4)) : null, requestClass, tenant < 0 ? tenants.size() : tenant,
-                    "1".equals(Facts.value(facts, 'r')), ttl);
-            long number = exchanges.add(exchange);
-            exchange.request = core.arrived(request, RespFront.this, number);
+            Request request = new Request(key, id, facts, write ? copy(command.get(4)) : null, requestClass,
+                    tenant < 0 ? tenants.size() : tenant, "1".equals(Facts.value(facts, 'r')), ttl);
+            exchange.number = exchanges.add(exchange);
+            exchange.request = core.arrived(request, RespFront.this, exchange.number);
         }
 
         void flushAnswers() {
             while (!inOrder.isEmpty() && inOrder.peek().answer != null) {
                 write(inOrder.poll().answer);
             }
-            closeIfDone();
+            closeWhenDone();
         }
 
         @Override
@@ -190,13 +202,18 @@
             if (inOrder.size() < MOST_EXCHANGES && !last) {
                 pause(false);
             }
-            closeIfDone();
+            closeWhenDone();
         }
 
-        void closeIfDone() {
-            if ((closing || last) && inOrder.isEmpty() && isFlushed() && !isClosed()) {
-                close();
-                forget();
+        /** Closes between requests; a little later, as commands may lie behind the one just answered. */
+        void closeWhenDone() {
+            if (closing || last) {
+                loop().after(0, () -> {
+                    if (inOrder.isEmpty() && isFlushed() && (last || !hasInput()) && !isClosed()) {
+                        close();
+                        forget();
+                    }
+                });
             }
         }
 
@@ -215,7 +232,7 @@
         protected void broken() {
             forget();
             for (Exchange exchange : inOrder) {
-                if (exchange.request >= 0) {
+                if (exchanges.remove(exchange.number) != null) {
                     core.left(exchange.request);
                 }
             }
@@ -227,6 +244,16 @@
             whenClosed.run();
         }
 
+        /** Guards the origin's HTTP head, into which these are written. */
+        private boolean isPlain(byte[] text) {
+            for (byte b : text) {
+                if (b <= ' ' || b == DELETE) {
+                    return false;
+                }
+            }
+            return text.length > 0;
+        }
+
         private byte[] copy(ByteBuffer slice) {
             byte[] bytes = new byte[slice.remaining()];
             slice.get(bytes);
--- /dev/null
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -0,0 +1,154 @@
+package slateseam.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.fail;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import slateseam.router.config.NodeConfig;
+import slateseam.router.net.Log;
+
+/**
+ * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
+ * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
+ * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
+ * {@code ended}, or {@code log TEXT} (the log has it). WHO is a server of the configuration or, with any other name, a
+ * user agent, which connects on its first line. A server takes its next connection when its last one is gone.
+ */
+final class Recorded {
+    /** A guard against waiting for ever; no test depends on how long a round takes. */
+    private static final int MOST_ROUNDS = 5_000;
+    private static final long MILLI = 1_000_000L;
+    private static final List<String> SERVERS = List.of("s1", "s2", "origin", "discovery");
+
+    private final Map<String, ServerSocketChannel> listeners = new HashMap<>();
+    private final Map<String, SocketChannel> channels = new HashMap<>();
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final Router router;
+    private long now = 1_000_000_000_000L * MILLI;
+
+    Recorded() throws Exception {
+        String config = Files.readString(Path.of("src/test/resources/node.json"));
+        for (String name : SERVERS) {
+            listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
+            listeners.get(name).configureBlocking(false);
+        }
+        router = new Router(NodeConfig.parse(fill(config)), () -> now,
+                new Log("n0", () -> now, new PrintStream(log, true)));
+    }
+
+    private String fill(String text) throws IOException {
+        String filled = text;
+        for (String name : SERVERS) {
+            ServerSocketChannel listener = listeners.get(name);
+            if (listener.isOpen()) {
+                filled = filled.replace("{" + name + "}", "127.0.0.1:" + listener.socket().getLocalPort());
+            }
+        }
+        return filled;
+    }
+
+    void play(Path file) throws IOException {
+        for (String line : Files.readAllLines(file)) {
+            if (!line.isBlank() && !line.startsWith("#")) {
+                step(line);
+            }
+        }
+    }
+
+    private void step(String line) throws IOException {
+        String[] words = line.split(" ", 3);
+        String rest = words.length == 3 ? words[2] : "";
+        if (line.equals("end")) {
+            router.end();
+            round();
+        } else if (line.equals("ended")) {
+            assertThat(router.loop().isStopped()).as(line).isTrue();
+        } else if (words[0].equals("clock")) {
+            for (long left = Long.parseLong(words[1].substring(1)); left > 0; left -= 10) {
+                now += Math.min(left, 10) * MILLI;
+                router.loop().round(0);
+            }
+        } else if (words[0].equals("log")) {
+            assertThat(log.toString()).contains(line.substring(4));
+        } else if (words[1].equals(">")) {
+            write(channel(words[0]), bytes(rest));
+        } else if (words[1].equals("<")) {
+            byte[] expected = bytes(rest);
+            assertThat(read(words[0], expected.length)).as(line).isEqualTo(text(expected));
+        } else if (words[1].equals("closes")) {
+            channels.remove(words[0]).close();
+            round();
+        } else if (line.endsWith("sees the end")) {
+            assertThat(read(words[0], 1)).as(line).isEqualTo("(end)");
+            channels.remove(words[0]).close();
+        } else if (line.endsWith("stops listening")) {
+            listeners.get(words[0]).close();
+        } else {
+            fail("no such step: " + line);
+        }
+    }
+
+    private void round() throws IOException {
+        router.loop().round(MILLI);
+    }
+
+    private SocketChannel channel(String who) throws IOException {
+        SocketChannel channel = channels.get(who);
+        for (int i = 0; channel == null && i < MOST_ROUNDS; i++) {
+            channel = listeners.containsKey(who) ? listeners.get(who).accept() : SocketChannel.open(router.address());
+            round();
+        }
+        assertThat(channel).as("a connection of " + who).isNotNull();
+        channel.configureBlocking(false);
+        channels.put(who, channel);
+        return channel;
+    }
+
+    private void write(SocketChannel channel, byte[] bytes) throws IOException {
+        ByteBuffer left = ByteBuffer.wrap(bytes);
+        while (left.hasRemaining()) {
+            channel.write(left);
+            round();
+        }
+        round();
+    }
+
+    /** Reads as many bytes, or up to the end. */
+    private String read(String who, int length) throws IOException {
+        SocketChannel channel = channel(who);
+        ByteBuffer in = ByteBuffer.allocate(length);
+        int last = 0;
+        for (int i = 0; last >= 0 && in.hasRemaining() && i < MOST_ROUNDS; i++) {
+            round();
+            last = channel.read(in);
+        }
+        return text(in.flip()) + (last < 0 ? "(end)" : "");
+    }
+
+    private static String text(byte[] bytes) {
+        return text(ByteBuffer.wrap(bytes));
+    }
+
+    private static String text(ByteBuffer bytes) {
+        return StandardCharsets.ISO_8859_1.decode(bytes).toString().replace("\r\n", "\\r\\n");
+    }
+
+    /** The bytes of a line of the file; {@code {length}} stands for the length of what follows the empty line. */
+    private byte[] bytes(String recorded) throws IOException {
+        String plain = fill(recorded).replace("\\r", "\r").replace("\\n", "\n");
+        int body = plain.indexOf("\r\n\r\n") + 4;
+        return plain.replace("{length}", Integer.toString(plain.length() - body)).getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
