--- /dev/null
+++ b/src/test/java/slateseam/router/net/TablesTest.java
@@ -0,0 +1,61 @@
+package slateseam.router.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Slots, deadlines and the log's bound. */
+class TablesTest {
+    @Test
+    void aTicketNeverMeetsTheEntryThatUsesItsSlotNext() {
+        Slots<String> slots = new Slots<>(1);
+        long first = slots.add("first");
+        assertThat(slots.isFull()).isTrue();
+        assertThatThrownBy(() -> slots.add("more")).isInstanceOf(IllegalStateException.class);
+        assertThat(slots.remove(first)).isEqualTo("first");
+        long second = slots.add("second");
+        assertThat(second).isNotEqualTo(first);
+        assertThat(slots.get(first)).isNull();
+        assertThat(slots.remove(first)).isNull();
+        assertThat(slots.get(second)).isEqualTo("second");
+        assertThat(slots.get(-1)).isNull();
+    }
+
+    @Test
+    void deadlinesComeInOrderAndOnlyWhenDue() {
+        Deadlines deadlines = new Deadlines();
+        List<String> done = new ArrayList<>();
+        deadlines.set(20, () -> done.add("third"));
+        deadlines.set(10, () -> done.add("first"));
+        deadlines.set(10, () -> done.add("second"));
+        deadlines.cancel(deadlines.set(5, () -> done.add("cancelled")));
+        deadlines.cancel(null);
+        assertThat(deadlines.next()).isEqualTo(10);
+        assertThat(deadlines.due(9)).isNull();
+        for (Runnable action; (action = deadlines.due(20)) != null;) {
+            action.run();
+        }
+        assertThat(done).containsExactly("first", "second", "third");
+        assertThat(deadlines.next()).isEqualTo(Long.MAX_VALUE);
+    }
+
+    @Test
+    void theLogIsBoundedForEachKindAndKeepsToOneLine() {
+        long[] now = {0};
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        Log log = new Log("n1", () -> now[0], new PrintStream(out, true));
+        for (int i = 0; i < 8; i++) {
+            log.line("farm-malformed", "line\n" + i);
+        }
+        log.line("overdue", "another kind");
+        now[0] = 1_000_000_000L;
+        log.line("farm-malformed", "later");
+        assertThat(out.toString().lines()).hasSize(7).contains("n1: farm-malformed: line?4", "n1: overdue: another kind",
+                "n1: farm-malformed: later (and 3 such lines before)");
+    }
+}
