Test passes, farm, peers and the tables' limits; end cleanly if the loop fails

The shutdown hook waited for the main thread, which would wait for the hook if the loop had failed: both wait for a latch now. The front's exchange table is as large as the core's, so that a leak shows in a test.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -87,18 +88,23 @@
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, err);
         Router router = new Router(config, clock, log);
-        Thread serving = Thread.currentThread();
+        CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             router.end();
             try {
-                serving.join();
+                ended.await();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         }));
         log.line("serving", "at " + router.address());
-        router.run();
-        log.line("ended", "every connection was closed between requests");
+        try {
+            router.run();
+            log.line("ended", "every connection was closed between requests");
+        } finally {
+            // Guards against an exit that waits for the hook while the hook waits for this thread.
+            ended.countDown();
+        }
     }
 
     private static String version() {
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -54,7 +54,7 @@
         if (!config.settings().askedDiscovery()) {
             watch.begin();
         }
-        front = new RespFront(loop, core, config.settings(), half);
+        front = new RespFront(loop, core, config.settings(), half, config.mostHeld());
         acceptor = new Acceptor(loop, config.listen(), front);
     }
 
--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -36,6 +36,11 @@
         loop.register(channel, SelectionKey.OP_READ, key -> receive());
     }
 
+    /** Where messages arrive. */
+    public SocketAddress address() throws IOException {
+        return channel.getLocalAddress();
+    }
+
     /** Sends a message to a router by its number, or to every router. */
     public void send(int to, byte[] payload) {
         InetSocketAddress address = to == EVERY_PEER ? all : to >= 0 && to < peers.size() ? peers.get(to) : null;
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -51,18 +51,19 @@
     private final List<String> tenants;
     private final Settings settings;
     private final Slots<UserAgent> userAgents;
-    private final Slots<Exchange> exchanges = new Slots<>(Slots.MOST);
+    private final Slots<Exchange> exchanges;
     private Runnable whenClosed = () -> { };
     private boolean closing;
 
-    /** Creates the front for at most so many connections. */
-    public RespFront(Loop loop, Core core, Settings settings, int mostConnections) {
+    /** Creates the front for at most so many connections; the core holds at most so many requests. */
+    public RespFront(Loop loop, Core core, Settings settings, int mostConnections, int mostHeld) {
         this.loop = loop;
         this.core = core;
         this.settings = settings;
         this.classes = settings.classes().stream().map(RequestClass::name).toList();
         this.tenants = settings.tenants().stream().map(Tenant::name).toList();
         this.userAgents = new Slots<>(mostConnections);
+        this.exchanges = new Slots<>(mostHeld + 1); // the one more is being turned away
     }
 
     /** Whether no further connection can be taken. */
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -23,7 +23,8 @@
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
  * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
  * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
- * {@code ended}, or {@code log TEXT} (the log has it). WHO is a server of the configuration or, with any other name, a
+ * {@code ended}, {@code log TEXT} (the log has it), or {@code config OLD => NEW}, which changes the configuration and comes
+ * before all others. WHO is a server of the configuration or, with any other name, a
  * user agent, which connects on its first line. A server takes its next connection when its last one is gone.
  */
 final class Recorded {
@@ -35,11 +36,20 @@
     private final Map<String, ServerSocketChannel> listeners = new HashMap<>();
     private final Map<String, SocketChannel> channels = new HashMap<>();
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final List<String> steps;
     private final Router router;
     private long now = 1_000_000_000_000L * MILLI;
 
-    Recorded() throws Exception {
+    Recorded(Path file) throws Exception {
+        steps = Files.readAllLines(file).stream().filter(line -> !line.isBlank() && !line.startsWith("#")).toList();
         String config = Files.readString(Path.of("src/test/resources/node.json"));
+        for (String line : steps) {
+            if (line.startsWith("config ")) {
+                String[] change = line.substring(7).split(" => ");
+                assertThat(config).contains(change[0]);
+                config = config.replace(change[0], change[1]);
+            }
+        }
         for (String name : SERVERS) {
             listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
             listeners.get(name).configureBlocking(false);
@@ -59,9 +69,9 @@
         return filled;
     }
 
-    void play(Path file) throws IOException {
-        for (String line : Files.readAllLines(file)) {
-            if (!line.isBlank() && !line.startsWith("#")) {
+    void play() throws IOException {
+        for (String line : steps) {
+            if (!line.startsWith("config ")) {
                 step(line);
             }
         }
--- a/src/test/java/slateseam/router/RecordedExchangesTest.java
+++ b/src/test/java/slateseam/router/RecordedExchangesTest.java
@@ -19,6 +19,6 @@
     @ParameterizedTest
     @MethodSource("files")
     void theRouterKeepsToTheRecord(Path file) throws Exception {
-        new Recorded().play(file);
+        new Recorded(file).play();
     }
 }
--- /dev/null
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -0,0 +1,99 @@
+package slateseam.router.pass;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import slateseam.decision.Api.Event;
+import slateseam.decision.Api.Outcome;
+import slateseam.router.core.Request;
+import slateseam.router.farm.Farm;
+import slateseam.router.net.Log;
+import slateseam.router.net.Loop;
+
+class PassesTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final List<Object> told = new ArrayList<>();
+    private long now = SECOND;
+    private final Loop loop;
+    private final ServerSocketChannel server = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+    private final Farm farm = new Farm(List.of("a"), List.of("box"), -1);
+    private final Passes passes;
+    private final long id;
+
+    PassesTest() throws Exception {
+        loop = new Loop(() -> now, new Log("n0", () -> now, new PrintStream(PrintStream.nullOutputStream())));
+        passes = new Passes(loop, farm, new PassListener() {
+            @Override
+            public void passEnded(long request, int attempt, long to, Outcome outcome, boolean fetching, byte[] value,
+                    long durationNanos) {
+                told.add(outcome);
+            }
+
+            @Override
+            public void happened(Event event) {
+                told.add(event);
+            }
+        }, SECOND / 5, 60 * SECOND, 1);
+        id = list("ready");
+    }
+
+    private long list(String health) throws Exception {
+        return farm.take(new JSONObject("{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s1\",\"dial\":\"127.0.0.1:"
+                + server.socket().getLocalPort() + "\",\"site\":\"a\",\"class\":\"box\",\"health\":\"" + health + "\"}]}"),
+                false).members().get(0).id();
+    }
+
+    private void begin(long ticket) {
+        passes.begin(ticket, new Request(new byte[] {'k'}, new byte[] {'i'}, "c=read,d=9".getBytes(), null, 0, 0, false,
+                SECOND), 0, id, SECOND);
+    }
+
+    /** Serves the pass that the server's next connection brings. */
+    private SocketChannel serve() throws Exception {
+        SocketChannel connection = server.accept();
+        connection.write(ByteBuffer.wrap("*1\r\n$1\r\nv\r\n".getBytes()));
+        for (int i = 0; told.isEmpty() && i < 5_000; i++) {
+            loop.round(1_000_000);
+        }
+        return connection;
+    }
+
+    @Test
+    void aConnectionThatWasClosedOnRequestIsCountedOnce() throws Exception {
+        begin(1);
+        serve();
+        passes.closeIdle(id);
+        now += 100 * SECOND;
+        loop.round(0);
+        begin(2);
+        assertThat(told).containsExactly(Outcome.OK);
+        passes.closeIdle(id);
+        begin(3);
+        assertThat(told).containsExactly(Outcome.OK, Outcome.CONNECT_FAILED);
+    }
+
+    @Test
+    void aPassIsNotWrittenToAServerThatBeganToDrainWhileItConnected() throws Exception {
+        begin(1);
+        list("draining");
+        for (int i = 0; told.isEmpty() && i < 5_000; i++) {
+            loop.round(1_000_000);
+        }
+        assertThat(told).containsExactly(Outcome.MOOT);
+    }
+
+    @Test
+    void aProbeOfAServerThatIsNotListedIsNeverSent() {
+        passes.probe(id + 1);
+        assertThat(told).singleElement().asString().contains("MOOT");
+    }
+}
