--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -14,12 +14,12 @@
 import slateseam.decision.Api.MemberState;
 import slateseam.decision.Api.MembersChanged;
 import slateseam.router.config.NodeConfig;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Hash;
 import slateseam.router.net.MalformedException;
 
 /** The farm as discovery last told it: who is in it, where, and in what state. */
 public final class Farm {
-    private static final long MILLI = 1_000_000L;
     private static final int MOST_ENTRIES = 4096;
 
     /** An application server or the origin. */
@@ -100,7 +100,7 @@
         }
         int kind = number(kinds, json.optString("class"));
         Member member = new Member(id(host), number(zones, json.optString("site")), kind, json.optInt("block"),
-                state, json.optDouble("share", 1), json.optLong("born_ms") * MILLI);
+                state, json.optDouble("share", 1), json.optLong("born_ms") * Clock.MILLI);
         return new Entry(host, address, member, originKind >= 0 && kind == originKind);
     }
 
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -8,6 +8,8 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 import slateseam.decision.Api.MembersChanged;
+import slateseam.router.net.Bytes;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.HttpReply;
@@ -16,7 +18,6 @@
 
 /** Watches discovery: one call is always out, the next follows each answer at once; a call that fails is made anew. */
 public final class Watch {
-    private static final long MILLI = 1_000_000L;
     private static final long WAIT_MILLIS = 5_000;
     /** Beyond its wait an answer is late: the connection may be dead, so a new one is tried. */
     private static final long LATE_MILLIS = 1_000;
@@ -50,7 +51,7 @@
     private void connect() {
         try {
             call = new Call();
-            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * MILLI, this::tooLate);
+            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * Clock.MILLI, this::tooLate);
         } catch (IOException e) {
             failed(e.toString());
         }
@@ -64,7 +65,7 @@
     private void failed(String why) {
         loop.cancel(late);
         loop.log().line("farm-unreachable", why);
-        loop.after(RETRY_MILLIS * MILLI, this::connect);
+        loop.after(RETRY_MILLIS * Clock.MILLI, this::connect);
     }
 
     private final class Call extends Connection {
@@ -79,10 +80,10 @@
 
         private void ask() {
             loop.cancel(late);
-            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * MILLI, Watch.this::tooLate);
+            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * Clock.MILLI, Watch.this::tooLate);
             String query = listed ? "?index=" + farm.version() + "&wait=" + WAIT_MILLIS : "";
             String head = "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + discovery.getHostString() + "\r\n\r\n";
-            write(ByteBuffer.wrap(head.getBytes(StandardCharsets.US_ASCII)));
+            write(ByteBuffer.wrap(Bytes.of(head)));
         }
 
         @Override
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -92,7 +92,7 @@
     }
 
     /** Whether it was closed, by whichever side. */
-    public final boolean isClosed() {
+    protected final boolean isClosed() {
         return closed;
     }
 
@@ -153,7 +153,8 @@
         }
     }
 
-    private void breakOff() {
+    /** Closes it as one that is of no use any more; {@link #broken} is called. */
+    protected final void breakOff() {
         if (!closed) {
             close();
             broken();
--- a/src/main/java/slateseam/router/net/HttpReply.java
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -2,10 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * An HTTP/1.1 answer, read in place.
@@ -15,6 +15,7 @@
  * @param body a copy of the body
  */
 public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
     private static final int MOST_HEADERS = 64;
 
     /** Whether the connection may be used again. */
@@ -41,8 +42,8 @@
         if (first == null) {
             return null;
         }
-        String[] words = text(first).split(" ", 3);
-        if (words.length < 2 || !words[0].startsWith("HTTP/1.") || !words[1].matches("[1-5][0-9][0-9]")) {
+        String[] words = Bytes.text(first).split(" ", 3);
+        if (words.length < 2 || !words[0].startsWith("HTTP/1.") || !STATUS.matcher(words[1]).matches()) {
             throw new MalformedException("not an HTTP/1.1 status line");
         }
         Map<String, String> headers = new HashMap<>();
@@ -50,7 +51,7 @@
             if (line == null) {
                 return null;
             }
-            String header = text(line);
+            String header = Bytes.text(line);
             int colon = header.indexOf(':');
             if (colon <= 0 || headers.size() >= MOST_HEADERS) {
                 throw new MalformedException("a header has no name, or there are too many");
@@ -69,7 +70,7 @@
             if (line == null) {
                 return null;
             }
-            int length = length(text(line).split(";", 2)[0].trim(), 16);
+            int length = length(Bytes.text(line).split(";", 2)[0].trim(), 16);
             byte[] chunk = bytes(in, length);
             ByteBuffer end = chunk == null ? null : Resp.line(in);
             if (end == null) {
@@ -105,8 +106,4 @@
         }
         throw new MalformedException("a length is no number from 0 to " + Connection.VALUE_LIMIT);
     }
-
-    private static String text(ByteBuffer bytes) {
-        return StandardCharsets.ISO_8859_1.decode(bytes).toString();
-    }
 }
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -10,8 +10,7 @@
 
 /** The one thread's loop: waits for sockets and deadlines and hands each to whom it concerns. */
 public final class Loop {
-    private static final long MILLI = 1_000_000L;
-    private static final long LONGEST_WAIT = 1_000 * MILLI;
+    private static final long LONGEST_WAIT = 1_000 * Clock.MILLI;
 
     /** Takes what a socket is ready for. */
     @FunctionalInterface
@@ -95,7 +94,7 @@
         if (wait <= 0) {
             selector.selectNow(this::dispatch);
         } else {
-            selector.select(this::dispatch, (wait + MILLI - 1) / MILLI);
+            selector.select(this::dispatch, Clock.millisUp(wait));
         }
         now = clock.nanos();
         for (Runnable action; (action = handedOver.poll()) != null;) {
--- a/src/main/java/slateseam/router/net/Resp.java
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -1,7 +1,6 @@
 package slateseam.router.net;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -26,7 +25,7 @@
 
         /** The text; empty where there is none. */
         public String text() {
-            return bytes == null ? "" : StandardCharsets.ISO_8859_1.decode(bytes.duplicate()).toString();
+            return bytes == null ? "" : Bytes.text(bytes);
         }
     }
 
--- a/src/main/java/slateseam/router/net/Slots.java
+++ b/src/main/java/slateseam/router/net/Slots.java
@@ -10,8 +10,7 @@
  */
 public final class Slots<T> {
     private static final int SLOT_BITS = 16;
-    /** The most entries that a table holds. */
-    public static final int MOST = 1 << SLOT_BITS;
+    private static final int MOST = 1 << SLOT_BITS;
     private static final int GENERATION_MASK = Integer.MAX_VALUE;
 
     private final int limit;
--- a/src/main/java/slateseam/router/pass/ApplicationServer.java
+++ b/src/main/java/slateseam/router/pass/ApplicationServer.java
@@ -55,7 +55,7 @@
         try {
             passes.open(this);
         } catch (IOException e) {
-            connectFailed(null);
+            connectFailed();
         }
     }
 
@@ -64,7 +64,7 @@
         if (passes.mayWrite(this)) {
             connection.carry(pass);
         } else {
-            passes.end(pass, new ServerProtocol.Reply(Outcome.MOOT));
+            ended(pass, new ServerProtocol.Reply(Outcome.MOOT));
             free(connection);
         }
     }
@@ -87,13 +87,10 @@
     }
 
     /** A connection never came up; a pass that waited for it could not connect. */
-    void connectFailed(ServerConnection connection) {
+    void connectFailed() {
         connecting--;
-        if (connection != null) {
-            lost(connection);
-        }
         if (waiting.size() > connecting) {
-            passes.end(waiting.poll(), new ServerProtocol.Reply(Outcome.CONNECT_FAILED));
+            ended(waiting.poll(), new ServerProtocol.Reply(Outcome.CONNECT_FAILED));
         }
     }
 
--- a/src/main/java/slateseam/router/pass/HttpOrigin.java
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -1,9 +1,9 @@
 package slateseam.router.pass;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.core.Request;
+import slateseam.router.net.Bytes;
 import slateseam.router.net.HttpReply;
 import slateseam.router.net.MalformedException;
 
@@ -56,10 +56,10 @@
     }
 
     private static String text(byte[] bytes) {
-        return new String(bytes, StandardCharsets.ISO_8859_1);
+        return Bytes.text(ByteBuffer.wrap(bytes));
     }
 
     private static ByteBuffer bytes(StringBuilder text) {
-        return StandardCharsets.ISO_8859_1.encode(text.toString());
+        return ByteBuffer.wrap(Bytes.of(text.toString()));
     }
 }
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -2,34 +2,34 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.core.Facts;
 import slateseam.router.core.Request;
+import slateseam.router.net.Bytes;
 import slateseam.router.net.MalformedException;
 import slateseam.router.net.Resp;
 
 /** RESP2, as application servers speak it. */
 final class RespServer implements ServerProtocol {
-    private static final byte[] GET = ascii("*4\r\n$9\r\nCACHE.GET\r\n");
-    private static final byte[] SET = ascii("*5\r\n$9\r\nCACHE.SET\r\n");
-    private static final byte[] PING = ascii("*1\r\n$4\r\nPING\r\n");
-    private static final byte[] LINE_END = ascii("\r\n");
+    private static final byte[] GET = Bytes.of("*4\r\n$9\r\nCACHE.GET\r\n");
+    private static final byte[] SET = Bytes.of("*5\r\n$9\r\nCACHE.SET\r\n");
+    private static final byte[] PING = Bytes.of("*1\r\n$4\r\nPING\r\n");
+    private static final byte[] LINE_END = Bytes.of("\r\n");
 
     @Override
     public ByteBuffer[] command(Request request, long waitMillis) {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         head.writeBytes(request.isWrite() ? SET : GET);
         for (byte[] part : List.of(request.key(), request.id(), Facts.withTimeLeft(request.facts(), waitMillis))) {
-            head.writeBytes(ascii("$" + part.length + "\r\n"));
+            head.writeBytes(Bytes.of("$" + part.length + "\r\n"));
             head.writeBytes(part);
             head.writeBytes(LINE_END);
         }
         if (!request.isWrite()) {
             return new ByteBuffer[] {ByteBuffer.wrap(head.toByteArray())};
         }
-        head.writeBytes(ascii("$" + request.value().length + "\r\n"));
+        head.writeBytes(Bytes.of("$" + request.value().length + "\r\n"));
         return new ByteBuffer[] {ByteBuffer.wrap(head.toByteArray()), ByteBuffer.wrap(request.value()),
                 ByteBuffer.wrap(LINE_END)};
     }
@@ -60,10 +60,7 @@
             boolean fetching = items.size() > 1 && items.get(1).text().equals("pending");
             return new Reply(Outcome.MISS, fetching, null, true);
         }
-        ByteBuffer bytes = items.get(0).bytes();
-        byte[] value = new byte[bytes.remaining()];
-        bytes.get(value);
-        return new Reply(Outcome.OK, false, value, true);
+        return new Reply(Outcome.OK, false, Bytes.copy(items.get(0).bytes()), true);
     }
 
     @Override
@@ -71,8 +68,4 @@
         Resp.Value reply = Resp.reply(in);
         return reply == null ? null : new Reply(reply.type() == '+' ? Outcome.OK : Outcome.ERROR);
     }
-
-    private static byte[] ascii(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
-    }
 }
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import slateseam.decision.Api.Outcome;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
@@ -10,8 +11,6 @@
 
 /** A connection to a server; it carries one proxy pass at a time. */
 final class ServerConnection extends Connection {
-    private static final long MILLI = 1_000_000L;
-
     private final ApplicationServer server;
     private boolean up;
     private Pass current;
@@ -21,29 +20,23 @@
     ServerConnection(Loop loop, ApplicationServer server, long connectNanos) throws IOException {
         super(loop, server.address());
         this.server = server;
-        limit = loop.after(connectNanos, () -> {
-            close();
-            broken();
-        });
+        limit = loop.after(connectNanos, this::breakOff);
     }
 
     /** Closes it after so long without a pass. */
     void rest(long idleNanos) {
-        limit = loop().after(idleNanos, () -> {
-            close();
-            server.lost(this);
-        });
+        limit = loop().after(idleNanos, this::giveUp);
     }
 
     void carry(Pass pass) {
         loop().cancel(limit);
         current = pass;
         pass.connection = this;
-        long wait = Math.max(1, (pass.endsAt - loop().now() + MILLI - 1) / MILLI);
+        long wait = Math.max(1, Clock.millisUp(pass.endsAt - loop().now()));
         write(pass.isProbe() ? server.protocol().probe() : server.protocol().command(pass.request, wait));
     }
 
-    /** Gives up its pass, and so itself: the answer would come before any other. */
+    /** Gives up itself, and so the pass that it carries, if any: that answer would come before any other. */
     void giveUp() {
         loop().cancel(limit);
         current = null;
@@ -81,8 +74,7 @@
         if (reply.reusable() && done.written && !in.hasRemaining()) {
             server.free(this);
         } else {
-            close();
-            server.lost(this);
+            giveUp();
         }
         server.ended(done, reply);
     }
@@ -90,8 +82,7 @@
     @Override
     protected void malformed(MalformedException e) {
         loop().log().line("server-malformed", server.address() + ": " + e.getMessage());
-        close();
-        broken();
+        breakOff();
     }
 
     @Override
@@ -99,12 +90,10 @@
         loop().cancel(limit);
         Pass cut = current;
         current = null;
-        if (!up) {
-            server.connectFailed(this);
-            return;
-        }
         server.lost(this);
-        if (cut != null) {
+        if (!up) {
+            server.connectFailed();
+        } else if (cut != null) {
             server.ended(cut, new ServerProtocol.Reply(cut.written ? Outcome.RESET : Outcome.CONNECT_FAILED));
         }
     }
--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import slateseam.decision.Api.PeerMessage;
+import slateseam.router.net.Bytes;
 import slateseam.router.net.Loop;
 
 /** Datagrams between routers; they may come late or not at all. */
@@ -61,8 +62,7 @@
             if (from == null) {
                 return;
             }
-            byte[] payload = new byte[input.flip().remaining()];
-            input.get(payload);
+            byte[] payload = Bytes.copy(input.flip());
             int sender = peers.indexOf(from);
             if (sender < 0 || payload.length > MOST_BYTES) {
                 loop.log().line("peer-dropped", "a message of " + payload.length + " bytes from " + from);
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -37,7 +37,6 @@
     /** Stops listening. */
     public void close() throws IOException {
         closed = true;
-        front.onClose(() -> { });
         channel.close();
     }
 
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -3,11 +3,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
 import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
@@ -15,6 +15,8 @@
 import slateseam.router.core.Core;
 import slateseam.router.core.Facts;
 import slateseam.router.core.Request;
+import slateseam.router.net.Bytes;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -23,15 +25,15 @@
 
 /** The platform's protocol, RESP2, towards user agents. Answers of a connection go out in the order of its commands. */
 public final class RespFront implements Front {
-    private static final long MILLI = 1_000_000L;
     private static final int MOST_EXCHANGES = 16;
     private static final int READ_ITEMS = 4;
     private static final int WRITE_ITEMS = 5;
+    private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
     private static final byte DELETE = 0x7f;
-    private static final byte[] PONG = ascii("+PONG\r\n");
-    private static final byte[] OK = ascii("+OK\r\n");
-    private static final byte[] FAILED = ascii("-ERR failed\r\n");
-    private static final byte[] LINE_END = ascii("\r\n");
+    private static final byte[] PONG = Bytes.of("+PONG\r\n");
+    private static final byte[] OK = Bytes.of("+OK\r\n");
+    private static final byte[] FAILED = Bytes.of("-ERR failed\r\n");
+    private static final byte[] LINE_END = Bytes.of("\r\n");
 
     /** A command and its answer, which waits for those ahead of it. */
     private static final class Exchange {
@@ -109,12 +111,12 @@
 
     private static ByteBuffer[] bytes(Answer answer) {
         if (answer instanceof Answer.Served served) {
-            return new ByteBuffer[] {ByteBuffer.wrap(ascii("$" + served.value().length + "\r\n")),
+            return new ByteBuffer[] {ByteBuffer.wrap(Bytes.of("$" + served.value().length + "\r\n")),
                     ByteBuffer.wrap(served.value()), ByteBuffer.wrap(LINE_END)};
         }
         if (answer instanceof Answer.Unavailable unavailable) {
-            long millis = (unavailable.retryAfterNanos() + MILLI - 1) / MILLI;
-            return line(ascii(millis > 0 ? "-BUSY " + millis + "\r\n" : "-BUSY\r\n"));
+            long millis = Clock.millisUp(unavailable.retryAfterNanos());
+            return line(Bytes.of(millis > 0 ? "-BUSY " + millis + "\r\n" : "-BUSY\r\n"));
         }
         return line(FAILED);
     }
@@ -123,10 +125,6 @@
         return new ByteBuffer[] {ByteBuffer.wrap(text)};
     }
 
-    private static byte[] ascii(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
-    }
-
     /** One connection of a user agent. */
     private final class UserAgent extends Connection {
         private final Deque<Exchange> inOrder = new ArrayDeque<>();
@@ -152,40 +150,40 @@
         private void take(List<ByteBuffer> command) {
             Exchange exchange = new Exchange(this);
             inOrder.add(exchange);
-            String name = text(command.get(0)).toUpperCase(Locale.ROOT);
+            String name = Bytes.text(command.get(0)).toUpperCase(Locale.ROOT);
             boolean write = name.equals("CACHE.SET");
             switch (name) {
                 case "CACHE.GET", "CACHE.SET" -> {
                     if (command.size() == (write ? WRITE_ITEMS : READ_ITEMS)) {
                         request(exchange, command, write);
                     } else {
-                        exchange.answer = line(ascii("-ERR wrong number of arguments\r\n"));
+                        exchange.answer = line(Bytes.of("-ERR wrong number of arguments\r\n"));
                     }
                 }
                 case "PING" -> exchange.answer = line(PONG);
                 case "CLIENT", "SELECT" -> exchange.answer = line(OK);
-                default -> exchange.answer = line(ascii("-ERR unknown command\r\n"));
+                default -> exchange.answer = line(Bytes.of("-ERR unknown command\r\n"));
             }
             flushAnswers();
         }
 
         private void request(Exchange exchange, List<ByteBuffer> command, boolean write) {
-            byte[] facts = copy(command.get(3));
-            byte[] key = copy(command.get(1));
-            byte[] id = copy(command.get(2));
+            byte[] facts = Bytes.copy(command.get(3));
+            byte[] key = Bytes.copy(command.get(1));
+            byte[] id = Bytes.copy(command.get(2));
             if (!isPlain(key) || !isPlain(id) || !isPlain(facts)) {
-                exchange.answer = line(ascii("-ERR a key, id or fact is no visible ASCII\r\n"));
+                exchange.answer = line(Bytes.of("-ERR a key, id or fact is no visible ASCII\r\n"));
                 return;
             }
             int requestClass = classes.indexOf(Facts.value(facts, 'c'));
             long waitMillis = millis(Facts.value(facts, 'd'));
             if (requestClass < 0 || waitMillis < 0) {
-                exchange.answer = line(ascii("-ERR unknown class or no time to wait\r\n"));
+                exchange.answer = line(Bytes.of("-ERR unknown class or no time to wait\r\n"));
                 return;
             }
             int tenant = tenants.indexOf(Facts.value(facts, 't'));
-            long ttl = Math.min(waitMillis * MILLI, settings.classes().get(requestClass).deadlineNanos());
-            Request request = new Request(key, id, facts, write ? copy(command.get(4)) : null, requestClass,
+            long ttl = Math.min(waitMillis * Clock.MILLI, settings.classes().get(requestClass).deadlineNanos());
+            Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, requestClass,
                     tenant < 0 ? tenants.size() : tenant, "1".equals(Facts.value(facts, 'r')), ttl);
             exchange.number = exchanges.add(exchange);
             exchange.request = core.arrived(request, RespFront.this, exchange.number);
@@ -224,7 +222,7 @@
             last = true;
             pause(true);
             Exchange refused = new Exchange(this);
-            refused.answer = line(ascii("-ERR protocol error: " + e.getMessage() + "\r\n"));
+            refused.answer = line(Bytes.of("-ERR protocol error: " + e.getMessage() + "\r\n"));
             inOrder.add(refused);
             flushAnswers();
         }
@@ -255,19 +253,9 @@
             return text.length > 0;
         }
 
-        private byte[] copy(ByteBuffer slice) {
-            byte[] bytes = new byte[slice.remaining()];
-            slice.get(bytes);
-            return bytes;
-        }
-
-        private String text(ByteBuffer slice) {
-            return StandardCharsets.ISO_8859_1.decode(slice).toString();
-        }
-
         /** A number of milliseconds; -1 if it is none. */
         private long millis(String digits) {
-            return digits != null && digits.matches("[0-9]{1,9}") ? Long.parseLong(digits) : -1;
+            return digits != null && MILLIS.matcher(digits).matches() ? Long.parseLong(digits) : -1;
         }
     }
 }
--- a/src/test/java/slateseam/decision/EmbeddingExampleTest.java
+++ b/src/test/java/slateseam/decision/EmbeddingExampleTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import slateseam.decision.Api.*;
 
-/** The example of the README. */
+/** How a host puts the module to use. */
 class EmbeddingExampleTest {
     @Test
     void aHostRouterEmbedsTheModule() {
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -61,10 +61,14 @@
     private SocketChannel serve() throws Exception {
         SocketChannel connection = server.accept();
         connection.write(ByteBuffer.wrap("*1\r\n$1\r\nv\r\n".getBytes()));
+        awaitOutcome();
+        return connection;
+    }
+
+    private void awaitOutcome() throws Exception {
         for (int i = 0; told.isEmpty() && i < 5_000; i++) {
             loop.round(1_000_000);
         }
-        return connection;
     }
 
     @Test
@@ -85,9 +89,7 @@
     void aPassIsNotWrittenToAServerThatBeganToDrainWhileItConnected() throws Exception {
         begin(1);
         list("draining");
-        for (int i = 0; told.isEmpty() && i < 5_000; i++) {
-            loop.round(1_000_000);
-        }
+        awaitOutcome();
         assertThat(told).containsExactly(Outcome.MOOT);
     }
 
