Read the configuration again on SIGHUP and move the watch to the new discovery

Main installed no handler, and Watch's address was final. Now the signal hands over to the loop, which reads the file, keeps the old state if it is bad, and moves the watch at once; a whole list comes first, so the old version is not carried over and members that the new list lacks go. A call for a whole list is given up after 1 s, not 6.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -17,6 +17,7 @@
 import slateseam.router.net.Log;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
+import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
@@ -24,7 +25,7 @@
     private static final int USAGE = 2;
     private static final String HELP = """
             usage: java -jar slateseam.jar COMMAND [--config FILE]
-              serve         runs one router until it gets SIGTERM
+              serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
               check-config  reads a router's configuration and says what is wrong with it
               benchlink     serves the simulator's wire on standard input and output
               version       prints the version
@@ -55,8 +56,9 @@
                 throw new ParseException("unexpected " + line.getArgList().get(0));
             }
             switch (command) {
-                case "serve" -> serve(config(line), err);
-                case "check-config" -> out.println("the configuration of " + config(line).name() + " is in order");
+                case "serve" -> serve(configFile(line), err);
+                case "check-config" -> out.println(
+                        "the configuration of " + NodeConfig.read(configFile(line)).name() + " is in order");
                 case "benchlink" -> new WireHost().serve(System.in, out);
                 case "version" -> out.println("slateseam " + version());
                 case "help", "--help", "-h" -> out.println(HELP);
@@ -76,18 +78,21 @@
         }
     }
 
-    private static NodeConfig config(CommandLine line) throws ParseException, InvalidConfigException {
+    private static Path configFile(CommandLine line) throws ParseException {
         String file = line.getOptionValue("config", System.getenv("NODE_CONFIG"));
         if (file == null) {
             throw new ParseException("neither --config nor NODE_CONFIG names a configuration");
         }
-        return NodeConfig.read(Path.of(file));
+        return Path.of(file);
     }
 
-    private static void serve(NodeConfig config, PrintStream err) throws IOException {
+    private static void serve(Path file, PrintStream err) throws IOException, InvalidConfigException {
+        NodeConfig config = NodeConfig.read(file);
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, err);
         Router router = new Router(config, clock, log);
+        // Guards against the virtual machine's own answer to SIGHUP, which is to end.
+        Signal.handle(new Signal("HUP"), signal -> router.reload(file));
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             router.end();
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import slateseam.decision.Api.Limits;
 import slateseam.decision.Api.RequestClass;
 import slateseam.router.config.NodeConfig;
+import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
@@ -28,6 +30,7 @@
     private final long longestNanos;
     private final RespFront front;
     private final Acceptor acceptor;
+    private final Watch watch;
 
     /** Opens a router; it serves once {@link #run} is called. */
     public Router(NodeConfig config, Clock clock, Log log) throws IOException {
@@ -39,7 +42,7 @@
                 + config.settings().rules().answerSlackNanos();
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
         Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(), half);
-        Watch watch = new Watch(loop, config.discovery(), farm, changed -> {
+        watch = new Watch(loop, config.discovery(), farm, changed -> {
             passes.farmChanged();
             core.happened(changed);
         });
@@ -73,6 +76,22 @@
         loop.run();
     }
 
+    /**
+     * Reads the configuration again; may be called from any thread. Of what has changed, discovery's address is taken
+     * over; a file that cannot be used changes nothing.
+     */
+    public void reload(Path file) {
+        loop.handOver(() -> {
+            try {
+                NodeConfig changed = NodeConfig.read(file);
+                watch.moveTo(changed.discovery());
+                loop.log().line("reloaded", "discovery is at " + changed.discovery());
+            } catch (InvalidConfigException e) {
+                loop.log().line("reload-failed", "the configuration in use stays: " + e.getMessage());
+            }
+        });
+    }
+
     /**
      * Begins a planned end; may be called from any thread. New connections are taken for a while yet, then connections
      * are closed between requests, and when the last has gone the loop ends.
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -24,13 +24,15 @@
     private static final long RETRY_MILLIS = 50;
 
     private final Loop loop;
-    private final InetSocketAddress discovery;
     private final Farm farm;
     private final Consumer<MembersChanged> listener;
+    private InetSocketAddress discovery;
     private boolean begun;
     private boolean listed;
+    /** The call that is out; null while the next one waits its time. */
     private Call call;
-    private Deadline late;
+    /** When the call that is out is late, or else when the next one begins. */
+    private Deadline next;
 
     /** Creates a watch that reports what changed. */
     public Watch(Loop loop, InetSocketAddress discovery, Farm farm, Consumer<MembersChanged> listener) {
@@ -48,24 +50,49 @@
         }
     }
 
+    /**
+     * Goes on at another address, at once. What the old address told keeps its worth until the new one's whole list
+     * replaces it; its version does not, as each address counts for itself.
+     */
+    public void moveTo(InetSocketAddress address) {
+        if (address.equals(discovery)) {
+            return;
+        }
+        discovery = address;
+        listed = false;
+        if (begun) {
+            loop.cancel(next);
+            if (call != null) {
+                call.close();
+            }
+            connect();
+        }
+    }
+
     private void connect() {
         try {
             call = new Call();
-            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * Clock.MILLI, this::tooLate);
+            lateAfter(LATE_MILLIS);
         } catch (IOException e) {
             failed(e.toString());
         }
     }
 
+    private void lateAfter(long millis) {
+        loop.cancel(next);
+        next = loop.after(millis * Clock.MILLI, this::tooLate);
+    }
+
     private void tooLate() {
         call.close();
         failed("no answer in time");
     }
 
     private void failed(String why) {
-        loop.cancel(late);
+        call = null;
+        loop.cancel(next);
         loop.log().line("farm-unreachable", why);
-        loop.after(RETRY_MILLIS * Clock.MILLI, this::connect);
+        next = loop.after(RETRY_MILLIS * Clock.MILLI, this::connect);
     }
 
     private final class Call extends Connection {
@@ -79,8 +106,8 @@
         }
 
         private void ask() {
-            loop.cancel(late);
-            late = loop.after((WAIT_MILLIS + LATE_MILLIS) * Clock.MILLI, Watch.this::tooLate);
+            // Only a call that may wait is given the wait: a whole list comes at once or not at all.
+            lateAfter(listed ? WAIT_MILLIS + LATE_MILLIS : LATE_MILLIS);
             String query = listed ? "?index=" + farm.version() + "&wait=" + WAIT_MILLIS : "";
             String head = "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + discovery.getHostString() + "\r\n\r\n";
             write(ByteBuffer.wrap(Bytes.of(head)));
@@ -101,7 +128,6 @@
                 ask();
             } else {
                 close();
-                loop.cancel(late);
                 connect();
             }
             listener.accept(changed);
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -23,7 +23,7 @@
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
  * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
  * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
- * {@code ended}, {@code log TEXT} (the log has it), or {@code config OLD => NEW}, which changes the configuration and comes
+ * {@code ended}, {@code log TEXT} (the log has it), {@code reload OLD => NEW} (the changed file is read again), or {@code config OLD => NEW}, which changes the configuration and comes
  * before all others. WHO is a server of the configuration or, with any other name, a
  * user agent, which connects on its first line. A server takes its next connection when its last one is gone.
  */
@@ -31,25 +31,23 @@
     /** A guard against waiting for ever; no test depends on how long a round takes. */
     private static final int MOST_ROUNDS = 5_000;
     private static final long MILLI = 1_000_000L;
-    private static final List<String> SERVERS = List.of("s1", "s2", "origin", "discovery");
+    private static final List<String> SERVERS = List.of("s1", "s2", "origin", "discovery", "discovery2");
 
     private final Map<String, ServerSocketChannel> listeners = new HashMap<>();
     private final Map<String, SocketChannel> channels = new HashMap<>();
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final List<String> steps;
     private final Router router;
+    private final String config;
     private long now = 1_000_000_000_000L * MILLI;
 
     Recorded(Path file) throws Exception {
         steps = Files.readAllLines(file).stream().filter(line -> !line.isBlank() && !line.startsWith("#")).toList();
-        String config = Files.readString(Path.of("src/test/resources/node.json"));
+        String text = Files.readString(Path.of("src/test/resources/node.json"));
         for (String line : steps) {
-            if (line.startsWith("config ")) {
-                String[] change = line.substring(7).split(" => ");
-                assertThat(config).contains(change[0]);
-                config = config.replace(change[0], change[1]);
-            }
+            text = line.startsWith("config ") ? changed(text, line.substring(7)) : text;
         }
+        config = text;
         for (String name : SERVERS) {
             listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
             listeners.get(name).configureBlocking(false);
@@ -58,6 +56,12 @@
                 new Log("n0", () -> now, new PrintStream(log, true)));
     }
 
+    private static String changed(String text, String change) {
+        String[] words = change.split(" => ");
+        assertThat(text).contains(words[0]);
+        return text.replace(words[0], words[1]);
+    }
+
     private String fill(String text) throws IOException {
         String filled = text;
         for (String name : SERVERS) {
@@ -83,6 +87,11 @@
         if (line.equals("end")) {
             router.end();
             round();
+        } else if (words[0].equals("reload")) {
+            Path file = Files.createTempFile("node", ".json");
+            router.reload(Files.writeString(file, fill(changed(config, line.substring(7)))));
+            round();
+            Files.delete(file);
         } else if (line.equals("ended")) {
             assertThat(router.loop().isStopped()).as(line).isTrue();
         } else if (words[0].equals("clock")) {
