Bound user agents, tell spoilt answers apart, and place caches by the list alone

Now each connection has a deadline by what it waits for, and a silent or idle one gives way. Second requests with an open id get -ERR. Passes whose time ran out while their connection came up counted as refused connections, which closed the idle connections again (Passes.stop, Brain.judge), and each attempt of one mishap doubled the ejection, whose length did not follow the scaled aims. Now UNSENT is an outcome, and ejection goes by the shortest aim. - Brain.Fleet kept the slot of every cache that ever left, so that in churn most hashes met empty ones. Slots now follow from the list (jump hash over a sparse table), and members that are gone are forgotten. - Work for which nothing was sent is given up at half of its time; the give-up comes at the aim, not 20 ms before.

Ruled out: pool-full (never logged), refused connects (none).

--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -37,7 +37,11 @@
     /** How an attempt ended. */
     public enum Outcome {
         OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), MOOT(true), MISS(true);
+        CANCELLED(false), MOOT(true), MISS(true),
+        /** Its time ran out before it was written whole: the connection took too long. */
+        UNSENT(true),
+        /** The member answered, but what came cannot be read; like the one before, only real sockets have it. */
+        SPOILT(false);
 
         private final boolean neverRan;
 
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -22,11 +22,12 @@
     private static final double LOST_PART = 0.2, FUTILE = 0.25; // of the fetches: lost to overload; given up
     private static final double BURST_SECONDS = 0.25, TENANT_BURST = 6; // of supply; tenants: times that
     private static final int FAILURES = 4, LOST_WORK = 2; // a row that ejects; lost work's weight in it
-    private static final long EJECT = SECOND; // first; doubles three times
+    private static final long EJECT_AIMS = 2; // first, by the shortest aim; doubles three times
     private static final double START_WINDOW = 8, LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // own work out
     private static final double SLOW_ANSWER = 0.6, WINDOW_CUT = 0.75; // part of the aim from which it shrinks
     private static final double PATIENCE = 0.8; // part of its time after which a safe request moves on
-    private static final int SALTS = 24, FEW = 3; // hashes tried for a key; reads of it that are chance
+    private static final int SLOTS = 128, SALTS = 128; // least places of caches; hashes tried for a key
+    private static final int FEW = 3; // reads of a key that are chance
     private static final double HOT_SHARE = 0.3, HOT_MISSES = 0.25; // of a fair share: then it is spread
     private static final double FADE = 0.987; // of the counts an interval, so that they span some 20 s
     private static final double PASSED_ON = 0.7; // of a neighbour's counts: some eight routers pool theirs
@@ -35,11 +36,14 @@
     private static final double ADMIT_CUT = 0.8, ADMIT_GROWTH = 0.03; // an interval: overloaded; not
     private static final double OVERLOAD = 0.1, COLLAPSE = 0.3; // attempts gone wrong: over-share cut; all
     private static final long CROWDED = 20 * SECOND; // after a refusal, closes idle connections
+    private static final Set<Outcome> SENT_NOTHING = EnumSet.of(
+            Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT); // that came whole to a member
     private static final int TICK_TAG = 1, SUBSCRIBE_TAG = 2;
 
     private final Settings settings;
     private final SplittableRandom random;
     private final int incarnation;
+    private final long eject;
     private final Fleet fleet = new Fleet();
     private final Supply supply;
     private final Requests requests = new Requests();
@@ -50,6 +54,8 @@
     public Brain(Settings settings, long seed) {
         this.settings = settings;
         random = new SplittableRandom(seed);
+        eject = EJECT_AIMS * settings.classes().stream().mapToLong(RequestClass::aimNanos).min()
+                .orElse(SECOND);
         incarnation = (int) JumpHash.mix(seed) | 1;
         supply = new Supply();
     }
@@ -88,20 +94,15 @@
     private final class Server {
         Member member;
         int failures, outstanding;
-        long firstStart, ejectedUntil, crowdedUntil, cutAt, sentAt, coldSeen, ejection = EJECT;
+        long ejectedUntil, crowdedUntil, cutAt, sentAt, coldSeen, ejection = eject;
         double window = START_WINDOW, coldTokens;
 
-        Server(Member member) {
-            this.member = member;
-            firstStart = member.upSinceNanos();
-        }
+        Server(Member member) { this.member = member; }
 
         long id() { return member.id(); }
 
         boolean ready() { return member.isReady(); }
 
-        boolean returned() { return firstStart != member.upSinceNanos(); }
-
         boolean isOrigin() { return member.kind() == settings.originKind(); }
 
         /** Guards against dead members behind a stale list: after an ejection one request tries it. */
@@ -117,18 +118,23 @@
 
         void answered(boolean slow, long duration) {
             failures = 0;
-            ejection = EJECT;
+            ejection = eject;
             if (slow) shrink(duration);
             else if (outstanding + 1 >= window / 2) window += 1 / Math.max(1, window);
         }
 
         void failed(long duration, int weight) {
             shrink(duration);
+            fail(weight);
+        }
+
+        void fail(int weight) {
             failures += weight;
-            if (failures < FAILURES) return;
+            // Guards against counting one mishap many times: nothing is sent while it is left alone.
+            if (failures < FAILURES || now < ejectedUntil) return;
             double two = 2 * SECOND * fleet.readyCaches / requests.arrivalRate; // in which two come
-            ejectedUntil = now + (long) Math.max(ejection, Math.min(two, 8 * EJECT));
-            ejection = Math.min(2 * ejection, 8 * EJECT);
+            ejectedUntil = now + (long) Math.max(ejection, Math.min(two, 8 * eject));
+            ejection = Math.min(2 * ejection, 8 * eject);
         }
 
         void shrink(long duration) {
@@ -157,8 +163,8 @@
     /** Membership: who may be sent to, and which cache a key belongs to. */
     private final class Fleet {
         final TreeMap<Long, Server> servers = new TreeMap<>();
-        /** Caches by first start and id. Guards against moving most keys when one leaves: its slot stays. */
-        final List<Server> slots = new ArrayList<>();
+        /** Caches by their ids, with room to spare; the same at every router that has the same list. */
+        Server[] slots = new Server[SLOTS];
         final KeyCounts keys = new KeyCounts();
         /** Where misses are fetched; null where caches fetch themselves, or none is ready. */
         Server origin;
@@ -180,12 +186,26 @@
             boolean aside = settings.mode() == CacheMode.ASIDE;
             origin = servers.values().stream().filter(s -> aside && s.isOrigin() && s.ready())
                     .findFirst().orElse(null);
-            slots.clear();
-            servers.values().stream().filter(s -> !s.isOrigin()).forEach(slots::add);
-            slots.sort(Comparator.comparingLong((Server s) -> s.firstStart).thenComparing(Server::id));
-            for (int i = slots.size(); i-- > 0 && slots.get(i).member.isGone();) slots.remove(i);
-            readyCaches = (int) slots.stream().filter(Server::ready).count();
-            topRating = slots.stream().mapToDouble(s -> s.ready() ? s.member.rating() : 0).max().orElse(1);
+            // Guards against a map that grows with every member that was ever replaced.
+            servers.values().removeIf(s -> s.member.isGone() && s.outstanding == 0);
+            List<Server> caches = servers.values().stream().filter(s -> !s.isOrigin() && !s.member.isGone())
+                    .toList();
+            place(caches);
+            readyCaches = (int) caches.stream().filter(Server::ready).count();
+            topRating = caches.stream().mapToDouble(s -> s.ready() ? s.member.rating() : 0).max().orElse(1);
+        }
+
+        /**
+         * Guards against moving other caches' keys when one leaves or comes: its slot alone empties or fills.
+         * As slots follow from the list and not from its history, routers that started later have the same.
+         */
+        void place(List<Server> caches) {
+            slots = new Server[Math.max(SLOTS, 8 * Integer.highestOneBit(caches.size()))];
+            for (Server s : caches) {
+                long hash = JumpHash.mix(s.id());
+                while (slots[JumpHash.bucket(hash, slots.length)] != null) hash = JumpHash.mix(hash + 1);
+                slots[JumpHash.bucket(hash, slots.length)] = s;
+            }
         }
 
         void update(Member m) {
@@ -199,17 +219,14 @@
 
         /** The cache of a key by jump consistent hash; null if none is to be used. */
         Server home(long key, Server not) {
-            for (int salt = 0; salt < SALTS && !slots.isEmpty(); salt++) {
+            // A key that meets an empty slot, or a new member not due it yet, stays where it was before.
+            for (int salt = 0; salt < SALTS && readyCaches > 0; salt++) {
                 long hash = salt == 0 ? key : JumpHash.mix(key + salt * 0x9e3779b97f4a7c15L);
-                long buckets = JumpHash.bucketAndEarlier(hash, slots.size());
-                int earlier = (int) (buckets >> 32);
-                Server s = slots.get((int) buckets);
-                if (s != not && s.usable() && s.admits(hash)) return s;
-                // A key that a new member is not due yet stays where it was before that member came.
-                boolean young = earlier >= 0 && s.ready() && !s.returned() && s.warmth() < 1;
-                Server before = young ? slots.get(earlier) : s;
-                if (before != s && before != not && before.usable() && before.warmth() >= 1) return before;
+                Server s = slots[JumpHash.bucket(hash, slots.length)];
+                if (s != null && s != not && s.usable() && s.admits(hash)) return s;
             }
+            // Of few caches all the hashes may have missed the one that is left.
+            for (Server s : slots) if (s != null && s != not && s.usable() && s.admits(key)) return s;
             return null;
         }
 
@@ -402,7 +419,7 @@
     /** The path of each request, from its arrival to its one final answer. */
     private final class Requests {
         final Map<Long, Job> jobs = new HashMap<>();
-        final PriorityQueue<Job> byGiveUp = Job.queue(j -> j.giveUpAt);
+        final PriorityQueue<Job> byGiveUp = Job.queue(j -> j.dueAt);
         final PriorityQueue<Job> waiting = Job.queue(j -> j.wakeAt);
         /** Waiting for supply: work within shares first, then the latest, as it has time left for its aim. */
         final PriorityQueue<Job> held = Job.queue(j -> (j.overShare ? 3600 * SECOND : 0) - j.arrivedAt);
@@ -414,9 +431,12 @@
             boolean overShare = e.tenant() + 1 < supply.accounts.size()
                     && !supply.accounts.get(e.tenant() + 1).ask();
             RequestClass type = settings.classes().get(e.requestClass());
-            long useful = type.lateShare() > 0 ? e.ttlNanos() : Math.min(e.ttlNanos(), type.aimNanos());
-            Job job = new Job(e, type, now, now + useful - 2 * pace(), overShare);
+            long last = e.ttlNanos() - 2 * pace();
+            long useful = type.lateShare() > 0 ? last : Math.min(last, type.aimNanos());
+            Job job = new Job(e, type, now, now + useful, overShare);
             jobs.put(e.request(), job);
+            // Guards against holding work for which nothing was done until its client could go nowhere else.
+            job.dueAt = Math.min(job.giveUpAt, now + e.ttlNanos() / 2 - 2 * pace());
             byGiveUp.add(job);
             // Guards against an overload that serves nobody: over-share work is turned away first, and early.
             boolean shed = random.nextDouble() >= (overShare ? admitted - 1 : admitted);
@@ -450,7 +470,8 @@
         boolean pay() { return fleet.origin.hasRoom(1) && supply.take(); }
 
         void send(Job job, Server to) {
-            if (!mayTry(job, 1) || job.giveUpAt <= now) {
+            boolean spent = job.mayHaveRun && !job.repeatable(now);
+            if (spent || !mayTry(job, 1) || job.giveUpAt <= now) {
                 decline(job);
                 return;
             }
@@ -510,9 +531,12 @@
             if (job == null) return;
             job.open = false;
             job.mayHaveRun |= !e.outcome().neverRan();
+            job.reached |= !SENT_NOTHING.contains(e.outcome());
             if (e.concluded()) finish(job);
-            else if (job.mayHaveRun && job.type.effect() != Effect.PURE) decline(job);
+            else if (job.mayHaveRun && !job.repeatable(now)) decline(job);
             else if (server != null && server.isOrigin()) hold(job);
+            // Any member may spoil an answer: the key is still where it was.
+            else if (e.outcome() == Outcome.SPOILT) route(job, null);
             else if (e.outcome() != Outcome.MISS || settings.mode() != CacheMode.ASIDE) route(job, server);
             else if (e.fetching() && mayTry(job, 2)) wait(job, supply.fetchTime);
             else fetch(job);
@@ -526,13 +550,21 @@
             boolean served = e.outcome() == Outcome.OK || e.outcome() == Outcome.MISS;
             boolean slow = duration > SLOW_ANSWER * aim;
             boolean refused = e.outcome() == Outcome.CONNECT_FAILED;
+            boolean notUp = refused || e.outcome() == Outcome.UNSENT;
+            if (e.outcome() == Outcome.MOOT) return; // nothing was sent: it tells of this router alone
+            if (e.outcome() == Outcome.SPOILT) {
+                // Guards against sparing members for what happens to all answers alike and tells nothing of
+                // their load. Only one that answers nothing else for a while is left alone.
+                if (!server.isOrigin()) server.fail(1);
+                return;
+            }
             if (refused) server.crowdedUntil = now + CROWDED;
             // Guards against a member's connections being used up by idle ones of many routers. Not every
             // member's: a process that died refuses too, and each request would cost a handshake.
             if (now < server.crowdedUntil && server.outstanding == 0) out.accept(new CloseIdle(server.id()));
             if (server.isOrigin()) {
                 supply.fetchEnded(e.outcome(), duration, aim, job == null);
-                if (refused) server.shrink(duration);
+                if (notUp) server.shrink(duration);
                 else if (e.outcome() == Outcome.OK) server.answered(false, duration);
                 return;
             }
@@ -550,9 +582,9 @@
                 // Of a large fleet's cache one failure is all the warning before the next request; but a
                 // popular key that is slow to serve must not drive its load from cache to cache.
                 boolean popular = job != null && fleet.keys.reads(job.asked.key()) >= FEW;
-                boolean seldom = fleet.readyCaches > arrivalRate && (refused || !popular);
+                boolean seldom = fleet.readyCaches > arrivalRate && (notUp || !popular);
                 boolean ejects = e.outcome() == Outcome.FULL || seldom;
-                server.failed(duration, ejects ? FAILURES : refused ? 1 : LOST_WORK);
+                server.failed(duration, ejects ? FAILURES : notUp ? 1 : LOST_WORK);
             }
         }
 
@@ -590,9 +622,14 @@
         }
 
         void tick() {
-            while (!byGiveUp.isEmpty() && (byGiveUp.peek().done || byGiveUp.peek().giveUpAt <= now)) {
+            while (!byGiveUp.isEmpty() && (byGiveUp.peek().done || byGiveUp.peek().dueAt <= now)) {
                 Job job = byGiveUp.poll();
-                if (!job.done) decline(job);
+                if (job.done) continue;
+                if (job.giveUpAt <= now || !job.open && !job.reached) decline(job);
+                else {
+                    job.dueAt = job.giveUpAt;
+                    byGiveUp.add(job);
+                }
             }
             while (!waiting.isEmpty() && waiting.peek().wakeAt <= now) {
                 Job job = waiting.poll();
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.ToLongFunction;
+import slateseam.decision.Api.Effect;
+import slateseam.decision.Api.Group;
 import slateseam.decision.Api.RequestArrived;
 import slateseam.decision.Api.RequestClass;
 
@@ -17,6 +19,10 @@
     int attempts;
     boolean open;
     boolean mayHaveRun;
+    /** Whether an attempt has come to a member. */
+    boolean reached;
+    /** When it is looked at: whether anything was done for it yet; at {@link #giveUpAt} at the latest. */
+    long dueAt;
     boolean done;
     long wakeAt;
     /** Misses of the same key that wait for this one's fetch; null unless it leads one. */
@@ -30,6 +36,12 @@
         this.overShare = overShare;
     }
 
+    /** Whether it may be sent once more though an attempt of it may have run. */
+    boolean repeatable(long now) {
+        return type.effect() == Effect.PURE || type.effect() == Effect.TOKEN && type.group() == Group.ALL
+                && now - arrivedAt < type.windowNanos();
+    }
+
     /** A queue in this order; where it is the same, by number. */
     static PriorityQueue<Job> queue(ToLongFunction<Job> order) {
         return new PriorityQueue<>(Comparator.comparingLong(order).thenComparing(j -> j.asked.request()));
--- a/src/main/java/slateseam/decision/JumpHash.java
+++ b/src/main/java/slateseam/decision/JumpHash.java
@@ -7,22 +7,16 @@
     private JumpHash() {
     }
 
-    /**
-     * The bucket of a key among so many, and the one it had before that bucket was added.
-     *
-     * @return the bucket in the low half; in the high half the earlier bucket, -1 for bucket 0
-     */
-    static long bucketAndEarlier(long key, int buckets) {
+    /** The bucket of a key among so many. */
+    static int bucket(long key, int buckets) {
         long state = key;
-        int earlier = -1;
         int bucket = -1;
         for (long next = 0; next < buckets;) {
-            earlier = bucket;
             bucket = (int) next;
             state = state * MULTIPLIER + 1;
             next = (long) ((bucket + 1) * (0x1p31 / ((state >>> 33) + 1)));
         }
-        return ((long) earlier << 32) | bucket;
+        return bucket;
     }
 
     /** Spreads the bits of a number over all of it. */
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -36,12 +36,15 @@
     public Router(NodeConfig config, Clock clock, Log log) throws IOException {
         loop = new Loop(clock, log);
         Limits limits = config.settings().limits();
-        int half = (config.sockets() - OTHER_SOCKETS) / 2;
+        int shared = config.sockets() - OTHER_SOCKETS;
+        // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
+        int userAgents = shared * 3 / 5;
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
                 + config.settings().rules().answerSlackNanos();
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
-        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(), half);
+        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(),
+                shared - userAgents);
         watch = new Watch(loop, config.discovery(), farm, changed -> {
             passes.farmChanged();
             core.happened(changed);
@@ -57,7 +60,7 @@
         if (!config.settings().askedDiscovery()) {
             watch.begin();
         }
-        front = new RespFront(loop, core, config.settings(), half, config.mostHeld());
+        front = new RespFront(loop, core, config.settings(), userAgents, config.mostHeld());
         acceptor = new Acceptor(loop, config.listen(), front);
     }
 
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -23,6 +23,7 @@
     private final Deque<ByteBuffer> unwritten = new ArrayDeque<>();
     private ByteBuffer input = NOTHING;
     private boolean paused;
+    private boolean lingering;
     private boolean closed;
 
     /** Takes over an accepted channel. */
@@ -96,9 +97,34 @@
         return closed;
     }
 
+    /**
+     * Ends the sending once all is written, and throws away what comes from now on; {@link #broken} follows when the
+     * other side ends too. Guards against a close over unread input, which resets the connection and can destroy the
+     * answers written just before.
+     */
+    protected final void linger() {
+        if (!lingering && !closed) {
+            lingering = true;
+            paused = false;
+            input = NOTHING;
+            flush();
+        }
+    }
+
+    /** Reads what has come, without waiting until the selector says so. */
+    protected final void poll() {
+        try {
+            if (!closed && !paused) {
+                read();
+            }
+        } catch (IOException e) {
+            breakOff();
+        }
+    }
+
     /** Stops or goes on with reading. What lies in the buffer already is handed out again when reading goes on. */
     protected final void pause(boolean stop) {
-        if (paused != stop && !closed) {
+        if (paused != stop && !closed && !lingering) {
             paused = stop;
             interest();
             if (!stop && input.position() > 0) {
@@ -162,25 +188,34 @@
     }
 
     private void read() throws IOException {
+        if (lingering) {
+            if (channel.read(loop.scratch()) < 0) {
+                breakOff();
+            }
+            return;
+        }
         if (!input.hasRemaining()) {
             int larger = Math.min(INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
             input = ByteBuffer.allocate(larger).put(input.flip());
         }
-        if (channel.read(input) < 0) {
+        int come = channel.read(input);
+        if (come < 0) {
             breakOff();
-            return;
+        } else if (come > 0) {
+            handOut();
+        } else if (input.position() == 0) {
+            input = NOTHING;
         }
-        handOut();
     }
 
     private void handOut() {
-        if (closed || paused) {
+        if (closed || paused || lingering) {
             return;
         }
         ByteBuffer in = input.flip();
         try {
             received(in);
-            if (closed) {
+            if (closed || lingering) {
                 return;
             }
             in.compact();
@@ -207,6 +242,9 @@
                 }
             }
             interest();
+            if (lingering) {
+                channel.shutdownOutput();
+            }
             written();
         } catch (IOException e) {
             // Guards the writer, which may be in the middle of its own bookkeeping, against a call back.
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -1,6 +1,7 @@
 package slateseam.router.net;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
@@ -11,6 +12,7 @@
 /** The one thread's loop: waits for sockets and deadlines and hands each to whom it concerns. */
 public final class Loop {
     private static final long LONGEST_WAIT = 1_000 * Clock.MILLI;
+    private static final int SCRATCH_BYTES = 64 * 1024;
 
     /** Takes what a socket is ready for. */
     @FunctionalInterface
@@ -23,6 +25,7 @@
     private final Clock clock;
     private final Log log;
     private final Deadlines deadlines = new Deadlines();
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
     private long now;
     private boolean stopped;
@@ -45,6 +48,11 @@
         return log;
     }
 
+    /** An empty buffer for what is thrown away; the same one at each call. */
+    ByteBuffer scratch() {
+        return scratch.clear();
+    }
+
     /** Registers a channel, non-blocking, for the operations. */
     public SelectionKey register(SelectableChannel channel, int operations, Handler handler) throws IOException {
         channel.configureBlocking(false);
--- a/src/main/java/slateseam/router/net/Resp.java
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -6,6 +6,8 @@
 
 /** RESP2, read in place: what is returned looks into the buffer that was read. */
 public final class Resp {
+    /** The type of what could not be read. */
+    public static final char UNREADABLE = '?';
     private static final int MOST_ITEMS = 16;
     private static final int DEEPEST = 3;
     private static final int LONGEST_LINE = 1024;
@@ -57,16 +59,24 @@
      * @return null, with the buffer as it was, while it is not whole
      */
     public static Value reply(ByteBuffer in) throws MalformedException {
+        return reply(in, MOST_ITEMS);
+    }
+
+    /**
+     * The same, but that of an array only so many items must be readable. If one behind them is not, the buffer is moved
+     * to its end, as nobody can tell where the value ends, and that item has the type {@link #UNREADABLE}.
+     */
+    public static Value reply(ByteBuffer in, int needed) throws MalformedException {
         int start = in.position();
-        Value value = value(in, DEEPEST);
+        Value value = value(in, DEEPEST, needed);
         if (value == null) {
             in.position(start);
         }
         return value;
     }
 
-    private static Value value(ByteBuffer in, int depth) throws MalformedException {
-        ByteBuffer line = line(in);
+    private static Value value(ByteBuffer in, int depth, int needed) throws MalformedException {
+        ByteBuffer line = line(in, LONGEST_LINE);
         if (line == null) {
             return null;
         }
@@ -77,7 +87,7 @@
         return switch (type) {
             case '+', '-', ':' -> new Value(type, line, List.of());
             case '$' -> bulk(in, number(line, Connection.VALUE_LIMIT));
-            case '*' -> array(in, number(line, MOST_ITEMS), depth);
+            case '*' -> array(in, number(line, MOST_ITEMS), depth, needed);
             default -> throw new MalformedException("unknown type " + (int) type);
         };
     }
@@ -97,17 +107,26 @@
         return new Value('$', bytes, List.of());
     }
 
-    private static Value array(ByteBuffer in, int length, int depth) throws MalformedException {
+    private static Value array(ByteBuffer in, int length, int depth, int needed) throws MalformedException {
         if (depth == 0) {
             throw new MalformedException("arrays nested too deep");
         }
         List<Value> items = new ArrayList<>();
         for (int i = 0; i < length; i++) {
-            Value item = value(in, depth - 1);
-            if (item == null) {
-                return null;
+            try {
+                Value item = value(in, depth - 1, MOST_ITEMS);
+                if (item == null) {
+                    return null;
+                }
+                items.add(item);
+            } catch (MalformedException e) {
+                if (i < needed) {
+                    throw e;
+                }
+                items.add(new Value(UNREADABLE, null, List.of()));
+                in.position(in.limit());
+                break;
             }
-            items.add(item);
         }
         return new Value('*', null, items);
     }
@@ -130,7 +149,7 @@
     }
 
     /** The text up to the next CRLF, which is passed; null while that has not come. */
-    static ByteBuffer line(ByteBuffer in) throws MalformedException {
+    static ByteBuffer line(ByteBuffer in, int longest) throws MalformedException {
         for (int i = in.position(); i + 1 < in.limit(); i++) {
             if (in.get(i) == '\r' && in.get(i + 1) == '\n') {
                 ByteBuffer line = in.slice(in.position(), i - in.position());
@@ -138,8 +157,8 @@
                 return line;
             }
         }
-        if (in.remaining() > LONGEST_LINE) {
-            throw new MalformedException("a line is longer than " + LONGEST_LINE + " bytes");
+        if (in.remaining() > longest) {
+            throw new MalformedException("a line is longer than " + longest + " bytes");
         }
         return null;
     }
--- a/src/main/java/slateseam/router/pass/ApplicationServer.java
+++ b/src/main/java/slateseam/router/pass/ApplicationServer.java
@@ -4,11 +4,17 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.farm.Farm;
+import slateseam.router.net.Clock;
 
 /** An application server, or the origin, with this router's connections to it. */
 final class ApplicationServer {
+    /** For bytes that come just behind an answer; a new connection would cost the server and the request far more. */
+    private static final long SETTLE_NANOS = 4 * Clock.MILLI;
+
     private final long id;
     private final Passes passes;
     private final ServerProtocol protocol;
@@ -17,6 +23,7 @@
     private final Deque<ServerConnection> idle = new ArrayDeque<>();
     /** Proxy passes for which there is no connection yet. */
     private final Deque<Pass> waiting = new ArrayDeque<>();
+    private final Set<ServerConnection> settling = new HashSet<>();
     private int connecting;
 
     ApplicationServer(Passes passes, Farm.Entry entry) {
@@ -39,23 +46,28 @@
     }
 
     void begin(Pass pass) {
-        ServerConnection connection = idle.poll();
-        if (connection != null) {
-            carry(connection, pass);
-            return;
+        for (ServerConnection connection; (connection = idle.poll()) != null;) {
+            if (connection.isQuiet()) {
+                carry(connection, pass);
+                return;
+            }
         }
         waiting.add(pass);
-        if (connecting < waiting.size()) {
-            open();
-        }
+        openIfNeeded();
     }
 
-    private void open() {
+    private void openIfNeeded() {
+        if (connecting + settling.size() >= waiting.size()) {
+            return;
+        }
         connecting++;
         try {
-            passes.open(this);
+            // Want of room here tells nothing of the server.
+            if (!passes.open(this)) {
+                connectFailed(Outcome.MOOT);
+            }
         } catch (IOException e) {
-            connectFailed();
+            connectFailed(Outcome.CONNECT_FAILED);
         }
     }
 
@@ -65,16 +77,23 @@
             connection.carry(pass);
         } else {
             ended(pass, new ServerProtocol.Reply(Outcome.MOOT));
-            free(connection);
+            settled(connection);
         }
     }
 
     void connected(ServerConnection connection) {
         connecting--;
-        free(connection);
+        settled(connection);
     }
 
+    /** An answer has come; the connection goes on once it is known that nothing more belongs to it. */
     void free(ServerConnection connection) {
+        settling.add(connection);
+        connection.settle(SETTLE_NANOS);
+    }
+
+    void settled(ServerConnection connection) {
+        settling.remove(connection);
         Pass next = waiting.poll();
         if (next != null) {
             carry(connection, next);
@@ -86,17 +105,29 @@
         }
     }
 
-    /** A connection never came up; a pass that waited for it could not connect. */
-    void connectFailed() {
+    /** A connection never came up; a pass that waited for it ends so. */
+    void connectFailed(Outcome outcome) {
         connecting--;
-        if (waiting.size() > connecting) {
-            ended(waiting.poll(), new ServerProtocol.Reply(Outcome.CONNECT_FAILED));
+        if (waiting.size() > connecting + settling.size()) {
+            ended(waiting.poll(), new ServerProtocol.Reply(outcome));
         }
     }
 
     void lost(ServerConnection connection) {
         idle.remove(connection);
         passes.closed();
+        if (settling.remove(connection)) {
+            openIfNeeded();
+        }
+    }
+
+    /** When the connection that has been idle for longest began to be so; never if there is none. */
+    long idleSince() {
+        return idle.isEmpty() ? Long.MAX_VALUE : idle.peekLast().idleSince();
+    }
+
+    void closeLongestIdle() {
+        idle.peekLast().giveUp();
     }
 
     void ended(Pass pass, ServerProtocol.Reply reply) {
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -1,6 +1,7 @@
 package slateseam.router.pass;
 
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,7 +76,7 @@
     private void stop(Pass pass, Outcome outcome) {
         pass.server.stop(pass);
         boolean neverSent = outcome == Outcome.TIMEOUT && !pass.written;
-        end(pass, new ServerProtocol.Reply(neverSent ? Outcome.CONNECT_FAILED : outcome));
+        end(pass, new ServerProtocol.Reply(neverSent ? Outcome.UNSENT : outcome));
     }
 
     /** Closes the idle connections to a server. */
@@ -134,13 +135,21 @@
         return idleNanos;
     }
 
-    void open(ApplicationServer server) throws IOException {
+    /** Opens a connection to a server; whether there was room for one. */
+    boolean open(ApplicationServer server) throws IOException {
         if (connections >= mostConnections) {
-            loop.log().line("pool-full", "all " + mostConnections + " connections to servers are taken");
-            throw new IOException("too many connections");
+            // Guards against one server's idle connections starving another.
+            servers.values().stream().filter(s -> s.idleSince() < Long.MAX_VALUE)
+                    .min(Comparator.comparingLong(ApplicationServer::idleSince))
+                    .ifPresent(ApplicationServer::closeLongestIdle);
+        }
+        if (connections >= mostConnections) {
+            loop.log().line("pool-full", "all " + mostConnections + " connections to servers are in use");
+            return false;
         }
         new ServerConnection(loop, server, connectNanos);
         connections++;
+        return true;
     }
 
     void closed() {
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -15,6 +15,8 @@
     private static final byte[] GET = Bytes.of("*4\r\n$9\r\nCACHE.GET\r\n");
     private static final byte[] SET = Bytes.of("*5\r\n$9\r\nCACHE.SET\r\n");
     private static final byte[] PING = Bytes.of("*1\r\n$4\r\nPING\r\n");
+    /** The value, and how it went. */
+    private static final int NEEDED_ITEMS = 2;
     private static final byte[] LINE_END = Bytes.of("\r\n");
 
     @Override
@@ -41,7 +43,8 @@
 
     @Override
     public Reply reply(ByteBuffer in) throws MalformedException {
-        Resp.Value reply = Resp.reply(in);
+        // Guards a good answer against the load report behind it, which nobody here reads.
+        Resp.Value reply = Resp.reply(in, NEEDED_ITEMS);
         if (reply == null) {
             return null;
         }
@@ -56,11 +59,12 @@
         if (items.isEmpty() || items.get(0).type() != '$') {
             throw new MalformedException("an answer's array must begin with a bulk string");
         }
+        boolean reusable = items.get(items.size() - 1).type() != Resp.UNREADABLE;
         if (!items.get(0).isBulk()) {
             boolean fetching = items.size() > 1 && items.get(1).text().equals("pending");
-            return new Reply(Outcome.MISS, fetching, null, true);
+            return new Reply(Outcome.MISS, fetching, null, reusable);
         }
-        return new Reply(Outcome.OK, false, Bytes.copy(items.get(0).bytes()), true);
+        return new Reply(Outcome.OK, false, Bytes.copy(items.get(0).bytes()), reusable);
     }
 
     @Override
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -11,11 +11,16 @@
 
 /** A connection to a server; it carries one proxy pass at a time. */
 final class ServerConnection extends Connection {
+    /** For the rest of an answer once a part has come: less than an aim, so that there is time for another pass. */
+    private static final long REST_NANOS = 250 * Clock.MILLI;
+
     private final ApplicationServer server;
     private boolean up;
     private Pass current;
-    /** Until when it may stay as it is: connecting, or idle. */
+    /** Until when it may stay as it is: connecting, settling, idle, or with a part of an answer. */
     private Deadline limit;
+    private boolean partial;
+    private long idleSince;
 
     ServerConnection(Loop loop, ApplicationServer server, long connectNanos) throws IOException {
         super(loop, server.address());
@@ -25,7 +30,35 @@
 
     /** Closes it after so long without a pass. */
     void rest(long idleNanos) {
-        limit = loop().after(idleNanos, this::giveUp);
+        idleSince = loop().now();
+        limitAfter(idleNanos, this::giveUp);
+    }
+
+    long idleSince() {
+        return idleSince;
+    }
+
+    /** Goes on after so long, if nothing has come until then. */
+    void settle(long nanos) {
+        limitAfter(nanos, () -> {
+            if (isQuiet()) {
+                server.settled(this);
+            }
+        });
+    }
+
+    /**
+     * Whether nothing has come since the last answer; else it is closed. Guards against bytes behind an answer, which
+     * would be read as the answer to the next request.
+     */
+    boolean isQuiet() {
+        poll();
+        return !isClosed();
+    }
+
+    private void limitAfter(long nanos, Runnable action) {
+        loop().cancel(limit);
+        limit = loop().after(nanos, action);
     }
 
     void carry(Pass pass) {
@@ -66,8 +99,10 @@
         ServerProtocol protocol = server.protocol();
         ServerProtocol.Reply reply = current.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
         if (reply == null) {
+            awaitRest(in.hasRemaining());
             return;
         }
+        awaitRest(false);
         Pass done = current;
         current = null;
         // Freed before the outcome is told, so that what the outcome makes the router send can use it at once.
@@ -79,10 +114,25 @@
         server.ended(done, reply);
     }
 
+    /** Guards against answers that never end: the pass has failed long before its own time is up. */
+    private void awaitRest(boolean begun) {
+        if (begun && !partial) {
+            limitAfter(REST_NANOS, () -> malformed(new MalformedException("the rest of an answer did not come")));
+        } else if (!begun && partial) {
+            loop().cancel(limit);
+        }
+        partial = begun;
+    }
+
+    /** What cannot be read may have run; the connection is of no more use. */
     @Override
     protected void malformed(MalformedException e) {
         loop().log().line("server-malformed", server.address() + ": " + e.getMessage());
-        breakOff();
+        Pass spoilt = current;
+        giveUp();
+        if (spoilt != null) {
+            server.ended(spoilt, new ServerProtocol.Reply(Outcome.SPOILT));
+        }
     }
 
     @Override
@@ -92,7 +142,7 @@
         current = null;
         server.lost(this);
         if (!up) {
-            server.connectFailed();
+            server.connectFailed(Outcome.CONNECT_FAILED);
         } else if (cut != null) {
             server.ended(cut, new ServerProtocol.Reply(cut.written ? Outcome.RESET : Outcome.CONNECT_FAILED));
         }
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -10,7 +10,7 @@
 /** Accepts the connections of user agents. */
 public final class Acceptor {
     private static final int BACKLOG = 512;
-    private static final long PAUSE_NANOS = 100_000_000L;
+    private static final long PAUSE_NANOS = 50_000_000L;
     private static final int MOST_AT_ONCE = 64;
 
     private final Loop loop;
@@ -42,27 +42,32 @@
 
     private void accept() {
         try {
-            for (int i = 0; i < MOST_AT_ONCE && !front.isFull(); i++) {
+            for (int i = 0; i < MOST_AT_ONCE; i++) {
+                if (!front.makeRoom()) {
+                    loop.log().line("user-agents-full", "no further connection is taken until one can be closed");
+                    pause();
+                    return;
+                }
                 SocketChannel accepted = channel.accept();
                 if (accepted == null) {
                     return;
                 }
                 front.accept(accepted);
             }
-            if (front.isFull()) {
-                loop.log().line("user-agents-full", "no further connection is taken until one closes");
-                key.interestOps(0);
-            }
         } catch (IOException e) {
             // Guards the loop when descriptors run out: the ready backlog would keep it spinning.
             loop.log().line("accept-failed", e.toString());
-            key.interestOps(0);
-            loop.after(PAUSE_NANOS, this::resume);
+            pause();
         }
     }
 
+    private void pause() {
+        key.interestOps(0);
+        loop.after(PAUSE_NANOS, this::resume);
+    }
+
     private void resume() {
-        if (!closed && !front.isFull()) {
+        if (!closed) {
             key.interestOps(SelectionKey.OP_ACCEPT);
         }
     }
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -4,9 +4,12 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.regex.Pattern;
 import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
@@ -18,6 +21,7 @@
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
+import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 import slateseam.router.net.Resp;
@@ -28,6 +32,15 @@
     private static final int MOST_EXCHANGES = 16;
     private static final int READ_ITEMS = 4;
     private static final int WRITE_ITEMS = 5;
+    /** For a first command, or one of which a part has come: no user agent that waits for an answer takes so long. */
+    private static final long COMMAND_NANOS = 2_500 * Clock.MILLI;
+    /** Without an open request, while there is room; user agents that come back sooner keep their connection. */
+    private static final long IDLE_NANOS = 15_000 * Clock.MILLI;
+    /** For the other side to end, after the last answer. */
+    private static final long LINGER_NANOS = 1_000 * Clock.MILLI;
+    /** For want of room a connection goes that has been idle so long, or has said nothing for so long from its start. */
+    private static final long LEAST_IDLE_NANOS = 2_050 * Clock.MILLI;
+    private static final long LEAST_SILENT_NANOS = 50 * Clock.MILLI;
     private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
     private static final byte DELETE = 0x7f;
     private static final byte[] PONG = Bytes.of("+PONG\r\n");
@@ -40,6 +53,8 @@
         final UserAgent from;
         long number = -1;
         long request = -1;
+        /** The request's id while it is open. */
+        ByteBuffer id;
         ByteBuffer[] answer;
 
         Exchange(UserAgent from) {
@@ -47,6 +62,9 @@
         }
     }
 
+    /** What a connection waits for; each has its deadline. */
+    private enum State { FIRST_COMMAND, REST_OF_COMMAND, ANSWER, READER, NEXT_COMMAND, END }
+
     private final Loop loop;
     private final Core core;
     private final List<String> classes;
@@ -54,6 +72,10 @@
     private final Settings settings;
     private final Slots<UserAgent> userAgents;
     private final Slots<Exchange> exchanges;
+    /** The ids of the requests that are owed an answer; they are held as long as those are, and no longer. */
+    private final Set<ByteBuffer> openIds = new HashSet<>();
+    /** Of the longest class: an answer that is not read by then is of no use to anyone. */
+    private final long readNanos;
     private Runnable whenClosed = () -> { };
     private boolean closing;
 
@@ -64,12 +86,14 @@
         this.settings = settings;
         this.classes = settings.classes().stream().map(RequestClass::name).toList();
         this.tenants = settings.tenants().stream().map(Tenant::name).toList();
+        this.readNanos = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
+                + settings.rules().answerSlackNanos();
         this.userAgents = new Slots<>(mostConnections);
         this.exchanges = new Slots<>(mostHeld + 1); // the one more is being turned away
     }
 
     /** Whether no further connection can be taken. */
-    public boolean isFull() {
+    private boolean isFull() {
         return userAgents.isFull();
     }
 
@@ -83,11 +107,26 @@
         whenClosed = action;
     }
 
+    /**
+     * Whether a connection can be taken. Guards against user agents that hold connections without a request: for want of
+     * room one that has been answered and is about to end goes first, then the one that has said nothing for longest,
+     * then the one that has been idle for longest.
+     */
+    public boolean makeRoom() {
+        if (isFull()) {
+            userAgents.all().stream().filter(UserAgent::isSpare).sorted(Comparator
+                    .comparing((UserAgent u) -> u.state == State.END ? 0 : u.state == State.FIRST_COMMAND ? 1 : 2)
+                    .thenComparing(u -> u.since)).takeWhile(u -> isFull()).forEach(UserAgent::giveWay);
+        }
+        return !isFull();
+    }
+
     /** Takes a connection. */
     public void accept(SocketChannel channel) throws IOException {
         try {
             UserAgent userAgent = new UserAgent(channel);
             userAgent.ticket = userAgents.add(userAgent);
+            userAgent.enter(State.FIRST_COMMAND);
         } catch (IOException e) {
             channel.close();
             throw e;
@@ -104,6 +143,7 @@
     public void answer(long exchange, Answer answer) {
         Exchange done = exchanges.remove(exchange);
         if (done != null) {
+            openIds.remove(done.id);
             done.answer = bytes(answer);
             done.from.flushAnswers();
         }
@@ -130,6 +170,13 @@
         private final Deque<Exchange> inOrder = new ArrayDeque<>();
         private long ticket;
         private boolean last;
+        /** Whether a whole command has come. */
+        private boolean heard;
+        /** Whether a part of a command has come and the rest has not. */
+        private boolean half;
+        private State state;
+        private long since;
+        private Deadline limit;
 
         UserAgent(SocketChannel channel) throws IOException {
             super(RespFront.this.loop, channel);
@@ -140,16 +187,72 @@
             while (!isClosed() && !last && inOrder.size() < MOST_EXCHANGES && isFlushed()) {
                 List<ByteBuffer> command = Resp.command(in);
                 if (command == null) {
+                    half = in.hasRemaining();
+                    settle();
                     return;
                 }
+                half = false;
+                heard = true;
                 take(command);
             }
             pause(true);
         }
 
+        /** Enters the state that it is in now. */
+        private void settle() {
+            if (state == State.END || isClosed()) {
+                return;
+            }
+            enter(!isFlushed() ? State.READER : !inOrder.isEmpty() ? State.ANSWER : !heard ? State.FIRST_COMMAND
+                    : half ? State.REST_OF_COMMAND : State.NEXT_COMMAND);
+        }
+
+        void enter(State next) {
+            if (next == state) {
+                return;
+            }
+            state = next;
+            since = loop().now();
+            loop().cancel(limit);
+            limit = switch (next) {
+                case ANSWER -> null; // the core has a deadline for it
+                case FIRST_COMMAND, REST_OF_COMMAND -> loop().after(COMMAND_NANOS, this::overstayed);
+                case READER -> loop().after(readNanos, this::overstayed);
+                case NEXT_COMMAND -> loop().after(IDLE_NANOS, this::overstayed);
+                case END -> loop().after(LINGER_NANOS, this::overstayed);
+            };
+        }
+
+        /** Guards against connections that are held by half a command, by silence, or by not reading. */
+        private void overstayed() {
+            if (half && state != State.READER && state != State.END) {
+                malformed(new MalformedException("the rest of a command did not come"));
+            } else {
+                if (state == State.READER) {
+                    loop().log().line("user-agent-stuck", "answers were not read; the connection was closed");
+                }
+                breakOff();
+            }
+        }
+
+        boolean isSpare() {
+            long spent = loop().now() - since;
+            return state == State.END || state == State.FIRST_COMMAND && !half && spent >= LEAST_SILENT_NANOS
+                    || state == State.NEXT_COMMAND && spent >= LEAST_IDLE_NANOS;
+        }
+
+        /** Closes a spare connection, unless it turns out that a command has come. */
+        void giveWay() {
+            poll();
+            if (isSpare()) {
+                breakOff();
+            }
+        }
+
         private void take(List<ByteBuffer> command) {
             Exchange exchange = new Exchange(this);
             inOrder.add(exchange);
+            settle();
             String name = Bytes.text(command.get(0)).toUpperCase(Locale.ROOT);
             boolean write = name.equals("CACHE.SET");
             switch (name) {
@@ -175,6 +278,12 @@
                 exchange.answer = line(Bytes.of("-ERR a key, id or fact is no visible ASCII\r\n"));
                 return;
             }
+            ByteBuffer open = ByteBuffer.wrap(id);
+            // Guards against two requests of one id, of which neither's answer could be told from the other's.
+            if (openIds.contains(open)) {
+                exchange.answer = line(Bytes.of("-ERR a request with this id is open\r\n"));
+                return;
+            }
             int requestClass = classes.indexOf(Facts.value(facts, 'c'));
             long waitMillis = millis(Facts.value(facts, 'd'));
             if (requestClass < 0 || waitMillis < 0) {
@@ -186,6 +295,8 @@
             Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, requestClass,
                     tenant < 0 ? tenants.size() : tenant, "1".equals(Facts.value(facts, 'r')), ttl);
             exchange.number = exchanges.add(exchange);
+            exchange.id = open;
+            openIds.add(open);
             exchange.request = core.arrived(request, RespFront.this, exchange.number);
         }
 
@@ -193,11 +304,13 @@
             while (!inOrder.isEmpty() && inOrder.peek().answer != null) {
                 write(inOrder.poll().answer);
             }
+            settle();
             closeWhenDone();
         }
 
         @Override
         protected void written() {
+            settle();
             if (inOrder.size() < MOST_EXCHANGES && !last) {
                 pause(false);
             }
@@ -208,9 +321,13 @@
         void closeWhenDone() {
             if (closing || last) {
                 loop().after(0, () -> {
-                    if (inOrder.isEmpty() && isFlushed() && (last || !hasInput()) && !isClosed()) {
-                        close();
-                        forget();
+                    if (inOrder.isEmpty() && isFlushed() && !isClosed()) {
+                        if (last) {
+                            enter(State.END);
+                            linger();
+                        } else if (!hasInput()) {
+                            breakOff();
+                        }
                     }
                 });
             }
@@ -220,6 +337,7 @@
         protected void malformed(MalformedException e) {
             loop().log().line("user-agent-malformed", e.getMessage());
             last = true;
+            half = false;
             pause(true);
             Exchange refused = new Exchange(this);
             refused.answer = line(Bytes.of("-ERR protocol error: " + e.getMessage() + "\r\n"));
@@ -232,6 +350,7 @@
             forget();
             for (Exchange exchange : inOrder) {
                 if (exchanges.remove(exchange.number) != null) {
+                    openIds.remove(exchange.id);
                     core.left(exchange.request);
                 }
             }
@@ -239,6 +358,7 @@
         }
 
         private void forget() {
+            loop().cancel(limit);
             userAgents.remove(ticket);
             whenClosed.run();
         }
