Judge caches by what had its time: no ejections from handshakes, short waits or one mishap

Traces of its passes: every cache ejected for 2.1 s within 0.2 s. Lines at fault, all in Brain: Server.fail took the arrival rate of 1 before any was measured and so the longest ejection; TIMEOUT counted after waits of 2 to 21 ms, what was left after the first pass (judge, send); passes whose connection was still coming up counted against the cache; misses never brought an ejected cache back; the neighbour handed over a share for a demand not yet seen (Account.measure), and all work counted as beyond its share until it came. Now a read moves on by the usual answer time while there is time for another answer, or not at all. Ruled out: the surviving router (almost no refusals), refused connects (none).

--- a/src/main/java/slateseam/decision/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -14,6 +14,7 @@
     /** Asked for a second, smoothed; never under the floor of one an interval. */
     double demand = 1;
     private double tokens;
+    private boolean measured;
 
     Account(double rate) {
         this.rate = rate;
@@ -45,7 +46,9 @@
 
     /** Ends an interval of so many seconds; the new demand weighs so much. */
     void measure(double seconds, double weight) {
-        demand += weight * (Math.max(1, recent) / seconds - demand);
+        // Guards a router that has just started against getting next to nothing for a demand not seen yet.
+        demand += (measured ? weight : 1) * (Math.max(1, recent) / seconds - demand);
+        measured |= recent > 0;
         recent = 0;
     }
 }
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -26,6 +26,7 @@
     private static final double START_WINDOW = 8, LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // own work out
     private static final double SLOW_ANSWER = 0.6, WINDOW_CUT = 0.75; // part of the aim from which it shrinks
     private static final double PATIENCE = 0.8; // part of its time after which a safe request moves on
+    private static final double ANOTHER = 1.2, LATE = 2.5; // of the usual answer time: for another; is late
     private static final int SLOTS = 128, SALTS = 128; // least places of caches; hashes tried for a key
     private static final int FEW = 3; // reads of a key that are chance
     private static final double HOT_SHARE = 0.3, HOT_MISSES = 0.25; // of a fair share: then it is spread
@@ -94,7 +95,7 @@
     private final class Server {
         Member member;
         int failures, outstanding;
-        long ejectedUntil, crowdedUntil, cutAt, sentAt, coldSeen, ejection = eject;
+        long ejectedUntil, unansweredSince, crowdedUntil, cutAt, sentAt, coldSeen, ejection = eject;
         double window = START_WINDOW, coldTokens;
 
         Server(Member member) { this.member = member; }
@@ -116,6 +117,11 @@
                     && (window >= 1 || now - sentAt >= requests.answerTime / window);
         }
 
+        /** Whether nothing has come back for longer than a connection may take to come up. */
+        boolean silent() {
+            return unansweredSince != 0 && now - unansweredSince > settings.limits().connectTimeoutNanos();
+        }
+
         void answered(boolean slow, long duration) {
             failures = 0;
             ejection = eject;
@@ -123,6 +129,11 @@
             else if (outstanding + 1 >= window / 2) window += 1 / Math.max(1, window);
         }
 
+        /** Misses alone bring one back that was left alone, but slowly: each answered trial counts one. */
+        void missed() {
+            if (failures >= FAILURES && now >= ejectedUntil) failures = Math.min(failures - 1, 2 * FAILURES);
+        }
+
         void failed(long duration, int weight) {
             shrink(duration);
             fail(weight);
@@ -132,7 +143,8 @@
             failures += weight;
             // Guards against counting one mishap many times: nothing is sent while it is left alone.
             if (failures < FAILURES || now < ejectedUntil) return;
-            double two = 2 * SECOND * fleet.readyCaches / requests.arrivalRate; // in which two come
+            // In which two requests for it come; just after a start it is not known how many come.
+            double two = requests.measured ? 2 * SECOND * fleet.readyCaches / requests.arrivalRate : 0;
             ejectedUntil = now + (long) Math.max(ejection, Math.min(two, 8 * eject));
             ejection = Math.min(2 * ejection, 8 * eject);
         }
@@ -424,12 +436,14 @@
         /** Waiting for supply: work within shares first, then the latest, as it has time left for its aim. */
         final PriorityQueue<Job> held = Job.queue(j -> (j.overShare ? 3600 * SECOND : 0) - j.arrivedAt);
         final Map<Long, Job> fetches = new HashMap<>();
+        boolean measured;
         double arrivals, tried, bad, answerTime, arrivalRate = 1, admitted = ALL;
 
         void arrived(RequestArrived e) {
             arrivals++;
+            // Guards against turning work away after a start because the ring has not yet brought its share.
             boolean overShare = e.tenant() + 1 < supply.accounts.size()
-                    && !supply.accounts.get(e.tenant() + 1).ask();
+                    && !supply.accounts.get(e.tenant() + 1).ask() && now - supply.startedAt > 2 * SECOND;
             RequestClass type = settings.classes().get(e.requestClass());
             long last = e.ttlNanos() - 2 * pace();
             long useful = type.lateShare() > 0 ? last : Math.min(last, type.aimNanos());
@@ -479,8 +493,12 @@
             job.open = true;
             to.outstanding++;
             to.sentAt = now;
+            if (to.unansweredSince == 0) to.unansweredSince = now;
             boolean movable = !to.isOrigin() && job.type.effect() == Effect.PURE && !job.type.stream();
-            long timeout = movable ? (long) ((job.giveUpAt - now) * PATIENCE) : 0;
+            long left = job.giveUpAt - now;
+            // Guards against moving on too early, or too late for another answer.
+            double most = answerTime == 0 ? left * PATIENCE : left - ANOTHER * answerTime;
+            long timeout = movable && most > LATE * answerTime ? (long) Math.min(most, left * PATIENCE) : 0;
             out.accept(new Send(job.asked.request(), to.id(), timeout));
         }
 
@@ -551,7 +569,12 @@
             boolean slow = duration > SLOW_ANSWER * aim;
             boolean refused = e.outcome() == Outcome.CONNECT_FAILED;
             boolean notUp = refused || e.outcome() == Outcome.UNSENT;
-            if (e.outcome() == Outcome.MOOT) return; // nothing was sent: it tells of this router alone
+            // Nothing was sent: that tells of this router alone, or of a handshake that needs its time.
+            if (e.outcome() == Outcome.MOOT || e.outcome() == Outcome.UNSENT && !server.silent()) return;
+            // What had little time from the start tells of the request and not of the member.
+            if (e.outcome() == Outcome.TIMEOUT && !slow && !server.isOrigin()) return;
+            boolean cameBack = !SENT_NOTHING.contains(e.outcome()) && e.outcome() != Outcome.TIMEOUT;
+            if (cameBack) server.unansweredSince = 0;
             if (e.outcome() == Outcome.SPOILT) {
                 // Guards against sparing members for what happens to all answers alike and tells nothing of
                 // their load. Only one that answers nothing else for a while is left alone.
@@ -578,7 +601,9 @@
             if (e.outcome() == Outcome.OK) {
                 server.answered(slow, duration);
                 answerTime += 0.05 * (duration - answerTime);
-            } else if (!served && (e.outcome() != Outcome.CANCELLED || slow)) {
+            } else if (served) {
+                server.missed();
+            } else if (e.outcome() != Outcome.CANCELLED || slow) {
                 // Of a large fleet's cache one failure is all the warning before the next request; but a
                 // popular key that is slow to serve must not drive its load from cache to cache.
                 boolean popular = job != null && fleet.keys.reads(job.asked.key()) >= FEW;
@@ -639,7 +664,8 @@
         }
 
         void interval() {
-            arrivalRate += 0.25 * (arrivals * SECOND / INTERVAL - arrivalRate);
+            arrivalRate += (measured ? 0.25 : 1) * (Math.max(1, arrivals) * SECOND / INTERVAL - arrivalRate);
+            measured |= arrivals > 0;
             arrivals = 0;
             double most = bad > OVERLOAD * tried + 1 ? 1 : ALL;
             if (bad > COLLAPSE * tried + 1) admitted = Math.max(LEAST_ADMITTED, admitted * ADMIT_CUT);
