--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -12,7 +12,7 @@
     private static final long SECOND = 1_000_000_000L; // all times are in nanoseconds
     private static final long TICK = SECOND / 100; // housekeeping: short against an aim, long against a batch
     private static final long INTERVAL = SECOND / 4; // of demand and learning, wait for peers: round trips
-    private static final long SILENCE = 4 * SECOND; // of a dead neighbour: several messages missing
+    private static final int SILENCE = 4; // usual pauses of a dead neighbour, more than chance loses
     private static final double ETA = 0.25; // the paper's 1/(2d) with d = 2; here scaled by demand
     private static final double DEMAND_WEIGHT = 0.25; // of the last interval: small miss counts are noisy
     private static final double START_RATE = 40; // first R, fetches a second for each router; then learned
@@ -34,7 +34,7 @@
     private static final double PASSED_ON = 0.7; // of a neighbour's counts: some eight routers pool theirs
     private static final double COLD_PART = 0.5; // of the stated multiple: load that a cold member may get
     private static final double ALL = 2, LEAST_ADMITTED = 0.3; // admission: all work; 1 is all within share
-    private static final double ADMIT_CUT = 0.8, ADMIT_GROWTH = 0.03; // an interval: overloaded; not
+    private static final double ADMIT_CUT = 0.8, ADMIT_GROWTH = 0.08; // an interval: overloaded; not
     private static final double OVERLOAD = 0.1, COLLAPSE = 0.3; // attempts gone wrong: over-share cut; all
     private static final long CROWDED = 20 * SECOND; // after a refusal, closes idle connections
     private static final Set<Outcome> SENT_NOTHING = EnumSet.of(
@@ -259,7 +259,7 @@
         final boolean lower, buddy;
         boolean knewEarlier, answeredUs, inherited;
         int peerIncarnation, sentSequence, heardSequence;
-        long heardAt;
+        long heardAt, pause = SECOND;
         int[] peerUnits = new int[supply.accounts.size()], flow = peerUnits.clone(), settled = flow.clone();
 
         Edge(int peer) {
@@ -281,6 +281,7 @@
             if (m.from() == peerIncarnation && m.sequence() <= heardSequence) return;
             meet(m.from());
             heardSequence = m.sequence();
+            pause += (Math.min(now - heardAt, 2 * SECOND) - pause) / 4;
             heardAt = now;
             boolean mine = m.to() == incarnation;
             if (mine && !answeredUs) supply.answered(this, m.knewYou());
@@ -309,6 +310,8 @@
             settled = new int[peerUnits.length];
         }
 
+        boolean silent() { return now - heardAt > Math.max(SECOND, SILENCE * pause); }
+
         void inherit(int sign) {
             inherited = true;
             for (int a = 0; a < peerUnits.length; a++) supply.accounts.get(a).units += sign * peerUnits[a];
@@ -384,7 +387,7 @@
             double wanted = 5 * SECOND / Math.max(0.1, requests.arrivalRate); // five requests bear one
             nextExchange = now + (long) Math.max(INTERVAL, Math.min(SECOND, wanted));
             for (Edge e : edges) {
-                if (e.buddy && !e.inherited && now - e.heardAt > SILENCE) e.inherit(1);
+                if (e.buddy && !e.inherited && e.silent()) e.inherit(1);
                 if (e.lower) e.send(true);
             }
         }
@@ -396,7 +399,9 @@
             fetched = 0;
             // Guards against a budget that grows unused, or before the queue of the last overload has gone.
             double growth = 1 + GROWTH * Math.max(2.5, (double) (now - cutAt) / SECOND);
-            if (bound && calm && now - cutAt > 2 * INTERVAL) origin.rate *= Math.min(MOST_GROWTH, growth);
+            // Or while the ring has brought next to nothing of it: then a larger R is not what is missing.
+            boolean grows = bound && calm && origin.units > evenShare / 4;
+            if (grows && now - cutAt > 2 * INTERVAL) origin.rate *= Math.min(MOST_GROWTH, growth);
             bound = false;
             requests.interval();
             fleet.keys.fade(FADE);
