Write nothing after a final answer, and turn nobody away for a share not yet brought

A pass that waits for its connection outlived the answer: the module may let a fetch that fills a cache go on (Brain.cancel), and Passes wrote it once the connection was up; a pass with under 5 ms left could cross the answer likewise. Core now withdraws what is not written when it releases a request. After planned restarts the rest was refused as beyond its tenant's share: the ring had brought that router 0 of 1024 parts (Brain.Requests.arrived, Edge.pause).

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -259,7 +259,7 @@
         final boolean lower, buddy;
         boolean knewEarlier, answeredUs, inherited;
         int peerIncarnation, sentSequence, heardSequence;
-        long heardAt, pause = SECOND;
+        long heardAt, pause = SECOND / 2;
         int[] peerUnits = new int[supply.accounts.size()], flow = peerUnits.clone(), settled = flow.clone();
 
         Edge(int peer) {
@@ -281,7 +281,7 @@
             if (m.from() == peerIncarnation && m.sequence() <= heardSequence) return;
             meet(m.from());
             heardSequence = m.sequence();
-            pause += (Math.min(now - heardAt, 2 * SECOND) - pause) / 4;
+            if (heardAt != 0) pause += (Math.min(now - heardAt, 2 * SECOND) - pause) / 2;
             heardAt = now;
             boolean mine = m.to() == incarnation;
             if (mine && !answeredUs) supply.answered(this, m.knewYou());
@@ -407,6 +407,12 @@
             fleet.keys.fade(FADE);
         }
 
+        /** Guards against turning work away because the ring has not yet brought the share that it is due. */
+        boolean exceeds(int account) {
+            Account a = accounts.get(account);
+            return !a.ask() && a.units > evenShare / 16 && now - startedAt > 2 * SECOND;
+        }
+
         boolean take() { return origin.take() || !(bound = true); }
 
         /** Learns R from how a fetch went; overload cuts it once for what was sent since the last cut. */
@@ -446,9 +452,7 @@
 
         void arrived(RequestArrived e) {
             arrivals++;
-            // Guards against turning work away after a start because the ring has not yet brought its share.
-            boolean overShare = e.tenant() + 1 < supply.accounts.size()
-                    && !supply.accounts.get(e.tenant() + 1).ask() && now - supply.startedAt > 2 * SECOND;
+            boolean overShare = e.tenant() + 1 < supply.accounts.size() && supply.exceeds(e.tenant() + 1);
             RequestClass type = settings.classes().get(e.requestClass());
             long last = e.ttlNanos() - 2 * pace();
             long useful = type.lateShare() > 0 ? last : Math.min(last, type.aimNanos());
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -194,6 +194,7 @@
         Slot slot = slots.remove(ticket);
         if (slot != null) {
             loop.cancel(slot.overdue);
+            passes.answered(ticket);
             heldBytes -= slot.request.valueBytes();
         }
         return slot;
--- a/src/main/java/slateseam/router/pass/ApplicationServer.java
+++ b/src/main/java/slateseam/router/pass/ApplicationServer.java
@@ -73,10 +73,11 @@
 
     /** Checked again here, as the farm may have changed while the pass waited for its connection. */
     private void carry(ServerConnection connection, Pass pass) {
-        if (passes.mayWrite(this)) {
+        Outcome stays = !passes.mayWrite(this) ? Outcome.MOOT : passes.isLate(pass) ? Outcome.UNSENT : null;
+        if (stays == null) {
             connection.carry(pass);
         } else {
-            ended(pass, new ServerProtocol.Reply(Outcome.MOOT));
+            ended(pass, new ServerProtocol.Reply(stays));
             settled(connection);
         }
     }
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -14,6 +14,8 @@
 /** The proxy passes that are out. */
 public final class Passes {
     private static final long PROBE_NANOS = 1_000_000_000L;
+    /** For a pass to be of any use. */
+    private static final long LEAST_NANOS = 5_000_000L;
     /** Of the time for which a server keeps an idle connection: closed before that, lest a pass meets the close. */
     private static final double IDLE_PART = 0.8;
 
@@ -73,6 +75,17 @@
         }
     }
 
+    /**
+     * The request has its final answer. Guards the rule that nothing is sent on after it: a pass that still waits for its
+     * connection must not be written, though the module may let one that is written go on.
+     */
+    public void answered(long ticket) {
+        Pass pass = byTicket.get(ticket);
+        if (pass != null && !pass.written) {
+            stop(pass, Outcome.TIMEOUT);
+        }
+    }
+
     private void stop(Pass pass, Outcome outcome) {
         pass.server.stop(pass);
         boolean neverSent = outcome == Outcome.TIMEOUT && !pass.written;
@@ -131,6 +144,11 @@
         return isCurrent(server) && entry != null && entry.isReady();
     }
 
+    /** Guards against writing what could only cross the request's final answer. */
+    boolean isLate(Pass pass) {
+        return pass.endsAt - loop.now() < LEAST_NANOS;
+    }
+
     long idleNanos() {
         return idleNanos;
     }
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -115,6 +115,21 @@
         assertThat(told).containsExactly(Outcome.MOOT);
     }
 
+    /** Nothing may be sent on after a request's final answer, nor so late that it could only cross it. */
+    @Test
+    void aPassThatIsAnsweredOrNearlyOverIsNotWritten() throws Exception {
+        begin(1);
+        passes.answered(1);
+        assertThat(told).containsExactly(Outcome.UNSENT);
+        begin(2);
+        now += SECOND - 4_000_000;
+        loop.round(1_000_000);
+        assertThat(told).containsExactly(Outcome.UNSENT, Outcome.UNSENT);
+        SocketChannel connection = server.accept();
+        connection.configureBlocking(false);
+        assertThat(connection.read(ByteBuffer.allocate(9))).isZero();
+    }
+
     @Test
     void aProbeOfAServerThatIsNotListedIsNeverSent() {
         passes.probe(id + 1);
