Ask again where the key is when a connection was reset, and keep the last attempt for the origin

Brain.judge took each for lost work of that cache and Brain.ended sent the read to another cache, which missed and left no attempt for the origin. Ruled out: idle ages (closes come a few ms after an answer, so shorter keeping would not help).

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -556,19 +556,25 @@
             Job job = jobs.get(e.request());
             if (server != null) judge(server, e, job);
             if (job == null) return;
+            boolean aside = settings.mode() == CacheMode.ASIDE;
             job.open = false;
             job.mayHaveRun |= !e.outcome().neverRan();
             job.reached |= !SENT_NOTHING.contains(e.outcome());
             if (e.concluded()) finish(job);
             else if (job.mayHaveRun && !job.repeatable(now)) decline(job);
             else if (server != null && server.isOrigin()) hold(job);
-            // Any member may spoil an answer: the key is still where it was.
-            else if (e.outcome() == Outcome.SPOILT) route(job, null);
-            else if (e.outcome() != Outcome.MISS || settings.mode() != CacheMode.ASIDE) route(job, server);
+            // Another cache would miss, and then there is no attempt left for the origin.
+            else if (e.outcome() != Outcome.MISS && aside && !mayTry(job, 2)) fetch(job);
+            // Any member may spoil an answer or lose a connection: the key is still where it was.
+            else if (mishap(e.outcome())) route(job, null);
+            else if (e.outcome() != Outcome.MISS || !aside) route(job, server);
             else if (e.fetching() && mayTry(job, 2)) wait(job, supply.fetchTime);
             else fetch(job);
         }
 
+        /** Whether it tells of one answer or connection, not of the member: one that is down refuses next. */
+        boolean mishap(Outcome outcome) { return outcome == Outcome.SPOILT || outcome == Outcome.RESET; }
+
         /** What an outcome tells of the member's health, and of overload. */
         void judge(Server server, AttemptEnded e, Job job) {
             server.outstanding = Math.max(0, server.outstanding - 1);
@@ -584,7 +590,7 @@
             if (e.outcome() == Outcome.TIMEOUT && !slow && !server.isOrigin()) return;
             boolean cameBack = !SENT_NOTHING.contains(e.outcome()) && e.outcome() != Outcome.TIMEOUT;
             if (cameBack) server.unansweredSince = 0;
-            if (e.outcome() == Outcome.SPOILT) {
+            if (mishap(e.outcome())) {
                 // Guards against sparing members for what happens to all answers alike and tells nothing of
                 // their load. Only one that answers nothing else for a while is left alone.
                 if (!server.isOrigin()) server.fail(1);
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -124,13 +124,13 @@
         assertTrue(toNew > 0 && toNew < due, toNew + " of " + due);
     }
 
-    /** All caches spoil some answers alike: that is no sign of ill health, and the key is still where it was. */
+    /** Caches spoil answers and lose connections all alike: no sign of ill health, and the key is still where it was. */
     @Test
-    void aSpoiltAnswerIsAskedForAgainWhereTheKeyIs() {
+    void whatWasSpoiltOrResetIsAskedForAgainWhereTheKeyIs() {
         World w = World.single();
         for (int i = 0; i < 20; i++) {
             long r = w.request(keyOf(14, i), 0);
-            w.end(w.sent(r), Outcome.SPOILT, 0, MS);
+            w.end(w.sent(r), i % 2 == 0 ? Outcome.SPOILT : Outcome.RESET, 0, MS);
             assertEquals(14, w.sent(r).member());
             w.end(w.sent(r), Outcome.OK, 1, MS);
         }
@@ -139,6 +139,19 @@
         }
     }
 
+    @Test
+    void theLastAttemptOfAReadIsForTheOrigin() {
+        World w = World.single();
+        w.pass(1000 * MS);
+        long r = w.request(1000, 0);
+        for (int attempt = 0; attempt < 3; attempt++) {
+            assertNotEquals(ORIGIN, w.sent(r).member());
+            w.end(w.sent(r), Outcome.CONNECT_FAILED, attempt, MS);
+        }
+        assertEquals(4, w.sends(r), "all that the settings allow");
+        assertEquals(ORIGIN, w.sent(r).member());
+    }
+
     /** At a start every connection has yet to come up; none of that may look like a farm that is down. */
     @Test
     void aSlowConnectionEjectsOnlyWhenNothingCameBackForLongerThanOneMayTake() {
