Carry values of up to 1 MiB, within bounds on all long messages together

A trace of the lengths showed 130 to 380 KB, the same for a key from cache and origin: values longer than the 64 KiB of the protocol's page, all taken as spoilt (Connection.VALUE_LIMIT). They pass now; buffers over 64 KiB, values on their way to the origin and answers that nobody reads are bounded by parts of the heap, and reads and writes go in pieces of 128 KiB, as the system's copies lie in the little direct memory there is.

--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -38,7 +38,7 @@
 /** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
 public final class Core implements PassListener {
     /** Of values to be written, so that they cannot fill the heap. */
-    private static final long MOST_HELD_BYTES = 16 << 20;
+    private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 8;
 
     /** A request that is owed its final answer. */
     private static final class Slot {
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -7,14 +7,20 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 
 /** A TCP connection on the loop: a bounded input buffer, parsed in place, and gathered writes. */
 public abstract class Connection implements Loop.Handler {
-    /** The longest value that the protocols carry. */
-    public static final int VALUE_LIMIT = 64 * 1024;
+    /** The longest value that is carried: the protocol names 64 KiB, but values of several times that come. */
+    public static final int VALUE_LIMIT = 1024 * 1024;
     private static final int INPUT_LIMIT = VALUE_LIMIT + 8 * 1024;
     private static final int FIRST_INPUT = 4 * 1024;
+    /** Larger buffers are counted, so that many long values at once cannot fill the heap. */
+    private static final int UNCOUNTED = 64 * 1024;
+    /** Of one read or write: the system's copies lie outside the heap, where there is little room. */
+    private static final int CHUNK = 128 * 1024;
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
     private final Loop loop;
@@ -22,6 +28,7 @@
     private final SelectionKey key;
     private final Deque<ByteBuffer> unwritten = new ArrayDeque<>();
     private ByteBuffer input = NOTHING;
+    private int counted;
     private boolean paused;
     private boolean lingering;
     private boolean closed;
@@ -106,7 +113,7 @@
         if (!lingering && !closed) {
             lingering = true;
             paused = false;
-            input = NOTHING;
+            dropInput();
             flush();
         }
     }
@@ -150,7 +157,7 @@
     public final void close() {
         if (!closed) {
             closed = true;
-            input = NOTHING;
+            dropInput();
             unwritten.clear();
             try {
                 channel.close();
@@ -194,18 +201,37 @@
             }
             return;
         }
-        if (!input.hasRemaining()) {
-            int larger = Math.min(INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
-            input = ByteBuffer.allocate(larger).put(input.flip());
+        if (input.position() == input.capacity() && !grow()) {
+            return;
         }
+        input.limit(Math.min(input.capacity(), input.position() + CHUNK));
         int come = channel.read(input);
         if (come < 0) {
             breakOff();
         } else if (come > 0) {
             handOut();
         } else if (input.position() == 0) {
-            input = NOTHING;
+            dropInput();
+        }
+    }
+
+    private boolean grow() {
+        int larger = Math.min(INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
+        if (larger > UNCOUNTED) {
+            if (!loop.reserve(larger - counted)) {
+                malformed(new MalformedException("no room for a message of over " + input.capacity() + " bytes"));
+                return false;
+            }
+            counted = larger;
         }
+        input = ByteBuffer.allocate(larger).put(input.flip());
+        return true;
+    }
+
+    private void dropInput() {
+        input = NOTHING;
+        loop.reserve(-counted);
+        counted = 0;
     }
 
     private void handOut() {
@@ -220,7 +246,7 @@
             }
             in.compact();
             if (in.position() == 0) {
-                input = NOTHING;
+                dropInput();
             } else if (in.position() == INPUT_LIMIT && !paused) {
                 throw new MalformedException("a message is longer than " + INPUT_LIMIT + " bytes");
             }
@@ -232,11 +258,7 @@
     private void flush() {
         try {
             while (!unwritten.isEmpty()) {
-                channel.write(unwritten.toArray(new ByteBuffer[0]));
-                while (!unwritten.isEmpty() && !unwritten.peek().hasRemaining()) {
-                    unwritten.poll();
-                }
-                if (!unwritten.isEmpty()) {
+                if (!writeChunk()) {
                     interest();
                     return;
                 }
@@ -252,6 +274,37 @@
         }
     }
 
+    /** Writes some of what is first; whether the system took all of that. */
+    private boolean writeChunk() throws IOException {
+        List<ByteBuffer> chunk = new ArrayList<>();
+        int room = CHUNK;
+        for (ByteBuffer next : unwritten) {
+            int part = Math.min(room, next.remaining());
+            chunk.add(next.slice(next.position(), part));
+            room -= part;
+            if (room == 0) {
+                break;
+            }
+        }
+        long taken = channel.write(chunk.toArray(new ByteBuffer[0]));
+        boolean all = taken == CHUNK - room;
+        while (taken > 0) {
+            ByteBuffer first = unwritten.peek();
+            int part = (int) Math.min(taken, first.remaining());
+            first.position(first.position() + part);
+            taken -= part;
+            if (!first.hasRemaining()) {
+                unwritten.poll();
+            }
+        }
+        return all;
+    }
+
+    /** How many bytes are still to be handed to the system. */
+    protected final long unwrittenBytes() {
+        return unwritten.stream().mapToLong(ByteBuffer::remaining).sum();
+    }
+
     private void interest() {
         if (key.isValid() && channel.isConnected()) {
             key.interestOps((paused ? 0 : SelectionKey.OP_READ) | (unwritten.isEmpty() ? 0 : SelectionKey.OP_WRITE));
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -12,6 +12,8 @@
 /** The one thread's loop: waits for sockets and deadlines and hands each to whom it concerns. */
 public final class Loop {
     private static final long LONGEST_WAIT = 1_000 * Clock.MILLI;
+    /** A part of the heap that the virtual machine was given. */
+    private static final long MOST_RESERVED = Runtime.getRuntime().maxMemory() / 4;
     private static final int SCRATCH_BYTES = 64 * 1024;
 
     /** Takes what a socket is ready for. */
@@ -27,6 +29,7 @@
     private final Deadlines deadlines = new Deadlines();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
+    private long reserved;
     private long now;
     private boolean stopped;
 
@@ -48,6 +51,13 @@
         return log;
     }
 
+    /** Counts bytes of long messages in, or with a negative number out; whether there is room for them. */
+    boolean reserve(int bytes) {
+        boolean room = bytes <= 0 || reserved + bytes <= MOST_RESERVED;
+        reserved += room ? bytes : 0;
+        return room;
+    }
+
     /** An empty buffer for what is thrown away; the same one at each call. */
     ByteBuffer scratch() {
         return scratch.clear();
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -41,6 +41,8 @@
     /** For want of room a connection goes that has been idle so long, or has said nothing for so long from its start. */
     private static final long LEAST_IDLE_NANOS = 2_050 * Clock.MILLI;
     private static final long LEAST_SILENT_NANOS = 50 * Clock.MILLI;
+    /** Of answers that are not read, so that they cannot fill the heap. */
+    private static final long MOST_UNREAD = Runtime.getRuntime().maxMemory() / 8;
     private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
     private static final byte DELETE = 0x7f;
     private static final byte[] PONG = Bytes.of("+PONG\r\n");
@@ -149,6 +151,20 @@
         }
     }
 
+    /** Closes those that have not read for longest while there is too much that nobody reads. */
+    private void boundUnread() {
+        List<UserAgent> unread = userAgents.all().stream().filter(u -> u.state == State.READER)
+                .sorted(Comparator.comparingLong(u -> u.since)).toList();
+        long bytes = unread.stream().mapToLong(UserAgent::unread).sum();
+        for (UserAgent u : unread) {
+            if (bytes <= MOST_UNREAD) {
+                return;
+            }
+            bytes -= u.unread();
+            u.overstayed();
+        }
+    }
+
     private static ByteBuffer[] bytes(Answer answer) {
         if (answer instanceof Answer.Served served) {
             return new ByteBuffer[] {ByteBuffer.wrap(Bytes.of("$" + served.value().length + "\r\n")),
@@ -235,6 +251,10 @@
             }
         }
 
+        long unread() {
+            return unwrittenBytes();
+        }
+
         boolean isSpare() {
             long spent = loop().now() - since;
             return state == State.END || state == State.FIRST_COMMAND && !half && spent >= LEAST_SILENT_NANOS
@@ -305,6 +325,9 @@
                 write(inOrder.poll().answer);
             }
             settle();
+            if (state == State.READER) {
+                boundUnread();
+            }
             closeWhenDone();
         }
 
