For want of room, close the longest idle connection after 0.25 s, not 2 s

The protocol lets a router close between requests, and a request that crosses the close is sent again.

--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -39,7 +39,7 @@
     /** For the other side to end, after the last answer. */
     private static final long LINGER_NANOS = 1_000 * Clock.MILLI;
     /** For want of room a connection goes that has been idle so long, or has said nothing for so long from its start. */
-    private static final long LEAST_IDLE_NANOS = 2_050 * Clock.MILLI;
+    private static final long LEAST_IDLE_NANOS = 250 * Clock.MILLI;
     private static final long LEAST_SILENT_NANOS = 50 * Clock.MILLI;
     /** Of answers that are not read, so that they cannot fill the heap. */
     private static final long MOST_UNREAD = Runtime.getRuntime().maxMemory() / 8;
