--- a/src/main/java/slateseam/decision/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -9,12 +9,9 @@
     int units;
     /** The whole budget a second. */
     double rate;
-    /** Asked for since the last interval. */
-    double recent;
-    /** Asked for a second, smoothed; never under the floor of one an interval. */
-    double demand = 1;
+    /** What is asked for. */
+    final Tally demand = new Tally();
     private double tokens;
-    private boolean measured;
 
     Account(double rate) {
         this.rate = rate;
@@ -32,7 +29,7 @@
 
     /** Counts a demand of one and takes it if there is as much. */
     boolean ask() {
-        recent++;
+        demand.count();
         return take();
     }
 
@@ -43,12 +40,4 @@
         }
         return enough;
     }
-
-    /** Ends an interval of so many seconds; the new demand weighs so much. */
-    void measure(double seconds, double weight) {
-        // Guards a router that has just started against getting next to nothing for a demand not seen yet.
-        demand += (measured ? weight : 1) * (Math.max(1, recent) / seconds - demand);
-        measured |= recent > 0;
-        recent = 0;
-    }
 }
--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -91,6 +91,11 @@
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
+
+        /** After so long no answer can be in time any more, whatever the class. */
+        public long longestAnswerNanos() {
+            return classes.stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0) + rules.answerSlackNanos();
+        }
     }
 
     /** An entry of the member list; {@code upSinceNanos} is 0 for a start in the distant past. */
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -13,6 +13,7 @@
     private static final long TICK = SECOND / 100; // housekeeping: short against an aim, long against a batch
     private static final long INTERVAL = SECOND / 4; // of demand and learning, wait for peers: round trips
     private static final int SILENCE = 4; // usual pauses of a dead neighbour, more than chance loses
+    private static final double INTERVAL_SECONDS = (double) INTERVAL / SECOND;
     private static final double ETA = 0.25; // the paper's 1/(2d) with d = 2; here scaled by demand
     private static final double DEMAND_WEIGHT = 0.25; // of the last interval: small miss counts are noisy
     private static final double START_RATE = 40; // first R, fetches a second for each router; then learned
@@ -143,8 +144,9 @@
             failures += weight;
             // Guards against counting one mishap many times: nothing is sent while it is left alone.
             if (failures < FAILURES || now < ejectedUntil) return;
-            // In which two requests for it come; just after a start it is not known how many come.
-            double two = requests.measured ? 2 * SECOND * fleet.readyCaches / requests.arrivalRate : 0;
+            // In which two requests for it come; just after a start nobody knows how many come.
+            Tally arrivals = requests.arrivals;
+            double two = arrivals.isKnown() ? 2 * SECOND * fleet.readyCaches / arrivals.perSecond() : 0;
             ejectedUntil = now + (long) Math.max(ejection, Math.min(two, 8 * eject));
             ejection = Math.min(2 * ejection, 8 * eject);
         }
@@ -163,8 +165,8 @@
             double warmth = warmth();
             if (JumpHash.unit(hash ^ id()) >= warmth * member.rating() / fleet.topRating) return false;
             if (warmth >= 1) return true;
-            double rate = requests.arrivalRate * warmth * COLD_PART * settings.rules().overloadFactor()
-                    / Math.max(1, fleet.readyCaches);
+            double rate = requests.arrivals.perSecond() * warmth * COLD_PART
+                    * settings.rules().overloadFactor() / Math.max(1, fleet.readyCaches);
             double most = Math.max(1, rate * settings.rules().fallNanos() / (4 * SECOND));
             coldTokens = Math.min(most, coldTokens + rate * (now - coldSeen) / SECOND);
             coldSeen = now;
@@ -270,7 +272,7 @@
 
         void send(boolean ask) {
             int[] units = supply.accounts.stream().mapToInt(a -> a.units).toArray();
-            double[] demand = supply.accounts.stream().mapToDouble(a -> a.demand).toArray();
+            double[] demand = supply.accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray();
             var m = new SupplyMessage(ask, knewEarlier, incarnation, peerIncarnation, ++sentSequence,
                     heardSequence, supply.origin.rate, flow, units, demand,
                     fleet.keys.tell(peer, SupplyMessage.room(flow.length), PASSED_ON));
@@ -327,8 +329,9 @@
         void settle(Account own, int a, int theirFlow, double theirDemand) {
             own.units += Math.max(settled[a], flow[a]) - theirFlow;
             settled[a] = theirFlow;
-            double gap = Math.max(0, own.units) / own.demand - Math.max(0, peerUnits[a]) / theirDemand;
-            int moved = (int) (ETA * gap * 2 * own.demand * theirDemand / (own.demand + theirDemand));
+            double demand = own.demand.perSecond();
+            double gap = Math.max(0, own.units) / demand - Math.max(0, peerUnits[a]) / theirDemand;
+            int moved = (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
             flow[a] = theirFlow + moved;
             own.units -= Math.max(0, moved);
         }
@@ -384,7 +387,7 @@
             if (!joined && now - startedAt >= INTERVAL) join(evenShare);
             if (now >= nextInterval) interval();
             if (now < nextExchange) return;
-            double wanted = 5 * SECOND / Math.max(0.1, requests.arrivalRate); // five requests bear one
+            double wanted = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one
             nextExchange = now + (long) Math.max(INTERVAL, Math.min(SECOND, wanted));
             for (Edge e : edges) {
                 if (e.buddy && !e.inherited && e.silent()) e.inherit(1);
@@ -394,7 +397,7 @@
 
         void interval() {
             nextInterval = now + INTERVAL;
-            accounts.forEach(a -> a.measure((double) INTERVAL / SECOND, DEMAND_WEIGHT));
+            accounts.forEach(a -> a.demand.endInterval(INTERVAL_SECONDS, DEMAND_WEIGHT));
             delivered += 0.4 * (fetched * SECOND / INTERVAL - delivered);
             fetched = 0;
             // Guards against a budget that grows unused, or before the queue of the last overload has gone.
@@ -447,11 +450,11 @@
         /** Waiting for supply: work within shares first, then the latest, as it has time left for its aim. */
         final PriorityQueue<Job> held = Job.queue(j -> (j.overShare ? 3600 * SECOND : 0) - j.arrivedAt);
         final Map<Long, Job> fetches = new HashMap<>();
-        boolean measured;
-        double arrivals, tried, bad, answerTime, arrivalRate = 1, admitted = ALL;
+        final Tally arrivals = new Tally();
+        double tried, bad, answerTime, admitted = ALL;
 
         void arrived(RequestArrived e) {
-            arrivals++;
+            arrivals.count();
             boolean overShare = e.tenant() + 1 < supply.accounts.size() && supply.exceeds(e.tenant() + 1);
             RequestClass type = settings.classes().get(e.requestClass());
             long last = e.ttlNanos() - 2 * pace();
@@ -484,7 +487,7 @@
 
         /** Work within its share that the caches cannot take counts as a miss while supply is left over. */
         void overflow(Job job) {
-            supply.origin.recent++;
+            supply.origin.demand.count();
             if (fleet.origin != null && !job.overShare && held.isEmpty() && pay()) send(job, fleet.origin);
             else decline(job);
         }
@@ -506,14 +509,14 @@
             boolean movable = !to.isOrigin() && job.type.effect() == Effect.PURE && !job.type.stream();
             long left = job.giveUpAt - now;
             // Guards against moving on too early, or too late for another answer.
-            double most = answerTime == 0 ? left * PATIENCE : left - ANOTHER * answerTime;
+            double most = left - ANOTHER * answerTime;
             long timeout = movable && most > LATE * answerTime ? (long) Math.min(most, left * PATIENCE) : 0;
             out.accept(new Send(job.asked.request(), to.id(), timeout));
         }
 
         /** A miss or a write: joins a fetch of its key that is out, else pays from supply, else is held. */
         void fetch(Job job) {
-            supply.origin.recent++;
+            supply.origin.demand.count();
             long key = job.asked.key();
             if (!job.asked.write() && key != 0) {
                 fleet.keys.missed(key);
@@ -622,7 +625,7 @@
                 // Of a large fleet's cache one failure is all the warning before the next request; but a
                 // popular key that is slow to serve must not drive its load from cache to cache.
                 boolean popular = job != null && fleet.keys.reads(job.asked.key()) >= FEW;
-                boolean seldom = fleet.readyCaches > arrivalRate && (notUp || !popular);
+                boolean seldom = fleet.readyCaches > arrivals.perSecond() && (notUp || !popular);
                 boolean ejects = e.outcome() == Outcome.FULL || seldom;
                 server.failed(duration, ejects ? FAILURES : notUp ? 1 : LOST_WORK);
             }
@@ -631,8 +634,7 @@
         /** The final answer of a request that is not served: refused where the rules allow, else failed. */
         void decline(Job job) {
             long retryAfter = settings.limits().retryAfter() ? settings.limits().maxRetryAfterNanos() : 0;
-            boolean refusable = !(job.mayHaveRun || job.open) || job.type.effect() == Effect.PURE
-                    || (job.type.effect() == Effect.TOKEN && job.type.group() == Group.ALL);
+            boolean refusable = !(job.mayHaveRun || job.open) || job.repeatsAreHarmless();
             cancel(job);
             long request = job.asked.request();
             out.accept(refusable ? new Refuse(request, retryAfter) : new Fail(request));
@@ -679,9 +681,7 @@
         }
 
         void interval() {
-            arrivalRate += (measured ? 0.25 : 1) * (Math.max(1, arrivals) * SECOND / INTERVAL - arrivalRate);
-            measured |= arrivals > 0;
-            arrivals = 0;
+            arrivals.endInterval(INTERVAL_SECONDS, DEMAND_WEIGHT);
             double most = bad > OVERLOAD * tried + 1 ? 1 : ALL;
             if (bad > COLLAPSE * tried + 1) admitted = Math.max(LEAST_ADMITTED, admitted * ADMIT_CUT);
             else if (admitted > most) admitted = Math.max(most, admitted * ADMIT_CUT);
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -38,8 +38,12 @@
 
     /** Whether it may be sent once more though an attempt of it may have run. */
     boolean repeatable(long now) {
-        return type.effect() == Effect.PURE || type.effect() == Effect.TOKEN && type.group() == Group.ALL
-                && now - arrivedAt < type.windowNanos();
+        return repeatsAreHarmless() && (type.effect() == Effect.PURE || now - arrivedAt < type.windowNanos());
+    }
+
+    /** Whether running it twice changes nothing, or every member drops the repeat for a while. */
+    boolean repeatsAreHarmless() {
+        return type.effect() == Effect.PURE || type.effect() == Effect.TOKEN && type.group() == Group.ALL;
     }
 
     /** A queue in this order; where it is the same, by number. */
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import slateseam.decision.Api.Limits;
-import slateseam.decision.Api.RequestClass;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.core.Core;
@@ -40,8 +39,7 @@
         // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
         int userAgents = shared * 3 / 5;
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
-        longestNanos = config.settings().classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
-                + config.settings().rules().answerSlackNanos();
+        longestNanos = config.settings().longestAnswerNanos();
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
         Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(),
                 shared - userAgents);
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -61,7 +61,6 @@
         discovery = address;
         listed = false;
         if (begun) {
-            loop.cancel(next);
             if (call != null) {
                 call.close();
             }
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -301,7 +301,7 @@
     }
 
     /** How many bytes are still to be handed to the system. */
-    protected final long unwrittenBytes() {
+    public final long unwrittenBytes() {
         return unwritten.stream().mapToLong(ByteBuffer::remaining).sum();
     }
 
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -88,17 +88,11 @@
         this.settings = settings;
         this.classes = settings.classes().stream().map(RequestClass::name).toList();
         this.tenants = settings.tenants().stream().map(Tenant::name).toList();
-        this.readNanos = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
-                + settings.rules().answerSlackNanos();
+        this.readNanos = settings.longestAnswerNanos();
         this.userAgents = new Slots<>(mostConnections);
         this.exchanges = new Slots<>(mostHeld + 1); // the one more is being turned away
     }
 
-    /** Whether no further connection can be taken. */
-    private boolean isFull() {
-        return userAgents.isFull();
-    }
-
     /** Whether no connection is open. */
     public boolean isEmpty() {
         return userAgents.size() == 0;
@@ -115,12 +109,18 @@
      * then the one that has been idle for longest.
      */
     public boolean makeRoom() {
-        if (isFull()) {
-            userAgents.all().stream().filter(UserAgent::isSpare).sorted(Comparator
+        if (userAgents.isFull()) {
+            List<UserAgent> spare = userAgents.all().stream().filter(UserAgent::isSpare).sorted(Comparator
                     .comparing((UserAgent u) -> u.state == State.END ? 0 : u.state == State.FIRST_COMMAND ? 1 : 2)
-                    .thenComparing(u -> u.since)).takeWhile(u -> isFull()).forEach(UserAgent::giveWay);
+                    .thenComparing(u -> u.since)).toList();
+            for (UserAgent u : spare) {
+                if (!userAgents.isFull()) {
+                    break;
+                }
+                u.giveWay();
+            }
         }
-        return !isFull();
+        return !userAgents.isFull();
     }
 
     /** Takes a connection. */
@@ -155,12 +155,12 @@
     private void boundUnread() {
         List<UserAgent> unread = userAgents.all().stream().filter(u -> u.state == State.READER)
                 .sorted(Comparator.comparingLong(u -> u.since)).toList();
-        long bytes = unread.stream().mapToLong(UserAgent::unread).sum();
+        long bytes = unread.stream().mapToLong(UserAgent::unwrittenBytes).sum();
         for (UserAgent u : unread) {
             if (bytes <= MOST_UNREAD) {
                 return;
             }
-            bytes -= u.unread();
+            bytes -= u.unwrittenBytes();
             u.overstayed();
         }
     }
@@ -186,8 +186,6 @@
         private final Deque<Exchange> inOrder = new ArrayDeque<>();
         private long ticket;
         private boolean last;
-        /** Whether a whole command has come. */
-        private boolean heard;
         /** Whether a part of a command has come and the rest has not. */
         private boolean half;
         private State state;
@@ -208,7 +206,6 @@
                     return;
                 }
                 half = false;
-                heard = true;
                 take(command);
             }
             pause(true);
@@ -219,7 +216,8 @@
             if (state == State.END || isClosed()) {
                 return;
             }
-            enter(!isFlushed() ? State.READER : !inOrder.isEmpty() ? State.ANSWER : !heard ? State.FIRST_COMMAND
+            boolean first = state == State.FIRST_COMMAND; // it stays so until a whole command has come
+            enter(!isFlushed() ? State.READER : !inOrder.isEmpty() ? State.ANSWER : first ? State.FIRST_COMMAND
                     : half ? State.REST_OF_COMMAND : State.NEXT_COMMAND);
         }
 
@@ -251,10 +249,6 @@
             }
         }
 
-        long unread() {
-            return unwrittenBytes();
-        }
-
         boolean isSpare() {
             long spent = loop().now() - since;
             return state == State.END || state == State.FIRST_COMMAND && !half && spent >= LEAST_SILENT_NANOS
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -156,26 +156,27 @@
     @Test
     void aSlowConnectionEjectsOnlyWhenNothingCameBackForLongerThanOneMayTake() {
         World w = World.single();
-        for (int i = 0; i < 8; i++) {
-            w.end(w.sent(w.request(keyOf(14, i), 0)), Outcome.UNSENT, 0, 10 * MS);
-        }
+        endFirstAttempts(w, 0, 8, Outcome.UNSENT, 10 * MS);
         assertEquals(14, w.sent(w.request(keyOf(14, 8), 0)).member());
         w.now += 150 * MS;
-        for (int i = 9; i < 13; i++) {
-            w.end(w.sent(w.request(keyOf(14, i), 0)), Outcome.UNSENT, 0, 10 * MS);
-        }
+        endFirstAttempts(w, 9, 13, Outcome.UNSENT, 10 * MS);
         assertNotEquals(14, w.homeOf(keyOf(14, 13)));
     }
 
     @Test
     void attemptsThatHadLittleTimeTellNothingOfTheCache() {
         World w = World.single();
-        for (int i = 0; i < 4; i++) {
-            w.end(w.sent(w.request(keyOf(14, i), 0)), Outcome.TIMEOUT, 0, 20 * MS);
-        }
+        endFirstAttempts(w, 0, 4, Outcome.TIMEOUT, 20 * MS);
         assertEquals(14, w.homeOf(keyOf(14, 4)));
     }
 
+    /** Ends so the first attempt of a read of each of these keys of cache 14. */
+    private static void endFirstAttempts(World w, int from, int to, Outcome outcome, long took) {
+        for (int i = from; i < to; i++) {
+            w.end(w.sent(w.request(keyOf(14, i), 0)), outcome, 0, took);
+        }
+    }
+
     /** The attempts that one mishap ends are one failure, and misses bring a cache back, if slowly. */
     @Test
     void aCacheThatWasLeftAloneComesBackByItsMisses() {
