Write the log by a thread of its own, so that a stopped reader cannot stall the router

Found on reading: Log printed to standard error on the loop's thread. A pipe holds 64 KiB; once its reader has stopped, the next line blocks the loop and with it every request. Main printed to the same stream, so an exit could hang as well. Ruled out: a non-blocking standard error, which would change the descriptor for all who share it.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -14,6 +14,7 @@
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.net.Clock;
+import slateseam.router.net.Console;
 import slateseam.router.net.Log;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
@@ -56,7 +57,9 @@
                 throw new ParseException("unexpected " + line.getArgList().get(0));
             }
             switch (command) {
-                case "serve" -> serve(configFile(line), err);
+                case "serve" -> {
+                    return serve(configFile(line), err);
+                }
                 case "check-config" -> out.println(
                         "the configuration of " + NodeConfig.read(configFile(line)).name() + " is in order");
                 case "benchlink" -> new WireHost().serve(System.in, out);
@@ -86,10 +89,24 @@
         return Path.of(file);
     }
 
-    private static void serve(Path file, PrintStream err) throws IOException, InvalidConfigException {
+    private static int serve(Path file, PrintStream err) throws InvalidConfigException {
         NodeConfig config = NodeConfig.read(file);
+        Console console = new Console(config.name(), err);
+        try {
+            serve(config, file, console);
+            return 0;
+        } catch (IOException e) {
+            // Not printed from here: an exit must not hang on a reader of standard error that has stopped.
+            console.line("slateseam: serve: " + e.getMessage());
+            return FAILED;
+        } finally {
+            console.close();
+        }
+    }
+
+    private static void serve(NodeConfig config, Path file, Console console) throws IOException {
         Clock clock = Clock.system();
-        Log log = new Log(config.name(), clock, err);
+        Log log = new Log(config.name(), clock, console);
         Router router = new Router(config, clock, log);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
         Signal.handle(new Signal("HUP"), signal -> router.reload(file));
@@ -107,6 +124,7 @@
             router.run();
             log.line("ended", "every connection was closed between requests");
         } finally {
+            console.close();
             // Guards against an exit that waits for the hook while the hook waits for this thread.
             ended.countDown();
         }
--- a/src/main/java/slateseam/router/net/Log.java
+++ b/src/main/java/slateseam/router/net/Log.java
@@ -1,6 +1,5 @@
 package slateseam.router.net;
 
-import java.io.PrintStream;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -18,11 +17,11 @@
 
     private final String name;
     private final Clock clock;
-    private final PrintStream out;
+    private final Lines out;
     private final Map<String, Kind> kinds = new HashMap<>();
 
     /** Creates a log whose lines begin with a router's name. */
-    public Log(String name, Clock clock, PrintStream out) {
+    public Log(String name, Clock clock, Lines out) {
         this.name = name;
         this.clock = clock;
         this.out = out;
@@ -43,6 +42,6 @@
         String dropped = k.dropped > 0 ? " (and " + k.dropped + " such lines before)" : "";
         k.dropped = 0;
         String shown = text.length() > LINE_LIMIT ? text.substring(0, LINE_LIMIT) : text;
-        out.println(name + ": " + kind + ": " + shown.replaceAll("\\p{Cntrl}", "?") + dropped);
+        out.line(name + ": " + kind + ": " + shown.replaceAll("\\p{Cntrl}", "?") + dropped);
     }
 }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.fail;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
@@ -18,13 +16,16 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 import slateseam.router.config.NodeConfig;
+import slateseam.router.net.Console;
 import slateseam.router.net.Log;
+import slateseam.router.net.Reader;
 
 /**
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
  * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
  * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
- * {@code ended}, {@code log TEXT} (the log has it), {@code reload OLD => NEW} (the changed file is read again), or
+ * {@code ended}, {@code log TEXT} (the log has it),
+ * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again), or
  * {@code config OLD => NEW}, which changes the configuration and comes before all others. WHO is a server of the configuration or, with any other name, a
  * user agent, which connects on its first line. A server takes its next connection when its last one is gone.
  */
@@ -37,7 +38,8 @@
 
     private final Map<String, ServerSocketChannel> listeners = new HashMap<>();
     private final Map<String, SocketChannel> channels = new HashMap<>();
-    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final Reader log = new Reader();
+    private final Console console = new Console("n0", log);
     private final List<String> steps;
     private final Router router;
     private final String config;
@@ -55,7 +57,7 @@
             listeners.get(name).configureBlocking(false);
         }
         router = new Router(NodeConfig.parse(fill(config)), () -> now,
-                new Log("n0", () -> now, new PrintStream(log, true)));
+                new Log("n0", () -> now, console));
     }
 
     private static String changed(String text, String change) {
@@ -76,10 +78,15 @@
     }
 
     void play() throws IOException {
-        for (String line : steps) {
-            if (!line.startsWith("config ")) {
-                step(line);
+        try {
+            for (String line : steps) {
+                if (!line.startsWith("config ")) {
+                    step(line);
+                }
             }
+        } finally {
+            log.stop(false);
+            console.close();
         }
     }
 
@@ -101,8 +108,13 @@
                 now += Math.min(left, 10) * MILLI;
                 router.loop().round(0);
             }
+        } else if (line.equals("log stops") || line.equals("log goes on")) {
+            log.stop(line.endsWith("stops"));
         } else if (words[0].equals("log")) {
-            assertThat(log.toString()).contains(line.substring(4));
+            for (int i = 0; i < MOST_ROUNDS && !log.text().contains(line.substring(4)); i++) {
+                round();
+            }
+            assertThat(log.text()).contains(line.substring(4));
         } else if (words[1].equals(">")) {
             write(channel(words[0]), bytes(rest));
         } else if (words[1].equals("<")) {
--- a/src/test/java/slateseam/router/net/TablesTest.java
+++ b/src/test/java/slateseam/router/net/TablesTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -47,15 +45,15 @@
     @Test
     void theLogIsBoundedForEachKindAndKeepsToOneLine() {
         long[] now = {0};
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        Log log = new Log("n1", () -> now[0], new PrintStream(out, true));
+        List<String> out = new ArrayList<>();
+        Log log = new Log("n1", () -> now[0], out::add);
         for (int i = 0; i < 8; i++) {
             log.line("farm-malformed", "line\n" + i);
         }
         log.line("overdue", "another kind");
         now[0] = 1_000_000_000L;
         log.line("farm-malformed", "later");
-        assertThat(out.toString().lines()).hasSize(7).contains("n1: farm-malformed: line?4", "n1: overdue: another kind",
+        assertThat(out).hasSize(7).contains("n1: farm-malformed: line?4", "n1: overdue: another kind",
                 "n1: farm-malformed: later (and 3 such lines before)");
     }
 }
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
@@ -30,7 +29,7 @@
     private long id;
 
     PassesTest() throws Exception {
-        loop = new Loop(() -> now, new Log("n0", () -> now, new PrintStream(PrintStream.nullOutputStream())));
+        loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
         passes = new Passes(loop, farm, new PassListener() {
             @Override
             public void passEnded(long request, int attempt, long to, Outcome outcome, boolean fetching, byte[] value,
--- a/src/test/java/slateseam/router/peer/PeersTest.java
+++ b/src/test/java/slateseam/router/peer/PeersTest.java
@@ -2,8 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
@@ -16,7 +14,7 @@
 import slateseam.router.net.Loop;
 
 class PeersTest {
-    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final List<String> logged = new ArrayList<>();
     private final List<PeerMessage> told = new ArrayList<>();
 
     private static DatagramChannel bound() throws Exception {
@@ -25,7 +23,7 @@
 
     @Test
     void messagesGoToPeersAndComeFromPeersOnly() throws Exception {
-        Log log = new Log("n0", () -> 0, new PrintStream(logged, true));
+        Log log = new Log("n0", () -> 0, logged::add);
         Loop loop = new Loop(() -> 0, log);
         try (DatagramChannel peer = bound(); DatagramChannel stranger = bound()) {
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
@@ -51,7 +49,7 @@
             ByteBuffer in = ByteBuffer.allocate(300);
             peer.receive(in);
             assertThat(in.flip().remaining()).isEqualTo(2);
-            assertThat(logged.toString().lines()).hasSize(5).allMatch(line -> line.startsWith("n0: peer-dropped: "));
+            assertThat(logged).hasSize(5).allMatch(line -> line.startsWith("n0: peer-dropped: "));
         }
     }
 }
