--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -11,6 +11,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import slateseam.router.Router;
+import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.net.Clock;
@@ -25,12 +26,13 @@
     private static final int FAILED = 1;
     private static final int USAGE = 2;
     private static final String HELP = """
-            usage: java -jar slateseam.jar COMMAND [--config FILE]
+            usage: java -jar slateseam.jar COMMAND [--config FILE] [--features FILE]
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
               check-config  reads a router's configuration and says what is wrong with it
               benchlink     serves the simulator's wire on standard input and output
               version       prints the version
-            --config FILE is a router's configuration (serve, check-config); without it NODE_CONFIG names the file""";
+            --config FILE is a router's configuration (serve, check-config); without it NODE_CONFIG names the file
+            --features FILE turns features on (serve, check-config); without it all are off""";
 
     private Main() {
     }
@@ -50,6 +52,7 @@
             boolean configured = command.equals("serve") || command.equals("check-config");
             if (configured) {
                 options.addOption(Option.builder().longOpt("config").hasArg().get());
+                options.addOption(Option.builder().longOpt("features").hasArg().get());
             }
             String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
             CommandLine line = new DefaultParser().parse(options, rest);
@@ -58,10 +61,15 @@
             }
             switch (command) {
                 case "serve" -> {
-                    return serve(configFile(line), err);
+                    Path file = configFile(line);
+                    NodeConfig config = NodeConfig.read(file);
+                    return serve(config, features(line, config), file, err);
+                }
+                case "check-config" -> {
+                    NodeConfig config = NodeConfig.read(configFile(line));
+                    features(line, config);
+                    out.println("the configuration of " + config.name() + " is in order");
                 }
-                case "check-config" -> out.println(
-                        "the configuration of " + NodeConfig.read(configFile(line)).name() + " is in order");
                 case "benchlink" -> new WireHost().serve(System.in, out);
                 case "version" -> out.println("slateseam " + version());
                 case "help", "--help", "-h" -> out.println(HELP);
@@ -89,11 +97,15 @@
         return Path.of(file);
     }
 
-    private static int serve(Path file, PrintStream err) throws InvalidConfigException {
-        NodeConfig config = NodeConfig.read(file);
+    private static Features features(CommandLine line, NodeConfig config) throws InvalidConfigException {
+        String file = line.getOptionValue("features");
+        return file == null ? Features.OFF : Features.read(Path.of(file), config);
+    }
+
+    private static int serve(NodeConfig config, Features features, Path file, PrintStream err) {
         Console console = new Console(config.name(), err);
         try {
-            serve(config, file, console);
+            serve(config, features, file, console);
             return 0;
         } catch (IOException e) {
             // Not printed from here: an exit must not hang on a reader of standard error that has stopped.
@@ -104,7 +116,8 @@
         }
     }
 
-    private static void serve(NodeConfig config, Path file, Console console) throws IOException {
+    private static void serve(NodeConfig config, Features features, Path file, Console console)
+            throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
         Router router = new Router(config, clock, log);
--- /dev/null
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -0,0 +1,63 @@
+package slateseam.router.config;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import slateseam.router.config.NodeConfig.InvalidConfigException;
+
+/**
+ * The features that our own settings file turns on, beside the platform's configuration. One that is off is null.
+ *
+ * @param multiGet the second listener, for many values at once
+ */
+public record Features(MultiGet multiGet) {
+    /** No feature at all, as without a settings file. */
+    public static final Features OFF = new Features(null);
+    private static final int MOST_PORT = 65_535;
+
+    /** Many values in one answer: the listener's port, and how many commands one request may hold. */
+    public record MultiGet(int port, int mostKeys) {
+    }
+
+    /** Reads a settings file for a router that has this configuration. */
+    public static Features read(Path file, NodeConfig config) throws InvalidConfigException {
+        SettingsFile settings = new SettingsFile(file);
+        Map<Integer, String> ports = new HashMap<>();
+        ports.put(config.listen().getPort(), "the program's own address");
+        if (config.discovery().getAddress().equals(config.listen().getAddress())) {
+            ports.put(config.discovery().getPort(), "discovery");
+        }
+        int multiGetPort = port(settings, "multiget_port", ports);
+        int multiGetKeys = settings.number("multiget_max_keys", 1, 1024, 64);
+        settings.rejectTheRest();
+        Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys));
+        if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
+            throw settings.fault("multiget_port", "the features need " + features.descriptors()
+                    + " descriptors beside the router's " + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is "
+                    + config.sockets());
+        }
+        return features;
+    }
+
+    /** A port for a listener; 0 if it is not set. */
+    private static int port(SettingsFile settings, String name, Map<Integer, String> taken)
+            throws InvalidConfigException {
+        int port = settings.number(name, 1, MOST_PORT, 0);
+        String by = port == 0 ? null : taken.putIfAbsent(port, name);
+        if (by != null) {
+            throw settings.fault(name, name + " is " + port + ", which clashes with " + by);
+        }
+        return port;
+    }
+
+    /** How many descriptors they hold at most, beside connections that count as user agents'. */
+    public int descriptors() {
+        return multiGet == null ? 0 : 1;
+    }
+
+    /** Where a listener beside the program's own is: on its host; at any port where its own port may be any. */
+    public static InetSocketAddress beside(InetSocketAddress listen, int port) {
+        return new InetSocketAddress(listen.getAddress(), listen.getPort() == 0 ? 0 : port);
+    }
+}
--- a/src/main/java/slateseam/router/config/NodeConfig.java
+++ b/src/main/java/slateseam/router/config/NodeConfig.java
@@ -39,7 +39,8 @@
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, JSONObject known,
         List<String> zones, List<String> kinds, long idleNanos, int mostHeld, Settings settings) {
     private static final int MOST_HELD = 4096;
-    private static final int LEAST_SOCKETS = 64;
+    /** For the program itself, and the connections without which it would be of no use. */
+    static final int LEAST_SOCKETS = 64;
     private static final int PORT_LIMIT = 65_535;
 
     /** The configuration cannot be used; the message is one plain line. */
--- a/src/test/java/slateseam/MainTest.java
+++ b/src/test/java/slateseam/MainTest.java
@@ -33,6 +33,24 @@
         assertThat(err.toString()).startsWith("slateseam: bad configuration: ").containsOnlyOnce("\n");
     }
 
+    @Test
+    void aBadSettingsFileIsOnePlainLineThatNamesFileAndLine(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(dir.resolve("slateseam.conf"), "# ours\nmultiget_port 6379\n");
+        String fault = "slateseam: bad configuration: " + file + ":2: multiget_port is 6379, which clashes with "
+                + "the program's own address" + System.lineSeparator();
+        for (String command : new String[] {"serve", "check-config"}) {
+            err.reset();
+            assertThat(run(command, "--config", "examples/config.json", "--features", file.toString())).isEqualTo(2);
+            assertThat(err.toString()).isEqualTo(fault);
+        }
+        assertThat(run("benchlink", "--features", file.toString())).isEqualTo(2);
+    }
+
+    @Test
+    void theSettingsOfServiceAreInOrder() {
+        assertThat(run("check-config", "--config", "examples/config.json", "--features", "deploy/slateseam.conf")).isZero();
+    }
+
     @Test
     void versionPrintsALine() {
         assertThat(run("version")).isZero();
--- /dev/null
+++ b/src/test/java/slateseam/router/config/FeaturesTest.java
@@ -0,0 +1,67 @@
+package slateseam.router.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import slateseam.router.config.NodeConfig.InvalidConfigException;
+
+class FeaturesTest {
+    @TempDir
+    Path dir;
+
+    private Features read(String text, String was, String is) throws Exception {
+        Path file = Files.writeString(dir.resolve("s.conf"), text.replace(";", "\n"));
+        String config = Files.readString(Path.of("examples/config.json"));
+        assertThat(config).contains(was);
+        return Features.read(file, NodeConfig.parse(config.replace(was, is)));
+    }
+
+    private Features read(String text) throws Exception {
+        return read(text, "", "");
+    }
+
+    @Test
+    void whatIsNotSetIsOffOrHasItsUsualValue() throws Exception {
+        assertThat(read("# nothing;")).isEqualTo(Features.OFF);
+        assertThat(read("multiget_max_keys 5")).isEqualTo(Features.OFF);
+        assertThat(read("\tmultiget_port\t7000 # beside ;#multiget_max_keys 1").multiGet())
+                .isEqualTo(new Features.MultiGet(7000, 64));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "# first;multiget_prot 7000|2: there is no setting multiget_prot",
+        "multiget_port 7000;;multiget_port 7000|3: multiget_port is set on line 1 already",
+        "multiget_port|1: multiget_port has no value",
+        "multiget_port 0|1: multiget_port is 0, no whole number from 1 to 65535",
+        "multiget_port 65536|1: multiget_port is 65536, no",
+        "multiget_port 7000 7001|1: multiget_port is 7000 7001, no",
+        "multiget_port 6379|1: multiget_port is 6379, which clashes with the program's own address",
+        "multiget_port 8500|1: multiget_port is 8500, which clashes with discovery",
+        "multiget_port 7000;multiget_max_keys 0|2: multiget_max_keys is 0",
+        "multiget_port 7000;multiget_max_keys -1|2: multiget_max_keys is -1",
+        "multiget_port 7000;multiget_max_keys 9999999999|2: multiget_max_keys is 9999999999"})
+    void aFaultIsOneLineThatNamesFileAndLine(String text, String fault) {
+        assertThatThrownBy(() -> read(text)).isInstanceOf(InvalidConfigException.class)
+                .hasMessageStartingWith(dir.resolve("s.conf") + ":" + fault).hasMessageNotContaining("\n");
+    }
+
+    @Test
+    void theDescriptorsComeOutOfTheSameLimit() throws Exception {
+        assertThat(read("multiget_port 7000", "\"sockets\": 1024", "\"sockets\": 65").descriptors()).isEqualTo(1);
+        assertThatThrownBy(() -> read("multiget_port 7000", "\"sockets\": 1024", "\"sockets\": 64"))
+                .hasMessageContaining(":1: the features need 1 descriptors");
+    }
+
+    @Test
+    void aFileThatCannotBeReadIsNamed() {
+        assertThatThrownBy(() -> Features.read(dir, NodeConfig.parse(Files.readString(Path.of("examples/config.json")))))
+                .isInstanceOf(InvalidConfigException.class).hasMessageContaining(dir.toString());
+    }
+}
