Answer many reads in one: SLATE.MGET on a second listener, multiget_port

RespFront keeps the connections with all their deadlines and bounds and no longer knows what commands mean; a Dialect does, one a listener. Requests turns commands into requests for both, so ids are unique across them. A batch is one Exchange that takes further commands; each element goes to the core as if it came alone, with a deadline of its own, and is withdrawn when that is over. Ruled out: streaming elements as they come, since 'whole' or 'partial' stands first.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -120,7 +120,7 @@
             throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
-        Router router = new Router(config, clock, log);
+        Router router = new Router(config, features, clock, log);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
         Signal.handle(new Signal("HUP"), signal -> router.reload(file));
         CountDownLatch ended = new CountDownLatch(1);
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -3,12 +3,16 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import slateseam.decision.Api.Limits;
+import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
+import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
@@ -16,26 +20,31 @@
 import slateseam.router.pass.Passes;
 import slateseam.router.peer.Peers;
 import slateseam.router.useragent.Acceptor;
+import slateseam.router.useragent.Commands;
+import slateseam.router.useragent.Requests;
 import slateseam.router.useragent.RespFront;
 
 /** One router: puts the stages together and ends them in order. */
 public final class Router {
     /** Descriptors of the virtual machine, the selector, discovery and peers. */
     private static final int OTHER_SOCKETS = 48;
+    /** Of values that wait for the rest of a batch: somewhat less than may wait unread in the front. */
+    private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 10;
     /** New connections come for up to 0.4 s after a planned end is announced. */
     private static final long LINGER_NANOS = 550_000_000L;
 
     private final Loop loop;
     private final long longestNanos;
     private final RespFront front;
-    private final Acceptor acceptor;
+    /** The program's own listener first, then those of features. */
+    private final List<Acceptor> acceptors = new ArrayList<>();
     private final Watch watch;
 
     /** Opens a router; it serves once {@link #run} is called. */
-    public Router(NodeConfig config, Clock clock, Log log) throws IOException {
+    public Router(NodeConfig config, Features features, Clock clock, Log log) throws IOException {
         loop = new Loop(clock, log);
         Limits limits = config.settings().limits();
-        int shared = config.sockets() - OTHER_SOCKETS;
+        int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
         // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
         int userAgents = shared * 3 / 5;
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
@@ -58,13 +67,24 @@
         if (!config.settings().askedDiscovery()) {
             watch.begin();
         }
-        front = new RespFront(loop, core, config.settings(), userAgents, config.mostHeld());
-        acceptor = new Acceptor(loop, config.listen(), front);
+        Requests requests = new Requests(core, config.settings(), config.mostHeld());
+        front = new RespFront(loop, longestNanos, userAgents);
+        acceptors.add(new Acceptor(loop, config.listen(), front, new Commands(requests)));
+        if (features.multiGet() != null) {
+            acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()), front,
+                    new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
+                            MOST_HELD_BYTES)));
+        }
     }
 
     /** Where user agents connect. */
     public InetSocketAddress address() throws IOException {
-        return acceptor.address();
+        return acceptors.get(0).address();
+    }
+
+    /** Where user agents connect for many values at once, if that is on. */
+    public InetSocketAddress multiGetAddress() throws IOException {
+        return acceptors.get(1).address();
     }
 
     /** The loop that everything lives on. */
@@ -103,7 +123,9 @@
 
     private void close() {
         try {
-            acceptor.close();
+            for (Acceptor acceptor : acceptors) {
+                acceptor.close();
+            }
         } catch (IOException e) {
             loop.log().line("socket-error", e.toString());
         }
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -36,7 +36,7 @@
 import slateseam.router.useragent.Front;
 
 /** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
-public final class Core implements PassListener {
+public final class Core implements PassListener, Intake {
     /** Of values to be written, so that they cannot fill the heap. */
     private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 8;
 
@@ -90,7 +90,7 @@
         happened(() -> event);
     }
 
-    /** Takes a request and returns its ticket; -1 if it was answered at once, for want of room. */
+    @Override
     public long arrived(Request request, Front front, long exchange) {
         if (slots.isFull() || heldBytes + request.valueBytes() > MOST_HELD_BYTES) {
             front.answer(exchange, new Answer.Unavailable(settings.limits().maxRetryAfterNanos()));
@@ -106,7 +106,7 @@
         return ticket;
     }
 
-    /** The user agent has left; nothing is owed any more. */
+    @Override
     public void left(long ticket) {
         if (release(ticket) != null) {
             happened(new ClientGone(ticket));
--- /dev/null
+++ b/src/main/java/slateseam/router/core/Intake.java
@@ -0,0 +1,12 @@
+package slateseam.router.core;
+
+import slateseam.router.useragent.Front;
+
+/** What the ways in need of the core. */
+public interface Intake {
+    /** Takes a request and returns its ticket; -1 if it was answered at once, for want of room. */
+    long arrived(Request request, Front front, long exchange);
+
+    /** The user agent waits no longer; nothing is owed any more. */
+    void left(long ticket);
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -0,0 +1,177 @@
+package slateseam.router.multiget;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import slateseam.router.core.Answer;
+import slateseam.router.net.Bytes;
+import slateseam.router.net.Deadlines.Deadline;
+import slateseam.router.net.Loop;
+import slateseam.router.net.MalformedException;
+import slateseam.router.useragent.Commands;
+import slateseam.router.useragent.Dialect;
+import slateseam.router.useragent.Exchange;
+import slateseam.router.useragent.Replies;
+import slateseam.router.useragent.Requests;
+
+/** {@code SLATE.MGET N} and N reads behind it: each goes its own way, and one answer brings them all in order. */
+public final class MultiGet implements Dialect {
+    private static final int MOST_DIGITS = 9;
+    private static final int HEAD_ITEMS = 2;
+
+    private final Loop loop;
+    private final Requests requests;
+    private final int mostKeys;
+    private final long mostHeldBytes;
+    private final Answer noRoom;
+    private long heldBytes;
+
+    /**
+     * Creates the dialect for batches of at most so many reads. Of values that wait for the rest of their answer, all
+     * batches hold so many bytes; one for which there is no room is to be asked for later.
+     */
+    public MultiGet(Loop loop, Requests requests, int mostKeys, long retryAfterNanos, long mostHeldBytes) {
+        this.loop = loop;
+        this.requests = requests;
+        this.mostKeys = mostKeys;
+        this.mostHeldBytes = mostHeldBytes;
+        this.noRoom = new Answer.Unavailable(retryAfterNanos);
+    }
+
+    @Override
+    public Exchange exchange(Runnable ready) {
+        return new Batch(ready);
+    }
+
+    private final class Batch extends Exchange {
+        private final List<Element> elements = new ArrayList<>();
+        private int expected;
+        private int settled;
+        private long held;
+
+        Batch(Runnable ready) {
+            super(ready);
+        }
+
+        @Override
+        public void take(List<ByteBuffer> command) throws MalformedException {
+            if (!isWhole()) {
+                Element element = new Element(this);
+                elements.add(element);
+                element.ask(command);
+                return;
+            }
+            String name = Commands.name(command);
+            if (!name.equals("SLATE.MGET")) {
+                finish(name.startsWith("CACHE.") ? Replies.line("-ERR only behind SLATE.MGET") : Replies.other(name));
+                return;
+            }
+            expected = number(command);
+            if (expected == 0) {
+                finish(Replies.line("-ERR no keys"));
+            }
+        }
+
+        /** Guards against a number that cannot be used: nobody could tell which commands belong to the batch. */
+        private int number(List<ByteBuffer> command) throws MalformedException {
+            String digits = command.size() == HEAD_ITEMS ? Bytes.text(command.get(1)) : "";
+            boolean number = !digits.isEmpty() && digits.length() <= MOST_DIGITS
+                    && digits.chars().allMatch(c -> c >= '0' && c <= '9');
+            if (!number || Integer.parseInt(digits) > mostKeys) {
+                throw new MalformedException("SLATE.MGET takes one number, at most " + mostKeys);
+            }
+            return Integer.parseInt(digits);
+        }
+
+        @Override
+        public boolean isWhole() {
+            return elements.size() == expected;
+        }
+
+        @Override
+        public int commands() {
+            return 1 + expected;
+        }
+
+        @Override
+        public void withdraw() {
+            elements.forEach(Element::withdraw);
+            handedOver();
+        }
+
+        @Override
+        public void handedOver() {
+            heldBytes -= held;
+            held = 0;
+        }
+
+        /** Guards the heap against many long values that wait for the slowest of their batch. */
+        Answer hold(Answer answer) {
+            int bytes = answer instanceof Answer.Served served ? served.value().length : 0;
+            if (heldBytes + bytes > mostHeldBytes) {
+                return noRoom;
+            }
+            heldBytes += bytes;
+            held += bytes;
+            return answer;
+        }
+
+        void settled() {
+            if (++settled < expected) {
+                return;
+            }
+            boolean whole = elements.stream().allMatch(e -> e.served);
+            List<ByteBuffer> all = new ArrayList<>();
+            all.add(ByteBuffer.wrap(Bytes.of("*" + (expected + 1) + "\r\n"
+                    + (whole ? "$5\r\nwhole\r\n" : "$7\r\npartial\r\n"))));
+            elements.forEach(e -> all.addAll(List.of(e.answer)));
+            finish(all.toArray(new ByteBuffer[0]));
+        }
+    }
+
+    /** One read of a batch. */
+    private final class Element extends Requests.Open {
+        private final Batch batch;
+        private ByteBuffer[] answer;
+        private boolean served;
+        private Deadline limit;
+
+        Element(Batch batch) {
+            this.batch = batch;
+        }
+
+        void ask(List<ByteBuffer> command) {
+            ByteBuffer[] error = Commands.name(command).equals("CACHE.GET") ? requests.take(command, false, this)
+                    : Replies.line("-ERR not a CACHE.GET");
+            if (error != null) {
+                settle(error);
+            } else if (answer == null) {
+                limit = loop.after(waitNanos(), this::timedOut);
+            }
+        }
+
+        @Override
+        protected void answered(Answer given) {
+            Answer kept = batch.hold(given);
+            served = kept instanceof Answer.Served;
+            settle(Replies.of(kept));
+        }
+
+        /** Its user agent waits no longer for it, but for the batch: the core is told, and a late answer goes nowhere. */
+        private void timedOut() {
+            requests.withdraw(this);
+            settle(Replies.line("-TIMEOUT"));
+        }
+
+        void withdraw() {
+            loop.cancel(limit);
+            requests.withdraw(this);
+        }
+
+        private void settle(ByteBuffer... bytes) {
+            loop.cancel(limit);
+            answer = bytes;
+            batch.settled();
+        }
+    }
+}
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -15,14 +15,16 @@
 
     private final Loop loop;
     private final RespFront front;
+    private final Dialect dialect;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private boolean closed;
 
-    /** Listens at an address. */
-    public Acceptor(Loop loop, InetSocketAddress listen, RespFront front) throws IOException {
+    /** Listens at an address for commands of a dialect. */
+    public Acceptor(Loop loop, InetSocketAddress listen, RespFront front, Dialect dialect) throws IOException {
         this.loop = loop;
         this.front = front;
+        this.dialect = dialect;
         this.channel = ServerSocketChannel.open();
         channel.bind(listen, BACKLOG);
         this.key = loop.register(channel, SelectionKey.OP_ACCEPT, ready -> accept());
@@ -52,7 +54,7 @@
                 if (accepted == null) {
                     return;
                 }
-                front.accept(accepted);
+                front.accept(accepted, dialect);
             }
         } catch (IOException e) {
             // Guards the loop when descriptors run out: the ready backlog would keep it spinning.
--- /dev/null
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -0,0 +1,56 @@
+package slateseam.router.useragent;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Locale;
+import slateseam.router.core.Answer;
+import slateseam.router.net.Bytes;
+
+/** The platform's commands, each an exchange of its own. */
+public final class Commands implements Dialect {
+    private final Requests requests;
+
+    /** Creates the dialect. */
+    public Commands(Requests requests) {
+        this.requests = requests;
+    }
+
+    @Override
+    public Exchange exchange(Runnable ready) {
+        return new Single(ready);
+    }
+
+    /** The name of a command. */
+    public static String name(List<ByteBuffer> command) {
+        return Bytes.text(command.get(0)).toUpperCase(Locale.ROOT);
+    }
+
+    private final class Single extends Exchange {
+        private final Requests.Open asked = new Requests.Open() {
+            @Override
+            protected void answered(Answer answer) {
+                finish(Replies.of(answer));
+            }
+        };
+
+        Single(Runnable ready) {
+            super(ready);
+        }
+
+        @Override
+        public void take(List<ByteBuffer> command) {
+            String name = name(command);
+            boolean write = name.equals("CACHE.SET");
+            ByteBuffer[] atOnce = write || name.equals("CACHE.GET") ? requests.take(command, write, asked)
+                    : Replies.other(name);
+            if (atOnce != null) {
+                finish(atOnce);
+            }
+        }
+
+        @Override
+        public void withdraw() {
+            requests.withdraw(asked);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -0,0 +1,124 @@
+package slateseam.router.useragent;
+
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+import slateseam.decision.Api.RequestClass;
+import slateseam.decision.Api.Settings;
+import slateseam.decision.Api.Tenant;
+import slateseam.router.core.Answer;
+import slateseam.router.core.Facts;
+import slateseam.router.core.Intake;
+import slateseam.router.core.Request;
+import slateseam.router.net.Bytes;
+import slateseam.router.net.Clock;
+import slateseam.router.net.Slots;
+
+/** Turns commands into requests, whatever listener they came to, and brings each its answer. */
+public final class Requests implements Front {
+    private static final int READ_ITEMS = 4;
+    private static final int WRITE_ITEMS = 5;
+    private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
+    private static final byte DELETE = 0x7f;
+
+    /** A request that is owed an answer. */
+    public abstract static class Open {
+        private long number = -1;
+        private long request = -1;
+        private long waitNanos;
+        /** Its id while it is open. */
+        private ByteBuffer id;
+
+        /** Takes the one final answer. */
+        protected abstract void answered(Answer answer);
+
+        /** How long its user agent waits. */
+        public final long waitNanos() {
+            return waitNanos;
+        }
+    }
+
+    private final Intake core;
+    private final Settings settings;
+    private final List<String> classes;
+    private final List<String> tenants;
+    private final Slots<Open> open;
+    /** The ids of the requests that are owed an answer; they are held as long as those are, and no longer. */
+    private final Set<ByteBuffer> openIds = new HashSet<>();
+
+    /** Creates the table; the core holds at most so many requests. */
+    public Requests(Intake core, Settings settings, int mostHeld) {
+        this.core = core;
+        this.settings = settings;
+        this.classes = settings.classes().stream().map(RequestClass::name).toList();
+        this.tenants = settings.tenants().stream().map(Tenant::name).toList();
+        this.open = new Slots<>(mostHeld + 1); // the one more is being turned away
+    }
+
+    /** Takes a command as a request; returns null, or the error line that it gets instead. */
+    public ByteBuffer[] take(List<ByteBuffer> command, boolean write, Open asked) {
+        if (command.size() != (write ? WRITE_ITEMS : READ_ITEMS)) {
+            return Replies.line("-ERR wrong number of arguments");
+        }
+        byte[] facts = Bytes.copy(command.get(3));
+        byte[] key = Bytes.copy(command.get(1));
+        byte[] id = Bytes.copy(command.get(2));
+        if (!isPlain(key) || !isPlain(id) || !isPlain(facts)) {
+            return Replies.line("-ERR a key, id or fact is no visible ASCII");
+        }
+        ByteBuffer openId = ByteBuffer.wrap(id);
+        // Guards against two requests of one id, of which neither's answer could be told from the other's.
+        if (openIds.contains(openId)) {
+            return Replies.line("-ERR a request with this id is open");
+        }
+        int requestClass = classes.indexOf(Facts.value(facts, 'c'));
+        long waitMillis = millis(Facts.value(facts, 'd'));
+        if (requestClass < 0 || waitMillis < 0) {
+            return Replies.line("-ERR unknown class or no time to wait");
+        }
+        int tenant = tenants.indexOf(Facts.value(facts, 't'));
+        asked.waitNanos = waitMillis * Clock.MILLI;
+        long ttl = Math.min(asked.waitNanos, settings.classes().get(requestClass).deadlineNanos());
+        Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, requestClass,
+                tenant < 0 ? tenants.size() : tenant, "1".equals(Facts.value(facts, 'r')), ttl);
+        asked.number = open.add(asked);
+        asked.id = openId;
+        openIds.add(openId);
+        asked.request = core.arrived(request, this, asked.number);
+        return null;
+    }
+
+    /** Gives a request up, if it is still owed an answer: what comes for it later goes nowhere. */
+    public void withdraw(Open asked) {
+        if (open.remove(asked.number) != null) {
+            openIds.remove(asked.id);
+            core.left(asked.request);
+        }
+    }
+
+    @Override
+    public void answer(long exchange, Answer answer) {
+        Open asked = open.remove(exchange);
+        if (asked != null) {
+            openIds.remove(asked.id);
+            asked.answered(answer);
+        }
+    }
+
+    /** Guards the origin's HTTP head, into which these are written. */
+    private static boolean isPlain(byte[] text) {
+        for (byte b : text) {
+            if (b <= ' ' || b == DELETE) {
+                return false;
+            }
+        }
+        return text.length > 0;
+    }
+
+    /** A number of milliseconds; -1 if it is none. */
+    private static long millis(String digits) {
+        return digits != null && MILLIS.matcher(digits).matches() ? Long.parseLong(digits) : -1;
+    }
+}
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -4,21 +4,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
-import java.util.Set;
-import java.util.regex.Pattern;
-import slateseam.decision.Api.RequestClass;
-import slateseam.decision.Api.Settings;
-import slateseam.decision.Api.Tenant;
-import slateseam.router.core.Answer;
-import slateseam.router.core.Core;
-import slateseam.router.core.Facts;
-import slateseam.router.core.Request;
-import slateseam.router.net.Bytes;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Deadlines.Deadline;
@@ -27,11 +16,12 @@
 import slateseam.router.net.Resp;
 import slateseam.router.net.Slots;
 
-/** The platform's protocol, RESP2, towards user agents. Answers of a connection go out in the order of its commands. */
-public final class RespFront implements Front {
-    private static final int MOST_EXCHANGES = 16;
-    private static final int READ_ITEMS = 4;
-    private static final int WRITE_ITEMS = 5;
+/**
+ * The connections of user agents, which speak RESP2. Answers of a connection go out in the order of its commands; what the
+ * commands mean is told by the dialect of the listener that it came to.
+ */
+public final class RespFront {
+    private static final int MOST_COMMANDS = 16;
     /** For a first command, or one of which a part has come: no user agent that waits for an answer takes so long. */
     private static final long COMMAND_NANOS = 2_500 * Clock.MILLI;
     /** Without an open request, while there is room; user agents that come back sooner keep their connection. */
@@ -43,54 +33,22 @@
     private static final long LEAST_SILENT_NANOS = 50 * Clock.MILLI;
     /** Of answers that are not read, so that they cannot fill the heap. */
     private static final long MOST_UNREAD = Runtime.getRuntime().maxMemory() / 8;
-    private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
-    private static final byte DELETE = 0x7f;
-    private static final byte[] PONG = Bytes.of("+PONG\r\n");
-    private static final byte[] OK = Bytes.of("+OK\r\n");
-    private static final byte[] FAILED = Bytes.of("-ERR failed\r\n");
-    private static final byte[] LINE_END = Bytes.of("\r\n");
-
-    /** A command and its answer, which waits for those ahead of it. */
-    private static final class Exchange {
-        final UserAgent from;
-        long number = -1;
-        long request = -1;
-        /** The request's id while it is open. */
-        ByteBuffer id;
-        ByteBuffer[] answer;
-
-        Exchange(UserAgent from) {
-            this.from = from;
-        }
-    }
 
     /** What a connection waits for; each has its deadline. */
     private enum State { FIRST_COMMAND, REST_OF_COMMAND, ANSWER, READER, NEXT_COMMAND, END }
 
     private final Loop loop;
-    private final Core core;
-    private final List<String> classes;
-    private final List<String> tenants;
-    private final Settings settings;
     private final Slots<UserAgent> userAgents;
-    private final Slots<Exchange> exchanges;
-    /** The ids of the requests that are owed an answer; they are held as long as those are, and no longer. */
-    private final Set<ByteBuffer> openIds = new HashSet<>();
     /** Of the longest class: an answer that is not read by then is of no use to anyone. */
     private final long readNanos;
-    private Runnable whenClosed = () -> { };
+    private final List<Runnable> whenClosed = new ArrayList<>();
     private boolean closing;
 
-    /** Creates the front for at most so many connections; the core holds at most so many requests. */
-    public RespFront(Loop loop, Core core, Settings settings, int mostConnections, int mostHeld) {
+    /** Creates the front for at most so many connections, whatever listener they come to. */
+    public RespFront(Loop loop, long longestAnswerNanos, int mostConnections) {
         this.loop = loop;
-        this.core = core;
-        this.settings = settings;
-        this.classes = settings.classes().stream().map(RequestClass::name).toList();
-        this.tenants = settings.tenants().stream().map(Tenant::name).toList();
-        this.readNanos = settings.longestAnswerNanos();
+        this.readNanos = longestAnswerNanos;
         this.userAgents = new Slots<>(mostConnections);
-        this.exchanges = new Slots<>(mostHeld + 1); // the one more is being turned away
     }
 
     /** Whether no connection is open. */
@@ -98,9 +56,9 @@
         return userAgents.size() == 0;
     }
 
-    /** Calls back after each close of a connection. */
+    /** Calls back after each close of a connection; further ones too. */
     public void onClose(Runnable action) {
-        whenClosed = action;
+        whenClosed.add(action);
     }
 
     /**
@@ -123,10 +81,10 @@
         return !userAgents.isFull();
     }
 
-    /** Takes a connection. */
-    public void accept(SocketChannel channel) throws IOException {
+    /** Takes a connection, whose commands are of a dialect. */
+    public void accept(SocketChannel channel, Dialect dialect) throws IOException {
         try {
-            UserAgent userAgent = new UserAgent(channel);
+            UserAgent userAgent = new UserAgent(channel, dialect);
             userAgent.ticket = userAgents.add(userAgent);
             userAgent.enter(State.FIRST_COMMAND);
         } catch (IOException e) {
@@ -141,16 +99,6 @@
         userAgents.all().forEach(UserAgent::closeWhenDone);
     }
 
-    @Override
-    public void answer(long exchange, Answer answer) {
-        Exchange done = exchanges.remove(exchange);
-        if (done != null) {
-            openIds.remove(done.id);
-            done.answer = bytes(answer);
-            done.from.flushAnswers();
-        }
-    }
-
     /** Closes those that have not read for longest while there is too much that nobody reads. */
     private void boundUnread() {
         List<UserAgent> unread = userAgents.all().stream().filter(u -> u.state == State.READER)
@@ -165,25 +113,12 @@
         }
     }
 
-    private static ByteBuffer[] bytes(Answer answer) {
-        if (answer instanceof Answer.Served served) {
-            return new ByteBuffer[] {ByteBuffer.wrap(Bytes.of("$" + served.value().length + "\r\n")),
-                    ByteBuffer.wrap(served.value()), ByteBuffer.wrap(LINE_END)};
-        }
-        if (answer instanceof Answer.Unavailable unavailable) {
-            long millis = Clock.millisUp(unavailable.retryAfterNanos());
-            return line(Bytes.of(millis > 0 ? "-BUSY " + millis + "\r\n" : "-BUSY\r\n"));
-        }
-        return line(FAILED);
-    }
-
-    private static ByteBuffer[] line(byte[] text) {
-        return new ByteBuffer[] {ByteBuffer.wrap(text)};
-    }
-
     /** One connection of a user agent. */
     private final class UserAgent extends Connection {
+        private final Dialect dialect;
         private final Deque<Exchange> inOrder = new ArrayDeque<>();
+        /** How many commands the exchanges have taken. */
+        private int begun;
         private long ticket;
         private boolean last;
         /** Whether a part of a command has come and the rest has not. */
@@ -192,13 +127,14 @@
         private long since;
         private Deadline limit;
 
-        UserAgent(SocketChannel channel) throws IOException {
+        UserAgent(SocketChannel channel, Dialect dialect) throws IOException {
             super(RespFront.this.loop, channel);
+            this.dialect = dialect;
         }
 
         @Override
         protected void received(ByteBuffer in) throws MalformedException {
-            while (!isClosed() && !last && inOrder.size() < MOST_EXCHANGES && isFlushed()) {
+            while (!isClosed() && mayBegin() && isFlushed()) {
                 List<ByteBuffer> command = Resp.command(in);
                 if (command == null) {
                     half = in.hasRemaining();
@@ -211,14 +147,26 @@
             pause(true);
         }
 
+        /** Whether a command may be begun; one that belongs to what has begun always may. */
+        private boolean mayBegin() {
+            return !last && (begun < MOST_COMMANDS || isPartial());
+        }
+
+        /** Whether the last exchange waits for more commands. */
+        private boolean isPartial() {
+            return !inOrder.isEmpty() && !inOrder.peekLast().isWhole();
+        }
+
         /** Enters the state that it is in now. */
         private void settle() {
             if (state == State.END || isClosed()) {
                 return;
             }
             boolean first = state == State.FIRST_COMMAND; // it stays so until a whole command has come
-            enter(!isFlushed() ? State.READER : !inOrder.isEmpty() ? State.ANSWER : first ? State.FIRST_COMMAND
-                    : half ? State.REST_OF_COMMAND : State.NEXT_COMMAND);
+            boolean answered = inOrder.isEmpty();
+            enter(!isFlushed() ? State.READER : !answered && inOrder.peek().isWhole() ? State.ANSWER
+                    : answered && first ? State.FIRST_COMMAND : half || !answered ? State.REST_OF_COMMAND
+                    : State.NEXT_COMMAND);
         }
 
         void enter(State next) {
@@ -239,7 +187,7 @@
 
         /** Guards against connections that are held by half a command, by silence, or by not reading. */
         private void overstayed() {
-            if (half && state != State.READER && state != State.END) {
+            if ((half || isPartial()) && state != State.READER && state != State.END) {
                 malformed(new MalformedException("the rest of a command did not come"));
             } else {
                 if (state == State.READER) {
@@ -263,60 +211,27 @@
             }
         }
 
-        private void take(List<ByteBuffer> command) {
-            Exchange exchange = new Exchange(this);
-            inOrder.add(exchange);
+        private void take(List<ByteBuffer> command) throws MalformedException {
+            if (!isPartial()) {
+                inOrder.add(dialect.exchange(this::flushAnswers));
+            }
+            begun++;
             settle();
-            String name = Bytes.text(command.get(0)).toUpperCase(Locale.ROOT);
-            boolean write = name.equals("CACHE.SET");
-            switch (name) {
-                case "CACHE.GET", "CACHE.SET" -> {
-                    if (command.size() == (write ? WRITE_ITEMS : READ_ITEMS)) {
-                        request(exchange, command, write);
-                    } else {
-                        exchange.answer = line(Bytes.of("-ERR wrong number of arguments\r\n"));
-                    }
-                }
-                case "PING" -> exchange.answer = line(PONG);
-                case "CLIENT", "SELECT" -> exchange.answer = line(OK);
-                default -> exchange.answer = line(Bytes.of("-ERR unknown command\r\n"));
+            try {
+                inOrder.peekLast().take(command);
+            } catch (MalformedException e) {
+                inOrder.pollLast().withdraw(); // its one answer is the error
+                throw e;
             }
             flushAnswers();
         }
 
-        private void request(Exchange exchange, List<ByteBuffer> command, boolean write) {
-            byte[] facts = Bytes.copy(command.get(3));
-            byte[] key = Bytes.copy(command.get(1));
-            byte[] id = Bytes.copy(command.get(2));
-            if (!isPlain(key) || !isPlain(id) || !isPlain(facts)) {
-                exchange.answer = line(Bytes.of("-ERR a key, id or fact is no visible ASCII\r\n"));
-                return;
-            }
-            ByteBuffer open = ByteBuffer.wrap(id);
-            // Guards against two requests of one id, of which neither's answer could be told from the other's.
-            if (openIds.contains(open)) {
-                exchange.answer = line(Bytes.of("-ERR a request with this id is open\r\n"));
-                return;
-            }
-            int requestClass = classes.indexOf(Facts.value(facts, 'c'));
-            long waitMillis = millis(Facts.value(facts, 'd'));
-            if (requestClass < 0 || waitMillis < 0) {
-                exchange.answer = line(Bytes.of("-ERR unknown class or no time to wait\r\n"));
-                return;
-            }
-            int tenant = tenants.indexOf(Facts.value(facts, 't'));
-            long ttl = Math.min(waitMillis * Clock.MILLI, settings.classes().get(requestClass).deadlineNanos());
-            Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, requestClass,
-                    tenant < 0 ? tenants.size() : tenant, "1".equals(Facts.value(facts, 'r')), ttl);
-            exchange.number = exchanges.add(exchange);
-            exchange.id = open;
-            openIds.add(open);
-            exchange.request = core.arrived(request, RespFront.this, exchange.number);
-        }
-
         void flushAnswers() {
-            while (!inOrder.isEmpty() && inOrder.peek().answer != null) {
-                write(inOrder.poll().answer);
+            while (!inOrder.isEmpty() && inOrder.peek().answer() != null) {
+                Exchange done = inOrder.poll();
+                begun -= done.commands();
+                write(done.answer());
+                done.handedOver();
             }
             settle();
             if (state == State.READER) {
@@ -328,7 +243,7 @@
         @Override
         protected void written() {
             settle();
-            if (inOrder.size() < MOST_EXCHANGES && !last) {
+            if (mayBegin()) {
                 pause(false);
             }
             closeWhenDone();
@@ -356,43 +271,24 @@
             last = true;
             half = false;
             pause(true);
-            Exchange refused = new Exchange(this);
-            refused.answer = line(Bytes.of("-ERR protocol error: " + e.getMessage() + "\r\n"));
-            inOrder.add(refused);
+            if (isPartial()) {
+                inOrder.pollLast().withdraw();
+            }
+            inOrder.add(Exchange.answered(Replies.line("-ERR protocol error: " + e.getMessage())));
             flushAnswers();
         }
 
         @Override
         protected void broken() {
             forget();
-            for (Exchange exchange : inOrder) {
-                if (exchanges.remove(exchange.number) != null) {
-                    openIds.remove(exchange.id);
-                    core.left(exchange.request);
-                }
-            }
+            inOrder.forEach(Exchange::withdraw);
             inOrder.clear();
         }
 
         private void forget() {
             loop().cancel(limit);
             userAgents.remove(ticket);
-            whenClosed.run();
-        }
-
-        /** Guards the origin's HTTP head, into which these are written. */
-        private boolean isPlain(byte[] text) {
-            for (byte b : text) {
-                if (b <= ' ' || b == DELETE) {
-                    return false;
-                }
-            }
-            return text.length > 0;
-        }
-
-        /** A number of milliseconds; -1 if it is none. */
-        private long millis(String digits) {
-            return digits != null && MILLIS.matcher(digits).matches() ? Long.parseLong(digits) : -1;
+            whenClosed.forEach(Runnable::run);
         }
     }
 }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
@@ -26,8 +27,10 @@
  * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
  * {@code ended}, {@code log TEXT} (the log has it),
  * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again), or
- * {@code config OLD => NEW}, which changes the configuration and comes before all others. WHO is a server of the configuration or, with any other name, a
- * user agent, which connects on its first line. A server takes its next connection when its last one is gone.
+ * {@code config OLD => NEW}, which changes the configuration, and {@code setting NAME VALUE}, a line of the settings file;
+ * these two come before all others. WHO is a server of the configuration or, with any other name, a user agent, which
+ * connects on its first line: to the listener for many values if its name begins with {@code mget}. A server takes its next connection when its
+ * last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
  */
 final class Recorded {
     /** A guard against waiting for ever; no test depends on how long a round takes. */
@@ -52,14 +55,23 @@
             text = line.startsWith("config ") ? changed(text, line.substring(7)) : text;
         }
         config = text;
+        Path settings = Files.createTempFile("slateseam", ".conf");
+        Files.write(settings, steps.stream().filter(Recorded::isSetting).map(line -> line.substring(8)).toList());
         for (String name : SERVERS) {
             listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
             listeners.get(name).configureBlocking(false);
         }
-        router = new Router(NodeConfig.parse(fill(config)), () -> now,
+        NodeConfig node = NodeConfig.parse(fill(config));
+        Features features = Features.read(settings, node);
+        Files.delete(settings);
+        router = new Router(node, features, () -> now,
                 new Log("n0", () -> now, console));
     }
 
+    private static boolean isSetting(String line) {
+        return line.startsWith("setting ");
+    }
+
     private static String changed(String text, String change) {
         String[] words = change.split(" => ");
         assertThat(text).contains(words[0]);
@@ -80,7 +92,7 @@
     void play() throws IOException {
         try {
             for (String line : steps) {
-                if (!line.startsWith("config ")) {
+                if (!line.startsWith("config ") && !isSetting(line)) {
                     step(line);
                 }
             }
@@ -139,8 +151,9 @@
 
     private SocketChannel channel(String who) throws IOException {
         SocketChannel channel = channels.get(who);
+        String server = who.replaceFirst("#.*", "");
         for (int i = 0; channel == null && i < MOST_ROUNDS; i++) {
-            channel = listeners.containsKey(who) ? listeners.get(who).accept() : SocketChannel.open(router.address());
+            channel = listeners.containsKey(server) ? listeners.get(server).accept() : SocketChannel.open(address(who));
             round();
         }
         assertThat(channel).as("a connection of " + who).isNotNull();
@@ -149,6 +162,10 @@
         return channel;
     }
 
+    private InetSocketAddress address(String who) throws IOException {
+        return who.startsWith("mget") ? router.multiGetAddress() : router.address();
+    }
+
     private void write(SocketChannel channel, byte[] bytes) throws IOException {
         ByteBuffer left = ByteBuffer.wrap(bytes);
         while (left.hasRemaining()) {
