Show the keys that are asked for most on SIGUSR1: the hot list, on in service

Core tells one narrow interface, RequestObserver, of each request that has ended (class, tenant, key, one of seven words, time); observers come last and a fault of theirs ends there. Ruled out: keeping two whole windows, which would take twice the memory; of the last one the shown lines are kept.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -120,9 +120,13 @@
             throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
-        Router router = new Router(config, features, clock, log);
+        Router router = new Router(config, features, clock, log, console);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
         Signal.handle(new Signal("HUP"), signal -> router.reload(file));
+        if (features.hotList() != null) {
+            // Before 'serving', so that whoever has read that may signal: unhandled, SIGUSR1 ends the process.
+            Signal.handle(new Signal("USR1"), signal -> router.showHotList());
+        }
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             router.end();
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -10,10 +10,13 @@
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.core.Core;
+import slateseam.router.core.Names;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
+import slateseam.router.hot.HotList;
 import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
+import slateseam.router.net.Lines;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -39,9 +42,11 @@
     /** The program's own listener first, then those of features. */
     private final List<Acceptor> acceptors = new ArrayList<>();
     private final Watch watch;
+    /** Null where it is off. */
+    private final HotList hotList;
 
     /** Opens a router; it serves once {@link #run} is called. */
-    public Router(NodeConfig config, Features features, Clock clock, Log log) throws IOException {
+    public Router(NodeConfig config, Features features, Clock clock, Log log, Lines out) throws IOException {
         loop = new Loop(clock, log);
         Limits limits = config.settings().limits();
         int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
@@ -67,6 +72,14 @@
         if (!config.settings().askedDiscovery()) {
             watch.begin();
         }
+        Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
+        Features.HotList hot = features.hotList();
+        if (hot == null) {
+            hotList = null;
+        } else {
+            hotList = new HotList(loop, names, out, hot.slots(), hot.windowNanos(), hot.shown());
+            core.observe(hotList);
+        }
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
         front = new RespFront(loop, longestNanos, userAgents);
         acceptors.add(new Acceptor(loop, config.listen(), front, new Commands(requests)));
@@ -113,6 +126,11 @@
         });
     }
 
+    /** Shows the keys that are asked for most, if that is on; may be called from any thread. */
+    public void showHotList() {
+        loop.handOver(hotList::show);
+    }
+
     /**
      * Begins a planned end; may be called from any thread. New connections are taken for a while yet, then connections
      * are closed between requests, and when the last has gone the loop ends.
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -5,21 +5,27 @@
 import java.util.HashMap;
 import java.util.Map;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
+import slateseam.router.net.Clock;
 
 /**
  * The features that our own settings file turns on, beside the platform's configuration. One that is off is null.
  *
  * @param multiGet the second listener, for many values at once
+ * @param hotList which keys are asked for most
  */
-public record Features(MultiGet multiGet) {
+public record Features(MultiGet multiGet, HotList hotList) {
     /** No feature at all, as without a settings file. */
-    public static final Features OFF = new Features(null);
+    public static final Features OFF = new Features(null, null);
     private static final int MOST_PORT = 65_535;
 
     /** Many values in one answer: the listener's port, and how many commands one request may hold. */
     public record MultiGet(int port, int mostKeys) {
     }
 
+    /** The hot list: how many counters, over which time, and how many are shown. */
+    public record HotList(int slots, long windowNanos, int shown) {
+    }
+
     /** Reads a settings file for a router that has this configuration. */
     public static Features read(Path file, NodeConfig config) throws InvalidConfigException {
         SettingsFile settings = new SettingsFile(file);
@@ -30,8 +36,13 @@
         }
         int multiGetPort = port(settings, "multiget_port", ports);
         int multiGetKeys = settings.number("multiget_max_keys", 1, 1024, 64);
+        boolean hot = settings.on("hot_list");
+        HotList hotList = new HotList(settings.number("hot_slots", 1, 8192, 512),
+                settings.number("hot_window_s", 1, 86_400, 60) * 1_000 * Clock.MILLI,
+                settings.number("hot_show", 1, 100, 20));
         settings.rejectTheRest();
-        Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys));
+        Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
+                hot ? hotList : null);
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
             throw settings.fault("multiget_port", "the features need " + features.descriptors()
                     + " descriptors beside the router's " + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is "
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -48,6 +48,8 @@
         final long deadline;
         Deadline overdue;
         int attempts;
+        /** Whether its last attempt went to the origin. */
+        boolean atOrigin;
 
         Slot(Request request, Front front, long exchange, long deadline) {
             this.request = request;
@@ -55,6 +57,17 @@
             this.exchange = exchange;
             this.deadline = deadline;
         }
+
+        long openFor(long now) {
+            return now - (deadline - request.ttlNanos());
+        }
+
+        Ending ending(Answer answer) {
+            if (answer instanceof Answer.Served) {
+                return request.isWrite() ? Ending.WRITTEN : atOrigin ? Ending.MISS : Ending.HIT;
+            }
+            return answer instanceof Answer.Unavailable ? Ending.UNAVAILABLE : Ending.FAILED;
+        }
     }
 
     private final Loop loop;
@@ -63,6 +76,7 @@
     private final Slots<Slot> slots;
     /** What has happened; an action may make something happen at once, which waits its turn here. */
     private final Queue<Supplier<Event>> happenings = new ArrayDeque<>();
+    private final List<RequestObserver> observers = new ArrayList<>();
     private boolean handling;
     private long heldBytes;
     private Passes passes;
@@ -85,6 +99,11 @@
         happened(new Started());
     }
 
+    /** Tells an observer of each request that ends from now on. */
+    public void observe(RequestObserver observer) {
+        observers.add(observer);
+    }
+
     /** Something happened that concerns no request. */
     public void happened(Event event) {
         happened(() -> event);
@@ -94,6 +113,7 @@
     public long arrived(Request request, Front front, long exchange) {
         if (slots.isFull() || heldBytes + request.valueBytes() > MOST_HELD_BYTES) {
             front.answer(exchange, new Answer.Unavailable(settings.limits().maxRetryAfterNanos()));
+            tell(request, Ending.UNAVAILABLE, 0);
             return -1;
         }
         Slot slot = new Slot(request, front, exchange, loop.now() + request.ttlNanos());
@@ -107,9 +127,11 @@
     }
 
     @Override
-    public void left(long ticket) {
-        if (release(ticket) != null) {
+    public void withdrawn(long ticket, Ending why) {
+        Slot slot = release(ticket);
+        if (slot != null) {
             happened(new ClientGone(ticket));
+            tell(slot.request, why, slot.openFor(loop.now()));
         }
     }
 
@@ -179,6 +201,7 @@
             return;
         }
         slot.attempts++;
+        slot.atOrigin = passes.isOrigin(send.member());
         long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
         passes.begin(send.request(), slot.request, attempt, send.member(), timeout);
     }
@@ -187,6 +210,18 @@
         Slot slot = release(ticket);
         if (slot != null) {
             slot.front.answer(slot.exchange, answer);
+            tell(slot.request, slot.ending(answer), slot.openFor(loop.now()));
+        }
+    }
+
+    /** Guards requests against the features that watch them: those come last, and a fault of theirs ends here. */
+    private void tell(Request request, Ending ending, long nanos) {
+        for (RequestObserver observer : observers) {
+            try {
+                observer.ended(request.requestClass(), request.tenant(), request.key(), ending, nanos);
+            } catch (RuntimeException e) {
+                loop.log().line("internal-error", "a feature could not take a request's end: " + e);
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/slateseam/router/core/Names.java
@@ -0,0 +1,41 @@
+package slateseam.router.core;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Stream;
+import slateseam.decision.Api.RequestClass;
+import slateseam.decision.Api.Settings;
+import slateseam.decision.Api.Tenant;
+
+/**
+ * How features show classes, tenants and keys: as one word each, so that none can forge a line or a part of one.
+ *
+ * @param classes by number
+ * @param tenants by number; the last name is shared by all tenants that the settings do not know, so that nothing grows
+ *     with what user agents make up
+ */
+public record Names(List<String> classes, List<String> tenants) {
+    /** Of a key, so that lines stay short. */
+    private static final int MOST_KEY_BYTES = 256;
+
+    /** The names of a router's settings. */
+    public static Names of(Settings settings) {
+        return new Names(settings.classes().stream().map(RequestClass::name).map(Names::word).toList(),
+                Stream.concat(settings.tenants().stream().map(Tenant::name).map(Names::word), Stream.of("other"))
+                        .toList());
+    }
+
+    private static String word(String name) {
+        return name.isEmpty() ? "_" : name.replaceAll("[\\s\\p{C}\\p{Z}]", "_");
+    }
+
+    /** A key, cut off behind its first 256 bytes. */
+    public static String key(byte[] key) {
+        int shown = Math.min(key.length, MOST_KEY_BYTES);
+        byte[] visible = new byte[shown];
+        for (int i = 0; i < shown; i++) {
+            visible[i] = key[i] > ' ' && key[i] < 0x7f ? key[i] : (byte) '?';
+        }
+        return new String(visible, StandardCharsets.US_ASCII) + (shown < key.length ? "…" : "");
+    }
+}
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import slateseam.router.core.Answer;
+import slateseam.router.core.Ending;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
@@ -159,13 +160,13 @@
 
         /** Its user agent waits no longer for it, but for the batch: the core is told, and a late answer goes nowhere. */
         private void timedOut() {
-            requests.withdraw(this);
+            requests.withdraw(this, Ending.TIMEOUT);
             settle(Replies.line("-TIMEOUT"));
         }
 
         void withdraw() {
             loop.cancel(limit);
-            requests.withdraw(this);
+            requests.withdraw(this, Ending.LEFT);
         }
 
         private void settle(ByteBuffer... bytes) {
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -109,6 +109,12 @@
         }
     }
 
+    /** Whether a server is the origin, as the farm lists it now. */
+    public boolean isOrigin(long serverId) {
+        Farm.Entry entry = farm.entry(serverId);
+        return entry != null && entry.isOrigin();
+    }
+
     void end(Pass pass, ServerProtocol.Reply reply) {
         loop.cancel(pass.timeout);
         long duration = loop.now() - pass.begunAt;
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import slateseam.router.core.Answer;
+import slateseam.router.core.Ending;
 import slateseam.router.net.Bytes;
 
 /** The platform's commands, each an exchange of its own. */
@@ -50,7 +51,7 @@
 
         @Override
         public void withdraw() {
-            requests.withdraw(asked);
+            requests.withdraw(asked, Ending.LEFT);
         }
     }
 }
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -9,6 +9,7 @@
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
 import slateseam.router.core.Answer;
+import slateseam.router.core.Ending;
 import slateseam.router.core.Facts;
 import slateseam.router.core.Intake;
 import slateseam.router.core.Request;
@@ -91,10 +92,10 @@
     }
 
     /** Gives a request up, if it is still owed an answer: what comes for it later goes nowhere. */
-    public void withdraw(Open asked) {
+    public void withdraw(Open asked, Ending why) {
         if (open.remove(asked.number) != null) {
             openIds.remove(asked.id);
-            core.left(asked.request);
+            core.withdrawn(asked.request, why);
         }
     }
 
--- /dev/null
+++ b/src/test/java/slateseam/ServeTest.java
@@ -0,0 +1,112 @@
+package slateseam;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as it is started in service: a process of its own, its signals and its standard error. */
+@Timeout(120)
+class ServeTest {
+    @TempDir
+    Path dir;
+    private Process process;
+    private BufferedReader err;
+    private Socket socket;
+    private BufferedReader answers;
+
+    /** Starts a router with an empty farm, so that each request gets its unavailable answer at once. */
+    private void start(String... settings) throws IOException {
+        String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
+                .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []");
+        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "slateseam.Main", "serve",
+                "--config", Files.writeString(dir.resolve("config.json"), config).toString(),
+                "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()).start();
+        err = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
+        String serving = line("example: serving: at ");
+        socket = new Socket("127.0.0.1", Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)));
+        answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        process.destroyForcibly().waitFor();
+        socket.close();
+    }
+
+    private String line(String begin) throws IOException {
+        String line = err.readLine();
+        while (line != null && !line.startsWith(begin)) {
+            line = err.readLine();
+        }
+        assertThat(line).as(begin).isNotNull();
+        return line;
+    }
+
+    private void ask(String... words) throws IOException {
+        StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        socket.getOutputStream().write(command.toString().getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private void get(String key) throws IOException {
+        ask("CACHE.GET", key, "id", "c=read,t=acme,d=480");
+        assertThat(answers.readLine()).isEqualTo("-BUSY 2000");
+    }
+
+    private void signal(String name) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor()).isZero();
+    }
+
+    @Test
+    void aSignalShowsTheKeyThatWasAskedForMost() throws Exception {
+        start("hot_list on", "hot_show 3");
+        for (int i = 0; i < 3_000; i++) {
+            get(i % 3 == 0 ? "famous" : "k" + i);
+        }
+        signal("USR1");
+        List<String> shown = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            shown.add(line("hot "));
+        }
+        assertThat(shown).allMatch(line -> line.matches("hot t=acme key=\\w+ rate=[0-9.]+/s err<=[0-9.]+/s"));
+        assertThat(shown.get(0)).startsWith("hot t=acme key=famous rate=");
+        // 1000 requests, too high by 3000 / 512 at most; what the figures are cut off at changes with the time spent.
+        String[] figures = shown.get(0).replaceAll("[^0-9. ]", "").trim().split(" +");
+        assertThat(Double.parseDouble(figures[0]) / Double.parseDouble(figures[1])).isBetween(80.0, 180.0);
+    }
+
+    @Test
+    void aReaderOfStandardErrorThatHasStoppedHoldsUpNeitherRequestsNorTheEnd() throws Exception {
+        start("hot_list on", "hot_show 100");
+        for (int i = 0; i < 100; i++) {
+            get("k".repeat(300) + i);
+        }
+        // A pipe takes 64 KiB, and each signal brings 30 KB: with what waits in the router nothing goes on soon.
+        for (int i = 0; process.getErrorStream().available() < 60_000; i++) {
+            assertThat(i).isLessThan(100_000);
+            signal("USR1");
+            get("k");
+        }
+        for (int i = 0; i < 100; i++) {
+            signal("USR1");
+            get("k" + i);
+        }
+        signal("TERM");
+        assertThat(process.waitFor()).isEqualTo(143);
+    }
+}
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -26,7 +26,8 @@
  * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
  * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
  * {@code ended}, {@code log TEXT} (the log has it),
- * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again), or
+ * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again),
+ * {@code show the hot list}, or
  * {@code config OLD => NEW}, which changes the configuration, and {@code setting NAME VALUE}, a line of the settings file;
  * these two come before all others. WHO is a server of the configuration or, with any other name, a user agent, which
  * connects on its first line: to the listener for many values if its name begins with {@code mget}. A server takes its next connection when its
@@ -65,7 +66,7 @@
         Features features = Features.read(settings, node);
         Files.delete(settings);
         router = new Router(node, features, () -> now,
-                new Log("n0", () -> now, console));
+                new Log("n0", () -> now, console), console);
     }
 
     private static boolean isSetting(String line) {
@@ -108,6 +109,9 @@
         if (line.equals("end")) {
             router.end();
             round();
+        } else if (line.equals("show the hot list")) {
+            router.showHotList();
+            round();
         } else if (words[0].equals("reload")) {
             Path file = Files.createTempFile("node", ".json");
             router.reload(Files.writeString(file, fill(changed(config, line.substring(7)))));
--- a/src/test/java/slateseam/router/config/FeaturesTest.java
+++ b/src/test/java/slateseam/router/config/FeaturesTest.java
@@ -32,6 +32,8 @@
         assertThat(read("multiget_max_keys 5")).isEqualTo(Features.OFF);
         assertThat(read("\tmultiget_port\t7000 # beside ;#multiget_max_keys 1").multiGet())
                 .isEqualTo(new Features.MultiGet(7000, 64));
+        assertThat(read("hot_list off")).isEqualTo(Features.OFF);
+        assertThat(read("hot_list on").hotList()).isEqualTo(new Features.HotList(512, 60_000_000_000L, 20));
     }
 
     @ParameterizedTest
@@ -44,6 +46,10 @@
         "multiget_port 7000 7001|1: multiget_port is 7000 7001, no",
         "multiget_port 6379|1: multiget_port is 6379, which clashes with the program's own address",
         "multiget_port 8500|1: multiget_port is 8500, which clashes with discovery",
+        "hot_list yes|1: hot_list is yes, not one of off, on",
+        "hot_slots 0|1: hot_slots is 0, no",
+        "hot_window_s 1.5|1: hot_window_s is 1.5, no",
+        "hot_show 101|1: hot_show is 101, no",
         "multiget_port 7000;multiget_max_keys 0|2: multiget_max_keys is 0",
         "multiget_port 7000;multiget_max_keys -1|2: multiget_max_keys is -1",
         "multiget_port 7000;multiget_max_keys 9999999999|2: multiget_max_keys is 9999999999"})
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.core.Answer;
+import slateseam.router.core.Ending;
 import slateseam.router.core.Intake;
 import slateseam.router.core.Request;
 import slateseam.router.net.Bytes;
@@ -39,7 +40,7 @@
         }
 
         @Override
-        public void left(long ticket) {
+        public void withdrawn(long ticket, Ending why) {
             left.add(ticket);
         }
     }, NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings(), 1_000);
