Write counters, gauges and timers for a collector: figures, on in service

Figures adds up what ends by class, tenant and outcome and writes a batch each flush, so that memory and lines are bounded by their combinations (256 at a time) and not by requests; times go into 14 classes, each a line with its mean and a sample rate. Batches of whole lines go to standard error up to a cap, to a file, or in datagrams of 1432 bytes; what cannot be written is dropped whole and told of in the next batch. Ruled out: a line a request, which reaches the cap within a minute, and a mean alone, which hides slow answers.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -13,10 +13,11 @@
 import slateseam.router.core.Names;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
+import slateseam.router.figures.Figures;
 import slateseam.router.hot.HotList;
 import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
-import slateseam.router.net.Lines;
+import slateseam.router.net.Console;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -44,9 +45,11 @@
     private final Watch watch;
     /** Null where it is off. */
     private final HotList hotList;
+    /** Null where they are off. */
+    private final Figures figures;
 
     /** Opens a router; it serves once {@link #run} is called. */
-    public Router(NodeConfig config, Features features, Clock clock, Log log, Lines out) throws IOException {
+    public Router(NodeConfig config, Features features, Clock clock, Log log, Console console) throws IOException {
         loop = new Loop(clock, log);
         Limits limits = config.settings().limits();
         int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
@@ -77,16 +80,23 @@
         if (hot == null) {
             hotList = null;
         } else {
-            hotList = new HotList(loop, names, out, hot.slots(), hot.windowNanos(), hot.shown());
+            hotList = new HotList(loop, names, console, hot.slots(), hot.windowNanos(), hot.shown());
             core.observe(hotList);
         }
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
         front = new RespFront(loop, longestNanos, userAgents);
-        acceptors.add(new Acceptor(loop, config.listen(), front, new Commands(requests)));
+        if (features.figures() == null) {
+            figures = null;
+        } else {
+            figures = new Figures(features.figures(), loop, names, console, front::connections, farm::readyServers);
+            core.observe(figures);
+        }
+        acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests))));
         if (features.multiGet() != null) {
-            acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()), front,
-                    new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
-                            MOST_HELD_BYTES)));
+            MultiGet dialect = new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
+                    MOST_HELD_BYTES);
+            acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()),
+                    front.gate(dialect)));
         }
     }
 
@@ -151,12 +161,19 @@
         front.close();
         stopWhenEmpty();
         // Guards against a user agent that never finishes its command: by then every answer is out.
-        loop.after(longestNanos, loop::stop);
+        loop.after(longestNanos, this::stop);
     }
 
     private void stopWhenEmpty() {
-        if (front.isEmpty()) {
-            loop.stop();
+        if (front.connections() == 0) {
+            stop();
+        }
+    }
+
+    private void stop() {
+        if (figures != null && !loop.isStopped()) {
+            figures.close();
         }
+        loop.stop();
     }
 }
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -12,10 +12,11 @@
  *
  * @param multiGet the second listener, for many values at once
  * @param hotList which keys are asked for most
+ * @param figures counters, gauges and timers
  */
-public record Features(MultiGet multiGet, HotList hotList) {
+public record Features(MultiGet multiGet, HotList hotList, Figures figures) {
     /** No feature at all, as without a settings file. */
-    public static final Features OFF = new Features(null, null);
+    public static final Features OFF = new Features(null, null, null);
     private static final int MOST_PORT = 65_535;
 
     /** Many values in one answer: the listener's port, and how many commands one request may hold. */
@@ -26,6 +27,10 @@
     public record HotList(int slots, long windowNanos, int shown) {
     }
 
+    /** Figures: their format, how often they are written, and where to; file and datagrams are null where not set. */
+    public record Figures(boolean influx, long flushNanos, long mostStderrBytes, Path file, InetSocketAddress udp) {
+    }
+
     /** Reads a settings file for a router that has this configuration. */
     public static Features read(Path file, NodeConfig config) throws InvalidConfigException {
         SettingsFile settings = new SettingsFile(file);
@@ -40,11 +45,17 @@
         HotList hotList = new HotList(settings.number("hot_slots", 1, 8192, 512),
                 settings.number("hot_window_s", 1, 86_400, 60) * 1_000 * Clock.MILLI,
                 settings.number("hot_show", 1, 100, 20));
+        boolean figuresOn = settings.on("figures");
+        String path = settings.text("figures_file");
+        Figures figures = new Figures(settings.word("figures_format", "statsd", "influx").equals("influx"),
+                settings.number("figures_flush_ms", 100, 3_600_000, 10_000) * Clock.MILLI,
+                settings.number("figures_stderr_max_kb", 1, 1024 * 1024, 768) * 1024L,
+                path == null ? null : Path.of(path), address(settings, "figures_udp"));
         settings.rejectTheRest();
         Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
-                hot ? hotList : null);
+                hot ? hotList : null, figuresOn ? figures : null);
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
-            throw settings.fault("multiget_port", "the features need " + features.descriptors()
+            throw settings.fault(multiGetPort > 0 ? "multiget_port" : "figures", "the features need " + features.descriptors()
                     + " descriptors beside the router's " + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is "
                     + config.sockets());
         }
@@ -62,9 +73,23 @@
         return port;
     }
 
+    /** An address and a port to send to; null if it is not set. */
+    private static InetSocketAddress address(SettingsFile settings, String name) throws InvalidConfigException {
+        String text = settings.text(name);
+        InetSocketAddress address = text == null ? null : NodeConfig.address(text);
+        if (text != null && (address == null || address.getPort() == 0)) {
+            throw settings.fault(name, name + " is " + text + ", no address and port");
+        }
+        return address;
+    }
+
     /** How many descriptors they hold at most, beside connections that count as user agents'. */
     public int descriptors() {
-        return multiGet == null ? 0 : 1;
+        int descriptors = multiGet == null ? 0 : 1;
+        if (figures != null) {
+            descriptors += (figures.file() == null ? 0 : 1) + (figures.udp() == null ? 0 : 1);
+        }
+        return descriptors;
     }
 
     /** Where a listener beside the program's own is: on its host; at any port where its own port may be any. */
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -48,6 +48,11 @@
         return entries.get(id);
     }
 
+    /** How many application servers want new requests; the origin is none. */
+    public int readyServers() {
+        return (int) entries.values().stream().filter(entry -> entry.isReady() && !entry.isOrigin()).count();
+    }
+
     /** The version of what discovery told last. */
     public long version() {
         return version;
--- /dev/null
+++ b/src/main/java/slateseam/router/figures/Cell.java
@@ -0,0 +1,59 @@
+package slateseam.router.figures;
+
+/**
+ * The requests of one class, tenant and ending since the last flush: how many, and their times in so many classes, each
+ * twice as wide as the one before, so that memory and lines do not grow with the requests.
+ */
+final class Cell {
+    private static final int TIMES = 14;
+    private static final double MILLI = 1_000_000;
+
+    private final int[] counts = new int[TIMES];
+    private final long[] nanos = new long[TIMES];
+    private long most;
+
+    void add(long time) {
+        long millis = Math.max(0, time) / (long) MILLI;
+        int place = Math.min(TIMES - 1, Long.SIZE - Long.numberOfLeadingZeros(millis));
+        counts[place]++;
+        nanos[place] += Math.max(0, time);
+        most = Math.max(most, time);
+    }
+
+    long count() {
+        long all = 0;
+        for (int count : counts) {
+            all += count;
+        }
+        return all;
+    }
+
+    int classesOfTimes() {
+        return TIMES;
+    }
+
+    int count(int place) {
+        return counts[place];
+    }
+
+    /** The mean of a class of times, in milliseconds. */
+    double mean(int place) {
+        return tenths(nanos[place] / MILLI / counts[place]);
+    }
+
+    double mean() {
+        double all = 0;
+        for (long sum : nanos) {
+            all += sum;
+        }
+        return tenths(all / MILLI / count());
+    }
+
+    double most() {
+        return tenths(most / MILLI);
+    }
+
+    private static double tenths(double millis) {
+        return Math.round(millis * 10) / 10.0;
+    }
+}
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -7,28 +7,39 @@
 import java.nio.channels.SocketChannel;
 import slateseam.router.net.Loop;
 
-/** Accepts the connections of user agents. */
+/** Accepts connections at one listener. */
 public final class Acceptor {
     private static final int BACKLOG = 512;
     private static final long PAUSE_NANOS = 50_000_000L;
     private static final int MOST_AT_ONCE = 64;
 
+    /** Whom the connections are for. */
+    public interface Gate {
+        /** Whether one more can be taken. */
+        boolean makeRoom();
+
+        /** Takes a connection. */
+        void accept(SocketChannel channel) throws IOException;
+
+        /** Calls back when there may be room again. */
+        default void onRoom(Runnable action) {
+        }
+    }
+
     private final Loop loop;
-    private final RespFront front;
-    private final Dialect dialect;
+    private final Gate gate;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private boolean closed;
 
-    /** Listens at an address for commands of a dialect. */
-    public Acceptor(Loop loop, InetSocketAddress listen, RespFront front, Dialect dialect) throws IOException {
+    /** Listens at an address. */
+    public Acceptor(Loop loop, InetSocketAddress listen, Gate gate) throws IOException {
         this.loop = loop;
-        this.front = front;
-        this.dialect = dialect;
+        this.gate = gate;
         this.channel = ServerSocketChannel.open();
         channel.bind(listen, BACKLOG);
         this.key = loop.register(channel, SelectionKey.OP_ACCEPT, ready -> accept());
-        front.onClose(this::resume);
+        gate.onRoom(this::resume);
     }
 
     /** Where it listens. */
@@ -45,7 +56,7 @@
     private void accept() {
         try {
             for (int i = 0; i < MOST_AT_ONCE; i++) {
-                if (!front.makeRoom()) {
+                if (!gate.makeRoom()) {
                     loop.log().line("user-agents-full", "no further connection is taken until one can be closed");
                     pause();
                     return;
@@ -54,7 +65,7 @@
                 if (accepted == null) {
                     return;
                 }
-                front.accept(accepted, dialect);
+                gate.accept(accepted);
             }
         } catch (IOException e) {
             // Guards the loop when descriptors run out: the ready backlog would keep it spinning.
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -51,9 +51,9 @@
         this.userAgents = new Slots<>(mostConnections);
     }
 
-    /** Whether no connection is open. */
-    public boolean isEmpty() {
-        return userAgents.size() == 0;
+    /** How many connections are open. */
+    public int connections() {
+        return userAgents.size();
     }
 
     /** Calls back after each close of a connection; further ones too. */
@@ -61,12 +61,32 @@
         whenClosed.add(action);
     }
 
+    /** The gate of a listener whose commands are of a dialect. */
+    public Acceptor.Gate gate(Dialect dialect) {
+        return new Acceptor.Gate() {
+            @Override
+            public boolean makeRoom() {
+                return RespFront.this.makeRoom();
+            }
+
+            @Override
+            public void accept(SocketChannel channel) throws IOException {
+                RespFront.this.accept(channel, dialect);
+            }
+
+            @Override
+            public void onRoom(Runnable action) {
+                onClose(action);
+            }
+        };
+    }
+
     /**
      * Whether a connection can be taken. Guards against user agents that hold connections without a request: for want of
      * room one that has been answered and is about to end goes first, then the one that has said nothing for longest,
      * then the one that has been idle for longest.
      */
-    public boolean makeRoom() {
+    private boolean makeRoom() {
         if (userAgents.isFull()) {
             List<UserAgent> spare = userAgents.all().stream().filter(UserAgent::isSpare).sorted(Comparator
                     .comparing((UserAgent u) -> u.state == State.END ? 0 : u.state == State.FIRST_COMMAND ? 1 : 2)
@@ -82,7 +102,7 @@
     }
 
     /** Takes a connection, whose commands are of a dialect. */
-    public void accept(SocketChannel channel, Dialect dialect) throws IOException {
+    private void accept(SocketChannel channel, Dialect dialect) throws IOException {
         try {
             UserAgent userAgent = new UserAgent(channel, dialect);
             userAgent.ticket = userAgents.add(userAgent);
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -90,9 +90,22 @@
         assertThat(Double.parseDouble(figures[0]) / Double.parseDouble(figures[1])).isBetween(80.0, 180.0);
     }
 
+    @Test
+    void behindTheCapNoFigureFollows() throws Exception {
+        start("figures on", "figures_flush_ms 100", "figures_stderr_max_kb 1");
+        for (int i = 0; !err.ready() || !err.readLine().equals("figures capped"); i++) {
+            get("k" + i);
+        }
+        for (int i = 0; i < 1_000; i++) {
+            get("k" + i);
+        }
+        signal("TERM");
+        assertThat(err.lines()).noneMatch(line -> line.startsWith("slateseam.") || line.startsWith("figures"));
+    }
+
     @Test
     void aReaderOfStandardErrorThatHasStoppedHoldsUpNeitherRequestsNorTheEnd() throws Exception {
-        start("hot_list on", "hot_show 100");
+        start("hot_list on", "hot_show 100", "figures on", "figures_flush_ms 100");
         for (int i = 0; i < 100; i++) {
             get("k".repeat(300) + i);
         }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -5,12 +5,14 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +32,8 @@
  * {@code show the hot list}, or
  * {@code config OLD => NEW}, which changes the configuration, and {@code setting NAME VALUE}, a line of the settings file;
  * these two come before all others. WHO is a server of the configuration or, with any other name, a user agent, which
- * connects on its first line: to the listener for many values if its name begins with {@code mget}. A server takes its next connection when its
+ * connects on its first line: to the listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. The lines
+ * from {@code repeat N} to {@code again} are played N times. A server takes its next connection when its
  * last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
  */
 final class Recorded {
@@ -50,7 +53,8 @@
     private long now = 1_000_000_000_000L * MILLI;
 
     Recorded(Path file) throws Exception {
-        steps = Files.readAllLines(file).stream().filter(line -> !line.isBlank() && !line.startsWith("#")).toList();
+        steps = repeated(Files.readAllLines(file).stream().filter(line -> !line.isBlank() && !line.startsWith("#"))
+                .toList());
         String text = Files.readString(Path.of("src/test/resources/node.json"));
         for (String line : steps) {
             text = line.startsWith("config ") ? changed(text, line.substring(7)) : text;
@@ -69,6 +73,22 @@
                 new Log("n0", () -> now, console), console);
     }
 
+    private static List<String> repeated(List<String> lines) {
+        List<String> all = new ArrayList<>();
+        for (int i = 0; i < lines.size(); i++) {
+            if (lines.get(i).startsWith("repeat ")) {
+                int end = i + lines.subList(i, lines.size()).indexOf("again");
+                for (int n = Integer.parseInt(lines.get(i).substring(7)); n > 0; n--) {
+                    all.addAll(lines.subList(i + 1, end));
+                }
+                i = end;
+            } else {
+                all.add(lines.get(i));
+            }
+        }
+        return all;
+    }
+
     private static boolean isSetting(String line) {
         return line.startsWith("setting ");
     }
@@ -127,10 +147,11 @@
         } else if (line.equals("log stops") || line.equals("log goes on")) {
             log.stop(line.endsWith("stops"));
         } else if (words[0].equals("log")) {
-            for (int i = 0; i < MOST_ROUNDS && !log.text().contains(line.substring(4)); i++) {
+            String logged = line.substring(4).replace("\\n", "\n");
+            for (int i = 0; i < MOST_ROUNDS && !log.text().contains(logged); i++) {
                 round();
             }
-            assertThat(log.text()).contains(line.substring(4));
+            assertThat(log.text()).contains(logged);
         } else if (words[1].equals(">")) {
             write(channel(words[0]), bytes(rest));
         } else if (words[1].equals("<")) {
@@ -157,7 +178,7 @@
         SocketChannel channel = channels.get(who);
         String server = who.replaceFirst("#.*", "");
         for (int i = 0; channel == null && i < MOST_ROUNDS; i++) {
-            channel = listeners.containsKey(server) ? listeners.get(server).accept() : SocketChannel.open(address(who));
+            channel = listeners.containsKey(server) ? listeners.get(server).accept() : connect(who);
             round();
         }
         assertThat(channel).as("a connection of " + who).isNotNull();
@@ -166,8 +187,14 @@
         return channel;
     }
 
-    private InetSocketAddress address(String who) throws IOException {
-        return who.startsWith("mget") ? router.multiGetAddress() : router.address();
+    private SocketChannel connect(String who) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        if (who.startsWith("tap")) {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, 4096); // so that one which does not read is soon full
+        }
+        channel.connect(who.startsWith("mget") ? router.multiGetAddress()
+                : router.address());
+        return channel;
     }
 
     private void write(SocketChannel channel, byte[] bytes) throws IOException {
--- a/src/test/java/slateseam/router/config/FeaturesTest.java
+++ b/src/test/java/slateseam/router/config/FeaturesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
@@ -32,6 +33,12 @@
         assertThat(read("multiget_max_keys 5")).isEqualTo(Features.OFF);
         assertThat(read("\tmultiget_port\t7000 # beside ;#multiget_max_keys 1").multiGet())
                 .isEqualTo(new Features.MultiGet(7000, 64));
+        assertThat(read("figures on").figures())
+                .isEqualTo(new Features.Figures(false, 10_000_000_000L, 786_432, null, null));
+        Features sent = read("figures on;figures_file /var/f #1;figures_udp 127.0.0.1:8125;figures_format influx");
+        assertThat(sent.figures()).isEqualTo(new Features.Figures(true, 10_000_000_000L, 786_432, Path.of("/var/f"),
+                new InetSocketAddress("127.0.0.1", 8125)));
+        assertThat(sent.descriptors()).isEqualTo(2);
         assertThat(read("hot_list off")).isEqualTo(Features.OFF);
         assertThat(read("hot_list on").hotList()).isEqualTo(new Features.HotList(512, 60_000_000_000L, 20));
     }
@@ -47,6 +54,11 @@
         "multiget_port 6379|1: multiget_port is 6379, which clashes with the program's own address",
         "multiget_port 8500|1: multiget_port is 8500, which clashes with discovery",
         "hot_list yes|1: hot_list is yes, not one of off, on",
+        "figures_format json|1: figures_format is json, not one of statsd, influx",
+        "figures_flush_ms 99|1: figures_flush_ms is 99, no",
+        "figures_stderr_max_kb 0|1: figures_stderr_max_kb is 0, no",
+        "figures_udp localhost:8125|1: figures_udp is localhost:8125, no address and port",
+        "figures_udp 127.0.0.1:0|1: figures_udp is 127.0.0.1:0, no address and port",
         "hot_slots 0|1: hot_slots is 0, no",
         "hot_window_s 1.5|1: hot_window_s is 1.5, no",
         "hot_show 101|1: hot_show is 101, no",
