Show requests as they end to those who connect: the tap, tap_port

Tap observes what core tells of ended requests, as the hot list and the figures do; a watcher writes one filter line and gets a line a request, gathered a round, from a bounded buffer of its own. One whose buffer fills is cut at once and no other is touched. A filter is bounded in length and time; unknown or repeated fields, names that no request can have and a sample outside 0 to 1 are malformed. Its descriptors come out of limits.sockets. Found on reading meanwhile: what ended serve with an error was told to a console that was closed already; mended in Main. Off by default.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -104,8 +104,9 @@
 
     private static int serve(NodeConfig config, Features features, Path file, PrintStream err) {
         Console console = new Console(config.name(), err);
+        CountDownLatch ended = new CountDownLatch(1);
         try {
-            serve(config, features, file, console);
+            serve(config, features, file, console, ended);
             return 0;
         } catch (IOException e) {
             // Not printed from here: an exit must not hang on a reader of standard error that has stopped.
@@ -113,11 +114,13 @@
             return FAILED;
         } finally {
             console.close();
+            // Guards against an exit that waits for the hook while the hook waits for this thread.
+            ended.countDown();
         }
     }
 
-    private static void serve(NodeConfig config, Features features, Path file, Console console)
-            throws IOException {
+    private static void serve(NodeConfig config, Features features, Path file, Console console,
+            CountDownLatch ended) throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
         Router router = new Router(config, features, clock, log, console);
@@ -127,7 +130,6 @@
             // Before 'serving', so that whoever has read that may signal: unhandled, SIGUSR1 ends the process.
             Signal.handle(new Signal("USR1"), signal -> router.showHotList());
         }
-        CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             router.end();
             try {
@@ -137,14 +139,8 @@
             }
         }));
         log.line("serving", "at " + router.address());
-        try {
-            router.run();
-            log.line("ended", "every connection was closed between requests");
-        } finally {
-            console.close();
-            // Guards against an exit that waits for the hook while the hook waits for this thread.
-            ended.countDown();
-        }
+        router.run();
+        log.line("ended", "every connection was closed between requests");
     }
 
     private static String version() {
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -23,6 +23,7 @@
 import slateseam.router.net.MalformedException;
 import slateseam.router.pass.Passes;
 import slateseam.router.peer.Peers;
+import slateseam.router.tap.Tap;
 import slateseam.router.useragent.Acceptor;
 import slateseam.router.useragent.Commands;
 import slateseam.router.useragent.Requests;
@@ -47,6 +48,8 @@
     private final HotList hotList;
     /** Null where they are off. */
     private final Figures figures;
+    /** Null where it is off. */
+    private final Tap tap;
 
     /** Opens a router; it serves once {@link #run} is called. */
     public Router(NodeConfig config, Features features, Clock clock, Log log, Console console) throws IOException {
@@ -98,6 +101,13 @@
             acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()),
                     front.gate(dialect)));
         }
+        if (features.tap() == null) {
+            tap = null;
+        } else {
+            tap = new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
+                    config.seed());
+            core.observe(tap);
+        }
     }
 
     /** Where user agents connect. */
@@ -110,6 +120,11 @@
         return acceptors.get(1).address();
     }
 
+    /** Where watchers connect, if the tap is on. */
+    public InetSocketAddress tapAddress() throws IOException {
+        return tap.address();
+    }
+
     /** The loop that everything lives on. */
     public Loop loop() {
         return loop;
@@ -154,6 +169,9 @@
             for (Acceptor acceptor : acceptors) {
                 acceptor.close();
             }
+            if (tap != null) {
+                tap.close();
+            }
         } catch (IOException e) {
             loop.log().line("socket-error", e.toString());
         }
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -13,10 +13,11 @@
  * @param multiGet the second listener, for many values at once
  * @param hotList which keys are asked for most
  * @param figures counters, gauges and timers
+ * @param tap requests as they end, live
  */
-public record Features(MultiGet multiGet, HotList hotList, Figures figures) {
+public record Features(MultiGet multiGet, HotList hotList, Figures figures, Tap tap) {
     /** No feature at all, as without a settings file. */
-    public static final Features OFF = new Features(null, null, null);
+    public static final Features OFF = new Features(null, null, null, null);
     private static final int MOST_PORT = 65_535;
 
     /** Many values in one answer: the listener's port, and how many commands one request may hold. */
@@ -31,6 +32,10 @@
     public record Figures(boolean influx, long flushNanos, long mostStderrBytes, Path file, InetSocketAddress udp) {
     }
 
+    /** The tap: its port, the buffer of each watcher, and how many there may be. */
+    public record Tap(int port, int bufferBytes, int mostWatchers) {
+    }
+
     /** Reads a settings file for a router that has this configuration. */
     public static Features read(Path file, NodeConfig config) throws InvalidConfigException {
         SettingsFile settings = new SettingsFile(file);
@@ -51,11 +56,14 @@
                 settings.number("figures_flush_ms", 100, 3_600_000, 10_000) * Clock.MILLI,
                 settings.number("figures_stderr_max_kb", 1, 1024 * 1024, 768) * 1024L,
                 path == null ? null : Path.of(path), address(settings, "figures_udp"));
+        int tapPort = port(settings, "tap_port", ports);
+        Tap tap = new Tap(tapPort, settings.number("tap_buffer_kb", 1, 1024, 64) * 1024,
+                settings.number("tap_max", 1, 16, 4));
         settings.rejectTheRest();
         Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
-                hot ? hotList : null, figuresOn ? figures : null);
+                hot ? hotList : null, figuresOn ? figures : null, tapPort == 0 ? null : tap);
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
-            throw settings.fault(multiGetPort > 0 ? "multiget_port" : "figures", "the features need " + features.descriptors()
+            throw settings.fault(tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : "figures", "the features need " + features.descriptors()
                     + " descriptors beside the router's " + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is "
                     + config.sockets());
         }
@@ -89,6 +97,9 @@
         if (figures != null) {
             descriptors += (figures.file() == null ? 0 : 1) + (figures.udp() == null ? 0 : 1);
         }
+        if (tap != null) {
+            descriptors += 1 + 2 * tap.mostWatchers(); // the listener, watchers, and as many that are turned away
+        }
         return descriptors;
     }
 
--- a/src/test/java/slateseam/MainTest.java
+++ b/src/test/java/slateseam/MainTest.java
@@ -47,8 +47,10 @@
     }
 
     @Test
-    void theSettingsOfServiceAreInOrder() {
-        assertThat(run("check-config", "--config", "examples/config.json", "--features", "deploy/slateseam.conf")).isZero();
+    void theSettingsFilesThatComeWithTheProgramAreInOrder() {
+        for (String file : new String[] {"deploy/slateseam.conf", "examples/slateseam.conf"}) {
+            assertThat(run("check-config", "--config", "examples/config.json", "--features", file)).isZero();
+        }
     }
 
     @Test
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -26,15 +26,15 @@
 /**
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
  * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
- * {@code WHO sees the end}, {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins),
- * {@code ended}, {@code log TEXT} (the log has it),
- * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again),
- * {@code show the hot list}, or
- * {@code config OLD => NEW}, which changes the configuration, and {@code setting NAME VALUE}, a line of the settings file;
- * these two come before all others. WHO is a server of the configuration or, with any other name, a user agent, which
- * connects on its first line: to the listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. The lines
- * from {@code repeat N} to {@code again} are played N times. A server takes its next connection when its
- * last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
+ * {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it), {@code WHO stops listening},
+ * {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code log TEXT} (the log has it),
+ * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again) or
+ * {@code show the hot list}; the lines from {@code repeat N} to {@code again} are played N times. Before all others come
+ * {@code config OLD => NEW}, which changes the configuration, and {@code setting NAME VALUE}, a line of the settings file.
+ *
+ * <p>WHO is a server of the configuration or, with any other name, a user agent, which connects on its first line: to the
+ * listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. A server takes its next
+ * connection when its last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
  */
 final class Recorded {
     /** A guard against waiting for ever; no test depends on how long a round takes. */
@@ -163,6 +163,10 @@
         } else if (line.endsWith("sees the end")) {
             assertThat(read(words[0], 1)).as(line).isEqualTo("(end)");
             channels.remove(words[0]).close();
+        } else if (line.endsWith("reads to the end")) {
+            while (!read(words[0], 1).equals("(end)")) {
+                assertThat(channels.get(words[0]).isConnected()).as(line).isTrue();
+            }
         } else if (line.endsWith("stops listening")) {
             listeners.get(words[0]).close();
         } else {
@@ -192,7 +196,7 @@
         if (who.startsWith("tap")) {
             channel.setOption(StandardSocketOptions.SO_RCVBUF, 4096); // so that one which does not read is soon full
         }
-        channel.connect(who.startsWith("mget") ? router.multiGetAddress()
+        channel.connect(who.startsWith("tap") ? router.tapAddress() : who.startsWith("mget") ? router.multiGetAddress()
                 : router.address());
         return channel;
     }
--- a/src/test/java/slateseam/router/config/FeaturesTest.java
+++ b/src/test/java/slateseam/router/config/FeaturesTest.java
@@ -39,6 +39,7 @@
         assertThat(sent.figures()).isEqualTo(new Features.Figures(true, 10_000_000_000L, 786_432, Path.of("/var/f"),
                 new InetSocketAddress("127.0.0.1", 8125)));
         assertThat(sent.descriptors()).isEqualTo(2);
+        assertThat(read("tap_port 7001;tap_max 3").tap()).isEqualTo(new Features.Tap(7001, 65_536, 3));
         assertThat(read("hot_list off")).isEqualTo(Features.OFF);
         assertThat(read("hot_list on").hotList()).isEqualTo(new Features.HotList(512, 60_000_000_000L, 20));
     }
@@ -59,6 +60,9 @@
         "figures_stderr_max_kb 0|1: figures_stderr_max_kb is 0, no",
         "figures_udp localhost:8125|1: figures_udp is localhost:8125, no address and port",
         "figures_udp 127.0.0.1:0|1: figures_udp is 127.0.0.1:0, no address and port",
+        "tap_port 7000;multiget_port 7000|1: tap_port is 7000, which clashes with multiget_port",
+        "tap_buffer_kb 0|1: tap_buffer_kb is 0, no",
+        "tap_max 17|1: tap_max is 17, no",
         "hot_slots 0|1: hot_slots is 0, no",
         "hot_window_s 1.5|1: hot_window_s is 1.5, no",
         "hot_show 101|1: hot_show is 101, no",
@@ -75,6 +79,7 @@
         assertThat(read("multiget_port 7000", "\"sockets\": 1024", "\"sockets\": 65").descriptors()).isEqualTo(1);
         assertThatThrownBy(() -> read("multiget_port 7000", "\"sockets\": 1024", "\"sockets\": 64"))
                 .hasMessageContaining(":1: the features need 1 descriptors");
+        assertThat(read("multiget_port 7000;tap_port 7001;tap_max 3").descriptors()).isEqualTo(8);
     }
 
     @Test
