--- a/src/main/java/slateseam/router/core/Names.java
+++ b/src/main/java/slateseam/router/core/Names.java
@@ -17,6 +17,7 @@
 public record Names(List<String> classes, List<String> tenants) {
     /** Of a key, so that lines stay short. */
     private static final int MOST_KEY_BYTES = 256;
+    private static final int DELETE = 0x7f;
 
     /** The names of a router's settings. */
     public static Names of(Settings settings) {
@@ -25,8 +26,20 @@
                         .toList());
     }
 
+    /** The name with {@code _} for all but visible ASCII and the letters and digits of other scripts. */
     private static String word(String name) {
-        return name.isEmpty() ? "_" : name.replaceAll("[\\s\\p{C}\\p{Z}]", "_");
+        StringBuilder word = new StringBuilder(name.isEmpty() ? "_" : name);
+        for (int i = 0; i < word.length(); i++) {
+            char c = word.charAt(i);
+            if (!isVisible(c) && (c < DELETE || !Character.isLetterOrDigit(c))) {
+                word.setCharAt(i, '_');
+            }
+        }
+        return word.toString();
+    }
+
+    private static boolean isVisible(int c) {
+        return c > ' ' && c < DELETE;
     }
 
     /** A key, cut off behind its first 256 bytes. */
@@ -34,7 +47,7 @@
         int shown = Math.min(key.length, MOST_KEY_BYTES);
         byte[] visible = new byte[shown];
         for (int i = 0; i < shown; i++) {
-            visible[i] = key[i] > ' ' && key[i] < 0x7f ? key[i] : (byte) '?';
+            visible[i] = isVisible(key[i]) ? key[i] : (byte) '?';
         }
         return new String(visible, StandardCharsets.US_ASCII) + (shown < key.length ? "…" : "");
     }
--- a/src/main/java/slateseam/router/figures/Format.java
+++ b/src/main/java/slateseam/router/figures/Format.java
@@ -1,6 +1,8 @@
 package slateseam.router.figures;
 
+import java.math.BigDecimal;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /** How figures are written, each on a line of its own. */
 enum Format {
@@ -13,7 +15,7 @@
 
         /** There is no way to escape what parts a line. */
         private String word(String value) {
-            return value.replaceAll("[|,:#]", "_");
+            return STATSD_PARTS.matcher(value).replaceAll("_");
         }
 
         @Override
@@ -26,13 +28,18 @@
             return "slateseam." + name + ":" + value + "|g";
         }
 
+        /** In full, as collectors work the number out again, and without an exponent, which some do not read. */
+        private String rate(int count) {
+            return new BigDecimal(Double.toString(1.0 / count)).toPlainString();
+        }
+
         /** A line for each class of times, with its mean, which the sample rate makes stand for all in that class. */
         @Override
         void timer(String name, String tags, Cell cell, Consumer<String> to) {
             for (int i = 0; i < cell.classesOfTimes(); i++) {
                 int count = cell.count(i);
                 if (count > 0) {
-                    to.accept("slateseam." + name + ":" + cell.mean(i) + "|ms" + (count > 1 ? "|@" + 1.0 / count : "")
+                    to.accept("slateseam." + name + ":" + cell.mean(i) + "|ms" + (count > 1 ? "|@" + rate(count) : "")
                             + tags);
                 }
             }
@@ -48,7 +55,7 @@
 
         /** A backslash escapes, but cannot itself be escaped. */
         private String word(String value) {
-            return value.replace('\\', '_').replaceAll("[,= ]", "\\\\$0");
+            return INFLUX_PARTS.matcher(value.replace('\\', '_')).replaceAll("\\\\$0");
         }
 
         @Override
@@ -69,6 +76,9 @@
         }
     };
 
+    private static final Pattern STATSD_PARTS = Pattern.compile("[|,:#]");
+    private static final Pattern INFLUX_PARTS = Pattern.compile("[,= ]");
+
     abstract String tags(String requestClass, String tenant, String ending);
 
     abstract String counter(String name, String tags, long value);
--- a/src/test/java/slateseam/router/figures/FiguresTest.java
+++ b/src/test/java/slateseam/router/figures/FiguresTest.java
@@ -63,22 +63,29 @@
         Path file = dir.resolve("figures");
         Figures figures = figures(1024, file, null);
         askForAll(figures);
+        awaitWriter(dir);
+        assertThat(ofTenants(Files.readString(file))).hasSize(256);
         figures.flush();
         console.close();
         assertThat(ofTenants(Files.readString(file))).hasSize(TENANTS);
         assertThat(reader.text()).isEmpty();
     }
 
+    /** Returns once all that the console had to write is written, or has failed: this comes behind it and fails. */
+    private void awaitWriter(Path dir) throws Exception {
+        CountDownLatch failed = new CountDownLatch(1);
+        console.append(dir, new byte[] {'\n'}, failed::countDown);
+        failed.await();
+    }
+
     @Test
     void whatAFileCannotTakeIsCountedAndToldOfLater(@TempDir Path dir) throws Exception {
         Path file = dir.resolve("late").resolve("figures");
         Figures figures = figures(1024, file, null);
         figures.flush();
-        figures.flush();
-        // What the writer does is in order: once this one has failed, so have those before it.
-        CountDownLatch failed = new CountDownLatch(1);
-        console.append(dir, new byte[] {'\n'}, failed::countDown);
-        failed.await();
+        awaitWriter(dir);
+        figures.flush(); // this batch tells of the first, and is lost with it
+        awaitWriter(dir);
         Files.createDirectory(file.getParent());
         figures.flush();
         figures.flush();
@@ -135,6 +142,13 @@
                 "slateseam.latency_ms:45.3|ms|@0.3333333333333333|#c:a_b,t:t_u_v_,out:hit",
                 "slateseam.latency_ms:64.0|ms|#c:a_b,t:t_u_v_,out:hit",
                 "slateseam.latency_ms:100000.0|ms|#c:a_b,t:t_u_v_,out:hit");
+        Cell many = new Cell();
+        for (int i = 0; i < 3_000; i++) {
+            many.add(0);
+        }
+        lines.clear();
+        Format.STATSD.timer("latency_ms", "", many, lines::add);
+        assertThat(lines).containsExactly("slateseam.latency_ms:0.0|ms|@0.0003333333333333333");
         assertThat(Format.INFLUX.tags("a b", "t,u=v\\", "hit")).isEqualTo(",c=a\\ b,t=t\\,u\\=v_,out=hit");
     }
 }
--- a/src/test/java/slateseam/router/hot/SpaceSavingTest.java
+++ b/src/test/java/slateseam/router/hot/SpaceSavingTest.java
@@ -44,6 +44,7 @@
             counts.count(0, Bytes.of("x".repeat(300) + i % 3));
         }
         counts.count(0, Bytes.of("x".repeat(256)));
+        assertThat(counts.top(8)).allMatch(c -> c.key().length <= 264); // or they would fill the memory
         assertThat(counts.top(8)).extracting(SpaceSaving.Count::count).containsExactly(2L, 2L, 2L, 1L);
         assertThat(counts.top(8)).extracting(c -> Names.key(c.key()))
                 .containsExactly("x".repeat(256) + "…", "x".repeat(256) + "…", "x".repeat(256) + "…", "x".repeat(256));
