Name the address that cannot be listened at, and signal in tests through the shell

With up to three listeners 'Address already in use' does not say which; Acceptor names it, and ServeTest holds a port to see it. The tests' signals no longer need a kill program beside the shell's own.

--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -37,7 +37,12 @@
         this.loop = loop;
         this.gate = gate;
         this.channel = ServerSocketChannel.open();
-        channel.bind(listen, BACKLOG);
+        try {
+            channel.bind(listen, BACKLOG);
+        } catch (IOException e) {
+            // There may be three listeners: whoever reads this must know which.
+            throw new IOException("cannot listen at " + listen + ": " + e.getMessage(), e);
+        }
         this.key = loop.register(channel, SelectionKey.OP_ACCEPT, ready -> accept());
         gate.onRoom(this::resume);
     }
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -5,6 +5,8 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -30,20 +32,26 @@
     private void start(String... settings) throws IOException {
         String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
                 .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []");
+        launch(config, settings);
+        String serving = line("example: serving: at ");
+        socket = new Socket("127.0.0.1", Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)));
+        answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    private void launch(String config, String... settings) throws IOException {
         process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), "slateseam.Main", "serve",
                 "--config", Files.writeString(dir.resolve("config.json"), config).toString(),
                 "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()).start();
         err = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
-        String serving = line("example: serving: at ");
-        socket = new Socket("127.0.0.1", Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)));
-        answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
     }
 
     @AfterEach
     void end() throws Exception {
         process.destroyForcibly().waitFor();
-        socket.close();
+        if (socket != null) {
+            socket.close();
+        }
     }
 
     private String line(String begin) throws IOException {
@@ -69,7 +77,19 @@
     }
 
     private void signal(String name) throws Exception {
-        assertThat(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor()).isZero();
+        assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor()).isZero();
+    }
+
+    @Test
+    void aPortThatSomebodyElseHoldsIsNamed() throws Exception {
+        try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String at = "127.0.0.1:" + held.getLocalPort();
+            String config = Files.readString(Path.of("examples/config.json")).replace("127.0.0.1:6379", at)
+                    .replace("127.0.0.1:7946", "127.0.0.1:0");
+            launch(config);
+            assertThat(line("slateseam: serve: ")).startsWith("slateseam: serve: cannot listen at /" + at + ": ");
+            assertThat(process.waitFor()).isEqualTo(1);
+        }
     }
 
     @Test
