--- a/src/main/java/slateseam/router/figures/Figures.java
+++ b/src/main/java/slateseam/router/figures/Figures.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.IntSupplier;
 import slateseam.router.config.Features;
 import slateseam.router.core.Ending;
@@ -26,8 +26,8 @@
     private final Format format;
     private final long flushNanos;
     private final List<Batches> destinations = new ArrayList<>();
-    /** By class, tenant and ending, in one number. */
-    private final Map<Integer, Cell> cells = new HashMap<>();
+    /** By class, tenant and ending, in one number, in the order in which they are written. */
+    private final Map<Integer, Cell> cells = new TreeMap<>();
     private boolean over;
 
     /** Begins; the gauges are asked at each flush. */
--- a/src/main/java/slateseam/router/tap/Filter.java
+++ b/src/main/java/slateseam/router/tap/Filter.java
@@ -1,7 +1,6 @@
 package slateseam.router.tap;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
 import slateseam.router.core.Names;
@@ -27,8 +26,9 @@
             String value = parts.length == 2 ? parts[1] : "";
             boolean good = read.add(parts[0]);
             switch (parts[0]) {
-                case "t" -> good &= (tenant = number(names.tenants(), value)) >= 0;
-                case "c" -> good &= (requestClass = number(names.classes(), value)) >= 0;
+                // A name that no request can have would show nothing for ever: it is a fault.
+                case "t" -> good &= (tenant = names.tenants().indexOf(value)) >= 0;
+                case "c" -> good &= (requestClass = names.classes().indexOf(value)) >= 0;
                 case "sample" -> {
                     good &= PART.matcher(value).matches();
                     sample = good ? Double.parseDouble(value) : 0;
@@ -43,11 +43,6 @@
         return new Filter(tenant, requestClass, sample);
     }
 
-    /** A name that no request can have would show nothing for ever: it is a fault. */
-    private static int number(List<String> names, String name) {
-        return names.indexOf(name);
-    }
-
     boolean wants(int ofTenant, int ofClass) {
         return (tenant < 0 || tenant == ofTenant) && (requestClass < 0 || requestClass == ofClass);
     }
--- a/src/main/java/slateseam/router/tap/Tap.java
+++ b/src/main/java/slateseam/router/tap/Tap.java
@@ -126,7 +126,9 @@
             if (filter == null) {
                 readFilter(in);
             }
-            in.position(filter == null ? in.position() : in.limit());
+            if (filter != null) {
+                in.position(in.limit()); // what stands behind the filter is thrown away
+            }
         }
 
         private void readFilter(ByteBuffer in) {
