--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -1,6 +1,7 @@
 package slateseam.router.config;
 
 import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
@@ -51,11 +52,10 @@
                 settings.number("hot_window_s", 1, 86_400, 60) * 1_000 * Clock.MILLI,
                 settings.number("hot_show", 1, 100, 20));
         boolean figuresOn = settings.on("figures");
-        String path = settings.text("figures_file");
         Figures figures = new Figures(settings.word("figures_format", "statsd", "influx").equals("influx"),
                 settings.number("figures_flush_ms", 100, 3_600_000, 10_000) * Clock.MILLI,
                 settings.number("figures_stderr_max_kb", 1, 1024 * 1024, 768) * 1024L,
-                path == null ? null : Path.of(path), address(settings, "figures_udp"));
+                path(settings, "figures_file"), address(settings, "figures_udp"));
         int tapPort = port(settings, "tap_port", ports);
         Tap tap = new Tap(tapPort, settings.number("tap_buffer_kb", 1, 1024, 64) * 1024,
                 settings.number("tap_max", 1, 16, 4));
@@ -63,9 +63,9 @@
         Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
                 hot ? hotList : null, figuresOn ? figures : null, tapPort == 0 ? null : tap);
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
-            throw settings.fault(tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : "figures", "the features need " + features.descriptors()
-                    + " descriptors beside the router's " + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is "
-                    + config.sockets());
+            String most = tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : "figures";
+            throw settings.fault(most, "the features need " + features.descriptors() + " descriptors beside the router's "
+                    + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is " + config.sockets());
         }
         return features;
     }
@@ -81,6 +81,16 @@
         return port;
     }
 
+    /** A file's path; null if it is not set. */
+    private static Path path(SettingsFile settings, String name) throws InvalidConfigException {
+        String text = settings.text(name);
+        try {
+            return text == null ? null : Path.of(text);
+        } catch (InvalidPathException e) {
+            throw settings.fault(name, name + " is no path: " + e.getReason());
+        }
+    }
+
     /** An address and a port to send to; null if it is not set. */
     private static InetSocketAddress address(SettingsFile settings, String name) throws InvalidConfigException {
         String text = settings.text(name);
--- a/src/test/java/slateseam/router/config/FeaturesTest.java
+++ b/src/test/java/slateseam/router/config/FeaturesTest.java
@@ -58,6 +58,7 @@
         "figures_format json|1: figures_format is json, not one of statsd, influx",
         "figures_flush_ms 99|1: figures_flush_ms is 99, no",
         "figures_stderr_max_kb 0|1: figures_stderr_max_kb is 0, no",
+        "figures_file a\u0000b|1: figures_file is no path",
         "figures_udp localhost:8125|1: figures_udp is localhost:8125, no address and port",
         "figures_udp 127.0.0.1:0|1: figures_udp is 127.0.0.1:0, no address and port",
         "tap_port 7000;multiget_port 7000|1: tap_port is 7000, which clashes with multiget_port",
