Use one check for numbers and visible ASCII, and wire hot list, figures and tap alike

Found on reading the whole change again; no behaviour is meant to change: - Requests, MultiGet and SettingsFile each checked for one to nine digits, in three ways: Bytes.number serves all. - Requests and Names each spelt out what visible ASCII is: Bytes.isVisible. - Each figures line for standard error was encoded twice; Batches encodes once and hands the bytes on. The batch size that file and standard error share stands once, as do the length of a shown key and the highest port. - HotList takes its settings as Figures and Tap do, so Router builds the three alike; SpaceSaving.total was dead.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -5,12 +5,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
 import slateseam.decision.Api.Limits;
 import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.core.Core;
 import slateseam.router.core.Names;
+import slateseam.router.core.RequestObserver;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
 import slateseam.router.figures.Figures;
@@ -79,21 +82,8 @@
             watch.begin();
         }
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
-        Features.HotList hot = features.hotList();
-        if (hot == null) {
-            hotList = null;
-        } else {
-            hotList = new HotList(loop, names, console, hot.slots(), hot.windowNanos(), hot.shown());
-            core.observe(hotList);
-        }
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
         front = new RespFront(loop, longestNanos, userAgents);
-        if (features.figures() == null) {
-            figures = null;
-        } else {
-            figures = new Figures(features.figures(), loop, names, console, front::connections, farm::readyServers);
-            core.observe(figures);
-        }
         acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests))));
         if (features.multiGet() != null) {
             MultiGet dialect = new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
@@ -101,13 +91,13 @@
             acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()),
                     front.gate(dialect)));
         }
-        if (features.tap() == null) {
-            tap = null;
-        } else {
-            tap = new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
-                    config.seed());
-            core.observe(tap);
-        }
+        hotList = features.hotList() == null ? null : new HotList(features.hotList(), loop, names, console);
+        figures = features.figures() == null ? null
+                : new Figures(features.figures(), loop, names, console, front::connections, farm::readyServers);
+        tap = features.tap() == null ? null
+                : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
+                        config.seed());
+        Stream.<RequestObserver>of(hotList, figures, tap).filter(Objects::nonNull).forEach(core::observe);
     }
 
     /** Where user agents connect. */
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -19,7 +19,6 @@
 public record Features(MultiGet multiGet, HotList hotList, Figures figures, Tap tap) {
     /** No feature at all, as without a settings file. */
     public static final Features OFF = new Features(null, null, null, null);
-    private static final int MOST_PORT = 65_535;
 
     /** Many values in one answer: the listener's port, and how many commands one request may hold. */
     public record MultiGet(int port, int mostKeys) {
@@ -73,7 +72,7 @@
     /** A port for a listener; 0 if it is not set. */
     private static int port(SettingsFile settings, String name, Map<Integer, String> taken)
             throws InvalidConfigException {
-        int port = settings.number(name, 1, MOST_PORT, 0);
+        int port = settings.number(name, 1, NodeConfig.PORT_LIMIT, 0);
         String by = port == 0 ? null : taken.putIfAbsent(port, name);
         if (by != null) {
             throw settings.fault(name, name + " is " + port + ", which clashes with " + by);
--- a/src/main/java/slateseam/router/config/NodeConfig.java
+++ b/src/main/java/slateseam/router/config/NodeConfig.java
@@ -41,7 +41,7 @@
     private static final int MOST_HELD = 4096;
     /** For the program itself, and the connections without which it would be of no use. */
     static final int LEAST_SOCKETS = 64;
-    private static final int PORT_LIMIT = 65_535;
+    static final int PORT_LIMIT = 65_535;
 
     /** The configuration cannot be used; the message is one plain line. */
     public static final class InvalidConfigException extends Exception {
--- a/src/main/java/slateseam/router/config/SettingsFile.java
+++ b/src/main/java/slateseam/router/config/SettingsFile.java
@@ -8,14 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
+import slateseam.router.net.Bytes;
 
 /**
  * A settings file as classic daemons have it: {@code name value} on a line of its own, in any order; {@code #} at the
  * start of a line or behind white space begins a comment. Every fault names the file and the line.
  */
 final class SettingsFile {
-    private static final int MOST_DIGITS = 9;
-
     private static final class Entry {
         final String value;
         final int line;
@@ -74,8 +73,7 @@
         if (digits == null) {
             return usual;
         }
-        boolean number = digits.length() <= MOST_DIGITS && digits.chars().allMatch(c -> c >= '0' && c <= '9');
-        int value = number ? Integer.parseInt(digits) : -1;
+        int value = Bytes.number(digits);
         if (value < least || value > most) {
             throw fault(name, name + " is " + digits + ", no whole number from " + least + " to " + most);
         }
--- a/src/main/java/slateseam/router/core/Names.java
+++ b/src/main/java/slateseam/router/core/Names.java
@@ -6,6 +6,7 @@
 import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
+import slateseam.router.net.Bytes;
 
 /**
  * How features show classes, tenants and keys: as one word each, so that none can forge a line or a part of one.
@@ -16,8 +17,7 @@
  */
 public record Names(List<String> classes, List<String> tenants) {
     /** Of a key, so that lines stay short. */
-    private static final int MOST_KEY_BYTES = 256;
-    private static final int DELETE = 0x7f;
+    public static final int MOST_KEY_BYTES = 256;
 
     /** The names of a router's settings. */
     public static Names of(Settings settings) {
@@ -31,23 +31,19 @@
         StringBuilder word = new StringBuilder(name.isEmpty() ? "_" : name);
         for (int i = 0; i < word.length(); i++) {
             char c = word.charAt(i);
-            if (!isVisible(c) && (c < DELETE || !Character.isLetterOrDigit(c))) {
+            if (!Bytes.isVisible(c) && !Character.isLetterOrDigit(c)) {
                 word.setCharAt(i, '_');
             }
         }
         return word.toString();
     }
 
-    private static boolean isVisible(int c) {
-        return c > ' ' && c < DELETE;
-    }
-
     /** A key, cut off behind its first 256 bytes. */
     public static String key(byte[] key) {
         int shown = Math.min(key.length, MOST_KEY_BYTES);
         byte[] visible = new byte[shown];
         for (int i = 0; i < shown; i++) {
-            visible[i] = isVisible(key[i]) ? key[i] : (byte) '?';
+            visible[i] = Bytes.isVisible(key[i]) ? key[i] : (byte) '?';
         }
         return new String(visible, StandardCharsets.US_ASCII) + (shown < key.length ? "…" : "");
     }
--- a/src/main/java/slateseam/router/figures/Batches.java
+++ b/src/main/java/slateseam/router/figures/Batches.java
@@ -6,6 +6,9 @@
 
 /** Packs lines into batches of whole lines for one destination; a batch that cannot be written is dropped and counted. */
 abstract class Batches {
+    /** For what the console takes. */
+    static final int MOST_CONSOLE_BYTES = 16 * 1024;
+
     private final int mostBytes;
     private final ByteArrayOutputStream batch = new ByteArrayOutputStream();
     /** Those that no batch has told of yet; a destination may find out on the writer's thread. */
@@ -24,8 +27,12 @@
     }
 
     /** Adds a line to the batch; whatever is full goes out first. */
-    void add(String line) {
-        byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
+    final void add(String line) {
+        add((line + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Adds a line with its end. */
+    void add(byte[] bytes) {
         if (batch.size() + bytes.length > mostBytes) {
             send();
         }
--- a/src/main/java/slateseam/router/figures/Cell.java
+++ b/src/main/java/slateseam/router/figures/Cell.java
@@ -1,23 +1,25 @@
 package slateseam.router.figures;
 
+import slateseam.router.net.Clock;
+
 /**
  * The requests of one class, tenant and ending since the last flush: how many, and their times in so many classes, each
  * twice as wide as the one before, so that memory and lines do not grow with the requests.
  */
 final class Cell {
     private static final int TIMES = 14;
-    private static final double MILLI = 1_000_000;
+    private static final double MILLI = Clock.MILLI;
 
     private final int[] counts = new int[TIMES];
     private final long[] nanos = new long[TIMES];
     private long most;
 
     void add(long time) {
-        long millis = Math.max(0, time) / (long) MILLI;
-        int place = Math.min(TIMES - 1, Long.SIZE - Long.numberOfLeadingZeros(millis));
+        long spent = Math.max(0, time);
+        int place = Math.min(TIMES - 1, Long.SIZE - Long.numberOfLeadingZeros(spent / Clock.MILLI));
         counts[place]++;
-        nanos[place] += Math.max(0, time);
-        most = Math.max(most, time);
+        nanos[place] += spent;
+        most = Math.max(most, spent);
     }
 
     long count() {
--- a/src/main/java/slateseam/router/figures/FiguresFile.java
+++ b/src/main/java/slateseam/router/figures/FiguresFile.java
@@ -5,13 +5,11 @@
 
 /** Figures at the end of a file, written by the console's thread, so that a slow disk holds up no request. */
 final class FiguresFile extends Batches {
-    private static final int MOST_BATCH_BYTES = 16 * 1024;
-
     private final Console console;
     private final Path file;
 
     FiguresFile(Console console, Path file) {
-        super(MOST_BATCH_BYTES);
+        super(MOST_CONSOLE_BYTES);
         this.console = console;
         this.file = file;
     }
--- a/src/main/java/slateseam/router/figures/StandardError.java
+++ b/src/main/java/slateseam/router/figures/StandardError.java
@@ -5,7 +5,6 @@
 
 /** Figures on standard error, up to a cap; the last line says that it was reached. */
 final class StandardError extends Batches {
-    private static final int MOST_BATCH_BYTES = 16 * 1024;
     private static final byte[] CAPPED = "figures capped\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Console console;
@@ -15,15 +14,14 @@
     private boolean over;
 
     StandardError(Console console, long mostBytes) {
-        super(MOST_BATCH_BYTES);
+        super(MOST_CONSOLE_BYTES);
         this.console = console;
         this.mostBytes = mostBytes;
     }
 
     @Override
-    void add(String line) {
-        int bytes = line.getBytes(StandardCharsets.UTF_8).length + 1;
-        full |= written + added() + bytes + CAPPED.length > mostBytes;
+    void add(byte[] line) {
+        full |= written + added() + line.length + CAPPED.length > mostBytes;
         if (!full) {
             super.add(line);
             return;
--- a/src/main/java/slateseam/router/hot/HotList.java
+++ b/src/main/java/slateseam/router/hot/HotList.java
@@ -1,6 +1,7 @@
 package slateseam.router.hot;
 
 import java.util.List;
+import slateseam.router.config.Features;
 import slateseam.router.core.Ending;
 import slateseam.router.core.Names;
 import slateseam.router.core.RequestObserver;
@@ -25,13 +26,13 @@
     private Past past = new Past(List.of(), 0);
 
     /** Creates an empty list whose first window begins now. */
-    public HotList(Loop loop, Names names, Lines out, int slots, long windowNanos, int shown) {
+    public HotList(Features.HotList settings, Loop loop, Names names, Lines out) {
         this.loop = loop;
         this.names = names;
         this.out = out;
-        this.windowNanos = windowNanos;
-        this.shown = shown;
-        this.counts = new SpaceSaving(slots);
+        this.windowNanos = settings.windowNanos();
+        this.shown = settings.shown();
+        this.counts = new SpaceSaving(settings.slots());
         this.begunAt = loop.now();
     }
 
--- a/src/main/java/slateseam/router/hot/SpaceSaving.java
+++ b/src/main/java/slateseam/router/hot/SpaceSaving.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import slateseam.router.core.Names;
 import slateseam.router.net.Hash;
 
 /**
@@ -11,8 +12,7 @@
  * counters. Counters of one count hang in a group, and groups in order, so that each request takes constant work.
  */
 final class SpaceSaving {
-    /** Of a key that is kept as it is; behind a longer one's beginning stands a hash of the whole. */
-    private static final int MOST_KEY_BYTES = 256;
+    /** Behind the beginning of a key that is too long to be kept: of the whole. */
     private static final int HASH_BYTES = 8;
 
     /** The count of a tenant's key. */
@@ -55,11 +55,6 @@
         this.table = new Counter[Integer.highestOneBit(slots) * 2];
     }
 
-    /** How many requests were counted. */
-    long total() {
-        return total;
-    }
-
     /** By how much a count is too high at most. */
     double mostError() {
         return (double) total / slots;
@@ -114,17 +109,17 @@
 
     /** Guards the memory against long keys, which stay distinct though their ends are not kept. */
     private static byte[] kept(byte[] key) {
-        if (key.length <= MOST_KEY_BYTES) {
+        if (key.length <= Names.MOST_KEY_BYTES) {
             return key;
         }
-        byte[] kept = Arrays.copyOf(key, MOST_KEY_BYTES + HASH_BYTES);
+        byte[] kept = Arrays.copyOf(key, Names.MOST_KEY_BYTES + HASH_BYTES);
         long hash = key.length;
         for (byte b : key) {
             hash = (hash + b) * 0x9e3779b97f4a7c15L;
             hash ^= hash >>> 29;
         }
         for (int i = 0; i < HASH_BYTES; i++) {
-            kept[MOST_KEY_BYTES + i] = (byte) (hash >>> 8 * i);
+            kept[Names.MOST_KEY_BYTES + i] = (byte) (hash >>> 8 * i);
         }
         return kept;
     }
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -17,7 +17,6 @@
 
 /** {@code SLATE.MGET N} and N reads behind it: each goes its own way, and one answer brings them all in order. */
 public final class MultiGet implements Dialect {
-    private static final int MOST_DIGITS = 9;
     private static final int HEAD_ITEMS = 2;
 
     private final Loop loop;
@@ -75,13 +74,11 @@
 
         /** Guards against a number that cannot be used: nobody could tell which commands belong to the batch. */
         private int number(List<ByteBuffer> command) throws MalformedException {
-            String digits = command.size() == HEAD_ITEMS ? Bytes.text(command.get(1)) : "";
-            boolean number = !digits.isEmpty() && digits.length() <= MOST_DIGITS
-                    && digits.chars().allMatch(c -> c >= '0' && c <= '9');
-            if (!number || Integer.parseInt(digits) > mostKeys) {
+            int number = command.size() == HEAD_ITEMS ? Bytes.number(Bytes.text(command.get(1))) : -1;
+            if (number < 0 || number > mostKeys) {
                 throw new MalformedException("SLATE.MGET takes one number, at most " + mostKeys);
             }
-            return Integer.parseInt(digits);
+            return number;
         }
 
         @Override
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.regex.Pattern;
 import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
@@ -21,8 +20,6 @@
 public final class Requests implements Front {
     private static final int READ_ITEMS = 4;
     private static final int WRITE_ITEMS = 5;
-    private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
-    private static final byte DELETE = 0x7f;
 
     /** A request that is owed an answer. */
     public abstract static class Open {
@@ -75,7 +72,8 @@
             return Replies.line("-ERR a request with this id is open");
         }
         int requestClass = classes.indexOf(Facts.value(facts, 'c'));
-        long waitMillis = millis(Facts.value(facts, 'd'));
+        String wait = Facts.value(facts, 'd');
+        long waitMillis = wait == null ? -1 : Bytes.number(wait);
         if (requestClass < 0 || waitMillis < 0) {
             return Replies.line("-ERR unknown class or no time to wait");
         }
@@ -111,15 +109,10 @@
     /** Guards the origin's HTTP head, into which these are written. */
     private static boolean isPlain(byte[] text) {
         for (byte b : text) {
-            if (b <= ' ' || b == DELETE) {
+            if (!Bytes.isVisible(b)) {
                 return false;
             }
         }
         return text.length > 0;
     }
-
-    /** A number of milliseconds; -1 if it is none. */
-    private static long millis(String digits) {
-        return digits != null && MILLIS.matcher(digits).matches() ? Long.parseLong(digits) : -1;
-    }
 }
