--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,8 +13,6 @@
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.core.Core;
-import slateseam.router.core.Names;
-import slateseam.router.core.RequestObserver;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
 import slateseam.router.figures.Figures;
@@ -26,6 +25,8 @@
 import slateseam.router.net.MalformedException;
 import slateseam.router.pass.Passes;
 import slateseam.router.peer.Peers;
+import slateseam.router.request.Names;
+import slateseam.router.request.RequestObserver;
 import slateseam.router.tap.Tap;
 import slateseam.router.useragent.Acceptor;
 import slateseam.router.useragent.Commands;
@@ -54,9 +55,15 @@
     /** Null where it is off. */
     private final Tap tap;
 
-    /** Opens a router; it serves once {@link #run} is called. */
+    /** Opens a router on the system's network; it serves once {@link #run} is called. */
     public Router(NodeConfig config, Features features, Clock clock, Log log, Console console) throws IOException {
-        loop = new Loop(clock, log);
+        this(config, features, SelectorProvider.provider(), clock, log, console);
+    }
+
+    /** Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}. */
+    public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console)
+            throws IOException {
+        loop = new Loop(network, clock, log);
         Limits limits = config.settings().limits();
         int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
         // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -33,7 +33,12 @@
 import slateseam.router.pass.PassListener;
 import slateseam.router.pass.Passes;
 import slateseam.router.peer.Peers;
-import slateseam.router.useragent.Front;
+import slateseam.router.request.Answer;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Front;
+import slateseam.router.request.Intake;
+import slateseam.router.request.Request;
+import slateseam.router.request.RequestObserver;
 
 /** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
 public final class Core implements PassListener, Intake {
--- a/src/main/java/slateseam/router/figures/Datagrams.java
+++ b/src/main/java/slateseam/router/figures/Datagrams.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
+import java.nio.channels.spi.SelectorProvider;
 
 /** Figures in datagrams of whole lines, each short enough to pass any usual network in one piece. */
 final class Datagrams extends Batches {
@@ -12,10 +13,10 @@
     private final DatagramChannel channel;
     private final InetSocketAddress to;
 
-    Datagrams(InetSocketAddress to) throws IOException {
+    Datagrams(SelectorProvider provider, InetSocketAddress to) throws IOException {
         super(MOST_BYTES);
         this.to = to;
-        this.channel = DatagramChannel.open();
+        this.channel = provider.openDatagramChannel();
         channel.configureBlocking(false);
     }
 
--- a/src/main/java/slateseam/router/figures/Figures.java
+++ b/src/main/java/slateseam/router/figures/Figures.java
@@ -7,11 +7,11 @@
 import java.util.TreeMap;
 import java.util.function.IntSupplier;
 import slateseam.router.config.Features;
-import slateseam.router.core.Ending;
-import slateseam.router.core.Names;
-import slateseam.router.core.RequestObserver;
 import slateseam.router.net.Console;
 import slateseam.router.net.Loop;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Names;
+import slateseam.router.request.RequestObserver;
 
 /** Counters, gauges and timers for a collector: adds up what ends and writes it now and then. */
 public final class Figures implements RequestObserver {
@@ -43,7 +43,7 @@
             destinations.add(new FiguresFile(console, settings.file()));
         }
         if (settings.udp() != null) {
-            destinations.add(new Datagrams(settings.udp()));
+            destinations.add(new Datagrams(loop.provider(), settings.udp()));
         }
         if (destinations.isEmpty()) {
             destinations.add(new StandardError(console, settings.mostStderrBytes()));
--- a/src/main/java/slateseam/router/hot/HotList.java
+++ b/src/main/java/slateseam/router/hot/HotList.java
@@ -2,11 +2,11 @@
 
 import java.util.List;
 import slateseam.router.config.Features;
-import slateseam.router.core.Ending;
-import slateseam.router.core.Names;
-import slateseam.router.core.RequestObserver;
 import slateseam.router.net.Lines;
 import slateseam.router.net.Loop;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Names;
+import slateseam.router.request.RequestObserver;
 
 /** Which keys are asked for most: counts requests by window and shows the highest counts when asked. */
 public final class HotList implements RequestObserver {
--- a/src/main/java/slateseam/router/hot/SpaceSaving.java
+++ b/src/main/java/slateseam/router/hot/SpaceSaving.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import slateseam.router.core.Names;
 import slateseam.router.net.Hash;
+import slateseam.router.request.Names;
 
 /**
  * The space-saving summary of Metwally, Agrawal and El Abbadi: so many counters, and for a key that has none the lowest
--- /dev/null
+++ b/src/main/java/slateseam/router/hot/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The keys that are asked for most; watches what is told of requests that have ended.
+ *
+ * <p>It may use requests, network. It is used by the router, where the operators have turned it on.
+ */
+package slateseam.router.hot;
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -44,7 +44,7 @@
     /** Begins to connect; {@link #connected} or {@link #broken} follows. */
     protected Connection(Loop loop, InetSocketAddress to) throws IOException {
         this.loop = loop;
-        this.channel = SocketChannel.open();
+        this.channel = loop.provider().openSocketChannel();
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             channel.configureBlocking(false);
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -23,6 +24,7 @@
         void ready(SelectionKey key) throws IOException;
     }
 
+    private final SelectorProvider provider;
     private final Selector selector;
     private final Clock clock;
     private final Log log;
@@ -33,9 +35,15 @@
     private long now;
     private boolean stopped;
 
-    /** Creates a loop without sockets. */
+    /** Creates a loop on the system's network, without sockets. */
     public Loop(Clock clock, Log log) throws IOException {
-        this.selector = Selector.open();
+        this(SelectorProvider.provider(), clock, log);
+    }
+
+    /** Creates a loop on a network, whose channels all who live on the loop open by its {@link #provider}. */
+    public Loop(SelectorProvider provider, Clock clock, Log log) throws IOException {
+        this.provider = provider;
+        this.selector = provider.openSelector();
         this.clock = clock;
         this.log = log;
         this.now = clock.nanos();
@@ -46,6 +54,11 @@
         return now;
     }
 
+    /** Opens the channels that can be registered here. */
+    public SelectorProvider provider() {
+        return provider;
+    }
+
     /** The operators' log. */
     public Log log() {
         return log;
--- a/src/main/java/slateseam/router/pass/HttpOrigin.java
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -2,10 +2,10 @@
 
 import java.nio.ByteBuffer;
 import slateseam.decision.Api.Outcome;
-import slateseam.router.core.Request;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.HttpReply;
 import slateseam.router.net.MalformedException;
+import slateseam.router.request.Request;
 
 /** HTTP/1.1, as the origin speaks it. */
 final class HttpOrigin implements ServerProtocol {
--- a/src/main/java/slateseam/router/pass/Pass.java
+++ b/src/main/java/slateseam/router/pass/Pass.java
@@ -1,7 +1,7 @@
 package slateseam.router.pass;
 
-import slateseam.router.core.Request;
 import slateseam.router.net.Deadlines.Deadline;
+import slateseam.router.request.Request;
 
 /** A proxy pass: one attempt of a request at one server, or a probe of that server. */
 final class Pass {
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import slateseam.decision.Api.Outcome;
 import slateseam.decision.Api.ProbeEnded;
-import slateseam.router.core.Request;
 import slateseam.router.farm.Farm;
 import slateseam.router.net.Loop;
+import slateseam.router.request.Request;
 
 /** The proxy passes that are out. */
 public final class Passes {
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -4,11 +4,11 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import slateseam.decision.Api.Outcome;
-import slateseam.router.core.Facts;
-import slateseam.router.core.Request;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.MalformedException;
 import slateseam.router.net.Resp;
+import slateseam.router.request.Facts;
+import slateseam.router.request.Request;
 
 /** RESP2, as application servers speak it. */
 final class RespServer implements ServerProtocol {
--- a/src/main/java/slateseam/router/pass/ServerProtocol.java
+++ b/src/main/java/slateseam/router/pass/ServerProtocol.java
@@ -2,8 +2,8 @@
 
 import java.nio.ByteBuffer;
 import slateseam.decision.Api.Outcome;
-import slateseam.router.core.Request;
 import slateseam.router.net.MalformedException;
+import slateseam.router.request.Request;
 
 /** How one kind of server is spoken to. */
 interface ServerProtocol {
--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -32,7 +32,7 @@
         this.peers = peers;
         this.all = all;
         this.listener = listener;
-        this.channel = DatagramChannel.open();
+        this.channel = loop.provider().openDatagramChannel();
         channel.bind(listen);
         loop.register(channel, SelectionKey.OP_READ, key -> receive());
     }
--- a/src/main/java/slateseam/router/core/Answer.java
+++ b/src/main/java/slateseam/router/request/Answer.java
@@ -1,4 +1,4 @@
-package slateseam.router.core;
+package slateseam.router.request;
 
 /** The one final answer of a request. */
 public sealed interface Answer {
--- a/src/main/java/slateseam/router/core/Ending.java
+++ b/src/main/java/slateseam/router/request/Ending.java
@@ -1,4 +1,4 @@
-package slateseam.router.core;
+package slateseam.router.request;
 
 /** How a request ended, in the one set of words that features show. */
 public enum Ending {
--- a/src/main/java/slateseam/router/useragent/Front.java
+++ b/src/main/java/slateseam/router/request/Front.java
@@ -1,6 +1,5 @@
-package slateseam.router.useragent;
+package slateseam.router.request;
 
-import slateseam.router.core.Answer;
 
 /** A way in for requests. It hands each to the core under a number of its own and takes the one answer back. */
 public interface Front {
--- a/src/main/java/slateseam/router/core/Intake.java
+++ b/src/main/java/slateseam/router/request/Intake.java
@@ -1,6 +1,5 @@
-package slateseam.router.core;
+package slateseam.router.request;
 
-import slateseam.router.useragent.Front;
 
 /** What the ways in need of the core. */
 public interface Intake {
--- a/src/main/java/slateseam/router/core/Names.java
+++ b/src/main/java/slateseam/router/request/Names.java
@@ -1,4 +1,4 @@
-package slateseam.router.core;
+package slateseam.router.request;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/src/main/java/slateseam/router/core/Request.java
+++ b/src/main/java/slateseam/router/request/Request.java
@@ -1,4 +1,4 @@
-package slateseam.router.core;
+package slateseam.router.request;
 
 /**
  * A request as a front took it.
@@ -20,7 +20,7 @@
     }
 
     /** The size of the value that it carries. */
-    int valueBytes() {
+    public int valueBytes() {
         return value == null ? 0 : value.length;
     }
 }
--- a/src/main/java/slateseam/router/core/RequestObserver.java
+++ b/src/main/java/slateseam/router/request/RequestObserver.java
@@ -1,4 +1,4 @@
-package slateseam.router.core;
+package slateseam.router.request;
 
 /** Is told of each request when it has ended, on the loop's thread. It watches, and decides nothing. */
 @FunctionalInterface
--- a/src/main/java/slateseam/router/tap/Filter.java
+++ b/src/main/java/slateseam/router/tap/Filter.java
@@ -3,7 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.regex.Pattern;
-import slateseam.router.core.Names;
+import slateseam.router.request.Names;
 
 /**
  * What a watcher wants to see.
--- a/src/main/java/slateseam/router/tap/Tap.java
+++ b/src/main/java/slateseam/router/tap/Tap.java
@@ -9,9 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import slateseam.router.config.Features;
-import slateseam.router.core.Ending;
-import slateseam.router.core.Names;
-import slateseam.router.core.RequestObserver;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
@@ -20,6 +17,9 @@
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 import slateseam.router.net.Slots;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Names;
+import slateseam.router.request.RequestObserver;
 import slateseam.router.useragent.Acceptor;
 
 /** Requests as they end, one line each, for whoever connects and says which ones. */
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -36,7 +36,7 @@
     public Acceptor(Loop loop, InetSocketAddress listen, Gate gate) throws IOException {
         this.loop = loop;
         this.gate = gate;
-        this.channel = ServerSocketChannel.open();
+        this.channel = loop.provider().openServerSocketChannel();
         try {
             channel.bind(listen, BACKLOG);
         } catch (IOException e) {
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -3,9 +3,9 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Locale;
-import slateseam.router.core.Answer;
-import slateseam.router.core.Ending;
 import slateseam.router.net.Bytes;
+import slateseam.router.request.Answer;
+import slateseam.router.request.Ending;
 
 /** The platform's commands, each an exchange of its own. */
 public final class Commands implements Dialect {
--- a/src/main/java/slateseam/router/useragent/Replies.java
+++ b/src/main/java/slateseam/router/useragent/Replies.java
@@ -1,9 +1,9 @@
 package slateseam.router.useragent;
 
 import java.nio.ByteBuffer;
-import slateseam.router.core.Answer;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Clock;
+import slateseam.router.request.Answer;
 
 /** Answers as RESP2. */
 public final class Replies {
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -7,14 +7,15 @@
 import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
-import slateseam.router.core.Answer;
-import slateseam.router.core.Ending;
-import slateseam.router.core.Facts;
-import slateseam.router.core.Intake;
-import slateseam.router.core.Request;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Slots;
+import slateseam.router.request.Answer;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Front;
+import slateseam.router.request.Facts;
+import slateseam.router.request.Intake;
+import slateseam.router.request.Request;
 
 /** Turns commands into requests, whatever listener they came to, and brings each its answer. */
 public final class Requests implements Front {
--- a/src/main/java/slateseam/wire/WireHost.java
+++ b/src/main/java/slateseam/wire/WireHost.java
@@ -9,9 +9,9 @@
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Started;
 import slateseam.decision.Brain;
-import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.router.config.SettingsParser;
 import slateseam.router.config.SettingsParser.InvalidSettingException;
+import slateseam.wire.Frames.MalformedFrameException;
 
 /** Hosts many instances of the module on one wire; it translates and routes, and decides nothing. */
 public final class WireHost implements Frames.BatchHandler {
--- a/src/test/java/slateseam/decision/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -4,10 +4,10 @@
 import static slateseam.decision.World.MS;
 
 import java.lang.reflect.Field;
-import java.util.Map;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import slateseam.decision.Api.*;
--- a/src/test/java/slateseam/router/figures/FiguresTest.java
+++ b/src/test/java/slateseam/router/figures/FiguresTest.java
@@ -17,12 +17,12 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import slateseam.router.config.Features;
-import slateseam.router.core.Ending;
-import slateseam.router.core.Names;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.Reader;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Names;
 
 /** Where figures go, and what bounds them. */
 @Timeout(60)
--- a/src/test/java/slateseam/router/hot/SpaceSavingTest.java
+++ b/src/test/java/slateseam/router/hot/SpaceSavingTest.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import slateseam.router.core.Names;
 import slateseam.router.net.Bytes;
+import slateseam.router.request.Names;
 
 class SpaceSavingTest {
     @Test
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -12,15 +12,15 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import slateseam.router.config.NodeConfig;
-import slateseam.router.core.Answer;
-import slateseam.router.core.Ending;
-import slateseam.router.core.Intake;
-import slateseam.router.core.Request;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
+import slateseam.router.request.Answer;
+import slateseam.router.request.Ending;
+import slateseam.router.request.Front;
+import slateseam.router.request.Intake;
+import slateseam.router.request.Request;
 import slateseam.router.useragent.Exchange;
-import slateseam.router.useragent.Front;
 import slateseam.router.useragent.Requests;
 
 /** What the module and the origin hardly ever do: leave requests without an answer, or bring many long values at once. */
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -12,10 +12,10 @@
 import org.junit.jupiter.api.Test;
 import slateseam.decision.Api.Event;
 import slateseam.decision.Api.Outcome;
-import slateseam.router.core.Request;
 import slateseam.router.farm.Farm;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
+import slateseam.router.request.Request;
 
 class PassesTest {
     private static final long SECOND = 1_000_000_000L;
--- a/src/test/java/slateseam/wire/WireTest.java
+++ b/src/test/java/slateseam/wire/WireTest.java
@@ -12,9 +12,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import slateseam.decision.Api.*;
-import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.router.config.SettingsParser;
 import slateseam.router.config.SettingsParser.InvalidSettingException;
+import slateseam.wire.Frames.MalformedFrameException;
 
 class WireTest {
     private static final String SETTINGS = String.join("\n", "me=0", "replicas_of_me=2", "discovery=ask",
