--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -37,6 +37,8 @@
 public final class Router {
     /** Descriptors of the virtual machine, the selector, discovery and peers. */
     private static final int OTHER_SOCKETS = 48;
+    /** User agents hold at most this part of the descriptors for their requests. */
+    private static final int HELD_PART = 3;
     /** Of values that wait for the rest of a batch: somewhat less than may wait unread in the front. */
     private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 10;
     /** New connections come for up to 0.4 s after a planned end is announced. */
@@ -90,7 +92,7 @@
         }
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
-        front = new RespFront(loop, longestNanos, userAgents);
+        front = new RespFront(loop, longestNanos, userAgents, config.sockets() / HELD_PART);
         acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests))));
         if (features.multiGet() != null) {
             MultiGet dialect = new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -86,6 +86,11 @@
             return elements.size() == expected;
         }
 
+        @Override
+        public int tenant() {
+            return elements.isEmpty() ? -1 : elements.get(0).tenant();
+        }
+
         @Override
         public int commands() {
             return 1 + expected;
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -80,6 +80,10 @@
     /** The other side has closed the connection, or it broke, or it never came up; it is closed now. */
     protected abstract void broken();
 
+    /** Bytes came after {@link #linger} and were thrown away. */
+    protected void discarded() {
+    }
+
     /** All that was to be written has been. */
     protected void written() {
     }
@@ -196,8 +200,11 @@
 
     private void read() throws IOException {
         if (lingering) {
-            if (channel.read(loop.scratch()) < 0) {
+            int come = channel.read(loop.scratch());
+            if (come < 0) {
                 breakOff();
+            } else if (come > 0) {
+                discarded();
             }
             return;
         }
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -49,6 +49,11 @@
             }
         }
 
+        @Override
+        public int tenant() {
+            return asked.tenant();
+        }
+
         @Override
         public void withdraw() {
             requests.withdraw(asked, Ending.LEFT);
--- a/src/main/java/slateseam/router/useragent/Exchange.java
+++ b/src/main/java/slateseam/router/useragent/Exchange.java
@@ -43,6 +43,11 @@
         return 1;
     }
 
+    /** The number of the tenant that asks; -1 where it is not known. */
+    public int tenant() {
+        return -1;
+    }
+
     /** The user agent has left: nothing is owed any more. */
     public void withdraw() {
     }
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -27,12 +27,18 @@
         private long number = -1;
         private long request = -1;
         private long waitNanos;
+        private int tenant = -1;
         /** Its id while it is open. */
         private ByteBuffer id;
 
         /** Takes the one final answer. */
         protected abstract void answered(Answer answer);
 
+        /** The number of its tenant; -1 before it was taken. */
+        public final int tenant() {
+            return tenant;
+        }
+
         /** How long its user agent waits. */
         public final long waitNanos() {
             return waitNanos;
@@ -80,9 +86,10 @@
         }
         int tenant = tenants.indexOf(Facts.value(facts, 't'));
         asked.waitNanos = waitMillis * Clock.MILLI;
+        asked.tenant = tenant < 0 ? tenants.size() : tenant;
         long ttl = Math.min(asked.waitNanos, settings.classes().get(requestClass).deadlineNanos());
         Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, requestClass,
-                tenant < 0 ? tenants.size() : tenant, "1".equals(Facts.value(facts, 'r')), ttl);
+                asked.tenant, "1".equals(Facts.value(facts, 'r')), ttl);
         asked.number = open.add(asked);
         asked.id = openId;
         openIds.add(openId);
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.fail;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -25,7 +26,8 @@
 
 /**
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
- * {@code WHO > BYTES} (WHO writes), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
+ * {@code WHO > BYTES} (WHO writes), {@code WHO >> BYTES} (WHO writes in the round of the next step, when the router has
+ * looked at its sockets and not yet at its deadlines), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
  * {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it), {@code WHO stops listening},
  * {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code log TEXT} (the log has it),
  * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again) or
@@ -138,6 +140,9 @@
             round();
             Files.delete(file);
         } else if (line.equals("ended")) {
+            for (int i = 0; i < MOST_ROUNDS && !router.loop().isStopped(); i++) {
+                round();
+            }
             assertThat(router.loop().isStopped()).as(line).isTrue();
         } else if (words[0].equals("clock")) {
             for (long left = Long.parseLong(words[1].substring(1)); left > 0; left -= 10) {
@@ -152,6 +157,10 @@
                 round();
             }
             assertThat(log.text()).contains(logged);
+        } else if (words[1].equals(">>")) {
+            SocketChannel channel = channel(words[0]);
+            ByteBuffer late = ByteBuffer.wrap(bytes(rest));
+            router.loop().handOver(() -> writeNow(channel, late));
         } else if (words[1].equals(">")) {
             write(channel(words[0]), bytes(rest));
         } else if (words[1].equals("<")) {
@@ -193,6 +202,7 @@
 
     private SocketChannel connect(String who) throws IOException {
         SocketChannel channel = SocketChannel.open();
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true); // or a second part waits until the first is acknowledged
         if (who.startsWith("tap")) {
             channel.setOption(StandardSocketOptions.SO_RCVBUF, 4096); // so that one which does not read is soon full
         }
@@ -210,6 +220,14 @@
         round();
     }
 
+    private static void writeNow(SocketChannel channel, ByteBuffer bytes) {
+        try {
+            channel.write(bytes);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Reads as many bytes, or up to the end. */
     private String read(String who, int length) throws IOException {
         SocketChannel channel = channel(who);
