Tell in the figures what connections of user agents came to

Need: an operator must see whether connections are opened, kept, used again or ended, and why.

Change: figures ask other stages for gauges and for totals, and tell by how much a total grew. The room of user agents' connections gives conns_idle, conns_ending, conns_opened, conns_reused, conns_crossed and conns_ended by cause.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -12,9 +12,12 @@
 import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
+import slateseam.router.connections.useragents.Cause;
+import slateseam.router.connections.useragents.UserAgentRoom;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Watch;
+import slateseam.router.figures.Counts;
 import slateseam.router.figures.Figures;
 import slateseam.router.hot.HotList;
 import slateseam.router.multiget.MultiGet;
@@ -102,13 +105,25 @@
         }
         hotList = features.hotList() == null ? null : new HotList(features.hotList(), loop, names, console);
         figures = features.figures() == null ? null
-                : new Figures(features.figures(), loop, names, console, front::connections, farm::readyServers);
+                : new Figures(features.figures(), loop, names, console, counts(front, farm));
         tap = features.tap() == null ? null
                 : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
                         config.seed());
         Stream.<RequestObserver>of(hotList, figures, tap).filter(Objects::nonNull).forEach(core::observe);
     }
 
+    private static Counts counts(RespFront front, Farm farm) {
+        UserAgentRoom room = front.room();
+        Counts counts = new Counts().gauge("conns", front::connections).gauge("servers_ready", farm::readyServers)
+                .gauge("conns_idle", room::idle).gauge("conns_ending", room::ending)
+                .total("conns_opened", room.figures()::opened).total("conns_reused", room.figures()::reused)
+                .total("conns_crossed", room.figures()::crossed);
+        for (Cause cause : Cause.values()) {
+            counts.total("conns_ended", "why", cause.word(), () -> room.figures().ended().get(cause));
+        }
+        return counts;
+    }
+
     /** Where user agents connect. */
     public InetSocketAddress address() throws IOException {
         return acceptors.get(0).address();
--- a/src/main/java/slateseam/router/figures/Figures.java
+++ b/src/main/java/slateseam/router/figures/Figures.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.IntSupplier;
 import slateseam.router.config.Features;
 import slateseam.router.net.Console;
 import slateseam.router.net.Loop;
@@ -21,8 +20,7 @@
 
     private final Loop loop;
     private final Names names;
-    private final IntSupplier conns;
-    private final IntSupplier serversReady;
+    private final Counts counts;
     private final Format format;
     private final long flushNanos;
     private final List<Batches> destinations = new ArrayList<>();
@@ -30,13 +28,12 @@
     private final Map<Integer, Cell> cells = new TreeMap<>();
     private boolean over;
 
-    /** Begins; the gauges are asked at each flush. */
-    public Figures(Features.Figures settings, Loop loop, Names names, Console console, IntSupplier conns,
-            IntSupplier serversReady) throws IOException {
+    /** Begins; the counts are asked at each flush. */
+    public Figures(Features.Figures settings, Loop loop, Names names, Console console, Counts counts)
+            throws IOException {
         this.loop = loop;
         this.names = names;
-        this.conns = conns;
-        this.serversReady = serversReady;
+        this.counts = counts;
         this.format = settings.influx() ? Format.INFLUX : Format.STATSD;
         this.flushNanos = settings.flushNanos();
         if (settings.file() != null) {
@@ -79,6 +76,7 @@
             }
         }
         cells.clear();
+        counts.told();
     }
 
     private void write(Batches to) {
@@ -86,8 +84,7 @@
         if (dropped > 0) {
             to.add(format.counter("figures_dropped", "", dropped));
         }
-        to.add(format.gauge("conns", conns.getAsInt()));
-        to.add(format.gauge("servers_ready", serversReady.getAsInt()));
+        counts.write(format, to::add);
         for (Map.Entry<Integer, Cell> entry : cells.entrySet()) {
             int place = entry.getKey() / ENDINGS.length;
             String tags = format.tags(names.classes().get(place / names.tenants().size()),
--- a/src/main/java/slateseam/router/figures/Format.java
+++ b/src/main/java/slateseam/router/figures/Format.java
@@ -13,6 +13,11 @@
             return "|#c:" + word(requestClass) + ",t:" + word(tenant) + ",out:" + ending;
         }
 
+        @Override
+        String tag(String name, String value) {
+            return "|#" + name + ":" + word(value);
+        }
+
         /** There is no way to escape what parts a line. */
         private String word(String value) {
             return STATSD_PARTS.matcher(value).replaceAll("_");
@@ -53,6 +58,11 @@
             return ",c=" + word(requestClass) + ",t=" + word(tenant) + ",out=" + ending;
         }
 
+        @Override
+        String tag(String name, String value) {
+            return "," + name + "=" + word(value);
+        }
+
         /** A backslash escapes, but cannot itself be escaped. */
         private String word(String value) {
             return INFLUX_PARTS.matcher(value.replace('\\', '_')).replaceAll("\\\\$0");
@@ -81,6 +91,8 @@
 
     abstract String tags(String requestClass, String tenant, String ending);
 
+    abstract String tag(String name, String value);
+
     abstract String counter(String name, String tags, long value);
 
     abstract String gauge(String name, long value);
--- a/src/test/java/slateseam/router/figures/FiguresTest.java
+++ b/src/test/java/slateseam/router/figures/FiguresTest.java
@@ -43,8 +43,8 @@
 
     private Figures figures(long cap, Path file, InetSocketAddress udp) throws Exception {
         Loop loop = new Loop(() -> now, new Log("n0", () -> now, console));
-        return new Figures(new Features.Figures(false, 10_000 * MILLI, cap, file, udp), loop, names, console, () -> 3,
-                () -> 12);
+        return new Figures(new Features.Figures(false, 10_000 * MILLI, cap, file, udp), loop, names, console,
+                new Counts().gauge("conns", () -> 3).gauge("servers_ready", () -> 12));
     }
 
     /** One request of each tenant: more than are kept at a time, so that a flush comes early. */
