--- a/examples/ToyFarm.java
+++ b/examples/ToyFarm.java
@@ -10,11 +10,14 @@
 
 /**
  * A toy farm to try the router with: discovery at port 8500, the origin at 7000 and an application server at 7001, all on
- * 127.0.0.1. Run it with {@code java examples/ToyFarm.java}. It keeps nothing but what passed through it.
+ * 127.0.0.1. Run it with {@code java examples/ToyFarm.java}; {@code java examples/ToyFarm.java 2 quiet} has two application
+ * servers, at 7001 and 7002, and shows no commands. It keeps nothing but what passed through it, for all servers alike.
  */
 public final class ToyFarm {
     private static final Map<String, String> ORIGIN = new ConcurrentHashMap<>();
     private static final Map<String, String> CACHE = new ConcurrentHashMap<>();
+    private static int servers = 1;
+    private static boolean quiet;
 
     /** Speaks with one connection until it ends. */
     private interface Speaker {
@@ -22,11 +25,15 @@
     }
 
     public static void main(String[] args) throws IOException {
+        servers = args.length > 0 ? Integer.parseInt(args[0]) : 1;
+        quiet = args.length > 1 && args[1].equals("quiet");
         ORIGIN.put("hello", "world");
         listen(8500, in -> discovery(line(in), in));
         listen(7000, in -> origin(line(in), in));
-        listen(7001, ToyFarm::cache);
-        System.out.println("discovery at 8500, origin at 7000, application server at 7001");
+        for (int i = 1; i <= servers; i++) {
+            listen(7000 + i, ToyFarm::cache);
+        }
+        System.out.println("discovery at 8500, origin at 7000, application servers from 7001 on: " + servers);
     }
 
     private static void listen(int port, Speaker speaker) throws IOException {
@@ -45,6 +52,7 @@
 
     private static void speak(Socket socket, Speaker speaker) {
         try (socket) {
+            socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (String answer; (answer = speaker.answer(in)) != null;) {
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
@@ -61,8 +69,11 @@
         }
         headers(in);
         if (!request.contains("index=")) {
-            return http(200, "{\"seq\":1,\"whole\":true,\"hosts\":[" + host("s1", 7001, "box") + ","
-                    + host("o", 7000, "origin") + "]}");
+            StringBuilder hosts = new StringBuilder(host("o", 7000, "origin"));
+            for (int i = 1; i <= servers; i++) {
+                hosts.append(',').append(host("s" + i, 7000 + i, "box"));
+            }
+            return http(200, "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}");
         }
         try {
             Thread.sleep(Long.parseLong(request.replaceAll(".*wait=([0-9]+).*", "$1")));
@@ -109,7 +120,9 @@
             command[i] = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
             line(in);
         }
-        System.out.println("application server: " + String.join(" ", command));
+        if (!quiet) {
+            System.out.println("application server: " + String.join(" ", command));
+        }
         if (command[0].equals("PING")) {
             return "+PONG\r\n";
         }
