Let the closed loop tell its hits, and end in one line where it cannot begin

Rates alone do not tell how many hits a measured section had when the machine stops the load for a while, and a server that was never filled or an unknown host ended in a stack trace.

The program prints the number of hits, refuses what it cannot reach or warm in one line with exit status 2, and a server that misses a key at the start is told at once rather than asked for a minute.

--- a/benchmarks/ClosedLoop.java
+++ b/benchmarks/ClosedLoop.java
@@ -47,13 +47,14 @@
     private static long process;
 
     public static void main(String[] args) throws Exception {
+        Map<String, String> values = null;
         try {
             parse(args);
-        } catch (IllegalArgumentException e) {
+            values = learn();
+        } catch (IllegalArgumentException | IOException e) {
             System.err.println("closed loop: " + e.getMessage());
             System.exit(2);
         }
-        Map<String, String> values = learn();
         List<Agent> all = new ArrayList<>();
         double cpuBefore = cpuSeconds();
         long begin = System.nanoTime();
@@ -116,8 +117,8 @@
                         connection.ask("bench" + k, "warm" + System.nanoTime() + "-" + asked++);
                         connection.flush();
                         answer = connection.answer();
-                        if (System.nanoTime() > until) {
-                            throw new IOException("not warm after " + MOST_SECONDS + " s: " + answer);
+                        if (direct && answer.kind() == Kind.MISS || System.nanoTime() > until) {
+                            throw new IOException("not warm; reads through the router fill servers: " + answer);
                         }
                     } while (answer.kind() != Kind.HIT);
                     values.put("bench" + k, answer.text());
@@ -160,10 +161,12 @@
             filled += agent.answers;
         }
         Arrays.sort(nanos);
-        System.out.printf("%s agents=%d pipeline=%d: %.0f requests/s, %.0f hits/s; misses=%d unavailable=%d errors=%d "
-                + "failures=%d wrong=%d; us p50=%.0f p90=%.0f p99=%.0f max=%.0f", direct ? "direct" : "router", agents,
-                pipelined, answers / elapsed, kinds[0] / elapsed, kinds[1], kinds[2], kinds[3], failures, wrong,
-                part(nanos, 0.5), part(nanos, 0.9), part(nanos, 0.99), part(nanos, 1));
+        System.out.printf("%s agents=%d pipeline=%d: %.0f requests/s, %.0f hits/s; ", direct ? "direct" : "router",
+                agents, pipelined, answers / elapsed, kinds[0] / elapsed);
+        System.out.printf("hits=%d misses=%d unavailable=%d errors=%d failures=%d wrong=%d; ", kinds[0], kinds[1],
+                kinds[2], kinds[3], failures, wrong);
+        System.out.printf("us p50=%.0f p90=%.0f p99=%.0f max=%.0f", part(nanos, 0.5), part(nanos, 0.9),
+                part(nanos, 0.99), part(nanos, 1));
         System.out.println(process == 0 ? "" : String.format("; cpu %.1f us a hit, %.0f%% of a core",
                 cpu * 1e6 / Math.max(1, kinds[0]), 100 * cpu / elapsed));
     }
