Read into and write from the loop's one buffer outside the heap

A hit took some 21 KB of the heap, most of it input buffers: each read began with 4 KiB, also the one that looks whether anything lies behind an answer and finds nothing. Each read and gathered write went through the virtual machine's temporary buffers, by a thread-local table that the first compiler does not optimise, and lists and slices were made to gather.

A first read goes into the loop's scratch buffer and is copied into one of just its length; later reads of a long message are as before. What is to be written is gathered in the same buffer and written by one plain call.

--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -7,9 +7,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.List;
 
 /** A TCP connection on the loop: a bounded input buffer, parsed in place, and gathered writes. */
 public abstract class Connection implements Loop.Handler {
@@ -19,7 +17,7 @@
     private static final int FIRST_INPUT = 4 * 1024;
     /** Larger buffers are counted, so that many long values at once cannot fill the heap. */
     private static final int UNCOUNTED = 64 * 1024;
-    /** Of one read or write: the system's copies lie outside the heap, where there is little room. */
+    /** Of one read: the system's copies lie outside the heap, where there is little room. */
     private static final int CHUNK = 128 * 1024;
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
@@ -201,20 +199,32 @@
             }
             return;
         }
-        if (input.position() == input.capacity() && !grow()) {
+        if (input.position() > 0 && input.position() == input.capacity() && !grow()) {
             return;
         }
-        input.limit(Math.min(input.capacity(), input.position() + CHUNK));
-        int come = channel.read(input);
+        int come = input.position() == 0 ? readFirst() : readOn();
         if (come < 0) {
             breakOff();
         } else if (come > 0) {
             handOut();
-        } else if (input.position() == 0) {
-            dropInput();
         }
     }
 
+    /** Begins a buffer no longer than what has come: most messages come whole, and many polls find nothing. */
+    private int readFirst() throws IOException {
+        ByteBuffer scratch = loop.scratch().limit(FIRST_INPUT);
+        int come = channel.read(scratch);
+        if (come > 0) {
+            input = ByteBuffer.allocate(come).put(scratch.flip());
+        }
+        return come;
+    }
+
+    private int readOn() throws IOException {
+        input.limit(Math.min(input.capacity(), input.position() + CHUNK));
+        return channel.read(input);
+    }
+
     private boolean grow() {
         int larger = Math.min(INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
         if (larger > UNCOUNTED) {
@@ -274,23 +284,23 @@
         }
     }
 
-    /** Writes some of what is first; whether the system took all of that. */
+    /** Gathers some of what is first and writes it; whether the system took all of that. */
     private boolean writeChunk() throws IOException {
-        List<ByteBuffer> chunk = new ArrayList<>();
-        int room = CHUNK;
+        ByteBuffer chunk = loop.scratch();
+        int gathered = 0;
         for (ByteBuffer next : unwritten) {
-            int part = Math.min(room, next.remaining());
-            chunk.add(next.slice(next.position(), part));
-            room -= part;
-            if (room == 0) {
+            int part = Math.min(chunk.capacity() - gathered, next.remaining());
+            chunk.put(gathered, next, next.position(), part);
+            gathered += part;
+            if (gathered == chunk.capacity()) {
                 break;
             }
         }
-        long taken = channel.write(chunk.toArray(new ByteBuffer[0]));
-        boolean all = taken == CHUNK - room;
+        int taken = channel.write(chunk.limit(gathered));
+        boolean all = taken == gathered;
         while (taken > 0) {
             ByteBuffer first = unwritten.peek();
-            int part = (int) Math.min(taken, first.remaining());
+            int part = Math.min(taken, first.remaining());
             first.position(first.position() + part);
             taken -= part;
             if (!first.hasRemaining()) {
