Make no closures for each event: name what runs, or keep it

Under the first compiler, with which service runs, a lambda that captures something is made through a method handle and a native call, some 600 instructions each; the loop made two for each ready socket and the core four for each event.

The loop keeps its dispatcher and guards it in place; an event that comes while none is handled goes to the module directly and only one that comes in between is queued; the core keeps one list of actions; a slot is its own overdue deadline.

--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import slateseam.decision.Api.Action;
 import slateseam.decision.Api.AttemptEnded;
@@ -46,11 +47,12 @@
     private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 8;
 
     /** A request that is owed its final answer. */
-    private static final class Slot {
+    private final class Slot implements Runnable {
         final Request request;
         final Front front;
         final long exchange;
         final long deadline;
+        long ticket;
         Deadline overdue;
         int attempts;
         /** Whether its last attempt went to the origin. */
@@ -63,6 +65,14 @@
             this.deadline = deadline;
         }
 
+        /** Guards the rule that every request gets its answer in time, should the module ever leave one out. */
+        @Override
+        public void run() {
+            loop.log().line("overdue", "the module left a request without an answer");
+            finish(ticket, new Answer.Failed());
+            happened(new ClientGone(ticket));
+        }
+
         long openFor(long now) {
             return now - (deadline - request.ttlNanos());
         }
@@ -79,8 +89,11 @@
     private final Settings settings;
     private final Brain brain;
     private final Slots<Slot> slots;
-    /** What has happened; an action may make something happen at once, which waits its turn here. */
+    /** What has happened while an event is handled: an action may make something happen at once. */
     private final Queue<Supplier<Event>> happenings = new ArrayDeque<>();
+    /** That answer the event being handled. */
+    private final List<Action> actions = new ArrayList<>();
+    private final Consumer<Action> collect = actions::add;
     private final List<RequestObserver> observers = new ArrayList<>();
     private boolean handling;
     private long heldBytes;
@@ -111,7 +124,11 @@
 
     /** Something happened that concerns no request. */
     public void happened(Event event) {
-        happened(() -> event);
+        if (handling) {
+            happenings.add(() -> event);
+        } else {
+            handle(event);
+        }
     }
 
     @Override
@@ -123,9 +140,9 @@
         }
         Slot slot = new Slot(request, front, exchange, loop.now() + request.ttlNanos());
         long ticket = slots.add(slot);
+        slot.ticket = ticket;
         heldBytes += request.valueBytes();
-        // Guards the rule that every request gets its answer in time, should the module ever leave one out.
-        slot.overdue = loop.after(request.ttlNanos() + settings.rules().answerSlackNanos(), () -> overdue(ticket));
+        slot.overdue = loop.after(request.ttlNanos() + settings.rules().answerSlackNanos(), slot);
         happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.requestClass(),
                 request.isWrite(), request.repeated(), 0, request.ttlNanos()));
         return ticket;
@@ -140,33 +157,37 @@
         }
     }
 
-    private void overdue(long ticket) {
-        loop.log().line("overdue", "the module left a request without an answer");
-        finish(ticket, new Answer.Failed());
-        happened(new ClientGone(ticket));
-    }
-
     @Override
     public void passEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching, byte[] value,
             long durationNanos) {
         if (outcome == Outcome.OK) {
             finish(ticket, new Answer.Served(value));
         }
-        happened(() -> new AttemptEnded(ticket, server, attempt, outcome, fetching, slots.get(ticket) == null,
-                durationNanos));
-    }
-
-    private void happened(Supplier<Event> happening) {
-        happenings.add(happening);
         if (handling) {
-            return;
+            happenings.add(() -> attemptEnded(ticket, attempt, server, outcome, fetching, durationNanos));
+        } else {
+            handle(attemptEnded(ticket, attempt, server, outcome, fetching, durationNanos));
         }
+    }
+
+    /** Made when it is handled: whether the request has its answer by then is a part of it. */
+    private AttemptEnded attemptEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching,
+            long durationNanos) {
+        return new AttemptEnded(ticket, server, attempt, outcome, fetching, slots.get(ticket) == null, durationNanos);
+    }
+
+    private void handle(Event first) {
         handling = true;
         try {
-            for (Supplier<Event> next; (next = happenings.poll()) != null;) {
-                List<Action> actions = new ArrayList<>();
-                brain.handle(loop.now(), next.get(), actions::add);
-                actions.forEach(this::carryOut);
+            Event event = first;
+            while (event != null) {
+                actions.clear();
+                brain.handle(loop.now(), event, collect);
+                for (Action action : actions) {
+                    carryOut(action);
+                }
+                Supplier<Event> next = happenings.poll();
+                event = next == null ? null : next.get();
             }
         } finally {
             handling = false;
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -9,6 +9,7 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 
 /** The one thread's loop: waits for sockets and deadlines and hands each to whom it concerns. */
 public final class Loop {
@@ -31,6 +32,8 @@
     private final Deadlines deadlines = new Deadlines();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
+    /** Kept: making one for each round costs more than the round does. */
+    private final Consumer<SelectionKey> dispatch = this::dispatch;
     private long reserved;
     private long now;
     private boolean stopped;
@@ -71,7 +74,7 @@
         return room;
     }
 
-    /** An empty buffer for what is thrown away; the same one at each call. */
+    /** An empty buffer outside the heap, for what is used up before the next call; the same one at each call. */
     ByteBuffer scratch() {
         return scratch.clear();
     }
@@ -123,9 +126,9 @@
     public void round(long mostNanos) throws IOException {
         long wait = Math.min(mostNanos, deadlines.next() - clock.nanos());
         if (wait <= 0) {
-            selector.selectNow(this::dispatch);
+            selector.selectNow(dispatch);
         } else {
-            selector.select(this::dispatch, Clock.millisUp(wait));
+            selector.select(dispatch, Clock.millisUp(wait));
         }
         now = clock.nanos();
         for (Runnable action; (action = handedOver.poll()) != null;) {
@@ -138,26 +141,30 @@
 
     private void dispatch(SelectionKey key) {
         now = clock.nanos();
-        guarded(() -> {
-            try {
-                if (key.isValid()) {
-                    ((Handler) key.attachment()).ready(key);
-                }
-            } catch (ClosedChannelException e) {
-                key.cancel();
-            } catch (IOException e) {
-                log.line("socket-error", e.toString());
+        try {
+            if (key.isValid()) {
+                ((Handler) key.attachment()).ready(key);
             }
-        });
+        } catch (ClosedChannelException e) {
+            key.cancel();
+        } catch (IOException e) {
+            log.line("socket-error", e.toString());
+        } catch (RuntimeException e) {
+            internalError(e);
+        }
     }
 
-    /** Guards the loop, and so every other request, against a fault in the handling of one happening. */
     private void guarded(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            log.line("internal-error", e + (trace.length > 0 ? " at " + trace[0] : ""));
+            internalError(e);
         }
     }
+
+    /** Guards the loop, and so every other request, against a fault in the handling of one happening. */
+    private void internalError(RuntimeException e) {
+        StackTraceElement[] trace = e.getStackTrace();
+        log.line("internal-error", e + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
 }
