Read RESP2 without streams and without a slice for each line

Each line became a slice, also those that only tell a length, and a command went through two streams.

Lengths are read where they lie; a command's items are checked and copied in one loop.

--- a/src/main/java/slateseam/router/net/Resp.java
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -40,17 +40,25 @@
      * @return null, with the buffer as it was, while it is not whole
      */
     public static List<ByteBuffer> command(ByteBuffer in) throws MalformedException {
-        if (in.hasRemaining() && in.get(in.position()) != '*') {
+        int start = in.position();
+        if (start < in.limit() && in.get(start) != '*') {
             throw new MalformedException("a command must be an array");
         }
         Value array = reply(in);
         if (array == null) {
             return null;
         }
-        if (array.items.isEmpty() || !array.items.stream().allMatch(Value::isBulk)) {
+        if (array.items.isEmpty()) {
             throw new MalformedException("a command must hold bulk strings");
         }
-        return array.items.stream().map(Value::bytes).toList();
+        List<ByteBuffer> command = new ArrayList<>(array.items.size());
+        for (Value item : array.items) {
+            if (!item.isBulk()) {
+                throw new MalformedException("a command must hold bulk strings");
+            }
+            command.add(item.bytes);
+        }
+        return command;
     }
 
     /**
@@ -76,18 +84,20 @@
     }
 
     private static Value value(ByteBuffer in, int depth, int needed) throws MalformedException {
-        ByteBuffer line = line(in, LONGEST_LINE);
-        if (line == null) {
+        int start = in.position();
+        int end = lineEnd(in, LONGEST_LINE);
+        if (end < 0) {
             return null;
         }
-        if (!line.hasRemaining()) {
+        if (end == start) {
             throw new MalformedException("an empty line");
         }
-        char type = (char) line.get();
+        char type = (char) in.get(start);
+        in.position(end + 2);
         return switch (type) {
-            case '+', '-', ':' -> new Value(type, line, List.of());
-            case '$' -> bulk(in, number(line, Connection.VALUE_LIMIT));
-            case '*' -> array(in, number(line, MOST_ITEMS), depth, needed);
+            case '+', '-', ':' -> new Value(type, in.slice(start + 1, end - start - 1), List.of());
+            case '$' -> bulk(in, number(in, start + 1, end, Connection.VALUE_LIMIT));
+            case '*' -> array(in, number(in, start + 1, end, MOST_ITEMS), depth, needed);
             default -> throw new MalformedException("unknown type " + (int) type);
         };
     }
@@ -111,7 +121,7 @@
         if (depth == 0) {
             throw new MalformedException("arrays nested too deep");
         }
-        List<Value> items = new ArrayList<>();
+        List<Value> items = new ArrayList<>(Math.max(0, length));
         for (int i = 0; i < length; i++) {
             try {
                 Value item = value(in, depth - 1, MOST_ITEMS);
@@ -131,15 +141,13 @@
         return new Value('*', null, items);
     }
 
-    /** A length from -1 to the limit. */
-    private static int number(ByteBuffer digits, int limit) throws MalformedException {
-        boolean negative = digits.hasRemaining() && digits.get(digits.position()) == '-';
-        if (negative) {
-            digits.get();
-        }
-        int number = digits.hasRemaining() ? 0 : limit + 1;
-        while (digits.hasRemaining() && number <= limit) {
-            byte b = digits.get();
+    /** The length that a part of the buffer tells, from -1 to the limit. */
+    private static int number(ByteBuffer in, int from, int to, int limit) throws MalformedException {
+        boolean negative = from < to && in.get(from) == '-';
+        int first = negative ? from + 1 : from;
+        int number = first < to ? 0 : limit + 1;
+        for (int i = first; i < to && number <= limit; i++) {
+            byte b = in.get(i);
             number = b >= '0' && b <= '9' ? 10 * number + b - '0' : limit + 1;
         }
         if (number > limit || negative && number != 1) {
@@ -150,16 +158,26 @@
 
     /** The text up to the next CRLF, which is passed; null while that has not come. */
     static ByteBuffer line(ByteBuffer in, int longest) throws MalformedException {
-        for (int i = in.position(); i + 1 < in.limit(); i++) {
+        int start = in.position();
+        int end = lineEnd(in, longest);
+        if (end < 0) {
+            return null;
+        }
+        in.position(end + 2);
+        return in.slice(start, end - start);
+    }
+
+    /** Where the next CRLF is; -1 while it has not come. */
+    private static int lineEnd(ByteBuffer in, int longest) throws MalformedException {
+        int last = in.limit() - 1;
+        for (int i = in.position(); i < last; i++) {
             if (in.get(i) == '\r' && in.get(i + 1) == '\n') {
-                ByteBuffer line = in.slice(in.position(), i - in.position());
-                in.position(i + 2);
-                return line;
+                return i;
             }
         }
         if (in.remaining() > longest) {
             throw new MalformedException("a line is longer than " + longest + " bytes");
         }
-        return null;
+        return -1;
     }
 }
