Hold slots' generations as numbers, and open ids as text that keeps its hash

Three look-ups of an id hashed its buffer byte by byte each time, and each ticket boxed a generation.

--- a/src/main/java/slateseam/router/net/Slots.java
+++ b/src/main/java/slateseam/router/net/Slots.java
@@ -1,6 +1,7 @@
 package slateseam.router.net;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 
@@ -12,11 +13,15 @@
     private static final int SLOT_BITS = 16;
     private static final int MOST = 1 << SLOT_BITS;
     private static final int GENERATION_MASK = Integer.MAX_VALUE;
+    private static final int FIRST = 16;
 
     private final int limit;
     private final List<T> entries = new ArrayList<>();
-    private final List<Integer> generations = new ArrayList<>();
-    private final List<Integer> free = new ArrayList<>();
+    /** Of each slot that has ever been used. */
+    private int[] generations = new int[FIRST];
+    /** The numbers of those that can be used again, in the order in which they became free. */
+    private int[] free = new int[FIRST];
+    private int freeCount;
 
     /** Creates a table of at most so many slots. */
     public Slots(int limit) {
@@ -30,7 +35,7 @@
 
     /** How many slots are taken. */
     public int size() {
-        return entries.size() - free.size();
+        return entries.size() - freeCount;
     }
 
     /**
@@ -44,21 +49,25 @@
             throw new IllegalStateException("all " + limit + " slots are taken");
         }
         int slot;
-        if (free.isEmpty()) {
+        if (freeCount == 0) {
             slot = entries.size();
             entries.add(entry);
-            generations.add(1);
+            if (slot == generations.length) {
+                generations = Arrays.copyOf(generations, 2 * slot);
+                free = Arrays.copyOf(free, 2 * slot);
+            }
+            generations[slot] = 1;
         } else {
-            slot = free.remove(free.size() - 1);
+            slot = free[--freeCount];
             entries.set(slot, entry);
         }
-        return (long) generations.get(slot) << SLOT_BITS | slot;
+        return (long) generations[slot] << SLOT_BITS | slot;
     }
 
     /** The entry of a ticket; null if it has been removed. */
     public T get(long ticket) {
         int slot = (int) (ticket & MOST - 1);
-        boolean current = slot < entries.size() && generations.get(slot) == ticket >>> SLOT_BITS;
+        boolean current = slot < entries.size() && generations[slot] == ticket >>> SLOT_BITS;
         return current ? entries.get(slot) : null;
     }
 
@@ -68,8 +77,8 @@
         if (entry != null) {
             int slot = (int) (ticket & MOST - 1);
             entries.set(slot, null);
-            generations.set(slot, generations.get(slot) + 1 & GENERATION_MASK);
-            free.add(slot);
+            generations[slot] = generations[slot] + 1 & GENERATION_MASK;
+            free[freeCount++] = slot;
         }
         return entry;
     }
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -28,7 +28,7 @@
         private long request = -1;
         private long waitNanos;
         /** Its id while it is open. */
-        private ByteBuffer id;
+        private String id;
 
         /** Takes the one final answer. */
         protected abstract void answered(Answer answer);
@@ -45,7 +45,7 @@
     private final List<String> tenants;
     private final Slots<Open> open;
     /** The ids of the requests that are owed an answer; they are held as long as those are, and no longer. */
-    private final Set<ByteBuffer> openIds = new HashSet<>();
+    private final Set<String> openIds = new HashSet<>();
 
     /** Creates the table; the core holds at most so many requests. */
     public Requests(Intake core, Settings settings, int mostHeld) {
@@ -67,7 +67,7 @@
         if (!isPlain(key) || !isPlain(id) || !isPlain(facts)) {
             return Replies.line("-ERR a key, id or fact is no visible ASCII");
         }
-        ByteBuffer openId = ByteBuffer.wrap(id);
+        String openId = Bytes.text(ByteBuffer.wrap(id));
         // Guards against two requests of one id, of which neither's answer could be told from the other's.
         if (openIds.contains(openId)) {
             return Replies.line("-ERR a request with this id is open");
