Write commands and answers into one buffer each

Texts went through a character buffer, a command through a growing stream that locks at each write, and each length through a string. A short answer was three buffers.

Texts and copies are made in one step, a command's head is written into a buffer that has room for it, digits are put in place, and a value of up to 4 KiB is copied behind its head.

--- a/src/main/java/slateseam/router/net/Bytes.java
+++ b/src/main/java/slateseam/router/net/Bytes.java
@@ -20,6 +20,14 @@
         return number ? Integer.parseInt(text) : -1;
     }
 
+    /** Puts the decimal digits of a number, which is not below 0, into a buffer that has room for them. */
+    public static ByteBuffer putNumber(ByteBuffer to, int number) {
+        if (number > 9) {
+            putNumber(to, number / 10);
+        }
+        return to.put((byte) ('0' + number % 10));
+    }
+
     /** Whether a byte or a character is visible ASCII, which white space is not. */
     public static boolean isVisible(int c) {
         return c > ' ' && c < DELETE;
@@ -32,13 +40,13 @@
 
     /** The text of a slice, which is left as it was. */
     public static String text(ByteBuffer slice) {
-        return StandardCharsets.ISO_8859_1.decode(slice.duplicate()).toString();
+        return new String(copy(slice), StandardCharsets.ISO_8859_1);
     }
 
     /** A copy of a slice, which is left as it was. */
     public static byte[] copy(ByteBuffer slice) {
         byte[] bytes = new byte[slice.remaining()];
-        slice.duplicate().get(bytes);
+        slice.get(slice.position(), bytes);
         return bytes;
     }
 }
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -1,6 +1,5 @@
 package slateseam.router.pass;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.List;
 import slateseam.decision.Api.Outcome;
@@ -18,22 +17,31 @@
     /** The value, and how it went. */
     private static final int NEEDED_ITEMS = 2;
     private static final byte[] LINE_END = Bytes.of("\r\n");
+    /** The bytes round an item: a dollar, up to ten digits, two ends of lines. */
+    private static final int MOST_ROUND_ITEM = 15;
 
     @Override
     public ByteBuffer[] command(Request request, long waitMillis) {
-        ByteArrayOutputStream head = new ByteArrayOutputStream();
-        head.writeBytes(request.isWrite() ? SET : GET);
-        for (byte[] part : List.of(request.key(), request.id(), Facts.withTimeLeft(request.facts(), waitMillis))) {
-            head.writeBytes(Bytes.of("$" + part.length + "\r\n"));
-            head.writeBytes(part);
-            head.writeBytes(LINE_END);
-        }
+        byte[] facts = Facts.withTimeLeft(request.facts(), waitMillis);
+        ByteBuffer head = ByteBuffer.allocate(GET.length + request.key().length + request.id().length + facts.length
+                + (request.isWrite() ? 4 : 3) * MOST_ROUND_ITEM).put(request.isWrite() ? SET : GET);
+        item(head, request.key());
+        item(head, request.id());
+        item(head, facts);
         if (!request.isWrite()) {
-            return new ByteBuffer[] {ByteBuffer.wrap(head.toByteArray())};
+            return new ByteBuffer[] {head.flip()};
         }
-        head.writeBytes(Bytes.of("$" + request.value().length + "\r\n"));
-        return new ByteBuffer[] {ByteBuffer.wrap(head.toByteArray()), ByteBuffer.wrap(request.value()),
-                ByteBuffer.wrap(LINE_END)};
+        length(head, request.value().length);
+        return new ByteBuffer[] {head.flip(), ByteBuffer.wrap(request.value()), ByteBuffer.wrap(LINE_END)};
+    }
+
+    private static void item(ByteBuffer head, byte[] item) {
+        length(head, item.length);
+        head.put(item).put(LINE_END);
+    }
+
+    private static void length(ByteBuffer head, int length) {
+        Bytes.putNumber(head.put((byte) '$'), length).put(LINE_END);
     }
 
     @Override
--- a/src/main/java/slateseam/router/useragent/Replies.java
+++ b/src/main/java/slateseam/router/useragent/Replies.java
@@ -8,6 +8,9 @@
 /** Answers as RESP2. */
 public final class Replies {
     private static final byte[] LINE_END = Bytes.of("\r\n");
+    /** A dollar, up to ten digits, two ends of lines. */
+    private static final int MOST_ROUND_VALUE = 15;
+    private static final int MOST_COPIED = 4 * 1024;
 
     private Replies() {
     }
@@ -15,8 +18,7 @@
     /** The buffers of a request's answer. */
     public static ByteBuffer[] of(Answer answer) {
         if (answer instanceof Answer.Served served) {
-            return new ByteBuffer[] {ByteBuffer.wrap(Bytes.of("$" + served.value().length + "\r\n")),
-                    ByteBuffer.wrap(served.value()), ByteBuffer.wrap(LINE_END)};
+            return value(served.value());
         }
         if (answer instanceof Answer.Unavailable unavailable) {
             long millis = Clock.millisUp(unavailable.retryAfterNanos());
@@ -25,6 +27,15 @@
         return line("-ERR failed");
     }
 
+    /** A short value is copied, so that there is one buffer to keep and to gather. */
+    private static ByteBuffer[] value(byte[] value) {
+        boolean copied = value.length <= MOST_COPIED;
+        ByteBuffer head = ByteBuffer.allocate(MOST_ROUND_VALUE + (copied ? value.length : 0));
+        Bytes.putNumber(head.put((byte) '$'), value.length).put(LINE_END);
+        return copied ? new ByteBuffer[] {head.put(value).put(LINE_END).flip()}
+                : new ByteBuffer[] {head.flip(), ByteBuffer.wrap(value), ByteBuffer.wrap(LINE_END)};
+    }
+
     /** The buffer of a line. */
     public static ByteBuffer[] line(String text) {
         return new ByteBuffer[] {ByteBuffer.wrap(Bytes.of(text + "\r\n"))};
