--- a/src/test/java/slateseam/router/net/TablesTest.java
+++ b/src/test/java/slateseam/router/net/TablesTest.java
@@ -4,8 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import slateseam.router.net.Deadlines.Deadline;
 
 /** Slots, deadlines and the log's bound. */
 class TablesTest {
@@ -24,6 +27,21 @@
         assertThat(slots.get(-1)).isNull();
     }
 
+    @Test
+    void theTableGrowsToItsLimitAndGivesSlotsOnceMore() {
+        Slots<Integer> slots = new Slots<>(100);
+        List<Long> tickets = new ArrayList<>();
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 100; i++) {
+                tickets.add(slots.add(i));
+            }
+            assertThat(slots.isFull()).isTrue();
+            tickets.subList(100 * round, 100 * round + 100).forEach(slots::remove);
+            assertThat(slots.size()).isZero();
+        }
+        assertThat(tickets).doesNotHaveDuplicates();
+    }
+
     @Test
     void deadlinesComeInOrderAndOnlyWhenDue() {
         Deadlines deadlines = new Deadlines();
@@ -42,6 +60,34 @@
         assertThat(deadlines.next()).isEqualTo(Long.MAX_VALUE);
     }
 
+    @Test
+    void deadlinesKeepTheirOrderWhicheverAreCancelled() {
+        Deadlines deadlines = new Deadlines();
+        SplittableRandom random = new SplittableRandom(7);
+        List<Deadline> set = new ArrayList<>();
+        List<Integer> expected = new ArrayList<>();
+        List<Integer> done = new ArrayList<>();
+        for (int i = 0; i < 500; i++) {
+            int time = random.nextInt(100);
+            // Ordered by time, then by when it was set.
+            int name = 1000 * time + i;
+            set.add(deadlines.set(time, () -> done.add(name)));
+            expected.add(name);
+            if (random.nextInt(3) > 0) {
+                int gone = random.nextInt(expected.size());
+                expected.remove(gone);
+                deadlines.cancel(set.remove(gone));
+            }
+        }
+        Collections.sort(expected);
+        for (Runnable action; (action = deadlines.due(100)) != null;) {
+            action.run();
+        }
+        set.forEach(deadlines::cancel); // too late, which changes nothing
+        assertThat(done).hasSizeGreaterThan(100).isEqualTo(expected);
+        assertThat(deadlines.next()).isEqualTo(Long.MAX_VALUE);
+    }
+
     @Test
     void theLogIsBoundedForEachKindAndKeepsToOneLine() {
         long[] now = {0};
