--- a/examples/ToyFarm.java
+++ b/examples/ToyFarm.java
@@ -11,8 +11,8 @@
 /**
  * A toy farm to try the router with: discovery at port 8500, the origin at 7000 and an application server at 7001,
  * all on 127.0.0.1. Run it with {@code java examples/ToyFarm.java}; {@code java examples/ToyFarm.java 2 quiet} has two
- * application servers, at 7001 and 7002, and shows no commands. It keeps nothing but what passed through it, and all its
- * application servers keep the same.
+ * application servers, at 7001 and 7002, and shows no commands. It keeps nothing but what passed through it, and all
+ * its application servers keep the same.
  */
 public final class ToyFarm {
     private static final Map<String, String> ORIGIN = new ConcurrentHashMap<>();
