--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -23,6 +23,8 @@
     private static final double LOST_PART = 0.2, FUTILE = 0.25; // of the fetches: lost to overload; given up
     private static final double BURST_SECONDS = 0.25, TENANT_BURST = 6; // of supply; tenants: times that
     private static final int FAILURES = 4, LOST_WORK = 2; // a row that ejects; lost work's weight in it
+    private static final double MOST_EJECTED = 0.5; // of ready caches at once; more than fail for a common cause
+    private static final long DEAD = SECOND / 2; // silence beyond a connection's time that is no hiccup
     private static final long EJECT_AIMS = 2; // first, by the shortest aim; doubles three times
     private static final double START_WINDOW = 8, LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // own work out
     private static final double SLOW_ANSWER = 0.6, WINDOW_CUT = 0.75; // part of the aim from which it shrinks
@@ -93,13 +95,15 @@
     private long pace() { return Math.max(TICK, settings.tickNanos()); }
 
     /** A member's health and load, as far as this router can tell. */
-    private final class Server {
+    private final class Server extends Health {
         Member member;
-        int failures, outstanding;
-        long ejectedUntil, unansweredSince, crowdedUntil, cutAt, sentAt, coldSeen, ejection = eject;
-        double window = START_WINDOW, coldTokens;
+        long crowdedUntil, coldSeen;
+        double coldTokens;
 
-        Server(Member member) { this.member = member; }
+        Server(Member member) {
+            super(START_WINDOW, eject);
+            this.member = member;
+        }
 
         long id() { return member.id(); }
 
@@ -112,26 +116,24 @@
 
         boolean triable() { return outstanding == 0 && now >= ejectedUntil; }
 
-        /** Guards against a cache that slows down when crowded, and stays slow until it gets some rest. */
-        boolean hasRoom(double part) {
-            return outstanding < Math.max(1, window * part)
-                    && (window >= 1 || now - sentAt >= requests.answerTime / window);
-        }
+        boolean hasRoom(double part) { return hasRoom(part, requests.answerTime, now); }
 
         /** Whether nothing has come back for longer than a connection may take to come up. */
-        boolean silent() {
-            return unansweredSince != 0 && now - unansweredSince > settings.limits().connectTimeoutNanos();
-        }
+        boolean silent() { return silentFor(now) > settings.limits().connectTimeoutNanos(); }
+
+        boolean dead() { return silentFor(now) > DEAD + settings.limits().connectTimeoutNanos(); }
 
         void answered(boolean slow, long duration) {
             failures = 0;
             ejection = eject;
+            proven = true;
             if (slow) shrink(duration);
-            else if (outstanding + 1 >= window / 2) window += 1 / Math.max(1, window);
+            else grow();
         }
 
         /** Misses alone bring one back that was left alone, but slowly: each answered trial counts one. */
         void missed() {
+            proven = true;
             if (failures >= FAILURES && now >= ejectedUntil) failures = Math.min(failures - 1, 2 * FAILURES);
         }
 
@@ -140,21 +142,30 @@
             fail(weight);
         }
 
+        /** Ejection is relative to the farm: what befalls most caches at once tells nothing of this one. */
         void fail(int weight) {
+            failedAt = now;
+            boolean common = fleet.strained(), left = now < ejectedUntil;
+            if (common) fleet.health.forgive(now - eject, DEAD, FAILURES, fleet.fairWindow(), now);
+            // Guards against ejecting for connections that are still coming up: it has never answered yet.
+            if (!proven && !dead() && weight < FAILURES) return;
             failures += weight;
             // Guards against counting one mishap many times: nothing is sent while it is left alone.
-            if (failures < FAILURES || now < ejectedUntil) return;
+            if (failures < FAILURES || left) return;
+            boolean spared = common || fleet.health.ejectedPart(FAILURES) > MOST_EJECTED;
+            if (spared && !dead()) {
+                failures = FAILURES - 1;
+                return;
+            }
             // In which two requests for it come; just after a start nobody knows how many come.
             Tally arrivals = requests.arrivals;
             double two = arrivals.isKnown() ? 2 * SECOND * fleet.readyCaches / arrivals.perSecond() : 0;
-            ejectedUntil = now + (long) Math.max(ejection, Math.min(two, 8 * eject));
-            ejection = Math.min(2 * ejection, 8 * eject);
+            eject((long) Math.max(ejection, Math.min(two, 8 * eject)), now);
+            if (!common) ejection = Math.min(2 * ejection, 8 * eject);
         }
 
         void shrink(long duration) {
-            if (now - duration < cutAt) return;
-            cutAt = now;
-            window = Math.max(LEAST_WINDOW, Math.min(window, outstanding + 1) * WINDOW_CUT);
+            shrink(duration, WINDOW_CUT, fleet.strained() ? fleet.fairWindow() : LEAST_WINDOW, now);
         }
 
         /** The stated warm-up: the part of its work that a starting member is due. */
@@ -180,6 +191,7 @@
         /** Caches by their ids, with room to spare; the same at every router that has the same list. */
         Server[] slots = new Server[SLOTS];
         final KeyCounts keys = new KeyCounts();
+        final FarmHealth health = new FarmHealth();
         /** Where misses are fetched; null where caches fetch themselves, or none is ready. */
         Server origin;
         double topRating = 1;
@@ -206,6 +218,7 @@
                     .toList();
             place(caches);
             readyCaches = (int) caches.stream().filter(Server::ready).count();
+            health.ready(caches.stream().filter(Server::ready).toList());
             topRating = caches.stream().mapToDouble(s -> s.ready() ? s.member.rating() : 0).max().orElse(1);
         }
 
@@ -225,10 +238,19 @@
         void update(Member m) {
             if (m.isGone() && !servers.containsKey(m.id())) return;
             Server s = servers.computeIfAbsent(m.id(), id -> new Server(m));
-            if (m.upSinceNanos() != s.member.upSinceNanos()) s.failures = 0;
+            if (m.upSinceNanos() != s.member.upSinceNanos()) s.restarted();
             s.member = m;
         }
 
+        /** Whether most caches have failed within the time that one would be left alone for. */
+        boolean strained() { return health.failedPart(now - eject) > MOST_EJECTED; }
+
+        /** What this router's work needs at the usual answer time, were it spread evenly. */
+        double fairWindow() {
+            double out = requests.arrivals.perSecond() * requests.answerTime / SECOND;
+            return Math.max(1, Math.min(START_WINDOW / 2, out / Math.max(1, readyCaches)));
+        }
+
         void subscribeWithin(long t) { out.accept(new SetTimer(SUBSCRIBE_TAG, 1 + random.nextLong(t))); }
 
         /** The cache of a key by jump consistent hash; null if none is to be used. */
@@ -503,9 +525,7 @@
             }
             job.attempts++;
             job.open = true;
-            to.outstanding++;
-            to.sentAt = now;
-            if (to.unansweredSince == 0) to.unansweredSince = now;
+            to.sent(now);
             boolean movable = !to.isOrigin() && job.type.effect() == Effect.PURE && !job.type.stream();
             long left = job.giveUpAt - now;
             // Guards against moving on too early, or too late for another answer.
@@ -580,7 +600,7 @@
 
         /** What an outcome tells of the member's health, and of overload. */
         void judge(Server server, AttemptEnded e, Job job) {
-            server.outstanding = Math.max(0, server.outstanding - 1);
+            server.ended();
             long aim = (job != null ? job.type : settings.classes().get(0)).aimNanos();
             long duration = e.durationNanos();
             boolean served = e.outcome() == Outcome.OK || e.outcome() == Outcome.MISS;
@@ -592,7 +612,7 @@
             // What had little time from the start tells of the request and not of the member.
             if (e.outcome() == Outcome.TIMEOUT && !slow && !server.isOrigin()) return;
             boolean cameBack = !SENT_NOTHING.contains(e.outcome()) && e.outcome() != Outcome.TIMEOUT;
-            if (cameBack) server.unansweredSince = 0;
+            if (cameBack) server.cameBack();
             if (mishap(e.outcome())) {
                 // Guards against sparing members for what happens to all answers alike and tells nothing of
                 // their load. Only one that answers nothing else for a while is left alone.
