--- a/src/main/java/slateseam/decision/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -5,21 +5,29 @@
     /** A whole budget, in indivisible parts so that transfers are exact. */
     static final int WHOLE = 1 << 30;
 
-    /** This router's part of the whole; below 0 while it owes. */
+    /** This router's own part of the whole: an even share and what its neighbours moved; below 0 while it owes. */
     int units;
+    /** What it holds beside for a neighbour that has vanished. */
+    int inherited;
     /** The whole budget a second. */
     double rate;
     /** What is asked for. */
     final Tally demand = new Tally();
     private double tokens;
 
-    Account(double rate) {
+    Account(double rate, int units) {
         this.rate = rate;
+        this.units = units;
+    }
+
+    /** All that this router may use, in units; below 0 while it owes. */
+    int held() {
+        return units + inherited;
     }
 
     /** The supply of a second. */
     double supply() {
-        return Math.max(0, units) * rate / WHOLE;
+        return Math.max(0, held()) * rate / WHOLE;
     }
 
     /** Adds the supply of some seconds, keeping at most a burst. */
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -23,7 +23,7 @@
     private static final double LOST_PART = 0.2, FUTILE = 0.25; // of the fetches: lost to overload; given up
     private static final double BURST_SECONDS = 0.25, TENANT_BURST = 6; // of supply; tenants: times that
     private static final int FAILURES = 4, LOST_WORK = 2; // a row that ejects; lost work's weight in it
-    private static final double MOST_EJECTED = 0.5; // of ready caches at once; more than fail for a common cause
+    private static final double MOST_EJECTED = 0.5; // of the ready caches; if more fail, they share a cause
     private static final long DEAD = SECOND / 2; // silence beyond a connection's time that is no hiccup
     private static final long EJECT_AIMS = 2; // first, by the shortest aim; doubles three times
     private static final double START_WINDOW = 8, LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // own work out
@@ -46,7 +46,6 @@
 
     private final Settings settings;
     private final SplittableRandom random;
-    private final int incarnation;
     private final long eject;
     private final Fleet fleet = new Fleet();
     private final Supply supply;
@@ -60,7 +59,6 @@
         random = new SplittableRandom(seed);
         eject = EJECT_AIMS * settings.classes().stream().mapToLong(RequestClass::aimNanos).min()
                 .orElse(SECOND);
-        incarnation = (int) JumpHash.mix(seed) | 1;
         supply = new Supply();
     }
 
@@ -277,155 +275,109 @@
         }
     }
 
-    /** What this router shares with one ring neighbour; the lower-numbered of the two decides what moves. */
-    private final class Edge {
-        final int peer;
-        final boolean lower, buddy;
-        boolean knewEarlier, answeredUs, inherited;
-        int peerIncarnation, sentSequence, heardSequence;
-        long heardAt, pause = SECOND / 2;
-        int[] peerUnits = new int[supply.accounts.size()], flow = peerUnits.clone(), settled = flow.clone();
-
-        Edge(int peer) {
-            this.peer = peer;
-            lower = settings.me() < peer;
-            buddy = (peer + 1) % settings.routers() == settings.me();
-        }
-
-        void send(boolean ask) {
-            int[] units = supply.accounts.stream().mapToInt(a -> a.units).toArray();
-            double[] demand = supply.accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray();
-            var m = new SupplyMessage(ask, knewEarlier, incarnation, peerIncarnation, ++sentSequence,
-                    heardSequence, supply.origin.rate, flow, units, demand,
-                    fleet.keys.tell(peer, SupplyMessage.room(flow.length), PASSED_ON));
-            out.accept(new TellPeer(peer, m.encode()));
-        }
-
-        void received(SupplyMessage m) {
-            if (m.from() == peerIncarnation && m.sequence() <= heardSequence) return;
-            meet(m.from());
-            heardSequence = m.sequence();
-            if (heardAt != 0) pause += (Math.min(now - heardAt, 2 * SECOND) - pause) / 2;
-            heardAt = now;
-            boolean mine = m.to() == incarnation;
-            if (mine && !answeredUs) supply.answered(this, m.knewYou());
-            // Neighbours learn R together, each from few fetches.
-            supply.origin.rate = Math.pow(supply.origin.rate, 0.75) * Math.pow(m.rate(), 0.25);
-            peerUnits = m.units();
-            fleet.keys.hear(peer, m.popular());
-            for (int a = 0; mine && a < flow.length; a++) {
-                Account own = supply.accounts.get(a);
-                if (!lower) apply(own, a, m.flow()[a]);
-                else if (m.heard() == sentSequence) settle(own, a, m.flow()[a], m.demand()[a]);
-            }
-            if (m.ask()) send(false);
-        }
-
-        /** A new incarnation starts a new ledger; its buddy keeps what the old one held. */
-        void meet(int from) {
-            boolean same = from == peerIncarnation;
-            knewEarlier |= !same && peerIncarnation != 0;
-            if (same ? inherited : buddy && !inherited) inherit(same ? -1 : 1);
-            inherited = false;
-            if (same) return;
-            answeredUs = false;
-            peerIncarnation = from;
-            flow = new int[peerUnits.length];
-            settled = new int[peerUnits.length];
-        }
-
-        boolean silent() { return now - heardAt > Math.max(SECOND, SILENCE * pause); }
-
-        void inherit(int sign) {
-            inherited = true;
-            for (int a = 0; a < peerUnits.length; a++) supply.accounts.get(a).units += sign * peerUnits[a];
-        }
-
-        /** Guards against minting by lost, repeated or late messages: totals only, debits come first. */
-        void apply(Account own, int a, int theirFlow) {
-            int moved = Math.max(theirFlow - flow[a], -Math.max(0, own.units));
-            own.units += moved;
-            flow[a] += moved;
-        }
-
-        void settle(Account own, int a, int theirFlow, double theirDemand) {
-            own.units += Math.max(settled[a], flow[a]) - theirFlow;
-            settled[a] = theirFlow;
-            double demand = own.demand.perSecond();
-            double gap = Math.max(0, own.units) / demand - Math.max(0, peerUnits[a]) / theirDemand;
-            int moved = (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
-            flow[a] = theirFlow + moved;
-            own.units -= Math.max(0, moved);
-        }
-    }
-
     /** The origin's budget and the tenants' shares, moved between ring neighbours by the fill-ratio gap. */
     private final class Supply {
-        final Account origin = new Account(START_RATE * settings.routers());
+        final int evenShare = Account.WHOLE / settings.routers();
+        final Account origin = new Account(START_RATE * settings.routers(), evenShare);
         final List<Account> accounts = new ArrayList<>(List.of(origin));
-        final List<Edge> edges = new ArrayList<>();
-        boolean joined, bound, calm = true;
-        int taken, evenShare = Account.WHOLE / settings.routers();
-        long startedAt, lastTick, nextInterval, nextExchange, cutAt = -3600 * SECOND;
+        final List<Neighbour> neighbours = new ArrayList<>();
+        /** Whether it uses its supply: not before its buddy has heard that it is there. */
+        boolean joined;
+        boolean bound, calm = true;
+        int life, busyIntervals;
+        long startedAt, lastTick, nextInterval, cutAt = -3600 * SECOND;
         double delivered, fetched, usualFetch, fetchTime, lost, futile;
 
         Supply() {
             settings.tenants().stream().limit(SupplyMessage.MOST_ACCOUNTS - 1)
-                    .forEach(t -> accounts.add(new Account(t.quotaPerSecond())));
+                    .forEach(t -> accounts.add(new Account(t.quotaPerSecond(), evenShare)));
         }
 
         void start() {
-            startedAt = lastTick = nextInterval = nextExchange = now;
+            startedAt = lastTick = now;
+            nextInterval = now + INTERVAL;
+            life = (int) (now / (SECOND / 1000));
+            if (life == 0) life = 1;
             int n = settings.routers();
-            if (n > 1 && settings.limits().peers()) edges.add(new Edge((settings.me() + 1) % n));
-            if (n > 2 && settings.limits().peers()) edges.add(new Edge((settings.me() + n - 1) % n));
-            edges.forEach(e -> e.send(true));
-            if (edges.isEmpty()) join(evenShare);
+            if (n > 1 && settings.limits().peers()) meet((settings.me() + 1) % n);
+            if (n > 2 && settings.limits().peers()) meet((settings.me() + n - 1) % n);
+            joined = neighbours.isEmpty();
         }
 
-        void received(PeerMessage e) {
-            SupplyMessage m = SupplyMessage.decode(e.payload(), accounts.size());
-            for (Edge edge : edges) if (m != null && edge.peer == e.from()) edge.received(m);
+        void meet(int peer) {
+            Neighbour e = new Neighbour(settings.me(), settings.routers(), peer, accounts, now);
+            neighbours.add(e);
+            e.asked(now);
+            send(e, true);
         }
 
-        void answered(Edge edge, boolean knewUs) {
-            edge.answeredUs = true;
-            if (knewUs) join(0); // the supply of the earlier life is in the ring already
-            else if (!joined && edges.stream().allMatch(e -> e.answeredUs)) join(evenShare);
+        /** Until it has seen what is asked for here, nothing moves by a demand that is only the floor. */
+        boolean starting() { return busyIntervals < 2 && now - startedAt < 2 * SECOND; }
+
+        void send(Neighbour to, boolean ask) {
+            var keys = fleet.keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON);
+            SupplyMessage m = to.message(ask, starting(), life, origin.rate, keys);
+            out.accept(new TellPeer(to.peer, m.encode()));
+        }
+
+        void received(PeerMessage e) {
+            SupplyMessage m = SupplyMessage.decode(e.payload(), accounts.size());
+            for (Neighbour n : neighbours) if (m != null && n.peer == e.from()) received(n, m);
+        }
+
+        void received(Neighbour from, SupplyMessage m) {
+            // Guards against a clock set back between two lives: this must be the later.
+            if (m.to() != 0 && m.to() - life > 0) life = m.to() + 1 == 0 ? 1 : m.to() + 1;
+            boolean knew = from.known(), news = from.hear(m, life, now);
+            if (news) {
+                // Neighbours learn R together, each from few fetches; one that has just started takes it over.
+                double part = !knew && m.known() && starting() ? 1 : 0.25;
+                origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(m.rate(), part);
+                fleet.keys.hear(from.peer, m.popular());
+                joined |= neighbours.stream().allMatch(Neighbour::answered);
+                for (int a = 0; a < accounts.size() && from.mayMove() && !starting(); a++)
+                    from.move(a, wanted(accounts.get(a), m.held()[a], m.demand()[a]));
+            }
+            if (m.ask() && (news || m.from() != from.life())) send(from, false);
         }
 
-        void join(int share) {
-            joined = true;
-            accounts.forEach(a -> a.units += share - taken);
-            taken = share;
+        /** What is to move to the neighbour, by the fill-ratio gap. */
+        int wanted(Account own, int theirs, double theirDemand) {
+            double demand = own.demand.perSecond(), gap = own.held() / demand - theirs / theirDemand;
+            return (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
         }
 
         void tick() {
+            joined |= now - startedAt >= INTERVAL;
             for (Account a : accounts) {
                 double burst = Math.max(1, a.supply() * BURST_SECONDS) * (a == origin ? 1 : TENANT_BURST);
-                a.accrue((double) (now - lastTick) / SECOND, burst);
+                if (joined) a.accrue((double) (now - lastTick) / SECOND, burst);
             }
             lastTick = now;
-            if (!joined && now - startedAt >= INTERVAL) join(evenShare);
             if (now >= nextInterval) interval();
-            if (now < nextExchange) return;
-            double wanted = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one
-            nextExchange = now + (long) Math.max(INTERVAL, Math.min(SECOND, wanted));
-            for (Edge e : edges) {
-                if (e.buddy && !e.inherited && e.silent()) e.inherit(1);
-                if (e.lower) e.send(true);
+            double five = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one exchange
+            long usual = (long) Math.max(INTERVAL, Math.min(SECOND, five));
+            for (Neighbour e : neighbours) {
+                // Guards against lost messages that keep a router that returns from its supply, or make one that
+                // is there look as if it were not, so that its supply is used twice.
+                boolean doubt = e.missed(SILENCE / 2, now) || !joined && !e.answered();
+                if (now - e.askedAt() < (doubt ? INTERVAL / 5 : usual)) continue;
+                if (e.missed(SILENCE, now)) e.inherit();
+                e.asked(now);
+                if (e.lower || doubt || !e.known()) send(e, true);
             }
         }
 
         void interval() {
             nextInterval = now + INTERVAL;
+            if (requests.arrivals.isKnown()) busyIntervals++;
             accounts.forEach(a -> a.demand.endInterval(INTERVAL_SECONDS, DEMAND_WEIGHT));
             delivered += 0.4 * (fetched * SECOND / INTERVAL - delivered);
             fetched = 0;
             // Guards against a budget that grows unused, or before the queue of the last overload has gone.
             double growth = 1 + GROWTH * Math.max(2.5, (double) (now - cutAt) / SECOND);
             // Or while the ring has brought next to nothing of it: then a larger R is not what is missing.
-            boolean grows = bound && calm && origin.units > evenShare / 4;
+            boolean grows = bound && calm && origin.held() > evenShare / 4;
             if (grows && now - cutAt > 2 * INTERVAL) origin.rate *= Math.min(MOST_GROWTH, growth);
             bound = false;
             requests.interval();
@@ -435,7 +387,7 @@
         /** Guards against turning work away because the ring has not yet brought the share that it is due. */
         boolean exceeds(int account) {
             Account a = accounts.get(account);
-            return !a.ask() && a.units > evenShare / 16 && now - startedAt > 2 * SECOND;
+            return !a.ask() && a.held() > evenShare / 16 && now - startedAt > 2 * SECOND;
         }
 
         boolean take() { return origin.take() || !(bound = true); }
@@ -454,12 +406,12 @@
             calm = fetchTime < CALM * usualFetch || risen < RISE / 3 * aim;
             lost += LOST_PART / 4 * ((outcome == Outcome.FULL || outcome == Outcome.TIMEOUT ? 1 : 0) - lost);
             boolean again = now - cutAt <= Math.max(2 * INTERVAL, fetchTime);
-            if (!(lost > LOST_PART || slow) || again || origin.units <= 0) return;
+            if (!(lost > LOST_PART || slow) || again || origin.held() <= 0) return;
             cutAt = now;
             // Guards against cutting again on stale fetch times and losses: new ones must show it.
             fetchTime = usualFetch += 0.03 * (fetchTime - usualFetch);
             lost = 0;
-            double seen = Math.max(origin.rate / 2, delivered * Account.WHOLE / origin.units);
+            double seen = Math.max(origin.rate / 2, delivered * Account.WHOLE / origin.held());
             origin.rate = Math.max(settings.routers(), CUT * Math.min(origin.rate, seen));
         }
     }
--- a/src/main/java/slateseam/decision/SupplyMessage.java
+++ b/src/main/java/slateseam/decision/SupplyMessage.java
@@ -5,28 +5,32 @@
 import java.util.Map;
 
 /**
- * What ring neighbours tell each other, and its layout.
+ * What ring neighbours tell each other, and its layout. A router's lives are numbered by when they began, so that a
+ * message of an earlier life is told from one of the present; numbers are compared by their difference.
  *
  * @param ask whether an answer is wanted
- * @param knewYou whether the sender knew an earlier incarnation of the receiver
- * @param from incarnation of the sender
- * @param to incarnation of the receiver as the sender knows it, 0 if not yet
+ * @param known whether the sender holds the pair's ledger: {@code flow} counts
+ * @param starting whether the sender does not know its demand yet: {@code demand} is a floor
+ * @param from life of the sender, never 0
+ * @param to life of the receiver as the sender knows it, 0 if not yet
  * @param sequence number of this message of the sender
  * @param heard number of the last message that the sender has had from the receiver
  * @param rate the sender's learned R, fetches a second
  * @param flow for each account, all that went from the lower-numbered router to the higher
- * @param units for each account, what the sender holds
+ * @param units for each account, the sender's own supply
+ * @param held for each account, all that the sender may use: its own supply and what it has inherited
  * @param demand for each account, the sender's demand a second
  * @param popular the sender's reads lately of its most popular keys, and of all keys under 0
  */
-record SupplyMessage(boolean ask, boolean knewYou, int from, int to, int sequence, int heard, double rate, int[] flow,
-        int[] units, double[] demand, Map<Long, Double> popular) {
-    private static final byte VERSION = 2;
+record SupplyMessage(boolean ask, boolean known, boolean starting, int from, int to, int sequence, int heard,
+        double rate, int[] flow, int[] units, int[] held, double[] demand, Map<Long, Double> popular) {
+    private static final byte VERSION = 3;
     private static final int ASK = 1;
-    private static final int KNEW_YOU = 2;
-    private static final int FLAG_BITS = 2;
+    private static final int KNOWN = 2;
+    private static final int STARTING = 4;
+    private static final int FLAG_BITS = 3;
     private static final int HEADER_BYTES = 22;
-    private static final int ACCOUNT_BYTES = 12;
+    private static final int ACCOUNT_BYTES = 16;
     private static final int KEY_BYTES = 12;
     private static final int MESSAGE_BYTES = 256;
     /** As many accounts as a message holds. */
@@ -40,10 +44,10 @@
     byte[] encode() {
         ByteBuffer b = ByteBuffer.allocate(
                 HEADER_BYTES + ACCOUNT_BYTES * flow.length + KEY_BYTES * popular.size());
-        int flags = (ask ? ASK : 0) | (knewYou ? KNEW_YOU : 0) | flow.length << FLAG_BITS;
+        int flags = (ask ? ASK : 0) | (known ? KNOWN : 0) | (starting ? STARTING : 0) | flow.length << FLAG_BITS;
         b.put(VERSION).put((byte) flags).putInt(from).putInt(to).putInt(sequence).putInt(heard).putFloat((float) rate);
         for (int a = 0; a < flow.length; a++) {
-            b.putInt(flow[a]).putInt(units[a]).putFloat((float) demand[a]);
+            b.putInt(flow[a]).putInt(units[a]).putInt(held[a]).putFloat((float) demand[a]);
         }
         popular.forEach((key, reads) -> b.putLong(key).putFloat(reads.floatValue()));
         return b.array();
@@ -57,13 +61,14 @@
         }
         ByteBuffer b = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
         int flags = b.get();
-        SupplyMessage m = new SupplyMessage((flags & ASK) != 0, (flags & KNEW_YOU) != 0, b.getInt(), b.getInt(),
-                b.getInt(), b.getInt(), b.getFloat(), new int[accounts], new int[accounts], new double[accounts],
-                new LinkedHashMap<>());
+        SupplyMessage m = new SupplyMessage((flags & ASK) != 0, (flags & KNOWN) != 0, (flags & STARTING) != 0,
+                b.getInt(), b.getInt(), b.getInt(), b.getInt(), b.getFloat(), new int[accounts], new int[accounts],
+                new int[accounts], new double[accounts], new LinkedHashMap<>());
         boolean sound = m.from != 0 && m.rate > 0 && Double.isFinite(m.rate);
         for (int a = 0; a < accounts; a++) {
             m.flow[a] = b.getInt();
             m.units[a] = b.getInt();
+            m.held[a] = b.getInt();
             m.demand[a] = b.getFloat();
             sound &= m.demand[a] > 0 && Double.isFinite(m.demand[a]);
         }
--- a/src/main/java/slateseam/decision/Tally.java
+++ b/src/main/java/slateseam/decision/Tally.java
@@ -2,9 +2,11 @@
 
 /** How many of something come a second, smoothed over intervals. */
 final class Tally {
+    /** Intervals that are counted; from then on the stated weight is the greater by far. */
+    private static final int MOST = 1000;
     private double recent;
     private double perSecond = 1;
-    private boolean known;
+    private int intervals;
 
     /** Counts one. */
     void count() {
@@ -18,14 +20,14 @@
 
     /** Whether any have been seen by the end of an interval; until then the figure is a guess. */
     boolean isKnown() {
-        return known;
+        return intervals > 0;
     }
 
-    /** Ends an interval of so many seconds; what came in it weighs so much. */
+    /** Ends an interval of so many seconds; what came in it weighs so much at least. */
     void endInterval(double seconds, double weight) {
-        // Guards a router that has just started: the first that it sees counts in full.
-        perSecond += (known ? weight : 1) * (Math.max(1, recent) / seconds - perSecond);
-        known |= recent > 0;
+        // Guards a router that has just started: the first intervals in which any came count alike.
+        intervals = recent > 0 || intervals > 0 ? Math.min(MOST, intervals + 1) : 0;
+        perSecond += Math.max(weight, 1.0 / Math.max(1, intervals)) * (Math.max(1, recent) / seconds - perSecond);
         recent = 0;
     }
 }
--- a/src/test/java/slateseam/decision/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -91,7 +91,7 @@
 
         long total(int account) {
             return Arrays.stream(routers).filter(w -> w != null)
-                    .mapToLong(w -> accounts(w.brain).get(account).units).sum();
+                    .mapToLong(w -> accounts(w.brain).get(account).held()).sum();
         }
     }
 
@@ -175,8 +175,9 @@
     void aRouterWithoutItsShareBlamesNeitherTheOriginNorTheTenants() {
         World w = new World(World.settings(0, 2, false, List.of(new Tenant("t", 2, 1))), 3);
         w.fleet(10);
-        int to = (int) field(w.brain, "incarnation");
-        w.on(new PeerMessage(1, new SupplyMessage(false, true, 5, to, 1, 0, 40, new int[2], new int[2],
+        int to = (int) field(w.brain, "supply", "life");
+        int[] all = {Account.WHOLE / 2, Account.WHOLE / 2};
+        w.on(new PeerMessage(1, new SupplyMessage(false, true, false, 5, to, 1, 0, 40, all, new int[2], new int[2],
                 new double[] {1, 1}, Map.of()).encode()));
         double rate = accounts(w.brain).get(0).rate;
         for (int i = 0; i < 300; i++) {
@@ -203,7 +204,7 @@
         int most = SupplyMessage.MOST_ACCOUNTS;
         double[] demand = new double[most];
         Arrays.fill(demand, 2);
-        byte[] bytes = new SupplyMessage(true, false, 5, 6, 7, 8, 9, new int[most], new int[most], demand, Map.of()).encode();
+        byte[] bytes = new SupplyMessage(true, false, true, 5, 6, 7, 8, 9, new int[most], new int[most], new int[most], demand, Map.of()).encode();
         assertTrue(bytes.length <= 256);
         SupplyMessage back = SupplyMessage.decode(bytes, most);
         assertEquals(7, back.sequence());
@@ -223,7 +224,7 @@
             }
         }
         int room = SupplyMessage.room(3);
-        byte[] bytes = new SupplyMessage(true, false, 5, 6, 7, 8, 9, new int[3], new int[3], new double[] {1, 1, 1},
+        byte[] bytes = new SupplyMessage(true, false, true, 5, 6, 7, 8, 9, new int[3], new int[3], new int[3], new double[] {1, 1, 1},
                 keys.tell(1, room, 0.5)).encode();
         assertTrue(bytes.length <= 256);
         Map<Long, Double> told = SupplyMessage.decode(bytes, 3).popular();
