--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -243,6 +243,9 @@
         /** Whether most caches have failed within the time that one would be left alone for. */
         boolean strained() { return health.failedPart(now - eject) > MOST_EJECTED; }
 
+        /** Whether most caches have yet to answer, or fail together: then none is full for good. */
+        boolean unsettled() { return strained() || health.provenPart() < MOST_EJECTED; }
+
         /** What this router's work needs at the usual answer time, were it spread evenly. */
         double fairWindow() {
             double out = requests.arrivals.perSecond() * requests.answerTime / SECOND;
@@ -330,7 +333,7 @@
             if (m.to() != 0 && m.to() - life > 0) life = m.to() + 1 == 0 ? 1 : m.to() + 1;
             boolean knew = from.known(), news = from.hear(m, life, now);
             if (news) {
-                // Neighbours learn R together, each from few fetches; one that has just started takes it over.
+                // Neighbours learn R together, each from few fetches; a new one takes it over.
                 double part = !knew && m.known() && starting() ? 1 : 0.25;
                 origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(m.rate(), part);
                 fleet.keys.hear(from.peer, m.popular());
@@ -358,8 +361,8 @@
             double five = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one exchange
             long usual = (long) Math.max(INTERVAL, Math.min(SECOND, five));
             for (Neighbour e : neighbours) {
-                // Guards against lost messages that keep a router that returns from its supply, or make one that
-                // is there look as if it were not, so that its supply is used twice.
+                // Guards against lost messages that keep one that returns from its supply, or make one
+                // that is there look as if it were not, so that its supply is used twice.
                 boolean doubt = e.missed(SILENCE / 2, now) || !joined && !e.answered();
                 if (now - e.askedAt() < (doubt ? INTERVAL / 5 : usual)) continue;
                 if (e.missed(SILENCE, now)) e.inherit();
@@ -423,6 +426,8 @@
         final PriorityQueue<Job> waiting = Job.queue(j -> j.wakeAt);
         /** Waiting for supply: work within shares first, then the latest, as it has time left for its aim. */
         final PriorityQueue<Job> held = Job.queue(j -> (j.overShare ? 3600 * SECOND : 0) - j.arrivedAt);
+        /** Waiting for room at a cache, in the same order. */
+        final PriorityQueue<Job> roomless = Job.queue(j -> -j.arrivedAt);
         final Map<Long, Job> fetches = new HashMap<>();
         final Tally arrivals = new Tally();
         double tried, bad, answerTime, admitted = ALL;
@@ -442,7 +447,7 @@
             boolean shed = random.nextDouble() >= (overShare ? admitted - 1 : admitted);
             // Guards against a try with so little time left that the next housekeeping comes too late.
             if (job.giveUpAt <= now) decline(job);
-            else if (shed) overflow(job);
+            else if (shed) overflow(job, false);
             else route(job, null);
         }
 
@@ -455,15 +460,17 @@
             boolean spill = home != null && !home.hasRoom(part) && not == null && !job.overShare;
             if (spill) home = fleet.home(key, home);
             if (home == null && aside) fetch(job);
-            else if (home == null || !home.hasRoom(part)) overflow(job);
-            else send(job, home);
+            else if (home != null && home.hasRoom(part)) send(job, home);
+            else overflow(job, home != null && fleet.unsettled());
         }
 
         /** Work within its share that the caches cannot take counts as a miss while supply is left over. */
-        void overflow(Job job) {
-            supply.origin.demand.count();
+        void overflow(Job job, boolean patient) {
+            if (!job.waited) supply.origin.demand.count();
             if (fleet.origin != null && !job.overShare && held.isEmpty() && pay()) send(job, fleet.origin);
+            else if (patient && !job.overShare) roomless.add(job);
             else decline(job);
+            job.waited = true;
         }
 
         /** Guards against bursts of more connections than the origin admits: it has a window too. */
@@ -530,7 +537,19 @@
             Server server = fleet.servers.get(e.member());
             Job job = jobs.get(e.request());
             if (server != null) judge(server, e, job);
-            if (job == null) return;
+            if (job != null) next(job, e, server);
+            admitRoomless();
+        }
+
+        /** Two at most, as one attempt has ended: each looks for room again. */
+        void admitRoomless() {
+            for (int i = 0; i < 2 && !roomless.isEmpty(); i++) {
+                Job job = roomless.poll();
+                if (!job.done) route(job, null);
+            }
+        }
+
+        void next(Job job, AttemptEnded e, Server server) {
             boolean aside = settings.mode() == CacheMode.ASIDE;
             job.open = false;
             job.mayHaveRun |= !e.outcome().neverRan();
@@ -650,6 +669,8 @@
                 if (!job.done) route(job, null);
             }
             release();
+            roomless.removeIf(j -> j.done);
+            admitRoomless();
         }
 
         void interval() {
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -18,6 +18,8 @@
     final boolean overShare;
     int attempts;
     boolean open;
+    /** Whether it has found no cache with room before. */
+    boolean waited;
     boolean mayHaveRun;
     /** Whether an attempt has come to a member. */
     boolean reached;
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -334,6 +334,9 @@
     @Test
     void workThatTheCachesCannotTakeIsFetchedWhileSupplyIsLeft() {
         World w = World.single();
+        for (long key = 1; key <= 50; key++) {
+            w.homeOf(key); // the caches have answered before
+        }
         w.pass(1000 * MS);
         int fetched = 0;
         int refused = 0;
