--- a/src/main/java/slateseam/decision/FarmHealth.java
+++ b/src/main/java/slateseam/decision/FarmHealth.java
@@ -24,9 +24,9 @@
         return part(caches.stream().filter(h -> h.failures >= failures).count());
     }
 
-    /** The part that has answered since this router knows it, or since its own last start. */
+    /** The part that has answered this router since its own last start. */
     double provenPart() {
-        return part(caches.stream().filter(h -> h.proven).count());
+        return part(caches.stream().filter(h -> h.provenAt != 0).count());
     }
 
     /**
--- a/src/main/java/slateseam/decision/Health.java
+++ b/src/main/java/slateseam/decision/Health.java
@@ -12,8 +12,10 @@
     int outstanding;
     /** How much may be out at once; below 1 it is the part of an answer time's attempts. */
     double window;
-    /** Whether it has answered since this router knows it, or since its own last start. */
-    boolean proven;
+    /** When it first answered this router since its own last start. */
+    long provenAt;
+    /** When the first attempt went out since then. */
+    long firstSentAt;
     long failedAt;
     long ejectedAt;
     long ejectedUntil;
@@ -33,6 +35,9 @@
     void sent(long now) {
         outstanding++;
         sentAt = now;
+        if (firstSentAt == 0) {
+            firstSentAt = now;
+        }
         if (unansweredSince == 0) {
             unansweredSince = now;
         }
@@ -43,6 +48,11 @@
         outstanding = Math.max(0, outstanding - 1);
     }
 
+    /** It has answered. */
+    void prove(long now) {
+        provenAt = provenAt == 0 ? now : provenAt;
+    }
+
     /** Something of an attempt came back, if not what was asked for. */
     void cameBack() {
         unansweredSince = 0;
@@ -84,7 +94,8 @@
     /** A new process of the same member: what the old one did is not held against it. */
     void restarted() {
         failures = 0;
-        proven = false;
+        provenAt = 0;
+        firstSentAt = 0;
         unansweredSince = 0;
     }
 }
