--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -42,6 +42,8 @@
     private static final long CROWDED = 20 * SECOND; // after a refusal, closes idle connections
     private static final Set<Outcome> SENT_NOTHING = EnumSet.of(
             Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT); // that came whole to a member
+    private static final Set<Outcome> NOTHING_BACK = EnumSet.of(Outcome.CONNECT_FAILED, Outcome.UNSENT,
+            Outcome.MOOT, Outcome.TIMEOUT, Outcome.CANCELLED); // no sign of life; we end these ourselves
     private static final int TICK_TAG = 1, SUBSCRIBE_TAG = 2;
 
     private final Settings settings;
@@ -150,11 +152,11 @@
         /** Ejection is relative to the farm: what befalls most caches at once tells nothing of this one. */
         void fail(int weight) {
             failedAt = now;
-            boolean common = fleet.strained(), left = now < ejectedUntil;
+            boolean common = fleet.strained();
             if (common) fleet.health.forgive(now - eject, DEAD, FAILURES, fleet.fairWindow(), now);
             failures += weight;
             // Guards against counting one mishap many times: nothing is sent while it is left alone.
-            if (failures < FAILURES || left) return;
+            if (failures < FAILURES || now < ejectedUntil) return;
             boolean spared = common || fleet.health.ejectedPart(FAILURES) > MOST_EJECTED;
             if (spared && !dead()) {
                 failures = FAILURES - 1;
@@ -168,7 +170,8 @@
         }
 
         void shrink(long duration) {
-            shrink(duration, WINDOW_CUT, fleet.strained() ? fleet.fairWindow() : LEAST_WINDOW, now);
+            boolean common = !isOrigin() && fleet.strained();
+            shrink(duration, WINDOW_CUT, common ? fleet.fairWindow() : LEAST_WINDOW, now);
         }
 
         /** The stated warm-up: the part of its work that a starting member is due. */
@@ -330,7 +333,11 @@
 
         void received(PeerMessage e) {
             SupplyMessage m = SupplyMessage.decode(e.payload(), accounts.size());
-            for (Neighbour n : neighbours) if (m != null && n.peer == e.from()) received(n, m);
+            for (Neighbour n : neighbours) {
+                if (n.peer != e.from()) continue;
+                if (m != null) received(n, m);
+                else n.isThere(now); // of another build: what it says is passed over
+            }
         }
 
         void received(Neighbour from, SupplyMessage m) {
@@ -590,8 +597,7 @@
             if (e.outcome() == Outcome.MOOT || e.outcome() == Outcome.UNSENT && !server.silent()) return;
             // What had little time from the start tells of the request and not of the member.
             if (e.outcome() == Outcome.TIMEOUT && !slow && !server.isOrigin()) return;
-            boolean cameBack = !SENT_NOTHING.contains(e.outcome()) && e.outcome() != Outcome.TIMEOUT;
-            if (cameBack) server.cameBack();
+            if (!NOTHING_BACK.contains(e.outcome())) server.cameBack();
             if (mishap(e.outcome())) {
                 // Guards against sparing members for what happens to all answers alike and tells nothing of
                 // their load. Only one that answers nothing else for a while is left alone.
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -1,6 +1,7 @@
 package slateseam.decision;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * What this router and one ring neighbour have moved between them, and what it holds for the neighbour while that is
@@ -89,7 +90,7 @@
 
     /** What the next message is to say of the ledger and of messages. */
     SupplyMessage message(boolean ask, boolean starting, int me, double rate,
-            java.util.Map<Long, Double> popular) {
+            Map<Long, Double> popular) {
         return new SupplyMessage(ask, known, starting, me, life, ++sent, heard, rate, flow.clone(),
                 accounts.stream().mapToInt(a -> a.units).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
                 accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(), popular);
@@ -121,6 +122,12 @@
         return true;
     }
 
+    /** It is there, if in a way that cannot be understood: what it holds is not to be used twice. */
+    void isThere(long now) {
+        giveBack(false);
+        heardAt = now;
+    }
+
     private void take(SupplyMessage m) {
         answered = true;
         boolean had = known;
--- a/src/test/java/slateseam/decision/SupplyReturnTest.java
+++ b/src/test/java/slateseam/decision/SupplyReturnTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import slateseam.decision.Api.PeerMessage;
 
 /**
  * A router that stops and returns, on a ring whose messages are doubled and overtake one another: at no step do all
@@ -160,4 +161,17 @@
         ring.pass(EXCHANGE, 0, 0);
         assertThat(SupplyTest.accounts(ring.routers[ITS].brain).get(0).rate).isBetween(6.9, 7.1);
     }
+
+    /** A neighbour of another build is there, though nothing that it says is understood: each keeps an even share. */
+    @Test
+    void messagesOfAnotherVersionArePassedOverAndTheirSenderNotInherited() {
+        World w = new World(World.settings(0, 2, false, List.of()), 3);
+        for (int i = 0; i < 100; i++) {
+            w.on(new PeerMessage(1, new byte[] {2, 0, 0}));
+            w.pass(100 * MS);
+        }
+        assertThat(SupplyTest.accounts(w.brain).get(0).held()).isEqualTo(Account.WHOLE / 2);
+        w.pass(3_000 * MS);
+        assertThat(SupplyTest.accounts(w.brain).get(0).held()).isEqualTo(Account.WHOLE);
+    }
 }
