--- a/src/main/java/slateseam/decision/FarmHealth.java
+++ b/src/main/java/slateseam/decision/FarmHealth.java
@@ -24,9 +24,9 @@
         return part(caches.stream().filter(h -> h.failures >= failures).count());
     }
 
-    /** The part that has answered this router since its own last start. */
-    double provenPart() {
-        return part(caches.stream().filter(h -> h.provenAt != 0).count());
+    /** The part that first answered this router, since its own last start, before a time. */
+    double provenPart(long before) {
+        return part(caches.stream().filter(h -> h.provenAt != 0 && h.provenAt < before).count());
     }
 
     /**
