--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -507,9 +507,7 @@
             long left = job.giveUpAt - now;
             // Guards against moving on too early, or too late for another answer.
             double most = left - ANOTHER * answerTime;
-            boolean known = answerTime > 0; // else it would give up connections that are coming up
-            boolean moves = movable && known && most > LATE * answerTime;
-            long timeout = moves ? (long) Math.min(most, left * PATIENCE) : 0;
+            long timeout = movable && most > LATE * answerTime ? (long) Math.min(most, left * PATIENCE) : 0;
             out.accept(new Send(job.asked.request(), to.id(), timeout));
         }
 
@@ -629,7 +627,7 @@
             // ejects: many routers' next requests would keep a full cache from the rest it needs.
             if (e.outcome() == Outcome.OK) {
                 server.answered(slow, duration);
-                 answerTime += (answerTime == 0 ? 1 : 0.05) * (duration - answerTime);
+                 answerTime += 0.05 * (duration - answerTime);
             } else if (served) {
                 server.missed();
             } else if (e.outcome() != Outcome.CANCELLED || slow) {
