--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -26,8 +26,7 @@
     private static final double MOST_EJECTED = 0.5; // of the ready caches; if more fail, they share a cause
     private static final long HICCUP = SECOND / 2; // silence beyond a connection time that may be a pause
     private static final long EJECT_AIMS = 2; // first, by the shortest aim; doubles three times
-    private static final double FIRST_WINDOW = 2, START_WINDOW = 8; // own work out: at first; soon after
-    private static final double LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // at least; over-share work's part
+    private static final double START_WINDOW = 8, LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // own work out
     private static final double SLOW_ANSWER = 0.6, WINDOW_CUT = 0.75; // part of the aim from which it shrinks
     private static final double PATIENCE = 0.8; // part of its time after which a safe request moves on
     private static final double ANOTHER = 1.2, LATE = 2.5; // of the usual answer time: for another; is late
@@ -102,7 +101,7 @@
         double coldTokens;
 
         Server(Member member) {
-            super(FIRST_WINDOW, START_WINDOW, eject);
+            super(START_WINDOW, eject);
             this.member = member;
         }
 
--- a/src/main/java/slateseam/decision/Health.java
+++ b/src/main/java/slateseam/decision/Health.java
@@ -25,16 +25,9 @@
     private long unansweredSince;
     private long sentAt;
     private long shrunkAt;
-    private final double soon;
 
-    /**
-     * Begins with a small window, so that few connections come up at once.
-     *
-     * @param soon it grows by one for each answer up to this, unless it is narrowed before
-     */
-    Health(double window, double soon, long ejection) {
+    Health(double window, long ejection) {
         this.window = window;
-        this.soon = soon;
         this.ejection = ejection;
     }
 
@@ -76,10 +69,10 @@
         return outstanding < Math.max(1, window * part) && (window >= 1 || now - sentAt >= answerTime / window);
     }
 
-    /** Widens the window by one for each window of answers, while it is used; at first by one for each answer. */
+    /** Widens the window by one for each window of answers, while it is used. */
     void grow() {
         if (outstanding + 1 >= window / 2) {
-            window += shrunkAt == 0 && window < soon ? 1 : 1 / Math.max(1, window);
+            window += 1 / Math.max(1, window);
         }
     }
 
