--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -23,6 +23,8 @@
     private static final double LOST_PART = 0.2, FUTILE = 0.25; // of the fetches: lost to overload; given up
     private static final double BURST_SECONDS = 0.25, TENANT_BURST = 6; // of supply; tenants: times that
     private static final int FAILURES = 4, LOST_WORK = 2; // a row that ejects; lost work's weight in it
+    private static final double MOST_EJECTED = 0.5; // of the ready caches; if more fail, they share a cause
+    private static final long HICCUP = SECOND / 2; // silence beyond a connection time that may be a pause
     private static final long EJECT_AIMS = 2; // first, by the shortest aim; doubles three times
     private static final double START_WINDOW = 8, LEAST_WINDOW = 0.1, OVER_WINDOW = 0.5; // own work out
     private static final double SLOW_ANSWER = 0.6, WINDOW_CUT = 0.75; // part of the aim from which it shrinks
@@ -40,11 +42,12 @@
     private static final long CROWDED = 20 * SECOND; // after a refusal, closes idle connections
     private static final Set<Outcome> SENT_NOTHING = EnumSet.of(
             Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT); // that came whole to a member
+    private static final Set<Outcome> NOTHING_BACK = EnumSet.of(Outcome.CONNECT_FAILED, Outcome.UNSENT,
+            Outcome.MOOT, Outcome.TIMEOUT, Outcome.CANCELLED); // no sign of life; we end these ourselves
     private static final int TICK_TAG = 1, SUBSCRIBE_TAG = 2;
 
     private final Settings settings;
     private final SplittableRandom random;
-    private final int incarnation;
     private final long eject;
     private final Fleet fleet = new Fleet();
     private final Supply supply;
@@ -58,7 +61,6 @@
         random = new SplittableRandom(seed);
         eject = EJECT_AIMS * settings.classes().stream().mapToLong(RequestClass::aimNanos).min()
                 .orElse(SECOND);
-        incarnation = (int) JumpHash.mix(seed) | 1;
         supply = new Supply();
     }
 
@@ -93,13 +95,15 @@
     private long pace() { return Math.max(TICK, settings.tickNanos()); }
 
     /** A member's health and load, as far as this router can tell. */
-    private final class Server {
+    private final class Server extends Health {
         Member member;
-        int failures, outstanding;
-        long ejectedUntil, unansweredSince, crowdedUntil, cutAt, sentAt, coldSeen, ejection = eject;
-        double window = START_WINDOW, coldTokens;
+        long crowdedUntil, coldSeen;
+        double coldTokens;
 
-        Server(Member member) { this.member = member; }
+        Server(Member member) {
+            super(START_WINDOW, eject);
+            this.member = member;
+        }
 
         long id() { return member.id(); }
 
@@ -112,49 +116,64 @@
 
         boolean triable() { return outstanding == 0 && now >= ejectedUntil; }
 
-        /** Guards against a cache that slows down when crowded, and stays slow until it gets some rest. */
-        boolean hasRoom(double part) {
-            return outstanding < Math.max(1, window * part)
-                    && (window >= 1 || now - sentAt >= requests.answerTime / window);
-        }
+        boolean hasRoom(double part) { return hasRoom(part, requests.answerTime, now); }
 
         /** Whether nothing has come back for longer than a connection may take to come up. */
-        boolean silent() {
-            return unansweredSince != 0 && now - unansweredSince > settings.limits().connectTimeoutNanos();
+        boolean silent() { return silentFor(now) > settings.limits().connectTimeoutNanos(); }
+
+        boolean dead() { return silentFor(now) > HICCUP + settings.limits().connectTimeoutNanos(); }
+
+        /** Whether an attempt went out while first connections came up, as far as one can tell. */
+        boolean early(long duration) {
+            long most = HICCUP + settings.limits().connectTimeoutNanos();
+            return provenAt == 0 ? now - firstSentAt <= most : now - duration < provenAt;
         }
 
         void answered(boolean slow, long duration) {
             failures = 0;
             ejection = eject;
-            if (slow) shrink(duration);
-            else if (outstanding + 1 >= window / 2) window += 1 / Math.max(1, window);
+            prove(now);
+            // Guards against narrowing a first window for what its connection took to come up.
+            if (slow && !early(duration)) shrink(duration);
+            else grow();
         }
 
         /** Misses alone bring one back that was left alone, but slowly: each answered trial counts one. */
         void missed() {
+            prove(now);
             if (failures >= FAILURES && now >= ejectedUntil) failures = Math.min(failures - 1, 2 * FAILURES);
         }
 
-        void failed(long duration, int weight) {
-            shrink(duration);
-            fail(weight);
+        void failed(long duration, int weight, boolean refused) {
+            // Guards against ejecting for what handshakes do to it; one that is down refuses connections.
+            boolean spared = early(duration) && !refused;
+            if (!spared) shrink(duration);
+            fail(spared ? 0 : weight);
         }
 
+        /** Ejection is relative to the farm: what befalls most caches at once tells nothing of this one. */
         void fail(int weight) {
+            failedAt = now;
+            boolean common = fleet.strained();
+            if (common) fleet.health.forgive(now - eject, HICCUP, FAILURES, fleet.fairWindow(), now);
             failures += weight;
             // Guards against counting one mishap many times: nothing is sent while it is left alone.
             if (failures < FAILURES || now < ejectedUntil) return;
+            boolean spared = common || fleet.health.ejectedPart(FAILURES) > MOST_EJECTED;
+            if (spared && !dead()) {
+                failures = FAILURES - 1;
+                return;
+            }
             // In which two requests for it come; just after a start nobody knows how many come.
             Tally arrivals = requests.arrivals;
             double two = arrivals.isKnown() ? 2 * SECOND * fleet.readyCaches / arrivals.perSecond() : 0;
-            ejectedUntil = now + (long) Math.max(ejection, Math.min(two, 8 * eject));
-            ejection = Math.min(2 * ejection, 8 * eject);
+            eject((long) Math.max(ejection, Math.min(two, 8 * eject)), now);
+            if (!common) ejection = Math.min(2 * ejection, 8 * eject);
         }
 
         void shrink(long duration) {
-            if (now - duration < cutAt) return;
-            cutAt = now;
-            window = Math.max(LEAST_WINDOW, Math.min(window, outstanding + 1) * WINDOW_CUT);
+            boolean common = !isOrigin() && fleet.strained();
+            shrink(duration, WINDOW_CUT, common ? fleet.fairWindow() : LEAST_WINDOW, now);
         }
 
         /** The stated warm-up: the part of its work that a starting member is due. */
@@ -180,6 +199,7 @@
         /** Caches by their ids, with room to spare; the same at every router that has the same list. */
         Server[] slots = new Server[SLOTS];
         final KeyCounts keys = new KeyCounts();
+        final FarmHealth health = new FarmHealth();
         /** Where misses are fetched; null where caches fetch themselves, or none is ready. */
         Server origin;
         double topRating = 1;
@@ -206,6 +226,7 @@
                     .toList();
             place(caches);
             readyCaches = (int) caches.stream().filter(Server::ready).count();
+            health.ready(caches.stream().filter(Server::ready).toList());
             topRating = caches.stream().mapToDouble(s -> s.ready() ? s.member.rating() : 0).max().orElse(1);
         }
 
@@ -225,10 +246,22 @@
         void update(Member m) {
             if (m.isGone() && !servers.containsKey(m.id())) return;
             Server s = servers.computeIfAbsent(m.id(), id -> new Server(m));
-            if (m.upSinceNanos() != s.member.upSinceNanos()) s.failures = 0;
+            if (m.upSinceNanos() != s.member.upSinceNanos()) s.restarted();
             s.member = m;
         }
 
+        /** Whether most caches have failed within the time that one would be left alone for. */
+        boolean strained() { return health.failedPart(now - eject) > MOST_EJECTED; }
+
+        /** Whether most caches have only begun to answer, or fail together: then none is full for good. */
+        boolean unsettled() { return strained() || health.provenPart(now - HICCUP) < MOST_EJECTED; }
+
+        /** What this router's work needs at the usual answer time, were it spread evenly. */
+        double fairWindow() {
+            double out = requests.arrivals.perSecond() * requests.answerTime / SECOND;
+            return Math.max(1, Math.min(START_WINDOW / 2, out / Math.max(1, readyCaches)));
+        }
+
         void subscribeWithin(long t) { out.accept(new SetTimer(SUBSCRIBE_TAG, 1 + random.nextLong(t))); }
 
         /** The cache of a key by jump consistent hash; null if none is to be used. */
@@ -255,155 +288,113 @@
         }
     }
 
-    /** What this router shares with one ring neighbour; the lower-numbered of the two decides what moves. */
-    private final class Edge {
-        final int peer;
-        final boolean lower, buddy;
-        boolean knewEarlier, answeredUs, inherited;
-        int peerIncarnation, sentSequence, heardSequence;
-        long heardAt, pause = SECOND / 2;
-        int[] peerUnits = new int[supply.accounts.size()], flow = peerUnits.clone(), settled = flow.clone();
-
-        Edge(int peer) {
-            this.peer = peer;
-            lower = settings.me() < peer;
-            buddy = (peer + 1) % settings.routers() == settings.me();
-        }
-
-        void send(boolean ask) {
-            int[] units = supply.accounts.stream().mapToInt(a -> a.units).toArray();
-            double[] demand = supply.accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray();
-            var m = new SupplyMessage(ask, knewEarlier, incarnation, peerIncarnation, ++sentSequence,
-                    heardSequence, supply.origin.rate, flow, units, demand,
-                    fleet.keys.tell(peer, SupplyMessage.room(flow.length), PASSED_ON));
-            out.accept(new TellPeer(peer, m.encode()));
-        }
-
-        void received(SupplyMessage m) {
-            if (m.from() == peerIncarnation && m.sequence() <= heardSequence) return;
-            meet(m.from());
-            heardSequence = m.sequence();
-            if (heardAt != 0) pause += (Math.min(now - heardAt, 2 * SECOND) - pause) / 2;
-            heardAt = now;
-            boolean mine = m.to() == incarnation;
-            if (mine && !answeredUs) supply.answered(this, m.knewYou());
-            // Neighbours learn R together, each from few fetches.
-            supply.origin.rate = Math.pow(supply.origin.rate, 0.75) * Math.pow(m.rate(), 0.25);
-            peerUnits = m.units();
-            fleet.keys.hear(peer, m.popular());
-            for (int a = 0; mine && a < flow.length; a++) {
-                Account own = supply.accounts.get(a);
-                if (!lower) apply(own, a, m.flow()[a]);
-                else if (m.heard() == sentSequence) settle(own, a, m.flow()[a], m.demand()[a]);
-            }
-            if (m.ask()) send(false);
-        }
-
-        /** A new incarnation starts a new ledger; its buddy keeps what the old one held. */
-        void meet(int from) {
-            boolean same = from == peerIncarnation;
-            knewEarlier |= !same && peerIncarnation != 0;
-            if (same ? inherited : buddy && !inherited) inherit(same ? -1 : 1);
-            inherited = false;
-            if (same) return;
-            answeredUs = false;
-            peerIncarnation = from;
-            flow = new int[peerUnits.length];
-            settled = new int[peerUnits.length];
-        }
-
-        boolean silent() { return now - heardAt > Math.max(SECOND, SILENCE * pause); }
-
-        void inherit(int sign) {
-            inherited = true;
-            for (int a = 0; a < peerUnits.length; a++) supply.accounts.get(a).units += sign * peerUnits[a];
-        }
-
-        /** Guards against minting by lost, repeated or late messages: totals only, debits come first. */
-        void apply(Account own, int a, int theirFlow) {
-            int moved = Math.max(theirFlow - flow[a], -Math.max(0, own.units));
-            own.units += moved;
-            flow[a] += moved;
-        }
-
-        void settle(Account own, int a, int theirFlow, double theirDemand) {
-            own.units += Math.max(settled[a], flow[a]) - theirFlow;
-            settled[a] = theirFlow;
-            double demand = own.demand.perSecond();
-            double gap = Math.max(0, own.units) / demand - Math.max(0, peerUnits[a]) / theirDemand;
-            int moved = (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
-            flow[a] = theirFlow + moved;
-            own.units -= Math.max(0, moved);
-        }
-    }
-
     /** The origin's budget and the tenants' shares, moved between ring neighbours by the fill-ratio gap. */
     private final class Supply {
-        final Account origin = new Account(START_RATE * settings.routers());
+        final int evenShare = Account.WHOLE / settings.routers();
+        final Account origin = new Account(START_RATE * settings.routers(), evenShare);
         final List<Account> accounts = new ArrayList<>(List.of(origin));
-        final List<Edge> edges = new ArrayList<>();
-        boolean joined, bound, calm = true;
-        int taken, evenShare = Account.WHOLE / settings.routers();
-        long startedAt, lastTick, nextInterval, nextExchange, cutAt = -3600 * SECOND;
+        final List<Neighbour> neighbours = new ArrayList<>();
+        /** Whether it uses its supply: not before its buddy has heard that it is there. */
+        boolean joined;
+        boolean bound, calm = true;
+        int life, busyIntervals;
+        long startedAt, lastTick, nextInterval, cutAt = -3600 * SECOND;
         double delivered, fetched, usualFetch, fetchTime, lost, futile;
 
         Supply() {
             settings.tenants().stream().limit(SupplyMessage.MOST_ACCOUNTS - 1)
-                    .forEach(t -> accounts.add(new Account(t.quotaPerSecond())));
+                    .forEach(t -> accounts.add(new Account(t.quotaPerSecond(), evenShare)));
         }
 
         void start() {
-            startedAt = lastTick = nextInterval = nextExchange = now;
+            startedAt = lastTick = now;
+            nextInterval = now + INTERVAL;
+            life = (int) (now / (SECOND / 1000));
+            if (life == 0) life = 1;
             int n = settings.routers();
-            if (n > 1 && settings.limits().peers()) edges.add(new Edge((settings.me() + 1) % n));
-            if (n > 2 && settings.limits().peers()) edges.add(new Edge((settings.me() + n - 1) % n));
-            edges.forEach(e -> e.send(true));
-            if (edges.isEmpty()) join(evenShare);
+            if (n > 1 && settings.limits().peers()) meet((settings.me() + 1) % n);
+            if (n > 2 && settings.limits().peers()) meet((settings.me() + n - 1) % n);
+            joined = neighbours.isEmpty();
+        }
+
+        void meet(int peer) {
+            Neighbour e = new Neighbour(settings.me(), settings.routers(), peer, accounts, now);
+            neighbours.add(e);
+            e.asked(now);
+            send(e, true);
+        }
+
+        /** Until it has seen what is asked for here, nothing moves by a demand that is only the floor. */
+        boolean starting() { return busyIntervals < 2 && now - startedAt < 2 * SECOND; }
+
+        void send(Neighbour to, boolean ask) {
+            var keys = fleet.keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON);
+            SupplyMessage m = to.message(ask, starting(), life, origin.rate, keys);
+            out.accept(new TellPeer(to.peer, m.encode()));
         }
 
         void received(PeerMessage e) {
             SupplyMessage m = SupplyMessage.decode(e.payload(), accounts.size());
-            for (Edge edge : edges) if (m != null && edge.peer == e.from()) edge.received(m);
+            for (Neighbour n : neighbours) {
+                if (n.peer != e.from()) continue;
+                if (m != null) received(n, m);
+                else n.isThere(now); // of another build: what it says is passed over
+            }
         }
 
-        void answered(Edge edge, boolean knewUs) {
-            edge.answeredUs = true;
-            if (knewUs) join(0); // the supply of the earlier life is in the ring already
-            else if (!joined && edges.stream().allMatch(e -> e.answeredUs)) join(evenShare);
+        void received(Neighbour from, SupplyMessage m) {
+            // Guards against a clock set back between two lives: this must be the later.
+            if (m.to() != 0 && m.to() - life > 0) life = m.to() + 1 == 0 ? 1 : m.to() + 1;
+            boolean knew = from.known(), news = from.hear(m, life, now);
+            if (news) {
+                // Neighbours learn R together, each from few fetches; a new one takes it over.
+                double part = !m.known() ? 0 : !knew && starting() ? 1 : 0.25;
+                origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(m.rate(), part);
+                fleet.keys.hear(from.peer, m.popular());
+                joined |= neighbours.stream().allMatch(Neighbour::answered);
+                for (int a = 0; a < accounts.size() && from.mayMove() && !starting(); a++)
+                    from.move(a, wanted(accounts.get(a), m.held()[a], m.demand()[a]));
+            }
+            if (m.ask() && (news || m.from() != from.life())) send(from, false);
         }
 
-        void join(int share) {
-            joined = true;
-            accounts.forEach(a -> a.units += share - taken);
-            taken = share;
+        /** What is to move to the neighbour, by the fill-ratio gap. */
+        int wanted(Account own, int theirs, double theirDemand) {
+            double demand = own.demand.perSecond(), gap = own.held() / demand - theirs / theirDemand;
+            return (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
         }
 
         void tick() {
+            joined |= now - startedAt >= INTERVAL;
             for (Account a : accounts) {
                 double burst = Math.max(1, a.supply() * BURST_SECONDS) * (a == origin ? 1 : TENANT_BURST);
-                a.accrue((double) (now - lastTick) / SECOND, burst);
+                if (joined) a.accrue((double) (now - lastTick) / SECOND, burst);
             }
             lastTick = now;
-            if (!joined && now - startedAt >= INTERVAL) join(evenShare);
             if (now >= nextInterval) interval();
-            if (now < nextExchange) return;
-            double wanted = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one
-            nextExchange = now + (long) Math.max(INTERVAL, Math.min(SECOND, wanted));
-            for (Edge e : edges) {
-                if (e.buddy && !e.inherited && e.silent()) e.inherit(1);
-                if (e.lower) e.send(true);
+            double five = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one exchange
+            long usual = (long) Math.max(INTERVAL, Math.min(SECOND, five));
+            for (Neighbour e : neighbours) {
+                // Guards against lost messages that keep one that returns from its supply, or make one
+                // that is there look as if it were not, so that its supply is used twice.
+                boolean doubt = e.missed(SILENCE / 2, now) || !joined && !e.answered();
+                if (now - e.askedAt() < (doubt ? INTERVAL / 5 : usual)) continue;
+                if (e.missed(SILENCE, now)) e.inherit();
+                e.asked(now);
+                if (e.lower || doubt || !e.known()) send(e, true);
             }
         }
 
         void interval() {
             nextInterval = now + INTERVAL;
+            if (requests.arrivals.isKnown()) busyIntervals++;
             accounts.forEach(a -> a.demand.endInterval(INTERVAL_SECONDS, DEMAND_WEIGHT));
             delivered += 0.4 * (fetched * SECOND / INTERVAL - delivered);
             fetched = 0;
             // Guards against a budget that grows unused, or before the queue of the last overload has gone.
             double growth = 1 + GROWTH * Math.max(2.5, (double) (now - cutAt) / SECOND);
             // Or while the ring has brought next to nothing of it: then a larger R is not what is missing.
-            boolean grows = bound && calm && origin.units > evenShare / 4;
+            boolean grows = bound && calm && origin.held() > evenShare / 4;
             if (grows && now - cutAt > 2 * INTERVAL) origin.rate *= Math.min(MOST_GROWTH, growth);
             bound = false;
             requests.interval();
@@ -413,7 +404,7 @@
         /** Guards against turning work away because the ring has not yet brought the share that it is due. */
         boolean exceeds(int account) {
             Account a = accounts.get(account);
-            return !a.ask() && a.units > evenShare / 16 && now - startedAt > 2 * SECOND;
+            return !a.ask() && a.held() > evenShare / 16 && now - startedAt > 2 * SECOND;
         }
 
         boolean take() { return origin.take() || !(bound = true); }
@@ -432,12 +423,12 @@
             calm = fetchTime < CALM * usualFetch || risen < RISE / 3 * aim;
             lost += LOST_PART / 4 * ((outcome == Outcome.FULL || outcome == Outcome.TIMEOUT ? 1 : 0) - lost);
             boolean again = now - cutAt <= Math.max(2 * INTERVAL, fetchTime);
-            if (!(lost > LOST_PART || slow) || again || origin.units <= 0) return;
+            if (!(lost > LOST_PART || slow) || again || origin.held() <= 0) return;
             cutAt = now;
             // Guards against cutting again on stale fetch times and losses: new ones must show it.
             fetchTime = usualFetch += 0.03 * (fetchTime - usualFetch);
             lost = 0;
-            double seen = Math.max(origin.rate / 2, delivered * Account.WHOLE / origin.units);
+            double seen = Math.max(origin.rate / 2, delivered * Account.WHOLE / origin.held());
             origin.rate = Math.max(settings.routers(), CUT * Math.min(origin.rate, seen));
         }
     }
@@ -449,6 +440,8 @@
         final PriorityQueue<Job> waiting = Job.queue(j -> j.wakeAt);
         /** Waiting for supply: work within shares first, then the latest, as it has time left for its aim. */
         final PriorityQueue<Job> held = Job.queue(j -> (j.overShare ? 3600 * SECOND : 0) - j.arrivedAt);
+        /** Waiting for room at a cache, in the same order. */
+        final PriorityQueue<Job> roomless = Job.queue(j -> -j.arrivedAt);
         final Map<Long, Job> fetches = new HashMap<>();
         final Tally arrivals = new Tally();
         double tried, bad, answerTime, admitted = ALL;
@@ -468,7 +461,7 @@
             boolean shed = random.nextDouble() >= (overShare ? admitted - 1 : admitted);
             // Guards against a try with so little time left that the next housekeeping comes too late.
             if (job.giveUpAt <= now) decline(job);
-            else if (shed) overflow(job);
+            else if (shed) overflow(job, false);
             else route(job, null);
         }
 
@@ -481,14 +474,19 @@
             boolean spill = home != null && !home.hasRoom(part) && not == null && !job.overShare;
             if (spill) home = fleet.home(key, home);
             if (home == null && aside) fetch(job);
-            else if (home == null || !home.hasRoom(part)) overflow(job);
-            else send(job, home);
+            else if (home != null && home.hasRoom(part)) send(job, home);
+            else overflow(job, home != null && fleet.unsettled());
         }
 
-        /** Work within its share that the caches cannot take counts as a miss while supply is left over. */
-        void overflow(Job job) {
-            supply.origin.demand.count();
+        /**
+         * Work within its share that the caches cannot take counts as a miss while supply is left over. At a
+         * start, or where most caches fail together, the rest waits for room.
+         */
+        void overflow(Job job, boolean patient) {
+            if (!job.waited) supply.origin.demand.count();
+            job.waited |= patient && !job.overShare;
             if (fleet.origin != null && !job.overShare && held.isEmpty() && pay()) send(job, fleet.origin);
+            else if (job.waited) roomless.add(job);
             else decline(job);
         }
 
@@ -503,9 +501,7 @@
             }
             job.attempts++;
             job.open = true;
-            to.outstanding++;
-            to.sentAt = now;
-            if (to.unansweredSince == 0) to.unansweredSince = now;
+            to.sent(now);
             boolean movable = !to.isOrigin() && job.type.effect() == Effect.PURE && !job.type.stream();
             long left = job.giveUpAt - now;
             // Guards against moving on too early, or too late for another answer.
@@ -558,7 +554,19 @@
             Server server = fleet.servers.get(e.member());
             Job job = jobs.get(e.request());
             if (server != null) judge(server, e, job);
-            if (job == null) return;
+            if (job != null) next(job, e, server);
+            admitRoomless();
+        }
+
+        /** Two at most, as one attempt has ended: each looks for room again. */
+        void admitRoomless() {
+            for (int i = 0; i < 2 && !roomless.isEmpty(); i++) {
+                Job job = roomless.poll();
+                if (!job.done) route(job, null);
+            }
+        }
+
+        void next(Job job, AttemptEnded e, Server server) {
             boolean aside = settings.mode() == CacheMode.ASIDE;
             job.open = false;
             job.mayHaveRun |= !e.outcome().neverRan();
@@ -580,7 +588,7 @@
 
         /** What an outcome tells of the member's health, and of overload. */
         void judge(Server server, AttemptEnded e, Job job) {
-            server.outstanding = Math.max(0, server.outstanding - 1);
+            server.ended();
             long aim = (job != null ? job.type : settings.classes().get(0)).aimNanos();
             long duration = e.durationNanos();
             boolean served = e.outcome() == Outcome.OK || e.outcome() == Outcome.MISS;
@@ -591,8 +599,7 @@
             if (e.outcome() == Outcome.MOOT || e.outcome() == Outcome.UNSENT && !server.silent()) return;
             // What had little time from the start tells of the request and not of the member.
             if (e.outcome() == Outcome.TIMEOUT && !slow && !server.isOrigin()) return;
-            boolean cameBack = !SENT_NOTHING.contains(e.outcome()) && e.outcome() != Outcome.TIMEOUT;
-            if (cameBack) server.unansweredSince = 0;
+            if (!NOTHING_BACK.contains(e.outcome())) server.cameBack();
             if (mishap(e.outcome())) {
                 // Guards against sparing members for what happens to all answers alike and tells nothing of
                 // their load. Only one that answers nothing else for a while is left alone.
@@ -609,8 +616,9 @@
                 else if (e.outcome() == Outcome.OK) server.answered(false, duration);
                 return;
             }
-            // Guards against a few sick caches closing the door: a trial tells of the cache, not of the load.
-            if (server.failures < FAILURES) {
+            // Guards against a few sick caches closing the door: a trial tells of the cache, not of the load,
+            // and a first attempt of its connection.
+            if (server.failures < FAILURES && !server.early(duration)) {
                 tried++;
                 if (slow || !served) bad++;
             }
@@ -618,7 +626,7 @@
             // ejects: many routers' next requests would keep a full cache from the rest it needs.
             if (e.outcome() == Outcome.OK) {
                 server.answered(slow, duration);
-                answerTime += 0.05 * (duration - answerTime);
+                 answerTime += 0.05 * (duration - answerTime);
             } else if (served) {
                 server.missed();
             } else if (e.outcome() != Outcome.CANCELLED || slow) {
@@ -627,7 +635,7 @@
                 boolean popular = job != null && fleet.keys.reads(job.asked.key()) >= FEW;
                 boolean seldom = fleet.readyCaches > arrivals.perSecond() && (notUp || !popular);
                 boolean ejects = e.outcome() == Outcome.FULL || seldom;
-                server.failed(duration, ejects ? FAILURES : notUp ? 1 : LOST_WORK);
+                server.failed(duration, ejects ? FAILURES : notUp ? 1 : LOST_WORK, refused);
             }
         }
 
@@ -678,6 +686,8 @@
                 if (!job.done) route(job, null);
             }
             release();
+            roomless.removeIf(j -> j.done);
+            admitRoomless();
         }
 
         void interval() {
