Hold no lost or spoilt answer for a sign that most of the farm fails together

Change: only what tells of a server's load counts for a common cause: failures of passes that were timed out, refused, turned away or answered with an error. Lost and spoilt answers do not.

A test of a sick server among lost answers fails without the change.

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -147,13 +147,13 @@
         void failed(long duration, int weight, boolean refused) {
             // Guards against ejecting for what handshakes do to it; one that is down refuses connections.
             boolean spared = early(duration) && !refused;
+            failedAt = now; // only here: mishaps befall all answers alike, and would hide one that is sick
             if (!spared) shrink(duration);
             fail(spared ? 0 : weight);
         }
 
         /** Ejection is relative to the farm: what befalls most caches at once tells nothing of this one. */
         void fail(int weight) {
-            failedAt = now;
             boolean common = fleet.strained();
             if (common) fleet.health.forgive(now - eject, HICCUP, FAILURES, fleet.fairWindow(), now);
             failures += weight;
--- a/src/test/java/slateseam/decision/StrainTest.java
+++ b/src/test/java/slateseam/decision/StrainTest.java
@@ -124,6 +124,19 @@
         assertThat(sends[4]).isGreaterThan(10);
     }
 
+    /** Lost and spoilt answers come from all alike: they must not hide one cache that turns its work away. */
+    @Test
+    void answersThatAreLostEverywhereDoNotKeepASickCacheInUse() {
+        int[] answers = {0};
+        Fate lossy = cache -> ++answers[0] % 8 == 0 ? new End(Outcome.RESET, 5 * MS) : WELL;
+        fate = lossy;
+        pass(3_000 * MS, 3);
+        fate = cache -> cache == 4 ? new End(Outcome.FULL, 5 * MS) : lossy.of(cache);
+        pass(200 * MS, 3);
+        pass(5_000 * MS, 3);
+        assertThat(sends[4]).as("trials only").isLessThan(8);
+    }
+
     /** Refused at once, or in silence: the five that are left get the work, and the dead nothing but trials. */
     @Test
     void sevenOfTwelveThatDieAreLeftAlone() {
