Let the toy farm answer CLIENT, which the router writes between requests

Need: the router writes CLIENT before a request that follows an answer closely; the toy farm broke the connection there.

--- a/examples/ToyFarm.java
+++ b/examples/ToyFarm.java
@@ -113,6 +113,9 @@
         if (command[0].equals("PING")) {
             return "+PONG\r\n";
         }
+        if (command[0].equals("CLIENT")) {
+            return "+OK\r\n"; // the router asks this to tell late bytes of one answer from the next answer
+        }
         String value = CACHE.get(command[1]);
         String first = value == null ? "$-1" : "$" + value.length() + "\r\n" + value;
         return "*3\r\n" + first + "\r\n" + (value == null ? "$4\r\nmiss" : "$3\r\nhit") + "\r\n$-1\r\n";
