Put the fence behind a request and hold the answer until it is answered too

Need: a fence in front misses bytes of an earlier answer that come when the request is out already. Bytes of an earlier answer shift the row and show. A property test plays events in any order; it found uses left waiting when their resting connection gave way to another server's: such a server is served again.

--- a/src/main/java/slateseam/router/connections/servers/Figures.java
+++ b/src/main/java/slateseam/router/connections/servers/Figures.java
@@ -9,7 +9,7 @@
  * @param cameUp of these, those that came up
  * @param reused uses that were given a connection which had brought an answer before
  * @param shared of all uses, those that were written behind another
- * @param fenced of all uses, those with a fence before them
+ * @param fenced of all uses, those with a fence behind them
  * @param closed connections that ended, by cause; a cause that never was is missing
  * @param open connections there are now, coming up or up
  * @param comingUp of these, those that have not brought an answer yet
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -88,7 +88,7 @@
                         unripe = link;
                         continue;
                     }
-                } else if (idle < Math.max(rest, Noise.LEAST_REST)) {
+                } else if (idle < Math.max(rest, Noise.FENCED)) {
                     resting = idle >= rest && (resting == null || link.freeSince < resting.freeSince) ? link : resting;
                     continue;
                 }
@@ -131,8 +131,7 @@
 
     private void give(long now, Link link, Use use) {
         use.behind = !link.uses.isEmpty();
-        boolean fresh = !link.isYoung() && (isSuspect(now) || now - link.freeSince < Noise.LEAST_REST);
-        boolean fence = fences && (use.behind || fresh);
+        boolean fence = fences && (use.behind || !link.isYoung() && now - link.freeSince < Noise.FENCED);
         if (!link.isYoung() && now > use.since) {
             opening.waited(now, now - use.since);
         }
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -31,7 +31,7 @@
     private final int mostYoung;
     private final List<Pool> pools = new ArrayList<>();
     private final Queue<Order> orders = new ArrayDeque<>();
-    /** Pools that wait until fewer connections come up elsewhere. */
+    /** Pools to be served again, once fewer connections come up elsewhere. */
     private final Set<Pool> held = new LinkedHashSet<>();
     private final Map<Closing, Long> closed = new EnumMap<>(Closing.class);
     private Pool lastNoisy;
@@ -85,6 +85,7 @@
     /** A use asks for a connection. An order to carry it follows, or one that ends it. */
     public void ask(long now, Use use) {
         use.pool.ask(now, use);
+        serveHeld(now);
     }
 
     /**
@@ -107,6 +108,7 @@
         if (link.state == Link.State.COMING_UP) {
             cameUp++;
             link.pool.up(now, link);
+            serveHeld(now);
         }
     }
 
@@ -198,7 +200,10 @@
             pools.stream().flatMap(pool -> pool.links.stream()).filter(Link::isFree)
                     .min(Comparator.<Link>comparingInt(link -> -link.pool.links.size())
                             .thenComparingLong(link -> link.freeSince))
-                    .ifPresent(link -> link.pool.lose(now, link, Closing.ROOM, true));
+                    .ifPresent(link -> {
+                        link.pool.lose(now, link, Closing.ROOM, true);
+                        held.add(link.pool); // what waited there for its rest must not wait for nothing
+                    });
         }
         return open < bounds.mostConnections();
     }
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.connections.servers.Link;
 import slateseam.router.net.Clock;
@@ -17,12 +19,10 @@
     /** For the rest of an answer once a part has come: less than an aim, so that there is time for another pass. */
     private static final long REST_NANOS = 250 * Clock.MILLI;
 
-    /** What is to be answered: a pass, or with none a fence. */
-    private record Awaited(Pass pass) {
+    /** What is to be answered, perhaps with a fence behind it. */
+    private record Awaited(Pass pass, boolean fenced) {
     }
 
-    private static final Awaited FENCE = new Awaited(null);
-
     private final Passes passes;
     private final ApplicationServer server;
     private final Link link;
@@ -30,6 +30,8 @@
     private boolean up;
     private long upAt;
     private boolean reading;
+    /** The answer of what is first, until its fence is answered too; null if none has come. */
+    private ServerProtocol.Reply held;
     /** Until when it may stay as it is: connecting, or with a part of an answer. */
     private Deadline limit;
     private boolean partial;
@@ -53,13 +55,15 @@
             return;
         }
         pass.begin();
+        awaited.add(new Awaited(pass, fence));
+        long wait = Math.max(1, Clock.millisUp(pass.endsAt - loop().now()));
+        ServerProtocol protocol = server.protocol();
+        List<ByteBuffer> bytes = new ArrayList<>(
+                List.of(pass.isProbe() ? protocol.probe() : protocol.command(pass.request, wait)));
         if (fence) {
-            awaited.add(FENCE);
-            write(server.protocol().fence());
+            bytes.add(protocol.fence());
         }
-        awaited.add(new Awaited(pass));
-        long wait = Math.max(1, Clock.millisUp(pass.endsAt - loop().now()));
-        write(pass.isProbe() ? server.protocol().probe() : server.protocol().command(pass.request, wait));
+        write(bytes.toArray(new ByteBuffer[0]));
     }
 
     /** Ends it, with all that is out on it. */
@@ -78,7 +82,7 @@
 
     @Override
     protected void written() {
-        awaited.stream().filter(a -> a != FENCE).forEach(a -> a.pass.markWritten());
+        awaited.forEach(a -> a.pass.markWritten());
     }
 
     @Override
@@ -99,25 +103,33 @@
         if (first == null) {
             throw new MalformedException("an answer to nothing");
         }
-        ServerProtocol protocol = server.protocol();
-        if (first == FENCE) {
-            boolean passed = protocol.passFence(in);
-            awaitRest(!passed && in.hasRemaining());
-            if (passed) {
-                awaited.remove();
+        if (held == null) {
+            ServerProtocol protocol = server.protocol();
+            held = first.pass.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
+            awaitRest(held == null ? in.hasRemaining() : first.fenced);
+            if (held != null && first.fenced && !held.reusable()) {
+                throw new MalformedException("an answer whose end is not known, where that matters");
+            }
+            if (held != null && !first.fenced) {
+                answered(in.hasRemaining());
             }
-            return passed;
+            return held != null || awaited.peek() != first;
         }
-        Pass pass = first.pass;
-        ServerProtocol.Reply reply = pass.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
-        awaitRest(reply == null && in.hasRemaining());
-        if (reply == null) {
-            return false;
+        // Guards against bytes that belong to an earlier answer: behind those comes an answer, not the fence's.
+        boolean passed = server.protocol().passFence(in);
+        if (passed) {
+            awaitRest(false);
+            answered(in.hasRemaining());
         }
-        awaited.remove();
+        return passed;
+    }
+
+    private void answered(boolean more) {
+        Pass pass = awaited.remove().pass;
+        ServerProtocol.Reply reply = held;
+        held = null;
         boolean givenUp = pass.isGivenUp();
         boolean reusable = reply.reusable() && pass.isWritten();
-        boolean more = in.hasRemaining();
         // Freed before the outcome is told, so that what the outcome makes the router send can use it at once.
         passes.tell(connections -> {
             connections.answered(loop().now(), link, reusable, more);
@@ -125,7 +137,6 @@
                 passes.end(pass, reply);
             }
         });
-        return true;
     }
 
     /** Guards against answers that never end: the pass has failed long before its own time is up. */
@@ -145,7 +156,7 @@
         loop().log().line("server-malformed", server.address() + ": " + e.getMessage());
         Awaited first = awaited.peek();
         passes.tell(connections -> {
-            if (first == null || first == FENCE) {
+            if (first == null) {
                 connections.noise(loop().now(), link);
                 return;
             }
