Check an answer like the one before by a fence, instead of a fence behind each request

So only an answer with the same bytes as the one before, for another key, soon behind it or on a shared connection, is held until a fence is answered. Errors must be the protocol's words. Servers without a fence (the origin) rest 4 ms as before.

--- a/src/main/java/slateseam/router/connections/servers/Link.java
+++ b/src/main/java/slateseam/router/connections/servers/Link.java
@@ -17,9 +17,14 @@
     long answers;
     /** Since when nothing has been out on it. */
     long freeSince;
+    /** When its last answer came; 0 before the first. */
+    long answeredAt;
     /** When what is first on it was written, or the answer before it came: whichever is later. */
     long firstSince;
 
+    /** Whether it is being found out whose answer came last. */
+    boolean checking;
+
     Link(Pool pool, long now) {
         this.pool = pool;
         openedAt = now;
@@ -46,7 +51,7 @@
 
     /** Whether others may be written behind what is out on it. */
     boolean isShareable(int most) {
-        return state == State.OPEN && !uses.isEmpty() && uses.size() < most
+        return state == State.OPEN && !checking && !uses.isEmpty() && uses.size() < most
                 && uses.stream().allMatch(use -> use.shares);
     }
 }
--- a/src/main/java/slateseam/router/connections/servers/Noise.java
+++ b/src/main/java/slateseam/router/connections/servers/Noise.java
@@ -9,8 +9,8 @@
     static final long LEAST_REST = 4_000_000L;
     /** Of a rest: beyond that a further connection is cheaper, and a server that is so late is a sick one. */
     static final long MOST_REST = 50_000_000L;
-    /** What is written so soon behind an answer gets a fence, as nobody knows yet what comes behind that answer. */
-    static final long FENCED = 10_000_000L;
+    /** What a connection carries so soon after an answer may meet bytes that belong to that answer. */
+    static final long SOON = 10_000_000L;
     private static final long FIRST_MEMORY = 30_000_000_000L;
     private static final int MOST_DOUBLINGS = 5;
 
--- a/src/main/java/slateseam/router/connections/servers/Order.java
+++ b/src/main/java/slateseam/router/connections/servers/Order.java
@@ -6,13 +6,8 @@
     record Open(Link link) implements Order {
     }
 
-    /**
-     * Write a use to a connection, behind whatever is out on it.
-     *
-     * @param fence whether a command that tells nothing is to be written behind it: its answer shows that the one before
-     *     is the use's own, and no bytes that belong to an earlier one
-     */
-    record Carry(Link link, Use use, boolean fence) implements Order {
+    /** Write a use to a connection, behind whatever is out on it. */
+    record Carry(Link link, Use use) implements Order {
         /** Whether it still holds; another order, or the connection's end, may have come between. */
         public boolean holds() {
             return use.link == link && use.state == Use.State.CARRIED && link.isOpen();
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -88,7 +88,7 @@
                         unripe = link;
                         continue;
                     }
-                } else if (idle < Math.max(rest, Noise.FENCED)) {
+                } else if (idle < Math.max(rest, Noise.SOON)) {
                     resting = idle >= rest && (resting == null || link.freeSince < resting.freeSince) ? link : resting;
                     continue;
                 }
@@ -114,7 +114,8 @@
     }
 
     private long rest(long now) {
-        return Math.max(noise.rest(now), all.noise.rest(now));
+        long least = fences ? 0 : Noise.LEAST_REST;
+        return Math.max(least, Math.max(noise.rest(now), all.noise.rest(now)));
     }
 
     private boolean isStuck(long now, Link link) {
@@ -131,7 +132,6 @@
 
     private void give(long now, Link link, Use use) {
         use.behind = !link.uses.isEmpty();
-        boolean fence = fences && (use.behind || !link.isYoung() && now - link.freeSince < Noise.FENCED);
         if (!link.isYoung() && now > use.since) {
             opening.waited(now, now - use.since);
         }
@@ -142,7 +142,7 @@
         use.link = link;
         use.since = now;
         link.uses.add(use);
-        all.given(link, use, fence);
+        all.given(link, use);
     }
 
     private void openMore(long now) {
@@ -249,6 +249,8 @@
         link.answers++;
         link.firstSince = now;
         link.freeSince = now;
+        link.answeredAt = now;
+        link.checking = false;
         if (more && link.uses.isEmpty()) {
             heard(now, 0);
             lose(now, link, Closing.NOISE, true);
@@ -260,6 +262,13 @@
         serve(now);
     }
 
+    /** Whether the answer that came, the same as the one before on that connection, is to be told from a copy of that. */
+    boolean repeats(long now, Link link) {
+        Use use = link.uses.peek();
+        link.checking = fences && (use.behind || use.since - link.answeredAt < Noise.SOON || isSuspect(now));
+        return link.checking;
+    }
+
     private void learn(long now, Link link, Use use) {
         long took = now - use.since;
         if (link.isYoung()) {
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -41,7 +41,7 @@
     private long cameUp;
     private long reused;
     private long shared;
-    private long fenced;
+    private long checked;
 
     /** Creates it without servers. */
     public ServerConnections(Bounds bounds) {
@@ -54,7 +54,7 @@
      * Begins with a server.
      *
      * @param shares whether it takes requests behind one that is out, and answers in order
-     * @param fences whether it answers, in order, a command that tells nothing
+     * @param fences whether it answers, in order, a command that tells nothing; else each connection rests after an answer
      */
     public Pool add(boolean shares, boolean fences) {
         Pool pool = new Pool(this, shares, fences);
@@ -133,6 +133,17 @@
         }
     }
 
+    /**
+     * The answer to what is first on a connection has the same bytes as the one before, which was to something else. Whether
+     * it is to be held until a fence, written now, tells if it is its own: {@link #answered} follows for it and what is out
+     * behind it, or {@link #spoilt}.
+     */
+    public boolean repeats(long now, Link link) {
+        boolean check = link.isOpen() && link.pool.repeats(now, link);
+        checked += check ? 1 : 0;
+        return check;
+    }
+
     /** Bytes came that belong to nothing that is out, or not to what is first there. */
     public void noise(long now, Link link) {
         if (link.isOpen()) {
@@ -170,7 +181,7 @@
 
     /** What it has counted. */
     public Figures figures() {
-        return new Figures(opened, cameUp, reused, shared, fenced, Map.copyOf(closed), open, young,
+        return new Figures(opened, cameUp, reused, shared, checked, Map.copyOf(closed), open, young,
                 pools.stream().mapToInt(Pool::waiting).sum());
     }
 
@@ -178,11 +189,10 @@
         orders.add(order);
     }
 
-    void given(Link link, Use use, boolean fence) {
+    void given(Link link, Use use) {
         reused += link.isYoung() ? 0 : 1;
         shared += use.behind ? 1 : 0;
-        fenced += fence ? 1 : 0;
-        order(new Order.Carry(link, use, fence));
+        order(new Order.Carry(link, use));
     }
 
     /** Whether one more may come up now; if not, the pool is served again when that has changed. */
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -140,6 +140,11 @@
         return connections.figures();
     }
 
+    /** Whether an answer like the one before is to be checked. */
+    boolean repeats(Link link) {
+        return connections.repeats(loop.now(), link);
+    }
+
     /** Tells the connections what happened and carries out what they order. */
     void tell(Consumer<ServerConnections> happening) {
         happening.accept(connections);
@@ -159,7 +164,7 @@
     private void obey(Order order) {
         if (order instanceof Order.Carry carry) {
             if (carry.holds()) {
-                byLink.get(carry.link()).carry((Pass) carry.use(), carry.fence());
+                byLink.get(carry.link()).carry((Pass) carry.use());
             }
         } else if (order instanceof Order.Open open) {
             open(open.link());
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -66,11 +66,19 @@
         }
         return switch (reply.type()) {
             case '*' -> answered(reply.items());
-            case '-' -> new Reply(reply.text().startsWith("BUSY") ? Outcome.FULL : Outcome.ERROR);
+            case '-' -> failed(reply.text());
             default -> throw new MalformedException("an answer must be an array or an error");
         };
     }
 
+    /** Guards against noise that happens to begin with a minus. */
+    private static Reply failed(String text) throws MalformedException {
+        if (!text.startsWith("BUSY") && !text.startsWith("ERR")) {
+            throw new MalformedException("an error must be one of the protocol's");
+        }
+        return new Reply(text.startsWith("BUSY") ? Outcome.FULL : Outcome.ERROR);
+    }
+
     private static Reply answered(List<Resp.Value> items) throws MalformedException {
         if (items.isEmpty() || items.get(0).type() != '$') {
             throw new MalformedException("an answer's array must begin with a bulk string");
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -4,13 +4,16 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.connections.servers.Link;
+import slateseam.router.connections.servers.Use;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Deadlines.Deadline;
+import slateseam.router.net.Hash;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 
@@ -19,19 +22,20 @@
     /** For the rest of an answer once a part has come: less than an aim, so that there is time for another pass. */
     private static final long REST_NANOS = 250 * Clock.MILLI;
 
-    /** What is to be answered, perhaps with a fence behind it. */
-    private record Awaited(Pass pass, boolean fenced) {
-    }
+    /** Of an answer, to compare it with the one before; what is the same so far is checked. */
+    private static final int COMPARED = 256;
 
     private final Passes passes;
     private final ApplicationServer server;
     private final Link link;
-    private final Deque<Awaited> awaited = new ArrayDeque<>();
+    private final Deque<Pass> awaited = new ArrayDeque<>();
     private boolean up;
     private long upAt;
     private boolean reading;
-    /** The answer of what is first, until its fence is answered too; null if none has come. */
-    private ServerProtocol.Reply held;
+    /** Answers that are held until a fence is answered, in order; null if none is out. */
+    private List<ServerProtocol.Reply> held;
+    private long lastBytes;
+    private byte[] lastKey;
     /** Until when it may stay as it is: connecting, or with a part of an answer. */
     private Deadline limit;
     private boolean partial;
@@ -46,7 +50,7 @@
     }
 
     /** Writes a pass behind what is out, unless it shows that the connection is of no use any more. */
-    void carry(Pass pass, boolean fence) {
+    void carry(Pass pass) {
         if (awaited.isEmpty() && !reading && upAt != loop().now()) {
             // Guards against bytes behind an answer, which would be read as the answer to this pass.
             poll();
@@ -55,15 +59,9 @@
             return;
         }
         pass.begin();
-        awaited.add(new Awaited(pass, fence));
+        awaited.add(pass);
         long wait = Math.max(1, Clock.millisUp(pass.endsAt - loop().now()));
-        ServerProtocol protocol = server.protocol();
-        List<ByteBuffer> bytes = new ArrayList<>(
-                List.of(pass.isProbe() ? protocol.probe() : protocol.command(pass.request, wait)));
-        if (fence) {
-            bytes.add(protocol.fence());
-        }
-        write(bytes.toArray(new ByteBuffer[0]));
+        write(pass.isProbe() ? server.protocol().probe() : server.protocol().command(pass.request, wait));
     }
 
     /** Ends it, with all that is out on it. */
@@ -82,7 +80,7 @@
 
     @Override
     protected void written() {
-        awaited.forEach(a -> a.pass.markWritten());
+        awaited.forEach(Use::markWritten);
     }
 
     @Override
@@ -99,35 +97,61 @@
 
     /** Whether something whole was taken. */
     private boolean takeOne(ByteBuffer in) throws MalformedException {
-        Awaited first = awaited.peek();
+        Pass first = awaited.peek();
         if (first == null) {
             throw new MalformedException("an answer to nothing");
         }
-        if (held == null) {
-            ServerProtocol protocol = server.protocol();
-            held = first.pass.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
-            awaitRest(held == null ? in.hasRemaining() : first.fenced);
-            if (held != null && first.fenced && !held.reusable()) {
-                throw new MalformedException("an answer whose end is not known, where that matters");
-            }
-            if (held != null && !first.fenced) {
-                answered(in.hasRemaining());
-            }
-            return held != null || awaited.peek() != first;
+        ServerProtocol protocol = server.protocol();
+        if (held != null && held.size() == awaited.size()) {
+            return takeFence(in);
+        }
+        int start = in.position();
+        ServerProtocol.Reply reply = first.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
+        if (reply == null) {
+            awaitRest(in.hasRemaining() || held != null);
+            return false;
         }
-        // Guards against bytes that belong to an earlier answer: behind those comes an answer, not the fence's.
-        boolean passed = server.protocol().passFence(in);
-        if (passed) {
-            awaitRest(false);
-            answered(in.hasRemaining());
+        if (held == null && repeats(in.slice(start, in.position() - start), first) && passes.repeats(link)) {
+            held = new ArrayList<>();
+            write(protocol.fence());
         }
-        return passed;
+        awaitRest(held != null);
+        if (held != null) {
+            held.add(reply);
+        } else {
+            answered(reply, in.hasRemaining());
+        }
+        return true;
     }
 
-    private void answered(boolean more) {
-        Pass pass = awaited.remove().pass;
-        ServerProtocol.Reply reply = held;
+    /** Guards against a second copy of an answer that is taken as the next one: then one answer too many comes. */
+    private boolean takeFence(ByteBuffer in) throws MalformedException {
+        if (!server.protocol().passFence(in)) {
+            return false;
+        }
+        awaitRest(false);
+        List<ServerProtocol.Reply> own = held;
         held = null;
+        for (int i = 0; i < own.size() && !isClosed(); i++) {
+            answered(own.get(i), i + 1 == own.size() && in.hasRemaining());
+        }
+        return true;
+    }
+
+    /** Whether an answer has the same bytes as the one before, which was for another key. */
+    private boolean repeats(ByteBuffer answer, Pass pass) {
+        byte[] compared = new byte[Math.min(COMPARED, answer.limit())];
+        answer.get(compared);
+        long bytes = Hash.of(compared) * 31 + answer.limit();
+        byte[] key = pass.isProbe() ? null : pass.request.key();
+        boolean same = bytes == lastBytes && key != null && lastKey != null && !Arrays.equals(key, lastKey);
+        lastBytes = bytes;
+        lastKey = key;
+        return same;
+    }
+
+    private void answered(ServerProtocol.Reply reply, boolean more) {
+        Pass pass = awaited.remove();
         boolean givenUp = pass.isGivenUp();
         boolean reusable = reply.reusable() && pass.isWritten();
         // Freed before the outcome is told, so that what the outcome makes the router send can use it at once.
@@ -154,16 +178,16 @@
     @Override
     protected void malformed(MalformedException e) {
         loop().log().line("server-malformed", server.address() + ": " + e.getMessage());
-        Awaited first = awaited.peek();
+        Pass first = awaited.peek();
         passes.tell(connections -> {
             if (first == null) {
                 connections.noise(loop().now(), link);
                 return;
             }
-            boolean givenUp = first.pass.isGivenUp();
+            boolean givenUp = first.isGivenUp();
             connections.spoilt(loop().now(), link);
             if (!givenUp) {
-                passes.end(first.pass, new ServerProtocol.Reply(Outcome.SPOILT));
+                passes.end(first, new ServerProtocol.Reply(Outcome.SPOILT));
             }
         });
     }
