Open a first connection to each server ahead and probe it, and replace those that answers spoil

Change: where probes are allowed, a connection opened ahead (first one to a server, a spare, one in place of a spoilt one) is greeted by a probe, so that the handshake is over when a request comes. No check where connections rest.

--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -27,16 +27,18 @@
     final List<Link> links = new ArrayList<>();
     private final boolean shares;
     private final boolean fences;
+    private final boolean greets;
     private final Deque<Use> waiting = new ArrayDeque<>();
     private boolean ready = true;
     /** When a call of {@link #wake} was ordered for; 0 if for never. */
     private long wakeAt;
 
-    Pool(ServerConnections all, boolean shares, boolean fences) {
+    Pool(ServerConnections all, boolean shares, boolean fences, boolean greets) {
         this.all = all;
         this.learned = new Learned(all.learned);
         this.shares = shares;
         this.fences = fences;
+        this.greets = greets;
     }
 
     int waiting() {
@@ -150,7 +152,7 @@
         int unplanned = waiting.size() - coming * mostShared(now);
         boolean spare = unplanned <= 0 && coming == 0 && links.stream().noneMatch(Link::isFree);
         if (spare && mayOpen(now) && opening.isPaid(now, learned.price())) {
-            open(now);
+            openAhead(now);
         }
         for (; unplanned > 0; unplanned -= mostShared(now)) {
             if (!mayOpen(now) || !isWorth(now, unplanned) || !open(now)) {
@@ -179,6 +181,28 @@
         return busy == 0 || next + (place - 1) * learned.answer() / busy > price || opening.isPaid(now, price);
     }
 
+    /** Opens one for which nothing waits; a greeting takes the handshake's time off the first request. */
+    private void openAhead(long now) {
+        if (open(now)) {
+            links.get(links.size() - 1).ahead = greets;
+        }
+    }
+
+    /** Opens the first connection to a server before it is asked for anything. */
+    void warm(long now) {
+        if (greets && links.isEmpty() && ready) {
+            openAhead(now);
+        }
+    }
+
+    /** Guards against requests that pay for connections which answers spoil: another takes its place at once. */
+    private void replace(long now) {
+        if (greets && waiting.isEmpty() && links.stream().noneMatch(link -> link.isFree() || link.isYoung())
+                && mayOpen(now)) {
+            openAhead(now);
+        }
+    }
+
     private boolean open(long now) {
         if (!all.makeRoom(now)) {
             if (links.isEmpty()) {
@@ -228,6 +252,15 @@
         link.upAt = now;
         link.freeSince = now;
         serve(now);
+        if (link.ahead && link.isFree()) {
+            all.order(new Order.Greet(link));
+        }
+    }
+
+    /** A greeting goes out on a connection. */
+    void greet(long now, Link link, Use greeting) {
+        greeting.since = now;
+        give(now, link, greeting);
     }
 
     /** A connection never came up. Only if none is left do those who wait learn of it. */
@@ -265,7 +298,9 @@
     /** Whether the answer that came, the same as the one before on that connection, is to be told from a copy of that. */
     boolean repeats(long now, Link link) {
         Use use = link.uses.peek();
-        link.checking = fences && (use.behind || use.since - link.answeredAt < Noise.SOON || isSuspect(now));
+        // Where noise was heard before, the connection has rested.
+        boolean soon = use.since - link.answeredAt < Noise.SOON && !isSuspect(now);
+        link.checking = fences && (use.behind || soon);
         return link.checking;
     }
 
@@ -290,6 +325,7 @@
         heard(now, link.isYoung() ? 0 : now - link.freeSince);
         lose(now, link, Closing.NOISE, true);
         serve(now);
+        replace(now);
     }
 
     /** The answer of the first use on a connection cannot be read; that use is over. */
@@ -300,6 +336,7 @@
         heard(now, 0);
         lose(now, link, Closing.NOISE, true);
         serve(now);
+        replace(now);
     }
 
     private void heard(long now, long late) {
@@ -313,6 +350,7 @@
     }
 
     void giveUp(long now, Use use) {
+        Link link = use.link;
         if (use.state == Use.State.WAITING) {
             waiting.remove(use);
             use.state = Use.State.OVER;
@@ -327,6 +365,9 @@
             }
         }
         serve(now);
+        if (link != null && !link.isOpen()) {
+            replace(now);
+        }
     }
 
     void cut(long now, Use use) {
