--- a/src/test/java/slateseam/router/connections/servers/AnyOrderTest.java
+++ b/src/test/java/slateseam/router/connections/servers/AnyOrderTest.java
@@ -24,7 +24,7 @@
         for (int step = 0; step < 30_000; step++) {
             Pool pool = servers.get(random.nextInt(servers.size()));
             List<Link> busy = rig.up.entrySet().stream().filter(e -> !e.getValue().isEmpty()).map(e -> e.getKey())
-                    .sorted((a, b) -> Long.compare(a.openedAt, b.openedAt)).toList();
+                    .toList();
             switch (random.nextInt(40)) {
                 case 0 -> rig.connections.ready(rig.now, pool, random.nextInt(4) > 0);
                 case 1 -> rig.connections.closeIdle(rig.now, pool);
--- a/src/test/java/slateseam/router/connections/servers/Rig.java
+++ b/src/test/java/slateseam/router/connections/servers/Rig.java
@@ -1,7 +1,7 @@
 package slateseam.router.connections.servers;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -25,8 +25,9 @@
 
     final ServerConnections connections;
     final List<Link> comingUp = new ArrayList<>();
-    final Map<Link, List<Request>> up = new HashMap<>();
+    final Map<Link, List<Request>> up = new LinkedHashMap<>();
     final List<Link> closed = new ArrayList<>();
+    final List<Link> greeted = new ArrayList<>();
     private final TreeMap<Long, List<Pool>> wakes = new TreeMap<>();
     long now = SECOND;
 
@@ -80,6 +81,15 @@
         obey();
     }
 
+    /** What is first on each connection is answered. */
+    void answerAll() {
+        for (Link link : List.copyOf(up.keySet())) {
+            if (!up.getOrDefault(link, List.of()).isEmpty()) {
+                answer(link);
+            }
+        }
+    }
+
     /** What is first on a connection is answered. */
     void answer(Link link) {
         answer(link, false);
@@ -120,6 +130,9 @@
                 comingUp.add(open.link());
             } else if (order instanceof Order.Carry carry && carry.holds()) {
                 carry((Request) carry.use(), carry.link());
+            } else if (order instanceof Order.Greet greet) {
+                greeted.add(greet.link());
+                connections.greet(now, greet.link(), new Request(greet.link().pool(), now + SECOND, true));
             } else if (order instanceof Order.Close close) {
                 comingUp.remove(close.link());
                 up.remove(close.link());
--- /dev/null
+++ b/src/test/java/slateseam/router/connections/servers/ServerConnectionsTest.java
@@ -0,0 +1,285 @@
+package slateseam.router.connections.servers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import slateseam.router.connections.servers.Order.Why;
+import slateseam.router.connections.servers.Rig.Request;
+
+class ServerConnectionsTest {
+    private Rig rig = new Rig(100, 100);
+    private Pool server = rig.server(true);
+
+    private Link first() {
+        rig.comeUp();
+        return server.links.get(0);
+    }
+
+    /** A connection that has brought an answer and has rested. */
+    private Link warm() {
+        rig.ask(server);
+        Link link = first();
+        rig.pass(50);
+        rig.answer(link);
+        rig.pass(20);
+        return link;
+    }
+
+    @Test
+    void aConnectionGoesOnAtOnceUntilBytesCameBehindAnAnswer() {
+        Link link = warm();
+        Request one = rig.ask(server);
+        rig.pass(30);
+        rig.answer(link);
+        Request two = rig.ask(server);
+        assertThat(two.on).isSameAs(link).isSameAs(one.on);
+        rig.answer(link);
+        rig.pass(7);
+        rig.noise(link);
+        // Seen once, 7 ms late: others of this server rest for twice that, and a further one is opened meanwhile.
+        Link other = warm();
+        rig.ask(server);
+        rig.answer(other);
+        Request three = rig.ask(server);
+        assertThat(three.on).isNull();
+        rig.pass(13);
+        assertThat(three.on).isNull();
+        rig.pass(1);
+        assertThat(three.on).isSameAs(other);
+        rig.answer(other);
+        // Another server's go on, and so do these once nothing was heard for half a minute.
+        rig.pass(30_001);
+        rig.ask(server);
+        rig.answer(other);
+        assertThat(rig.ask(server).on).isSameAs(other);
+    }
+
+    @Test
+    void noiseAtTwoServersMakesAllSuspectAndNothingIsShared() {
+        Link link = warm();
+        Pool healthy = server;
+        List<Pool> noisy = List.of(rig.server(true), rig.server(true));
+        for (Pool pool : noisy) {
+            server = pool;
+            rig.ask(server);
+            rig.answer(first(), true);
+        }
+        rig.ask(healthy);
+        assertThat(rig.ask(healthy).on).isNull();
+        rig.pass(40);
+        rig.answer(link);
+        assertThat(rig.up.get(link)).isEmpty(); // it rests
+    }
+
+    @Test
+    void aUseWaitsForABusyConnectionUntilWaitingHasCostAHandshake() {
+        Pool alone = rig.server(false);
+        rig.ask(alone);
+        server = alone;
+        rig.pass(1);
+        Link link = first();
+        rig.pass(100);
+        rig.answer(link); // some 100 ms for a first answer
+        for (int i = 0; i < 3; i++) {
+            rig.pass(10);
+            rig.ask(alone);
+            rig.pass(20);
+            rig.answer(link);
+        }
+        int waited = 0;
+        for (; rig.comingUp.isEmpty(); waited++) {
+            rig.pass(10);
+            rig.ask(alone);
+            rig.ask(alone);
+            rig.pass(20);
+            rig.answer(link);
+            rig.pass(20);
+            rig.answer(link);
+        }
+        // 24 ms at a time (4 of them the rest), against a handshake of some 90.
+        assertThat(waited).isBetween(3, 7);
+    }
+
+    @Test
+    void atAStartRequestsShareFewConnectionsWhoseNumberIsBounded() {
+        for (boolean shares : List.of(true, false)) {
+            rig = new Rig(130, 100);
+            List<Pool> servers = IntStream.range(0, 24).mapToObj(i -> rig.server(shares)).toList();
+            List<Request> all = new ArrayList<>();
+            for (Pool pool : servers) {
+                for (int i = 0; i < 12; i++) {
+                    all.add(rig.ask(pool));
+                }
+            }
+            assertThat(rig.comingUp).hasSize(32); // a quarter of what may be had
+            assertThat(servers).allMatch(pool -> pool.links.size() <= 4);
+            // As those come up and bring answers, the others get theirs.
+            for (int round = 0; round < 40; round++) {
+                rig.comeUp();
+                rig.pass(10);
+                rig.answerAll();
+                assertThat(servers).allMatch(pool -> pool.links.stream().filter(Link::isYoung).count() <= 8);
+            }
+            assertThat(all).allMatch(request -> request.served);
+            assertThat(rig.connections.figures().opened()).as("of %d requests", all.size()).isLessThan(shares ? 100 : 200);
+        }
+    }
+
+    @Test
+    void aServerThatSaysNothingHoldsUpOnlyWhatWasPutBehindBeforeThatShowed() {
+        Link link = warm();
+        IntStream.range(0, 3).forEach(i -> rig.ask(server));
+        rig.pass(300); // it should have answered after 50
+        Request later = rig.ask(server);
+        rig.comeUp();
+        assertThat(later.on).isNotNull().isNotSameAs(link);
+    }
+
+    @Test
+    void oneRefusedConnectionEndsNothingWhileAnotherIsThere() {
+        Link link = warm();
+        List<Request> all = IntStream.range(0, 6).mapToObj(i -> rig.ask(server)).toList();
+        while (rig.comingUp.isEmpty()) {
+            rig.pass(20);
+            all.forEach(request -> assertThat(request.why).isNull());
+            rig.ask(server);
+        }
+        List.copyOf(rig.comingUp).forEach(rig::refuse);
+        assertThat(all).allMatch(request -> request.why == null);
+        assertThat(rig.comingUp).isEmpty(); // the server takes no more of them just now
+        rig.breakOff(link);
+        // What was written may have run; what was not waits for a connection, and ends with that.
+        assertThat(all.stream().filter(request -> request.why == Why.CUT)).hasSize(4).allMatch(r -> r.on == link);
+        rig.refuse(rig.comingUp.get(0));
+        assertThat(all.stream().filter(request -> request.why == Why.NOT_UP)).hasSize(2).allMatch(r -> r.on == null);
+    }
+
+    @Test
+    void aUseGivenUpBeforeItWasWrittenLeavesItsConnectionToTheNext() {
+        Request gone = rig.ask(server);
+        rig.giveUp(gone);
+        assertThat(rig.comingUp).hasSize(1);
+        Request next = rig.ask(server);
+        rig.comeUp();
+        assertThat(next.on).isNotNull();
+        assertThat(rig.connections.figures().opened()).isEqualTo(1);
+    }
+
+    @Test
+    void aUseGivenUpOnASharedConnectionCostsTheOthersOnlyIfItIsSentAgain() {
+        Link link = warm();
+        List<Request> row = IntStream.range(0, 3).mapToObj(i -> rig.ask(server)).toList();
+        assertThat(row).allMatch(request -> request.on == link);
+        rig.giveUp(row.get(1));
+        rig.answer(link);
+        assertThat(row.get(0).served).isTrue();
+        // Its own answer is thrown away, the next one's is not.
+        rig.answer(link);
+        assertThat(row.get(1).served).isFalse();
+        rig.answer(link);
+        assertThat(row.get(2).served).isTrue();
+        List<Request> again = IntStream.range(0, 3).mapToObj(i -> rig.ask(server)).toList();
+        rig.giveUp(again.get(0));
+        rig.connections.cut(rig.now, again.get(0));
+        rig.obey();
+        assertThat(rig.closed).contains(link);
+        assertThat(again).extracting(request -> request.why).containsExactly(null, Why.CUT, Why.CUT);
+        rig.answer(rig.ask(server, 480, true).on == null ? first() : link); // the next goes on a connection of its own
+        // One that nobody waits for any more, but for what was given up, is closed.
+        Link last = server.links.get(0);
+        Request alone = rig.ask(server);
+        rig.giveUp(alone);
+        assertThat(rig.closed).contains(last);
+    }
+
+    @Test
+    void aServerThatDrainsEndsWhatWaitsAndLetsGoOnWhatIsOut() {
+        Pool alone = rig.server(false);
+        server = alone;
+        Request out = rig.ask(alone);
+        Link link = first();
+        Request waits = rig.ask(alone);
+        assertThat(waits.on).isNull();
+        rig.connections.ready(rig.now, alone, false);
+        rig.obey();
+        assertThat(waits.why).isEqualTo(Why.SERVER_GONE);
+        assertThat(out.why).isNull();
+        rig.pass(30);
+        rig.answer(link);
+        assertThat(out.served).isTrue();
+        assertThat(rig.closed).contains(link);
+        assertThat(rig.ask(alone).why).isEqualTo(Why.SERVER_GONE);
+    }
+
+    @Test
+    void forWantOfRoomTheLongestIdleOfTheServerThatHasMostIsClosed() {
+        rig = new Rig(4, 1);
+        Pool rich = rig.server(false);
+        List<Request> three = IntStream.range(0, 3).mapToObj(i -> rig.ask(rich)).toList();
+        rig.comeUp();
+        rig.pass(100);
+        while (three.stream().anyMatch(request -> !request.served)) {
+            rig.answerAll();
+            rig.comeUp();
+            rig.pass(10);
+        }
+        int had = rich.links.size();
+        Pool poor = rig.server(false);
+        List<Pool> others = List.of(poor, rig.server(false), rig.server(false), rig.server(false));
+        List<Request> asked = others.stream().map(rig::ask).toList();
+        rig.comeUp();
+        assertThat(had).isGreaterThan(1);
+        assertThat(asked).allMatch(request -> request.on != null || request.why == Why.NO_ROOM);
+        assertThat(rig.up).hasSize(4);
+        rig.answerAll();
+        rig.pass(10);
+        others.forEach(rig::ask);
+        // All are busy: a server without a connection gets none, one with a connection waits for that.
+        assertThat(rig.ask(rich).why).isEqualTo(Why.NO_ROOM);
+        assertThat(rig.ask(poor).why).isNull();
+    }
+
+    @Test
+    void aSpareConnectionIsKeptTenSecondsAndTheLastOneAsLongAsTheServerKeepsIt() {
+        rig = new Rig(100, 1);
+        server = rig.server(false);
+        rig.ask(server);
+        rig.ask(server);
+        rig.comeUp();
+        rig.pass(100);
+        rig.answerAll();
+        rig.answerAll();
+        int had = server.links.size();
+        rig.pass(10_001);
+        assertThat(server.links).hasSize(1);
+        rig.pass(37_000);
+        assertThat(server.links).hasSize(1);
+        rig.pass(2_000);
+        assertThat(server.links).isEmpty();
+        assertThat(rig.connections.figures().closed()).containsEntry(Closing.IDLE, (long) had);
+    }
+
+    @Test
+    void whatIsOpenedAheadIsGreetedAndBounded() {
+        rig = new Rig(40, 100);
+        List<Pool> farm = IntStream.range(0, 100).mapToObj(i -> rig.connections.add(true, true, true)).toList();
+        farm.forEach(pool -> rig.connections.ready(rig.now, pool, true));
+        rig.obey();
+        assertThat(rig.comingUp).hasSize(5); // half of those that may be without an answer
+        rig.comeUp();
+        assertThat(rig.greeted).hasSize(5);
+        for (int i = 0; i < 60; i++) {
+            rig.answerAll();
+            rig.comeUp();
+        }
+        assertThat(rig.connections.figures().open()).isEqualTo(20);
+        // One that an answer spoils is replaced before a request needs it.
+        Pool pool = farm.get(0);
+        rig.ask(pool);
+        rig.spoil(pool.links.get(0));
+        assertThat(rig.comingUp).hasSize(1);
+    }
+}
