Count each shared use as waiting, learn a handshake's price from greetings apart, keep one of a crowded server

Change: standing behind another counts as a quarter of an answer's waiting; a greeting's whole time is the price; to spare a server one connection stays.

--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
@@ -17,8 +18,10 @@
     /** Nothing is put behind a use that has been out for that long, or for so many usual times. */
     private static final long LEAST_STUCK = 50_000_000L;
     private static final int STUCK = 4;
-    /** Answers that come so close behind one another were held up by the first. */
-    private static final long TOGETHER = 1_000_000L;
+    /** A use that was carried so soon after its connection came up has paid for the handshake. */
+    private static final long AT_ONCE = 1_000_000L;
+    /** Of an answer's time: what standing behind another is held to cost. */
+    private static final double HELD_UP = 0.25;
 
     final ServerConnections all;
     final Learned learned;
@@ -134,7 +137,9 @@
 
     private void give(long now, Link link, Use use) {
         use.behind = !link.uses.isEmpty();
-        if (!link.isYoung() && now > use.since) {
+        if (use.behind) {
+            opening.waited(now, HELD_UP * learned.answer());
+        } else if (!link.isYoung() && now > use.since) {
             opening.waited(now, now - use.since);
         }
         if (!use.behind) {
@@ -307,16 +312,14 @@
     private void learn(long now, Link link, Use use) {
         long took = now - use.since;
         if (link.isYoung()) {
-            double usual = learned.price() + learned.answer();
-            if (use.since - link.upAt < TOGETHER) {
-                learned.firstAnswered(now - link.openedAt);
+            if (use.since - link.upAt < AT_ONCE) {
+                double usual = learned.price() + learned.answer();
+                learned.firstAnswered(now - link.openedAt, link.ahead);
                 opening.firstAnswered(now - link.openedAt, usual);
             }
             all.grown();
         } else if (!use.behind) {
             learned.answered(took);
-        } else if (link.answers > 1 && now - link.firstSince < TOGETHER && took > learned.answer()) {
-            opening.waited(now, Math.min(learned.price(), took - learned.answer()));
         }
     }
 
@@ -381,19 +384,25 @@
         ready = isReady;
         serve(now);
         if (!ready) {
-            closeFree(now, true);
+            closeFree(now);
         }
     }
 
-    /** Closes the connections that carry nothing, perhaps those that come up too. */
-    void closeFree(long now, boolean comingUp) {
+    private void closeFree(long now) {
         for (Link link : List.copyOf(links)) {
-            if (link.isFree() || comingUp && link.uses.isEmpty()) {
+            if (link.uses.isEmpty()) {
                 lose(now, link, Closing.SERVER_GONE, true);
             }
         }
     }
 
+    /** The server is crowded. One connection is kept, as a new one would cost it more than that. */
+    void spare(long now) {
+        List<Link> free = links.stream().filter(Link::isFree).sorted(Comparator.comparingLong(l -> l.freeSince)).toList();
+        int closed = links.size() > free.size() ? free.size() : free.size() - 1;
+        free.stream().limit(Math.max(0, closed)).forEach(link -> lose(now, link, Closing.SERVER_GONE, true));
+    }
+
     void lose(long now, Link link, Closing cause, boolean fromHere) {
         link.state = Link.State.CLOSED;
         links.remove(link);
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -90,9 +90,9 @@
         serveHeld(now);
     }
 
-    /** Closes a server's connections that carry nothing. */
+    /** A server is crowded: closes its connections that carry nothing, but for the last of all. */
     public void closeIdle(long now, Pool pool) {
-        pool.closeFree(now, false);
+        pool.spare(now);
         pool.serve(now);
         serveHeld(now);
     }
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -80,12 +80,14 @@
         begin(1);
         serve();
         settle();
-        passes.closeIdle(id);
+        farm.take(new JSONObject("{\"seq\":2,\"whole\":true,\"hosts\":[]}"), false);
+        passes.farmChanged();
         now += 100 * SECOND;
         loop.round(0);
+        id = list("s2", "ready");
         begin(2);
         assertThat(told).containsExactly(Outcome.OK);
-        id = list("s2", "ready");
+        id = list("s3", "ready");
         begin(3);
         assertThat(told).containsExactly(Outcome.OK, Outcome.MOOT);
     }
