Do not limit a server that refused while no connection was up; share nothing where connections break

Causes: a refused connection with none up limited the server to one connection, plus one a second, the origin too; a shared connection that broke or was closed gave up to four resets, which eject a server. Change: only a refusal beside connections that are up limits, and one more is tried each 0.1 s; two may always be coming up. Where a connection broke with something out on it, nothing is shared for 30 s and more. What was cut by this side's close ends as cancelled, which may have run and tells nothing of the server.

--- a/src/main/java/slateseam/router/connections/servers/Noise.java
+++ b/src/main/java/slateseam/router/connections/servers/Noise.java
@@ -1,8 +1,8 @@
 package slateseam.router.connections.servers;
 
 /**
- * What is remembered of bytes that came behind a server's answers, or in place of one. Each time doubles how long that is
- * remembered, from 30 s to 16 minutes.
+ * What is remembered of bytes that came behind a server's answers, or in place of one; of connections that broke likewise.
+ * Each time doubles how long that is remembered, from 30 s to 16 minutes.
  */
 final class Noise {
     /** Of a rest after an answer: long against the machine's own delays, short against an answer's time. */
--- a/src/main/java/slateseam/router/connections/servers/Opening.java
+++ b/src/main/java/slateseam/router/connections/servers/Opening.java
@@ -5,13 +5,14 @@
     /** Handshakes at one server: several at once cost those of other routers, and the work that goes on there. */
     private static final int FIRST_YOUNG = 4;
     private static final int MOST_YOUNG = 8;
+    private static final int LEAST_YOUNG = 2;
     /** A first answer within so many of its usual times tells that the server can bear another handshake beside it. */
     private static final double QUICK = 1.5;
     private static final double SLOW = 2.5;
     /** Waiting is forgotten by half in that time: about as long as a connection may stand idle for its price. */
     private static final double HALF_NANOS = 2e9;
     /** After a refusal one more connection is tried for each such time. */
-    private static final long RAISE_NANOS = 1_000_000_000L;
+    private static final long RAISE_NANOS = 100_000_000L;
 
     private int young = FIRST_YOUNG;
     private double rent;
@@ -53,14 +54,16 @@
         if (took < QUICK * usual) {
             young = Math.min(MOST_YOUNG, young + 1);
         } else if (took > SLOW * usual) {
-            young = Math.max(1, young / 2);
+            young = Math.max(LEAST_YOUNG, young / 2);
         }
     }
 
-    /** A connection never came up while so many others were up. */
+    /** A connection never came up while so many others were up: the server has room for no more just now. */
     void refused(long now, int up) {
-        young = 1;
-        most = Math.max(1, up);
-        mostAt = now;
+        young = Math.max(LEAST_YOUNG, young / 2);
+        if (up > 0) {
+            most = up;
+            mostAt = now;
+        }
     }
 }
--- a/src/main/java/slateseam/router/connections/servers/Order.java
+++ b/src/main/java/slateseam/router/connections/servers/Order.java
@@ -40,7 +40,9 @@
         LATE,
         /** The server wants nothing new any more. */
         SERVER_GONE,
-        /** Its connection ended: if it was written whole it may have run, else it never did. */
-        CUT
+        /** Its connection broke: if it was written whole it may have run, else it never did. */
+        CUT,
+        /** Its connection was closed from here, for another use's sake: likewise, but that tells nothing of the server. */
+        DROPPED
     }
 }
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -26,6 +26,8 @@
     final ServerConnections all;
     final Learned learned;
     final Noise noise = new Noise();
+    /** Connections that broke with something out on them. */
+    final Noise breaks = new Noise();
     final Opening opening = new Opening();
     final List<Link> links = new ArrayList<>();
     private final boolean shares;
@@ -111,7 +113,7 @@
     }
 
     private int mostShared(long now) {
-        return shares && !isSuspect(now) ? Math.min(MOST_SHARED, all.bounds.streams()) : 1;
+        return shares && !isSuspect(now) && !breaks.isSuspect(now) && !all.breaks.isSuspect(now) ? Math.min(MOST_SHARED, all.bounds.streams()) : 1;
     }
 
     private boolean isSuspect(long now) {
@@ -348,6 +350,11 @@
     }
 
     void broken(long now, Link link) {
+        if (!link.uses.isEmpty()) {
+            // Guards against many uses lost at once where connections break.
+            breaks.heard(now, 0);
+            all.heardBreak(now, this);
+        }
         lose(now, link, link.uses.isEmpty() ? Closing.ENDED : Closing.BROKEN, false);
         serve(now);
     }
@@ -415,7 +422,7 @@
             if (use.state == Use.State.GIVEN_UP) {
                 use.state = Use.State.OVER;
             } else if (use.isBegun()) {
-                end(use, Order.Why.CUT);
+                end(use, fromHere ? Order.Why.DROPPED : Order.Why.CUT);
             } else {
                 use.state = Use.State.WAITING;
                 back.push(use);
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -29,6 +29,7 @@
     final Learned learned = new Learned(null);
     /** Heard of more than one server: then the others are like them. */
     final Noise noise = new Noise();
+    final Noise breaks = new Noise();
     private final int mostYoung;
     private final List<Pool> pools = new ArrayList<>();
     private final Queue<Order> orders = new ArrayDeque<>();
@@ -38,6 +39,7 @@
     private final Queue<Pool> cold = new ArrayDeque<>();
     private final Map<Closing, Long> closed = new EnumMap<>(Closing.class);
     private Pool lastNoisy;
+    private Pool lastBroken;
     private int open;
     private int young;
     private long opened;
@@ -258,6 +260,13 @@
         lastNoisy = pool;
     }
 
+    void heardBreak(long now, Pool pool) {
+        if (lastBroken != null && lastBroken != pool && lastBroken.breaks.isSuspect(now)) {
+            breaks.heard(now, 0);
+        }
+        lastBroken = pool;
+    }
+
     private void serveHeld(long now) {
         while (!held.isEmpty() && young < mostYoung) {
             Pool pool = held.iterator().next();
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -202,6 +202,7 @@
             case NOT_UP -> Outcome.CONNECT_FAILED;
             case LATE -> Outcome.UNSENT;
             case SERVER_GONE -> Outcome.MOOT;
+            case DROPPED -> ended.use().isWritten() ? Outcome.CANCELLED : Outcome.MOOT;
             case CUT -> ended.use().isWritten() ? Outcome.RESET : Outcome.CONNECT_FAILED;
         };
     }
