--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -20,6 +20,8 @@
     private static final int STUCK = 4;
     /** A use that was carried so soon after its connection came up has paid for the handshake. */
     private static final long AT_ONCE = 1_000_000L;
+    /** A connection is used some tens of times: a use's waiting is weighed against that part of its price. */
+    private static final double PART = Double.parseDouble(System.getProperty("part", "0.25"));
     /** Of an answer's time: what standing behind another is held to cost. */
     private static final double HELD_UP = 0.25;
 
@@ -157,12 +159,16 @@
     private void openMore(long now) {
         int coming = (int) links.stream().filter(link -> link.state == Link.State.COMING_UP).count();
         int unplanned = waiting.size() - coming * mostShared(now);
-        boolean spare = unplanned <= 0 && coming == 0 && links.stream().noneMatch(Link::isFree);
-        if (spare && mayOpen(now) && opening.isPaid(now, learned.price())) {
+        boolean spare = unplanned <= 0 && links.stream().noneMatch(link -> link.isFree() || link.isYoung());
+        if (spare && mayOpen(now) && opening.isPaid(now, PART * learned.price())) {
             openAhead(now);
         }
-        for (; unplanned > 0; unplanned -= mostShared(now)) {
-            if (!mayOpen(now) || !isWorth(now, unplanned) || !open(now)) {
+        for (; unplanned > 0 && mayOpen(now); unplanned -= mostShared(now)) {
+            double wait = expectedWait(now, unplanned);
+            if (wait <= PART * learned.price()) {
+                return;
+            }
+            if (!open(now)) {
                 return;
             }
         }
@@ -173,8 +179,8 @@
         return ready && links.size() < opening.most(now) && young < opening.young() && all.mayOpen(this);
     }
 
-    /** Whether a connection now costs the use of that place in the queue less than waiting would. */
-    private boolean isWorth(long now, int place) {
+    /** How long the use of that place in the queue waits for one of the connections that are busy or rest. */
+    private double expectedWait(long now, int place) {
         double next = Double.MAX_VALUE;
         int busy = 0;
         for (Link link : links) {
@@ -184,8 +190,7 @@
                 next = Math.min(next, Math.max(0, left - now));
             }
         }
-        double price = learned.price();
-        return busy == 0 || next + (place - 1) * learned.answer() / busy > price || opening.isPaid(now, price);
+        return busy == 0 ? next : next + (place - 1) * learned.answer() / busy;
     }
 
     /** Opens one for which nothing waits; a greeting takes the handshake's time off the first request. */
@@ -258,16 +263,18 @@
         link.state = Link.State.OPEN;
         link.upAt = now;
         link.freeSince = now;
-        serve(now);
-        if (link.ahead && link.isFree()) {
+        if (link.ahead && ready) {
             all.order(new Order.Greet(link));
+        } else {
+            serve(now);
         }
     }
 
-    /** A greeting goes out on a connection. */
+    /** A greeting goes out on a connection; others may stand behind it. */
     void greet(long now, Link link, Use greeting) {
         greeting.since = now;
         give(now, link, greeting);
+        serve(now);
     }
 
     /** A connection never came up. Only if none is left do those who wait learn of it. */
@@ -360,7 +367,6 @@
     }
 
     void giveUp(long now, Use use) {
-        Link link = use.link;
         if (use.state == Use.State.WAITING) {
             waiting.remove(use);
             use.state = Use.State.OVER;
@@ -375,9 +381,6 @@
             }
         }
         serve(now);
-        if (link != null && !link.isOpen()) {
-            replace(now);
-        }
     }
 
     void cut(long now, Use use) {
