--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -72,7 +72,7 @@
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
-        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), limits.probes(),
+        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(),
                 new Bounds(shared - userAgents, config.idleNanos(), limits.streamsPerConnection()));
         watch = new Watch(loop, config.discovery(), farm, changed -> {
             passes.farmChanged();
--- a/src/main/java/slateseam/router/connections/servers/Learned.java
+++ b/src/main/java/slateseam/router/connections/servers/Learned.java
@@ -25,12 +25,12 @@
         }
     }
 
-    /** The first answer on a new connection came so long after the connection was begun; a greeting takes no work. */
-    void firstAnswered(long nanos, boolean greeting) {
-        double sample = Math.max(LEAST_PRICE, greeting ? nanos : nanos - answer());
+    /** The first answer on a new connection came so long after the connection was begun. */
+    void firstAnswered(long nanos) {
+        double sample = Math.max(LEAST_PRICE, nanos - answer());
         price += (price == 0 ? 1 : WEIGHT) * (sample - price);
         if (others != null) {
-            others.firstAnswered(nanos, greeting);
+            others.firstAnswered(nanos);
         }
     }
 
--- a/src/main/java/slateseam/router/connections/servers/Link.java
+++ b/src/main/java/slateseam/router/connections/servers/Link.java
@@ -22,8 +22,6 @@
     /** When what is first on it was written, or the answer before it came: whichever is later. */
     long firstSince;
 
-    /** Whether it is to be greeted once it is up. */
-    boolean ahead;
     /** Whether it is being found out whose answer came last. */
     boolean checking;
 
--- a/src/main/java/slateseam/router/connections/servers/Order.java
+++ b/src/main/java/slateseam/router/connections/servers/Order.java
@@ -14,10 +14,6 @@
         }
     }
 
-    /** Probe the server on a connection that is up and carries nothing, by {@link ServerConnections#greet}. */
-    record Greet(Link link) implements Order {
-    }
-
     /** Close a connection from this side, with all that is out on it. */
     record Close(Link link) implements Order {
     }
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -21,7 +21,7 @@
     /** A use that was carried so soon after its connection came up has paid for the handshake. */
     private static final long AT_ONCE = 1_000_000L;
     /** A connection is used some tens of times: a use's waiting is weighed against that part of its price. */
-    private static final double PART = Double.parseDouble(System.getProperty("part", "0.25"));
+    private static final double PART = 0.25;
     /** Of an answer's time: what standing behind another is held to cost. */
     private static final double HELD_UP = 0.25;
 
@@ -34,18 +34,16 @@
     final List<Link> links = new ArrayList<>();
     private final boolean shares;
     private final boolean fences;
-    private final boolean greets;
     private final Deque<Use> waiting = new ArrayDeque<>();
     private boolean ready = true;
     /** When a call of {@link #wake} was ordered for; 0 if for never. */
     private long wakeAt;
 
-    Pool(ServerConnections all, boolean shares, boolean fences, boolean greets) {
+    Pool(ServerConnections all, boolean shares, boolean fences) {
         this.all = all;
         this.learned = new Learned(all.learned);
         this.shares = shares;
         this.fences = fences;
-        this.greets = greets;
     }
 
     int waiting() {
@@ -161,7 +159,7 @@
         int unplanned = waiting.size() - coming * mostShared(now);
         boolean spare = unplanned <= 0 && links.stream().noneMatch(link -> link.isFree() || link.isYoung());
         if (spare && mayOpen(now) && opening.isPaid(now, PART * learned.price())) {
-            openAhead(now);
+            open(now);
         }
         for (; unplanned > 0 && mayOpen(now); unplanned -= mostShared(now)) {
             double wait = expectedWait(now, unplanned);
@@ -193,28 +191,6 @@
         return busy == 0 ? next : next + (place - 1) * learned.answer() / busy;
     }
 
-    /** Opens one for which nothing waits; a greeting takes the handshake's time off the first request. */
-    private void openAhead(long now) {
-        if (open(now)) {
-            links.get(links.size() - 1).ahead = greets;
-        }
-    }
-
-    /** Opens the first connection to a server before it is asked for anything. */
-    void warm(long now) {
-        if (greets && links.isEmpty() && ready) {
-            openAhead(now);
-        }
-    }
-
-    /** Guards against requests that pay for connections which answers spoil: another takes its place at once. */
-    private void replace(long now) {
-        if (greets && waiting.isEmpty() && links.stream().noneMatch(link -> link.isFree() || link.isYoung())
-                && mayOpen(now)) {
-            openAhead(now);
-        }
-    }
-
     private boolean open(long now) {
         if (!all.makeRoom(now)) {
             if (links.isEmpty()) {
@@ -263,17 +239,6 @@
         link.state = Link.State.OPEN;
         link.upAt = now;
         link.freeSince = now;
-        if (link.ahead && ready) {
-            all.order(new Order.Greet(link));
-        } else {
-            serve(now);
-        }
-    }
-
-    /** A greeting goes out on a connection; others may stand behind it. */
-    void greet(long now, Link link, Use greeting) {
-        greeting.since = now;
-        give(now, link, greeting);
         serve(now);
     }
 
@@ -323,7 +288,7 @@
         if (link.isYoung()) {
             if (use.since - link.upAt < AT_ONCE) {
                 double usual = learned.price() + learned.answer();
-                learned.firstAnswered(now - link.openedAt, link.ahead);
+                learned.firstAnswered(now - link.openedAt);
                 opening.firstAnswered(now - link.openedAt, usual);
             }
             all.grown();
@@ -337,7 +302,6 @@
         heard(now, link.isYoung() ? 0 : now - link.freeSince);
         lose(now, link, Closing.NOISE, true);
         serve(now);
-        replace(now);
     }
 
     /** The answer of the first use on a connection cannot be read; that use is over. */
@@ -348,7 +312,6 @@
         heard(now, 0);
         lose(now, link, Closing.NOISE, true);
         serve(now);
-        replace(now);
     }
 
     private void heard(long now, long late) {
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -15,8 +15,7 @@
  * tells it something carries out what {@link #next} gives until that is null. Not thread-safe.
  *
  * <p>Bounds: {@link Bounds#mostConnections} in all, of which a quarter (4 at least) may be without a first answer, and of
- * one server 1 to 8; {@link Pool#MOST_SHARED} uses on one. Of those opened ahead half as many, as long as half of the
- * connections are left. Uses that wait are as many as the caller asks for, each until
+ * one server 1 to 8; {@link Pool#MOST_SHARED} uses on one. Uses that wait are as many as the caller asks for, each until
  * shortly before its end.
  */
 public final class ServerConnections {
@@ -35,8 +34,6 @@
     private final Queue<Order> orders = new ArrayDeque<>();
     /** Pools to be served again, once fewer connections come up elsewhere. */
     private final Set<Pool> held = new LinkedHashSet<>();
-    /** Pools to which a first connection is still to be opened ahead. */
-    private final Queue<Pool> cold = new ArrayDeque<>();
     private final Map<Closing, Long> closed = new EnumMap<>(Closing.class);
     private Pool lastNoisy;
     private Pool lastBroken;
@@ -60,29 +57,17 @@
      *
      * @param shares whether it takes requests behind one that is out, and answers in order
      * @param fences whether it answers, in order, a command that tells nothing; else each connection rests after an answer
-     * @param greets whether a connection may be opened ahead and probed, so that its handshake is over when it is needed
      */
-    public Pool add(boolean shares, boolean fences, boolean greets) {
-        Pool pool = new Pool(this, shares, fences, greets);
+    public Pool add(boolean shares, boolean fences) {
+        Pool pool = new Pool(this, shares, fences);
         pools.add(pool);
-        if (greets) {
-            cold.add(pool);
-        }
         return pool;
     }
 
-    /** A greeting goes out; it is answered as any use is. Only at the order. */
-    public void greet(long now, Link link, Use greeting) {
-        if (link.isFree()) {
-            link.pool.greet(now, link, greeting);
-        }
-    }
-
     /** A server has left: as one that is not ready, for good. What is out there goes on. */
     public void remove(long now, Pool pool) {
         ready(now, pool, false);
         held.remove(pool);
-        cold.remove(pool);
         pools.remove(pool);
     }
 
@@ -273,8 +258,5 @@
             held.remove(pool);
             pool.serve(now);
         }
-        while (!cold.isEmpty() && young < mostYoung / 2 && open < bounds.mostConnections() / 2) {
-            cold.remove().warm(now);
-        }
     }
 }
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -48,11 +48,6 @@
         return entries.get(id);
     }
 
-    /** What is listed now. */
-    public List<Entry> entries() {
-        return List.copyOf(entries.values());
-    }
-
     /** How many application servers want new requests; the origin is none. */
     public int readyServers() {
         return (int) entries.values().stream().filter(entry -> entry.isReady() && !entry.isOrigin()).count();
--- a/src/main/java/slateseam/router/pass/ApplicationServer.java
+++ b/src/main/java/slateseam/router/pass/ApplicationServer.java
@@ -11,10 +11,10 @@
  * @param pool this router's connections to it
  */
 record ApplicationServer(long id, InetSocketAddress address, ServerProtocol protocol, Pool pool) {
-    static ApplicationServer of(Farm.Entry entry, ServerConnections connections, boolean greets) {
+    static ApplicationServer of(Farm.Entry entry, ServerConnections connections) {
         ServerProtocol protocol = entry.isOrigin() ? new HttpOrigin(entry.host()) : new RespServer();
         boolean inOrder = protocol.fence() != null;
         return new ApplicationServer(entry.member().id(), entry.address(), protocol,
-                connections.add(inOrder, inOrder, greets));
+                connections.add(inOrder, inOrder));
     }
 }
--- a/src/main/java/slateseam/router/pass/Pass.java
+++ b/src/main/java/slateseam/router/pass/Pass.java
@@ -6,8 +6,6 @@
 
 /** A proxy pass: one attempt of a request at one server, or a probe of that server. */
 final class Pass extends Use {
-    static final long GREETING = -2;
-
     /** The ticket of the request, or of nothing for a probe. */
     final long ticket;
     final int attempt;
@@ -22,7 +20,7 @@
 
     Pass(long ticket, int attempt, Request request, ApplicationServer server, long begunAt, long endsAt) {
         // What may not run twice stands alone, so that no other's mishap makes its outcome unknown.
-        super(server.pool(), endsAt, request == null ? ticket == GREETING : !request.isWrite());
+        super(server.pool(), endsAt, request != null && !request.isWrite());
         this.ticket = ticket;
         this.attempt = attempt;
         this.request = request;
@@ -31,11 +29,6 @@
         this.endsAt = endsAt;
     }
 
-    /** Whether it is a probe that only makes a connection ready; nobody is told of its end. */
-    boolean isGreeting() {
-        return ticket == GREETING;
-    }
-
     boolean isProbe() {
         return request == null;
     }
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -24,7 +24,6 @@
     private final Farm farm;
     private final PassListener listener;
     private final long connectNanos;
-    private final boolean probes;
     private final Bounds bounds;
     private final ServerConnections connections;
     private final Map<Long, ApplicationServer> servers = new HashMap<>();
@@ -38,14 +37,12 @@
      * Creates the table.
      *
      * @param connectNanos for which a connection may be coming up
-     * @param probes whether servers may be probed, to have connections ready
      */
-    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, boolean probes, Bounds bounds) {
+    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, Bounds bounds) {
         this.loop = loop;
         this.farm = farm;
         this.listener = listener;
         this.connectNanos = connectNanos;
-        this.probes = probes;
         this.bounds = bounds;
         this.connections = new ServerConnections(bounds);
     }
@@ -124,11 +121,9 @@
     }
 
     /**
-     * The farm has changed: lets go of servers that are no longer in it, and of what waits for one that drains; meets those
-     * that are new.
+     * The farm has changed: lets go of servers that are no longer in it, and of what waits for one that drains.
      */
     public void farmChanged() {
-        farm.entries().stream().filter(Farm.Entry::isReady).forEach(entry -> server(entry.member().id()));
         for (ApplicationServer server : List.copyOf(servers.values())) {
             Farm.Entry entry = farm.entry(server.id());
             if (entry == null) {
@@ -179,8 +174,6 @@
             }
         } else if (order instanceof Order.Open open) {
             open(open.link());
-        } else if (order instanceof Order.Greet greet) {
-            greet(greet.link());
         } else if (order instanceof Order.Close close) {
             ServerConnection connection = byLink.remove(close.link());
             if (connection != null) {
@@ -220,15 +213,6 @@
         connections.failed(loop.now(), link);
     }
 
-    private void greet(Link link) {
-        ServerConnection connection = byLink.get(link);
-        if (connection != null) {
-            Pass greeting = new Pass(Pass.GREETING, 0, null, connection.server(), loop.now(), loop.now() + PROBE_NANOS);
-            greeting.timeout = loop.after(PROBE_NANOS, () -> stop(greeting, Outcome.TIMEOUT));
-            connections.greet(loop.now(), link, greeting);
-        }
-    }
-
     /** A connection has ended, not by an order. */
     void gone(Link link) {
         byLink.remove(link);
@@ -237,9 +221,6 @@
     void end(Pass pass, ServerProtocol.Reply reply) {
         loop.cancel(pass.timeout);
         long duration = loop.now() - pass.begunAt;
-        if (pass.isGreeting()) {
-            return;
-        }
         if (pass.isProbe()) {
             listener.happened(new ProbeEnded(pass.server.id(), reply.outcome(), duration));
             return;
@@ -261,7 +242,7 @@
             if (before != null) {
                 tell(c -> c.remove(loop.now(), before.pool()));
             }
-            server = ApplicationServer.of(entry, connections, probes);
+            server = ApplicationServer.of(entry, connections);
             servers.put(id, server);
             ApplicationServer met = server;
             tell(c -> c.ready(loop.now(), met.pool(), entry.isReady()));
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -64,10 +64,6 @@
         write(pass.isProbe() ? server.protocol().probe() : server.protocol().command(pass.request, wait));
     }
 
-    ApplicationServer server() {
-        return server;
-    }
-
     /** Ends it, with all that is out on it. */
     void end() {
         loop().cancel(limit);
