Check repeats of one key's answer too, and write nothing to a connection just found noisy

Need: where answers differ at each request, a copy for the same key is a wrong answer too; and a pass was written to a connection whose noise had just been read, while the module gave it another. Change: equal answers for one key are checked until 16 in a row were their own; a connection that the module has let go of is neither written nor read. Seen: PassesTest fails without the second, with two commands where one belongs.

--- a/src/main/java/slateseam/router/connections/servers/Link.java
+++ b/src/main/java/slateseam/router/connections/servers/Link.java
@@ -24,6 +24,8 @@
 
     /** Whether it is being found out whose answer came last. */
     boolean checking;
+    /** Whether that answer and the one before it are for one key. */
+    boolean checkingSame;
 
     Link(Pool pool, long now) {
         this.pool = pool;
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -22,6 +22,8 @@
     private static final long AT_ONCE = 1_000_000L;
     /** A connection is used some tens of times: a use's waiting is weighed against that part of its price. */
     private static final double PART = 0.25;
+    /** After so many own repeats of one key's answer they are what the server does, and a copy would do no harm. */
+    private static final int ENOUGH = 16;
     /** Of an answer's time: what standing behind another is held to cost. */
     private static final double HELD_UP = 0.25;
 
@@ -36,6 +38,8 @@
     private final boolean fences;
     private final Deque<Use> waiting = new ArrayDeque<>();
     private boolean ready = true;
+    /** Answers for one key twice in a row that were the same and their own, since noise was heard last. */
+    private int ownRepeats;
     /** When a call of {@link #wake} was ordered for; 0 if for never. */
     private long wakeAt;
 
@@ -113,7 +117,8 @@
     }
 
     private int mostShared(long now) {
-        return shares && !isSuspect(now) && !breaks.isSuspect(now) && !all.breaks.isSuspect(now) ? Math.min(MOST_SHARED, all.bounds.streams()) : 1;
+        boolean holds = !isSuspect(now) && !breaks.isSuspect(now) && !all.breaks.isSuspect(now);
+        return shares && holds ? Math.min(MOST_SHARED, all.bounds.streams()) : 1;
     }
 
     private boolean isSuspect(long now) {
@@ -262,7 +267,9 @@
         link.firstSince = now;
         link.freeSince = now;
         link.answeredAt = now;
+        ownRepeats += link.checkingSame ? 1 : 0;
         link.checking = false;
+        link.checkingSame = false;
         if (more && link.uses.isEmpty()) {
             heard(now, 0);
             lose(now, link, Closing.NOISE, true);
@@ -275,11 +282,15 @@
     }
 
     /** Whether the answer that came, the same as the one before on that connection, is to be told from a copy of that. */
-    boolean repeats(long now, Link link) {
+    boolean repeats(long now, Link link, boolean sameKey) {
+        if (sameKey && ownRepeats >= ENOUGH) {
+            return false;
+        }
         Use use = link.uses.peek();
         // Where noise was heard before, the connection has rested.
         boolean soon = use.since - link.answeredAt < Noise.SOON && !isSuspect(now);
         link.checking = fences && (use.behind || soon);
+        link.checkingSame = link.checking && sameKey;
         return link.checking;
     }
 
@@ -315,6 +326,7 @@
     }
 
     private void heard(long now, long late) {
+        ownRepeats = 0;
         noise.heard(now, late);
         all.heard(now, this, late);
     }
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -136,12 +136,12 @@
     }
 
     /**
-     * The answer to what is first on a connection has the same bytes as the one before, which was to something else. Whether
+     * The answer to what is first on a connection has the same bytes as the one before, for the same key or another. Whether
      * it is to be held until a fence, written now, tells if it is its own: {@link #answered} follows for it and what is out
      * behind it, or {@link #spoilt}.
      */
-    public boolean repeats(long now, Link link) {
-        boolean check = link.isOpen() && link.pool.repeats(now, link);
+    public boolean repeats(long now, Link link, boolean sameKey) {
+        boolean check = link.isOpen() && link.pool.repeats(now, link, sameKey);
         checked += check ? 1 : 0;
         return check;
     }
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -147,8 +147,8 @@
     }
 
     /** Whether an answer like the one before is to be checked. */
-    boolean repeats(Link link) {
-        return connections.repeats(loop.now(), link);
+    boolean repeats(Link link, boolean sameKey) {
+        return connections.repeats(loop.now(), link, sameKey);
     }
 
     /** Tells the connections what happened and carries out what they order. */
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -31,6 +31,7 @@
     private final Deque<Pass> awaited = new ArrayDeque<>();
     private boolean up;
     private long upAt;
+    private boolean used;
     private boolean reading;
     /** Answers that are held until a fence is answered, in order; null if none is out. */
     private List<ServerProtocol.Reply> held;
@@ -51,13 +52,14 @@
 
     /** Writes a pass behind what is out, unless it shows that the connection is of no use any more. */
     void carry(Pass pass) {
-        if (awaited.isEmpty() && !reading && upAt != loop().now()) {
+        if (awaited.isEmpty() && !reading && (used || upAt != loop().now())) {
             // Guards against bytes behind an answer, which would be read as the answer to this pass.
             poll();
         }
-        if (isClosed()) {
+        if (isClosed() || !link.isOpen()) {
             return;
         }
+        used = true;
         pass.begin();
         awaited.add(pass);
         long wait = Math.max(1, Clock.millisUp(pass.endsAt - loop().now()));
@@ -87,7 +89,7 @@
     protected void received(ByteBuffer in) throws MalformedException {
         reading = true;
         try {
-            while (!isClosed() && takeOne(in) && in.hasRemaining()) {
+            while (!isClosed() && link.isOpen() && takeOne(in) && in.hasRemaining()) {
                 // Goes on with the next answer.
             }
         } finally {
@@ -111,7 +113,7 @@
             awaitRest(in.hasRemaining() || held != null);
             return false;
         }
-        if (held == null && repeats(in.slice(start, in.position() - start), first) && passes.repeats(link)) {
+        if (held == null && repeats(in.slice(start, in.position() - start), first)) {
             held = new ArrayList<>();
             write(protocol.fence());
         }
@@ -132,22 +134,23 @@
         awaitRest(false);
         List<ServerProtocol.Reply> own = held;
         held = null;
-        for (int i = 0; i < own.size() && !isClosed(); i++) {
+        for (int i = 0; i < own.size() && !isClosed() && link.isOpen(); i++) {
             answered(own.get(i), i + 1 == own.size() && in.hasRemaining());
         }
         return true;
     }
 
-    /** Whether an answer has the same bytes as the one before, which was for another key. */
+    /** Whether an answer has the same bytes as the one before, and is to be told from a copy of that. */
     private boolean repeats(ByteBuffer answer, Pass pass) {
         byte[] compared = new byte[Math.min(COMPARED, answer.limit())];
         answer.get(compared);
         long bytes = Hash.of(compared) * 31 + answer.limit();
         byte[] key = pass.isProbe() ? null : pass.request.key();
-        boolean same = bytes == lastBytes && key != null && lastKey != null && !Arrays.equals(key, lastKey);
+        boolean same = bytes == lastBytes && key != null && lastKey != null;
+        boolean sameKey = Arrays.equals(key, lastKey);
         lastBytes = bytes;
         lastKey = key;
-        return same;
+        return same && passes.repeats(link, sameKey);
     }
 
     private void answered(ServerProtocol.Reply reply, boolean more) {
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -132,6 +132,20 @@
         assertThat(connection.read(ByteBuffer.allocate(9))).isZero();
     }
 
+    /** They are found when the next pass is about to be written, which goes out once, on another connection. */
+    @Test
+    void aPassMeetsBytesThatNobodyHasReadYet() throws Exception {
+        begin(1);
+        SocketChannel connection = serve();
+        assertThat(connection.read(ByteBuffer.allocate(999))).isPositive(); // the first command
+        connection.write(ByteBuffer.wrap("*1\r\n$1\r\nx\r\n".getBytes()));
+        told.clear();
+        begin(2);
+        assertThat(connection.read(ByteBuffer.allocate(999))).isEqualTo(-1);
+        serve();
+        assertThat(told).containsExactly(Outcome.OK);
+    }
+
     @Test
     void aProbeOfAServerThatIsNotListedIsNeverSent() {
         passes.probe(id + 1);
