--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.regex.Pattern;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.MalformedException;
@@ -16,6 +17,7 @@
     private static final byte[] SET = Bytes.of("*5\r\n$9\r\nCACHE.SET\r\n");
     private static final byte[] PING = Bytes.of("*1\r\n$4\r\nPING\r\n");
     private static final byte[] CLIENT = Bytes.of("*1\r\n$6\r\nCLIENT\r\n");
+    private static final Pattern ERROR = Pattern.compile("[A-Z]{2,}( .*)?");
     /** The value, and how it went. */
     private static final int NEEDED_ITEMS = 2;
     private static final byte[] LINE_END = Bytes.of("\r\n");
@@ -73,8 +75,8 @@
 
     /** Guards against noise that happens to begin with a minus. */
     private static Reply failed(String text) throws MalformedException {
-        if (!text.startsWith("BUSY") && !text.startsWith("ERR")) {
-            throw new MalformedException("an error must be one of the protocol's");
+        if (!ERROR.matcher(text).matches()) {
+            throw new MalformedException("an error must begin with a word in capitals");
         }
         return new Reply(text.startsWith("BUSY") ? Outcome.FULL : Outcome.ERROR);
     }
