Await an answer that is due though its user agent left; let eight connections come up at first

Change: a use given up for good leaves its connection open until its answer, or until it is stuck (four usual answers). Eight connections of a server may come up at first, 16 at most.

--- a/src/main/java/slateseam/router/connections/servers/Link.java
+++ b/src/main/java/slateseam/router/connections/servers/Link.java
@@ -51,6 +51,11 @@
         return state == State.OPEN && uses.isEmpty();
     }
 
+    /** Whether nobody waits for anything that is out on it. */
+    boolean isForsaken() {
+        return !uses.isEmpty() && uses.stream().allMatch(Use::isGivenUp);
+    }
+
     /** Whether others may be written behind what is out on it. */
     boolean isShareable(int most) {
         return state == State.OPEN && !checking && !uses.isEmpty() && uses.size() < most
--- a/src/main/java/slateseam/router/connections/servers/Opening.java
+++ b/src/main/java/slateseam/router/connections/servers/Opening.java
@@ -3,8 +3,8 @@
 /** When a further connection to a server is worth its price, and how many may come up at once. */
 final class Opening {
     /** Handshakes at one server: several at once cost those of other routers, and the work that goes on there. */
-    private static final int FIRST_YOUNG = 4;
-    private static final int MOST_YOUNG = 8;
+    private static final int FIRST_YOUNG = 8;
+    private static final int MOST_YOUNG = 16;
     private static final int LEAST_YOUNG = 2;
     /** A first answer within so many of its usual times tells that the server can bear another handshake beside it. */
     private static final double QUICK = 1.5;
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -216,7 +216,7 @@
             if (link.isFree()) {
                 next = Math.min(next, link.freeSince + keepNanos());
                 next = waiting.isEmpty() ? next : Math.min(next, link.freeSince + rest(now));
-            } else if (!waiting.isEmpty() && link.isOpen() && !isStuck(now, link)) {
+            } else if ((!waiting.isEmpty() || link.isForsaken()) && link.isOpen() && !isStuck(now, link)) {
                 next = Math.min(next, link.firstSince + stuckNanos(link) + 1);
             }
         }
@@ -236,6 +236,7 @@
             if (link.isFree() && now - link.freeSince >= keepNanos()) {
                 lose(now, link, Closing.IDLE, true);
             }
+            closeForsaken(now, link);
         }
         serve(now);
     }
@@ -275,8 +276,8 @@
             lose(now, link, Closing.NOISE, true);
         } else if (!reusable || !ready && link.uses.isEmpty()) {
             lose(now, link, reusable ? Closing.SERVER_GONE : Closing.ENDED, true);
-        } else if (!link.uses.isEmpty() && link.uses.stream().allMatch(Use::isGivenUp)) {
-            lose(now, link, Closing.GIVEN_UP, true);
+        } else {
+            closeForsaken(now, link);
         }
         serve(now);
     }
@@ -341,7 +342,7 @@
         serve(now);
     }
 
-    void giveUp(long now, Use use) {
+    void giveUp(long now, Use use, boolean last) {
         if (use.state == Use.State.WAITING) {
             waiting.remove(use);
             use.state = Use.State.OVER;
@@ -351,13 +352,27 @@
             use.link = null;
         } else if (use.state == Use.State.CARRIED) {
             use.state = Use.State.GIVEN_UP;
-            if (!use.isWritten() || use.link.uses.stream().allMatch(Use::isGivenUp)) {
+            use.last = last;
+            if (use.isWritten()) {
+                closeForsaken(now, use.link);
+            } else {
                 lose(now, use.link, Closing.GIVEN_UP, true);
             }
         }
         serve(now);
     }
 
+    /**
+     * Closes a connection on which nobody waits for anything, unless an answer is still due that only its request's end made
+     * useless: letting that come costs the server less than another handshake.
+     */
+    private void closeForsaken(long now, Link link) {
+        boolean due = link.uses.stream().allMatch(use -> use.last) && !isStuck(now, link);
+        if (link.isOpen() && link.isForsaken() && !due) {
+            lose(now, link, Closing.GIVEN_UP, true);
+        }
+    }
+
     void cut(long now, Use use) {
         if (use.state == Use.State.GIVEN_UP) {
             lose(now, use.link, Closing.GIVEN_UP, true);
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -15,7 +15,7 @@
  * tells it something carries out what {@link #next} gives until that is null. Not thread-safe.
  *
  * <p>Bounds: {@link Bounds#mostConnections} in all, of which a quarter (4 at least) may be without a first answer, and of
- * one server 1 to 8; {@link Pool#MOST_SHARED} uses on one. Uses that wait are as many as the caller asks for, each until
+ * one server 2 to 16; {@link Pool#MOST_SHARED} uses on one. Uses that wait are as many as the caller asks for, each until
  * shortly before its end.
  */
 public final class ServerConnections {
@@ -91,11 +91,14 @@
     }
 
     /**
-     * Nobody waits for a use any more; no order about it follows. One that is alone on its connection ends it. One that
-     * others share it with stays there, and its answer is to be told and thrown away: until {@link #cut}.
+     * Nobody waits for a use any more; no order about it follows. One that is alone on its connection ends it, but for one
+     * whose answer is due and that is the last of its request. One that others share it with stays there. What stays is
+     * answered as before, for nobody, unless it is {@link #cut}.
+     *
+     * @param last whether nothing will be sent in its place
      */
-    public void giveUp(long now, Use use) {
-        use.pool.giveUp(now, use);
+    public void giveUp(long now, Use use, boolean last) {
+        use.pool.giveUp(now, use, last);
         serveHeld(now);
     }
 
--- a/src/main/java/slateseam/router/connections/servers/Use.java
+++ b/src/main/java/slateseam/router/connections/servers/Use.java
@@ -15,6 +15,8 @@
     long since;
     /** Whether another use was out on its link when it was given to it. */
     boolean behind;
+    /** Given up for good: its answer may come in vain, as nothing is sent in its place. */
+    boolean last;
     private boolean begun;
     private boolean written;
 
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -106,7 +106,7 @@
             if (!pass.isProbe() && !pass.isLast) {
                 left.put(pass.ticket, pass);
             }
-            c.giveUp(loop.now(), pass);
+            c.giveUp(loop.now(), pass, pass.isLast && outcome == Outcome.CANCELLED);
             boolean neverSent = outcome == Outcome.TIMEOUT && !pass.isWritten();
             end(pass, new ServerProtocol.Reply(neverSent ? Outcome.UNSENT : outcome));
         });
