Check a router's rules from outside, on the bytes of its wires

The checker reads what passes on the wires with parsers of its own, and what the stand-ins ran, and names rule, time, router and request.

--- /dev/null
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -0,0 +1,442 @@
+package slateseam.simulate.check;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.json.JSONObject;
+import slateseam.simulate.network.Observer;
+import slateseam.standin.Witness;
+
+/**
+ * Sees the bytes on all wires and what the stand-ins ran, and says which rules a router broke. It counts as told, written
+ * and answered what a router's own system was handed, so that nothing is held against a router that it could not know.
+ */
+public final class Checker implements Observer, Witness {
+    private static final long AGAIN_NANOS = 100_000_000L;
+    private static final int LONGEST_DATAGRAM = 256;
+
+    /** A user agent's connection that is not up yet. */
+    private record Connecting(RouterState router, String machine) {
+    }
+
+    private record Watched(long at, long number, Asked asked) {
+    }
+
+    private final Figures figures;
+    private final String originClass;
+    private final Report report;
+    private final Supplies supplies = new Supplies();
+    private final ColdStarts coldStarts;
+    /** All addresses to which datagrams may go. */
+    private final Set<String> peers = new HashSet<>();
+    private final Map<String, RouterState> byListen = new HashMap<>();
+    private final Map<String, RouterState> byMachine = new HashMap<>();
+    private final Map<String, RouterState> byName = new HashMap<>();
+    private final Map<Long, UserWire> userWires = new HashMap<>();
+    private final Map<Long, Connecting> connecting = new HashMap<>();
+    private final Map<Long, PassWire> passWires = new HashMap<>();
+    private final Map<Long, DiscoveryWire> discoveryWires = new HashMap<>();
+    private final Map<String, List<byte[]>> made = new HashMap<>();
+    private final Map<String, String> ranOnce = new HashMap<>();
+    private final PriorityQueue<Watched> watched =
+            new PriorityQueue<>(Comparator.comparingLong(Watched::at).thenComparingLong(Watched::number));
+    /** Addresses from which what came to a router made no sense, and routers whose user agents sent such. */
+    private final Set<String> garbled = new HashSet<>();
+    private final Logged logged;
+    private final Disturbances disturbances = new Disturbances();
+    private long numbers;
+
+    /**
+     * Creates a checker.
+     *
+     * @param originClass the class by which discovery's list marks the origin
+     * @param peersAll the address that reaches every router; null if there is none
+     */
+    public Checker(Figures figures, String originClass, String peersAll, LongSupplier clock) {
+        this.figures = figures;
+        this.originClass = originClass;
+        this.report = new Report(clock);
+        this.coldStarts = new ColdStarts(figures.fallNanos());
+        this.logged = new Logged(report, garbled);
+        if (peersAll != null) {
+            peers.add(peersAll);
+        }
+    }
+
+    /** A router starts, with the list that it had last; what an earlier one of its name did is over. */
+    public void routerStarts(Place place, JSONObject known) {
+        RouterState router = new RouterState(place, new Told(originClass));
+        router.told.take(known, true, report.now());
+        byListen.put(place.listen(), router);
+        byMachine.put(place.machine(), router);
+        byName.put(place.router(), router);
+        if (place.peerListen() != null) {
+            peers.add(place.peerListen());
+        }
+        supplies.forget(place.router());
+    }
+
+    /** A router is told to end. */
+    public void routerEnding(String name) {
+        byName.get(name).ending = true;
+    }
+
+    /** A router is killed outright, before its sockets break: what it held is void. */
+    public void routerKilled(String name) {
+        RouterState router = byName.get(name);
+        router.dead = true;
+        router.asked.values().forEach(asked -> router.end(asked, Asked.State.VOID, report.now()));
+        supplies.forget(name);
+    }
+
+    /** A server starts, and is cold. */
+    public void serverStarts(String host) {
+        coldStarts.started(host, report.now());
+    }
+
+    /**
+     * Something keeps what is written from coming over.
+     *
+     * @param machine the IP of one machine
+     * @param other that of the other; null if it is cut off from all
+     * @param on whether it begins now, or is over
+     */
+    public void disturbed(String machine, String other, boolean on) {
+        disturbances.change(machine, other, on, report.now());
+    }
+
+    boolean isUndisturbed(String machine, String other, long since) {
+        return disturbances.none(machine, other, since);
+    }
+
+    /** A line of a router's log, as it was written. */
+    public void log(String router, String line) {
+        logged.line(byName.get(router), line);
+    }
+
+    /** A router's loop threw, or it stopped without having been told to. */
+    public void crashed(String router, String why) {
+        report.breach(Rule.CRASH, router, "", why);
+    }
+
+    /** How many descriptors a router holds now. */
+    public void descriptors(String name, int count) {
+        RouterState router = byName.get(name);
+        if (count > figures.descriptors() && router.descriptors <= figures.descriptors()) {
+            report.breach(Rule.DESCRIPTORS, router, "", "it holds " + count + " descriptors of " + figures.descriptors());
+        }
+        router.descriptors = count;
+    }
+
+    /** Looks for answers that are overdue; to be called after every step. */
+    public void step() {
+        long now = report.now();
+        while (!watched.isEmpty() && watched.peek().at < now) {
+            Asked asked = watched.poll().asked;
+            if (!asked.isOpen() || asked.late || !asked.wire.isHead(asked)) {
+                continue;
+            }
+            long due = asked.wire.due(asked);
+            if (due >= now) {
+                watch(asked, due);
+            } else if (asked.wire.isUnread() || !asked.read && !asked.wire.isUndisturbed(asked.writtenAt)) {
+                watch(asked, now + AGAIN_NANOS);
+            } else {
+                late(asked, "no answer");
+            }
+        }
+    }
+
+    private void late(Asked asked, String what) {
+        asked.late = true;
+        report.breach(Rule.LATE, asked.wire.router, asked.id, what + " " + (report.now() - asked.writtenAt) / 1_000_000
+                + " ms after the request, which had " + asked.waitNanos / 1_000_000 + " ms"
+                + (asked.read ? "" : "; it was never read") + (asked.wire.router.ending ? "; in a planned end" : ""));
+    }
+
+    /** The rules that were broken so far, in their order; of very many the first. */
+    public List<Breach> breaches() {
+        return report.first();
+    }
+
+    /** How often each rule was broken. */
+    public Map<Rule, Long> counts() {
+        return report.counts();
+    }
+
+    /** How the routers divide the origin's budget. */
+    public Supplies supplies() {
+        return supplies;
+    }
+
+    Figures figures() {
+        return figures;
+    }
+
+    void watch(Asked asked, long at) {
+        watched.add(new Watched(at, numbers++, asked));
+    }
+
+    void userAgentGarbled(RouterState router) {
+        garbled.add(router.name());
+    }
+
+    void serverGarbled(RouterState router, String dial) {
+        garbled.add(router.name() + " " + dial);
+    }
+
+    void heldChanged(RouterState router) {
+        if (router.heldBytes > figures.heldBytes() && !router.overfull) {
+            router.overfull = true;
+            report.breach(Rule.BYTES, router, "", "it holds " + router.heldBytes + " bytes of " + figures.heldBytes());
+        }
+    }
+
+    /** An attempt was written whole. */
+    void attempt(RouterState router, String id, Attempt attempt, long firstAt) {
+        String dial = attempt.wire.dial;
+        coldStarts.sent(router, dial, report.now());
+        long closed = router.told.closedFor(dial, firstAt);
+        if (closed > figures.graceNanos() + Figures.SOCKETS_NANOS) {
+            report.breach(Rule.DRAIN, router, id, "sent to " + dial + " " + closed / 1_000_000
+                    + " ms after the router was told that it drains or is gone");
+        }
+        Asked asked = attempt.asked;
+        if (asked == null) {
+            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + ", but the router never took such a request");
+            return;
+        }
+        if (asked.state == Asked.State.ANSWERED) {
+            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + " "
+                    + (report.now() - asked.endedAt) / 1_000 + " us after the final answer");
+        }
+        resent(router, asked, attempt);
+        asked.attempts.add(attempt);
+    }
+
+    private void resent(RouterState router, Asked asked, Attempt attempt) {
+        long firstThatMayHaveRun = Long.MAX_VALUE;
+        for (Attempt earlier : asked.attempts) {
+            if (earlier.isOut()) {
+                report.breach(Rule.TWO_AT_ONCE, router, asked.id, "sent to " + attempt.wire.dial + " while "
+                        + earlier.wire.dial + " has had it for " + (report.now() - earlier.wholeAt) / 1_000_000 + " ms");
+            }
+            if (earlier.outcome == Attempt.Outcome.MAYBE) {
+                firstThatMayHaveRun = Math.min(firstThatMayHaveRun, earlier.wholeAt);
+            }
+        }
+        if (firstThatMayHaveRun == Long.MAX_VALUE) {
+            return;
+        }
+        long since = report.now() - firstThatMayHaveRun;
+        boolean permitted = switch (asked.figures.repeats()) {
+            case HARMLESS -> true;
+            case KEYED -> since <= asked.figures.windowNanos() + Figures.SOCKETS_NANOS;
+            case FORBIDDEN -> false;
+        };
+        if (!permitted) {
+            report.breach(Rule.RESEND, router, asked.id, "a " + asked.figures.name() + " was sent again to "
+                    + attempt.wire.dial + " " + since / 1_000_000 + " ms after a first time that may have run");
+        }
+    }
+
+    /** An attempt came to its server whole. */
+    void came(RouterState router, Attempt attempt) {
+        Asked asked = attempt.asked;
+        if (++asked.came > figures.attempts() && !router.dead) {
+            report.breach(Rule.ATTEMPTS, router, asked.id, "attempt " + asked.came + " came to " + attempt.wire.dial);
+        }
+    }
+
+    /** The whole final answer of an open request was written. */
+    void finalAnswer(Asked asked, Resp answer) {
+        RouterState router = asked.wire.router;
+        if (report.now() > asked.wire.due(asked) && !asked.late && !asked.wire.isUnread()) {
+            late(asked, "the answer came");
+        }
+        byte[] value = answer.type() == '$' ? answer.bytes() : answer.type() == '*' && !answer.items().isEmpty()
+                ? answer.items().get(0).bytes() : null;
+        if (value != null) {
+            List<byte[]> whole = made.getOrDefault(asked.id, List.of());
+            if (whole.stream().noneMatch(one -> Arrays.equals(one, value))) {
+                report.breach(Rule.FOREIGN, router, asked.id, "served with " + value.length + " bytes, while "
+                        + (whole.isEmpty() ? "no server made any" : "servers made others") + " for this request");
+            }
+        } else if (answer.type() == '-' && answer.text().startsWith("BUSY")) {
+            refused(router, asked);
+        }
+        router.end(asked, Asked.State.ANSWERED, report.now());
+    }
+
+    private void refused(RouterState router, Asked asked) {
+        for (Attempt earlier : asked.attempts) {
+            if (asked.figures.repeats() == Figures.Repeats.FORBIDDEN && earlier.outcome == Attempt.Outcome.MAYBE) {
+                report.breach(Rule.REFUSAL, router, asked.id, "an unavailable answer to a " + asked.figures.name()
+                        + " that was sent to " + earlier.wire.dial + " " + (report.now() - earlier.wholeAt) / 1_000_000
+                        + " ms before and may have run");
+                return;
+            }
+        }
+    }
+
+    @Override
+    public void connecting(long wire, String from, String to) {
+        RouterState router = byMachine.get(machine(from));
+        if (router == null) {
+            RouterState called = byListen.get(to);
+            if (called != null) {
+                connecting.put(wire, new Connecting(called, machine(from)));
+            }
+        } else if (router.place.agents().contains(to)) {
+            discoveryWires.put(wire, new DiscoveryWire(router, report));
+        } else {
+            if (!router.told.knows(to)) {
+                report.breach(Rule.DRAIN, router, "", "it connects to " + to + ", which no list named");
+            }
+            passWires.put(wire, new PassWire(router, to, router.told.isOrigin(to), this, report));
+        }
+    }
+
+    @Override
+    public void up(long wire) {
+        Connecting up = connecting.remove(wire);
+        if (up != null) {
+            userWires.put(wire, new UserWire(up.router, up.machine, this, report));
+        }
+    }
+
+    @Override
+    public void sent(long wire, String from, byte[] bytes) {
+        UserWire user = userWires.get(wire);
+        PassWire pass = user == null ? passWires.get(wire) : null;
+        DiscoveryWire discovery = user == null && pass == null ? discoveryWires.get(wire) : null;
+        if (user != null) {
+            if (isOf(user.router, from)) {
+                user.answered(bytes);
+            } else {
+                user.written(bytes);
+            }
+        } else if (pass != null && isOf(pass.router, from)) {
+            pass.written(bytes);
+        } else if (discovery != null && !isOf(discovery.router, from)) {
+            discovery.told(bytes);
+        }
+    }
+
+    @Override
+    public void delivered(long wire, String to, byte[] bytes) {
+        UserWire user = userWires.get(wire);
+        PassWire pass = user == null ? passWires.get(wire) : null;
+        if (user != null) {
+            if (isOf(user.router, to)) {
+                user.read(bytes.length);
+            } else {
+                user.taken(bytes.length);
+            }
+        } else if (pass != null) {
+            if (isOf(pass.router, to)) {
+                pass.answered(bytes);
+            } else {
+                pass.came(bytes.length);
+            }
+        }
+    }
+
+    @Override
+    public void endedBy(long wire, String side) {
+        over(wire, side, false);
+    }
+
+    @Override
+    public void resetBy(long wire, String side) {
+        over(wire, side, true);
+    }
+
+    private void over(long wire, String side, boolean reset) {
+        connecting.remove(wire);
+        UserWire user = userWires.get(wire);
+        PassWire pass = passWires.get(wire);
+        DiscoveryWire discovery = discoveryWires.get(wire);
+        if (user != null) {
+            if (isOf(user.router, side)) {
+                user.endedByRouter();
+            } else {
+                user.leave();
+            }
+        } else if (pass != null) {
+            if (isOf(pass.router, side)) {
+                pass.endedByRouter();
+            } else {
+                pass.endedByServer();
+            }
+        } else if (discovery != null && isOf(discovery.router, side)) {
+            discovery.end();
+        }
+        if (reset) {
+            userWires.remove(wire);
+            passWires.remove(wire);
+            discoveryWires.remove(wire);
+        }
+    }
+
+    @Override
+    public void datagram(String from, String to, byte[] bytes, boolean lost) {
+        RouterState router = byMachine.get(machine(from));
+        if (bytes.length > LONGEST_DATAGRAM) {
+            report.breach(Rule.DATAGRAM, router, "", "a datagram of " + bytes.length + " bytes");
+        }
+        if (router == null || !peers.contains(to)) {
+            report.breach(Rule.DATAGRAM, router, "", "a datagram from " + from + " to " + to);
+        } else {
+            supplies.told(router.name(), bytes, report.now());
+        }
+    }
+
+    @Override
+    public void ran(String server, String id, String key, boolean write, String idempotencyKey) {
+        String before = write && isOnce(id) ? ranOnce.put(id, server) : null;
+        if (before != null) {
+            report.breach(Rule.DOUBLED, "", id, "it ran at " + before + " and again at " + server);
+        }
+    }
+
+    /** Whether a request must not run twice, by any router's account of it. */
+    private boolean isOnce(String id) {
+        for (RouterState router : byName.values()) {
+            Asked asked = router.asked.get(id);
+            if (asked != null) {
+                return asked.figures.repeats() == Figures.Repeats.FORBIDDEN;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public void made(String server, String id, byte[] value) {
+        made.computeIfAbsent(id, i -> new ArrayList<>(1)).add(value);
+    }
+
+    @Override
+    public void fell(String server) {
+        String why = coldStarts.fell(server, report.now());
+        if (why != null) {
+            report.breach(Rule.FALLEN, "", "", server + " fell over: " + why);
+        }
+    }
+
+    private static boolean isOf(RouterState router, String side) {
+        return machine(side).equals(router.place.machine());
+    }
+
+    private static String machine(String address) {
+        int colon = address.indexOf(':');
+        return colon < 0 ? address : address.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/simulate/check/RouterState.java
@@ -0,0 +1,45 @@
+package slateseam.simulate.check;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** A router from one of its starts to its end, as the wires show it. */
+final class RouterState {
+    final Place place;
+    final Told told;
+    /** By id; those that have ended too, as an attempt for one of them is a breach. */
+    final Map<String, Asked> asked = new HashMap<>();
+    /** Bytes of requests that are open, and of what came from servers and was not yet passed on. */
+    long heldBytes;
+    int descriptors;
+    /** Whether it has held too many bytes already. */
+    boolean overfull;
+    /** Killed outright: what it had taken is void, and nothing that happens on its wires is its doing. */
+    boolean dead;
+    /** Whether it was told to end. */
+    boolean ending;
+
+    RouterState(Place place, Told told) {
+        this.place = place;
+        this.told = told;
+    }
+
+    /** Counts bytes that are held for a request while it is open. */
+    void hold(Asked request, long bytes) {
+        request.heldBytes += bytes;
+        heldBytes += bytes;
+    }
+
+    /** Ends a request, if it is open. */
+    void end(Asked request, Asked.State how, long now) {
+        if (request.isOpen()) {
+            request.end(how, now);
+            heldBytes -= request.heldBytes;
+            request.heldBytes = 0;
+        }
+    }
+
+    String name() {
+        return place.router();
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/simulate/check/Supplies.java
@@ -0,0 +1,55 @@
+package slateseam.simulate.check;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** How the routers divide the origin's budget, as they tell it one another in datagrams. */
+public final class Supplies {
+    private static final int VERSION = 2;
+    private static final int HEADER_BYTES = 22;
+    private static final int ACCOUNT_BYTES = 12;
+    private static final int RATE_AT = 18;
+    /** The whole budget, in the parts that the messages count. */
+    private static final double WHOLE = 1 << 30;
+
+    /**
+     * What one router told last.
+     *
+     * @param nanos when, in Unix time
+     * @param part its part of the budget; all routers' parts should add up to 1
+     * @param rate the whole budget as it has learned it, fetches a second
+     * @param demand its demand, fetches a second
+     */
+    public record Supply(long nanos, double part, double rate, double demand) {
+    }
+
+    private final Map<String, Supply> last = new TreeMap<>();
+
+    void told(String router, byte[] bytes, long now) {
+        if (bytes.length >= HEADER_BYTES + ACCOUNT_BYTES && bytes[0] == VERSION && bytes[1] >> 2 >= 1) {
+            ByteBuffer b = ByteBuffer.wrap(bytes);
+            last.put(router, new Supply(now, b.getInt(HEADER_BYTES) / WHOLE, b.getFloat(RATE_AT),
+                    b.getFloat(HEADER_BYTES + 8)));
+        }
+    }
+
+    void forget(String router) {
+        last.remove(router);
+    }
+
+    /** By router's name, those that have told anything since their start. */
+    public Map<String, Supply> last() {
+        return new TreeMap<>(last);
+    }
+
+    /** What the parts add up to. */
+    public double sum() {
+        return last.values().stream().mapToDouble(Supply::part).sum();
+    }
+
+    /** What the routers may fetch together, a second. */
+    public double fetches() {
+        return last.values().stream().mapToDouble(s -> Math.max(0, s.part) * s.rate).sum();
+    }
+}
