Let whoever builds a router say how large its heap is, and reload a read configuration

The bounds of held bytes were parts of the virtual machine's heap, read where each was needed, so that a run of the same router differed between processes. The loop is told once; the program tells the virtual machine's own figure as before. A configuration can be reloaded without a file.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -37,8 +37,6 @@
 public final class Router {
     /** Descriptors of the virtual machine, the selector, discovery and peers. */
     private static final int OTHER_SOCKETS = 48;
-    /** Of values that wait for the rest of a batch: somewhat less than may wait unread in the front. */
-    private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 10;
     /** New connections come for up to 0.4 s after a planned end is announced. */
     private static final long LINGER_NANOS = 550_000_000L;
 
@@ -57,13 +55,18 @@
 
     /** Opens a router on the system's network; it serves once {@link #run} is called. */
     public Router(NodeConfig config, Features features, Clock clock, Log log, Console console) throws IOException {
-        this(config, features, SelectorProvider.provider(), clock, log, console);
+        this(config, features, SelectorProvider.provider(), clock, log, console, Runtime.getRuntime().maxMemory());
     }
 
-    /** Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}. */
-    public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console)
-            throws IOException {
-        loop = new Loop(network, clock, log);
+    /**
+     * Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}.
+     *
+     * @param console null only where all features are off
+     * @param heapBytes the heap of which the bounds of what it holds are parts
+     */
+    public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console,
+            long heapBytes) throws IOException {
+        loop = new Loop(network, clock, log, heapBytes);
         Limits limits = config.settings().limits();
         int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
         // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
@@ -94,7 +97,7 @@
         acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests))));
         if (features.multiGet() != null) {
             MultiGet dialect = new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
-                    MOST_HELD_BYTES);
+                    loop.heapBytes() / 10); // somewhat less than may wait unread in the front
             acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()),
                     front.gate(dialect)));
         }
@@ -139,15 +142,23 @@
     public void reload(Path file) {
         loop.handOver(() -> {
             try {
-                NodeConfig changed = NodeConfig.read(file);
-                watch.moveTo(changed.discovery());
-                loop.log().line("reloaded", "discovery is at " + changed.discovery());
+                takeOver(NodeConfig.read(file));
             } catch (InvalidConfigException e) {
                 loop.log().line("reload-failed", "the configuration in use stays: " + e.getMessage());
             }
         });
     }
 
+    /** The same with a configuration that has been read. */
+    public void reload(NodeConfig changed) {
+        loop.handOver(() -> takeOver(changed));
+    }
+
+    private void takeOver(NodeConfig changed) {
+        watch.moveTo(changed.discovery());
+        loop.log().line("reloaded", "discovery is at " + changed.discovery());
+    }
+
     /** Shows the keys that are asked for most, if that is on; may be called from any thread. */
     public void showHotList() {
         loop.handOver(hotList::show);
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -42,9 +42,6 @@
 
 /** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
 public final class Core implements PassListener, Intake {
-    /** Of values to be written, so that they cannot fill the heap. */
-    private static final long MOST_HELD_BYTES = Runtime.getRuntime().maxMemory() / 8;
-
     /** A request that is owed its final answer. */
     private static final class Slot {
         final Request request;
@@ -83,6 +80,8 @@
     private final Queue<Supplier<Event>> happenings = new ArrayDeque<>();
     private final List<RequestObserver> observers = new ArrayList<>();
     private boolean handling;
+    /** Of values to be written, so that they cannot fill the heap. */
+    private final long mostHeldBytes;
     private long heldBytes;
     private Passes passes;
     private Peers peers;
@@ -94,6 +93,7 @@
         this.settings = settings;
         this.brain = new Brain(settings, seed);
         this.slots = new Slots<>(mostHeld);
+        this.mostHeldBytes = loop.heapBytes() / 8;
     }
 
     /** Begins, with those who carry actions out; {@code peers} is null where routers do not talk. */
@@ -116,7 +116,7 @@
 
     @Override
     public long arrived(Request request, Front front, long exchange) {
-        if (slots.isFull() || heldBytes + request.valueBytes() > MOST_HELD_BYTES) {
+        if (slots.isFull() || heldBytes + request.valueBytes() > mostHeldBytes) {
             front.answer(exchange, new Answer.Unavailable(settings.limits().maxRetryAfterNanos()));
             tell(request, Ending.UNAVAILABLE, 0);
             return -1;
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -13,8 +13,6 @@
 /** The one thread's loop: waits for sockets and deadlines and hands each to whom it concerns. */
 public final class Loop {
     private static final long LONGEST_WAIT = 1_000 * Clock.MILLI;
-    /** A part of the heap that the virtual machine was given. */
-    private static final long MOST_RESERVED = Runtime.getRuntime().maxMemory() / 4;
     private static final int SCRATCH_BYTES = 64 * 1024;
 
     /** Takes what a socket is ready for. */
@@ -28,6 +26,7 @@
     private final Selector selector;
     private final Clock clock;
     private final Log log;
+    private final long heapBytes;
     private final Deadlines deadlines = new Deadlines();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
@@ -37,15 +36,19 @@
 
     /** Creates a loop on the system's network, without sockets. */
     public Loop(Clock clock, Log log) throws IOException {
-        this(SelectorProvider.provider(), clock, log);
+        this(SelectorProvider.provider(), clock, log, Runtime.getRuntime().maxMemory());
     }
 
-    /** Creates a loop on a network, whose channels all who live on the loop open by its {@link #provider}. */
-    public Loop(SelectorProvider provider, Clock clock, Log log) throws IOException {
+    /**
+     * Creates a loop on a network, whose channels all who live on the loop open by its {@link #provider}. The bounds of what
+     * is held are parts of {@code heapBytes}: told, as they must be the same wherever a run is played again.
+     */
+    public Loop(SelectorProvider provider, Clock clock, Log log, long heapBytes) throws IOException {
         this.provider = provider;
         this.selector = provider.openSelector();
         this.clock = clock;
         this.log = log;
+        this.heapBytes = heapBytes;
         this.now = clock.nanos();
     }
 
@@ -64,9 +67,14 @@
         return log;
     }
 
+    /** The heap of which bounds are parts, in bytes. */
+    public long heapBytes() {
+        return heapBytes;
+    }
+
     /** Counts bytes of long messages in, or with a negative number out; whether there is room for them. */
     boolean reserve(int bytes) {
-        boolean room = bytes <= 0 || reserved + bytes <= MOST_RESERVED;
+        boolean room = bytes <= 0 || reserved + bytes <= heapBytes / 4;
         reserved += room ? bytes : 0;
         return room;
     }
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -31,8 +31,6 @@
     /** For want of room a connection goes that has been idle so long, or has said nothing for so long from its start. */
     private static final long LEAST_IDLE_NANOS = 250 * Clock.MILLI;
     private static final long LEAST_SILENT_NANOS = 50 * Clock.MILLI;
-    /** Of answers that are not read, so that they cannot fill the heap. */
-    private static final long MOST_UNREAD = Runtime.getRuntime().maxMemory() / 8;
 
     /** What a connection waits for; each has its deadline. */
     private enum State { FIRST_COMMAND, REST_OF_COMMAND, ANSWER, READER, NEXT_COMMAND, END }
@@ -119,13 +117,13 @@
         userAgents.all().forEach(UserAgent::closeWhenDone);
     }
 
-    /** Closes those that have not read for longest while there is too much that nobody reads. */
+    /** Closes those that have not read for longest while there is too much that nobody reads, lest it fill the heap. */
     private void boundUnread() {
         List<UserAgent> unread = userAgents.all().stream().filter(u -> u.state == State.READER)
                 .sorted(Comparator.comparingLong(u -> u.since)).toList();
         long bytes = unread.stream().mapToLong(UserAgent::unwrittenBytes).sum();
         for (UserAgent u : unread) {
-            if (bytes <= MOST_UNREAD) {
+            if (bytes <= loop.heapBytes() / 8) {
                 return;
             }
             bytes -= u.unwrittenBytes();
