--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -92,6 +92,11 @@
         deadlines.cancel(deadline);
     }
 
+    /** The time of the next deadline, for who runs the loop round by round; {@link Long#MAX_VALUE} if there is none. */
+    public long nextDeadline() {
+        return deadlines.next();
+    }
+
     /** Runs an action on the loop's thread; the only call that other threads may make. */
     public void handOver(Runnable action) {
         handedOver.add(action);
