Run an unchanged router on a virtual network under a virtual clock

Faults need a place where they can be replayed exactly. A selector provider whose channels live on a network of machines, streams and datagrams, driven by one ordered queue of happenings.

--- /dev/null
+++ b/src/main/java/slateseam/simulate/network/Post.java
@@ -0,0 +1,73 @@
+package slateseam.simulate.network;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Carries datagrams: late, in order unless drawn otherwise, or not at all. */
+final class Post {
+    private final VirtualNetwork net;
+    private final Map<String, List<String>> groups = new HashMap<>();
+    /** When the last one arrives, by sender's and receiver's machine. */
+    private final Map<Long, Long> last = new HashMap<>();
+
+    Post(VirtualNetwork net) {
+        this.net = net;
+    }
+
+    void group(String address, List<String> members) {
+        groups.put(address, List.copyOf(members));
+    }
+
+    /** Sends a datagram to a machine or to a group. */
+    void send(Machine from, InetSocketAddress sender, InetSocketAddress to, byte[] bytes) {
+        Machine target = net.find(from, to);
+        String ip = target == null ? to.getAddress().getHostAddress() : target.ip;
+        List<String> members = groups.isEmpty() ? null : groups.get(ip + ":" + to.getPort());
+        if (members == null) {
+            send(from, sender, target, ip, to.getPort(), bytes);
+            return;
+        }
+        for (String member : members) {
+            Machine each = net.find(Addresses.ip(member));
+            if (each != from) {
+                send(from, sender, each, Addresses.ip(member), Addresses.port(member), bytes);
+            }
+        }
+    }
+
+    private void send(Machine from, InetSocketAddress sender, Machine to, String ip, int port, byte[] bytes) {
+        Conditions.Datagrams fate = net.conditions().datagrams();
+        boolean lost = to == null || from.draws(fate.lost()) || net.paths().isClosed(from, to);
+        for (Observer o : net.observers()) {
+            o.datagram(from.ip, ip + ":" + port, bytes, lost);
+        }
+        if (!lost) {
+            carry(from, sender, to, port, bytes);
+            if (from.draws(fate.doubled())) {
+                carry(from, sender, to, port, bytes);
+            }
+        }
+    }
+
+    private void carry(Machine from, InetSocketAddress sender, Machine to, int port, byte[] bytes) {
+        Conditions.Datagrams fate = net.conditions().datagrams();
+        long arrival = net.now() + fate.leastDelay() + from.upTo(fate.mostDelay() - fate.leastDelay())
+                + net.paths().extra(from, to);
+        long pair = (long) from.number << 32 | to.number;
+        long before = last.getOrDefault(pair, 0L);
+        if (!from.draws(fate.swapped())) {
+            arrival = Math.max(arrival, before);
+        }
+        last.put(pair, Math.max(arrival, before));
+        net.at(arrival, () -> {
+            VirtualDatagramChannel channel = to.datagrams.get(port);
+            if (channel != null && !net.paths().isClosed(from, to)) {
+                net.digest().add(net.now(), to.number, Digest.DATAGRAM, bytes.length);
+                net.digest().add(bytes, 0, bytes.length);
+                channel.arrived(sender, bytes);
+            }
+        });
+    }
+}
