--- /dev/null
+++ b/src/main/java/slateseam/simulate/FaultPlayer.java
@@ -0,0 +1,145 @@
+package slateseam.simulate;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import slateseam.simulate.check.Checker;
+import slateseam.simulate.network.VirtualNetwork;
+import slateseam.simulate.scenario.Day;
+import slateseam.simulate.scenario.Fault;
+import slateseam.standin.DiscoveryAgent;
+
+/** Brings a day's faults about, each at its time. */
+final class FaultPlayer {
+    /** Rude user agents come or go. */
+    interface Crowd {
+        /** So many times the usual number of a kind come now; 0 sends them away. */
+        void rude(String kind, double times);
+    }
+
+    private final VirtualNetwork net;
+    private final Day day;
+    private final long start;
+    private final Fleet fleet;
+    private final Map<String, RouterProcess> routers;
+    private final Crowd crowd;
+    private final Checker checker;
+    private final Consumer<String> trace;
+
+    FaultPlayer(VirtualNetwork net, Day day, Fleet fleet, Map<String, RouterProcess> routers, Crowd crowd, Checker checker,
+            Consumer<String> trace) {
+        this.net = net;
+        this.day = day;
+        this.start = net.now();
+        this.fleet = fleet;
+        this.routers = routers;
+        this.crowd = crowd;
+        this.checker = checker;
+        this.trace = trace;
+    }
+
+    /** Sets all faults of the day. */
+    void plan() {
+        for (Fault fault : day.timeline().faults()) {
+            at(fault.at(), () -> {
+                trace.accept("fault " + fault);
+                begin(fault);
+            });
+            if (fault.kind().lasts()) {
+                at(fault.until(), () -> {
+                    trace.accept("fault over " + fault);
+                    end(fault);
+                });
+            }
+        }
+    }
+
+    private void at(long sinceStart, Runnable action) {
+        net.at(start + sinceStart, action);
+    }
+
+    private void begin(Fault fault) {
+        List<String> targets = fault.targets();
+        switch (fault.kind()) {
+            case CRASH, REPLACE -> targets.forEach(fleet::crash);
+            case ROUTER_KILL -> targets.forEach(this::kill);
+            case ORIGIN_SLOW -> fleet.slowOrigin(fault.size(), true);
+            case ORIGIN_ERRORS -> fleet.origin().trouble(fault.size());
+            case VOID -> fleet.copies().voidShare(fault.size(), day.streams().number("void " + fault.at()));
+            case DRAIN -> targets.forEach(fleet::drain);
+            case LIST_LATE -> targets.forEach(router -> fleet.agent(router).late((long) fault.size()));
+            case LIST_FROZEN -> targets.forEach(router -> fleet.agent(router).freeze(true));
+            case SILENCE -> targets.forEach(machine -> silence(machine, true));
+            case CUT -> targets.forEach(pair -> cut(pair, true));
+            case RESET -> targets.forEach(machine -> net.reset(day.address(machine)));
+            case SPOILT -> targets.forEach(server -> fleet.spoil(server, fault.size()));
+            case RUDE -> targets.forEach(kind -> crowd.rude(kind, fault.size()));
+            case RESTART -> {
+                for (int i = 0; i < targets.size(); i++) {
+                    String router = targets.get(i);
+                    at(fault.at() + i * (long) fault.size(), () -> restart(router));
+                }
+            }
+            case RELOAD -> targets.forEach(this::reload);
+            case DATAGRAM_LOSS -> net.loseDatagrams(fault.size());
+            case SURGE -> { } // drawn into the rate of the user agents
+        }
+    }
+
+    private void end(Fault fault) {
+        List<String> targets = fault.targets();
+        switch (fault.kind()) {
+            case CRASH -> targets.forEach(fleet::startAgain);
+            case REPLACE -> targets.forEach(fleet::replace);
+            case ROUTER_KILL -> targets.forEach(router -> routers.get(router).startSoon());
+            case ORIGIN_SLOW -> fleet.slowOrigin(fault.size(), false);
+            case ORIGIN_ERRORS -> fleet.origin().trouble(0);
+            case DRAIN -> targets.forEach(fleet::crash);
+            case LIST_LATE -> targets.forEach(router -> fleet.agent(router).late(0));
+            case LIST_FROZEN -> targets.forEach(router -> fleet.agent(router).freeze(false));
+            case SILENCE -> targets.forEach(machine -> silence(machine, false));
+            case CUT -> targets.forEach(pair -> cut(pair, false));
+            case SPOILT -> targets.forEach(server -> fleet.spoil(server, 0));
+            case RUDE -> targets.forEach(kind -> crowd.rude(kind, 0));
+            case DATAGRAM_LOSS -> net.loseDatagrams(0);
+            case VOID, RESET, RESTART, RELOAD, SURGE -> { }
+        }
+    }
+
+    private void kill(String router) {
+        trace.accept("killed " + router);
+        routers.get(router).kill(fleet.list(router));
+    }
+
+    private void restart(String router) {
+        trace.accept("SIGTERM " + router);
+        routers.get(router).restart(fleet.list(router));
+    }
+
+    private void reload(String router) {
+        RouterProcess process = routers.get(router);
+        if (!process.hasMoved()) {
+            Day.Router place = day.routers().stream().filter(r -> r.name().equals(router)).findFirst().orElseThrow();
+            DiscoveryAgent agent = fleet.agent(router);
+            agent.move(place.discovery(true));
+        }
+        trace.accept("SIGHUP " + router);
+        process.reload();
+    }
+
+    private void silence(String machine, boolean on) {
+        String address = day.address(machine);
+        net.silence(address, on);
+        checker.disturbed(address, null, on);
+        fleet.silent(machine, on);
+        if (!on) {
+            net.reset(address);
+        }
+    }
+
+    private void cut(String pair, boolean on) {
+        String[] two = pair.split("~");
+        net.cut(day.address(two[0]), day.address(two[1]), on);
+        checker.disturbed(day.address(two[0]), day.address(two[1]), on);
+    }
+}
--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -96,6 +96,15 @@
         supplies.forget(name);
     }
 
+    /** A router that was told to end had not ended in its time and is killed: what it still held is lost. */
+    public void routerKilledLate(String name) {
+        RouterState router = byName.get(name);
+        router.asked.values().stream().filter(asked -> asked.isOpen() && asked.read)
+                .sorted(Comparator.comparingLong((Asked a) -> a.writtenAt).thenComparing(a -> a.id))
+                .forEach(asked -> report.breach(Rule.LOST, router, asked.id, "it was killed at the end of a planned end"));
+        routerKilled(name);
+    }
+
     /** A server starts, and is cold. */
     public void serverStarts(String host) {
         coldStarts.started(host, report.now());
