--- /dev/null
+++ b/src/main/java/slateseam/simulate/scenario/FaultKind.java
@@ -0,0 +1,117 @@
+package slateseam.simulate.scenario;
+
+import java.util.Arrays;
+import java.util.List;
+import slateseam.simulate.scenario.Unit.Measure;
+
+/** The kinds of faults; their words stand in scenario files and on the command line. */
+public enum FaultKind {
+    /** Application servers die at once and come back cold at the end. */
+    CRASH("crash", Targets.SERVERS, true, null, 0, 0),
+    /** Routers are killed and come back at the end with nothing but their last list. */
+    ROUTER_KILL("router-kill", Targets.ROUTERS, true, null, 0, 0),
+    /** The origin takes so many times as long. */
+    ORIGIN_SLOW("origin-slow", Targets.NONE, true, Measure.FACTOR, 1, 100),
+    /** The origin answers this part of what it is asked with 500, 503 or 504. */
+    ORIGIN_ERRORS("origin-errors", Targets.NONE, true, Measure.SHARE, 0, 1),
+    /** The kept copies of this part of all keys go void at once. */
+    VOID("void", Targets.NONE, false, Measure.SHARE, 0, 1),
+    /** Application servers drain from the beginning and are gone at the end. */
+    DRAIN("drain", Targets.SERVERS, true, null, 0, 0),
+    /** Application servers end; new ones with new ids take their addresses at the end. */
+    REPLACE("replace", Targets.SERVERS, true, null, 0, 0),
+    /** What discovery tells these routers comes later by so much. */
+    LIST_LATE("list-late", Targets.ROUTERS, true, Measure.TIME, 0, 60e9),
+    /** Discovery tells these routers nothing. */
+    LIST_FROZEN("list-frozen", Targets.ROUTERS, true, null, 0, 0),
+    /** Machines say nothing and hear nothing; their connections hang, and break when they are back. */
+    SILENCE("silence", Targets.MACHINES, true, null, 0, 0),
+    /** Nothing passes between the machines of each pair. */
+    CUT("cut", Targets.PAIRS, true, null, 0, 0),
+    /** All open connections of these machines are reset. */
+    RESET("reset", Targets.MACHINES, false, null, 0, 0),
+    /** Application servers spoil this part of their answers. */
+    SPOILT("spoilt", Targets.SERVERS, true, Measure.SHARE, 0, 1),
+    /** Rude user agents of these kinds come, each kind in the numbers of the section rude times this. */
+    RUDE("rude", Targets.RUDE, true, Measure.FACTOR, 0.01, 100),
+    /** Planned restarts roll through these routers in this order, one after another at this distance. */
+    RESTART("restart", Targets.ROUTERS, false, Measure.TIME, 0, 60e9),
+    /** Discovery of these routers moves, and they are made to read their configuration again. */
+    RELOAD("reload", Targets.ROUTERS, false, null, 0, 0),
+    /** This part of all datagrams is lost, beside what is lost anyway. */
+    DATAGRAM_LOSS("datagram-loss", Targets.NONE, true, Measure.SHARE, 0, 1),
+    /** User agents ask so many times as much. */
+    SURGE("surge", Targets.NONE, true, Measure.FACTOR, 0, 20);
+
+    /** Whom a fault befalls. */
+    public enum Targets {
+        /** It names nobody. */
+        NONE,
+        /** Application servers. */
+        SERVERS,
+        /** Routers. */
+        ROUTERS,
+        /** Application servers, routers, the origin, discovery's agents and user agents. */
+        MACHINES,
+        /** Two machines each, written as {@code router-1~big-2}. */
+        PAIRS,
+        /** Kinds of rude user agents. */
+        RUDE
+    }
+
+    private final String word;
+    private final Targets targets;
+    private final boolean lasts;
+    private final Measure size;
+    private final double least;
+    private final double most;
+
+    FaultKind(String word, Targets targets, boolean lasts, Measure size, double least, double most) {
+        this.word = word;
+        this.targets = targets;
+        this.lasts = lasts;
+        this.size = size;
+        this.least = least;
+        this.most = most;
+    }
+
+    /** Its name in files and on the command line. */
+    public String word() {
+        return word;
+    }
+
+    /** Whom it befalls. */
+    public Targets targets() {
+        return targets;
+    }
+
+    /** Whether it has an end of its own. */
+    public boolean lasts() {
+        return lasts;
+    }
+
+    /** What its size measures; null if it has none. */
+    public Measure size() {
+        return size;
+    }
+
+    /** The least size, in the measure's basic unit. */
+    double least() {
+        return least;
+    }
+
+    /** The greatest size, in the measure's basic unit. */
+    double most() {
+        return most;
+    }
+
+    /** All words, in order. */
+    public static List<String> words() {
+        return Arrays.stream(values()).map(FaultKind::word).toList();
+    }
+
+    /** The kind of this word; null if there is none. */
+    public static FaultKind find(String word) {
+        return Arrays.stream(values()).filter(kind -> kind.word.equals(word)).findFirst().orElse(null);
+    }
+}
