Observe on virtual channels what loopback shows, down to a registered channel's close

A differential test plays one exchange on both: half-close, closes over unread and crossed input, refusal, filling up. It showed that the close of a registered channel first ends its sending and takes full effect at the next selection; the virtual channels now do the same.

--- a/src/main/java/slateseam/simulate/network/VirtualDatagramChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualDatagramChannel.java
@@ -124,6 +124,13 @@
 
     @Override
     protected void implCloseSelectableChannel() {
+        if (!isRegistered()) {
+            release();
+        }
+    }
+
+    @Override
+    public void release() {
         process.closed(this);
         unbind();
     }
--- a/src/main/java/slateseam/simulate/network/VirtualKey.java
+++ b/src/main/java/slateseam/simulate/network/VirtualKey.java
@@ -11,14 +11,21 @@
     private final SelectableChannel channel;
     private final Readiness readiness;
     private final VirtualSelector selector;
+    private final long number;
     private int interest;
     private int ready;
     private boolean listed;
 
-    VirtualKey(SelectableChannel channel, Readiness readiness, VirtualSelector selector) {
+    VirtualKey(SelectableChannel channel, Readiness readiness, VirtualSelector selector, long number) {
         this.channel = channel;
         this.readiness = readiness;
         this.selector = selector;
+        this.number = number;
+    }
+
+    /** In the order of registration. */
+    long number() {
+        return number;
     }
 
     @Override
--- a/src/main/java/slateseam/simulate/network/VirtualProvider.java
+++ b/src/main/java/slateseam/simulate/network/VirtualProvider.java
@@ -138,6 +138,7 @@
     }
 
     private void afterRound() {
+        selector.dropCancelled(); // a program would go on to wait in its selector
         if (selector.hasReady()) {
             wake();
         }
--- a/src/main/java/slateseam/simulate/network/VirtualSelector.java
+++ b/src/main/java/slateseam/simulate/network/VirtualSelector.java
@@ -5,10 +5,10 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.spi.AbstractSelectableChannel;
-import java.nio.channels.spi.AbstractSelectionKey;
 import java.nio.channels.spi.AbstractSelector;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -24,6 +24,7 @@
     /** Keys that may be ready, in the order in which they became so. */
     private List<VirtualKey> listed = new ArrayList<>();
     private List<VirtualKey> spare = new ArrayList<>();
+    private long registered;
     private boolean woken;
 
     VirtualSelector(VirtualProvider process) {
@@ -34,7 +35,7 @@
     @Override
     protected SelectionKey register(AbstractSelectableChannel channel, int operations, Object attachment) {
         Readiness readiness = ((VirtualChannel) channel).readiness();
-        VirtualKey key = new VirtualKey(channel, readiness, this);
+        VirtualKey key = new VirtualKey(channel, readiness, this, ++registered);
         key.attach(attachment);
         keys.add(key);
         readiness.registered(key);
@@ -80,18 +81,27 @@
         }
         batch.clear();
         spare = batch;
-        dropCancelled();
         return handled;
     }
 
-    private void dropCancelled() {
+    /** Does away with cancelled keys, and with channels whose close waits for that, as each selection does first. */
+    void dropCancelled() {
         Set<SelectionKey> cancelled = cancelledKeys();
-        synchronized (cancelled) {
-            for (SelectionKey key : cancelled) {
-                keys.remove(key);
-                deregister((AbstractSelectionKey) key);
+        if (cancelled.isEmpty()) {
+            return;
+        }
+        List<VirtualKey> gone = new ArrayList<>();
+        for (SelectionKey key : cancelled) {
+            gone.add((VirtualKey) key);
+        }
+        cancelled.clear();
+        gone.sort(Comparator.comparingLong(VirtualKey::number)); // the set has no order of its own
+        for (VirtualKey key : gone) {
+            keys.remove(key);
+            deregister(key);
+            if (!key.channel().isOpen() && !key.channel().isRegistered()) {
+                ((VirtualChannel) key.channel()).release();
             }
-            cancelled.clear();
         }
     }
 
--- a/src/main/java/slateseam/simulate/network/VirtualServerSocketChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualServerSocketChannel.java
@@ -80,6 +80,13 @@
 
     @Override
     protected void implCloseSelectableChannel() {
+        if (!isRegistered()) {
+            release();
+        }
+    }
+
+    @Override
+    public void release() {
         process.closed(this);
         kill();
     }
--- a/src/main/java/slateseam/simulate/network/VirtualSocketChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualSocketChannel.java
@@ -10,6 +10,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.AlreadyConnectedException;
+import java.nio.channels.AsynchronousCloseException;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ConnectionPendingException;
 import java.nio.channels.IllegalBlockingModeException;
@@ -126,7 +127,7 @@
     public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
         checkConnected();
         if (outputShut) {
-            throw new ClosedChannelException();
+            throw new AsynchronousCloseException(); // as the system's channels do
         }
         long written = end.write(sources, offset, length);
         readiness.set(SelectionKey.OP_WRITE, end.isWritable());
@@ -156,6 +157,15 @@
 
     @Override
     protected void implCloseSelectableChannel() {
+        if (!isRegistered()) {
+            release();
+        } else if (connected) {
+            end.end();
+        }
+    }
+
+    @Override
+    public void release() {
         process.closed(this);
         if (end != null) {
             end.close();
