--- a/src/main/java/slateseam/simulate/Fleet.java
+++ b/src/main/java/slateseam/simulate/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.json.JSONObject;
 import slateseam.simulate.check.Checker;
 import slateseam.simulate.network.VirtualNetwork;
@@ -18,6 +19,7 @@
 import slateseam.standin.Receipts;
 import slateseam.standin.Shared;
 import slateseam.standin.Spoil;
+import slateseam.standin.Tally;
 import slateseam.standin.World;
 import slateseam.standin.useragent.ClassFigures;
 
@@ -94,6 +96,17 @@
                 Listing.Health.READY, place.told(), 0);
     }
 
+    /** What the servers together and the origin counted. */
+    Map<String, Long> tallies() {
+        Map<String, Long> all = new TreeMap<>();
+        for (Tally tally : Tally.values()) {
+            all.put("origin " + tally, origin.tallies().of(tally));
+            all.put("servers " + tally, members.values().stream().mapToLong(m -> m.model.tallies().of(tally)).sum());
+        }
+        all.values().removeIf(count -> count == 0);
+        return all;
+    }
+
     Origin origin() {
         return origin;
     }
--- /dev/null
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -0,0 +1,193 @@
+package slateseam.simulate;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import slateseam.router.config.NodeConfig;
+import slateseam.router.config.NodeConfig.InvalidConfigException;
+import slateseam.simulate.check.Checker;
+import slateseam.simulate.check.Figures;
+import slateseam.simulate.network.Conditions;
+import slateseam.simulate.network.VirtualNetwork;
+import slateseam.simulate.scenario.Day;
+import slateseam.simulate.scenario.RouterConfig;
+import slateseam.standin.ApplicationServer;
+import slateseam.standin.Witness;
+import slateseam.standin.World;
+import slateseam.standin.useragent.ClassFigures;
+import slateseam.standin.useragent.Crowd;
+import slateseam.standin.useragent.Entry;
+import slateseam.standin.useragent.Front;
+import slateseam.standin.useragent.Popularity;
+import slateseam.standin.useragent.Service;
+import slateseam.standin.useragent.Surroundings;
+
+/** Plays one day, on the calling thread alone. */
+final class Play {
+    /** When days begin, in Unix time. */
+    static final long BEGIN = 1_800_000_000_000_000_000L;
+    /** After the last request and the longest deadline, for what is still under way. */
+    private static final long TAIL_NANOS = 1_000_000_000L;
+    private static final String USERS = "at the routers";
+    private static final String FRONT = "10.5.0.1";
+
+    private final Day day;
+    private final VirtualNetwork net;
+    private final Checker checker;
+    private final Ledger ledger = new Ledger();
+    private final Trace trace;
+    private final Fleet fleet;
+    private final Service service;
+    private final SupplyWatch supplyWatch;
+    private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
+    private final Map<String, Long> logged = new TreeMap<>();
+    private final RouterConfig configs;
+
+    /**
+     * Prepares a day.
+     *
+     * @param lines takes a line for every happening; null for none
+     */
+    Play(Day day, Consumer<String> lines) {
+        this.day = day;
+        net = new VirtualNetwork(conditions(day), day.streams()::of, BEGIN);
+        checker = new Checker(figures(day), "origin",
+                day.routers().stream().map(Day.Router::peerListen).toList(), net::now);
+        trace = lines == null ? null : new Trace(net, lines);
+        net.observe(checker);
+        if (trace != null) {
+            net.observe(trace);
+        }
+        lay();
+        Witness witness = new Witnesses(trace == null ? List.of(checker, ledger) : List.of(checker, ledger, trace));
+        fleet = new Fleet(net, day, new World(net, net, witness), checker);
+        service = new Service(BEGIN, day.routerRules().overShareWorth());
+        supplyWatch = new SupplyWatch(net, checker.supplies());
+        configs = new RouterConfig(day);
+    }
+
+    private static Conditions conditions(Day day) {
+        Day.Network network = day.network();
+        Conditions usual = Conditions.usual();
+        Conditions.Streams streams = usual.streams();
+        Conditions.Datagrams datagrams = usual.datagrams();
+        return usual.with(new Conditions.Delays(0, 0, 0, 0, usual.delays().local(), network.jitter()))
+                .with(new Conditions.Streams(network.windowBytes(), network.windowBytes(), network.split(), streams.gap(),
+                        streams.shortRead(), streams.shortWrite(), streams.connectLost(), streams.resetDestroys()))
+                .with(new Conditions.Datagrams(network.datagramLeastNanos(), network.datagramMostNanos(), network.lost(),
+                        datagrams.swapped(), network.doubled()));
+    }
+
+    private static Figures figures(Day day) {
+        Day.RouterRules rules = day.routerRules();
+        return new Figures(day.classes().stream().map(one -> new Figures.ClassFigures(one.name(), switch (one.effect()) {
+            case REPEATABLE -> Figures.Repeats.HARMLESS;
+            case KEYED -> Figures.Repeats.KEYED;
+            case ONCE -> Figures.Repeats.FORBIDDEN;
+        }, one.deadlineNanos(), one.effect() == ClassFigures.Effect.KEYED ? one.windowNanos() : 0)).toList(),
+                rules.tries(), rules.answerSlackNanos(), rules.drainGraceNanos(), rules.overloadNanos(),
+                rules.descriptors(), rules.memoryBytes() / 2);
+    }
+
+    /** Adds the machines and the ways between them. */
+    private void lay() {
+        List<String> sites = day.network().sites();
+        for (int i = 0; i < sites.size(); i++) {
+            for (int j = 0; j <= i; j++) {
+                net.distance(sites.get(i), sites.get(j), day.network().ways()[i][j]);
+            }
+            net.distance(USERS, sites.get(i), day.network().toRouterNanos());
+        }
+        day.routers().forEach(router -> {
+            net.machine(router.address(), sites.get(router.site()));
+            net.machine(router.agent(), USERS);
+        });
+        day.servers().forEach(server -> net.machine(server.address(), sites.get(server.site())));
+        net.machine(day.origin().address(), sites.get(day.origin().site()));
+        day.userAgents().forEach(userAgent -> net.machine(userAgent.address(), USERS));
+    }
+
+    /** Plays it to its end. */
+    Result play() {
+        fleet.start();
+        prefill();
+        for (Day.Router place : day.routers()) {
+            RouterProcess router = new RouterProcess(net, day, place, configs, checker, this::logged, fleet.list(place.name()));
+            routers.put(place.name(), router);
+            router.start();
+        }
+        Surroundings around = new Surroundings(net, net, service, day.classes(), day.tenants(), day.habits(), day.rate(),
+                new Popularity(day.popularity()), day.values(), asks(), BEGIN, day.durationNanos());
+        long end = BEGIN + day.durationNanos() + day.longestDeadlineNanos() + TAIL_NANOS;
+        Crowd crowd = new Crowd(around, day.userAgents(), entry(end), day.streams()::of);
+        crowd.start();
+        new FaultPlayer(net, day, fleet, routers, crowd, checker, this::happened).plan();
+        supplyWatch.start(BEGIN + day.durationNanos());
+        while (net.next() <= end) {
+            net.step();
+            checker.step();
+        }
+        net.run(end);
+        checker.step();
+        ledger.add(net.hash());
+        return new Result(day, BEGIN, net.now() - BEGIN, ledger.value(), net.happenings(), checker.breaches(),
+                checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies());
+    }
+
+    /** What deals out the connections of those that have no router beside them; null if each has. */
+    private Entry entry(long end) {
+        if (day.userAgents().stream().allMatch(figures -> figures.router() != null)) {
+            return null;
+        }
+        net.machine(FRONT, USERS);
+        Front front = new Front(net, net, FRONT, day.routers().stream().map(Day.Router::listen).toList(),
+                day.habits().noticeNanos(), end);
+        front.start();
+        return front;
+    }
+
+    void show() { fleet.servers().forEach(s -> System.out.println("  " + s.name() + " cap " + s.capacity() + " copies " + s.copies() + " of " + s.figures().keeping().entries() + " asked " + s.tallies().of(slateseam.standin.Tally.ASKED) + " hit " + s.tallies().of(slateseam.standin.Tally.HIT))); }
+
+    private Surroundings.Asks asks() {
+        return day.scenario().kept() == null ? Surroundings.Asks.ALL : day.scenario().kept()::keeps;
+    }
+
+    /** Servers that have run for long hold what they were asked for most. */
+    private void prefill() {
+        Map<String, ApplicationServer> byHost = new LinkedHashMap<>();
+        Map<String, Integer> room = new LinkedHashMap<>();
+        for (Day.Server place : day.servers()) {
+            ApplicationServer server = fleet.server(place.name());
+            byHost.put(server.name(), server);
+            room.put(server.name(), (int) (place.filled() * place.figures().keeping().entries()));
+        }
+        Day.Router first = day.routers().get(0);
+        try {
+            NodeConfig config = NodeConfig.parse(configs.text(first, 0, false, fleet.list(first.name())));
+            int keys = room.values().stream().mapToInt(entries -> entries).sum();
+            new Homes(config, BEGIN).find(new Popularity(day.popularity()).hottest(keys, 0), (key, host) -> {
+                if (room.merge(host, -1, Integer::sum) >= 0) {
+                    byHost.get(host).prefill(key);
+                }
+            });
+        } catch (InvalidConfigException e) {
+            throw new IllegalStateException("the simulation wrote a configuration that cannot be used", e);
+        }
+    }
+
+    private void logged(String router, String line) {
+        checker.log(router, line);
+        String[] parts = line.split(": ", 3);
+        logged.merge(parts.length > 1 ? parts[1] : line, 1L, Long::sum);
+        happened("log " + line);
+    }
+
+    private void happened(String text) {
+        ledger.add(text);
+        if (trace != null) {
+            trace.line(text);
+        }
+    }
+}
--- a/src/main/java/slateseam/simulate/check/Disturbances.java
+++ b/src/main/java/slateseam/simulate/check/Disturbances.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Which machines and ways were cut, and until when. */
+/** Which machines and ways were cut, and until when; a sender may take some time to try again after that. */
 final class Disturbances {
+    private static final long AGAIN_NANOS = 2_500_000_000L;
+
     private static final class Spell {
         int open;
         long over = Long.MIN_VALUE;
@@ -15,7 +17,7 @@
     void change(String machine, String other, boolean on, long now) {
         Spell spell = spells.computeIfAbsent(other == null ? machine : pair(machine, other), m -> new Spell());
         spell.open += on ? 1 : -1;
-        spell.over = now;
+        spell.over = now + AGAIN_NANOS;
     }
 
     /** Whether the way between two machines has been open since a time. */
--- a/src/main/java/slateseam/simulate/check/Supplies.java
+++ b/src/main/java/slateseam/simulate/check/Supplies.java
@@ -29,7 +29,7 @@
     void told(String router, byte[] bytes, long now) {
         if (bytes.length >= HEADER_BYTES + ACCOUNT_BYTES && bytes[0] == VERSION && bytes[1] >> 2 >= 1) {
             ByteBuffer b = ByteBuffer.wrap(bytes);
-            last.put(router, new Supply(now, b.getInt(HEADER_BYTES) / WHOLE, b.getFloat(RATE_AT),
+            last.put(router, new Supply(now, b.getInt(HEADER_BYTES + 4) / WHOLE, b.getFloat(RATE_AT),
                     b.getFloat(HEADER_BYTES + 8)));
         }
     }
--- a/src/main/java/slateseam/simulate/network/End.java
+++ b/src/main/java/slateseam/simulate/network/End.java
@@ -282,6 +282,17 @@
         silence();
     }
 
+    /** Something between the two breaks it off. */
+    void cut() {
+        if (state == State.UP) {
+            for (Observer o : net.observers()) {
+                o.resetBy(number, "");
+            }
+            out.reset();
+            wasReset(true);
+        }
+    }
+
     /** Its machine has forgotten it without a word. */
     void vanish() {
         out.abandon(true);
--- a/src/main/java/slateseam/simulate/network/Observer.java
+++ b/src/main/java/slateseam/simulate/network/Observer.java
@@ -26,7 +26,7 @@
     default void endedBy(long wire, String side) {
     }
 
-    /** A side broke the connection off, or refused it. */
+    /** A side broke the connection off, or refused it; an empty side is neither of the two. */
     default void resetBy(long wire, String side) {
     }
 
--- a/src/main/java/slateseam/simulate/network/VirtualNetwork.java
+++ b/src/main/java/slateseam/simulate/network/VirtualNetwork.java
@@ -213,6 +213,18 @@
         kill(ip);
     }
 
+    /** Breaks all open connections of a machine in the network's midst: both sides see a reset, and no side did it. */
+    public void reset(String ip) {
+        Machine machine = known(ip);
+        fault(machine);
+        List.copyOf(machine.ends).forEach(End::cut);
+    }
+
+    /** Loses this part of all datagrams, 0 to 1, beside what is lost anyway. */
+    public void loseDatagrams(double share) {
+        post.lose(share);
+    }
+
     /** Closes or opens the way between two machines, for both directions. */
     public void cut(String ip, String other, boolean on) {
         fault(known(ip));
