--- a/src/test/java/slateseam/simulate/network/RouterStage.java
+++ b/src/test/java/slateseam/simulate/network/RouterStage.java
@@ -30,7 +30,7 @@
         for (String ip : List.of("10.0.0.1", "10.0.3.1", "10.0.3.9", "10.0.9.1")) {
             net.machine(ip, ip.startsWith("10.0.9") ? "away" : "home");
         }
-        net.listen("10.0.3.1:6379", wire -> new Server());
+        serve();
         String config = Files.readString(Path.of("src/test/resources/node.json"))
                 .replace("\"listen\": \"127.0.0.1:0", "\"listen\": \"10.0.0.1:7400")
                 .replace("127.0.0.1:0", "10.0.0.1:7946").replace("127.0.0.1:1\"]", "10.0.0.1:7946\"]")
@@ -61,7 +61,7 @@
     }
 
     private static UniformRandomProvider source(long seed, String actor) {
-        return RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {seed, actor.hashCode()});
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seed << 32 ^ actor.hashCode());
     }
 
     void run(long millis) {
@@ -75,6 +75,18 @@
         return teller;
     }
 
+    /** Connects a user agent, and lets so much time pass. */
+    Teller userAgentAfter(long millis) {
+        Teller teller = userAgent();
+        run(millis);
+        return teller;
+    }
+
+    /** Lets the application server take connections. */
+    void serve() {
+        net.listen("10.0.3.1:6379", wire -> new Server());
+    }
+
     static String command(String... words) {
         StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
         for (String word : words) {
