--- a/src/main/java/slateseam/standin/ServerLink.java
+++ b/src/main/java/slateseam/standin/ServerLink.java
@@ -9,7 +9,7 @@
     private final ApplicationServer server;
     private final CommandReader reader = new CommandReader(inbox);
     /** What came whole while the connection was still being set up. */
-    private final List<ServerRequest> early = new ArrayList<>();
+    private final List<Runnable> early = new ArrayList<>();
     private boolean ready;
     private boolean surplus;
 
@@ -28,11 +28,11 @@
 
     void ready() {
         ready = true;
-        List<ServerRequest> begun = new ArrayList<>(early);
+        List<Runnable> begun = new ArrayList<>(early);
         early.clear();
-        for (ServerRequest request : begun) {
+        for (Runnable enter : begun) {
             if (isOpen()) {
-                request.enter();
+                enter.run();
             }
         }
     }
@@ -87,13 +87,17 @@
             server.tallies.add(Tally.TURNED_AWAY);
             exchange.answer(Answers.line("-BUSY"));
         } else if (exchange instanceof ServerProbe probe) {
-            probe.enter();
+            onceReady(probe::enter);
         } else if (exchange instanceof ServerRequest request && request.arrive()) {
-            if (ready) {
-                request.enter();
-            } else {
-                early.add(request);
-            }
+            onceReady(request::enter);
+        }
+    }
+
+    private void onceReady(Runnable enter) {
+        if (ready) {
+            enter.run();
+        } else {
+            early.add(enter);
         }
     }
 
