--- a/src/main/java/slateseam/simulate/scenario/Name.java
+++ b/src/main/java/slateseam/simulate/scenario/Name.java
@@ -69,12 +69,12 @@
     /** The limits as a message writes them. */
     String limits() {
         Unit unit = measure == Unit.Measure.TIME ? most < 1e9 ? Unit.MILLIS : Unit.SECONDS
-                : measure == Unit.Measure.SIZE ? Unit.KIBIBYTES : Unit.of(measure).get(0);
+                : measure == Unit.Measure.SIZE ? least >= Unit.MEBIBYTES.scale() ? Unit.MEBIBYTES : Unit.KIBIBYTES : Unit.of(measure).get(0);
         return new Value.Range(round(least / unit.scale()), round(most / unit.scale()), unit).toString();
     }
 
     /** Guards the message against the last binary digit of a conversion. */
     private static double round(double number) {
-        return Math.round(number * 1e6) / 1e6;
+        return number > 1e9 ? number : Math.round(number * 1e6) / 1e6;
     }
 }
--- a/src/main/java/slateseam/simulate/scenario/Nearest.java
+++ b/src/main/java/slateseam/simulate/scenario/Nearest.java
@@ -5,6 +5,7 @@
 /** Finds what somebody may have meant. */
 final class Nearest {
     private static final int LONGEST = 40;
+    private static final int SHORTEST = 3;
 
     private Nearest() {
     }
@@ -14,7 +15,8 @@
         String nearest = null;
         int least = Math.max(2, word.length() / 3) + 1;
         for (String candidate : known) {
-            int distance = word.length() > LONGEST ? least : distance(word, candidate);
+            boolean part = word.length() >= SHORTEST && (candidate.startsWith(word) || word.startsWith(candidate));
+            int distance = part ? 1 : word.length() > LONGEST ? least : distance(word, candidate);
             if (distance < least) {
                 least = distance;
                 nearest = candidate;
--- a/src/main/java/slateseam/simulate/scenario/ScenarioChecker.java
+++ b/src/main/java/slateseam/simulate/scenario/ScenarioChecker.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -112,7 +113,7 @@
         boolean unsure = false;
         for (Open section : sections) {
             if (section.type.type().equals("servers")) {
-                unsure |= number(section, "number") == null;
+                unsure |= number(section, "number") == null || TAKEN.contains(section.name);
                 numbers.put(section.name, number(section, "number"));
             } else if (section.type.type().equals("routers")) {
                 routers = number(section, "number");
@@ -135,7 +136,7 @@
             }
         }
         Value.Range duration = sections.stream().filter(open -> open.type.type().equals("day"))
-                .map(open -> number(open, "duration")).findFirst().orElse(null);
+                .map(open -> number(open, "duration")).filter(Objects::nonNull).findFirst().orElse(null);
         script.forEach(scripted -> scripted(scripted, duration, numbers));
     }
 
--- a/src/main/java/slateseam/simulate/scenario/ScenarioReader.java
+++ b/src/main/java/slateseam/simulate/scenario/ScenarioReader.java
@@ -65,7 +65,7 @@
     }
 
     Scenario read(String text) throws InvalidScenarioException {
-        String[] lines = (text.startsWith("\ufeff") ? text.substring(1) : text).split("\r?\n", -1);
+        List<String> lines = (text.startsWith("\ufeff") ? text.substring(1) : text).lines().toList();
         int statements = 0;
         for (String written : lines) {
             line++;
@@ -159,11 +159,11 @@
                     + Nearest.hint(word, section.type.words()));
             return;
         }
+        Integer earlier = section.lines.putIfAbsent(word, line);
         if (words.length == 1) {
             complaint(word + " has no value");
             return;
         }
-        Integer earlier = section.lines.putIfAbsent(word, line);
         if (earlier != null && name.form() != Form.NAMES) {
             complaint(word + " stands on line " + earlier + " already");
             return;
--- a/src/main/java/slateseam/simulate/scenario/ValueParser.java
+++ b/src/main/java/slateseam/simulate/scenario/ValueParser.java
@@ -22,7 +22,7 @@
     /** What names of sites, classes, tenants and machines may look like: they stand in addresses, facts and JSON. */
     static final Pattern WORD = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,39}");
     private static final String NUMBER = "(-?[0-9]{1,18}(?:\\.[0-9]{1,18})?)";
-    private static final Pattern FIGURE = Pattern.compile(NUMBER + "(?:\\.\\." + NUMBER + ")?\\s*(\\S*)");
+    private static final Pattern FIGURE = Pattern.compile(NUMBER + "(?:\\.\\." + NUMBER + ")?\\s*([^\\s.0-9]\\S*)?");
     private static final Pattern UNIT_TWICE = Pattern.compile(NUMBER + "\\s*[a-zA-Z%/]+\\s*\\.\\..*");
 
     private ValueParser() {
@@ -81,7 +81,7 @@
                     : "it must be a figure or a range, as in " + ("5 " + example(measure)).strip() + " or "
                             + ("5..8 " + example(measure)).strip()));
         }
-        Unit unit = unit(word, measure, text, matcher.group(3));
+        Unit unit = unit(word, measure, text, matcher.group(3) == null ? "" : matcher.group(3));
         double low = Double.parseDouble(matcher.group(1));
         double high = matcher.group(2) == null ? low : Double.parseDouble(matcher.group(2));
         if (low > high) {
--- a/src/main/java/slateseam/standin/useragent/RateFigures.java
+++ b/src/main/java/slateseam/standin/useragent/RateFigures.java
@@ -23,23 +23,18 @@
         surges = List.copyOf(surges);
     }
 
-    /** By which factor the rate differs from its mean at a time. */
-    double at(long nanos) {
+    /**
+     * The factor of the mean rate at a time, surges left out; without them it is never over 1 + swing.
+     *
+     * @param waned whether surges that make the rate smaller count
+     */
+    double swung(long nanos, boolean waned) {
         double factor = 1 + swing * Math.sin(2 * Math.PI * ((double) nanos / periodNanos + phase));
         for (Surge surge : surges) {
-            if (nanos >= surge.from && nanos < surge.until) {
+            if (waned && surge.factor < 1 && nanos >= surge.from && nanos < surge.until) {
                 factor *= surge.factor;
             }
         }
         return factor;
     }
-
-    /** A bound that the factor never passes. */
-    double most() {
-        double factor = 1 + swing;
-        for (Surge surge : surges) {
-            factor *= Math.max(1, surge.factor);
-        }
-        return factor;
-    }
 }
