--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -17,6 +17,7 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
+import slateseam.simulate.SimulateCommand;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
 import sun.misc.Signal;
@@ -29,6 +30,7 @@
             usage: java -jar slateseam.jar COMMAND [--config FILE] [--features FILE]
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
               check-config  reads a router's configuration and says what is wrong with it
+              simulate      plays whole days on a virtual clock and checks the rules (simulate help)
               benchlink     serves the simulator's wire on standard input and output
               version       prints the version
             --config FILE is a router's configuration (serve, check-config); without it NODE_CONFIG names the file
@@ -47,6 +49,10 @@
 
     static int run(String[] args, PrintStream out, PrintStream err) {
         String command = args.length == 0 ? "" : args[0];
+        if (command.equals("simulate")) {
+            // The only mention of the simulation, whose classes are so loaded by nothing else.
+            return SimulateCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+        }
         try {
             Options options = new Options();
             boolean configured = command.equals("serve") || command.equals("check-config");
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -55,7 +55,13 @@
 
     /** Opens a router on the system's network; it serves once {@link #run} is called. */
     public Router(NodeConfig config, Features features, Clock clock, Log log, Console console) throws IOException {
-        this(config, features, SelectorProvider.provider(), clock, log, console, Runtime.getRuntime().maxMemory());
+        this(config, features, SelectorProvider.provider(), clock, log, console);
+    }
+
+    /** Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}. */
+    public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console)
+            throws IOException {
+        this(config, features, network, clock, log, console, Runtime.getRuntime().maxMemory());
     }
 
     /**
--- a/src/main/java/slateseam/simulate/Play.java
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -40,6 +40,7 @@
     private final Trace trace;
     private final Fleet fleet;
     private final Service service;
+    private final Arrived arrived;
     private final SupplyWatch supplyWatch;
     private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
     private final Map<String, Long> logged = new TreeMap<>();
@@ -64,6 +65,7 @@
         Witness witness = new Witnesses(trace == null ? List.of(checker, ledger) : List.of(checker, ledger, trace));
         fleet = new Fleet(net, day, new World(net, net, witness), checker);
         service = new Service(BEGIN, day.routerRules().overShareWorth());
+        arrived = new Arrived(service);
         supplyWatch = new SupplyWatch(net, checker.supplies());
         configs = new RouterConfig(day);
     }
@@ -118,7 +120,7 @@
             routers.put(place.name(), router);
             router.start();
         }
-        Surroundings around = new Surroundings(net, net, service, day.classes(), day.tenants(), day.habits(), day.rate(),
+        Surroundings around = new Surroundings(net, net, arrived, day.classes(), day.tenants(), day.habits(), day.rate(),
                 new Popularity(day.popularity()), day.values(), asks(), BEGIN, day.durationNanos());
         long end = BEGIN + day.durationNanos() + day.longestDeadlineNanos() + TAIL_NANOS;
         Crowd crowd = new Crowd(around, day.userAgents(), entry(end), day.streams()::of);
@@ -133,7 +135,7 @@
         checker.step();
         ledger.add(net.hash());
         return new Result(day, BEGIN, net.now() - BEGIN, ledger.value(), net.happenings(), checker.breaches(),
-                checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies());
+                checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies(), arrived.kept());
     }
 
     /** What deals out the connections of those that have no router beside them; null if each has. */
@@ -148,8 +150,6 @@
         return front;
     }
 
-    void show() { fleet.servers().forEach(s -> System.out.println("  " + s.name() + " cap " + s.capacity() + " copies " + s.copies() + " of " + s.figures().keeping().entries() + " asked " + s.tallies().of(slateseam.standin.Tally.ASKED) + " hit " + s.tallies().of(slateseam.standin.Tally.HIT))); }
-
     private Surroundings.Asks asks() {
         return day.scenario().kept() == null ? Surroundings.Asks.ALL : day.scenario().kept()::keeps;
     }
--- a/src/main/java/slateseam/simulate/Result.java
+++ b/src/main/java/slateseam/simulate/Result.java
@@ -5,6 +5,7 @@
 import slateseam.simulate.check.Breach;
 import slateseam.simulate.check.Rule;
 import slateseam.simulate.scenario.Day;
+import slateseam.simulate.scenario.Kept;
 import slateseam.standin.useragent.Service;
 
 /**
@@ -21,9 +22,11 @@
  * @param supplies how the routers divided the origin's budget
  * @param logged how many lines of each kind the routers' logs have
  * @param tallies what servers and origin counted, by {@code servers} or {@code origin} and the count's name
+ * @param asked which requests were asked
  */
 record Result(Day day, long begin, long nanos, long hash, long happenings, List<Breach> breaches,
-        Map<Rule, Long> counts, Service service, SupplyWatch.Summary supplies, Map<String, Long> logged, Map<String, Long> tallies) {
+        Map<Rule, Long> counts, Service service, SupplyWatch.Summary supplies, Map<String, Long> logged, Map<String, Long> tallies, Kept asked) {
+    /** Whether no rule was broken. */
     boolean isSound() {
         return breaches.isEmpty();
     }
--- /dev/null
+++ b/src/main/java/slateseam/simulate/SimulateCommand.java
@@ -0,0 +1,233 @@
+package slateseam.simulate;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Locale;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.json.JSONArray;
+import slateseam.simulate.check.Breach;
+import slateseam.simulate.scenario.Day;
+import slateseam.simulate.scenario.FaultChoice;
+import slateseam.simulate.scenario.InvalidScenarioException;
+import slateseam.simulate.scenario.Scenario;
+import slateseam.simulate.scenario.Scenarios;
+
+/** The sub-commands of {@code simulate}. */
+public final class SimulateCommand {
+    private static final int BROKEN = 1;
+    private static final int USAGE = 2;
+    private static final int MOST_THREADS = 256;
+    private static final int MOST_PLAYS = 600;
+    private static final int MOST_SHOWN = 20;
+    private static final String HELP = """
+            usage: java -jar slateseam.jar simulate COMMAND
+              run --seeds A..B    plays days on a virtual clock and checks every rule; one line for each seed that breaks one
+              replay SEED         plays one day again and prints the hash of all its happenings
+              shrink SEED         makes a day that breaks a rule as small as can be and writes it as a scenario file
+            --scenario FILE       what days are drawn from; without it the usual scenario (a file with a seed plays that)
+            --faults KIND,...     just these faults, or none; without it as the scenario says
+            --threads N           for run: days that are played at once; without it one for each core
+            --json FILE           for run: what each day gave
+            --trace FILE          for replay: every happening, one line each
+            --out FILE            for shrink: where the scenario goes; without it seed-SEED.scenario
+            exit: 0 if no rule was broken, 1 if one was, 2 if the command or a file is wrong""";
+
+    private final CommandLine line;
+    private final PrintStream out;
+    private final PrintStream err;
+    private final Scenario scenario;
+    private final FaultChoice faults;
+
+    private SimulateCommand(CommandLine line, PrintStream out, PrintStream err)
+            throws ParseException, InvalidScenarioException {
+        this.line = line;
+        this.out = out;
+        this.err = err;
+        String file = line.getOptionValue("scenario");
+        this.scenario = file == null ? Scenarios.usual() : Scenarios.read(Path.of(file));
+        try {
+            String words = line.getOptionValue("faults");
+            this.faults = words == null ? FaultChoice.AS_WRITTEN : FaultChoice.parse(words);
+        } catch (IllegalArgumentException e) {
+            throw new ParseException(e.getMessage());
+        }
+    }
+
+    /** Runs a sub-command: 0 if no rule was broken, 1 if one was or a file cannot be written, 2 for bad use. */
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        String command = args.length == 0 ? "" : args[0];
+        try {
+            Options options = new Options();
+            for (String option : switch (command) {
+                case "run" -> new String[] {"scenario", "faults", "seeds", "threads", "json"};
+                case "replay" -> new String[] {"scenario", "faults", "trace"};
+                case "shrink" -> new String[] {"scenario", "faults", "out"};
+                case "help", "--help", "-h" -> new String[0];
+                default -> throw new ParseException(command.isEmpty() ? "no command" : "unknown command " + command);
+            }) {
+                options.addOption(Option.builder().longOpt(option).hasArg().get());
+            }
+            CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, 1, args.length));
+            if (options.getOptions().isEmpty()) {
+                out.println(HELP);
+                return 0;
+            }
+            SimulateCommand simulate = new SimulateCommand(line, out, err);
+            return switch (command) {
+                case "run" -> simulate.run();
+                case "replay" -> simulate.replay();
+                default -> simulate.shrink();
+            };
+        } catch (ParseException e) {
+            err.println("slateseam: simulate: " + e.getMessage());
+            err.println(HELP);
+            return USAGE;
+        } catch (InvalidScenarioException e) {
+            e.faults().forEach(err::println);
+            return USAGE;
+        } catch (IOException | UncheckedIOException e) {
+            err.println("slateseam: simulate: " + e.getMessage());
+            return BROKEN;
+        }
+    }
+
+    private int run() throws ParseException, IOException {
+        if (!line.getArgList().isEmpty()) {
+            throw new ParseException("unexpected " + line.getArgList().get(0));
+        }
+        String[] seeds = line.getOptionValue("seeds", scenario.seed().map(seed -> seed + ".." + seed).orElse(""))
+                .split("\\.\\.", -1);
+        if (seeds.length != 2) {
+            throw new ParseException("--seeds wants A..B, the first and the last seed");
+        }
+        long first = number("--seeds", seeds[0], 0, Long.MAX_VALUE - 1);
+        long last = number("--seeds", seeds[1], first, Long.MAX_VALUE - 1);
+        int threads = (int) number("--threads", line.getOptionValue("threads",
+                Integer.toString(Math.min(MOST_THREADS, Runtime.getRuntime().availableProcessors()))), 1, MOST_THREADS);
+        Summary summary = new Summary();
+        JSONArray json = line.hasOption("json") ? new JSONArray() : null;
+        boolean terminal = System.console() != null;
+        long began = System.nanoTime();
+        SeedRuns.play(first, last, threads, seed -> new Play(day(seed), null).play(), result -> {
+            summary.add(result);
+            if (!result.isSound()) {
+                clear(terminal);
+                out.println(broken(result));
+            }
+            if (json != null) {
+                json.put(Reports.json(result));
+            }
+            if (terminal) {
+                err.print("\r" + summary.seeds() + " of " + (last - first + 1) + " seeds");
+            }
+        });
+        clear(terminal);
+        out.println(summary.text((System.nanoTime() - began) / 1e9, threads));
+        if (json != null) {
+            Files.writeString(Path.of(line.getOptionValue("json")), json.toString(1) + "\n");
+        }
+        return summary.isSound() ? 0 : BROKEN;
+    }
+
+    private void clear(boolean terminal) {
+        if (terminal) {
+            err.print("\r\033[K");
+        }
+    }
+
+    private Day day(long seed) {
+        return Day.draw(scenario, seed, faults);
+    }
+
+    /** The line of a seed that broke a rule. */
+    private String broken(Result result) {
+        Breach breach = result.breaches().get(0);
+        return "seed " + result.day().seed() + ": " + shown(result, breach) + " (" + result.counts() + "); replay it with: "
+                + "simulate replay " + result.day().seed() + option("scenario") + option("faults");
+    }
+
+    private String option(String name) {
+        return line.hasOption(name) ? " --" + name + " " + line.getOptionValue(name) : "";
+    }
+
+    private static String shown(Result result, Breach breach) {
+        return String.format(Locale.ROOT, "%s at %.6f s", breach.rule(), (breach.nanos() - result.begin()) / 1e9)
+                + (breach.router().isEmpty() ? "" : ", " + breach.router())
+                + (breach.request().isEmpty() ? "" : ", request " + breach.request()) + ": " + breach.text();
+    }
+
+    private long seed() throws ParseException {
+        if (line.getArgList().size() != 1) {
+            throw new ParseException("one seed is wanted");
+        }
+        return number("the seed", line.getArgList().get(0), 0, Long.MAX_VALUE - 1);
+    }
+
+    private int replay() throws ParseException, IOException {
+        long seed = seed();
+        String file = line.getOptionValue("trace");
+        Result result;
+        if (file == null) {
+            result = new Play(day(seed), null).play();
+        } else {
+            try (BufferedWriter trace = Files.newBufferedWriter(Path.of(file), StandardCharsets.UTF_8)) {
+                result = new Play(day(seed), text -> write(trace, text)).play();
+            }
+        }
+        result.breaches().stream().limit(MOST_SHOWN).forEach(breach -> out.println(shown(result, breach)));
+        out.println(Reports.text(result));
+        out.println("hash " + result.hashText() + " of " + result.happenings() + " happenings");
+        return result.isSound() ? 0 : BROKEN;
+    }
+
+    private static void write(BufferedWriter to, String text) {
+        try {
+            to.write(text);
+            to.newLine();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private int shrink() throws ParseException, IOException {
+        long seed = seed();
+        Result result = new Play(day(seed), null).play();
+        if (result.isSound()) {
+            out.println("seed " + seed + " breaks no rule");
+            return 0;
+        }
+        out.println(broken(result));
+        Shrinker shrinker = new Shrinker(result, MOST_PLAYS, System.console() == null ? text -> { } : err::println);
+        Scenario smallest = shrinker.shrink();
+        Path file = Path.of(line.getOptionValue("out", "seed-" + seed + ".scenario"));
+        Files.writeString(file, smallest.toString());
+        Result last = shrinker.result();
+        out.println(shown(last, last.breaches().get(0)));
+        out.println(file + ": " + last.day().routers().size() + " routers, " + last.day().servers().size() + " servers, "
+                + last.asked().size() + " requests, " + last.day().timeline().faults().size() + " faults, "
+                + last.day().durationNanos() / 1_000_000 + " ms; play it with: simulate run --scenario " + file);
+        return BROKEN;
+    }
+
+    private static long number(String what, String text, long least, long most) throws ParseException {
+        try {
+            long number = Long.parseLong(text);
+            if (number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // reported below
+        }
+        throw new ParseException(what + " is " + text + ", no whole number from " + least + " to " + most);
+    }
+}
--- a/src/main/java/slateseam/simulate/check/Asked.java
+++ b/src/main/java/slateseam/simulate/check/Asked.java
@@ -17,8 +17,6 @@
 
     final String id;
     final Figures.ClassFigures figures;
-    final String tenant;
-    final boolean write;
     /** How long its user agent waits, from its last byte. */
     final long waitNanos;
     /** When its last byte was written. */
@@ -36,15 +34,14 @@
     long heldBytes;
     /** Whether its lateness was reported. */
     boolean late;
+    /** One of the same id that was read while this was open. */
+    Asked second;
     /** How many attempts came to servers whole. */
     int came;
 
-    Asked(String id, Figures.ClassFigures figures, String tenant, boolean write, long waitNanos, long writtenAt,
-            long end, long bytes, UserWire wire) {
+    Asked(String id, Figures.ClassFigures figures, long waitNanos, long writtenAt, long end, long bytes, UserWire wire) {
         this.id = id;
         this.figures = figures;
-        this.tenant = tenant;
-        this.write = write;
         this.waitNanos = waitNanos;
         this.writtenAt = writtenAt;
         this.end = end;
--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -24,7 +24,7 @@
     private static final int LONGEST_DATAGRAM = 256;
 
     /** A user agent's connection that is not up yet. */
-    private record Connecting(RouterState router, String machine) {
+    private record Connecting(String listen, String machine) {
     }
 
     private record Watched(long at, long number, Asked asked) {
@@ -295,9 +295,8 @@
     public void connecting(long wire, String from, String to) {
         RouterState router = byMachine.get(machine(from));
         if (router == null) {
-            RouterState called = byListen.get(to);
-            if (called != null) {
-                connecting.put(wire, new Connecting(called, machine(from)));
+            if (byListen.containsKey(to)) {
+                connecting.put(wire, new Connecting(to, machine(from)));
             }
         } else if (router.place.agents().contains(to)) {
             discoveryWires.put(wire, new DiscoveryWire(router, report));
@@ -313,7 +312,8 @@
     public void up(long wire) {
         Connecting up = connecting.remove(wire);
         if (up != null) {
-            userWires.put(wire, new UserWire(up.router, up.machine, this, report));
+            // The router that listens now: it may have started after this connection was begun.
+            userWires.put(wire, new UserWire(byListen.get(up.listen), up.machine, this, report));
         }
     }
 
@@ -356,15 +356,15 @@
 
     @Override
     public void endedBy(long wire, String side) {
-        over(wire, side, false);
+        over(wire, side);
     }
 
     @Override
     public void resetBy(long wire, String side) {
-        over(wire, side, true);
+        over(wire, side);
     }
 
-    private void over(long wire, String side, boolean reset) {
+    private void over(long wire, String side) {
         connecting.remove(wire);
         UserWire user = userWires.get(wire);
         PassWire pass = passWires.get(wire);
@@ -384,11 +384,6 @@
         } else if (discovery != null && isOf(discovery.router, side)) {
             discovery.end();
         }
-        if (reset) {
-            userWires.remove(wire);
-            passWires.remove(wire);
-            discoveryWires.remove(wire);
-        }
     }
 
     @Override
--- a/src/main/java/slateseam/simulate/check/PassWire.java
+++ b/src/main/java/slateseam/simulate/check/PassWire.java
@@ -47,7 +47,7 @@
                     return;
                 }
                 boolean probe = id.isEmpty();
-                Asked asked = probe ? null : router.asked.get(id);
+                Asked asked = probe ? null : router.attempted(id);
                 Attempt attempt = new Attempt(asked, this, report.now(), out.consumed());
                 unanswered.add(attempt);
                 onTheWay.add(attempt);
--- a/src/main/java/slateseam/simulate/check/Pieces.java
+++ b/src/main/java/slateseam/simulate/check/Pieces.java
@@ -8,11 +8,12 @@
 /** The bytes of one direction of a wire that have come and belong to no whole message yet, with the times at which they came. */
 final class Pieces {
     private static final int FIRST = 256;
+    private static final byte[] NONE = {};
 
     private record Mark(long end, long nanos) {
     }
 
-    private byte[] bytes = new byte[FIRST];
+    private byte[] bytes = NONE;
     private int start;
     private int end;
     /** Of all that were ever taken off. */
@@ -22,7 +23,7 @@
     void add(byte[] more, long now) {
         if (end + more.length > bytes.length) {
             byte[] room = end - start + more.length > bytes.length
-                    ? new byte[Math.max(2 * bytes.length, end - start + more.length)] : bytes;
+                    ? new byte[Math.max(FIRST, Math.max(2 * bytes.length, end - start + more.length))] : bytes;
             System.arraycopy(bytes, start, room, 0, end - start);
             bytes = room;
             end -= start;
--- a/src/main/java/slateseam/simulate/check/Resp.java
+++ b/src/main/java/slateseam/simulate/check/Resp.java
@@ -12,7 +12,7 @@
  * @param items of an array; empty for one that is null
  */
 record Resp(char type, String text, byte[] bytes, List<Resp> items) {
-    private static final int LONGEST_LINE = 64 * 1024;
+    private static final int LONGEST_LINE = 1000;
     private static final int LONGEST = 16 * 1024 * 1024;
     private static final int DEEPEST = 8;
 
--- a/src/main/java/slateseam/simulate/check/RouterState.java
+++ b/src/main/java/slateseam/simulate/check/RouterState.java
@@ -24,6 +24,34 @@
         this.told = told;
     }
 
+    /** The router has read a request; one with the id of an open one is owed no more than an error. */
+    void read(Asked request, long now) {
+        request.read = true;
+        request.readAt = now;
+        Asked before = asked.get(request.id);
+        if (before != null && before.isOpen()) {
+            before.second = request;
+            request.end(Asked.State.VOID, now);
+        } else {
+            asked.put(request.id, request);
+            if (request.isOpen()) {
+                hold(request, request.bytes);
+            }
+        }
+    }
+
+    /** The request of an id to which an attempt belongs; null if there never was one. */
+    Asked attempted(String id) {
+        Asked request = asked.get(id);
+        if (request != null && request.state == Asked.State.ANSWERED && request.second != null) {
+            // The first was answered before the router came to the second, which it so took after all.
+            request = request.second;
+            request.state = Asked.State.OPEN;
+            asked.put(id, request);
+        }
+        return request;
+    }
+
     /** Counts bytes that are held for a request while it is open. */
     void hold(Asked request, long bytes) {
         request.heldBytes += bytes;
--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -81,15 +81,8 @@
                 || !visible(words.get(2)) || !visible(facts)) {
             return null;
         }
-        Asked before = router.asked.get(words.get(2));
-        if (before != null && before.isOpen()) {
-            return null;
-        }
-        long millis = Long.parseLong(wait);
-        Asked asked = new Asked(words.get(2), figures, String.valueOf(fact(facts, 't')), write,
-                Math.min(millis * 1_000_000L, figures.deadlineNanos()), report.now(), in.consumed(), bytes, this);
-        router.asked.put(asked.id, asked);
-        return asked;
+        return new Asked(words.get(2), figures, Math.min(Long.parseLong(wait) * 1_000_000L, figures.deadlineNanos()),
+                report.now(), in.consumed(), bytes, this);
     }
 
     private static boolean visible(String text) {
@@ -113,9 +106,7 @@
                 return;
             }
             if (command.asked != null && !command.asked.read) {
-                command.asked.read = true;
-                command.asked.readAt = report.now();
-                router.hold(command.asked, command.asked.bytes);
+                router.read(command.asked, report.now());
             }
         }
     }
@@ -180,7 +171,7 @@
         boolean protocolError = value.type() == '-' && value.text().startsWith(PROTOCOL_ERROR);
         if (protocolError && isBroken()) {
             garbled = true;
-            leave();
+            finish();
             return;
         }
         Command command = pending.poll();
@@ -218,13 +209,17 @@
         undeliveredSince = report.now();
     }
 
-    /** The user agent has gone away, or nothing is owed to it any more: what was open is void. */
+    /** The user agent has gone away: nothing is owed to it any more, though the router may not know yet. */
     void leave() {
         pending.forEach(command -> {
             if (command.asked != null) {
                 router.end(command.asked, Asked.State.VOID, report.now());
             }
         });
+    }
+
+    private void finish() {
+        leave();
         pending.clear();
         over = true;
     }
@@ -244,6 +239,6 @@
                 }
             }
         }
-        leave();
+        finish();
     }
 }
