--- a/src/main/java/slateseam/standin/OriginFigures.java
+++ b/src/main/java/slateseam/standin/OriginFigures.java
@@ -10,8 +10,8 @@
  * @param queue requests that wait for a place, 0 to 65,536; beyond it 503 at once
  * @param queueNanos after so long in the queue a request is answered 504, never begun
  * @param crowding so much longer all work takes for each full set of places that waits, 0 to 10
- * @param goesOn whether it goes on with reads that nobody waits for, in work and in the queue; a write that has begun is
- *     always carried out
+ * @param goesOn whether it goes on with reads that nobody waits for, in work and in the queue; a write that has begun
+ *     is always carried out
  * @param connections open at once, 1 to 65,536; further ones are refused
  * @param idleNanos after so long without a request a connection is closed
  * @param errorShare the share of requests answered 500, 0 to 1; half of them ran
@@ -45,7 +45,7 @@
 
     /** Some 80 reads a second: a third of all. */
     public static OriginFigures usual() {
-        return new OriginFigures(6, 0.075, 0.6, 1.5, 400, 1_500_000_000L, 0.1, true, 400, 60_000_000_000L, 0.001, false, 0,
-                false);
+        return new OriginFigures(6, 0.075, 0.6, 1.5, 400, 1_500_000_000L, 0.1, true, 400, 60_000_000_000L, 0.001, false,
+                0, false);
     }
 }
--- a/src/main/java/slateseam/standin/ServerFigures.java
+++ b/src/main/java/slateseam/standin/ServerFigures.java
@@ -12,7 +12,8 @@
  * @param connections what it takes and what they cost
  * @param keeping what it stores
  * @param probing what probes get
- * @param stopsCancelled whether a read in work stops when its connection goes or its time is over; waiting ones always go
+ * @param stopsCancelled whether a read in work stops when its connection goes or its time is over; waiting ones
+ *     always go
  * @param dropsOverdue whether work is dropped when the time that the request tells (d) is over
  * @param carriesWrites whether it carries out writes itself; else they are answered as misses, and go to the origin
  * @param errorShare the share of requests that end in -ERR after their work, 0 to 1
@@ -50,8 +51,8 @@
      *
      * @param share of its capacity that it has at once, 0.01 to 1
      * @param warmNanos after which it has all, evenly rising until then; up to an hour
-     * @param fallMultiple while it is cold, work sent within the window beyond this multiple of what it can do at the moment
-     *     makes it fall over: 1 to 1,000, or 0 for never
+     * @param fallMultiple while it is cold, work sent within the window beyond this multiple of what it can do at the
+     *     moment makes it fall over: 1 to 1,000, or 0 for never
      * @param fallNanos the window
      */
     public record Cold(double share, long warmNanos, double fallMultiple, long fallNanos) {
@@ -77,8 +78,8 @@
      * @param requests begun at once on one, 1 to 4,096; further ones stay unread
      * @param tax the part of the capacity that a full table of connections takes, 0 to 0.9
      */
-    public record Connections(int most, Beyond beyond, double openSeconds, long firstNanos, long idleNanos, int requests,
-            double tax) {
+    public record Connections(int most, Beyond beyond, double openSeconds, long firstNanos, long idleNanos,
+            int requests, double tax) {
         /** Checks the figures. */
         public Connections {
             Range.check("most connections", most, 1, 65_536);
--- a/src/main/java/slateseam/standin/WorkFigures.java
+++ b/src/main/java/slateseam/standin/WorkFigures.java
@@ -16,8 +16,8 @@
      *
      * @param name as requests tell it in their facts
      * @param meanSeconds the mean work, in core seconds at speed 1: 0 to 60
-     * @param spread the standard deviation of a request's own work as a part of the mean, 0 to 5: log-normal, the same at
-     *     each attempt of one id
+     * @param spread the standard deviation of a request's own work as a part of the mean, 0 to 5: log-normal, the
+     *     same at each attempt of one id
      * @param noise the same for what one attempt adds by chance, 0 to 5
      */
     public record OfClass(String name, double meanSeconds, double spread, double noise) {
