Let rude user agents borrow only ids that are open at the same router, and say so

In a run of the whole tier an id borrowed from a request that had just been answered looked like a pass after the final answer. Ids are now those sent within 10 ms to the same router, and each is told to the outcomes.

--- a/src/main/java/slateseam/standin/useragent/Crowd.java
+++ b/src/main/java/slateseam/standin/useragent/Crowd.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.function.Function;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -48,12 +49,10 @@
         }
     }
 
-    /** The id of a request that is out, of one process if it has any, else of another's; null if there is none. */
-    private String openId(UserAgent preferred) {
-        String id = preferred.openId();
-        for (int i = 0; id == null && i < userAgents.size(); i++) {
-            id = userAgents.get(i).openId();
-        }
-        return id;
+    /** The id of a request that is out at the router beside one process; null if there is none, or no such router. */
+    private String openId(UserAgent beside) {
+        String router = beside.figures().router();
+        return userAgents.stream().filter(one -> router != null && router.equals(one.figures().router()))
+                .map(UserAgent::openId).filter(Objects::nonNull).findFirst().orElse(null);
     }
 }
--- a/src/main/java/slateseam/standin/useragent/Outcomes.java
+++ b/src/main/java/slateseam/standin/useragent/Outcomes.java
@@ -36,6 +36,10 @@
     default void ended(Request request, Ending ending, long at) {
     }
 
+    /** A rude user agent used this id of somebody else's open request, so that what comes with it proves nothing. */
+    default void borrowed(String id, String router, long at) {
+    }
+
     /** Bytes came from a router that nobody had asked for. */
     default void unasked(String userAgent, String router, long at) {
     }
--- a/src/main/java/slateseam/standin/useragent/Rude.java
+++ b/src/main/java/slateseam/standin/useragent/Rude.java
@@ -50,7 +50,7 @@
             if (router == null) {
                 again();
             } else {
-                Line line = new Line();
+                Line line = new Line(router);
                 line.wire = at.net().connect(beside.address(), router, line);
             }
         }
@@ -105,8 +105,11 @@
         };
     }
 
-    private byte[] sameId() {
+    private byte[] sameId(String router) {
         String taken = openId.get();
+        if (taken != null) {
+            at.outcomes().borrowed(taken, router, clock.now());
+        }
         ClassFigures one = readable();
         return Command.get(key(), taken == null ? id() : taken,
                 facts(one.name(), Long.toString(one.deadlineNanos() / MILLI)));
@@ -130,10 +133,15 @@
     /** One connection. */
     private final class Line implements Party {
         private final AnswerReader reader = new AnswerReader();
+        private final String router;
         private Wire wire;
         private boolean over;
         private int sent;
 
+        Line(String router) {
+            this.router = router;
+        }
+
         @Override
         public void opened(Wire opened) {
             switch (kind) {
@@ -146,7 +154,7 @@
                 case UNKNOWN_CLASS -> wire.write(Command.get(key(), id(), facts("nobody-knows", "500")));
                 case BAD_DEADLINE -> wire.write(badDeadline());
                 case NO_ID -> wire.write(withoutId());
-                case SAME_ID -> wire.write(sameId());
+                case SAME_ID -> wire.write(sameId(router));
                 case HALF_SILENT -> wire.write(half());
                 case HALF_CLOSED -> {
                     wire.write(half());
--- a/src/main/java/slateseam/standin/useragent/UserAgent.java
+++ b/src/main/java/slateseam/standin/useragent/UserAgent.java
@@ -22,6 +22,7 @@
     private static final int WAIT = 32;
     private static final int MOST_DOUBLINGS = 6;
     private static final long MILLI = 1_000_000L;
+    private static final long JUST_NOW_NANOS = 10 * MILLI;
 
     private final UserAgentFigures figures;
     private final Surroundings at;
@@ -76,9 +77,9 @@
         return figures.name();
     }
 
-    /** The id of a request of its own that is out; null if there is none. */
+    /** The id of a request of its own that went out just now, so that it is still open at the router; null if none did. */
     String openId() {
-        return last != null && last.isOut() ? last.id : null;
+        return last != null && last.isOut() && clock.now() - last.sentAt <= JUST_NOW_NANOS ? last.id : null;
     }
 
     UserAgentFigures figures() {
@@ -179,6 +180,7 @@
         private Channel channel;
         private boolean over;
         private boolean sent;
+        private long sentAt;
         private boolean again;
 
         private Attempt(Asking asking, int number) {
@@ -223,6 +225,7 @@
             sent = true;
             last = this;
             long now = clock.now();
+            sentAt = now;
             Request request = asking.request;
             ClassFigures kind = request.kind();
             if (asking.written == 0) {
