--- a/src/main/java/slateseam/standin/useragent/UserAgent.java
+++ b/src/main/java/slateseam/standin/useragent/UserAgent.java
@@ -9,9 +9,9 @@
 import slateseam.standin.useragent.Outcomes.Ending;
 
 /**
- * One process that behaves: it asks what it drew ahead, keeps connections, waits as long as it says, and asks again only
- * what may be asked again. Requests that find no connection free, and may open none, wait in order until their time is
- * over; there are never more of them than arrive in the longest deadline.
+ * One process that behaves: it asks what it drew ahead, keeps connections, waits as long as it says, and asks again
+ * only what may be asked again. Requests that find no connection free, and may open none, wait in order until their
+ * time is over; there are never more of them than arrive in the longest deadline.
  */
 public final class UserAgent {
     /** Numbers of a surge's arrivals begin at multiples of this. */
@@ -22,6 +22,7 @@
     private static final int WAIT = 32;
     private static final int MOST_DOUBLINGS = 6;
     private static final long MILLI = 1_000_000L;
+    private static final long JUST_NOW_NANOS = 10 * MILLI;
 
     private final UserAgentFigures figures;
     private final Surroundings at;
@@ -76,9 +77,9 @@
         return figures.name();
     }
 
-    /** The id of a request of its own that is out; null if there is none. */
+    /** The id of a request of its own that went out just now, so that its router has it open; null if none did. */
     String openId() {
-        return last != null && last.isOut() ? last.id : null;
+        return last != null && last.isOut() && clock.now() - last.sentAt <= JUST_NOW_NANOS ? last.id : null;
     }
 
     UserAgentFigures figures() {
@@ -98,7 +99,7 @@
     /** How long the value of a request is. */
     private byte[] value(Request request) {
         ValueFigures values = at.values();
-        double size = values.medianBytes() * Math.exp(values.sigma() * Mix.gaussian(request.seed(), SIZE));
+        double size = values.medianBytes() * StrictMath.exp(values.sigma() * Mix.gaussian(request.seed(), SIZE));
         return Command.value(request.key() + " ", (int) Math.max(1, Math.min(values.mostBytes(), size)));
     }
 
@@ -179,6 +180,7 @@
         private Channel channel;
         private boolean over;
         private boolean sent;
+        private long sentAt;
         private boolean again;
 
         private Attempt(Asking asking, int number) {
@@ -223,6 +225,7 @@
             sent = true;
             last = this;
             long now = clock.now();
+            sentAt = now;
             Request request = asking.request;
             ClassFigures kind = request.kind();
             if (asking.written == 0) {
