Plant fourteen bugs in copies of the router and look for each

A checker that never complains proves nothing. Lists count as told once they have come where the way to the agent was cut, and bytes behind an answer count as spoilt though they make no whole value.

--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -299,7 +299,7 @@
                 connecting.put(wire, new Connecting(to, machine(from)));
             }
         } else if (router.place.agents().contains(to)) {
-            discoveryWires.put(wire, new DiscoveryWire(router, report));
+            discoveryWires.put(wire, new DiscoveryWire(router, machine(to), this, report));
         } else {
             if (!router.told.knows(to)) {
                 report.breach(Rule.DRAIN, router, "", "it connects to " + to + ", which no list named");
@@ -331,7 +331,7 @@
         } else if (pass != null && isOf(pass.router, from)) {
             pass.written(bytes);
         } else if (discovery != null && !isOf(discovery.router, from)) {
-            discovery.told(bytes);
+            discovery.written(bytes);
         }
     }
 
@@ -351,6 +351,8 @@
             } else {
                 pass.came(bytes.length);
             }
+        } else if (discoveryWires.containsKey(wire) && isOf(discoveryWires.get(wire).router, to)) {
+            discoveryWires.get(wire).came(bytes.length);
         }
     }
 
--- a/src/main/java/slateseam/simulate/check/PassWire.java
+++ b/src/main/java/slateseam/simulate/check/PassWire.java
@@ -120,6 +120,9 @@
             while (http ? httpAnswer() : respAnswer()) {
                 // each is taken there
             }
+            if (in.size() > 0 && unanswered.isEmpty()) {
+                spoilt();
+            }
         } catch (Garbled e) {
             spoilt();
             answeredBy(Attempt.Outcome.MAYBE, 0);
--- /dev/null
+++ b/src/test/java/slateseam/simulate/Planted.java
@@ -0,0 +1,160 @@
+package slateseam.simulate;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import javax.tools.FileObject;
+import javax.tools.ForwardingJavaFileManager;
+import javax.tools.JavaCompiler;
+import javax.tools.JavaFileManager;
+import javax.tools.JavaFileObject;
+import javax.tools.SimpleJavaFileObject;
+import javax.tools.StandardJavaFileManager;
+import javax.tools.ToolProvider;
+
+/** The program with a bug planted: all its classes once more, some of them compiled from changed copies of their sources. */
+final class Planted extends ClassLoader {
+    private static final Pattern SEED = Pattern.compile("seed (\\d+): ([A-Z_]+) .*", Pattern.DOTALL);
+    private static final int AT_ONCE = 8;
+
+    /** What a command printed, and its exit status. */
+    record Said(int status, String text) {
+    }
+
+    /** The first seed that found a bug, and the rule that it broke. */
+    record Found(long seed, String rule) {
+    }
+
+    static {
+        registerAsParallelCapable();
+    }
+
+    private final PlantedBug bug;
+    private final Map<String, byte[]> compiled;
+
+    /** Plants a bug; null for none. */
+    Planted(PlantedBug bug) {
+        super(Planted.class.getClassLoader());
+        this.bug = bug;
+        this.compiled = bug == null ? Map.of() : compile(bug);
+    }
+
+    /** Runs a sub-command of the simulation. */
+    Said run(String... args) {
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        List<String> all = new ArrayList<>(List.of(args));
+        if (bug != null && bug.faults() != null && !all.contains("--scenario")) {
+            all.addAll(List.of("--faults", bug.faults()));
+        }
+        try (PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8)) {
+            Object status = loadClass("slateseam.simulate.SimulateCommand")
+                    .getMethod("run", String[].class, PrintStream.class, PrintStream.class)
+                    .invoke(null, all.toArray(new String[0]), out, out);
+            return new Said((int) status, said.toString(StandardCharsets.UTF_8));
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(said + " " + e.getCause(), e);
+        }
+    }
+
+    /** Plays seeds in their order until one breaks a rule; null if none does. */
+    Found find(long first, long last, int threads) {
+        for (long from = first; from <= last; from += AT_ONCE) {
+            Said said = run("run", "--seeds", from + ".." + Math.min(last, from + AT_ONCE - 1), "--threads",
+                    Integer.toString(threads));
+            Matcher seed = SEED.matcher(said.text);
+            if (said.status != 0 && seed.lookingAt()) {
+                return new Found(Long.parseLong(seed.group(1)), seed.group(2));
+            }
+        }
+        return null;
+    }
+
+    @Override
+    protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+        synchronized (getClassLoadingLock(name)) {
+            if (!name.startsWith("slateseam.")) {
+                return super.loadClass(name, resolve);
+            }
+            Class<?> loaded = findLoadedClass(name);
+            if (loaded == null) {
+                byte[] bytes = compiled.containsKey(name) ? compiled.get(name) : original(name);
+                loaded = defineClass(name, bytes, 0, bytes.length);
+            }
+            return loaded;
+        }
+    }
+
+    private byte[] original(String name) throws ClassNotFoundException {
+        try (InputStream in = getParent().getResourceAsStream(name.replace('.', '/') + ".class")) {
+            if (in == null) {
+                throw new ClassNotFoundException(name);
+            }
+            return in.readAllBytes();
+        } catch (IOException e) {
+            throw new ClassNotFoundException(name, e);
+        }
+    }
+
+    private static Map<String, byte[]> compile(PlantedBug bug) {
+        List<JavaFileObject> sources = new ArrayList<>();
+        Map<String, String> texts = new HashMap<>();
+        for (PlantedBug.Change change : bug.changes()) {
+            String text = texts.computeIfAbsent(change.file(), Planted::read);
+            if (text.split(Pattern.quote(change.text()), -1).length != 2) {
+                throw new IllegalStateException("to plant '" + bug.name() + "', " + change.file()
+                        + " must hold once: " + change.text());
+            }
+            texts.put(change.file(), text.replace(change.text(), change.instead()));
+        }
+        texts.forEach((file, text) -> sources.add(new SimpleJavaFileObject(URI.create("string:///" + file),
+                JavaFileObject.Kind.SOURCE) {
+            @Override
+            public CharSequence getCharContent(boolean ignoreErrors) {
+                return text;
+            }
+        }));
+        Map<String, ByteArrayOutputStream> written = new HashMap<>();
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        StandardJavaFileManager files = compiler.getStandardFileManager(null, null, null);
+        JavaFileManager memory = new ForwardingJavaFileManager<>(files) {
+            @Override
+            public JavaFileObject getJavaFileForOutput(Location location, String name, JavaFileObject.Kind kind,
+                    FileObject sibling) {
+                return new SimpleJavaFileObject(URI.create("bytes:///" + name), kind) {
+                    @Override
+                    public OutputStream openOutputStream() {
+                        return written.computeIfAbsent(name, n -> new ByteArrayOutputStream());
+                    }
+                };
+            }
+        };
+        if (!compiler.getTask(null, memory, null, List.of("-nowarn", "-proc:none", "-classpath",
+                System.getProperty("java.class.path")), null, sources).call()) {
+            throw new IllegalStateException("the changed copy does not compile: " + bug.name());
+        }
+        Map<String, byte[]> classes = new HashMap<>();
+        written.forEach((name, bytes) -> classes.put(name, bytes.toByteArray()));
+        return classes;
+    }
+
+    private static String read(String file) {
+        try {
+            return Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -0,0 +1,72 @@
+package slateseam.simulate;
+
+import java.util.List;
+
+/**
+ * A fault of the router, planted from outside: a copy of some of its sources with a few words changed.
+ *
+ * @param name what the changed router does
+ * @param faults the faults by which it shows soonest, as on the command line; null for those of the usual scenario
+ * @param changes what is changed
+ */
+record PlantedBug(String name, String faults, List<Change> changes) {
+    private static final String ROUTER = "router/";
+    private static final String BRAIN = "decision/Brain";
+
+    /** In a source file, a text that stands there once and what stands there instead. */
+    record Change(String file, String text, String instead) {
+    }
+
+    static List<PlantedBug> all() {
+        return List.of(
+                new PlantedBug("sends to a draining server", "drain", List.of(
+                        change(ROUTER + "pass/Passes", "entry != null && entry.isReady()", "entry != null"),
+                        change(BRAIN, "boolean ready() { return member.isReady(); }",
+                                "boolean ready() { return !member.isGone(); }"))),
+                new PlantedBug("sends a once-write again that may have run", null, List.of(
+                        change("decision/Job", "return repeatsAreHarmless() && (",
+                                "return type.effect() == Effect.SIDE_EFFECT || repeatsAreHarmless() && ("))),
+                new PlantedBug("answers -BUSY after one that may have run", null, List.of(
+                        change(BRAIN, "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true"))),
+                new PlantedBug("writes a pass that was given up while it waited for its connection", null, List.of(
+                        change(ROUTER + "pass/ApplicationServer", "waiting.remove(pass);", ""))),
+                new PlantedBug("gives a late answer to the next request on the connection", null, List.of(
+                        change(ROUTER + "pass/ServerConnection", "    void giveUp() {\n", "    void giveUp() {\n"
+                                + "        if (current != null) { current = null; server.free(this); return; }\n"))),
+                new PlantedBug("does not raise a slot's generation", null, List.of(
+                        change(ROUTER + "net/Slots", "generations.get(slot) + 1 & GENERATION_MASK",
+                                "generations.get(slot)"))),
+                new PlantedBug("ignores a cold server's budget", "crash,surge", List.of(
+                        change(BRAIN, "double warmth = warmth();\n            if (JumpHash", "double warmth = 1;\n"
+                                + "            if (JumpHash"))),
+                new PlantedBug("closes at once in a planned end", "restart", List.of(
+                        change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
+                new PlantedBug("tries beyond the limit", null, List.of(
+                        change(ROUTER + "core/Core", "left <= 0 || attempt >= settings.limits().attempts()", "left <= 0"),
+                        change(BRAIN, "return job.attempts + times <= settings.limits().attempts();", "return true;"))),
+                new PlantedBug("loses its place where a message is split", null, List.of(
+                        change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
+                                "        }\n        return value;"))),
+                new PlantedBug("hears a drain and drops it", "drain", List.of(
+                        change(ROUTER + "farm/Farm", "if (entry.member.state() == MemberState.GONE) {",
+                                "if (entry.member.state() == MemberState.DRAINING) {\n    continue;\n"
+                                        + "} else if (entry.member.state() == MemberState.GONE) {"))),
+                new PlantedBug("never answers a request that failed", null, List.of(
+                        change(ROUTER + "core/Core", "slot.front.answer(slot.exchange, answer);",
+                                "if (!(answer instanceof Answer.Failed)) slot.front.answer(slot.exchange, answer);"))),
+                new PlantedBug("answers pipelined commands out of order", "rude", List.of(
+                        change(ROUTER + "useragent/RespFront",
+                                "while (!inOrder.isEmpty() && inOrder.peek().answer() != null) {\n"
+                                        + "                Exchange done = inOrder.poll();",
+                                "for (Exchange done; (done = inOrder.stream().filter(e -> e.answer() != null).findFirst()"
+                                        + ".orElse(null)) != null;) {\n                inOrder.remove(done);"))),
+                new PlantedBug("sends datagrams that are too long", null, List.of(
+                        change("decision/SupplyMessage", "/ KEY_BYTES;\n    }\n\n    byte[] encode",
+                                "/ KEY_BYTES + 1;\n    }\n\n    byte[] encode"),
+                        change(ROUTER + "peer/Peers", "MOST_BYTES = 256", "MOST_BYTES = 512"))));
+    }
+
+    private static Change change(String file, String text, String instead) {
+        return new Change("src/main/java/slateseam/" + file + ".java", text, instead);
+    }
+}
