--- a/src/main/java/slateseam/simulate/Shrinker.java
+++ b/src/main/java/slateseam/simulate/Shrinker.java
@@ -22,6 +22,8 @@
  */
 final class Shrinker {
     private static final long MILLI = 1_000_000L;
+    /** No scenario file may have a shorter day. */
+    private static final long LEAST_NANOS = 100 * MILLI;
 
     private record Arrival(String userAgent, int number) {
     }
@@ -91,7 +93,7 @@
 
     /** Nothing that is asked after the breach can have led to it. */
     private void shorten() {
-        long needed = breach().nanos() - result.begin() + MILLI;
+        long needed = Math.max(LEAST_NANOS, breach().nanos() - result.begin() + MILLI);
         if (needed < result.day().durationNanos()) {
             breaks(smallest.withDuration(needed));
         }
--- a/src/main/java/slateseam/standin/ApplicationServer.java
+++ b/src/main/java/slateseam/standin/ApplicationServer.java
@@ -191,10 +191,10 @@
     }
 
     /** The work of a request that is at its full length, in core seconds at speed 1. */
-    double work(String className, String id) {
+    double work(String className, String id, long draws) {
         WorkFigures.OfClass of = work.of(className);
         return of.meanSeconds() * Draws.factor(of.spread(), Draws.normal(Draws.hash(salt, id)))
-                * (of.noise() == 0 ? 1 : Draws.factor(of.noise(), Draws.normal(random)));
+                * (of.noise() == 0 ? 1 : Draws.factor(of.noise(), Draws.normal(draws)));
     }
 
     /** Counts a request; whether the server still stands. */
--- a/src/main/java/slateseam/standin/Draws.java
+++ b/src/main/java/slateseam/standin/Draws.java
@@ -17,9 +17,9 @@
         return chance > 0 && random.nextDouble() < chance;
     }
 
-    /** A normal deviate. */
-    static double normal(UniformRandomProvider random) {
-        return normal(random.nextDouble(), random.nextDouble());
+    /** The same for one of the draws that belong to a number. */
+    static boolean chance(long draws, String what, double chance) {
+        return chance > 0 && unit(hash(draws, what)) < chance;
     }
 
     /** A normal deviate that belongs to a hash. */
--- a/src/main/java/slateseam/standin/Origin.java
+++ b/src/main/java/slateseam/standin/Origin.java
@@ -97,17 +97,17 @@
     }
 
     /** The status that the next request is troubled with; 0 for none. */
-    int drawTrouble() {
+    int trouble(long draws) {
         if (trouble == 0) {
             return 0;
         }
-        double drawn = random.nextDouble();
+        double drawn = Draws.unit(Draws.hash(draws, "trouble"));
         return drawn >= trouble ? 0 : drawn < trouble / 3 ? 500 : drawn < trouble * 2 / 3 ? 503 : 504;
     }
 
-    double work(boolean write) {
+    double work(boolean write, long draws) {
         double sigma = figures.sigma();
-        double factor = sigma == 0 ? 1 : StrictMath.exp(sigma * Draws.normal(random) - sigma * sigma / 2);
+        double factor = sigma == 0 ? 1 : StrictMath.exp(sigma * Draws.normal(draws) - sigma * sigma / 2);
         return figures.meanSeconds() * factor * (write ? figures.writeMultiple() : 1);
     }
 
--- a/src/main/java/slateseam/standin/OriginRequest.java
+++ b/src/main/java/slateseam/standin/OriginRequest.java
@@ -13,6 +13,7 @@
     private final String id;
     private final RequestFacts facts;
     private final boolean write;
+    private final long draws;
     private final int trouble;
     private final long deadline;
     private Course course;
@@ -37,7 +38,8 @@
         this.id = id;
         this.facts = facts;
         this.write = write;
-        this.trouble = origin.drawTrouble();
+        this.draws = origin.draws(id);
+        this.trouble = origin.trouble(draws);
         this.deadline = facts.waitMillis() < 0 ? Long.MAX_VALUE : origin.clock.now() + facts.waitMillis() * MILLI;
     }
 
@@ -74,10 +76,10 @@
             turnAway(504);
             return -1;
         }
-        fails = trouble == 500 || Draws.chance(origin.random, origin.figures().errorShare());
-        if (fails && Draws.chance(origin.random, 0.5)) {
+        fails = trouble == 500 || Draws.chance(draws, "error", origin.figures().errorShare());
+        if (fails && Draws.chance(draws, "before", 0.5)) {
             course = Course.FAILS_BEFORE;
-            return origin.work(write);
+            return origin.work(write, draws);
         }
         String token = write ? facts.idempotencyKey() : null;
         if (token != null && origin.shared().receipts().isRepeat(token)) {
@@ -87,7 +89,7 @@
         }
         course = write ? Course.WRITE : Course.READ;
         origin.witness().ran(origin.name(), id, key, write, token);
-        return origin.work(write);
+        return origin.work(write, draws);
     }
 
     private void workDone() {
--- a/src/main/java/slateseam/standin/ServerRequest.java
+++ b/src/main/java/slateseam/standin/ServerRequest.java
@@ -13,6 +13,7 @@
     private final String id;
     private final RequestFacts facts;
     private final boolean write;
+    private final long draws;
     private Course course;
     private long version;
     private boolean gone;
@@ -36,7 +37,8 @@
         this.id = id;
         this.facts = facts;
         this.write = write;
-        this.fullWork = server.work(facts.className(), id);
+        this.draws = server.draws(id);
+        this.fullWork = server.work(facts.className(), id, draws);
     }
 
     /** Whether this server carries it out, as things stand. */
@@ -109,7 +111,7 @@
         if (gone) {
             return;
         }
-        if (Draws.chance(server.random, server.figures().errorShare())) {
+        if (Draws.chance(draws, "error", server.figures().errorShare())) {
             server.tallies.add(Tally.FAILED);
             answer(Answers.line("-ERR failed"));
             return;
--- a/src/main/java/slateseam/standin/Station.java
+++ b/src/main/java/slateseam/standin/Station.java
@@ -1,13 +1,17 @@
 package slateseam.standin;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** A stand-in that takes connections at an address. */
 abstract class Station {
+    private static final int MOST_IDS = 4_096;
+
     final Clockwork clock;
     final UniformRandomProvider random;
     final Tallies tallies = new Tallies();
@@ -17,6 +21,9 @@
     private final int mostWithSurplus;
     private final boolean refuses;
     private final Set<Link> links = new LinkedHashSet<>();
+    private final long salt;
+    /** How often each of the last ids was asked. */
+    private final Map<String, Integer> asked = new LinkedHashMap<>();
     private String address;
     private boolean up;
     private boolean listening;
@@ -27,6 +34,7 @@
         this.clock = clock;
         this.net = net;
         this.random = random;
+        this.salt = random.nextLong();
         this.address = address;
         this.most = most;
         this.mostWithSurplus = most + surplus;
@@ -36,6 +44,18 @@
 
     abstract Link link(Wire wire);
 
+    /**
+     * A number for one more time that an id is asked here. What is drawn for a request follows from it alone, so that a
+     * request that is added or left out shifts no other's draws.
+     */
+    final long draws(String id) {
+        int times = asked.merge(id, 1, Integer::sum);
+        if (asked.size() > MOST_IDS) {
+            asked.remove(asked.keySet().iterator().next());
+        }
+        return Draws.hash(salt + times, id);
+    }
+
     /** The number of connections has changed. */
     void counted(int open) {
     }
--- a/src/test/java/slateseam/simulate/Planted.java
+++ b/src/test/java/slateseam/simulate/Planted.java
@@ -24,6 +24,7 @@
 import javax.tools.SimpleJavaFileObject;
 import javax.tools.StandardJavaFileManager;
 import javax.tools.ToolProvider;
+import slateseam.simulate.scenario.Scenario;
 
 /** The program with a bug planted: all its classes once more, some of them compiled from changed copies of their sources. */
 final class Planted extends ClassLoader {
@@ -56,9 +57,13 @@
     Said run(String... args) {
         ByteArrayOutputStream said = new ByteArrayOutputStream();
         List<String> all = new ArrayList<>(List.of(args));
-        if (bug != null && bug.faults() != null && !all.contains("--scenario")) {
+        boolean drawn = bug != null && !all.contains("--scenario");
+        if (drawn && bug.faults() != null) {
             all.addAll(List.of("--faults", bug.faults()));
         }
+        if (drawn && bug.scenario() != null) {
+            all.addAll(List.of("--scenario", written(bug.scenario()).toString()));
+        }
         try (PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8)) {
             Object status = loadClass("slateseam.simulate.SimulateCommand")
                     .getMethod("run", String[].class, PrintStream.class, PrintStream.class)
@@ -150,6 +155,16 @@
         return classes;
     }
 
+    private static Path written(Scenario scenario) {
+        try {
+            Path file = Files.createTempFile("planted", ".scenario");
+            file.toFile().deleteOnExit();
+            return Files.writeString(file, scenario.toString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static String read(String file) {
         try {
             return Files.readString(Path.of(file));
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -1,17 +1,28 @@
 package slateseam.simulate;
 
 import java.util.List;
+import slateseam.simulate.scenario.Scenario;
+import slateseam.simulate.scenario.Scenarios;
+import slateseam.simulate.scenario.Unit;
+import slateseam.simulate.scenario.Value;
 
 /**
  * A fault of the router, planted from outside: a copy of some of its sources with a few words changed.
  *
  * @param name what the changed router does
  * @param faults the faults by which it shows soonest, as on the command line; null for those of the usual scenario
+ * @param scenario null for the usual one
  * @param changes what is changed
  */
-record PlantedBug(String name, String faults, List<Change> changes) {
+record PlantedBug(String name, String faults, Scenario scenario, List<Change> changes) {
     private static final String ROUTER = "router/";
     private static final String BRAIN = "decision/Brain";
+    /** With the usual figures the routers' windows alone keep a cold server from falling over. */
+    private static final Scenario TIGHT = Scenarios.usual()
+            .with("user-agents", "", "rate", new Value.Range(340, 360, Unit.A_SECOND))
+            .with("routers", "", "overload", new Value.Range(1.2, 1.2, Unit.FACTOR))
+            .with("servers", "big", "miss-work", new Value.Range(100, 100, Unit.PERCENT))
+            .with("servers", "small", "miss-work", new Value.Range(100, 100, Unit.PERCENT));
 
     /** In a source file, a text that stands there once and what stands there instead. */
     record Change(String file, String text, String instead) {
@@ -19,48 +30,48 @@
 
     static List<PlantedBug> all() {
         return List.of(
-                new PlantedBug("sends to a draining server", "drain", List.of(
+                new PlantedBug("sends to a draining server", "drain", null, List.of(
                         change(ROUTER + "pass/Passes", "entry != null && entry.isReady()", "entry != null"),
                         change(BRAIN, "boolean ready() { return member.isReady(); }",
                                 "boolean ready() { return !member.isGone(); }"))),
-                new PlantedBug("sends a once-write again that may have run", null, List.of(
+                new PlantedBug("sends a once-write again that may have run", null, null, List.of(
                         change("decision/Job", "return repeatsAreHarmless() && (",
                                 "return type.effect() == Effect.SIDE_EFFECT || repeatsAreHarmless() && ("))),
-                new PlantedBug("answers -BUSY after one that may have run", null, List.of(
+                new PlantedBug("answers -BUSY after one that may have run", null, null, List.of(
                         change(BRAIN, "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true"))),
-                new PlantedBug("writes a pass that was given up while it waited for its connection", null, List.of(
+                new PlantedBug("writes a pass that was given up while it waited for its connection", null, null, List.of(
                         change(ROUTER + "pass/ApplicationServer", "waiting.remove(pass);", ""))),
-                new PlantedBug("gives a late answer to the next request on the connection", null, List.of(
+                new PlantedBug("gives a late answer to the next request on the connection", null, null, List.of(
                         change(ROUTER + "pass/ServerConnection", "    void giveUp() {\n", "    void giveUp() {\n"
                                 + "        if (current != null) { current = null; server.free(this); return; }\n"))),
-                new PlantedBug("does not raise a slot's generation", null, List.of(
+                new PlantedBug("does not raise a slot's generation", null, null, List.of(
                         change(ROUTER + "net/Slots", "generations.get(slot) + 1 & GENERATION_MASK",
                                 "generations.get(slot)"))),
-                new PlantedBug("ignores a cold server's budget", "crash,surge", List.of(
+                new PlantedBug("ignores a cold server's budget", "crash,replace", TIGHT, List.of(
                         change(BRAIN, "double warmth = warmth();\n            if (JumpHash", "double warmth = 1;\n"
                                 + "            if (JumpHash"))),
-                new PlantedBug("closes at once in a planned end", "restart", List.of(
+                new PlantedBug("closes at once in a planned end", "restart", null, List.of(
                         change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
-                new PlantedBug("tries beyond the limit", null, List.of(
+                new PlantedBug("tries beyond the limit", null, null, List.of(
                         change(ROUTER + "core/Core", "left <= 0 || attempt >= settings.limits().attempts()", "left <= 0"),
                         change(BRAIN, "return job.attempts + times <= settings.limits().attempts();", "return true;"))),
-                new PlantedBug("loses its place where a message is split", null, List.of(
+                new PlantedBug("loses its place where a message is split", null, null, List.of(
                         change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
                                 "        }\n        return value;"))),
-                new PlantedBug("hears a drain and drops it", "drain", List.of(
+                new PlantedBug("hears a drain and drops it", "drain", null, List.of(
                         change(ROUTER + "farm/Farm", "if (entry.member.state() == MemberState.GONE) {",
                                 "if (entry.member.state() == MemberState.DRAINING) {\n    continue;\n"
                                         + "} else if (entry.member.state() == MemberState.GONE) {"))),
-                new PlantedBug("never answers a request that failed", null, List.of(
+                new PlantedBug("never answers a request that failed", null, null, List.of(
                         change(ROUTER + "core/Core", "slot.front.answer(slot.exchange, answer);",
                                 "if (!(answer instanceof Answer.Failed)) slot.front.answer(slot.exchange, answer);"))),
-                new PlantedBug("answers pipelined commands out of order", "rude", List.of(
+                new PlantedBug("answers pipelined commands out of order", "rude", null, List.of(
                         change(ROUTER + "useragent/RespFront",
                                 "while (!inOrder.isEmpty() && inOrder.peek().answer() != null) {\n"
                                         + "                Exchange done = inOrder.poll();",
                                 "for (Exchange done; (done = inOrder.stream().filter(e -> e.answer() != null).findFirst()"
                                         + ".orElse(null)) != null;) {\n                inOrder.remove(done);"))),
-                new PlantedBug("sends datagrams that are too long", null, List.of(
+                new PlantedBug("sends datagrams that are too long", null, null, List.of(
                         change("decision/SupplyMessage", "/ KEY_BYTES;\n    }\n\n    byte[] encode",
                                 "/ KEY_BYTES + 1;\n    }\n\n    byte[] encode"),
                         change(ROUTER + "peer/Peers", "MOST_BYTES = 256", "MOST_BYTES = 512"))));
