--- a/src/main/java/slateseam/simulate/network/Machine.java
+++ b/src/main/java/slateseam/simulate/network/Machine.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.UnknownHostException;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -26,6 +27,8 @@
     final Set<VirtualProvider> processes = new LinkedHashSet<>();
     final Map<Integer, Listener> listeners = new TreeMap<>();
     final Map<Integer, VirtualDatagramChannel> datagrams = new TreeMap<>();
+    /** When the last datagram that was sent to a machine arrives, by that machine's number. */
+    final Map<Integer, Long> lastArrivals = new HashMap<>();
     boolean silent;
     private final BitSet taken = new BitSet();
     private int nextPort = FIRST_EPHEMERAL;
--- a/src/main/java/slateseam/simulate/network/Post.java
+++ b/src/main/java/slateseam/simulate/network/Post.java
@@ -9,8 +9,6 @@
 final class Post {
     private final VirtualNetwork net;
     private final Map<String, List<String>> groups = new HashMap<>();
-    /** When the last one arrives, by sender's and receiver's machine. */
-    private final Map<Long, Long> last = new HashMap<>();
 
     Post(VirtualNetwork net) {
         this.net = net;
@@ -55,12 +53,11 @@
         Conditions.Datagrams fate = net.conditions().datagrams();
         long arrival = net.now() + fate.leastDelay() + from.upTo(fate.mostDelay() - fate.leastDelay())
                 + net.paths().extra(from, to);
-        long pair = (long) from.number << 32 | to.number;
-        long before = last.getOrDefault(pair, 0L);
+        long before = from.lastArrivals.getOrDefault(to.number, 0L);
         if (!from.draws(fate.swapped())) {
             arrival = Math.max(arrival, before);
         }
-        last.put(pair, Math.max(arrival, before));
+        from.lastArrivals.put(to.number, Math.max(arrival, before));
         net.at(arrival, () -> {
             VirtualDatagramChannel channel = to.datagrams.get(port);
             if (channel != null && !net.paths().isClosed(from, to)) {
--- a/src/main/java/slateseam/simulate/network/VirtualProvider.java
+++ b/src/main/java/slateseam/simulate/network/VirtualProvider.java
@@ -24,6 +24,8 @@
     /** In the order in which they were opened. */
     private final Set<VirtualChannel> channels = new LinkedHashSet<>();
     private int mostOpen;
+    private final Runnable whenWoken = this::round;
+    private final Runnable whenDue = this::timer;
     private VirtualSelector selector;
     /** Null until it is driven, and once it has ended. */
     private Program program;
@@ -111,7 +113,7 @@
     void wake() {
         if (program != null && !scheduled && !running) {
             scheduled = true;
-            net.at(lastRound + net.conditions().roundNanos(), this::round);
+            net.at(lastRound + net.conditions().roundNanos(), whenWoken);
         }
     }
 
@@ -145,7 +147,7 @@
         long next = program.nextDeadline();
         if (next < timer) {
             timer = next;
-            net.at(next, this::timer);
+            net.at(next, whenDue);
         }
     }
 
--- a/src/test/java/slateseam/simulate/network/StreamsTest.java
+++ b/src/test/java/slateseam/simulate/network/StreamsTest.java
@@ -1,10 +1,15 @@
 package slateseam.simulate.network;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static slateseam.simulate.network.RouterStage.MILLI;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -92,7 +97,11 @@
             run(100 * MILLI);
         }
         assertThat(out.position()).isEqualTo(2_000); // a window and a buffer
+        Readiness readiness = ((VirtualChannel) channel).readiness();
+        assertThat(readiness.operations() & SelectionKey.OP_WRITE).isZero();
         accepted.get(0).wire.pause(false);
+        run(SECOND);
+        assertThat(readiness.operations() & SelectionKey.OP_WRITE).isNotZero();
         for (int i = 0; i < 100; i++) {
             channel.write(out);
             run(100 * MILLI);
@@ -154,6 +163,26 @@
         assertThat(cut.got).hasToString("answer");
     }
 
+    @Test
+    void aResetDestroysWhatHasNotBeenReadOrComesBehindIt() throws Exception {
+        for (int destroys = 0; destroys <= 1; destroys++) {
+            net = network(stream(1_000, 1_000, 0, destroys));
+            SocketChannel channel = channel();
+            run(SECOND);
+            channel.finishConnect();
+            Teller server = accepted.get(destroys);
+            server.wire.write(Teller.bytes("answer"));
+            run(SECOND);
+            server.wire.reset();
+            run(SECOND);
+            ByteBuffer in = ByteBuffer.allocate(10);
+            if (destroys == 0) {
+                assertThat(channel.read(in)).isEqualTo(6);
+            }
+            assertThatThrownBy(() -> channel.read(in)).hasMessage("Connection reset");
+        }
+    }
+
     @Test
     void connectionsThatNeverComeUp() {
         net.connect(CLIENT, SERVER + ":81", client);
@@ -230,17 +259,43 @@
         assertThat(server.got).hasToString("to the silent");
         assertThat(client.got).hasToString("from the silent");
 
-        net.silence(SERVER, true);
         net.forget(SERVER);
-        run(SECOND);
-        client.wire.write(Teller.bytes("to the forgetful"));
-        net.silence(SERVER, false);
-        assertThat(client.happened).containsExactly("opened");
         run(5 * SECOND);
+        assertThat(client.happened).containsExactly("opened");
+        client.wire.write(Teller.bytes("to the forgetful"));
+        run(SECOND);
         assertThat(client.happened).containsExactly("opened", "broken");
         assertThat(server.happened).containsExactly("opened");
     }
 
+    /** Wherever a cut meets a long message, its pieces, what the sender hears of them and what is written meanwhile. */
+    @Test
+    void nothingIsLostOrSwappedByACut() {
+        for (int steps = 0; steps < 60; steps++) {
+            accepted.clear();
+            net = network(stream(100, 100, 0.5, 0));
+            Teller server = connect();
+            StringBuilder written = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                written.append("message ").append(i).append(' ');
+            }
+            client.wire.write(Teller.bytes(written.toString()));
+            for (int i = 0; i < steps; i++) {
+                net.step();
+            }
+            net.cut(CLIENT, SERVER, true);
+            run(SECOND);
+            net.cut(CLIENT, SERVER, false);
+            for (int i = 0; i < 50; i++) {
+                client.wire.write(Teller.bytes("more" + i));
+                written.append("more").append(i);
+                run(20 * MILLI);
+            }
+            run(5 * SECOND);
+            assertThat(server.got).hasToString(written.toString());
+        }
+    }
+
     @Test
     void aProcessThatDiesResetsItsConnectionsAndRefusesNewOnes() {
         Teller server = connect();
@@ -258,6 +313,66 @@
         assertThat(client.got).hasToString("last words");
     }
 
+    /** Counts its rounds, and takes nothing of what has come. */
+    private static final class Idler implements Program {
+        final Selector selector;
+        int rounds;
+        Runnable once = () -> { };
+
+        Idler(Selector selector) {
+            this.selector = selector;
+        }
+
+        @Override
+        public boolean round() throws IOException {
+            rounds++;
+            selector.selectNow(key -> { });
+            Runnable action = once;
+            once = () -> { };
+            action.run();
+            return true;
+        }
+
+        @Override
+        public long nextDeadline() {
+            return Long.MAX_VALUE;
+        }
+    }
+
+    @Test
+    void aProgramIsRunWhenItIsWokenAndTimeGoesOnWhileItSpins() throws Exception {
+        VirtualProvider process = net.provider(CLIENT);
+        Idler idler = new Idler(process.openSelector());
+        SocketChannel channel = process.openSocketChannel();
+        channel.configureBlocking(false);
+        channel.connect(new InetSocketAddress(SERVER, 80));
+        SelectionKey key = channel.register(idler.selector, 0);
+        process.drive(idler);
+        run(SECOND);
+        assertThat(idler.rounds).isZero();
+        idler.once = idler.selector::wakeup;
+        idler.selector.wakeup();
+        run(SECOND);
+        assertThat(idler.rounds).isEqualTo(2);
+        key.interestOps(SelectionKey.OP_CONNECT);
+        run(SECOND);
+        assertThat(idler.rounds).isBetween(99_900, 100_010); // 10 us each
+
+        channel.finishConnect();
+        accepted.get(0).wire.write(Teller.bytes("unread"));
+        run(SECOND);
+        idler.once = () -> assertThatCode(channel::close).doesNotThrowAnyException();
+        idler.selector.wakeup();
+        run(SECOND);
+        assertThat(accepted.get(0).happened).as("the close is whole though no round follows")
+                .containsExactly("opened", "ended", "broken");
+        int rounds = idler.rounds;
+        idler.selector.wakeup();
+        net.kill(CLIENT);
+        run(SECOND);
+        assertThat(idler.rounds).isEqualTo(rounds);
+    }
+
     @Test
     void aSlowPathTakesLonger() {
         Teller server = connect();
