--- a/src/main/java/slateseam/simulate/network/Listener.java
+++ b/src/main/java/slateseam/simulate/network/Listener.java
@@ -9,7 +9,7 @@
     private final Machine machine;
     private final int port;
     private final int backlog;
-    /** Takes each connection at once; null if they wait in the back-log. */
+    /** Takes each connection at once, so that no back-log fills; null if they wait in the back-log. */
     private final Consumer<End> taker;
     /** Told that one waits. */
     private final Runnable waiting;
