--- a/src/main/java/slateseam/simulate/network/Conditions.java
+++ b/src/main/java/slateseam/simulate/network/Conditions.java
@@ -6,8 +6,8 @@
  * @param delays how long what is sent is on its way
  * @param streams how connections behave
  * @param datagrams how datagrams fare
- * @param roundNanos the least time between two rounds of one program, at least 1: what a round costs, and a guard against
- *     a program that would spin without end while time stands still
+ * @param roundNanos the least time between two rounds of one program, at least 1: what a round costs, and a guard
+ *     against a program that would spin without end while time stands still
  */
 public record Conditions(Delays delays, Streams streams, Datagrams datagrams, long roundNanos) {
     private static final long MICRO = 1_000;
@@ -47,8 +47,8 @@
      * @param shortRead the chance that a read returns fewer bytes than have come
      * @param shortWrite the chance that a write takes fewer bytes than there is room for
      * @param connectLost the chance that a first packet is lost, so that a connection is up a second later
-     * @param resetDestroys the chance that a reset destroys what is on its way and what has not been read; else the other
-     *     side can still read it before it sees the reset
+     * @param resetDestroys the chance that a reset destroys what is on its way and what has not been read; else the
+     *     other side can still read it before it sees the reset
      */
     public record Streams(int sendBuffer, int window, double split, long gap, double shortRead, double shortWrite,
             double connectLost, double resetDestroys) {
--- a/src/main/java/slateseam/simulate/network/Flow.java
+++ b/src/main/java/slateseam/simulate/network/Flow.java
@@ -3,8 +3,9 @@
 import java.util.ArrayDeque;
 
 /**
- * One direction of a connection. The sender's system holds what has not been brought over, up to its buffer; on the wire
- * and unread at the receiver lies at most a window. The receiver's system tells the sender how far it is only when that
+ * One direction of a connection. The sender's system holds what has not been brought over, up to its buffer; on the
+ * wire and unread at the receiver lies at most a window. The receiver's system tells the sender how far it is only when
+ * that
  * can matter, so that small messages cost one happening each.
  */
 final class Flow {
--- a/src/main/java/slateseam/simulate/network/Program.java
+++ b/src/main/java/slateseam/simulate/network/Program.java
@@ -7,6 +7,8 @@
     /** Handles, without waiting, what its selector has ready and what is due; false if the program has ended. */
     boolean round() throws IOException;
 
-    /** When it wants a round even if no channel is ready, in Unix nanoseconds; {@link Long#MAX_VALUE} if it does not. */
+    /**
+     * When it wants a round even if no channel is ready, in Unix nanoseconds; {@link Long#MAX_VALUE} if it does not.
+     */
     long nextDeadline();
 }
--- a/src/main/java/slateseam/simulate/network/VirtualChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualChannel.java
@@ -6,8 +6,8 @@
     Readiness readiness();
 
     /**
-     * Its close takes full effect. As on the system's network, the close of a channel that is registered has to wait for the
-     * next selection: until then a connection has only ended its sending.
+     * Its close takes full effect. As on the system's network, the close of a channel that is registered has to wait
+     * for the next selection: until then a connection has only ended its sending.
      */
     void release();
 
--- a/src/main/java/slateseam/simulate/network/VirtualNetwork.java
+++ b/src/main/java/slateseam/simulate/network/VirtualNetwork.java
@@ -203,8 +203,8 @@
     }
 
     /**
-     * Lets a machine forget its connections and listeners without a word, as if it had lost its power; whoever sends to it
-     * on an old connection from now on gets a reset, if it can be heard.
+     * Lets a machine forget its connections and listeners without a word, as if it had lost its power; whoever sends
+     * to it on an old connection from now on gets a reset, if it can be heard.
      */
     public void forget(String ip) {
         Machine machine = known(ip);
--- a/src/main/java/slateseam/simulate/network/VirtualSelector.java
+++ b/src/main/java/slateseam/simulate/network/VirtualSelector.java
@@ -15,8 +15,8 @@
 import java.util.function.Consumer;
 
 /**
- * A selector that never waits: a selection handles what is ready and returns. Its cost goes with what is ready, not with
- * what is registered. Only selections with an action are offered.
+ * A selector that never waits: a selection handles what is ready and returns. Its cost goes with what is ready, not
+ * with what is registered. Only selections with an action are offered.
  */
 final class VirtualSelector extends AbstractSelector {
     private final VirtualProvider process;
--- a/src/test/java/slateseam/simulate/network/DatagramsTest.java
+++ b/src/test/java/slateseam/simulate/network/DatagramsTest.java
@@ -55,7 +55,8 @@
     @Test
     void eachTroubleComesAsOftenAsItShould() throws Exception {
         assertThat(send(0, 0, 0)).hasSize(COUNT).isSorted();
-        assertThat(send(0.1, 0, 0)).hasSizeBetween(COUNT * 85 / 100, COUNT * 95 / 100).isSorted().doesNotHaveDuplicates();
+        assertThat(send(0.1, 0, 0)).hasSizeBetween(COUNT * 85 / 100, COUNT * 95 / 100).isSorted()
+                .doesNotHaveDuplicates();
         List<Integer> swapped = send(0, 0.1, 0);
         assertThat(swapped).hasSize(COUNT);
         assertThat(behind(swapped)).isBetween(COUNT * 5L / 100, COUNT * 15L / 100);
--- a/src/test/java/slateseam/simulate/network/Exchange.java
+++ b/src/test/java/slateseam/simulate/network/Exchange.java
@@ -14,8 +14,8 @@
 import java.util.List;
 
 /**
- * Two ends of connections, client and server, on any network, and what they observe. An observation is awaited, so that it
- * does not depend on how long anything takes; of what may be seen or not, nothing is noted.
+ * Two ends of connections, client and server, on any network, and what they observe. An observation is awaited, so
+ * that it does not depend on how long anything takes; of what may be seen or not, nothing is noted.
  */
 final class Exchange {
     /** A guard against waiting for ever. */
--- a/src/test/java/slateseam/simulate/network/LikeLoopbackTest.java
+++ b/src/test/java/slateseam/simulate/network/LikeLoopbackTest.java
@@ -110,7 +110,8 @@
     @Test
     void bothEndsSeeTheSame() throws Exception {
         SelectorProvider system = SelectorProvider.provider();
-        List<String> real = play(new Exchange(system, system, new InetSocketAddress("127.0.0.1", 0), Thread::onSpinWait));
+        List<String> real = play(new Exchange(system, system, new InetSocketAddress("127.0.0.1", 0),
+                Thread::onSpinWait));
 
         Conditions.Streams linux = new Conditions.Streams(100_000, 100_000, 0.5, 1_000_000, 0, 0, 0, 0);
         VirtualNetwork net = RouterStage.network(Conditions.usual().with(linux), 1);
--- a/src/test/java/slateseam/simulate/network/RouterOnNetworkTest.java
+++ b/src/test/java/slateseam/simulate/network/RouterOnNetworkTest.java
@@ -13,7 +13,8 @@
             .with(new Conditions.Streams(4_096, 4_096, 0.9, RouterStage.MILLI, 0.5, 0.5, 0, 0.5));
 
     private static void ask(Teller userAgent, int i) {
-        userAgent.wire.write(Teller.bytes(command("PING") + command("CACHE.GET", "k" + i, "i" + i, "c=read,t=acme,d=1500")));
+        userAgent.wire.write(Teller.bytes(command("PING")
+                + command("CACHE.GET", "k" + i, "i" + i, "c=read,t=acme,d=1500")));
     }
 
     private static String answer(int i) {
--- a/src/test/java/slateseam/simulate/network/Throughput.java
+++ b/src/test/java/slateseam/simulate/network/Throughput.java
@@ -81,7 +81,8 @@
 
     private void start(int i, Path none) throws Exception {
         JSONObject config = new JSONObject(Files.readString(Path.of("src/test/resources/node.json")));
-        config.put("listen", router(i) + ":7400").put("discovery", "127.0.0.1:8500").put("peer_listen", router(i) + ":7946")
+        config.put("listen", router(i) + ":7400").put("discovery", "127.0.0.1:8500")
+                .put("peer_listen", router(i) + ":7946")
                 .put("peers", new JSONArray(IntStream.range(0, routers).mapToObj(n -> router(n) + ":7946").toList()))
                 .put("known", farm());
         config.remove("peers_all");
@@ -158,7 +159,8 @@
         @Override
         public void received(Wire on, byte[] bytes) {
             super.received(on, bytes);
-            boolean whole = got.charAt(0) == '$' ? got.length() > 400 && got.indexOf("\r\n", 6) > 0 : got.indexOf("\r\n") > 0;
+            boolean whole = got.charAt(0) == '$' ? got.length() > 400 && got.indexOf("\r\n", 6) > 0
+                    : got.indexOf("\r\n") > 0;
             if (whole) {
                 answered++;
                 unavailable += got.charAt(0) == '-' ? 1 : 0;
