--- a/src/test/java/slateseam/simulate/network/StreamsTest.java
+++ b/src/test/java/slateseam/simulate/network/StreamsTest.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import slateseam.standin.Wire;
 
 /** Connections under the troubles that a network makes. */
@@ -340,6 +341,7 @@
     }
 
     @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD) // else it would not end if time stood still
     void aProgramIsRunWhenItIsWokenAndTimeGoesOnWhileItSpins() throws Exception {
         VirtualProvider process = net.provider(CLIENT);
         Idler idler = new Idler(process.openSelector());
