Test that machines of a kind differ and that faults befall all of them

Two changes made by hand to the draw had gone through all tests: all servers of a kind alike, and targets chosen by their numbers.

--- a/src/main/java/slateseam/standin/useragent/Mix.java
+++ b/src/main/java/slateseam/standin/useragent/Mix.java
@@ -27,7 +27,8 @@
 
     /** A number of the normal distribution. */
     static double gaussian(long seed, long what) {
-        return StrictMath.sqrt(-2 * StrictMath.log(1 - share(seed, what))) * StrictMath.cos(2 * Math.PI * share(seed, ~what));
+        return StrictMath.sqrt(-2 * StrictMath.log(1 - share(seed, what)))
+                * StrictMath.cos(2 * Math.PI * share(seed, ~what));
     }
 
     /** 16 hexadecimal digits. */
--- a/src/main/java/slateseam/standin/useragent/UserAgent.java
+++ b/src/main/java/slateseam/standin/useragent/UserAgent.java
@@ -77,7 +77,7 @@
         return figures.name();
     }
 
-    /** The id of a request of its own that went out just now, so that it is still open at the router; null if none did. */
+    /** The id of a request of its own that went out just now, so that its router has it open; null if none did. */
     String openId() {
         return last != null && last.isOut() && clock.now() - last.sentAt <= JUST_NOW_NANOS ? last.id : null;
     }
--- a/src/test/java/slateseam/simulate/scenario/DayTest.java
+++ b/src/test/java/slateseam/simulate/scenario/DayTest.java
@@ -52,6 +52,7 @@
         Day after = Day.draw(usual.with("servers", "big", "number", seven), 3, FaultChoice.NONE);
 
         assertThat(after.servers()).hasSize(before.servers().size() + 1).containsAll(before.servers());
+        assertThat(after.servers()).extracting(server -> server.figures().speed()).doesNotHaveDuplicates();
     }
 
     @Test
@@ -70,11 +71,13 @@
     void theFaultsOfManySeedsStayWithinTheScenario() {
         Set<FaultKind> seen = new HashSet<>();
         Set<Integer> together = new HashSet<>();
+        Set<String> crashed = new HashSet<>();
         for (long seed = 0; seed < 300; seed++) {
             Day day = Day.draw(usual, seed, FaultChoice.AS_WRITTEN);
             day.timeline().faults().forEach(fault -> seen.add(fault.kind()));
             together.add((int) day.timeline().faults().stream().map(Fault::kind).distinct().count());
             for (Fault fault : day.timeline().of(FaultKind.CRASH)) {
+                crashed.addAll(fault.targets());
                 assertThat(fault.targets().size() / (double) day.servers().size()).isBetween(0.05, 0.19);
                 assertThat(fault.until() - fault.at()).isBetween(10_000_000_000L, 23_000_000_000L);
             }
@@ -85,6 +88,7 @@
 
         assertThat(seen).containsExactlyInAnyOrder(FaultKind.values());
         assertThat(together).contains(0, 1, 2, 3);
+        assertThat(crashed).hasSizeGreaterThan(11); // of 14 in about 35 draws
         assertThat(Day.draw(usual, 1, FaultChoice.parse("restart,crash")).timeline().faults())
                 .extracting(Fault::kind).containsOnly(FaultKind.CRASH, FaultKind.RESTART).hasSize(2);
         assertThat(Day.draw(usual, 1, FaultChoice.parse("none")).timeline().faults()).isEmpty();
