--- a/src/test/java/slateseam/simulate/scenario/DayTest.java
+++ b/src/test/java/slateseam/simulate/scenario/DayTest.java
@@ -94,6 +94,19 @@
         assertThat(Day.draw(usual, 1, FaultChoice.parse("none")).timeline().faults()).isEmpty();
     }
 
+    @Test
+    void noTwoDrawnFaultsPutOneMachineOutOfUse() {
+        EnumSet<FaultKind> down = EnumSet.of(FaultKind.CRASH, FaultKind.DRAIN, FaultKind.REPLACE, FaultKind.SILENCE,
+                FaultKind.ROUTER_KILL);
+        for (long seed = 0; seed < 100; seed++) {
+            List<Fault> faults = Day.draw(usual, seed, new FaultChoice(down)).timeline().faults();
+            for (Fault first : faults) {
+                assertThat(faults).noneMatch(second -> second != first && second.at() <= first.until()
+                        && first.at() <= second.until() && second.targets().stream().anyMatch(first.targets()::contains));
+            }
+        }
+    }
+
     @Test
     void aRouterReadsTheConfigurationThatIsWrittenForIt() throws Exception {
         Day day = Day.draw(usual, 5, FaultChoice.NONE);
