--- a/src/test/java/slateseam/simulate/scenario/DayTest.java
+++ b/src/test/java/slateseam/simulate/scenario/DayTest.java
@@ -102,7 +102,8 @@
             List<Fault> faults = Day.draw(usual, seed, new FaultChoice(down)).timeline().faults();
             for (Fault first : faults) {
                 assertThat(faults).noneMatch(second -> second != first && second.at() <= first.until()
-                        && first.at() <= second.until() && second.targets().stream().anyMatch(first.targets()::contains));
+                        && first.at() <= second.until()
+                        && second.targets().stream().anyMatch(first.targets()::contains));
             }
         }
     }
