--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -71,6 +71,10 @@
                                         + "                Exchange done = inOrder.poll();",
                                 "for (Exchange done; (done = inOrder.stream().filter(e -> e.answer() != null).findFirst()"
                                         + ".orElse(null)) != null;) {\n                inOrder.remove(done);"))),
+                new PlantedBug("asks discovery once and never again", "drain,crash,replace", null, List.of(
+                        change(ROUTER + "farm/Watch", "if (reply.keepsAlive()) {\n                ask();",
+                                "if (reply.keepsAlive()) {"),
+                        change(ROUTER + "farm/Watch", "next = loop.after(millis * Clock.MILLI, this::tooLate);", ""))),
                 new PlantedBug("sends datagrams that are too long", null, null, List.of(
                         change("decision/SupplyMessage", "/ KEY_BYTES;\n    }\n\n    byte[] encode",
                                 "/ KEY_BYTES + 1;\n    }\n\n    byte[] encode"),
