--- a/src/main/java/slateseam/simulate/check/Supplies.java
+++ b/src/main/java/slateseam/simulate/check/Supplies.java
@@ -48,6 +48,14 @@
         return last.values().stream().mapToDouble(Supply::part).sum();
     }
 
+    /** The part of the budget that would have to move for each router's part to be that of its demand, 0 to 1. */
+    public double imbalance() {
+        double demand = last.values().stream().mapToDouble(Supply::demand).sum();
+        double sum = sum();
+        return demand <= 0 || sum <= 0 ? 0
+                : last.values().stream().mapToDouble(s -> Math.abs(s.part / sum - s.demand / demand)).sum() / 2;
+    }
+
     /** What the routers may fetch together, a second. */
     public double fetches() {
         return last.values().stream().mapToDouble(s -> Math.max(0, s.part) * s.rate).sum();
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -39,8 +39,9 @@
     }
 
     private void launch(String config, String... settings) throws IOException {
-        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "slateseam.Main", "serve",
+        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load:file=" + dir.resolve("loaded"), "-cp", System.getProperty("java.class.path"),
+                "slateseam.Main", "serve",
                 "--config", Files.writeString(dir.resolve("config.json"), config).toString(),
                 "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()).start();
         err = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
@@ -80,6 +81,15 @@
         assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor()).isZero();
     }
 
+    /** A router starts fast and small: what only the simulation needs must not come along. */
+    @Test
+    void itLoadsNothingOfTheSimulation() throws Exception {
+        start();
+        String loaded = Files.readString(dir.resolve("loaded"));
+        assertThat(loaded).contains("slateseam.router.Router").doesNotContain("slateseam.simulate", "slateseam.standin",
+                "HdrHistogram", "commons.rng");
+    }
+
     @Test
     void aPortThatSomebodyElseHoldsIsNamed() throws Exception {
         try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
