--- a/src/main/java/slateseam/simulate/FaultPlayer.java
+++ b/src/main/java/slateseam/simulate/FaultPlayer.java
@@ -22,7 +22,8 @@
     private final Checker checker;
     private final Consumer<String> trace;
 
-    FaultPlayer(VirtualNetwork net, Day day, Fleet fleet, Map<String, RouterProcess> routers, Crowd crowd, Checker checker,
+    FaultPlayer(VirtualNetwork net, Day day, Fleet fleet, Map<String, RouterProcess> routers, Crowd crowd,
+            Checker checker,
             Consumer<String> trace) {
         this.net = net;
         this.day = day;
--- a/src/main/java/slateseam/simulate/Homes.java
+++ b/src/main/java/slateseam/simulate/Homes.java
@@ -18,8 +18,8 @@
 import slateseam.router.net.MalformedException;
 
 /**
- * Tells at which server the routers look for a key on a calm day, by asking a decision module of its own, so that servers
- * which have run for long hold at the beginning of a day what they would have been asked for.
+ * Tells at which server the routers look for a key on a calm day, by asking a decision module of its own, so that
+ * servers which have run for long hold at the beginning of a day what they would have been asked for.
  */
 final class Homes {
     private final Brain brain;
--- a/src/main/java/slateseam/simulate/Play.java
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -77,15 +77,17 @@
         Conditions.Streams streams = usual.streams();
         Conditions.Datagrams datagrams = usual.datagrams();
         return usual.with(new Conditions.Delays(0, 0, 0, 0, usual.delays().local(), network.jitter()))
-                .with(new Conditions.Streams(network.windowBytes(), network.windowBytes(), network.split(), streams.gap(),
-                        streams.shortRead(), streams.shortWrite(), streams.connectLost(), streams.resetDestroys()))
-                .with(new Conditions.Datagrams(network.datagramLeastNanos(), network.datagramMostNanos(), network.lost(),
-                        datagrams.swapped(), network.doubled()));
+                .with(new Conditions.Streams(network.windowBytes(), network.windowBytes(), network.split(),
+                        streams.gap(), streams.shortRead(), streams.shortWrite(), streams.connectLost(),
+                        streams.resetDestroys()))
+                .with(new Conditions.Datagrams(network.datagramLeastNanos(), network.datagramMostNanos(),
+                        network.lost(), datagrams.swapped(), network.doubled()));
     }
 
     private static Figures figures(Day day) {
         Day.RouterRules rules = day.routerRules();
-        return new Figures(day.classes().stream().map(one -> new Figures.ClassFigures(one.name(), switch (one.effect()) {
+        return new Figures(day.classes().stream().map(one -> new Figures.ClassFigures(one.name(),
+                switch (one.effect()) {
             case REPEATABLE -> Figures.Repeats.HARMLESS;
             case KEYED -> Figures.Repeats.KEYED;
             case ONCE -> Figures.Repeats.FORBIDDEN;
@@ -112,16 +114,18 @@
         day.userAgents().forEach(userAgent -> net.machine(userAgent.address(), USERS));
     }
 
-    /** Plays it to its end. */
+    /** Plays it to its end; may be called once. */
     Result play() {
         fleet.start();
         prefill();
         for (Day.Router place : day.routers()) {
-            RouterProcess router = new RouterProcess(net, day, place, configs, checker, this::logged, fleet.list(place.name()));
+            RouterProcess router = new RouterProcess(net, day, place, configs, checker, this::logged,
+                    fleet.list(place.name()));
             routers.put(place.name(), router);
             router.start();
         }
-        Surroundings around = new Surroundings(net, net, arrived, day.classes(), day.tenants(), day.habits(), day.rate(),
+        Surroundings around = new Surroundings(net, net, arrived, day.classes(), day.tenants(), day.habits(),
+                day.rate(),
                 new Popularity(day.popularity()), day.values(), asks(), BEGIN, day.durationNanos());
         long end = BEGIN + day.durationNanos() + day.longestDeadlineNanos() + TAIL_NANOS;
         Crowd crowd = new Crowd(around, day.userAgents(), entry(end), day.streams()::of);
@@ -137,7 +141,8 @@
         checker.step();
         ledger.add(net.hash());
         return new Result(day, BEGIN, net.now() - BEGIN, ledger.value(), net.happenings(), checker.breaches(),
-                checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies(), arrived.kept());
+                checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies(),
+                arrived.kept());
     }
 
     private void tellOfAgents() {
--- a/src/main/java/slateseam/simulate/Reports.java
+++ b/src/main/java/slateseam/simulate/Reports.java
@@ -40,8 +40,10 @@
     static String text(Result result) {
         Service service = result.service();
         return String.format(Locale.ROOT, "service %.3f, worst ten seconds %.3f%nclasses %s%ntenants %s%nendings %s%n"
-                + "supplies add up to %.3f at the least, %.3f in the median, %.3f at the most%nlogged %s%ncounts %s%nfaults%s",
-                service.whole().service(), service.worstTenSeconds(), shown(service.byClass()), shown(service.byTenant()),
+                + "supplies add up to %.3f at the least, %.3f in the median, %.3f at the most%n"
+                + "logged %s%ncounts %s%nfaults%s",
+                service.whole().service(), service.worstTenSeconds(), shown(service.byClass()),
+                shown(service.byTenant()),
                 service.endings(), result.supplies().least(), result.supplies().median(), result.supplies().most(),
                 result.logged(), result.tallies(), result.day().timeline().faults().stream()
                         .map(fault -> System.lineSeparator() + "  " + fault).collect(Collectors.joining()));
--- a/src/main/java/slateseam/simulate/Result.java
+++ b/src/main/java/slateseam/simulate/Result.java
@@ -25,7 +25,8 @@
  * @param asked which requests were asked
  */
 record Result(Day day, long begin, long nanos, long hash, long happenings, List<Breach> breaches,
-        Map<Rule, Long> counts, Service service, SupplyWatch.Summary supplies, Map<String, Long> logged, Map<String, Long> tallies, Kept asked) {
+        Map<Rule, Long> counts, Service service, SupplyWatch.Summary supplies, Map<String, Long> logged,
+        Map<String, Long> tallies, Kept asked) {
     /** Whether no rule was broken. */
     boolean isSound() {
         return breaches.isEmpty();
--- a/src/main/java/slateseam/simulate/Shrinker.java
+++ b/src/main/java/slateseam/simulate/Shrinker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import slateseam.simulate.check.Breach;
 import slateseam.simulate.check.Rule;
@@ -17,8 +18,8 @@
 import slateseam.simulate.scenario.Scenario;
 
 /**
- * Makes a day that breaks a rule as small as it can be with the same rule still broken: shorter, with fewer faults, machines
- * and requests. It plays at most so many days, and then keeps the smallest that it has.
+ * Makes a day that breaks a rule as small as it can be with the same rule still broken: shorter, with fewer faults,
+ * machines and requests. It plays at most so many days, and then keeps the smallest that it has.
  */
 final class Shrinker {
     private static final long MILLI = 1_000_000L;
@@ -108,7 +109,8 @@
             Scenario now = smallest;
             Fault fault = now.script().get(at);
             if (fault.targets().size() > 1) {
-                Least.of(fault.targets(), targets -> !targets.isEmpty() && breaks(now.withScript(with(now, at, targets))));
+                Least.of(fault.targets(),
+                        targets -> !targets.isEmpty() && breaks(now.withScript(with(now, at, targets))));
             }
         }
         told(smallest.script().size() + " faults");
@@ -130,7 +132,7 @@
         Least.of(machines, left -> {
             Set<String> out = new HashSet<>(machines);
             out.removeAll(new HashSet<>(left));
-            return breaks(before.without(new java.util.TreeSet<>(out)));
+            return breaks(before.without(new TreeSet<>(out)));
         });
         told(result.day().routers().size() + " routers, " + result.day().servers().size() + " servers, "
                 + result.day().userAgents().size() + " user agents");
--- a/src/main/java/slateseam/simulate/SimulateCommand.java
+++ b/src/main/java/slateseam/simulate/SimulateCommand.java
@@ -31,10 +31,10 @@
     private static final int MOST_SHOWN = 20;
     private static final String HELP = """
             usage: java -jar slateseam.jar simulate COMMAND
-              run --seeds A..B    plays days on a virtual clock and checks every rule; one line for each seed that breaks one
+              run --seeds A..B    plays days on a virtual clock and checks every rule; a line for each seed that breaks one
               replay SEED         plays one day again and prints the hash of all its happenings
               shrink SEED         makes a day that breaks a rule as small as can be and writes it as a scenario file
-            --scenario FILE       what days are drawn from; without it the usual scenario (a file with a seed plays that)
+            --scenario FILE       what days are drawn from, or the one day of its own seed; without it the usual scenario
             --faults KIND,...     just these faults, or none; without it as the scenario says
             --threads N           for run: days that are played at once; without it one for each core
             --json FILE           for run: what each day gave
@@ -152,7 +152,8 @@
     /** The line of a seed that broke a rule. */
     private String broken(Result result) {
         Breach breach = result.breaches().get(0);
-        return "seed " + result.day().seed() + ": " + shown(result, breach) + " (" + result.counts() + "); replay it with: "
+        return "seed " + result.day().seed() + ": " + shown(result, breach) + " (" + result.counts()
+                + "); replay it with: "
                 + "simulate replay " + result.day().seed() + option("scenario") + option("faults");
     }
 
@@ -213,7 +214,8 @@
         Files.writeString(file, smallest.toString());
         Result last = shrinker.result();
         out.println(shown(last, last.breaches().get(0)));
-        out.println(file + ": " + last.day().routers().size() + " routers, " + last.day().servers().size() + " servers, "
+        out.println(file + ": " + last.day().routers().size() + " routers, " + last.day().servers().size()
+                + " servers, "
                 + last.asked().size() + " requests, " + last.day().timeline().faults().size() + " faults, "
                 + last.day().durationNanos() / 1_000_000 + " ms; play it with: simulate run --scenario " + file);
         return BROKEN;
--- a/src/main/java/slateseam/simulate/SupplyWatch.java
+++ b/src/main/java/slateseam/simulate/SupplyWatch.java
@@ -56,6 +56,7 @@
 
     Summary summary() {
         return new Summary(sums.getTotalCount(), (double) sums.getMinValue() / THOUSANDTHS,
-                (double) sums.getValueAtPercentile(50) / THOUSANDTHS, (double) sums.getMaxValue() / THOUSANDTHS, fetches, List.copyOf(imbalance));
+                (double) sums.getValueAtPercentile(50) / THOUSANDTHS, (double) sums.getMaxValue() / THOUSANDTHS,
+                fetches, List.copyOf(imbalance));
     }
 }
--- a/src/main/java/slateseam/simulate/check/Asked.java
+++ b/src/main/java/slateseam/simulate/check/Asked.java
@@ -42,7 +42,8 @@
     /** How many attempts came to servers whole. */
     int came;
 
-    Asked(Passed asked, Figures.ClassFigures figures, long waitNanos, long writtenAt, long end, long bytes, UserWire wire) {
+    Asked(Passed asked, Figures.ClassFigures figures, long waitNanos, long writtenAt, long end, long bytes,
+            UserWire wire) {
         this.id = asked.id();
         this.asked = asked;
         this.figures = figures;
--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -1,7 +1,5 @@
 package slateseam.simulate.check;
 
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -16,14 +14,13 @@
 import slateseam.standin.Witness;
 
 /**
- * Sees the bytes on all wires and what the stand-ins ran, and says which rules a router broke. It counts as told, written
- * and answered what a router's own system was handed, so that nothing is held against a router that it could not know.
+ * Sees the bytes on all wires and what the stand-ins ran, and says which rules a router broke. It counts as told,
+ * written and answered what a router's own system was handed, so that nothing is held against a router that it could
+ * not know.
  */
 public final class Checker implements Observer, Witness {
     private static final long AGAIN_NANOS = 100_000_000L;
     private static final int LONGEST_DATAGRAM = 256;
-    /** In which a router hears that a user agent has left. */
-    private static final long LEFT_NANOS = 100_000_000L;
     /** After so long what an agent has to tell counts as told, unless the way to it is cut. */
     private static final long TOLD_NANOS = 6_000_000_000L;
 
@@ -48,8 +45,7 @@
     private final Map<Long, Connecting> connecting = new HashMap<>();
     private final Map<Long, PassWire> passWires = new HashMap<>();
     private final Map<Long, DiscoveryWire> discoveryWires = new HashMap<>();
-    private final Map<String, List<byte[]>> made = new HashMap<>();
-    private final Map<String, String> ranOnce = new HashMap<>();
+    private final Judge judge;
     private final PriorityQueue<Watched> watched =
             new PriorityQueue<>(Comparator.comparingLong(Watched::at).thenComparingLong(Watched::number));
     /** Addresses from which what came to a router made no sense, and routers whose user agents sent such. */
@@ -69,6 +65,7 @@
         this.originClass = originClass;
         this.report = new Report(clock);
         this.coldStarts = new ColdStarts(figures.fallNanos());
+        this.judge = new Judge(figures, report, coldStarts);
         this.logged = new Logged(report, garbled);
         this.peers = Set.copyOf(peers);
     }
@@ -84,8 +81,8 @@
     }
 
     /**
-     * What a router's agent would tell if it were asked: it counts as told some seconds later, whether or not it was. To be
-     * called every second or so.
+     * What a router's agent would tell if it were asked: it counts as told some seconds later, whether or not it was.
+     * To be called every second or so.
      */
     public void agentHas(String name, JSONObject list) {
         RouterState router = byName.get(name);
@@ -112,7 +109,8 @@
         RouterState router = byName.get(name);
         router.asked.values().stream().filter(asked -> asked.isOpen() && asked.read)
                 .sorted(Comparator.comparingLong((Asked a) -> a.writtenAt).thenComparing(a -> a.id))
-                .forEach(asked -> report.breach(Rule.LOST, router, asked.id, "it was killed at the end of a planned end"));
+                .forEach(asked -> report.breach(Rule.LOST, router, asked.id,
+                        "it was killed at the end of a planned end"));
         routerKilled(name);
     }
 
@@ -150,7 +148,8 @@
     public void descriptors(String name, int count) {
         RouterState router = byName.get(name);
         if (count > figures.descriptors() && router.descriptors <= figures.descriptors()) {
-            report.breach(Rule.DESCRIPTORS, router, "", "it holds " + count + " descriptors of " + figures.descriptors());
+            report.breach(Rule.DESCRIPTORS, router, "", "it holds " + count + " descriptors of "
+                    + figures.descriptors());
         }
         router.descriptors = count;
     }
@@ -169,18 +168,11 @@
             } else if (asked.wire.isUnread() || !asked.read && !asked.wire.isUndisturbed(asked.writtenAt)) {
                 watch(asked, now + AGAIN_NANOS);
             } else {
-                late(asked, "no answer");
+                judge.late(asked, "no answer");
             }
         }
     }
 
-    private void late(Asked asked, String what) {
-        asked.late = true;
-        report.breach(Rule.LATE, asked.wire.router, asked.id, what + " " + (report.now() - asked.writtenAt) / 1_000_000
-                + " ms after the request, which had " + asked.waitNanos / 1_000_000 + " ms"
-                + (asked.read ? "" : "; it was never read") + (asked.wire.router.ending ? "; in a planned end" : ""));
-    }
-
     /** The rules that were broken so far, in their order; of very many the first. */
     public List<Breach> breaches() {
         return report.first();
@@ -196,6 +188,10 @@
         return supplies;
     }
 
+    Judge judge() {
+        return judge;
+    }
+
     Figures figures() {
         return figures;
     }
@@ -219,101 +215,6 @@
         }
     }
 
-    /** An attempt was written whole. */
-    void attempt(RouterState router, Passed passed, Attempt attempt, long firstAt) {
-        String id = passed.id();
-        String dial = attempt.wire.dial;
-        coldStarts.sent(router, dial, report.now());
-        long closed = router.told.closedFor(dial, firstAt);
-        if (closed > figures.graceNanos() + Figures.SOCKETS_NANOS) {
-            report.breach(Rule.DRAIN, router, id, "sent to " + dial + " " + closed / 1_000_000
-                    + " ms after the router was told that it drains or is gone");
-        }
-        Asked asked = attempt.asked;
-        if (asked == null) {
-            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + ", but the router never took such a request");
-            return;
-        }
-        if (asked.state == Asked.State.ANSWERED) {
-            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + " "
-                    + (report.now() - asked.endedAt) / 1_000 + " us after the final answer");
-        }
-        if (asked.leftAt != 0 && firstAt - asked.leftAt > LEFT_NANOS && asked.wire.isUndisturbed(asked.leftAt)) {
-            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + " " + (firstAt - asked.leftAt) / 1_000_000
-                    + " ms after its user agent had left");
-        }
-        if (!passed.isSame(asked.asked)) {
-            report.breach(Rule.CHANGED, router, id, "sent to " + dial + " as " + passed + ", came as " + asked.asked);
-        }
-        resent(router, asked, attempt);
-        asked.attempts.add(attempt);
-    }
-
-    private void resent(RouterState router, Asked asked, Attempt attempt) {
-        long firstThatMayHaveRun = Long.MAX_VALUE;
-        for (Attempt earlier : asked.attempts) {
-            if (earlier.isOut()) {
-                report.breach(Rule.TWO_AT_ONCE, router, asked.id, "sent to " + attempt.wire.dial + " while "
-                        + earlier.wire.dial + " has had it for " + (report.now() - earlier.wholeAt) / 1_000_000 + " ms");
-            }
-            if (earlier.outcome == Attempt.Outcome.MAYBE) {
-                firstThatMayHaveRun = Math.min(firstThatMayHaveRun, earlier.wholeAt);
-            }
-        }
-        if (firstThatMayHaveRun == Long.MAX_VALUE) {
-            return;
-        }
-        long since = report.now() - firstThatMayHaveRun;
-        boolean permitted = switch (asked.figures.repeats()) {
-            case HARMLESS -> true;
-            case KEYED -> since <= asked.figures.windowNanos() + Figures.SOCKETS_NANOS;
-            case FORBIDDEN -> false;
-        };
-        if (!permitted) {
-            report.breach(Rule.RESEND, router, asked.id, "a " + asked.figures.name() + " was sent again to "
-                    + attempt.wire.dial + " " + since / 1_000_000 + " ms after a first time that may have run");
-        }
-    }
-
-    /** An attempt came to its server whole. */
-    void came(RouterState router, Attempt attempt) {
-        Asked asked = attempt.asked;
-        if (++asked.came > figures.attempts() && !router.dead) {
-            report.breach(Rule.ATTEMPTS, router, asked.id, "attempt " + asked.came + " came to " + attempt.wire.dial);
-        }
-    }
-
-    /** The whole final answer of an open request was written. */
-    void finalAnswer(Asked asked, Resp answer) {
-        RouterState router = asked.wire.router;
-        if (report.now() > asked.wire.due(asked) && !asked.late && !asked.wire.isUnread()) {
-            late(asked, "the answer came");
-        }
-        byte[] value = answer.type() == '$' ? answer.bytes() : answer.type() == '*' && !answer.items().isEmpty()
-                ? answer.items().get(0).bytes() : null;
-        if (value != null) {
-            List<byte[]> whole = made.getOrDefault(asked.id, List.of());
-            if (whole.stream().noneMatch(one -> Arrays.equals(one, value))) {
-                report.breach(Rule.FOREIGN, router, asked.id, "served with " + value.length + " bytes, while "
-                        + (whole.isEmpty() ? "no server made any" : "servers made others") + " for this request");
-            }
-        } else if (answer.type() == '-' && answer.text().startsWith("BUSY")) {
-            refused(router, asked);
-        }
-        router.end(asked, Asked.State.ANSWERED, report.now());
-    }
-
-    private void refused(RouterState router, Asked asked) {
-        for (Attempt earlier : asked.attempts) {
-            if (asked.figures.repeats() == Figures.Repeats.FORBIDDEN && earlier.outcome == Attempt.Outcome.MAYBE) {
-                report.breach(Rule.REFUSAL, router, asked.id, "an unavailable answer to a " + asked.figures.name()
-                        + " that was sent to " + earlier.wire.dial + " " + (report.now() - earlier.wholeAt) / 1_000_000
-                        + " ms before and may have run");
-                return;
-            }
-        }
-    }
-
     @Override
     public void connecting(long wire, String from, String to) {
         RouterState router = byMachine.get(machine(from));
@@ -426,9 +327,8 @@
 
     @Override
     public void ran(String server, String id, String key, boolean write, String idempotencyKey) {
-        String before = write && isOnce(id) ? ranOnce.put(id, server) : null;
-        if (before != null) {
-            report.breach(Rule.DOUBLED, "", id, "it ran at " + before + " and again at " + server);
+        if (write && isOnce(id)) {
+            judge.ranOnce(server, id);
         }
     }
 
@@ -445,7 +345,7 @@
 
     @Override
     public void made(String server, String id, byte[] value) {
-        made.computeIfAbsent(id, i -> new ArrayList<>(1)).add(value);
+        judge.made(id, value);
     }
 
     @Override
--- a/src/main/java/slateseam/simulate/check/ColdStarts.java
+++ b/src/main/java/slateseam/simulate/check/ColdStarts.java
@@ -45,7 +45,10 @@
         }
     }
 
-    /** A server fell; returns how many of the requests lately sent to it came from routers that were told, or null if too few. */
+    /**
+     * A server fell; returns how many of the requests lately sent to it came from routers that were told, or null if
+     * too few.
+     */
     String fell(String host, long now) {
         Start start = starts.get(host);
         if (start == null) {
--- a/src/main/java/slateseam/simulate/check/Figures.java
+++ b/src/main/java/slateseam/simulate/check/Figures.java
@@ -33,7 +33,9 @@
         FORBIDDEN
     }
 
-    /** A class of requests; the window counts from the first send that may have run, and only where repeats are keyed. */
+    /**
+     * A class of requests; the window counts from the first send that may have run, and only where repeats are keyed.
+     */
     public record ClassFigures(String name, Repeats repeats, long deadlineNanos, long windowNanos) {
     }
 
--- a/src/main/java/slateseam/simulate/check/PassWire.java
+++ b/src/main/java/slateseam/simulate/check/PassWire.java
@@ -51,12 +51,13 @@
                 unanswered.add(attempt);
                 onTheWay.add(attempt);
                 if (!passed.isProbe()) {
-                    checker.attempt(router, passed, attempt, firstAt);
+                    checker.judge().attempt(router, passed, attempt, firstAt);
                 }
             }
         } catch (Garbled e) {
             garbledOut = true;
-            report.breach(Rule.SYNTAX, router, "", "what was written to " + dial + " cannot be read: " + e.getMessage());
+            report.breach(Rule.SYNTAX, router, "", "what was written to " + dial + " cannot be read: "
+                    + e.getMessage());
         }
     }
 
@@ -105,7 +106,7 @@
         while (!onTheWay.isEmpty() && onTheWay.peek().end <= cameTo) {
             Attempt attempt = onTheWay.poll();
             if (attempt.asked != null) {
-                checker.came(router, attempt);
+                checker.judge().came(router, attempt);
             }
         }
     }
--- a/src/main/java/slateseam/simulate/check/Passed.java
+++ b/src/main/java/slateseam/simulate/check/Passed.java
@@ -1,7 +1,6 @@
 package slateseam.simulate.check;
 
 import java.util.Arrays;
-import java.util.List;
 import java.util.stream.Collectors;
 
 /**
@@ -26,6 +25,7 @@
     }
 
     private static String timeless(String facts) {
-        return List.of(facts.split(",")).stream().filter(fact -> !fact.startsWith("d=")).collect(Collectors.joining(","));
+        return Arrays.stream(facts.split(",")).filter(fact -> !fact.startsWith("d="))
+                .collect(Collectors.joining(","));
     }
 }
--- a/src/main/java/slateseam/simulate/check/Pieces.java
+++ b/src/main/java/slateseam/simulate/check/Pieces.java
@@ -5,7 +5,10 @@
 import java.util.Arrays;
 import java.util.Deque;
 
-/** The bytes of one direction of a wire that have come and belong to no whole message yet, with the times at which they came. */
+/**
+ * The bytes of one direction of a wire that have come and belong to no whole message yet, with the times at which
+ * they came.
+ */
 final class Pieces {
     private static final int FIRST = 256;
     private static final byte[] NONE = {};
--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -191,7 +191,7 @@
             report.breach(Rule.GARBLED, router, asked == null ? "" : asked.id, "answered before it was read");
         }
         if (asked != null && asked.isOpen()) {
-            checker.finalAnswer(asked, value);
+            checker.judge().finalAnswer(asked, value);
         }
         lastAnswerAt = report.now();
         headChanged();
--- a/src/main/java/slateseam/standin/Wire.java
+++ b/src/main/java/slateseam/standin/Wire.java
@@ -4,7 +4,10 @@
 public interface Wire {
     /** A number of this connection, never used again in a run. */
     long number();
-    /** Queues bytes behind those written before; the array is not changed afterwards. Nothing happens after end() or reset(). */
+    /**
+     * Queues bytes behind those written before; the array is not changed afterwards. Nothing happens after end() or
+     * reset().
+     */
     void write(byte[] bytes);
     /** Bytes written and not yet taken by the other side's system. */
     long unsent();
--- a/src/test/java/slateseam/simulate/HardCasesTest.java
+++ b/src/test/java/slateseam/simulate/HardCasesTest.java
@@ -83,6 +83,7 @@
         assertThat(new Planted(null).run("run", "--scenario", file, "--seeds", "1..3").text())
                 .startsWith("3 seeds, 0 broke a rule");
         PlantedBug bug = PlantedBug.all().stream().filter(one -> one.name().equals(hard.bug)).findFirst().orElseThrow();
-        assertThat(new Planted(bug).run("run", "--scenario", file, "--seeds", "1..3").text()).contains(": " + hard.rule);
+        assertThat(new Planted(bug).run("run", "--scenario", file, "--seeds", "1..3").text()).contains(": "
+                + hard.rule);
     }
 }
--- a/src/test/java/slateseam/simulate/Planted.java
+++ b/src/test/java/slateseam/simulate/Planted.java
@@ -26,7 +26,10 @@
 import javax.tools.ToolProvider;
 import slateseam.simulate.scenario.Scenario;
 
-/** The program with a bug planted: all its classes once more, some of them compiled from changed copies of their sources. */
+/**
+ * The program with a bug planted: all its classes once more, some of them compiled from changed copies of their
+ * sources.
+ */
 final class Planted extends ClassLoader {
     private static final Pattern SEED = Pattern.compile("seed (\\d+): ([A-Z_]+) .*", Pattern.DOTALL);
     private static final int AT_ONCE = 8;
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -39,7 +39,8 @@
                                 "return type.effect() == Effect.SIDE_EFFECT || repeatsAreHarmless() && ("))),
                 new PlantedBug("answers -BUSY after one that may have run", null, null, List.of(
                         change(BRAIN, "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true"))),
-                new PlantedBug("writes a pass that was given up while it waited for its connection", null, null, List.of(
+                new PlantedBug("writes a pass that was given up while it waited for its connection", null, null,
+                List.of(
                         change(ROUTER + "pass/ApplicationServer", "waiting.remove(pass);", ""))),
                 new PlantedBug("gives a late answer to the next request on the connection", null, null, List.of(
                         change(ROUTER + "pass/ServerConnection", "    void giveUp() {\n", "    void giveUp() {\n"
@@ -53,7 +54,8 @@
                 new PlantedBug("closes at once in a planned end", "restart", null, List.of(
                         change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
                 new PlantedBug("tries beyond the limit", null, null, List.of(
-                        change(ROUTER + "core/Core", "left <= 0 || attempt >= settings.limits().attempts()", "left <= 0"),
+                        change(ROUTER + "core/Core", "left <= 0 || attempt >= settings.limits().attempts()",
+                        "left <= 0"),
                         change(BRAIN, "return job.attempts + times <= settings.limits().attempts();", "return true;"))),
                 new PlantedBug("loses its place where a message is split", null, null, List.of(
                         change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
@@ -69,8 +71,9 @@
                         change(ROUTER + "useragent/RespFront",
                                 "while (!inOrder.isEmpty() && inOrder.peek().answer() != null) {\n"
                                         + "                Exchange done = inOrder.poll();",
-                                "for (Exchange done; (done = inOrder.stream().filter(e -> e.answer() != null).findFirst()"
-                                        + ".orElse(null)) != null;) {\n                inOrder.remove(done);"))),
+                                "for (Exchange done; (done = inOrder.stream().filter(e -> e.answer() != null)"
+                                        + ".findFirst().orElse(null)) != null;) {\n"
+                                        + "                inOrder.remove(done);"))),
                 new PlantedBug("asks discovery once and never again", "drain,crash,replace", null, List.of(
                         change(ROUTER + "farm/Watch", "if (reply.keepsAlive()) {\n                ask();",
                                 "if (reply.keepsAlive()) {"),
--- a/src/test/java/slateseam/simulate/PlantedBugsTable.java
+++ b/src/test/java/slateseam/simulate/PlantedBugsTable.java
@@ -8,7 +8,10 @@
 import java.util.regex.Pattern;
 import slateseam.simulate.Planted.Found;
 
-/** Looks for each planted bug and prints the table of the design note; takes some minutes, so it is not run with the tests. */
+/**
+ * Looks for each planted bug and prints the table of the design note; takes some minutes, so it is not run with the
+ * tests.
+ */
 final class PlantedBugsTable {
     private static final int MOST_SEEDS = 500;
     private static final Pattern SMALLEST = Pattern.compile("scenario: (.*); play it");
@@ -33,13 +36,15 @@
                 continue;
             }
             String seed = Long.toString(found.seed());
-            boolean alike = hash(planted.run("replay", seed).text()).equals(hash(new Planted(bug).run("replay", seed).text()));
+            boolean alike = hash(planted.run("replay", seed).text()).equals(hash(new Planted(bug).run("replay",
+                    seed).text()));
             Path file = Files.createTempFile("shrunk", ".scenario");
             Matcher smallest = SMALLEST.matcher(planted.run("shrink", seed, "--out", file.toString()).text());
             String shrunk = smallest.find() ? smallest.group(1) : "not shrunk";
             boolean again = planted.run("run", "--scenario", file.toString()).status() == 1;
             Files.delete(file);
-            System.out.printf(Locale.ROOT, "| %s | %s | %s | `%s` | %s | %s%s |%n", bug.name(), faults, seed, found.rule(),
+            System.out.printf(Locale.ROOT, "| %s | %s | %s | `%s` | %s | %s%s |%n", bug.name(), faults, seed,
+                    found.rule(),
                     alike ? "yes" : "no", shrunk, again ? "" : " (plays otherwise)");
         }
     }
--- a/src/test/java/slateseam/simulate/RingMeasurement.java
+++ b/src/test/java/slateseam/simulate/RingMeasurement.java
@@ -13,11 +13,14 @@
 import slateseam.standin.useragent.UserAgentFigures;
 
 /**
- * Measures how long a shift of demand takes to cross the ring. From the beginning of a day a tenth of the routers, one behind
- * the other, is asked for half of all requests, while each router begins with an even part of the budget. It is not run
- * with the tests.
+ * Measures how long a shift of demand takes to cross the ring. From the beginning of a day a tenth of the routers,
+ * one behind the other, is asked for half of all requests, while each router begins with an even part of the budget.
+ * It is not run with the tests.
  */
 final class RingMeasurement {
+    /** Samples, four a second, before all routers have told what they hold. */
+    private static final int FROM = 8;
+
     private RingMeasurement() {
     }
 
@@ -38,23 +41,26 @@
                         rate / 2 / (u < few ? few : number - few), one.heeds()));
             }
             Day changed = new Day(day.scenario(), day.streams(), day.durationNanos(), day.network(), day.routers(),
-                    day.routerRules(), day.servers(), day.origin(), day.discovery(), day.work(), day.values(), day.classes(),
+                    day.routerRules(), day.servers(), day.origin(), day.discovery(), day.work(), day.values(),
+                    day.classes(),
                     day.tenants(), shifted, day.habits(), day.rate(), day.popularity(), day.rude(), day.timeline());
             Result result = new Play(changed, null).play();
             List<Double> left = result.supplies().imbalance();
-            double first = left.stream().mapToDouble(d -> d).max().orElse(0);
-            System.out.printf(Locale.ROOT, "%d routers: imbalance %.2f at first, half of that after %.2f s, a quarter after "
-                    + "%.2f s; service %.3f, worst ten seconds %.3f, supplies %.3f in the median, fetches asked %d in %.0f s%n",
+            double first = left.stream().skip(FROM).mapToDouble(d -> d).max().orElse(0);
+            System.out.printf(Locale.ROOT,
+                    "%d routers: imbalance %.2f at first, half of that after %.2f s, a quarter after "
+                    + "%.2f s; service %.3f, worst ten seconds %.3f, supplies %.3f in the median, "
+                    + "fetches asked %d in %.0f s%n",
                     number, first, after(left, first / 2), after(left, first / 4), result.service().whole().service(),
-                    result.service().worstTenSeconds(), result.supplies().median(), result.tallies().get("origin ASKED"),
+                    result.service().worstTenSeconds(), result.supplies().median(),
+                    result.tallies().get("origin ASKED"),
                     result.nanos() / 1e9);
             System.out.println("  each second: " + every(left));
         }
     }
 
     private static double after(List<Double> left, double level) {
-        int peak = left.indexOf(left.stream().mapToDouble(d -> d).max().orElse(0));
-        for (int i = peak; i < left.size(); i++) {
+        for (int i = FROM; i < left.size(); i++) {
             if (left.get(i) <= level) {
                 return (i + 1) / 4.0;
             }
--- a/src/test/java/slateseam/simulate/SamenessTest.java
+++ b/src/test/java/slateseam/simulate/SamenessTest.java
@@ -40,7 +40,8 @@
     @Test
     void anotherProcessChangesNothing() throws Exception {
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx300m", "-XX:+UnlockExperimentalVMOptions", "-XX:hashCode=2", "-cp", System.getProperty("java.class.path"),
+                "-Xmx300m", "-XX:+UnlockExperimentalVMOptions", "-XX:hashCode=2", "-cp",
+                System.getProperty("java.class.path"),
                 "slateseam.Main", "simulate", "replay", "3").redirectErrorStream(true).start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertThat(process.waitFor(60, TimeUnit.SECONDS)).isTrue();
--- a/src/test/java/slateseam/simulate/SimulateCommandTest.java
+++ b/src/test/java/slateseam/simulate/SimulateCommandTest.java
@@ -27,7 +27,8 @@
     @Test
     void theSeedsOfEachBuildBreakNoRule(@TempDir Path folder) throws Exception {
         Path json = folder.resolve("days.json");
-        assertThat(run("run", "--seeds", "1..24", "--threads", "4", "--json", json.toString())).as(out.toString()).isZero();
+        assertThat(run("run", "--seeds", "1..24", "--threads", "4", "--json",
+                json.toString())).as(out.toString()).isZero();
         JSONArray days = new JSONArray(Files.readString(json));
         assertThat(days.length()).isEqualTo(24);
         assertThat(days.getJSONObject(23).getInt("seed")).isEqualTo(24);
--- a/src/test/java/slateseam/simulate/check/CheckerTest.java
+++ b/src/test/java/slateseam/simulate/check/CheckerTest.java
@@ -15,7 +15,8 @@
 /** Plays stories of bytes, each byte by itself, and compares the rules that they break. */
 class CheckerTest {
     private static final long MILLI = 1_000_000L;
-    private static final String SERVERS = "{'host':'s1','dial':'10.1.0.1:6379','class':'box','health':'%s','born_ms':%d},"
+    private static final String SERVERS = "{'host':'s1','dial':'10.1.0.1:6379','class':'box','health':'%s',"
+            + "'born_ms':%d},"
             + "{'host':'s2','dial':'10.1.0.2:6379','class':'box','health':'ready','born_ms':0},"
             + "{'host':'o','dial':'10.1.0.9:80','class':'origin','health':'ready','born_ms':0}";
 
@@ -143,7 +144,8 @@
         String machine = "10.1.0." + (words[0].equals("s") ? 1 : words[0].equals("t") ? 2 : 9);
         long wire = wire(words[0], "10.0.0.1", machine + (words[0].equals("o") ? ":80" : ":6379"));
         String head = "Host: o\r\nX-Correlation-Id: " + (words.length > 2 ? words[2] : "") + "\r\nX-Facts: c="
-                + (words[1].equals("fetch") ? "read" : types.getOrDefault(words.length > 2 ? words[2] : "", "")) + ",t=acme,d=1\r\n";
+                + (words[1].equals("fetch") ? "read" : types.getOrDefault(words.length > 2 ? words[2] : "", ""))
+                + ",t=acme,d=1\r\n";
         switch (words[1]) {
             case "send" -> write(wire, "10.0.0.1", machine, command(words[2], "read", "100"));
             case "part" -> write(wire, "10.0.0.1", machine, command(words[2], "read", "100").substring(0, 30));
@@ -176,7 +178,8 @@
     private static String command(String id, String type, String wait) {
         String facts = "c=" + type + ",t=acme,d=" + wait;
         boolean read = type.equals("read");
-        return (read ? "*4\r\n$9\r\nCACHE.GET" : "*5\r\n$9\r\nCACHE.SET") + "\r\n$1\r\nk\r\n$" + id.length() + "\r\n" + id
+        return (read ? "*4\r\n$9\r\nCACHE.GET" : "*5\r\n$9\r\nCACHE.SET") + "\r\n$1\r\nk\r\n$" + id.length() + "\r\n"
+                + id
                 + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n" + (read ? "" : "$2\r\nxx\r\n");
     }
 
