Begin all pipelined commands in a planned end, so that none is cut off without an answer

A user agent that had written 300 commands at once was cut off with some 50 of them unanswered: sixteen were begun at a time, and the loop stops one longest deadline after the lingering.

--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -165,9 +165,12 @@
             pause(true);
         }
 
-        /** Whether a command may be begun; one that belongs to what has begun always may. */
+        /**
+         * Whether a command may be begun; one that belongs to what has begun always may. In a planned end all may: those
+         * that waited for the ones ahead of them would be cut off at its end without an answer.
+         */
         private boolean mayBegin() {
-            return !last && (begun < MOST_COMMANDS || isPartial());
+            return !last && (begun < MOST_COMMANDS || isPartial() || closing);
         }
 
         /** Whether the last exchange waits for more commands. */
