--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -19,8 +19,8 @@
  * their commands mean is told by the dialect of the listener that they came to.
  */
 public final class RespFront {
-    /** Of answers that are not read, so that they cannot fill the heap. */
-    private static final long MOST_UNREAD = Runtime.getRuntime().maxMemory() / 8;
+    /** Of the heap, for answers that are not read. */
+    private static final int UNREAD_PART = 8;
     /** Of connections that are ended at a time for want of room in the table. */
     private static final int MOST_AT_ONCE = 16;
 
@@ -165,7 +165,7 @@
                 .sorted(Comparator.comparingLong(UserAgent::since)).toList();
         long bytes = unread.stream().mapToLong(UserAgent::unwrittenBytes).sum();
         for (UserAgent u : unread) {
-            if (bytes <= MOST_UNREAD) {
+            if (bytes <= loop.heapBytes() / UNREAD_PART) {
                 return;
             }
             bytes -= u.unwrittenBytes();
