--- /dev/null
+++ b/src/main/java/slateseam/router/membership/Notes.java
@@ -0,0 +1,24 @@
+package slateseam.router.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the operators should read, until it is fetched. */
+final class Notes {
+    private static final int MOST = 16;
+
+    private List<Note> notes = new ArrayList<>();
+
+    /** Adds one; beyond the most it is dropped. */
+    void add(String kind, String text) {
+        if (notes.size() < MOST) {
+            notes.add(new Note(kind, text));
+        }
+    }
+
+    List<Note> take() {
+        List<Note> taken = notes;
+        notes = new ArrayList<>();
+        return taken;
+    }
+}
