--- a/src/main/java/slateseam/router/membership/Left.java
+++ b/src/main/java/slateseam/router/membership/Left.java
@@ -22,6 +22,15 @@
         }
     }
 
+    /** One that is not there drains: no older view may bring it back as ready. */
+    void drained(String name, boolean origin, long version, long now) {
+        Known known = byName.get(name);
+        if (known == null || known.drainedAt() < version) {
+            add(new Known(name, origin, known == null ? now : known.bornAtNanos(), known != null && known.seenReady(),
+                    version, null, false));
+        }
+    }
+
     /** Brings back what is known of a server, if anything; it is kept here no more. */
     void bringBack(Tracked server) {
         Known known = byName.remove(server.name);
--- a/src/main/java/slateseam/router/membership/Membership.java
+++ b/src/main/java/slateseam/router/membership/Membership.java
@@ -77,7 +77,7 @@
         }
         if (whole) {
             table.recount();
-            aside.forEach(table::drain);
+            aside.forEach(part -> table.drain(part, now));
         }
         begun = true;
         table.settle(whole, now);
@@ -89,6 +89,10 @@
         if (isNewer(slice, false)) {
             put(slice, now);
             table.settle(false, now);
+        } else if (!position.isBefore(slice.version())) {
+            // It comes late, but may be the newest to tell that a server drains which is also in another slice.
+            table.drain(new Part(trim.slice(slice), settings), now);
+            table.settle(false, now);
         }
     }
 
@@ -111,6 +115,9 @@
     public void deleted(Slice last, long now) {
         if (parts.containsKey(last.name())) {
             changed(last, now);
+        } else if (!position.isBefore(last.version())) {
+            table.drain(new Part(trim.slice(last), settings), now);
+            table.settle(false, now);
         }
         deleted(last.name(), last.uid(), last.version(), now);
     }
@@ -132,7 +139,7 @@
                 notes.add("farm-bound", "there are " + parts.size() + " slices; a further one is not taken in");
             }
             refused = true;
-            table.drain(part);
+            table.drain(part, now);
             return part;
         }
         deletions.remove(told.name());
@@ -213,13 +220,13 @@
 
     /** All that must be remembered over a restart. */
     public Remembered remembered() {
-        return new Remembered(position.text(), parts.values().stream().map(Part::slice).toList(), deletions.all(),
-                table.remembered());
+        return new Remembered(position.text(), position.floor(), parts.values().stream().map(Part::slice).toList(),
+                deletions.all(), table.remembered());
     }
 
     /** Goes on from what was remembered; to be called before anything is told. */
     public void restore(Remembered remembered, long now) {
-        position.restore(remembered.version());
+        position.restore(remembered.version(), remembered.floor());
         remembered.deleted().forEach(d -> deletions.add(d.name(), d.uid(), d.version()));
         for (Slice slice : remembered.slices()) {
             put(slice, now);
--- a/src/main/java/slateseam/router/membership/Position.java
+++ b/src/main/java/slateseam/router/membership/Position.java
@@ -83,10 +83,14 @@
         text = null;
     }
 
-    void restore(String version) {
+    void restore(String version, long listedAt) {
         text = version;
         newest = number(version);
-        floor = comparable ? newest : -1;
+        floor = listedAt;
+    }
+
+    long floor() {
+        return floor;
     }
 
     long nextLook() {
--- a/src/main/java/slateseam/router/membership/Table.java
+++ b/src/main/java/slateseam/router/membership/Table.java
@@ -82,12 +82,18 @@
     }
 
     /** Takes only the drains of a slice that is not taken in. */
-    void drain(Part part) {
+    void drain(Part part, long now) {
         for (Endpoint endpoint : part.slice().endpoints()) {
-            Tracked server = endpoint.takesNew() ? null : servers.get(name(part, endpoint));
+            if (endpoint.takesNew()) {
+                continue;
+            }
+            String name = name(part, endpoint);
+            Tracked server = servers.get(name);
             if (server != null) {
                 server.saw(endpoint, part.slice().version());
                 touched.add(server);
+            } else {
+                left.drained(name, part.isOrigin(), part.slice().version(), now);
             }
         }
     }
--- a/src/test/java/slateseam/router/membership/RestoreTest.java
+++ b/src/test/java/slateseam/router/membership/RestoreTest.java
@@ -71,7 +71,7 @@
         assertThat(remembered.servers()).isEmpty();
         assertThat(remembered.slices()).singleElement().extracting(Slice::labels).isEqualTo(Map.of());
         Told empty = new Told();
-        empty.membership.restore(new Remembered(null, List.of(), List.of(), List.of()), empty.now);
+        empty.membership.restore(new Remembered(null, -1, List.of(), List.of(), List.of()), empty.now);
         assertThat(empty.listed(1, slice("a", 1, "1")).server(1).bornAtNanos()).as("a first list after all").isZero();
     }
 }
