Let connections on the loop speak TLS to servers

Cause: the list of the farm may come from an API that speaks HTTPS only, and every thread but one would be foreign to this program.

Loop.nextRound cuts work into steps.

--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -23,6 +23,8 @@
 
     private final Loop loop;
     private final SocketChannel channel;
+    /** Null where the channel's bytes pass as they are. */
+    private final Transport transport;
     private final SelectionKey key;
     private final Deque<ByteBuffer> unwritten = new ArrayDeque<>();
     private ByteBuffer input = NOTHING;
@@ -30,18 +32,29 @@
     private boolean paused;
     private boolean lingering;
     private boolean closed;
+    /** Whether the transport lets bytes pass. */
+    private boolean open;
+    /** Whether the transport's input is looked at in the next round anyway. */
+    private boolean goesOn;
 
     /** Takes over an accepted channel. */
     protected Connection(Loop loop, SocketChannel accepted) throws IOException {
         this.loop = loop;
         this.channel = accepted;
+        this.transport = null;
         accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
         this.key = loop.register(accepted, SelectionKey.OP_READ, this);
     }
 
     /** Begins to connect; {@link #connected} or {@link #broken} follows. */
     protected Connection(Loop loop, InetSocketAddress to) throws IOException {
+        this(loop, to, null);
+    }
+
+    /** The same through a transport, or null for none; {@link #connected} follows when bytes can pass. */
+    protected Connection(Loop loop, InetSocketAddress to, Transport transport) throws IOException {
         this.loop = loop;
+        this.transport = transport;
         this.channel = loop.provider().openSocketChannel();
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -49,11 +62,7 @@
             boolean up = channel.connect(to);
             this.key = loop.register(channel, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
             if (up) {
-                loop.after(0, () -> {
-                    if (!closed) {
-                        connected();
-                    }
-                });
+                loop.after(0, this::upAtOnce);
             }
         } catch (IOException | RuntimeException e) {
             channel.close();
@@ -88,7 +97,7 @@
 
     /** Whether all that was to be written has been handed to the system. */
     protected final boolean isFlushed() {
-        return unwritten.isEmpty();
+        return unwritten.isEmpty() && (transport == null || !transport.holdsOutput());
     }
 
     /** Whether bytes have come that {@link #received} has left. */
@@ -139,6 +148,7 @@
             if (!stop && input.position() > 0) {
                 loop.after(0, this::handOut);
             }
+            lookAgain();
         }
     }
 
@@ -161,6 +171,9 @@
             closed = true;
             dropInput();
             unwritten.clear();
+            if (transport != null && open) {
+                transport.close();
+            }
             try {
                 channel.close();
             } catch (IOException e) {
@@ -174,8 +187,10 @@
         try {
             if (ready.isConnectable()) {
                 channel.finishConnect();
-                interest();
-                connected();
+                up();
+            } else if (transport != null) {
+                goOn();
+                return;
             }
             if (!closed && ready.isWritable()) {
                 flush();
@@ -188,6 +203,68 @@
         }
     }
 
+    private void up() throws IOException {
+        if (transport == null) {
+            interest();
+            connected();
+        } else {
+            transport.begin(channel, this::goOn);
+            advance();
+        }
+    }
+
+    private void upAtOnce() {
+        try {
+            if (!closed) {
+                up();
+            }
+        } catch (IOException e) {
+            breakOff();
+        }
+    }
+
+    private void goOn() {
+        goesOn = false;
+        try {
+            if (!closed) {
+                advance();
+            }
+        } catch (IOException e) {
+            breakOff();
+        }
+    }
+
+    /** Goes on with a transport, whatever it was that let it. */
+    private void advance() throws IOException {
+        if (!open) {
+            open = transport.open();
+            interest();
+            if (!open) {
+                return;
+            }
+            connected();
+        }
+        if (!closed && !isFlushed()) {
+            flush();
+        }
+        if (!closed && !paused) {
+            read();
+        }
+        lookAgain();
+    }
+
+    /** Guards bytes that the transport has taken from the channel already: the selector would not tell of them. */
+    private void lookAgain() {
+        if (transport != null && open && !closed && !paused && !goesOn && transport.holdsInput()) {
+            goesOn = true;
+            loop.nextRound(this::goOn);
+        }
+    }
+
+    private int take(ByteBuffer to) throws IOException {
+        return transport == null ? channel.read(to) : transport.read(to);
+    }
+
     /** Closes it as one that is of no use any more; {@link #broken} is called. */
     protected final void breakOff() {
         if (!closed) {
@@ -198,7 +275,7 @@
 
     private void read() throws IOException {
         if (lingering) {
-            int come = channel.read(loop.scratch());
+            int come = take(loop.scratch());
             if (come < 0) {
                 breakOff();
             } else if (come > 0) {
@@ -220,7 +297,7 @@
     /** Begins a buffer no longer than what has come: most messages come whole, and many polls find nothing. */
     private int readFirst() throws IOException {
         ByteBuffer scratch = loop.scratch().limit(FIRST_INPUT);
-        int come = channel.read(scratch);
+        int come = take(scratch);
         if (come > 0) {
             input = ByteBuffer.allocate(come).put(scratch.flip());
         }
@@ -229,7 +306,7 @@
 
     private int readOn() throws IOException {
         input.limit(Math.min(input.capacity(), input.position() + CHUNK));
-        return channel.read(input);
+        return take(input);
     }
 
     private boolean grow() {
@@ -273,6 +350,9 @@
     }
 
     private void flush() {
+        if (transport != null && !open) {
+            return;
+        }
         try {
             while (!unwritten.isEmpty()) {
                 if (!writeChunk()) {
@@ -280,17 +360,28 @@
                     return;
                 }
             }
-            interest();
             if (lingering) {
-                channel.shutdownOutput();
+                endSending();
+            }
+            boolean all = transport == null || transport.flush();
+            interest();
+            if (all) {
+                written();
             }
-            written();
         } catch (IOException e) {
             // Guards the writer, which may be in the middle of its own bookkeeping, against a call back.
             loop.after(0, this::breakOff);
         }
     }
 
+    private void endSending() throws IOException {
+        if (transport == null) {
+            channel.shutdownOutput();
+        } else {
+            transport.end();
+        }
+    }
+
     /** Gathers some of what is first and writes it; whether the system took all of that. */
     private boolean writeChunk() throws IOException {
         ByteBuffer chunk = loop.scratch();
@@ -303,7 +394,8 @@
                 break;
             }
         }
-        int taken = channel.write(chunk.limit(gathered));
+        chunk.limit(gathered);
+        int taken = transport == null ? channel.write(chunk) : transport.write(chunk);
         boolean all = taken == gathered;
         while (taken > 0) {
             ByteBuffer first = unwritten.peek();
@@ -324,7 +416,8 @@
 
     private void interest() {
         if (key.isValid() && channel.isConnected()) {
-            key.interestOps((paused ? 0 : SelectionKey.OP_READ) | (unwritten.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+            boolean reads = transport == null || open ? !paused : !transport.waits();
+            key.interestOps((reads ? SelectionKey.OP_READ : 0) | (isFlushed() ? 0 : SelectionKey.OP_WRITE));
         }
     }
 }
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
@@ -32,6 +33,7 @@
     private final Deadlines deadlines = new Deadlines();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
+    private final Queue<Runnable> next = new ArrayDeque<>();
     /** Kept: making one for each round costs more than the round does. */
     private final Consumer<SelectionKey> dispatch = this::dispatch;
     private long reserved;
@@ -101,6 +103,14 @@
         selector.wakeup();
     }
 
+    /**
+     * Runs an action in the next round, which looks at the sockets first and does not wait: for work that is cut into
+     * steps so that requests pass in between.
+     */
+    public void nextRound(Runnable action) {
+        next.add(action);
+    }
+
     /** Ends {@link #run} after the current round. */
     public void stop() {
         stopped = true;
@@ -124,7 +134,8 @@
 
     /** One round: waits at most so long for a socket or a deadline, then handles all that is ready or due. */
     public void round(long mostNanos) throws IOException {
-        long wait = Math.min(mostNanos, deadlines.next() - clock.nanos());
+        int steps = next.size();
+        long wait = steps > 0 ? 0 : Math.min(mostNanos, deadlines.next() - clock.nanos());
         if (wait <= 0) {
             selector.selectNow(dispatch);
         } else {
@@ -134,6 +145,9 @@
         for (Runnable action; (action = handedOver.poll()) != null;) {
             guarded(action);
         }
+        for (int i = 0; i < steps; i++) {
+            guarded(next.remove());
+        }
         for (Runnable action; (action = deadlines.due(now)) != null;) {
             guarded(action);
         }
