--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -1,7 +1,6 @@
 package slateseam.router.config;
 
 import java.net.InetSocketAddress;
-import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
@@ -15,10 +14,18 @@
  * @param hotList which keys are asked for most
  * @param figures counters, gauges and timers
  * @param tap requests as they end, live
+ * @param kubernetes the farm as Kubernetes tells it, in place of discovery
+ * @param snapshot the farm kept over restarts
  */
-public record Features(MultiGet multiGet, HotList hotList, Figures figures, Tap tap) {
+public record Features(MultiGet multiGet, HotList hotList, Figures figures, Tap tap, KubernetesSettings kubernetes,
+        Snapshot snapshot) {
     /** No feature at all, as without a settings file. */
-    public static final Features OFF = new Features(null, null, null, null);
+    public static final Features OFF = new Features(null, null, null, null, null, null);
+
+    /** Two connections, as one closes while the next opens, and a file that is read. */
+    private static final int KUBERNETES_FILES = 3;
+    /** The lock, the file that is written, and its folder. */
+    private static final int SNAPSHOT_FILES = 3;
 
     /** Many values in one answer: the listener's port, and how many commands one request may hold. */
     public record MultiGet(int port, int mostKeys) {
@@ -36,6 +43,10 @@
     public record Tap(int port, int bufferBytes, int mostWatchers) {
     }
 
+    /** Snapshots: the folder they lie in, the least time between two, and how old one may be when it is read. */
+    public record Snapshot(Path folder, long everyNanos, long oldestNanos) {
+    }
+
     /** Reads a settings file for a router that has this configuration. */
     public static Features read(Path file, NodeConfig config) throws InvalidConfigException {
         SettingsFile settings = new SettingsFile(file);
@@ -54,15 +65,21 @@
         Figures figures = new Figures(settings.word("figures_format", "statsd", "influx").equals("influx"),
                 settings.number("figures_flush_ms", 100, 3_600_000, 10_000) * Clock.MILLI,
                 settings.number("figures_stderr_max_kb", 1, 1024 * 1024, 768) * 1024L,
-                path(settings, "figures_file"), address(settings, "figures_udp"));
+                settings.path("figures_file"), settings.address("figures_udp"));
         int tapPort = port(settings, "tap_port", ports);
         Tap tap = new Tap(tapPort, settings.number("tap_buffer_kb", 1, 1024, 64) * 1024,
                 settings.number("tap_max", 1, 16, 4));
+        KubernetesSettings kubernetes = KubernetesSettings.read(settings, config);
+        Path folder = settings.path("snapshot_folder");
+        Snapshot snapshot = new Snapshot(folder, settings.number("snapshot_every_ms", 100, 3_600_000, 1_000) * Clock.MILLI,
+                settings.number("snapshot_oldest_s", 1, 2_592_000, 86_400) * 1_000 * Clock.MILLI);
         settings.rejectTheRest();
         Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
-                hot ? hotList : null, figuresOn ? figures : null, tapPort == 0 ? null : tap);
+                hot ? hotList : null, figuresOn ? figures : null, tapPort == 0 ? null : tap, kubernetes,
+                folder == null ? null : snapshot);
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
-            String most = tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : "figures";
+            String most = tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : figuresOn ? "figures"
+                    : kubernetes != null ? "kubernetes_api" : "snapshot_folder";
             throw settings.fault(most, "the features need " + features.descriptors() + " descriptors beside the router's "
                     + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is " + config.sockets());
         }
@@ -80,26 +97,6 @@
         return port;
     }
 
-    /** A file's path; null if it is not set. */
-    private static Path path(SettingsFile settings, String name) throws InvalidConfigException {
-        String text = settings.text(name);
-        try {
-            return text == null ? null : Path.of(text);
-        } catch (InvalidPathException e) {
-            throw settings.fault(name, name + " is no path: " + e.getReason());
-        }
-    }
-
-    /** An address and a port to send to; null if it is not set. */
-    private static InetSocketAddress address(SettingsFile settings, String name) throws InvalidConfigException {
-        String text = settings.text(name);
-        InetSocketAddress address = text == null ? null : NodeConfig.address(text);
-        if (text != null && (address == null || address.getPort() == 0)) {
-            throw settings.fault(name, name + " is " + text + ", no address and port");
-        }
-        return address;
-    }
-
     /** How many descriptors they hold at most, beside connections that count as user agents'. */
     public int descriptors() {
         int descriptors = multiGet == null ? 0 : 1;
@@ -109,7 +106,10 @@
         if (tap != null) {
             descriptors += 1 + 2 * tap.mostWatchers(); // the listener, watchers, and as many that are turned away
         }
-        return descriptors;
+        if (kubernetes != null) {
+            descriptors += KUBERNETES_FILES;
+        }
+        return descriptors + (snapshot == null ? 0 : SNAPSHOT_FILES);
     }
 
     /** Where a listener beside the program's own is: on its host; at any port where its own port may be any. */
--- a/src/main/java/slateseam/router/config/SettingsFile.java
+++ b/src/main/java/slateseam/router/config/SettingsFile.java
@@ -1,8 +1,10 @@
 package slateseam.router.config;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -94,6 +96,35 @@
         return word(name, "off", "on").equals("on");
     }
 
+    /** A file's or folder's path; null if it is not set. */
+    Path path(String name) throws InvalidConfigException {
+        String text = text(name);
+        try {
+            return text == null ? null : Path.of(text);
+        } catch (InvalidPathException e) {
+            throw fault(name, name + " is no path: " + e.getReason());
+        }
+    }
+
+    /** An address and a port to send to; null if it is not set. */
+    InetSocketAddress address(String name) throws InvalidConfigException {
+        String text = text(name);
+        InetSocketAddress address = text == null ? null : NodeConfig.address(text);
+        if (text != null && (address == null || address.getPort() == 0)) {
+            throw fault(name, name + " is " + text + ", no address and port");
+        }
+        return address;
+    }
+
+    /** Refuses settings whose names begin so, as the one is missing without which they do nothing. */
+    void rejectWithout(String missing, String prefix) throws InvalidConfigException {
+        for (Map.Entry<String, Entry> entry : entries.entrySet()) {
+            if (entry.getKey().startsWith(prefix) && entry.getValue().asked) {
+                throw fault(entry.getValue(), entry.getKey() + " is set, but " + missing + " is not");
+            }
+        }
+    }
+
     /** Guards against settings that are misspelt and so would do nothing; to be called when all have been asked for. */
     void rejectTheRest() throws InvalidConfigException {
         for (Map.Entry<String, Entry> entry : entries.entrySet()) {
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -26,7 +26,7 @@
 import slateseam.decision.Api.TellPeer;
 import slateseam.decision.Api.TimerFired;
 import slateseam.decision.Brain;
-import slateseam.router.farm.Watch;
+import slateseam.router.farm.FarmSource;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Hash;
 import slateseam.router.net.Loop;
@@ -99,7 +99,7 @@
     private long heldBytes;
     private Passes passes;
     private Peers peers;
-    private Watch watch;
+    private FarmSource source;
 
     /** Creates the core of a router that holds at most so many requests. */
     public Core(Loop loop, Settings settings, long seed, int mostHeld) {
@@ -110,10 +110,10 @@
     }
 
     /** Begins, with those who carry actions out; {@code peers} is null where routers do not talk. */
-    public void start(Passes passes, Peers peers, Watch watch) {
+    public void start(Passes passes, Peers peers, FarmSource source) {
         this.passes = passes;
         this.peers = peers;
-        this.watch = watch;
+        this.source = source;
         happened(new Started());
     }
 
@@ -212,7 +212,7 @@
         } else if (action instanceof TellPeer a && peers != null) {
             peers.send(a.to(), a.payload());
         } else if (action instanceof Subscribe) {
-            watch.begin();
+            source.begin();
         } else if (action instanceof Log a) {
             loop.log().line("module", a.text());
         }
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -18,7 +18,7 @@
 import slateseam.router.net.Hash;
 import slateseam.router.net.MalformedException;
 
-/** The farm as discovery last told it: who is in it, where, and in what state. */
+/** The farm as its source last told it: who is in it, where, and in what state. */
 public final class Farm {
     private static final int MOST_ENTRIES = 4096;
 
@@ -91,6 +91,42 @@
         }
     }
 
+    /**
+     * Takes in what another source than discovery tells; how much that is, is bounded there.
+     *
+     * @param told each once; with {@link ListKind#DELTA} the changes, those that are gone among them, else all there are
+     */
+    public MembersChanged take(List<Entry> told, ListKind kind) {
+        Map<Long, Entry> taken = kind == ListKind.DELTA ? entries : new HashMap<>();
+        List<Member> members = new ArrayList<>(told.size());
+        for (Entry entry : told) {
+            if (entry.member.state() == MemberState.GONE) {
+                taken.remove(entry.member.id());
+            } else {
+                taken.put(entry.member.id(), entry);
+            }
+            members.add(entry.member);
+        }
+        entries = taken;
+        return new MembersChanged(kind, members);
+    }
+
+    /**
+     * An entry as another source than discovery tells it.
+     *
+     * @param name its identity, from which its number is derived
+     * @param rating its weight, over 0
+     * @param upSinceNanos its start, Unix nanoseconds; 0 is long ago
+     */
+    public Entry entry(String name, InetSocketAddress address, String zone, String kind, MemberState state, double rating,
+            long upSinceNanos, boolean isOrigin) {
+        int number = number(kinds, kind);
+        // Guards against an application server that a label makes the origin, and the other way round.
+        int taken = isOrigin ? originKind : number == originKind ? kinds.size() : number;
+        return new Entry(name, address, new Member(id(name), number(zones, zone), taken, 0, state, rating, upSinceNanos),
+                isOrigin);
+    }
+
     private Entry entry(JSONObject json) throws MalformedException {
         String host = json.getString("host");
         MemberState state = switch (json.getString("health")) {
@@ -110,7 +146,7 @@
     }
 
     /** Derived from the host's name alone, so that it is the same at every router and after every restart. */
-    static long id(String host) {
+    public static long id(String host) {
         return Hash.of(host.getBytes(StandardCharsets.UTF_8)) >>> 1;
     }
 
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -17,7 +17,7 @@
 import slateseam.router.net.MalformedException;
 
 /** Watches discovery: one call is always out, the next follows each answer at once; a call that fails is made anew. */
-public final class Watch {
+public final class Watch implements FarmSource {
     private static final long WAIT_MILLIS = 5_000;
     /** Beyond its wait an answer is late: the connection may be dead, so a new one is tried. */
     private static final long LATE_MILLIS = 1_000;
@@ -43,6 +43,7 @@
     }
 
     /** Begins, with the whole list first; a watch that goes on already is left alone. */
+    @Override
     public void begin() {
         if (!begun) {
             begun = true;
--- a/src/main/java/slateseam/router/net/HttpReply.java
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -2,10 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
-import java.util.regex.Pattern;
 
 /**
  * An HTTP/1.1 answer, read in place.
@@ -15,17 +12,12 @@
  * @param body a copy of the body
  */
 public record HttpReply(int status, Map<String, String> headers, byte[] body) {
-    private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
-    private static final int MOST_HEADERS = 64;
-    /** Room for a load report that nobody here can read. */
-    private static final int LONGEST_LINE = 4096;
     private static final int FIRST_FINAL = 200;
     private static final int OK = 200;
-    private static final String LENGTH = "content-length";
 
     /** Whether the connection may be used again. */
     public boolean keepsAlive() {
-        return endsByItself(headers) && !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
+        return new HttpHead(status, headers).keepsAlive();
     }
 
     /**
@@ -48,60 +40,30 @@
     }
 
     private static HttpReply whole(ByteBuffer in) throws MalformedException {
-        ByteBuffer first = Resp.line(in, LONGEST_LINE);
-        if (first == null) {
+        HttpHead head = HttpHead.read(in);
+        if (head == null) {
             return null;
         }
-        String[] words = Bytes.text(first).split(" ", 3);
-        if (words.length < 2 || !words[0].startsWith("HTTP/1.") || !STATUS.matcher(words[1]).matches()) {
-            throw new MalformedException("not an HTTP/1.1 status line");
-        }
-        Map<String, String> headers = new HashMap<>();
-        for (ByteBuffer line; (line = Resp.line(in, LONGEST_LINE)) == null || line.hasRemaining();) {
-            if (line == null) {
-                return null;
-            }
-            String header = Bytes.text(line);
-            int colon = header.indexOf(':');
-            if (colon <= 0 || headers.size() >= MOST_HEADERS) {
-                throw new MalformedException("a header has no name, or there are too many");
-            }
-            String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
-            String value = header.substring(colon + 1).trim();
-            String before = headers.put(name, value);
-            if (name.equals(LENGTH) && before != null && !before.equals(value)) {
-                throw new MalformedException("two lengths");
-            }
-        }
-        int status = Integer.parseInt(words[1]);
-        boolean chunked = isChunked(headers);
-        if (status == OK && !endsByItself(headers) || chunked && headers.containsKey(LENGTH)) {
+        boolean chunked = head.isChunked();
+        if (head.status() == OK && !head.endsByItself() || chunked && head.length() != null) {
             // Guards against passing on a part as the whole: only a length tells that nothing is missing.
             throw new MalformedException("an answer without a length, or with two");
         }
-        boolean bodiless = status < FIRST_FINAL || !endsByItself(headers);
-        byte[] body = chunked ? chunks(in) : bytes(in, bodiless ? 0 : length(headers.get(LENGTH), 10));
-        return body == null ? null : new HttpReply(status, headers, body);
-    }
-
-    private static boolean isChunked(Map<String, String> headers) {
-        return headers.getOrDefault("transfer-encoding", "").equalsIgnoreCase("chunked");
-    }
-
-    private static boolean endsByItself(Map<String, String> headers) {
-        return isChunked(headers) || headers.containsKey(LENGTH);
+        boolean bodiless = head.status() < FIRST_FINAL || !head.endsByItself();
+        byte[] body = chunked ? chunks(in) : bytes(in, bodiless ? 0 : length(head.length(), 10));
+        return body == null ? null : new HttpReply(head.status(), head.headers(), body);
     }
 
     private static byte[] chunks(ByteBuffer in) throws MalformedException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         while (true) {
-            ByteBuffer line = Resp.line(in, LONGEST_LINE);
+            ByteBuffer line = Resp.line(in, HttpHead.LONGEST_LINE);
             if (line == null) {
                 return null;
             }
             int length = length(Bytes.text(line).split(";", 2)[0].trim(), 16);
             byte[] chunk = bytes(in, length);
-            ByteBuffer end = chunk == null ? null : Resp.line(in, LONGEST_LINE);
+            ByteBuffer end = chunk == null ? null : Resp.line(in, HttpHead.LONGEST_LINE);
             if (end == null) {
                 return null;
             }
