--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -63,7 +63,7 @@
                 case "serve" -> {
                     Path file = configFile(line);
                     NodeConfig config = NodeConfig.read(file);
-                    return serve(config, features(line, config), file, err);
+                    return serve(config, features(line, config), file, featuresFile(line), err);
                 }
                 case "check-config" -> {
                     NodeConfig config = NodeConfig.read(configFile(line));
@@ -98,15 +98,21 @@
     }
 
     private static Features features(CommandLine line, NodeConfig config) throws InvalidConfigException {
+        Path file = featuresFile(line);
+        return file == null ? Features.OFF : Features.read(file, config);
+    }
+
+    /** Null if there is none. */
+    private static Path featuresFile(CommandLine line) {
         String file = line.getOptionValue("features");
-        return file == null ? Features.OFF : Features.read(Path.of(file), config);
+        return file == null ? null : Path.of(file);
     }
 
-    private static int serve(NodeConfig config, Features features, Path file, PrintStream err) {
+    private static int serve(NodeConfig config, Features features, Path file, Path settings, PrintStream err) {
         Console console = new Console(config.name(), err);
         CountDownLatch ended = new CountDownLatch(1);
         try {
-            serve(config, features, file, console, ended);
+            serve(config, features, file, settings, console, ended);
             return 0;
         } catch (IOException e) {
             // Not printed from here: an exit must not hang on a reader of standard error that has stopped.
@@ -119,13 +125,13 @@
         }
     }
 
-    private static void serve(NodeConfig config, Features features, Path file, Console console,
+    private static void serve(NodeConfig config, Features features, Path file, Path settings, Console console,
             CountDownLatch ended) throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
         Router router = new Router(config, features, clock, log, console);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
-        Signal.handle(new Signal("HUP"), signal -> router.reload(file));
+        Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings));
         if (features.hotList() != null) {
             // Before 'serving', so that whoever has read that may signal: unhandled, SIGUSR1 ends the process.
             Signal.handle(new Signal("USR1"), signal -> router.showHotList());
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.Executor;
 import java.util.stream.Stream;
 import slateseam.decision.Api.Limits;
 import slateseam.router.config.Features;
@@ -16,13 +17,13 @@
 import slateseam.router.connections.useragents.UserAgentRoom;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
-import slateseam.router.farm.Watch;
 import slateseam.router.figures.Counts;
 import slateseam.router.figures.Figures;
 import slateseam.router.hot.HotList;
 import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
+import slateseam.router.net.Errands;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -52,7 +53,7 @@
     private final RespFront front;
     /** The program's own listener first, then those of features. */
     private final List<Acceptor> acceptors = new ArrayList<>();
-    private final Watch watch;
+    private final ToldFarm told;
     /** Null where it is off. */
     private final HotList hotList;
     /** Null where they are off. */
@@ -68,6 +69,12 @@
     /** Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}. */
     public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console)
             throws IOException {
+        this(config, features, network, clock, log, console, features.kubernetes() == null ? null : new Errands());
+    }
+
+    /** The same, with who does what would hold up the loop; null where no feature needs that. */
+    public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console,
+            Executor aside) throws IOException {
         loop = new Loop(network, clock, log);
         Limits limits = config.settings().limits();
         int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
@@ -78,20 +85,20 @@
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
         Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), config.idleNanos(),
                 shared - userAgents);
-        watch = new Watch(loop, config.discovery(), farm, changed -> {
+        told = new ToldFarm(loop, config, features, farm, aside, changed -> {
             passes.farmChanged();
             core.happened(changed);
         });
         Peers peers = config.peerListen() == null ? null
                 : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
-        core.start(passes, peers, watch);
+        core.start(passes, peers, told);
         try {
-            core.happened(farm.take(config.known(), true));
+            core.happened(told.known());
         } catch (MalformedException e) {
             log.line("farm-malformed", "the known list was dropped: " + e.getMessage());
         }
         if (!config.settings().askedDiscovery()) {
-            watch.begin();
+            told.begin();
         }
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
@@ -150,15 +157,19 @@
     }
 
     /**
-     * Reads the configuration again; may be called from any thread. Of what has changed, discovery's address is taken
-     * over; a file that cannot be used changes nothing.
+     * Reads the configuration and the settings file again; may be called from any thread. Of what has changed, the
+     * address of discovery or of Kubernetes' API, and what it takes to talk to that, is taken over; a file that cannot be
+     * used changes nothing.
+     *
+     * @param settings the settings file; null for none
      */
-    public void reload(Path file) {
+    public void reload(Path file, Path settings) {
         loop.handOver(() -> {
             try {
                 NodeConfig changed = NodeConfig.read(file);
-                watch.moveTo(changed.discovery());
-                loop.log().line("reloaded", "discovery is at " + changed.discovery());
+                boolean follows = settings != null && told.followsKubernetes();
+                loop.log().line("reloaded",
+                        told.moveTo(changed, follows ? Features.read(settings, changed).kubernetes() : null));
             } catch (InvalidConfigException e) {
                 loop.log().line("reload-failed", "the configuration in use stays: " + e.getMessage());
             }
@@ -206,6 +217,9 @@
         if (figures != null && !loop.isStopped()) {
             figures.close();
         }
+        if (!loop.isStopped()) {
+            told.close();
+        }
         loop.stop();
     }
 }
--- a/src/main/java/slateseam/router/config/KubernetesSettings.java
+++ b/src/main/java/slateseam/router/config/KubernetesSettings.java
@@ -79,6 +79,11 @@
     public record Guard(double share, long nanos) {
     }
 
+    /** The same with another API. */
+    public KubernetesSettings at(Api other) {
+        return new KubernetesSettings(other, namespace, selector, port, origin, reading, guard, watchSeconds, page);
+    }
+
     /** Reads them; null if they are off. */
     static KubernetesSettings read(SettingsFile file, NodeConfig config) throws InvalidConfigException {
         String url = file.text(API);
@@ -140,9 +145,8 @@
             require(file, token, "kubernetes_token");
         } else if (!LOOPBACK.matcher(host).matches()) {
             throw file.fault(API, API + " is " + url + ": without TLS only an address of this machine is allowed");
-        } else if (ca != null || token != null) {
-            String name = ca != null ? "kubernetes_ca" : "kubernetes_token";
-            throw file.fault(name, name + " is set, but kubernetes_api is without TLS");
+        } else if (ca != null) {
+            throw file.fault("kubernetes_ca", "kubernetes_ca is set, but kubernetes_api is without TLS");
         }
         return new Api(host, uri.getPort() > 0 ? uri.getPort() : tls ? HTTPS : HTTP, ca, token);
     }
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -127,6 +127,21 @@
                 isOrigin);
     }
 
+    /** The whole list in discovery's form, as {@link #take(JSONObject, boolean)} takes it in. */
+    public JSONObject list() {
+        JSONArray hosts = new JSONArray();
+        for (Entry entry : entries.values()) {
+            Member member = entry.member;
+            String host = entry.address.getAddress().getHostAddress();
+            hosts.put(new JSONObject().put("host", entry.host)
+                    .put("dial", (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + entry.address.getPort())
+                    .put("site", name(zones, member.zone())).put("class", name(kinds, member.kind()))
+                    .put("block", member.cell()).put("health", entry.isReady() ? "ready" : "draining")
+                    .put("share", member.rating()).put("born_ms", member.upSinceNanos() / Clock.MILLI));
+        }
+        return new JSONObject().put("whole", true).put("seq", version).put("hosts", hosts);
+    }
+
     private Entry entry(JSONObject json) throws MalformedException {
         String host = json.getString("host");
         MemberState state = switch (json.getString("health")) {
@@ -155,4 +170,8 @@
         int place = names.indexOf(name);
         return place < 0 ? names.size() : place;
     }
+
+    private static String name(List<String> names, int number) {
+        return number < names.size() ? names.get(number) : "";
+    }
 }
--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -96,8 +96,7 @@
         if (api.equals(before)) {
             return;
         }
-        settings = new KubernetesSettings(api, settings.namespace(), settings.selector(), settings.port(),
-                settings.origin(), settings.reading(), settings.guard(), settings.watchSeconds(), settings.page());
+        settings = settings.at(api);
         access = new Access(api);
         if (!api.authority().equals(before.authority())) {
             membership.moved();
@@ -194,6 +193,7 @@
 
     @Override
     public void answered(HttpHead head) {
+        readTokenAnew &= head.status() == UNAUTHORIZED;
         if (head.status() != OK) {
             fault = head;
             faultText.setLength(0);
@@ -249,7 +249,6 @@
         Listing done = listing;
         listing = null;
         listAnew = false;
-        readTokenAnew = false;
         if (done.isWhole()) {
             membership.listed(done.slices(), done.version(), loop.now());
         } else {
@@ -265,7 +264,7 @@
         if (!stream.endsWell()) {
             throw new MalformedException("a watch ended within an event");
         }
-        if (watchTold || loop.now() - watchBegan >= SHORTEST_WATCH_NANOS) {
+        if (watchTold || hasLasted()) {
             backOff.reset();
             ask();
         } else {
@@ -273,8 +272,11 @@
         }
     }
 
+    private boolean hasLasted() {
+        return loop.now() - watchBegan >= SHORTEST_WATCH_NANOS;
+    }
+
     private void follows() {
-        readTokenAnew = false;
         if (troubled) {
             troubled = false;
             remarks.over();
@@ -375,7 +377,7 @@
     @Override
     public void malformed(String why) {
         // Guards against an event that cannot be read and would come again and again: a list leads past it.
-        listAnew |= watches && backOff.failures() > 0;
+        listAnew |= watches && !hasLasted() && backOff.failures() > 0;
         trouble(MALFORMED, why, 0);
     }
 
@@ -385,6 +387,9 @@
     }
 
     private void trouble(String kind, String why, long askedNanos) {
+        if (watches && hasLasted()) {
+            backOff.reset();
+        }
         if (kind != null) {
             remarks.say(kind, settings.api() + ": " + why);
         }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -15,9 +15,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.net.Console;
@@ -31,8 +34,10 @@
  * {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it), {@code WHO stops listening},
  * {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code log TEXT} (the log has it),
  * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again) or
- * {@code show the hot list}; the lines from {@code repeat N} to {@code again} are played N times. Before all others come
- * {@code config OLD => NEW}, which changes the configuration, and {@code setting NAME VALUE}, a line of the settings file.
+ * {@code show the hot list}, {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to {@code again} are played N times. Before all others come
+ * {@code config OLD => NEW}, which changes the configuration, {@code setting NAME VALUE}, a line of the settings file,
+ * {@code given NAME TEXT}, a file that is there at the start, and {@code define NAME TEXT}, which stands for {@code {NAME}}
+ * in what follows.
  *
  * <p>WHO is a server of the configuration or, with any other name, a user agent, which connects on its first line: to the
  * listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. A server takes its next
@@ -45,7 +50,12 @@
     private static final Pattern LONG = Pattern.compile("\\{(\\d+) (.)}");
     private static final List<String> SERVERS = List.of("s1", "s2", "origin", "discovery", "discovery2");
 
+    private static final Pattern CHUNK = Pattern.compile("\\{chunk}(.*?)\\{end}", Pattern.DOTALL);
+    private static final List<String> BEFORE = List.of("config ", "setting ", "given ", "define ");
+
     private final Map<String, ServerSocketChannel> listeners = new HashMap<>();
+    private final Map<String, String> defined = new LinkedHashMap<>();
+    private final Path dir = Files.createTempDirectory("slateseam");
     private final Map<String, SocketChannel> channels = new HashMap<>();
     private final Reader log = new Reader();
     private final Console console = new Console("n0", log);
@@ -60,17 +70,20 @@
         String text = Files.readString(Path.of("src/test/resources/node.json"));
         for (String line : steps) {
             text = line.startsWith("config ") ? changed(text, line.substring(7)) : text;
+            String[] words = line.split(" ", 3);
+            if (words[0].equals("define")) {
+                defined.put("{" + words[1] + "}", defined(words[2]));
+            } else if (words[0].equals("given")) {
+                Files.writeString(dir.resolve(words[1]), words[2]);
+            }
         }
         config = text;
-        Path settings = Files.createTempFile("slateseam", ".conf");
-        Files.write(settings, steps.stream().filter(Recorded::isSetting).map(line -> line.substring(8)).toList());
         for (String name : SERVERS) {
             listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
             listeners.get(name).configureBlocking(false);
         }
         NodeConfig node = NodeConfig.parse(fill(config));
-        Features features = Features.read(settings, node);
-        Files.delete(settings);
+        Features features = Features.read(settings("", ""), node);
         router = new Router(node, features, () -> now,
                 new Log("n0", () -> now, console), console);
     }
@@ -91,8 +104,15 @@
         return all;
     }
 
-    private static boolean isSetting(String line) {
-        return line.startsWith("setting ");
+    /** Writes the settings file, with a change. */
+    private Path settings(String was, String is) throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (String line : steps) {
+            if (line.startsWith("setting ")) {
+                lines.add(fill(line.substring(8).replace(was, is)));
+            }
+        }
+        return Files.write(dir.resolve("slateseam.conf"), lines);
     }
 
     private static String changed(String text, String change) {
@@ -101,27 +121,42 @@
         return text.replace(words[0], words[1]);
     }
 
-    private String fill(String text) throws IOException {
+    private String defined(String text) {
         String filled = text;
+        for (Map.Entry<String, String> entry : defined.entrySet()) {
+            filled = filled.replace(entry.getKey(), entry.getValue());
+        }
+        return filled;
+    }
+
+    private String fill(String text) throws IOException {
+        String filled = defined(text);
         for (String name : SERVERS) {
             ServerSocketChannel listener = listeners.get(name);
             if (listener.isOpen()) {
-                filled = filled.replace("{" + name + "}", "127.0.0.1:" + listener.socket().getLocalPort());
+                String port = Integer.toString(listener.socket().getLocalPort());
+                filled = filled.replace("{" + name + "}", "127.0.0.1:" + port).replace("{" + name + ".port}", port);
             }
         }
-        return filled;
+        return filled.replace("{dir}", dir.toString());
     }
 
     void play() throws IOException {
         try {
             for (String line : steps) {
-                if (!line.startsWith("config ") && !isSetting(line)) {
+                if (BEFORE.stream().noneMatch(line::startsWith)) {
                     step(line);
                 }
             }
         } finally {
             log.stop(false);
             console.close();
+            try (Stream<Path> files = Files.list(dir)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            Files.delete(dir);
         }
     }
 
@@ -136,7 +171,10 @@
             round();
         } else if (words[0].equals("reload")) {
             Path file = Files.createTempFile("node", ".json");
-            router.reload(Files.writeString(file, fill(changed(config, line.substring(7)))));
+            String[] change = line.substring(7).split(" => ");
+            boolean node = config.contains(change[0]);
+            router.reload(Files.writeString(file, fill(node ? changed(config, line.substring(7)) : config)),
+                    settings(node ? "" : change[0], node ? "" : change[1]));
             round();
             Files.delete(file);
         } else if (line.equals("ended")) {
@@ -144,6 +182,8 @@
                 round();
             }
             assertThat(router.loop().isStopped()).as(line).isTrue();
+        } else if (words[0].equals("file")) {
+            Files.writeString(dir.resolve(words[1]), rest);
         } else if (words[0].equals("clock")) {
             for (long left = Long.parseLong(words[1].substring(1)); left > 0; left -= 10) {
                 now += Math.min(left, 10) * MILLI;
@@ -250,11 +290,13 @@
 
     /**
      * The bytes of a line of the file; {@code {9 x}} stands for nine times x, {@code {length}} for the length of what
-     * follows the empty line.
+     * follows the empty line, {@code {chunk}...{end}} for a chunk of what lies between.
      */
     private byte[] bytes(String recorded) throws IOException {
         String plain = LONG.matcher(fill(recorded).replace("\\r", "\r").replace("\\n", "\n"))
                 .replaceAll(run -> run.group(2).repeat(Integer.parseInt(run.group(1))));
+        plain = CHUNK.matcher(plain).replaceAll(chunk -> Matcher.quoteReplacement(
+                Integer.toHexString(chunk.group(1).length()) + "\r\n" + chunk.group(1) + "\r\n"));
         int body = plain.indexOf("\r\n\r\n") + 4;
         return plain.replace("{length}", Integer.toString(plain.length() - body)).getBytes(StandardCharsets.ISO_8859_1);
     }
