--- a/src/main/java/slateseam/router/membership/Absent.java
+++ b/src/main/java/slateseam/router/membership/Absent.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The servers that are in no slice any more but still count: for a moment, as they may be on their way to another slice,
- * or for longer, as so many left at once that it may be a mistake.
+ * The servers that are in no slice any more but still count: for a moment, as they may be on their way to another
+ * slice, or for longer, as so many left at once that it may be a mistake.
  */
 final class Absent {
     private final MembershipSettings.Guard settings;
--- a/src/main/java/slateseam/router/membership/Describer.java
+++ b/src/main/java/slateseam/router/membership/Describer.java
@@ -30,7 +30,8 @@
             changingFamily.put(server, now + settings.guard().moveNanos());
         }
         return new Server(settled.name(), server.told.address(), server.told.port(), ready, settled.zone(),
-                settled.kind(), settled.weight(), settled.bornAtNanos(), settled.origin(), settled.pod(), settled.node());
+                settled.kind(), settled.weight(), settled.bornAtNanos(), settled.origin(), settled.pod(),
+                settled.node());
     }
 
     /** The same by what is there now alone. */
--- a/src/main/java/slateseam/router/membership/Membership.java
+++ b/src/main/java/slateseam/router/membership/Membership.java
@@ -12,8 +12,8 @@
  * Settles the list of the farm from what the API tells of slices. Not thread-safe; every time is Unix nanoseconds,
  * handed in, and never goes back.
  *
- * <p>Whole lists are to be read so that they are no older than what was told before (without a resourceVersion); one that
- * is older all the same changes only what it knows better.
+ * <p>Whole lists are to be read so that they are no older than what was told before (without a resourceVersion); one
+ * that is older all the same changes only what it knows better.
  */
 public final class Membership {
     /** What changed since it was asked last: servers that are new or other than they were, and those that left. */
--- a/src/main/java/slateseam/router/membership/Places.java
+++ b/src/main/java/slateseam/router/membership/Places.java
@@ -12,7 +12,8 @@
     Places(MembershipSettings.Places settings) {
         zones = settings.zones();
         nodes = settings.nodes().entrySet().stream().sorted(Comparator
-                .comparing((Map.Entry<String, String> node) -> -node.getKey().length()).thenComparing(Map.Entry::getKey))
+                .comparing((Map.Entry<String, String> node) -> -node.getKey().length())
+                .thenComparing(Map.Entry::getKey))
                 .toList();
     }
 
--- a/src/main/java/slateseam/router/membership/Position.java
+++ b/src/main/java/slateseam/router/membership/Position.java
@@ -2,7 +2,9 @@
 
 /** How far what the API told reaches, and which views are older than that. */
 final class Position {
-    /** So many guard's times after a list that goes back, a second such list is believed: the API's store was restored. */
+    /**
+     * So many guard's times after a list that goes back, a second such list is believed: the API's store was restored.
+     */
     private static final int TIMES = 6;
 
     /** What a list is worth. */
--- a/src/main/java/slateseam/router/membership/Remembered.java
+++ b/src/main/java/slateseam/router/membership/Remembered.java
@@ -6,8 +6,8 @@
  * All that a membership knows, to be brought to another one by {@link Membership#restore}. Nothing in it changes.
  *
  * @param version where the watch stood, as the API told it; null if nothing was ever listed
- * @param floor up to which version nothing is taken in of slices that are not known, as a list showed that they are gone;
- *     -1 if none was read
+ * @param floor up to which version nothing is taken in of slices that are not known, as a list showed that they are
+ *     gone; -1 if none was read
  * @param slices the slices that there are, with the labels and annotations that the settings name
  * @param deleted the slices that there were, the oldest deletion first
  * @param servers what cannot be told from the slices, by server
--- a/src/main/java/slateseam/router/membership/Table.java
+++ b/src/main/java/slateseam/router/membership/Table.java
@@ -234,7 +234,9 @@
         return all;
     }
 
-    /** Goes on from what was remembered, after the slices that were remembered are added and before they are settled. */
+    /**
+     * Goes on from what was remembered, after the slices that were remembered are added and before they are settled.
+     */
     void restore(List<Known> all, long now) {
         for (Known known : all) {
             Tracked server = servers.get(known.name());
--- a/src/main/java/slateseam/router/membership/Tracked.java
+++ b/src/main/java/slateseam/router/membership/Tracked.java
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Guards against a late view that knows nothing of a drain: only one that is newer than the newest that drained says
-     * that it is ready. Where versions cannot be compared, all must say so.
+     * Guards against a late view that knows nothing of a drain: only one that is newer than the newest that drained
+     * says that it is ready. Where versions cannot be compared, all must say so.
      */
     boolean isReady(boolean comparable) {
         boolean all = !views.isEmpty();
--- a/src/main/java/slateseam/router/membership/Trim.java
+++ b/src/main/java/slateseam/router/membership/Trim.java
@@ -48,8 +48,8 @@
     private Endpoint endpoint(Endpoint e) {
         List<String> hint = e.zone() == null && e.hintZones().size() == 1 && fits(e.hintZones().get(0))
                 ? List.of(share(e.hintZones().get(0))) : List.of();
-        return new Endpoint(List.of(e.addresses().get(0)), e.ready(), e.serving(), e.terminating(), share(text(e.zone())),
-                share(text(e.nodeName())), hint, e.targetUid(), text(e.targetName()));
+        return new Endpoint(List.of(e.addresses().get(0)), e.ready(), e.serving(), e.terminating(),
+                share(text(e.zone())), share(text(e.nodeName())), hint, e.targetUid(), text(e.targetName()));
     }
 
     private Map<String, String> named(Map<String, String> all) {
--- a/src/main/java/slateseam/router/snapshot/SlicesJson.java
+++ b/src/main/java/slateseam/router/snapshot/SlicesJson.java
@@ -75,15 +75,15 @@
     }
 
     private static Slice slice(JSONObject json) {
-        return new Slice(json.getString("name"), json.getString("uid"), json.getLong("version"), json.getBoolean("ipv6"),
-                json.isNull("port") ? null : (Integer) json.getInt("port"),
+        return new Slice(json.getString("name"), json.getString("uid"), json.getLong("version"),
+                json.getBoolean("ipv6"), json.isNull("port") ? null : (Integer) json.getInt("port"),
                 all(json.getJSONArray("endpoints"), e -> endpoint((JSONArray) e)), texts(json.getJSONObject("labels")),
                 texts(json.getJSONObject("annotations")));
     }
 
     private static Endpoint endpoint(JSONArray a) {
-        return new Endpoint(all(a.getJSONArray(0), String.class::cast), truth(a, 1), truth(a, 2), truth(a, 3), text(a, 4),
-                text(a, 5), all(a.getJSONArray(6), String.class::cast), text(a, 7), text(a, 8));
+        return new Endpoint(all(a.getJSONArray(0), String.class::cast), truth(a, 1), truth(a, 2), truth(a, 3),
+                text(a, 4), text(a, 5), all(a.getJSONArray(6), String.class::cast), text(a, 7), text(a, 8));
     }
 
     private static Deleted deleted(JSONArray a) {
--- a/src/main/java/slateseam/router/snapshot/Snapshots.java
+++ b/src/main/java/slateseam/router/snapshot/Snapshots.java
@@ -3,8 +3,9 @@
 import java.util.function.Consumer;
 
 /**
- * A router's snapshots: read once before it serves, then written by a thread of their own, of which there is none before
- * something is to be written. What is to be written replaces what still waits, so that a slow disk holds up nothing.
+ * A router's snapshots: read once before it serves, then written by a thread of their own, of which there is none
+ * before something is to be written. What is to be written replaces what still waits, so that a slow disk holds up
+ * nothing.
  */
 public final class Snapshots {
     private static final long RETRY_NANOS = 10_000_000_000L;
@@ -27,7 +28,8 @@
     /**
      * Creates the snapshots of a router and takes the lock on them.
      *
-     * @param lines gets a line for each kind of trouble, once, and one when it is over; called on the writer's thread too
+     * @param lines gets a line for each kind of trouble, once, and one when it is over; called on the writer's thread
+     *     too
      */
     public Snapshots(SnapshotSettings settings, Consumer<String> lines) {
         this(settings, lines, new Disk());
@@ -41,8 +43,8 @@
     }
 
     /**
-     * Reads what there is, however it is locked: a file is only ever replaced whole. Takes as long as a file of the most
-     * bytes takes.
+     * Reads what there is, however it is locked: a file is only ever replaced whole. Takes as long as a file of the
+     * most bytes takes.
      *
      * @param now Unix nanoseconds
      */
@@ -107,7 +109,10 @@
         return !closing;
     }
 
-    /** Writes what waits if it is due at a time of a steady clock; for how long there is nothing to do if something waits. */
+    /**
+     * Writes what waits if it is due at a time of a steady clock; for how long there is nothing to do if something
+     * waits.
+     */
     long step(long now) {
         Offer offer;
         synchronized (this) {
--- a/src/main/java/slateseam/router/snapshot/Store.java
+++ b/src/main/java/slateseam/router/snapshot/Store.java
@@ -7,7 +7,9 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 
-/** A router's one snapshot on the disk: reads it, replaces it whole, and keeps others of the same name from doing so. */
+/**
+ * A router's one snapshot on the disk: reads it, replaces it whole, and keeps others of the same name from doing so.
+ */
 final class Store {
     private static final int LONGEST_NAME = 100;
 
--- a/src/test/java/slateseam/router/membership/HistoriesPropertyTest.java
+++ b/src/test/java/slateseam/router/membership/HistoriesPropertyTest.java
@@ -13,8 +13,8 @@
 
 /**
  * Random histories of slices that are written one at a time, as a controller does: pods start, drain, flap and vanish,
- * move between slices and stand in two, slices are repacked, deleted and made anew. They are told out of order, late and
- * twice, with lists in between.
+ * move between slices and stand in two, slices are repacked, deleted and made anew. They are told out of order, late
+ * and twice, with lists in between.
  */
 class HistoriesPropertyTest {
     private static final int SEEDS = 300;
