--- a/src/test/java/slateseam/router/membership/GuardTest.java
+++ b/src/test/java/slateseam/router/membership/GuardTest.java
@@ -86,4 +86,11 @@
         told.listed(500, slice("z", 400, row(100, 200)));
         assertThat(told.after(200).pods()).isEqualTo(row(100, 200));
     }
+
+    @Test
+    void newServersThatDrainAgainMakeUpForNoLoss() {
+        Told told = of(10).after(60_000).changed("b", 11, row(10, 20)).after(1_000);
+        told.changed("b", 12, row(10, 20).replaceAll("(\\d+)", "$1x")).changed("a", 13, "0 1");
+        assertThat(told.after(5_000).ready()).isEqualTo(10);
+    }
 }
--- a/src/test/java/slateseam/router/membership/MembershipTest.java
+++ b/src/test/java/slateseam/router/membership/MembershipTest.java
@@ -68,6 +68,15 @@
         assertThat(told.membership.nextLook()).isEqualTo(Long.MAX_VALUE);
     }
 
+    @Test
+    void aDrainToldBeforeItsServerIsKnownHolds() {
+        Told told = new Told().listed(10, slice("a", 5, "1 2"));
+        told.membership.deleted(slice("b", 14, "3x"), told.now);
+        told.changed("c", 12, "3");
+        assertThat(told.pods()).isEqualTo("1 2 3x");
+        assertThat(told.changed("c", 15, "3").pods()).isEqualTo("1 2 3");
+    }
+
     @Test
     void aServerThatMovesBetweenSlicesNeitherLeavesNorChanges() {
         for (boolean deleteFirst : new boolean[] {true, false}) {
