--- a/src/main/java/slateseam/router/membership/Membership.java
+++ b/src/main/java/slateseam/router/membership/Membership.java
@@ -208,7 +208,10 @@
         return table.nextChange();
     }
 
-    /** When a whole list should be read anew though nothing else asks for it; {@link Long#MAX_VALUE} if not. */
+    /**
+     * When a whole list should be read anew though nothing else asks for it; {@link Long#MAX_VALUE} if not. It may lie
+     * in the past until a list settles it: whoever reads lists keeps some time between them.
+     */
     public long nextLook() {
         return wantsLook ? 0 : Math.min(position.nextLook(), table.nextLook());
     }
--- a/src/test/java/slateseam/router/membership/MembershipMeasured.java
+++ b/src/test/java/slateseam/router/membership/MembershipMeasured.java
@@ -102,7 +102,8 @@
         long remembering = thread.getCurrentThreadCpuTime() - cpu;
         if (shown) {
             System.out.printf("%5d servers: list %6.1f ms, change %5.1f us (longest %.1f ms, %d KB), "
-                    + "%.2f servers told a change, memory +%d KB with its slices, %d KB after; remembered %d in %.2f ms%n",
+                    + "%.2f servers told a change, memory +%d KB with its slices, %d KB after; "
+                    + "remembered %d in %.2f ms%n",
                     membership.servers(now).size(), listed / 1e6, spent / 1e3 / CHANGES, longest / 1e6,
                     bytes / CHANGES / 1024, (double) told / CHANGES, own / 1024, after / 1024, remembered,
                     remembering / 1e6);
