Let stand-ins of other packages take connections, and answer a request in parts

A stand-in API server needs watches, whose answers come in parts for minutes, and the same bounds on connections, requests and unread answers that the others have. Station, Link, Exchange and HttpReader are open to other packages now; an exchange can give parts before its answer ends.

--- a/src/main/java/slateseam/standin/ApplicationServer.java
+++ b/src/main/java/slateseam/standin/ApplicationServer.java
@@ -166,7 +166,7 @@
     }
 
     @Override
-    Link link(Wire wire) {
+    protected Link link(Wire wire) {
         return new ServerLink(this, wire);
     }
 
--- a/src/main/java/slateseam/standin/DiscoveryAgent.java
+++ b/src/main/java/slateseam/standin/DiscoveryAgent.java
@@ -98,7 +98,7 @@
     }
 
     @Override
-    Link link(Wire wire) {
+    protected Link link(Wire wire) {
         return new DiscoveryLink(this, wire, moves);
     }
 
--- a/src/main/java/slateseam/standin/DiscoveryCall.java
+++ b/src/main/java/slateseam/standin/DiscoveryCall.java
@@ -34,7 +34,7 @@
     }
 
     @Override
-    void withdrawn() {
+    protected void withdrawn() {
         agent.withdraw(this);
     }
 }
--- a/src/main/java/slateseam/standin/DiscoveryLink.java
+++ b/src/main/java/slateseam/standin/DiscoveryLink.java
@@ -16,7 +16,7 @@
     }
 
     @Override
-    Exchange next() throws UnreadableException {
+    protected Exchange next() throws UnreadableException {
         HttpReader.Request request = reader.next();
         if (request == null) {
             return null;
@@ -39,14 +39,14 @@
     }
 
     @Override
-    void begin(Exchange exchange) {
+    protected void begin(Exchange exchange) {
         if (exchange instanceof DiscoveryCall call) {
             agent.take(call, moves);
         }
     }
 
     @Override
-    byte[] unreadable() {
+    protected byte[] unreadable() {
         return Answers.http(400, "Connection: close\r\n", "not a call\n");
     }
 }
--- a/src/main/java/slateseam/standin/Exchange.java
+++ b/src/main/java/slateseam/standin/Exchange.java
@@ -1,25 +1,46 @@
 package slateseam.standin;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /** One request on a connection, until its answer is written. */
-class Exchange {
-    final Link link;
+public class Exchange {
+    /** The connection. */
+    protected final Link link;
     private final boolean last;
-    private byte[] answer;
+    /** What is told and not yet at its turn; the link's bound on what is not taken holds for what is. */
+    private final Deque<byte[]> parts = new ArrayDeque<>(2);
+    private boolean answered;
 
     /** A request that is the last on its connection, or not. */
-    Exchange(Link link, boolean last) {
+    protected Exchange(Link link, boolean last) {
         this.link = link;
         this.last = last;
     }
 
-    /** Gives the answer, which is written once those ahead of it are. */
-    final void answer(byte[] bytes) {
-        answer = bytes;
+    /** Gives the answer, or the end of it, which is written once those ahead of it are. */
+    protected final void answer(byte[] bytes) {
+        answered = true;
+        part(bytes);
+    }
+
+    /** Gives a part of the answer, behind which more will come. */
+    protected final void part(byte[] bytes) {
+        parts.add(bytes);
         link.flush();
     }
 
-    final byte[] answer() {
-        return answer;
+    final boolean hasMore() {
+        return answered || !parts.isEmpty();
+    }
+
+    final byte[] nextPart() {
+        return parts.poll();
+    }
+
+    /** Whether the answer was given to its end. */
+    protected final boolean isAnswered() {
+        return answered;
     }
 
     /** Whether the connection ends behind the answer. */
@@ -28,6 +49,6 @@
     }
 
     /** The connection has gone: nobody waits for the answer. */
-    void withdrawn() {
+    protected void withdrawn() {
     }
 }
--- a/src/main/java/slateseam/standin/HttpReader.java
+++ b/src/main/java/slateseam/standin/HttpReader.java
@@ -5,14 +5,15 @@
 import java.util.Map;
 
 /** Reads HTTP/1.1 requests from any split. */
-final class HttpReader {
+public final class HttpReader {
     private static final int LONGEST_LINE = 8_192;
     private static final int MOST_HEADERS = 64;
     private static final int LARGEST_BODY = 65_536;
 
     /** A request; header names are in lower case, and are only looked up. */
-    record Request(String method, String path, Map<String, String> headers, byte[] body) {
-        boolean closes() {
+    public record Request(String method, String path, Map<String, String> headers, byte[] body) {
+        /** Whether the connection is to end behind the answer. */
+        public boolean closes() {
             return headers.getOrDefault("connection", "").equalsIgnoreCase("close");
         }
     }
@@ -22,12 +23,13 @@
     private Map<String, String> headers = new HashMap<>();
     private int length = -1;
 
-    HttpReader(Inbox inbox) {
+    /** Reads what comes into an inbox. */
+    public HttpReader(Inbox inbox) {
         this.inbox = inbox;
     }
 
     /** The next request; null while it is not whole. */
-    Request next() throws UnreadableException {
+    public Request next() throws UnreadableException {
         while (length < 0) {
             String line = inbox.line(LONGEST_LINE);
             if (line == null) {
--- a/src/main/java/slateseam/standin/Inbox.java
+++ b/src/main/java/slateseam/standin/Inbox.java
@@ -4,7 +4,7 @@
 import java.util.Arrays;
 
 /** Bytes that came and are not read yet. Its bound is the readers': they take or refuse before it grows. */
-final class Inbox {
+public final class Inbox {
     private byte[] bytes = new byte[512];
     private int start;
     private int end;
--- a/src/main/java/slateseam/standin/Link.java
+++ b/src/main/java/slateseam/standin/Link.java
@@ -7,7 +7,7 @@
  * A connection that a stand-in took. Requests are begun as they come whole, up to a number at once, and answered in
  * their order. A router that ends its sending has given up what it asked for, as one that closes.
  */
-abstract class Link implements Party {
+public abstract class Link implements Party {
     /** Answers that the other side does not take, in bytes; beyond it the connection is reset. */
     private static final long MOST_UNSENT = 8L << 20;
 
@@ -18,7 +18,8 @@
 
     final Station station;
     final Wire wire;
-    final Inbox inbox = new Inbox();
+    /** What came and is not read yet. */
+    protected final Inbox inbox = new Inbox();
     private final int atOnce;
     private final Deque<Exchange> open = new ArrayDeque<>();
     private State state = State.COMING;
@@ -27,20 +28,26 @@
     private long quietSince;
     private boolean idleArmed;
 
-    Link(Station station, Wire wire, int atOnce) {
+    /** A connection on which so many requests are begun at once. */
+    protected Link(Station station, Wire wire, int atOnce) {
         this.station = station;
         this.wire = wire;
         this.atOnce = atOnce;
     }
 
     /** Reads the next request from the inbox; null while it is not whole. */
-    abstract Exchange next() throws UnreadableException;
+    protected abstract Exchange next() throws UnreadableException;
 
     /** Begins a request that {@link #next} gave; it may be answered at once. */
-    abstract void begin(Exchange exchange);
+    protected abstract void begin(Exchange exchange);
 
     /** What a request gets that nobody sends in such a form; the connection ends behind it. */
-    abstract byte[] unreadable();
+    protected abstract byte[] unreadable();
+
+    /** Hands bytes of answers on to the connection, in their order; a link that troubles them does otherwise. */
+    protected void send(byte[] bytes) {
+        wire.write(bytes);
+    }
 
     /** The connection is up and has its place. */
     void admitted() {
@@ -107,13 +114,18 @@
         }
     }
 
-    /** Writes the answers that are at their turn. */
+    /** Writes the answers, and parts of them, that are at their turn. */
     final void flush() {
         boolean wrote = false;
-        for (Exchange first; state == State.OPEN && (first = open.peek()) != null && first.answer() != null;) {
+        for (Exchange first; state == State.OPEN && (first = open.peek()) != null && first.hasMore();) {
+            for (byte[] part; state == State.OPEN && (part = first.nextPart()) != null;) {
+                send(part);
+                wrote = true;
+            }
+            if (!first.isAnswered() || state != State.OPEN) {
+                break;
+            }
             open.poll();
-            wire.write(first.answer());
-            wrote = true;
             if (first.isLast()) {
                 end();
             }
@@ -156,7 +168,7 @@
     }
 
     /** Ends it from this side, with what is written; what comes from now on meets a reset. */
-    final void end() {
+    protected final void end() {
         if (state == State.OPEN) {
             state = State.ENDED;
             wire.end();
@@ -165,7 +177,7 @@
     }
 
     /** Breaks it off. */
-    final void cut() {
+    protected final void cut() {
         if (state == State.OPEN || state == State.ENDED) {
             boolean held = state == State.OPEN;
             state = State.GONE;
@@ -201,7 +213,8 @@
         }
     }
 
-    final boolean isOpen() {
+    /** Whether it is up and neither side has ended it. */
+    protected final boolean isOpen() {
         return state == State.OPEN;
     }
 }
--- a/src/main/java/slateseam/standin/Origin.java
+++ b/src/main/java/slateseam/standin/Origin.java
@@ -92,7 +92,7 @@
     }
 
     @Override
-    Link link(Wire wire) {
+    protected Link link(Wire wire) {
         return new OriginLink(this, wire);
     }
 
--- a/src/main/java/slateseam/standin/OriginLink.java
+++ b/src/main/java/slateseam/standin/OriginLink.java
@@ -13,7 +13,7 @@
     }
 
     @Override
-    Exchange next() throws UnreadableException {
+    protected Exchange next() throws UnreadableException {
         HttpReader.Request request = reader.next();
         if (request == null) {
             return null;
@@ -46,7 +46,7 @@
     }
 
     @Override
-    void begin(Exchange exchange) {
+    protected void begin(Exchange exchange) {
         if (exchange instanceof Simple simple) {
             simple.give();
         } else if (exchange instanceof OriginRequest request) {
@@ -55,7 +55,7 @@
     }
 
     @Override
-    byte[] unreadable() {
+    protected byte[] unreadable() {
         return Answers.http(400, "Connection: close\r\n", "not a request\n");
     }
 }
--- a/src/main/java/slateseam/standin/OriginRequest.java
+++ b/src/main/java/slateseam/standin/OriginRequest.java
@@ -136,7 +136,7 @@
     }
 
     @Override
-    void withdrawn() {
+    protected void withdrawn() {
         gone = true;
         boolean mayStop = !origin.figures().goesOn() && !(job.isInWork() && course == Course.WRITE);
         if (mayStop && origin.workshop().remove(job)) {
--- a/src/main/java/slateseam/standin/ServerLink.java
+++ b/src/main/java/slateseam/standin/ServerLink.java
@@ -38,7 +38,7 @@
     }
 
     @Override
-    Exchange next() throws UnreadableException {
+    protected Exchange next() throws UnreadableException {
         List<byte[]> command = reader.next();
         if (command == null) {
             return null;
@@ -80,7 +80,7 @@
     }
 
     @Override
-    void begin(Exchange exchange) {
+    protected void begin(Exchange exchange) {
         if (exchange instanceof Simple simple) {
             simple.give();
         } else if (surplus) {
@@ -102,7 +102,7 @@
     }
 
     @Override
-    byte[] unreadable() {
+    protected byte[] unreadable() {
         return Answers.line("-SYNTAX not a command");
     }
 }
--- a/src/main/java/slateseam/standin/ServerProbe.java
+++ b/src/main/java/slateseam/standin/ServerProbe.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    void withdrawn() {
+    protected void withdrawn() {
         server.workshop().remove(job);
     }
 }
--- a/src/main/java/slateseam/standin/ServerRequest.java
+++ b/src/main/java/slateseam/standin/ServerRequest.java
@@ -57,7 +57,7 @@
 
     /** It may begin: takes a slot or a place in the waiting room. */
     void enter() {
-        if (answer() != null) {
+        if (isAnswered()) {
             return;
         }
         if (server.workshop().isFull()) {
@@ -148,7 +148,7 @@
     }
 
     private void overdue() {
-        if (gone || answer() != null || !link.isOpen() || !mayStop()) {
+        if (gone || isAnswered() || !link.isOpen() || !mayStop()) {
             return;
         }
         boolean begun = job.isInWork();
@@ -162,7 +162,7 @@
     }
 
     @Override
-    void withdrawn() {
+    protected void withdrawn() {
         gone = true;
         if (mayStop() && server.workshop().remove(job)) {
             server.tallies.add(Tally.STOPPED);
--- a/src/main/java/slateseam/standin/Station.java
+++ b/src/main/java/slateseam/standin/Station.java
@@ -7,9 +7,11 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** A stand-in that takes connections at an address. */
-abstract class Station {
-    final Clockwork clock;
-    final UniformRandomProvider random;
+public abstract class Station {
+    /** Time and timers. */
+    protected final Clockwork clock;
+    /** Its own source of random numbers; null where it draws none. */
+    protected final UniformRandomProvider random;
     final Tallies tallies = new Tallies();
     final long idleNanos;
     private final Net net;
@@ -22,7 +24,7 @@
     private boolean listening;
 
     /** Takes {@code most} connections; beyond them it refuses, or takes surplus ones up to a second bound. */
-    Station(Clockwork clock, Net net, UniformRandomProvider random, String address, int most, int surplus,
+    protected Station(Clockwork clock, Net net, UniformRandomProvider random, String address, int most, int surplus,
             boolean refuses, long idleNanos) {
         this.clock = clock;
         this.net = net;
@@ -34,7 +36,8 @@
         this.idleNanos = idleNanos;
     }
 
-    abstract Link link(Wire wire);
+    /** Makes what a new connection is answered by. */
+    protected abstract Link link(Wire wire);
 
     /** The number of connections has changed. */
     void counted(int open) {
@@ -60,7 +63,8 @@
         return links.size();
     }
 
-    final void openUp() {
+    /** Takes connections from now on. */
+    protected final void openUp() {
         up = true;
         listen();
     }
@@ -107,14 +111,14 @@
     }
 
     /** Refuses connections from now on and resets those that are open. */
-    final void shutDown() {
+    protected final void shutDown() {
         up = false;
         listen();
         links().forEach(Link::cut);
     }
 
     /** Refuses connections at its address from now on, and takes them at another. */
-    final void moveTo(String other) {
+    protected final void moveTo(String other) {
         boolean was = up;
         up = false;
         listen();
@@ -124,7 +128,7 @@
     }
 
     /** The connections that are open now. */
-    final List<Link> links() {
+    protected final List<Link> links() {
         return new ArrayList<>(links);
     }
 }
--- a/src/main/java/slateseam/standin/UnreadableException.java
+++ b/src/main/java/slateseam/standin/UnreadableException.java
@@ -1,10 +1,11 @@
 package slateseam.standin;
 
 /** What came is in a form that nobody sends. */
-final class UnreadableException extends Exception {
+public final class UnreadableException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    UnreadableException(String what) {
+    /** Says what is wrong with it. */
+    public UnreadableException(String what) {
         super(what);
     }
 }
