--- a/src/main/java/slateseam/standin/kubernetes/Cluster.java
+++ b/src/main/java/slateseam/standin/kubernetes/Cluster.java
@@ -86,6 +86,10 @@
         return pod;
     }
 
+    boolean has(String pod) {
+        return pods.containsKey(pod);
+    }
+
     /** All pods, in the order in which they were added. */
     public Collection<Pod> pods() {
         return new ArrayList<>(pods.values());
--- /dev/null
+++ b/src/main/java/slateseam/standin/kubernetes/Command.java
@@ -0,0 +1,6 @@
+package slateseam.standin.kubernetes;
+
+/** What a line of a script does. */
+interface Command {
+    void run(ApiServer server);
+}
--- /dev/null
+++ b/src/main/java/slateseam/standin/kubernetes/Script.java
@@ -0,0 +1,95 @@
+package slateseam.standin.kubernetes;
+
+import java.util.ArrayList;
+import java.util.List;
+import slateseam.standin.Clockwork;
+import slateseam.standin.Witness;
+import slateseam.standin.World;
+
+/**
+ * Changes of a cluster and trouble of its API at set times, read from text: a line {@code at TIME COMMAND ...} each, in
+ * the order of their times; {@code #} at the start of a line or behind white space begins a comment. A script that was
+ * read has been played once against a server that nobody asks, so that each name in it is known to exist when it is used.
+ */
+public final class Script {
+    private static final int MOST_LINES = 10_000;
+
+    private record Step(int line, long time, Command command) {
+    }
+
+    private final List<Step> steps = new ArrayList<>();
+
+    private Script() {
+    }
+
+    /** Reads a script and tries it out. */
+    public static Script read(String text) throws InvalidScriptException {
+        Script script = new Script();
+        String[] lines = text.split("\r?\n");
+        if (lines.length > MOST_LINES) {
+            throw new InvalidScriptException(MOST_LINES + 1, "there are too many lines");
+        }
+        for (int i = 0; i < lines.length; i++) {
+            String line = lines[i].replaceFirst("(^|\\s)#.*", "").strip();
+            if (!line.isEmpty()) {
+                script.add(i + 1, line);
+            }
+        }
+        script.rehearse();
+        return script;
+    }
+
+    private void add(int number, String line) throws InvalidScriptException {
+        try {
+            Words words = new Words(line);
+            words.next("at", "at");
+            long time = words.nextTime("time");
+            if (!steps.isEmpty() && time < steps.get(steps.size() - 1).time) {
+                throw new IllegalArgumentException("the time lies before that of the line before");
+            }
+            String verb = words.next("command");
+            Command command = ClusterCommands.read(verb, words);
+            command = command == null ? ApiCommands.read(verb, words) : command;
+            if (command == null) {
+                throw new IllegalArgumentException("there is no command " + verb);
+            }
+            words.end();
+            steps.add(new Step(number, time, command));
+        } catch (IllegalArgumentException e) {
+            throw new InvalidScriptException(number, e.getMessage());
+        }
+    }
+
+    private void rehearse() throws InvalidScriptException {
+        Rehearsal rehearsal = new Rehearsal();
+        ApiServer server = new ApiServer("rehearsal", ApiFigures.USUAL, new World(rehearsal, rehearsal, new Witness() { }),
+                new Cluster("rehearsal", rehearsal, 1));
+        int[] line = new int[1];
+        for (Step step : steps) {
+            rehearsal.at(step.time, () -> {
+                line[0] = step.line;
+                step.command.run(server);
+            });
+        }
+        try {
+            rehearsal.run();
+        } catch (IllegalArgumentException e) {
+            throw new InvalidScriptException(line[0], e.getMessage());
+        }
+    }
+
+    /** When its last line is played, in nanoseconds after its start; {@code end} does nothing but stand there. */
+    public long lastNanos() {
+        return steps.isEmpty() ? 0 : steps.get(steps.size() - 1).time;
+    }
+
+    /** Plays it from now on, on the server's clock; at the end, with the last line, the action is run. */
+    public void play(ApiServer server, Runnable atEnd) {
+        Clockwork clock = server.cluster().clock();
+        long start = clock.now();
+        for (Step step : steps) {
+            clock.at(start + step.time, () -> step.command.run(server));
+        }
+        clock.at(start + lastNanos(), atEnd);
+    }
+}
