--- a/src/main/java/slateseam/standin/sockets/SocketNet.java
+++ b/src/main/java/slateseam/standin/sockets/SocketNet.java
@@ -50,6 +50,8 @@
             Comparator.comparingLong(Timer::time).thenComparingLong(Timer::order));
     private final Queue<Runnable> asked = new ConcurrentLinkedQueue<>();
     private final Map<String, Place> places = new LinkedHashMap<>();
+    /** Held while the selector is woken or closed, by whichever thread. */
+    private final Object waking = new Object();
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Set<Connection> touched = new LinkedHashSet<>();
     private final ByteBuffer room = ByteBuffer.allocate(ROOM);
@@ -88,7 +90,7 @@
 
     /** A closed selector is left alone: its descriptor may be another's by now. */
     private void wake() {
-        synchronized (selector) {
+        synchronized (waking) {
             if (selector.isOpen()) {
                 selector.wakeup();
                 return;
@@ -267,7 +269,7 @@
             for (Place place : places.values()) {
                 place.close();
             }
-            synchronized (selector) {
+            synchronized (waking) {
                 selector.close();
             }
         } catch (IOException e) {
