--- a/src/main/java/slateseam/standin/kubernetes/ApiServer.java
+++ b/src/main/java/slateseam/standin/kubernetes/ApiServer.java
@@ -154,8 +154,8 @@
 
     private void watch(ApiCall call, String namespace, String name) {
         if (call.query.has("sendInitialEvents")) {
-            call.tell(Status.invalid("sendInitialEvents: Forbidden: sendInitialEvents is forbidden for watch unless the "
-                    + "WatchList feature gate is enabled"));
+            call.tell(Status.invalid("sendInitialEvents: Forbidden: sendInitialEvents is forbidden for watch unless "
+                    + "the WatchList feature gate is enabled"));
             return;
         }
         if (call.query.has("resourceVersionMatch")) {
--- a/src/main/java/slateseam/standin/kubernetes/Packing.java
+++ b/src/main/java/slateseam/standin/kubernetes/Packing.java
@@ -7,8 +7,8 @@
 
 /**
  * The slices of one service. As a rule a pod goes into the first slice with room, and a slice without pods is deleted
- * unless it is the last of its family. What else can be asked for is what controllers do at times, or by mistake. Slices
- * are numbered from 1 in the order in which they were made.
+ * unless it is the last of its family. What else can be asked for is what controllers do at times, or by mistake.
+ * Slices are numbered from 1 in the order in which they were made.
  */
 public final class Packing {
     private static final int NAME_SPACE = 27 * 27 * 27 * 27 * 27;
@@ -185,9 +185,9 @@
         publish(slice);
     }
 
-    /** How many slices there are. */
-    public int size() {
-        return slices.size();
+    /** The slices' names in the order of their numbers. */
+    public List<String> names() {
+        return slices.stream().map(slice -> slice.name).toList();
     }
 
     void lines(Collection<String> lines) {
--- a/src/main/java/slateseam/standin/kubernetes/Script.java
+++ b/src/main/java/slateseam/standin/kubernetes/Script.java
@@ -9,7 +9,7 @@
 /**
  * Changes of a cluster and trouble of its API at set times, read from text: a line {@code at TIME COMMAND ...} each, in
  * the order of their times; {@code #} at the start of a line or behind white space begins a comment. A script that was
- * read has been played once against a server that nobody asks, so that each name in it is known to exist when it is used.
+ * read has been played once against a server that nobody asks, so that each name in it is known to exist when used.
  */
 public final class Script {
     private static final int MOST_LINES = 10_000;
@@ -64,8 +64,8 @@
 
     private void rehearse() throws InvalidScriptException {
         Rehearsal rehearsal = new Rehearsal();
-        ApiServer server = new ApiServer("rehearsal", ApiFigures.USUAL, new World(rehearsal, rehearsal, new Witness() { }),
-                new Cluster("rehearsal", rehearsal, 1));
+        World world = new World(rehearsal, rehearsal, new Witness() { });
+        ApiServer server = new ApiServer("rehearsal", ApiFigures.USUAL, world, new Cluster("rehearsal", rehearsal, 1));
         int[] line = new int[1];
         for (Step step : steps) {
             rehearsal.at(step.time, () -> {
--- a/src/main/java/slateseam/standin/kubernetes/Selector.java
+++ b/src/main/java/slateseam/standin/kubernetes/Selector.java
@@ -11,7 +11,7 @@
     private static final String KEY = "([A-Za-z0-9][A-Za-z0-9._/-]*)";
     private static final String VALUE = "([A-Za-z0-9._-]*)";
     private static final Pattern EQUAL = Pattern.compile(KEY + "\\s*(=|==|!=)\\s*" + VALUE);
-    private static final Pattern IN = Pattern.compile(KEY + "\\s+(in|notin)\\s+\\(([A-Za-z0-9._,\\s-]*)\\)");
+    private static final Pattern IN = Pattern.compile(KEY + "\\s+(in|notin)\\s*\\(([A-Za-z0-9._,\\s-]*)\\)");
     private static final Pattern EXISTS = Pattern.compile("(!?)\\s*" + KEY);
     private static final Pattern FIELD = Pattern.compile("metadata\\.(name|namespace)(=|==|!=)" + VALUE);
 
--- a/src/main/java/slateseam/standin/kubernetes/Slice.java
+++ b/src/main/java/slateseam/standin/kubernetes/Slice.java
@@ -3,10 +3,12 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.json.JSONString;
 import org.json.JSONStringer;
 import org.json.JSONWriter;
 
@@ -28,6 +30,11 @@
     /** Until this time the controller does not get round to it. */
     long heldUntil;
     private int generation;
+    /** What was told of each pod last; most stay as they were. */
+    private final Map<String, Told> told = new HashMap<>();
+
+    private record Told(Pod pod, String toJSONString) implements JSONString {
+    }
 
     Slice(String name, String uid, boolean v6, long created) {
         this.name = name;
@@ -60,8 +67,16 @@
             // A list of none is told as null.
             json.value(null).key("ports").value(null);
         } else {
+            told.keySet().retainAll(pods);
             json.array();
-            endpoints.forEach(pod -> endpoint(json, namespace, pod, service.hints()));
+            for (Pod pod : endpoints) {
+                Told now = told.get(pod.name());
+                if (now == null || now.pod != pod) {
+                    now = new Told(pod, endpoint(namespace, pod, service.hints()));
+                    told.put(pod.name(), now);
+                }
+                json.value(now);
+            }
             json.endArray().key("ports").array();
             for (Service.Port port : service.ports()) {
                 json.object().key("name").value(port.name()).key("port").value(port.number())
@@ -76,7 +91,8 @@
         return Instant.ofEpochSecond(created / SECOND).truncatedTo(ChronoUnit.SECONDS).toString();
     }
 
-    private void endpoint(JSONWriter json, String namespace, Pod pod, boolean hints) {
+    private String endpoint(String namespace, Pod pod, boolean hints) {
+        JSONWriter json = new JSONStringer();
         json.object().key("addresses").array().value(pod.address(v6)).endArray().key("conditions").object();
         condition(json, "ready", pod.ready());
         condition(json, "serving", pod.serving());
@@ -88,7 +104,7 @@
             json.key("hints").object().key("forZones").array().object().key("name").value(pod.zone()).endObject()
                     .endArray().endObject();
         }
-        json.endObject();
+        return json.endObject().toString();
     }
 
     private static void condition(JSONWriter json, String name, Boolean value) {
--- a/src/main/java/slateseam/standin/kubernetes/Stored.java
+++ b/src/main/java/slateseam/standin/kubernetes/Stored.java
@@ -28,7 +28,8 @@
         String key = "\"resourceVersion\":\"";
         // The first one is the object's own: only its name, namespace and uid stand before it.
         int start = body.indexOf(key) + key.length();
-        return new Stored(name, other, labels, body.substring(0, start) + other + body.substring(body.indexOf('"', start)));
+        int end = body.indexOf('"', start);
+        return new Stored(name, other, labels, body.substring(0, start) + other + body.substring(end));
     }
 
     /** What a bookmark shows: nothing but a version. */
--- a/src/main/java/slateseam/standin/kubernetes/Words.java
+++ b/src/main/java/slateseam/standin/kubernetes/Words.java
@@ -119,7 +119,8 @@
 
     private static long number(String what, String digits, long least, long most) {
         if (!digits.matches("[0-9]{1,9}") || Long.parseLong(digits) < least || Long.parseLong(digits) > most) {
-            throw new IllegalArgumentException(what + " is " + digits + ", no whole number from " + least + " to " + most);
+            throw new IllegalArgumentException(what + " is " + digits + ", no whole number from " + least + " to "
+                    + most);
         }
         return Long.parseLong(digits);
     }
@@ -132,7 +133,8 @@
             default -> 1_000_000_000L;
         };
         if (nanos < 0 || nanos > LONGEST) {
-            throw new IllegalArgumentException(what + " is " + text + ", no time such as 250us, 40ms or 2s up to an hour");
+            throw new IllegalArgumentException(what + " is " + text
+                    + ", no time such as 250us, 40ms or 2s up to an hour");
         }
         return nanos;
     }
--- a/src/main/java/slateseam/standin/sockets/Connection.java
+++ b/src/main/java/slateseam/standin/sockets/Connection.java
@@ -87,6 +87,10 @@
         net.touch(this);
     }
 
+    boolean isPaused() {
+        return paused;
+    }
+
     /** The loop found it ready for something. */
     void ready() {
         try {
--- a/src/main/java/slateseam/standin/sockets/Place.java
+++ b/src/main/java/slateseam/standin/sockets/Place.java
@@ -21,7 +21,6 @@
     private ServerSocketChannel server;
     private Function<Wire, Party> listener;
     private SSLContext tls;
-    private boolean wanted;
 
     Place() throws IOException {
         hold();
@@ -50,36 +49,24 @@
         address = (InetSocketAddress) holder.getLocalAddress();
     }
 
-    /** Takes connections from now on, or once the loop has let go of the socket that took them before. */
     void listen(Selector selector, Function<Wire, Party> asked) throws IOException {
         listener = asked;
-        wanted = true;
-        if (holder != null) {
-            settle(selector);
+        if (server == null) {
+            holder.close();
+            holder = null;
+            server = ServerSocketChannel.open();
+            server.configureBlocking(false);
+            server.bind(address, 128);
+            server.register(selector, SelectionKey.OP_ACCEPT, this);
         }
     }
 
-    /** Takes no more; the system lets go of a socket only with the selector's next turn. */
-    void unlisten() throws IOException {
-        wanted = false;
+    void unlisten(Selector selector) throws IOException {
         if (server != null) {
             server.close();
             server = null;
-        }
-    }
-
-    /** Does what is wanted; to be called behind a turn of the selector. */
-    void settle(Selector selector) throws IOException {
-        if (wanted && server == null) {
-            if (holder != null) {
-                holder.close();
-                holder = null;
-            }
-            server = ServerSocketChannel.open();
-            server.configureBlocking(false);
-            server.bind(address, 128);
-            server.register(selector, SelectionKey.OP_ACCEPT, this);
-        } else if (!wanted && holder == null) {
+            // Or the system would go on taking connections until the selector lets go of the socket.
+            selector.selectNow();
             hold();
         }
     }
--- a/src/main/java/slateseam/standin/sockets/SocketNet.java
+++ b/src/main/java/slateseam/standin/sockets/SocketNet.java
@@ -52,7 +52,6 @@
     private final Map<String, Place> places = new LinkedHashMap<>();
     /** Held while the selector is woken or closed, by whichever thread. */
     private final Object waking = new Object();
-    private final Set<Place> unsettled = new LinkedHashSet<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Set<Connection> touched = new LinkedHashSet<>();
     private final ByteBuffer room = ByteBuffer.allocate(ROOM);
@@ -145,7 +144,6 @@
     public void listen(String address, Function<Wire, Party> listener) {
         try {
             place(address).listen(selector, listener);
-            unsettled.add(place(address));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -154,8 +152,7 @@
     @Override
     public void unlisten(String address) {
         try {
-            place(address).unlisten();
-            unsettled.add(place(address));
+            place(address).unlisten(selector);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -216,23 +213,20 @@
 
     private void turn() throws IOException {
         long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().time - now();
-        if (wait <= 0 || !asked.isEmpty() || !unsettled.isEmpty()) {
+        if (wait <= 0 || !asked.isEmpty()) {
             selector.selectNow();
         } else {
             selector.select(wait == Long.MAX_VALUE ? 0 : Math.max(1, wait / 1_000_000));
         }
-        for (Place place : unsettled) {
-            place.settle(selector);
-        }
-        unsettled.clear();
-        for (SelectionKey key : selector.selectedKeys()) {
+        List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
+        selector.selectedKeys().clear();
+        for (SelectionKey key : ready) {
             if (key.isValid() && key.attachment() instanceof Place place) {
                 accept(place);
             } else if (key.isValid() && key.attachment() instanceof Connection connection) {
                 connection.ready();
             }
         }
-        selector.selectedKeys().clear();
         for (Runnable action; (action = asked.poll()) != null;) {
             action.run();
         }
--- a/src/test/java/slateseam/standin/Stage.java
+++ b/src/test/java/slateseam/standin/Stage.java
@@ -11,9 +11,9 @@
 import java.util.function.Function;
 
 /** A clock by hand and a network on which everything takes half a millisecond. */
-final class Stage implements Clockwork, Net, Witness {
-    static final long MILLI = 1_000_000;
-    static final long SECOND = 1_000 * MILLI;
+public final class Stage implements Clockwork, Net, Witness {
+    public static final long MILLI = 1_000_000;
+    public static final long SECOND = 1_000 * MILLI;
     private static final long WAY = MILLI / 2;
 
     private record Happening(long time, long order, Runnable action) {
@@ -21,7 +21,7 @@
 
     final List<String> witnessed = new ArrayList<>();
     final Map<String, byte[]> made = new HashMap<>();
-    final World world = new World(this, this, this);
+    public final World world = new World(this, this, this);
     private final PriorityQueue<Happening> happenings = new PriorityQueue<>(
             Comparator.comparingLong(Happening::time).thenComparingLong(Happening::order));
     private final Map<String, Function<Wire, Party>> listeners = new HashMap<>();
@@ -39,7 +39,7 @@
     }
 
     /** Lets so much time pass. */
-    void pass(long nanos) {
+    public void pass(long nanos) {
         long end = now + nanos;
         while (!happenings.isEmpty() && happenings.peek().time <= end) {
             Happening next = happenings.poll();
@@ -78,7 +78,7 @@
     }
 
     /** Connects a router's hand to an address. */
-    Peer dial(String address) {
+    public Peer dial(String address) {
         Peer peer = new Peer();
         peer.wire = connect("router", address, peer);
         pass(MILLI);
@@ -172,14 +172,14 @@
     }
 
     /** A router's side of a connection, by hand. */
-    static final class Peer implements Party {
+    public static final class Peer implements Party {
         final ByteArrayOutputStream got = new ByteArrayOutputStream();
-        Wire wire;
-        boolean up;
-        boolean ended;
-        boolean broken;
+        public Wire wire;
+        public boolean up;
+        public boolean ended;
+        public boolean broken;
 
-        void say(String text) {
+        public void say(String text) {
             wire.write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
@@ -189,7 +189,7 @@
         }
 
         /** What came since the last call. */
-        String heard() {
+        public String heard() {
             String text = got.toString(StandardCharsets.ISO_8859_1);
             got.reset();
             return text;
--- a/src/test/java/slateseam/standin/kubernetes/Informed.java
+++ b/src/test/java/slateseam/standin/kubernetes/Informed.java
@@ -25,7 +25,7 @@
     private final KubernetesClient client;
     private final SharedIndexInformer<EndpointSlice> informer;
 
-    /** Follows a service; the CA's certificate is null where the address begins with http, the token where none is asked. */
+    /** Follows a service; the CA's certificate is null without TLS, the token where none is asked for. */
     public Informed(String url, String caPem, String token, String namespace, String service) {
         ConfigBuilder config = new ConfigBuilder(Config.empty()).withMasterUrl(url).withNamespace(namespace)
                 .withOauthToken(token).withOnlyHttpWatches(true).withHttp2Disable(true)
