--- a/src/test/java/slateseam/standin/sockets/Certificates.java
+++ b/src/test/java/slateseam/standin/sockets/Certificates.java
@@ -40,7 +40,8 @@
     public Certificates(String commonName) {
         keys = keys();
         name = new X500Name("CN=" + commonName);
-        certificate = sign(name, keys, Instant.now().plus(Duration.ofDays(1)), null);
+        Instant now = Instant.now();
+        certificate = sign(name, keys, now.minus(Duration.ofDays(2)), now.plus(Duration.ofDays(1)), null);
     }
 
     /** Its certificate, as in a CA file. */
@@ -56,9 +57,14 @@
 
     /** What a server with a new certificate for a name, or for an IP address, speaks TLS by. */
     public SSLContext server(String host, Instant until) {
+        return server(host, Instant.now().minus(Duration.ofDays(2)), until);
+    }
+
+    /** The same, good from and up to some time. */
+    public SSLContext server(String host, Instant from, Instant until) {
         try {
             KeyPair own = keys();
-            X509Certificate signed = sign(new X500Name("CN=" + host), own, until, new GeneralNames(new GeneralName(
+            X509Certificate signed = sign(new X500Name("CN=" + host), own, from, until, new GeneralNames(new GeneralName(
                     host.matches("[0-9.]+|.*:.*") ? GeneralName.iPAddress : GeneralName.dNSName, host)));
             KeyStore store = KeyStore.getInstance("PKCS12");
             store.load(null, null);
@@ -90,9 +96,8 @@
         }
     }
 
-    private X509Certificate sign(X500Name subject, KeyPair own, Instant until, GeneralNames names) {
-        Date from = Date.from(Instant.now().minus(Duration.ofDays(2)));
-        X509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(name, BigInteger.valueOf(serial++), from,
+    private X509Certificate sign(X500Name subject, KeyPair own, Instant from, Instant until, GeneralNames names) {
+        X509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(name, BigInteger.valueOf(serial++), Date.from(from),
                 Date.from(until), subject, own.getPublic());
         try {
             builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(names == null));
