--- a/src/test/java/slateseam/router/tls/TlsTransportTest.java
+++ b/src/test/java/slateseam/router/tls/TlsTransportTest.java
@@ -12,7 +12,7 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
+import java.time.Instant;
 import java.util.Arrays;
 import java.util.Random;
 import java.util.concurrent.Executor;
@@ -31,6 +31,7 @@
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
+import slateseam.standin.sockets.Certificates;
 
 @Timeout(60)
 class TlsTransportTest {
@@ -84,7 +85,7 @@
 
     @TempDir
     Path dir;
-    private Authority authority;
+    private Certificates authority;
     private Loop loop;
     private ServerSocket listener;
     private Thread thread;
@@ -92,7 +93,7 @@
 
     @BeforeEach
     void begin() throws Exception {
-        authority = new Authority("ours");
+        authority = new Certificates("ours");
         loop = new Loop(Clock.system(), new Log("n", Clock.system(), text -> { }));
         listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     }
@@ -130,7 +131,7 @@
     }
 
     private Client connect(String host) throws Exception {
-        Trust trust = Trust.read(authority.pem(dir.resolve("ca.pem")));
+        Trust trust = Trust.read(Files.writeString(dir.resolve("ca.pem"), authority.pem()));
         InetSocketAddress to = new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
         return new Client(loop, to, trust.connect(loop, aside, host, to.getPort()));
     }
@@ -185,15 +186,16 @@
 
     @Test
     void whatIsWrongWithACertificateIsTold() throws Exception {
-        serve(authority.server("127.0.0.1", Duration.ofDays(-3), Duration.ofDays(-2)), "TLSv1.3", SSLSocket::startHandshake);
+        Instant inAnHour = Instant.now().plusSeconds(3_600);
+        serve(authority.server("127.0.0.1", Instant.now().minusSeconds(60)), "TLSv1.3", SSLSocket::startHandshake);
         assertThat(refusal("127.0.0.1")).contains("has expired");
-        serve(authority.server("127.0.0.1", Duration.ofDays(2), Duration.ofDays(3)), "TLSv1.2", SSLSocket::startHandshake);
+        serve(authority.server("127.0.0.1", inAnHour, inAnHour.plusSeconds(60)), "TLSv1.2", SSLSocket::startHandshake);
         assertThat(refusal("127.0.0.1")).contains("not valid yet");
         serve(authority.server("127.0.0.2"), "TLSv1.3", SSLSocket::startHandshake);
         assertThat(refusal("127.0.0.1")).contains("of another name", "127.0.0.1");
         serve(authority.server("else.example"), "TLSv1.3", SSLSocket::startHandshake);
         assertThat(refusal("api.example")).contains("of another name", "api.example");
-        serve(new Authority("theirs").server("127.0.0.1"), "TLSv1.3", SSLSocket::startHandshake);
+        serve(new Certificates("theirs").server("127.0.0.1"), "TLSv1.3", SSLSocket::startHandshake);
         assertThat(refusal("127.0.0.1")).contains("unknown authority");
     }
 
@@ -208,7 +210,7 @@
     @Test
     void aCutIsToldFromAnEnd() throws Exception {
         plain(socket -> {
-            SSLSocket tls = (SSLSocket) serverContext().getSocketFactory().createSocket(socket, null, false);
+            SSLSocket tls = (SSLSocket) authority.server("127.0.0.1").getSocketFactory().createSocket(socket, null, false);
             tls.getOutputStream().write(1);
             socket.shutdownOutput();
             InputStream in = socket.getInputStream();
@@ -222,14 +224,6 @@
         assertThat(client.tls.trouble()).contains("cut off");
     }
 
-    private SSLContext serverContext() {
-        try {
-            return authority.server("127.0.0.1");
-        } catch (Exception e) {
-            throw new AssertionError(e);
-        }
-    }
-
     @Test
     void aRenegotiationIsRefusedAndNewKeysAreNot() throws Exception {
         serve(authority.server("127.0.0.1"), "TLSv1.2", socket -> {
