Let a whole list bring back slices that a list before it lacked by mistake

Cause: a list that told of no slice, then a whole list of the same version, as an API gives them whose cache was empty for a while: the slices counted as deleted for ever, and the farm stayed empty.

Change: a whole list that is not behind clears the deletions that are remembered; the floor holds off what is older.

--- a/src/main/java/slateseam/router/membership/Membership.java
+++ b/src/main/java/slateseam/router/membership/Membership.java
@@ -47,7 +47,8 @@
         Position.Standing standing = position.listed(collectionVersion, now);
         boolean whole = standing != Position.Standing.BEHIND;
         long at = Position.number(collectionVersion);
-        if (standing == Position.Standing.ANEW) {
+        if (standing == Position.Standing.ANEW || whole && settings.comparable()) {
+            // It knows better than a list before it that told of less by mistake; what is older is held off by the floor.
             deletions.clear();
         }
         if (!whole) {
