--- a/src/test/java/slateseam/standin/kubernetes/Served.java
+++ b/src/test/java/slateseam/standin/kubernetes/Served.java
@@ -49,6 +49,18 @@
         return over;
     }
 
+    /** Carries commands out at once, one after another, on what there is. */
+    public void command(String... commands) {
+        net.run(() -> {
+            for (String command : commands) {
+                Words words = new Words(command);
+                String verb = words.next("command");
+                Command read = ClusterCommands.read(verb, words);
+                (read == null ? ApiCommands.read(verb, words) : read).run(server);
+            }
+        });
+    }
+
     /** Waits for a script's end. */
     public static void await(CountDownLatch over) throws InterruptedException {
         if (!over.await(30, TimeUnit.SECONDS)) {
