--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -69,6 +69,7 @@
     private boolean watchTold;
     private boolean readTokenAnew;
     private boolean troubled = true;
+    private long bytes;
 
     Follower(Loop loop, Executor aside, KubernetesSettings settings, Membership membership, BackOff backOff,
             Remarks remarks, Runnable told) {
@@ -115,6 +116,10 @@
         }
     }
 
+    long bytesRead() {
+        return bytes;
+    }
+
     private void startOver() {
         drop();
         ask();
@@ -212,6 +217,7 @@
 
     @Override
     public void body(ByteBuffer part) throws MalformedException {
+        bytes += part.remaining();
         if (fault != null) {
             faultText.append(StandardCharsets.UTF_8.decode(part));
             if (faultText.length() > FAULT_BYTES) {
--- a/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
+++ b/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
@@ -1,5 +1,6 @@
 package slateseam.router.kubernetes;
 
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -11,6 +12,7 @@
 import slateseam.router.membership.Membership;
 import slateseam.router.membership.Note;
 import slateseam.router.membership.Remembered;
+import slateseam.router.membership.Server;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
@@ -70,6 +72,21 @@
         return Memberships.whole(farm, membership.servers(loop.now()), ListKind.CACHED);
     }
 
+    /** The servers as they are to be taken for now, by name. */
+    public List<Server> servers() {
+        return membership.servers(loop.now());
+    }
+
+    /** Where the watch stands, as the API tells it; null before the first list. */
+    public String version() {
+        return membership.version();
+    }
+
+    /** How many bytes of bodies were read. */
+    long bytesRead() {
+        return follower.bytesRead();
+    }
+
     @Override
     public void begin() {
         follower.begin();
