Show the farm from the command line, and refuse at check-config what cannot work

Cause: an operator must see what a router would take the farm for before one is started, and a token that is empty or a file without authorities should not be found out by the first request.

Change: farm show by a live API, discovery or a saved list, as a table or JSON; check-config reads the files that settings name.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -17,6 +19,8 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
+import slateseam.show.Check;
+import slateseam.show.FarmShow;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
 import sun.misc.Signal;
@@ -29,10 +33,12 @@
             usage: java -jar slateseam.jar COMMAND [--config FILE] [--features FILE]
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
               check-config  reads a router's configuration and says what is wrong with it
+              farm show     shows the farm as a router of this configuration would see it now; --from FILE reads a saved
+                            list of EndpointSlices instead of asking, --json prints JSON
               benchlink     serves the simulator's wire on standard input and output
               version       prints the version
-            --config FILE is a router's configuration (serve, check-config); without it NODE_CONFIG names the file
-            --features FILE turns features on (serve, check-config); without it all are off""";
+            --config FILE is a router's configuration (serve, check-config, farm show); without it NODE_CONFIG names the
+            file; --features FILE turns features on (the same commands); without it all are off""";
 
     private Main() {
     }
@@ -49,15 +55,23 @@
         String command = args.length == 0 ? "" : args[0];
         try {
             Options options = new Options();
-            boolean configured = command.equals("serve") || command.equals("check-config");
-            if (configured) {
+            boolean farm = command.equals("farm");
+            if (farm) {
+                options.addOption(Option.builder().longOpt("from").hasArg().get());
+                options.addOption(Option.builder().longOpt("json").get());
+            }
+            if (farm || command.equals("serve") || command.equals("check-config")) {
                 options.addOption(Option.builder().longOpt("config").hasArg().get());
                 options.addOption(Option.builder().longOpt("features").hasArg().get());
             }
             String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
             CommandLine line = new DefaultParser().parse(options, rest);
-            if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unexpected " + line.getArgList().get(0));
+            List<String> words = new ArrayList<>(line.getArgList());
+            if (farm && (words.isEmpty() || !words.remove(0).equals("show"))) {
+                throw new ParseException("farm can only show");
+            }
+            if (!words.isEmpty()) {
+                throw new ParseException("unexpected " + words.get(0));
             }
             switch (command) {
                 case "serve" -> {
@@ -67,9 +81,18 @@
                 }
                 case "check-config" -> {
                     NodeConfig config = NodeConfig.read(configFile(line));
-                    features(line, config);
+                    Check.files(features(line, config));
                     out.println("the configuration of " + config.name() + " is in order");
                 }
+                case "farm" -> {
+                    NodeConfig config = NodeConfig.read(configFile(line));
+                    String from = line.getOptionValue("from");
+                    Features features = features(line, config);
+                    if (from != null && features.kubernetes() == null) {
+                        throw new ParseException("--from needs --features with kubernetes_api");
+                    }
+                    new FarmShow(config, features).show(from == null ? null : Path.of(from), line.hasOption("json"), out);
+                }
                 case "benchlink" -> new WireHost().serve(System.in, out);
                 case "version" -> out.println("slateseam " + version());
                 case "help", "--help", "-h" -> out.println(HELP);
--- a/src/main/java/slateseam/router/ToldFarm.java
+++ b/src/main/java/slateseam/router/ToldFarm.java
@@ -12,21 +12,13 @@
 import slateseam.router.kubernetes.KubernetesFarm;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
-import slateseam.router.snapshot.Content;
-import slateseam.router.snapshot.Finding;
-import slateseam.router.snapshot.Found;
-import slateseam.router.snapshot.SnapshotSettings;
-import slateseam.router.snapshot.Snapshots;
 
 /** Who tells this router the farm, and what it remembers of that over its restarts. */
 final class ToldFarm implements FarmSource {
-    private static final long MOST_CLOSE_MILLIS = 300;
     /** So that waits between tries are not those of the decision module. */
     private static final long SEED = 0x6b38735f66726d31L;
 
-    private final Loop loop;
     private final NodeConfig config;
-    private final Features features;
     private final Farm farm;
     private final Executor aside;
     /** Null where Kubernetes tells the farm. */
@@ -35,8 +27,7 @@
     private final KubernetesFarm kubernetes;
     private KubernetesSettings settings;
     /** Null where nothing is remembered. */
-    private Snapshots snapshots;
-    private boolean offers;
+    private final Memory memory;
 
     /**
      * Creates the source that the settings choose; it does nothing yet.
@@ -45,9 +36,7 @@
      */
     ToldFarm(Loop loop, NodeConfig config, Features features, Farm farm, Executor aside,
             Consumer<MembersChanged> listener) {
-        this.loop = loop;
         this.config = config;
-        this.features = features;
         this.farm = farm;
         this.aside = aside;
         settings = features.kubernetes();
@@ -62,30 +51,21 @@
             kubernetes = new KubernetesFarm(loop, aside, settings, farm, config.seed() ^ SEED, listener);
             kubernetes.onChange(this::remember);
         }
-        snapshots = features.snapshot() == null ? null : open();
+        memory = features.snapshot() == null ? null
+                : new Memory(loop, features.snapshot(), config.name(), source(), farm, kubernetes);
     }
 
-    private Snapshots open() {
-        String source = settings == null ? "discovery" : "kubernetes " + settings.api().authority() + " "
-                + settings.namespace() + " " + settings.selector() + " " + settings.port();
-        return new Snapshots(new SnapshotSettings(features.snapshot().folder(), config.name(), source,
-                features.snapshot().everyNanos(), features.snapshot().oldestNanos(), SnapshotSettings.USUAL_BYTES),
-                line -> loop.handOver(() -> loop.log().line("snapshot", line)));
+    /** What the farm is told by, so that what is remembered of another is not used. */
+    private String source() {
+        return settings == null ? "discovery" : "kubernetes " + settings.api().authority() + " " + settings.namespace()
+                + " " + settings.selector() + " " + settings.port();
     }
 
     /** The farm as it was before the start: by the snapshot, or else as the configuration has it. */
     MembersChanged known() throws MalformedException {
-        Found found = snapshots == null ? null : snapshots.read(loop.now());
-        if (found != null) {
-            loop.log().line("snapshot", found.text());
-        }
-        Content content = found == null || found.finding() != Finding.GOOD ? null : found.content();
-        if (content instanceof Content.Slices slices && kubernetes != null) {
-            kubernetes.restore(slices.remembered());
-            return kubernetes.known();
-        }
-        if (content instanceof Content.Discovery discovery && kubernetes == null) {
-            return farm.take(discovery.list(), true);
+        MembersChanged kept = memory == null ? null : memory.known(config.known().optLong("seq"));
+        if (kept != null) {
+            return kept;
         }
         MembersChanged known = farm.take(config.known(), true);
         return known.members().isEmpty() && kubernetes != null ? kubernetes.known() : known;
@@ -97,17 +77,8 @@
     }
 
     private void remember() {
-        if (snapshots != null && !offers) {
-            offers = true;
-            loop.after(features.snapshot().everyNanos(), this::offer);
-        }
-    }
-
-    private void offer() {
-        offers = false;
-        if (snapshots != null) {
-            snapshots.offer(kubernetes == null ? new Content.Discovery(farm.list())
-                    : new Content.Slices(kubernetes.remembered()), loop.now());
+        if (memory != null) {
+            memory.changed();
         }
     }
 
@@ -136,41 +107,16 @@
         boolean elsewhere = !changedSettings.api().authority().equals(settings.api().authority());
         kubernetes.moveTo(changedSettings);
         settings = settings.at(changedSettings.api());
-        if (elsewhere && snapshots != null) {
-            reopen();
+        if (elsewhere && memory != null) {
+            memory.moved(source(), aside);
         }
         return "the API is at " + settings.api();
     }
 
-    /** Guards against a snapshot that tells of one API and is read as another's, whose versions count for themselves. */
-    private void reopen() {
-        Snapshots before = snapshots;
-        snapshots = null;
-        aside.execute(() -> {
-            close(before);
-            Snapshots opened = open();
-            loop.handOver(() -> {
-                snapshots = opened;
-                remember();
-            });
-        });
-    }
-
-    /** Writes what is still to be written. */
+    /** Writes what is still to be remembered. */
     void close() {
-        if (snapshots != null) {
-            if (offers) {
-                offer();
-            }
-            close(snapshots);
-        }
-    }
-
-    private static void close(Snapshots snapshots) {
-        try {
-            snapshots.close(MOST_CLOSE_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        if (memory != null) {
+            memory.close();
         }
     }
 }
--- a/src/main/java/slateseam/router/config/NodeConfig.java
+++ b/src/main/java/slateseam/router/config/NodeConfig.java
@@ -47,7 +47,8 @@
     public static final class InvalidConfigException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        InvalidConfigException(String message) {
+        /** Creates it with a message, of which one line is made. */
+        public InvalidConfigException(String message) {
             super(message.replaceAll("\\s+", " "));
         }
     }
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -48,6 +48,11 @@
         return entries.get(id);
     }
 
+    /** All that is listed, in no order. */
+    public List<Entry> entries() {
+        return new ArrayList<>(entries.values());
+    }
+
     /** How many application servers want new requests; the origin is none. */
     public int readyServers() {
         return (int) entries.values().stream().filter(entry -> entry.isReady() && !entry.isOrigin()).count();
--- a/src/main/java/slateseam/router/kubernetes/Access.java
+++ b/src/main/java/slateseam/router/kubernetes/Access.java
@@ -66,6 +66,17 @@
         }
     }
 
+    /**
+     * Reads the files that an API's settings name.
+     *
+     * @throws RefusedException if the router could not use them as they are; the message says why
+     */
+    static void check(Api api) throws RefusedException {
+        Access access = new Access(api);
+        access.readToken(true);
+        access.readTrust();
+    }
+
     private void readTrust() throws RefusedException {
         if (api.ca() == null) {
             return;
--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -188,7 +188,7 @@
         late(ANSWER_NANOS, "no answer in time");
         if (lists) {
             if (listing == null) {
-                listing = new Listing(reader, remarks);
+                listing = new Listing(reader, remarks::say);
             }
             call.ask(Targets.page(settings, listing.next()), ready.token());
         } else {
--- a/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
+++ b/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
@@ -16,6 +16,7 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
+import slateseam.router.tls.RefusedException;
 
 /** The farm as Kubernetes tells it: what the API tells goes by way of a membership, and what that changes to the farm. */
 public final class KubernetesFarm implements FarmSource {
@@ -52,6 +53,15 @@
                 this::told);
     }
 
+    /**
+     * Looks whether the files that an API's settings name can be used.
+     *
+     * @throws RefusedException if not; the message says why
+     */
+    public static void check(KubernetesSettings settings) throws RefusedException {
+        Access.check(settings.api());
+    }
+
     /** Runs an action whenever what is to be remembered has changed. */
     public void onChange(Runnable action) {
         changed = action;
--- a/src/main/java/slateseam/router/kubernetes/Listing.java
+++ b/src/main/java/slateseam/router/kubernetes/Listing.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import org.json.JSONObject;
 import slateseam.router.membership.Slice;
 import slateseam.router.net.MalformedException;
@@ -14,7 +15,7 @@
     private static final int MOST_PAGES = 1_000;
 
     private final SliceReader reader;
-    private final Remarks remarks;
+    private final BiConsumer<String, String> remarks;
     private final List<Slice> slices = new ArrayList<>();
     private JsonStream page = new JsonStream(true, this);
     private int endpoints;
@@ -23,7 +24,7 @@
     private String version;
     private String next;
 
-    Listing(SliceReader reader, Remarks remarks) {
+    Listing(SliceReader reader, BiConsumer<String, String> remarks) {
         this.reader = reader;
         this.remarks = remarks;
     }
@@ -48,6 +49,17 @@
         return !next.isEmpty();
     }
 
+    /** The list of a file has come, which has no version of its own. */
+    void savedIsOver() throws MalformedException {
+        if (!page.endsWell()) {
+            throw new MalformedException("the list ends before its end");
+        }
+        String kind = page.around().optString("kind");
+        if (!kind.equals("List") && !kind.equals("EndpointSliceList")) {
+            throw new MalformedException("this is no list of EndpointSlices: its kind is " + kind);
+        }
+    }
+
     /** Asks for the page behind those that have come; null for the first. */
     String next() {
         return next;
@@ -92,6 +104,6 @@
 
     private void left(String why) {
         whole = false;
-        remarks.say("kubernetes-object", "left out of the list: " + why);
+        remarks.accept("kubernetes-object", "left out of the list: " + why);
     }
 }
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -39,7 +39,8 @@
     }
 
     private void launch(String config, String... settings) throws IOException {
-        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load:file=" + dir.resolve("classes"), "-cp",
                 System.getProperty("java.class.path"), "slateseam.Main", "serve",
                 "--config", Files.writeString(dir.resolve("config.json"), config).toString(),
                 "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()).start();
@@ -92,6 +93,28 @@
         }
     }
 
+    /** The classes that a run has loaded, of this program and of TLS. */
+    private List<String> loaded() throws Exception {
+        signal("TERM");
+        process.waitFor();
+        return Files.readAllLines(dir.resolve("classes")).stream().map(line -> line.replaceAll("^(\\[.*?])+ | source:.*", ""))
+                .filter(name -> name.matches("(slateseam|(java|javax|sun)\\.(net|security)\\.ssl)\\..*")).toList();
+    }
+
+    /** What is off costs neither memory nor time at the start. */
+    @Test
+    void whatIsOffLoadsNoClass() throws Exception {
+        start("hot_list on");
+        get("k");
+        assertThat(loaded()).contains("slateseam.router.farm.Watch").noneMatch(name -> name.matches(
+                "slateseam\\.(router\\.(kubernetes|membership|snapshot|tls)|show)\\..*|.*\\.ssl\\..*|.*net\\.Errands"));
+        start("kubernetes_api http://127.0.0.1:1", "kubernetes_namespace n", "kubernetes_service s",
+                "kubernetes_port p", "kubernetes_origin 127.0.0.1:1", "snapshot_folder " + dir);
+        line("example: kubernetes-unreachable: ");
+        assertThat(loaded()).contains("slateseam.router.kubernetes.Follower", "slateseam.router.snapshot.Store")
+                .noneMatch(name -> name.matches(".*\\.ssl\\..*|.*\\.TlsTransport"));
+    }
+
     @Test
     void aSignalShowsTheKeyThatWasAskedForMost() throws Exception {
         start("hot_list on", "hot_show 3");
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -32,7 +32,8 @@
  * {@code WHO > BYTES} (WHO writes), {@code WHO >> BYTES} (WHO writes in the round of the next step, when the router has
  * looked at its sockets and not yet at its deadlines), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
  * {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it), {@code WHO stops listening},
- * {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code log TEXT} (the log has it),
+ * {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start} (another
+ * router with the same files), {@code log TEXT} (the log has it),
  * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again) or
  * {@code show the hot list}, {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to {@code again} are played N times. Before all others come
  * {@code config OLD => NEW}, which changes the configuration, {@code setting NAME VALUE}, a line of the settings file,
@@ -60,7 +61,7 @@
     private final Reader log = new Reader();
     private final Console console = new Console("n0", log);
     private final List<String> steps;
-    private final Router router;
+    private Router router;
     private final String config;
     private long now = 1_000_000_000_000L * MILLI;
 
@@ -82,6 +83,10 @@
             listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
             listeners.get(name).configureBlocking(false);
         }
+        start();
+    }
+
+    private void start() throws Exception {
         NodeConfig node = NodeConfig.parse(fill(config));
         Features features = Features.read(settings("", ""), node);
         router = new Router(node, features, () -> now,
@@ -141,7 +146,7 @@
         return filled.replace("{dir}", dir.toString());
     }
 
-    void play() throws IOException {
+    void play() throws Exception {
         try {
             for (String line : steps) {
                 if (BEFORE.stream().noneMatch(line::startsWith)) {
@@ -160,12 +165,14 @@
         }
     }
 
-    private void step(String line) throws IOException {
+    private void step(String line) throws Exception {
         String[] words = line.split(" ", 3);
         String rest = words.length == 3 ? words[2] : "";
         if (line.equals("end")) {
             router.end();
             round();
+        } else if (line.equals("start")) {
+            start();
         } else if (line.equals("show the hot list")) {
             router.showHotList();
             round();
