--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -5,11 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import org.json.JSONObject;
 import slateseam.router.config.KubernetesSettings;
 import slateseam.router.config.KubernetesSettings.Api;
 import slateseam.router.membership.Membership;
-import slateseam.router.membership.Slice;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.HttpHead;
@@ -31,11 +29,13 @@
     private static final long SHORTEST_WATCH_NANOS = 1_000 * Clock.MILLI;
     private static final int FAULT_BYTES = 4 * 1024;
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int FORBIDDEN = 403;
     private static final int GONE = 410;
     private static final int TOO_MANY = 429;
     private static final int FIRST_SERVER_FAULT = 500;
+    private static final int TIMED_OUT = 504;
     private static final String MESSAGE = "\"message\":\"";
     private static final String UNREACHABLE = "kubernetes-unreachable";
     private static final String MALFORMED = "kubernetes-malformed";
@@ -208,7 +208,8 @@
             watches = true;
             watchTold = false;
             watchBegan = loop.now();
-            stream = new JsonStream(false, new Events());
+            stream = new JsonStream(false, new Events(loop, reader, membership, remarks, this::eventTold,
+                    status -> status(status.optInt("code"), status.optString("message"), 0)));
             lateWatch();
             follows();
             told.run();
@@ -290,49 +291,10 @@
         }
     }
 
-    private final class Events implements JsonStream.Taker {
-        @Override
-        public void object(JSONObject event) throws MalformedException {
-            if (!watches) {
-                return;
-            }
-            JSONObject object = event.optJSONObject("object");
-            String type = event.optString("type");
-            if (object == null) {
-                throw new MalformedException("an event without an object");
-            }
-            switch (type) {
-                case "ADDED", "MODIFIED", "DELETED" -> change(type.equals("DELETED"), object);
-                case "BOOKMARK" -> membership.reached(SliceReader.version(object));
-                case "ERROR" -> {
-                    status(object.optInt("code"), object.optString("message"), 0);
-                    return;
-                }
-                default -> remarks.say("kubernetes-object", "an event of the unknown type " + type);
-            }
-            watchTold = true;
-            backOff.reset();
-            told.run();
-        }
-
-        private void change(boolean deleted, JSONObject object) {
-            try {
-                Slice slice = reader.read(object);
-                if (slice != null && deleted) {
-                    membership.deleted(slice, loop.now());
-                } else if (slice != null) {
-                    membership.changed(slice, loop.now());
-                }
-            } catch (MalformedException e) {
-                remarks.say("kubernetes-object", "left out: " + e.getMessage());
-            }
-        }
-
-        @Override
-        public void tooLong(String begin) {
-            remarks.say("kubernetes-object", "left out, as it is longer than " + JsonStream.LONGEST_OBJECT + " bytes: "
-                    + begin);
-        }
+    private void eventTold() {
+        watchTold = true;
+        backOff.reset();
+        told.run();
     }
 
     private void refused() {
@@ -375,6 +337,8 @@
                 trouble(null, null, askedNanos);
             }
         } else {
+            // A watch from a version that this API has not come to yet, as its store was restored, will never be answered.
+            listAnew |= (code == BAD_REQUEST || code == TIMED_OUT) && backOff.failures() > 0;
             trouble(code == FORBIDDEN ? "kubernetes-forbidden" : code == TOO_MANY ? "kubernetes-busy"
                     : code >= FIRST_SERVER_FAULT ? "kubernetes-failed" : "kubernetes-refused", why, askedNanos);
         }
