--- a/src/test/java/slateseam/ManifestsTest.java
+++ b/src/test/java/slateseam/ManifestsTest.java
@@ -5,23 +5,18 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.snakeyaml.engine.v2.api.Load;
 import org.snakeyaml.engine.v2.api.LoadSettings;
+import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 
 /** The manifests must fit together, and give the router no more than it needs. */
 class ManifestsTest {
     private static final Path FOLDER = Path.of("deploy/kubernetes");
-    private static final Set<String> KNOWN = Set.of("kubernetes_api", "kubernetes_namespace", "kubernetes_service",
-            "kubernetes_selector", "kubernetes_port", "kubernetes_ca", "kubernetes_token", "kubernetes_origin_service",
-            "kubernetes_origin", "kubernetes_zones", "kubernetes_kind_label", "kubernetes_weight_annotation",
-            "snapshot_folder", "snapshot_every_ms", "snapshot_oldest_s", "figures", "hot_list");
-
     private static Map<?, ?> manifest(String name) throws IOException {
         return (Map<?, ?>) new Load(LoadSettings.builder().build()).loadFromString(
                 Files.readString(FOLDER.resolve(name + ".yaml")));
@@ -54,7 +49,7 @@
     }
 
     @Test
-    void theSidecarReadsItsFilesFromTheConfigMapAndMayWriteItsSnapshotsOnly() throws Exception {
+    void theSidecarReadsItsFilesFromTheConfigMapAndMayWriteItsSnapshotsOnly(@TempDir Path dir) throws Exception {
         Map<?, ?> map = manifest("config-map");
         Object pod = at(manifest("sidecar"), "spec", "template", "spec");
         Object router = at(pod, "containers", 1);
@@ -64,20 +59,13 @@
         NodeConfig config = NodeConfig.parse((String) at(map, "data", "router.json"));
         assertThat(config.listen().getAddress().isLoopbackAddress()).isTrue();
 
-        Map<String, String> settings = new LinkedHashMap<>();
-        for (String line : ((String) at(map, "data", "slateseam.conf")).split("\n")) {
-            if (!line.startsWith("#")) {
-                assertThat(settings.put(line.split(" ", 2)[0], line.split(" ", 2)[1])).isNull();
-            }
-        }
-        assertThat(KNOWN).containsAll(settings.keySet());
-        assertThat(settings).containsEntry("kubernetes_namespace", (String) at(map, "metadata", "namespace"));
-        assertThat(settings.get("kubernetes_zones").split(",")).allSatisfy(
-                pair -> assertThat(config.zones()).contains(pair.split("=")[1]));
+        Path file = Files.writeString(dir.resolve("s.conf"), (String) at(map, "data", "slateseam.conf"));
+        Features features = Features.read(file, config);
+        assertThat(features.kubernetes().namespace()).isEqualTo(at(map, "metadata", "namespace"));
 
         assertThat(at(router, "volumeMounts")).isEqualTo(List.of(
                 Map.of("name", "files", "mountPath", "/etc/slateseam", "readOnly", true),
-                Map.of("name", "known", "mountPath", settings.get("snapshot_folder"))));
+                Map.of("name", "known", "mountPath", features.snapshot().folder().toString())));
         assertThat(at(pod, "volumes", 0, "configMap", "name")).isEqualTo(at(map, "metadata", "name"));
         assertThat(at(router, "securityContext", "readOnlyRootFilesystem")).isEqualTo(true);
     }
