--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -91,7 +91,8 @@
                     if (from != null && features.kubernetes() == null) {
                         throw new ParseException("--from needs --features with kubernetes_api");
                     }
-                    new FarmShow(config, features).show(from == null ? null : Path.of(from), line.hasOption("json"), out);
+                    Path list = from == null ? null : Path.of(from);
+                    new FarmShow(config, features).show(list, line.hasOption("json"), out);
                 }
                 case "benchlink" -> new WireHost().serve(System.in, out);
                 case "version" -> out.println("slateseam " + version());
--- a/src/main/java/slateseam/router/Memory.java
+++ b/src/main/java/slateseam/router/Memory.java
@@ -78,7 +78,9 @@
         }
     }
 
-    /** Guards against a snapshot that tells of one API and is read as another's, whose versions count for themselves. */
+    /**
+     * Guards against a snapshot that tells of one API and is read as another's, whose versions count for themselves.
+     */
     void moved(String source, Executor aside) {
         Snapshots before = snapshots;
         snapshots = null;
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -66,7 +66,9 @@
         this(config, features, SelectorProvider.provider(), clock, log, console);
     }
 
-    /** Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}. */
+    /**
+     * Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}.
+     */
     public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console)
             throws IOException {
         this(config, features, network, clock, log, console, features.kubernetes() == null ? null : new Errands());
@@ -158,8 +160,8 @@
 
     /**
      * Reads the configuration and the settings file again; may be called from any thread. Of what has changed, the
-     * address of discovery or of Kubernetes' API, and what it takes to talk to that, is taken over; a file that cannot be
-     * used changes nothing.
+     * address of discovery or of Kubernetes' API, and what it takes to talk to that, is taken over; a file that cannot
+     * be used changes nothing.
      *
      * @param settings the settings file; null for none
      */
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -71,7 +71,8 @@
                 settings.number("tap_max", 1, 16, 4));
         KubernetesSettings kubernetes = KubernetesSettings.read(settings, config);
         Path folder = settings.path("snapshot_folder");
-        Snapshot snapshot = new Snapshot(folder, settings.number("snapshot_every_ms", 100, 3_600_000, 1_000) * Clock.MILLI,
+        Snapshot snapshot = new Snapshot(folder,
+                settings.number("snapshot_every_ms", 100, 3_600_000, 1_000) * Clock.MILLI,
                 settings.number("snapshot_oldest_s", 1, 2_592_000, 86_400) * 1_000 * Clock.MILLI);
         settings.rejectTheRest();
         Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
@@ -80,8 +81,9 @@
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
             String most = tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : figuresOn ? "figures"
                     : kubernetes != null ? "kubernetes_api" : "snapshot_folder";
-            throw settings.fault(most, "the features need " + features.descriptors() + " descriptors beside the router's "
-                    + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is " + config.sockets());
+            throw settings.fault(most, "the features need " + features.descriptors()
+                    + " descriptors beside the router's " + NodeConfig.LEAST_SOCKETS + ", but limits.sockets is "
+                    + config.sockets());
         }
         return features;
     }
--- a/src/main/java/slateseam/router/config/KubernetesSettings.java
+++ b/src/main/java/slateseam/router/config/KubernetesSettings.java
@@ -25,8 +25,8 @@
  * @param watchSeconds for how long a watch is asked for, 5 to 3600
  * @param page how many slices a page of a list may have, 1 to 1000
  */
-public record KubernetesSettings(Api api, String namespace, String selector, String port, Origin origin, Reading reading,
-        Guard guard, int watchSeconds, int page) {
+public record KubernetesSettings(Api api, String namespace, String selector, String port, Origin origin,
+        Reading reading, Guard guard, int watchSeconds, int page) {
     private static final Pattern LABEL = Pattern.compile("[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?");
     private static final Pattern SELECTOR = Pattern.compile("[ -~]{1,1024}");
     private static final Pattern LOOPBACK = Pattern.compile("127\\.[0-9.]+|::1|localhost");
@@ -71,11 +71,13 @@
      * @param nodes sites by beginnings of nodes' names
      * @param kind a label or annotation of slices; null for none, as for the next two
      */
-    public record Reading(Map<String, String> zones, Map<String, String> nodes, String kind, String weight, String start,
-            boolean preferIpv6) {
+    public record Reading(Map<String, String> zones, Map<String, String> nodes, String kind, String weight,
+            String start, boolean preferIpv6) {
     }
 
-    /** How many of the ready servers may leave at once, over 0 and at most 1, and for how long more of them are kept. */
+    /**
+     * How many of the ready servers may leave at once, over 0 and at most 1, and for how long more of them are kept.
+     */
     public record Guard(double share, long nanos) {
     }
 
@@ -96,7 +98,8 @@
         Origin origin = new Origin(label(file, "kubernetes_origin_service"), file.address("kubernetes_origin"));
         Reading reading = new Reading(sites(file, "kubernetes_zones", config), sites(file, "kubernetes_nodes", config),
                 file.text("kubernetes_kind_label"), file.text("kubernetes_weight_annotation"),
-                file.text("kubernetes_start_annotation"), file.word("kubernetes_family", "ipv4", "ipv6").equals("ipv6"));
+                file.text("kubernetes_start_annotation"),
+                file.word("kubernetes_family", "ipv4", "ipv6").equals("ipv6"));
         Guard guard = new Guard(file.number("kubernetes_guard_percent", 1, 100, 40) / 100.0,
                 file.number("kubernetes_guard_ms", 0, 600_000, 10_000) * Clock.MILLI);
         int watch = file.number("kubernetes_watch_s", 5, 3_600, 30);
@@ -115,10 +118,12 @@
             require(file, origin.address(), "kubernetes_origin_service or kubernetes_origin");
         }
         if (service != null && service.equals(origin.service())) {
-            throw file.fault("kubernetes_origin_service", "kubernetes_origin_service is kubernetes_service: " + service);
+            throw file.fault("kubernetes_origin_service",
+                    "kubernetes_origin_service is kubernetes_service: " + service);
         }
         return new KubernetesSettings(api(file, url, ca, token), namespace,
-                service == null ? selector : selector(service, origin.service()), port, origin, reading, guard, watch, page);
+                service == null ? selector : selector(service, origin.service()), port, origin, reading, guard, watch,
+                page);
     }
 
     private static String selector(String service, String origin) {
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -99,7 +99,8 @@
     /**
      * Takes in what another source than discovery tells; how much that is, is bounded there.
      *
-     * @param told each once; with {@link ListKind#DELTA} the changes, those that are gone among them, else all there are
+     * @param told each once; with {@link ListKind#DELTA} the changes, those that are gone among them, else all there
+     *     are
      */
     public MembersChanged take(List<Entry> told, ListKind kind) {
         Map<Long, Entry> taken = kind == ListKind.DELTA ? entries : new HashMap<>();
@@ -123,13 +124,13 @@
      * @param rating its weight, over 0
      * @param upSinceNanos its start, Unix nanoseconds; 0 is long ago
      */
-    public Entry entry(String name, InetSocketAddress address, String zone, String kind, MemberState state, double rating,
-            long upSinceNanos, boolean isOrigin) {
+    public Entry entry(String name, InetSocketAddress address, String zone, String kind, MemberState state,
+            double rating, long upSinceNanos, boolean isOrigin) {
         int number = number(kinds, kind);
         // Guards against an application server that a label makes the origin, and the other way round.
         int taken = isOrigin ? originKind : number == originKind ? kinds.size() : number;
-        return new Entry(name, address, new Member(id(name), number(zones, zone), taken, 0, state, rating, upSinceNanos),
-                isOrigin);
+        Member member = new Member(id(name), number(zones, zone), taken, 0, state, rating, upSinceNanos);
+        return new Entry(name, address, member, isOrigin);
     }
 
     /** The whole list in discovery's form, as {@link #take(JSONObject, boolean)} takes it in. */
--- a/src/main/java/slateseam/router/kubernetes/Access.java
+++ b/src/main/java/slateseam/router/kubernetes/Access.java
@@ -16,8 +16,8 @@
 import slateseam.router.tls.Trust;
 
 /**
- * What it takes to talk to the API, read anew when its files have changed. Not for the loop: it reads files, and looks up
- * the API's name if it is no literal address. Used by one thread at a time.
+ * What it takes to talk to the API, read anew when its files have changed. Not for the loop: it reads files, and looks
+ * up the API's name if it is no literal address. Used by one thread at a time.
  */
 final class Access {
     private static final int MOST_TOKEN_BYTES = 64 * 1024;
@@ -99,7 +99,8 @@
         tokenStamp = null;
         try {
             if (stamp.size > MOST_TOKEN_BYTES) {
-                throw new RefusedException("the token in " + api.token() + " is longer than " + MOST_TOKEN_BYTES + " bytes");
+                throw new RefusedException("the token in " + api.token() + " is longer than " + MOST_TOKEN_BYTES
+                        + " bytes");
             }
             token = new String(Files.readAllBytes(api.token()), StandardCharsets.ISO_8859_1).strip();
         } catch (IOException e) {
--- a/src/main/java/slateseam/router/kubernetes/BackOff.java
+++ b/src/main/java/slateseam/router/kubernetes/BackOff.java
@@ -3,7 +3,9 @@
 import java.util.SplittableRandom;
 import slateseam.router.net.Clock;
 
-/** How long to wait before the next try: longer with each failure, and drawn, so that routers do not come back together. */
+/**
+ * How long to wait before the next try: longer with each failure, and drawn, so that routers do not come back together.
+ */
 final class BackOff {
     static final long LEAST_NANOS = 50 * Clock.MILLI;
     static final long MOST_NANOS = 10_000 * Clock.MILLI;
--- a/src/main/java/slateseam/router/kubernetes/Body.java
+++ b/src/main/java/slateseam/router/kubernetes/Body.java
@@ -4,7 +4,9 @@
 import slateseam.router.net.HttpHead;
 import slateseam.router.net.MalformedException;
 
-/** Reads the body of an answer as it comes, in chunks or of a told length, cut wherever it may be. Keeps nothing of it. */
+/**
+ * Reads the body of an answer as it comes, in chunks or of a told length, cut wherever it may be. Keeps nothing of it.
+ */
 final class Body {
     /** Of all lines of a trailer. */
     private static final int TRAILER_BYTES = 8 * 1024;
--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -16,8 +16,8 @@
 import slateseam.router.tls.RefusedException;
 
 /**
- * Tells a membership what the API tells: a list where it must be, then one watch after another, each from where the last
- * one stood. What goes wrong costs a wait and at most a new list; what is known stays.
+ * Tells a membership what the API tells: a list where it must be, then one watch after another, each from where the
+ * last one stood. What goes wrong costs a wait and at most a new list; what is known stays.
  */
 final class Follower implements ApiCall.Listener {
     private static final long FILES_NANOS = 10_000 * Clock.MILLI;
@@ -147,7 +147,7 @@
                 try {
                     Access.Ready come = now.ready(anew);
                     loop.handOver(() -> ready(number, come));
-                } catch (RefusedException e) {
+                } catch (RefusedException | RuntimeException e) {
                     loop.handOver(() -> filesFailed(number, e.getMessage()));
                 }
             });
@@ -337,7 +337,8 @@
                 trouble(null, null, askedNanos);
             }
         } else {
-            // A watch from a version that this API has not come to yet, as its store was restored, will never be answered.
+            // A watch from a version that this API has not come to yet, as its store was restored, will never be
+            // answered.
             listAnew |= (code == BAD_REQUEST || code == TIMED_OUT) && backOff.failures() > 0;
             trouble(code == FORBIDDEN ? "kubernetes-forbidden" : code == TOO_MANY ? "kubernetes-busy"
                     : code >= FIRST_SERVER_FAULT ? "kubernetes-failed" : "kubernetes-refused", why, askedNanos);
--- a/src/main/java/slateseam/router/kubernetes/JsonStream.java
+++ b/src/main/java/slateseam/router/kubernetes/JsonStream.java
@@ -8,9 +8,9 @@
 import slateseam.router.net.MalformedException;
 
 /**
- * Cuts JSON that comes in parts, cut wherever they may be, into objects, and reads each when it is whole. Of an object it
- * keeps 1 MiB at most, without what nobody here needs: the records of managed fields, and what goes beyond 8 KiB of a text.
- * An object that is longer all the same is left out and told of. Nothing but the objects' text is kept.
+ * Cuts JSON that comes in parts, cut wherever they may be, into objects, and reads each when it is whole. Of an object
+ * it keeps 1 MiB at most, without what nobody here needs: the records of managed fields, and what goes beyond 8 KiB of
+ * a text. An object that is longer all the same is left out and told of. Nothing but the objects' text is kept.
  */
 final class JsonStream {
     /** An object of the API's own bounds (1,000 endpoints) takes a good half of it. */
--- a/src/main/java/slateseam/router/kubernetes/Memberships.java
+++ b/src/main/java/slateseam/router/kubernetes/Memberships.java
@@ -7,7 +7,6 @@
 import slateseam.decision.Api.MemberState;
 import slateseam.decision.Api.MembersChanged;
 import slateseam.router.config.KubernetesSettings;
-import slateseam.router.config.NodeConfig;
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.Farm.Entry;
 import slateseam.router.membership.Membership.Changes;
@@ -32,13 +31,14 @@
         return new MembershipSettings(origin, reading.preferIpv6(), usual.comparable(),
                 new Places(reading.zones(), reading.nodes()),
                 new Keys(reading.kind(), reading.weight(), reading.start()),
-                new Guard(settings.guard().share(), settings.guard().nanos(), usual.guard().moveNanos()), usual.bounds());
+                new Guard(settings.guard().share(), settings.guard().nanos(), usual.guard().moveNanos()),
+                usual.bounds());
     }
 
     /** Brings all servers into the farm. */
     static MembersChanged whole(Farm farm, List<Server> servers, ListKind kind) {
         List<Entry> entries = new ArrayList<>(servers.size());
-        servers.forEach(server -> add(farm, server, server.ready() ? MemberState.READY : MemberState.DRAINING, entries));
+        servers.forEach(server -> add(farm, server, state(server), entries));
         return farm.take(entries, kind);
     }
 
@@ -48,17 +48,19 @@
             return null;
         }
         List<Entry> entries = new ArrayList<>(changes.changed().size() + changes.gone().size());
-        changes.changed().forEach(
-                server -> add(farm, server, server.ready() ? MemberState.READY : MemberState.DRAINING, entries));
+        changes.changed().forEach(server -> add(farm, server, state(server), entries));
         changes.gone().forEach(server -> add(farm, server, MemberState.GONE, entries));
         return farm.take(entries, ListKind.DELTA);
     }
 
+    private static MemberState state(Server server) {
+        return server.ready() ? MemberState.READY : MemberState.DRAINING;
+    }
+
     private static void add(Farm farm, Server server, MemberState state, List<Entry> entries) {
-        String host = server.address().indexOf(':') < 0 ? server.address() : "[" + server.address() + "]";
-        InetSocketAddress address = NodeConfig.address(host + ":" + server.port());
         // Guards against an address that only a snapshot from elsewhere can hold; what comes from the API was checked.
-        if (address != null) {
+        if (SliceReader.isLiteral(server.address(), server.address().indexOf(':') >= 0)) {
+            InetSocketAddress address = new InetSocketAddress(server.address(), server.port());
             entries.add(farm.entry(server.name(), address, server.zone(), server.kind(), state, server.weight(),
                     server.bornAtNanos(), server.origin()));
         }
--- a/src/main/java/slateseam/router/kubernetes/SavedList.java
+++ b/src/main/java/slateseam/router/kubernetes/SavedList.java
@@ -12,7 +12,10 @@
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 
-/** A list of EndpointSlices in a file, as {@code kubectl get endpointslices -o json} writes it, read as one of the API's. */
+/**
+ * A list of EndpointSlices in a file, as {@code kubectl get endpointslices -o json} writes it, read as one of the
+ * API's.
+ */
 public final class SavedList {
     private static final int STEP = 64 * 1024;
 
@@ -25,7 +28,8 @@
      *
      * @throws MalformedException if it is no such list, or holds an object that would be left out
      */
-    public static Membership read(KubernetesSettings settings, Path file, Loop loop) throws IOException, MalformedException {
+    public static Membership read(KubernetesSettings settings, Path file, Loop loop)
+            throws IOException, MalformedException {
         List<String> left = new ArrayList<>();
         Listing listing = new Listing(new SliceReader(settings.port()), (kind, text) -> left.add(text));
         try (InputStream in = Files.newInputStream(file)) {
--- a/src/main/java/slateseam/router/kubernetes/SliceReader.java
+++ b/src/main/java/slateseam/router/kubernetes/SliceReader.java
@@ -111,7 +111,7 @@
     }
 
     /** Guards the loop: what is no literal address would be looked up as a name. */
-    private static boolean isLiteral(String address, boolean ipv6) {
+    static boolean isLiteral(String address, boolean ipv6) {
         if (!ipv6) {
             return IPV4.matcher(address).matches();
         }
--- a/src/main/java/slateseam/router/net/Errands.java
+++ b/src/main/java/slateseam/router/net/Errands.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Does what would hold up the loop, such as reading files and checking certificates, one after another on a thread of its
- * own, which ends when there is nothing to do. What comes of it goes back by {@link Loop#handOver}.
+ * Does what would hold up the loop, such as reading files and checking certificates, one after another on a thread of
+ * its own, which ends when there is nothing to do. What comes of it goes back by {@link Loop#handOver}.
  */
 public final class Errands implements Executor {
     private static final int MOST_WAITING = 64;
--- a/src/main/java/slateseam/router/tls/Rooms.java
+++ b/src/main/java/slateseam/router/tls/Rooms.java
@@ -4,8 +4,8 @@
 import javax.net.ssl.SSLSession;
 
 /**
- * The buffers in which records are opened and sealed: one of each for all connections of a loop, as each is used up before
- * a call ends. So a connection that is idle holds no buffer.
+ * The buffers in which records are opened and sealed: one of each for all connections of a loop, as each is used up
+ * before a call ends. So a connection that is idle holds no buffer.
  */
 final class Rooms {
     static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
--- a/src/main/java/slateseam/router/tls/TlsTransport.java
+++ b/src/main/java/slateseam/router/tls/TlsTransport.java
@@ -14,8 +14,9 @@
 import slateseam.router.net.Transport;
 
 /**
- * TLS on one connection. What it holds between two calls is at most one record that is not whole yet, one that was opened
- * and not taken, and one that was sealed and not written: 16 KiB each. What takes its time in a handshake is done aside.
+ * TLS on one connection. What it holds between two calls is at most one record that is not whole yet, one that was
+ * opened and not taken, and one that was sealed and not written: 16 KiB each. What takes its time in a handshake is
+ * done aside.
  */
 public final class TlsTransport implements Transport {
     /** Guards the loop against a flood of records that hold nothing. */
--- a/src/main/java/slateseam/router/tls/Trust.java
+++ b/src/main/java/slateseam/router/tls/Trust.java
@@ -63,7 +63,8 @@
         try {
             Collection<? extends Certificate> all = factory.generateCertificates(new ByteArrayInputStream(pem));
             if (all.isEmpty() || all.size() > MOST_CERTIFICATES) {
-                throw new RefusedException("the file of authorities " + file + " holds " + all.size() + " certificates");
+                throw new RefusedException("the file of authorities " + file + " holds " + all.size()
+                        + " certificates");
             }
             return all;
         } catch (CertificateException e) {
@@ -71,7 +72,8 @@
         }
     }
 
-    private static Trust of(Collection<? extends Certificate> authorities) throws GeneralSecurityException, IOException {
+    private static Trust of(Collection<? extends Certificate> authorities)
+            throws GeneralSecurityException, IOException {
         KeyStore store = KeyStore.getInstance(KeyStore.getDefaultType());
         store.load(null, null);
         for (Certificate authority : authorities) {
--- a/src/main/java/slateseam/show/FarmShow.java
+++ b/src/main/java/slateseam/show/FarmShow.java
@@ -98,9 +98,9 @@
         List<Shown> shown = new ArrayList<>();
         for (Farm.Entry entry : farm.entries()) {
             String address = entry.address().toString();
-            shown.add(new Shown(entry.host(), entry.host(), address.substring(address.indexOf('/') + 1), entry.isReady(),
-                    "", name(config.zones(), entry.member().zone()), name(config.kinds(), entry.member().kind()),
-                    entry.member().rating(), since(entry.member().upSinceNanos()), entry.isOrigin()));
+            shown.add(new Shown(entry.host(), entry.host(), address.substring(address.indexOf('/') + 1),
+                    entry.isReady(), "", name(config.zones(), entry.member().zone()),
+                    name(config.kinds(), entry.member().kind()), entry.member().rating(), since(entry.member().upSinceNanos()), entry.isOrigin()));
         }
         return shown;
     }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -30,19 +30,19 @@
 /**
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
  * {@code WHO > BYTES} (WHO writes), {@code WHO >> BYTES} (WHO writes in the round of the next step, when the router has
- * looked at its sockets and not yet at its deadlines), {@code WHO < BYTES} (just these come to WHO), {@code WHO closes},
- * {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it), {@code WHO stops listening},
- * {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start} (another
- * router with the same files), {@code log TEXT} (the log has it),
- * {@code log stops}, {@code log goes on} (its reader does), {@code reload OLD => NEW} (the changed file is read again) or
- * {@code show the hot list}, {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to {@code again} are played N times. Before all others come
- * {@code config OLD => NEW}, which changes the configuration, {@code setting NAME VALUE}, a line of the settings file,
- * {@code given NAME TEXT}, a file that is there at the start, and {@code define NAME TEXT}, which stands for {@code {NAME}}
- * in what follows.
+ * looked at its sockets and not yet at its deadlines), {@code WHO < BYTES} (just these come to WHO),
+ * {@code WHO closes}, {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it),
+ * {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start}
+ * (another router with the same files), {@code log TEXT} (the log has it), {@code log stops}, {@code log goes on} (its
+ * reader does), {@code reload OLD => NEW} (the changed configuration or settings file is read again), {@code show the
+ * hot list} or {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to
+ * {@code again} are played N times. Before all others come {@code config OLD => NEW}, which changes the configuration,
+ * {@code setting NAME VALUE}, a line of the settings file, {@code given NAME TEXT}, a file that is there at the start,
+ * and {@code define NAME TEXT}, which stands for {@code {NAME}} in what follows.
  *
- * <p>WHO is a server of the configuration or, with any other name, a user agent, which connects on its first line: to the
- * listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. A server takes its next
- * connection when its last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
+ * <p>WHO is a server of the configuration or, with any other name, a user agent, which connects on its first line: to
+ * the listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. A server takes its
+ * next connection when its last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
  */
 final class Recorded {
     /** A guard against waiting for ever; no test depends on how long a round takes. */
