--- a/src/test/java/slateseam/router/kubernetes/Followed.java
+++ b/src/test/java/slateseam/router/kubernetes/Followed.java
@@ -49,7 +49,12 @@
                 "kubernetes_service caches", "kubernetes_port resp", "kubernetes_origin 127.0.0.1:1",
                 "kubernetes_page 2"));
         lines.addAll(List.of(more));
-        return Features.read(Files.write(dir.resolve("s.conf"), lines), config()).kubernetes();
+        return settings(Files.write(dir.resolve("s.conf"), lines));
+    }
+
+    /** The settings of a file. */
+    static KubernetesSettings settings(Path file) throws Exception {
+        return Features.read(file, config()).kubernetes();
     }
 
     Followed begin() {
--- a/src/test/java/slateseam/router/kubernetes/KubernetesFarmTest.java
+++ b/src/test/java/slateseam/router/kubernetes/KubernetesFarmTest.java
@@ -66,6 +66,24 @@
         }
     }
 
+    @Test
+    void theOriginIsASecondServiceAndOneWatchTellsOfBoth() throws Exception {
+        try (Served served = new Served(null)) {
+            served.command("service caches port=resp:6379", "pods a 2 service=caches", "service store port=resp:80",
+                    "pods o 1 service=store", "service others port=resp:81", "pods x 1 service=others");
+            Path file = dir.resolve("s.conf");
+            Followed.settings(dir, served.url());
+            Files.writeString(file, Files.readString(file).replace("kubernetes_origin 127.0.0.1:1",
+                    "kubernetes_origin_service store"));
+            Followed followed = new Followed(Followed.settings(file)).begin();
+            followed.rounds(() -> followed.source.servers().size() == 3);
+            served.command("pod o-1 unready");
+            followed.rounds(() -> followed.source.servers().stream().anyMatch(s -> s.origin() && !s.ready()));
+            assertThat(followed.servers()).hasSize(2);
+            assertThat(served.net.call(served.server::watches)).isEqualTo(1);
+        }
+    }
+
     private static Member last(Followed followed, String pod) {
         Server server = followed.source.servers().stream().filter(s -> s.pod().equals(pod)).findAny().orElseThrow();
         Member last = null;
