--- a/src/main/java/slateseam/router/kubernetes/JsonStream.java
+++ b/src/main/java/slateseam/router/kubernetes/JsonStream.java
@@ -1,10 +1,10 @@
 package slateseam.router.kubernetes;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.json.JSONException;
 import org.json.JSONObject;
+import slateseam.router.net.Bytes;
 import slateseam.router.net.MalformedException;
 
 /**
@@ -32,42 +32,13 @@
         void tooLong(String begin);
     }
 
-    private static final class Text extends ByteArrayOutputStream {
-        boolean tooLong;
-
-        Text() {
-            super(4 * 1024);
-        }
-
-        void append(byte b) {
-            if (count < LONGEST_OBJECT) {
-                write(b);
-            } else {
-                tooLong = true;
-            }
-        }
-
-        String text(int most) {
-            return new String(buf, 0, Math.min(most, count), StandardCharsets.UTF_8);
-        }
-
-        /** Guards against one long object's room being held for ever. */
-        void clear() {
-            if (buf.length > 64 * 1024) {
-                buf = new byte[4 * 1024];
-            }
-            count = 0;
-            tooLong = false;
-        }
-    }
-
     private final Taker taker;
     /** Whether the objects are the elements of the list {@code items} of one object, which is read as well. */
     private final boolean list;
-    private final Text object = new Text();
+    private final KeptText object = new KeptText(LONGEST_OBJECT);
     /** What surrounds the elements. */
-    private final Text around = new Text();
-    private Text sink;
+    private final KeptText around = new KeptText(LONGEST_OBJECT);
+    private KeptText sink;
     private int depth;
     /** A bit for each level: whether it is an object, else it is an array. */
     private long objects;
@@ -97,9 +68,34 @@
 
     /** Takes what has come; calls the taker for each object that is whole now. */
     void take(ByteBuffer in) throws MalformedException {
-        while (in.hasRemaining()) {
-            take(in.get());
+        byte[] bytes = in.hasArray() ? in.array() : Bytes.copy(in);
+        int at = in.hasArray() ? in.arrayOffset() + in.position() : 0;
+        int end = at + in.remaining();
+        in.position(in.limit());
+        while (at < end) {
+            int run = inText ? plainRun(bytes, at, end) : 0;
+            at += run;
+            if (run == 0) {
+                take(bytes[at++]);
+            }
+        }
+    }
+
+    /** Takes bytes within a text that mean nothing but themselves at once; how many. */
+    private int plainRun(byte[] bytes, int from, int end) {
+        if (escaped || hexLeft > 0 || expectsName) {
+            return 0;
+        }
+        int most = Math.min(end, from + Math.max(0, LONGEST_TEXT - textBytes));
+        int at = from;
+        while (at < most && bytes[at] != '"' && bytes[at] != '\\') {
+            at++;
+        }
+        if (unused == 0 && at > from) {
+            sink.append(bytes, from, at - from);
         }
+        textBytes += at - from;
+        return at - from;
     }
 
     /** Whether it ended between two objects, or with the end of the list. */
@@ -138,7 +134,7 @@
             }
             if (b == ':' && unused == 0 && isObject() && wordIs(UNUSED)) {
                 unused = depth;
-                sink.writeBytes(NULL);
+                sink.append(NULL, 0, NULL.length);
             }
         }
     }
@@ -240,8 +236,8 @@
     private void handOut() throws MalformedException {
         sink = list ? around : object;
         try {
-            if (object.tooLong) {
-                taker.tooLong(object.text(SHOWN));
+            if (object.isTooLong()) {
+                taker.tooLong(object.begin(SHOWN));
             } else {
                 taker.object(read(object));
             }
@@ -250,12 +246,12 @@
         }
     }
 
-    private JSONObject read(Text text) throws MalformedException {
-        if (text.tooLong) {
+    private static JSONObject read(KeptText text) throws MalformedException {
+        if (text.isTooLong()) {
             throw new MalformedException("what surrounds the items of a list is too long");
         }
         try {
-            return new JSONObject(text.text(Integer.MAX_VALUE));
+            return text.json();
         } catch (JSONException e) {
             throw new MalformedException("what came is no JSON: " + e.getMessage());
         }
--- a/src/test/java/slateseam/router/kubernetes/KubernetesMeasured.java
+++ b/src/test/java/slateseam/router/kubernetes/KubernetesMeasured.java
@@ -19,7 +19,7 @@
 /**
  * What following EndpointSlices gives, outside the tests, with the packaged router as a process of its own, the
  * stand-in API server, and cache servers on loopback. The first argument chooses: {@code drains RUNS plain|tls|trouble
- * [SEED]}, {@code starts RUNS}, {@code sizes SECONDS}.
+ * [SEED]}, {@code starts RUNS}, {@code sizes SECONDS plain|tls}.
  */
 final class KubernetesMeasured implements AutoCloseable {
     private static final int SERVERS = 40;
@@ -136,9 +136,8 @@
         served.command(commands.toArray(String[]::new));
     }
 
-    private static void tell(String what, long[] nanos) {
-        long[] sorted = nanos.clone();
-        Arrays.sort(sorted);
+    private static void tell(String what, List<Long> nanos) {
+        long[] sorted = nanos.stream().mapToLong(Long::longValue).sorted().toArray();
         System.out.printf("%s: %d, median %.2f ms, p99 %.2f ms, longest %.2f ms, over 500 ms: %d%n", what,
                 sorted.length, sorted[sorted.length / 2] / 1e6, sorted[(int) (sorted.length * 0.99)] / 1e6,
                 sorted[sorted.length - 1] / 1e6, Arrays.stream(sorted).filter(n -> n > 500_000_000L).count());
@@ -154,7 +153,9 @@
             Thread.sleep(3_000);
             Random random = new Random(seed);
             long[] begun = new long[SERVERS];
+            String[] how = new String[SERVERS];
             List<Long> took = new ArrayList<>();
+            List<Long> vanished = new ArrayList<>();
             long idle = 0;
             // Pods that end drain before they leave; a tenth of the changes are pods that just vanish.
             String[] changes = {"terminating", "terminating", "terminating", "unready", "unready", "unready",
@@ -164,13 +165,14 @@
                 "repack caches per-slice=10"};
             int started = 0;
             int dead = 0;
-            while (took.size() < runs) {
+            while (took.size() + vanished.size() < runs) {
                 int server = random.nextInt(SERVERS);
                 if (begun[server] == 0 && dead < SERVERS / 4 && started < runs) {
                     if (way.equals("trouble") && random.nextInt(3) == 0) {
                         measured.served.command(troubles[random.nextInt(troubles.length)]);
                     }
-                    String change = "pod c-" + server + " " + changes[random.nextInt(changes.length)];
+                    how[server] = changes[random.nextInt(changes.length)];
+                    String change = "pod c-" + server + " " + how[server];
                     begun[server] = System.nanoTime();
                     measured.served.command(change);
                     if (change.endsWith(" terminating") && random.nextBoolean()) {
@@ -183,15 +185,15 @@
                 Thread.sleep(20);
                 for (int i = 0; i < SERVERS; i++) {
                     if (begun[i] != 0 && System.nanoTime() - begun[i] > WATCHED_NANOS) {
-                        took.add(Math.max(0, caches.last(i) - begun[i]));
+                        (how[i].equals("gone") ? vanished : took).add(Math.max(0, caches.last(i) - begun[i]));
                         begun[i] = 0;
                         dead--;
                         measured.back(i);
                     }
                 }
             }
-            tell("drains (" + way + "), from the change to the last request",
-                    took.stream().mapToLong(Long::longValue).toArray());
+            tell("drained (" + way + "), from the change to the last request", took);
+            tell("vanished (" + way + ")", vanished);
             System.out.printf("  %d answers, %d unavailable; %d servers had no request 200 ms before the change%n",
                     measured.answers.get(), measured.unavailable.get(), idle);
             measured.troubles();
@@ -270,9 +272,9 @@
     }
 
     /** Processor time and memory by the size of the farm, at rest and under 200 changes a second. */
-    private static void sizes(int seconds) throws Exception {
+    private static void sizes(int seconds, boolean tls) throws Exception {
         for (int size : new int[] {100, 500, 1_000, 2_000, 5_000}) {
-            try (KubernetesMeasured measured = new KubernetesMeasured(true)) {
+            try (KubernetesMeasured measured = new KubernetesMeasured(tls)) {
                 measured.served.command("service caches port=resp:6379 per-slice=100",
                         "pods c " + size + " service=caches");
                 measured.start();
@@ -346,7 +348,7 @@
         switch (args[0]) {
             case "drains" -> drains(number, args[2], args.length > 3 ? Long.parseLong(args[3]) : 1);
             case "starts" -> starts(number);
-            default -> sizes(number);
+            default -> sizes(number, args[2].equals("tls"));
         }
     }
 }
