Let the bound of waits grow from the third failure in a row on

Cause: under cuts that came three in a row 2 of 1,000 changes took 504 and 518 ms from their writing to the last request, as the third wait was up to 0.4 s.

Change: the first two waits are up to 0.1 s, and a watch that lasted 0.25 s makes the next failure the first.

--- a/src/main/java/slateseam/router/kubernetes/BackOff.java
+++ b/src/main/java/slateseam/router/kubernetes/BackOff.java
@@ -35,12 +35,13 @@
     }
 
     /**
-     * For how long to wait after the failures so far: from 50 ms up to a bound that doubles with each, 10 s at most.
+     * For how long to wait after the failures so far: from 50 ms up to a bound of 100 ms, which doubles with each from
+     * the third on, 10 s at most.
      *
      * @param askedNanos for how long the server asked to be left alone; comes on top, up to 60 s
      */
     long nanos(long askedNanos) {
-        long most = Math.min(MOST_NANOS, LEAST_NANOS << Math.min(failures, 20));
+        long most = Math.min(MOST_NANOS, LEAST_NANOS << Math.max(1, Math.min(failures - 1, 20)));
         return Math.min(MOST_ASKED_NANOS, askedNanos) + LEAST_NANOS + random.nextLong(most - LEAST_NANOS + 1);
     }
 }
--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -26,7 +26,7 @@
     /** Beyond its time a watch that says nothing is late: the machine may be gone, which TCP does not notice. */
     private static final long SLACK_NANOS = 5_000 * Clock.MILLI;
     /** One that ends sooner, and said nothing, is trouble: else it would be begun anew again and again. */
-    private static final long SHORTEST_WATCH_NANOS = 1_000 * Clock.MILLI;
+    private static final long SHORTEST_WATCH_NANOS = 250 * Clock.MILLI;
     private static final int FAULT_BYTES = 4 * 1024;
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
