--- a/src/main/java/slateseam/standin/sockets/SocketNet.java
+++ b/src/main/java/slateseam/standin/sockets/SocketNet.java
@@ -242,22 +242,32 @@
 
     private void accept(Place place) throws IOException {
         for (SocketChannel channel; (channel = place.accept()) != null;) {
-            if (connections.size() >= mostConnections) {
-                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            try {
+                take(place, channel);
+            } catch (IOException e) {
+                // Whoever connected has gone already.
                 channel.close();
-                continue;
             }
-            channel.configureBlocking(false);
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            Channeled bytes = place.tls() == null ? new Plain(channel) : new Tls(channel, engine(place.tls()));
-            Connection connection = new Connection(this, numbers++, channel, bytes);
-            connections.add(connection);
-            SelectionKey key = channel.register(selector, SelectionKey.OP_READ, connection);
-            connection.begin(place.listener().apply(connection), key);
-            connection.ready();
         }
     }
 
+    private void take(Place place, SocketChannel channel) throws IOException {
+        if (connections.size() >= mostConnections) {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            channel.close();
+            return;
+        }
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        Channeled bytes = place.tls() == null ? new Plain(channel) : new Tls(channel, engine(place.tls()));
+        SelectionKey key = channel.register(selector, SelectionKey.OP_READ);
+        Connection connection = new Connection(this, numbers++, channel, bytes);
+        key.attach(connection);
+        connections.add(connection);
+        connection.begin(place.listener().apply(connection), key);
+        connection.ready();
+    }
+
     private static SSLEngine engine(SSLContext context) {
         SSLEngine engine = context.createSSLEngine();
         engine.setUseClientMode(false);
--- a/src/test/java/slateseam/standin/kubernetes/ApiServerTest.java
+++ b/src/test/java/slateseam/standin/kubernetes/ApiServerTest.java
@@ -194,7 +194,10 @@
         assertThat(asker.events()).as("nothing came to swap it with").hasSize(1);
         play("late 50ms", "pod a-1 ready", "late 0ms", "pod a-4 unready");
         assertThat(asker.events()).isEmpty();
+        Asker other = new Asker(stage);
+        other.ask(WATCH + (at + 12));
         stage.pass(60 * MILLI);
+        assertThat(other.events()).as("told at its start, and not again").hasSize(2);
         assertThat(asker.events()).containsExactly("MODIFIED " + name(1) + ' ' + (at + 14),
                 "MODIFIED " + name(2) + ' ' + (at + 16));
     }
--- a/src/test/java/slateseam/standin/sockets/SocketNetTest.java
+++ b/src/test/java/slateseam/standin/sockets/SocketNetTest.java
@@ -34,6 +34,8 @@
     private static final int MUCH = 4 << 20;
 
     private final SocketNet net;
+    /** The last connection; used on the net's thread only. */
+    private Wire taken;
 
     SocketNetTest() throws IOException {
         net = new SocketNet(3);
@@ -44,16 +46,21 @@
         net.close();
     }
 
-    /** Says all back, ends when the other side does, and pauses once, after some 100,000 bytes. */
+    /** Says all back, ends when the other side does, and pauses once, after so many bytes. */
     private static final class Echo implements Party {
+        private final int pausesAfter;
         private int got;
 
+        Echo(int pausesAfter) {
+            this.pausesAfter = pausesAfter;
+        }
+
         @Override
         public void received(Wire wire, byte[] bytes) {
             wire.write(bytes);
-            boolean before = got < 100_000;
+            boolean before = got < pausesAfter;
             got += bytes.length;
-            if (before && got >= 100_000) {
+            if (before && got >= pausesAfter) {
                 wire.pause(true);
             }
         }
@@ -68,6 +75,21 @@
         }
     }
 
+    private void listen(int pausesAfter) {
+        net.run(() -> net.listen("a", wire -> {
+            taken = wire;
+            return new Echo(pausesAfter);
+        }));
+    }
+
+    /** Lets the connection go on, once it is paused. */
+    private void resume() {
+        while (!net.call(() -> ((Connection) taken).isPaused())) {
+            Thread.onSpinWait();
+        }
+        net.run(() -> taken.pause(false));
+    }
+
     private Socket dial() throws IOException {
         Socket socket = new Socket();
         socket.setSoTimeout(LIMIT_MILLIS);
@@ -98,11 +120,7 @@
     void bytesComeBackWholeThoughNobodyReadsThemForATime(boolean tls) throws Exception {
         Certificates authority = new Certificates("a");
         net.tls("a", tls ? authority.server("localhost") : null);
-        Wire[] taken = new Wire[1];
-        net.run(() -> net.listen("a", wire -> {
-            taken[0] = wire;
-            return new Echo();
-        }));
+        listen(100_000);
         byte[] much = new byte[MUCH];
         for (int i = 0; i < much.length; i++) {
             much[i] = (byte) (i * 31 >> 3);
@@ -117,10 +135,7 @@
                 }
             });
             byte[] begin = socket.getInputStream().readNBytes(100_000);
-            while (!net.call(() -> ((Connection) taken[0]).isPaused())) {
-                Thread.onSpinWait();
-            }
-            net.run(() -> taken[0].pause(false));
+            resume();
             byte[] rest = socket.getInputStream().readAllBytes();
             written.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
             assertThat(begin.length + rest.length).isEqualTo(MUCH);
@@ -129,12 +144,36 @@
         }
     }
 
+    /** Guards what was read with the record before the pause: no readiness tells of it. */
+    @Test
+    void whatTlsHoldsBackOverAPauseIsReadBehindIt() throws Exception {
+        Certificates authority = new Certificates("a");
+        net.tls("a", authority.server("localhost"));
+        listen(2);
+        try (Socket socket = secured(authority, "localhost")) {
+            socket.getOutputStream().write('a');
+            assertThat(socket.getInputStream().read()).isEqualTo('a');
+            // Both come while the thread is held up, so that it reads them at once.
+            net.run(() -> {
+                try {
+                    socket.getOutputStream().write('b');
+                    socket.getOutputStream().write('c');
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertThat(socket.getInputStream().read()).isEqualTo('b');
+            resume();
+            assertThat(socket.getInputStream().read()).isEqualTo('c');
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"expired, validity check failed", "name, No subject alternative DNS name matching localhost",
         "authority, unable to find valid certification path"})
     void aCertificateThatIsWrongIsRefusedForWhatItIs(String wrong, String message) throws Exception {
         Certificates authority = new Certificates("a");
-        net.run(() -> net.listen("a", wire -> new Echo()));
+        net.run(() -> net.listen("a", wire -> new Echo(MUCH)));
         net.tls("a", wrong.equals("expired") ? authority.server("localhost", Instant.now().minusSeconds(60))
                 : authority.server(wrong.equals("name") ? "other" : "localhost"));
         try (SSLSocket socket = secured(wrong.equals("authority") ? new Certificates("b") : authority, "localhost")) {
@@ -148,7 +187,7 @@
         InetSocketAddress before = net.address("a");
         assertThatThrownBy(this::dial).isInstanceOf(ConnectException.class);
         for (int i = 0; i < 3; i++) {
-            net.run(() -> net.listen("a", wire -> new Echo()));
+            net.run(() -> net.listen("a", wire -> new Echo(MUCH)));
             try (Socket socket = dial()) {
                 socket.getOutputStream().write('x');
                 assertThat(socket.getInputStream().read()).isEqualTo('x');
@@ -163,18 +202,16 @@
 
     @Test
     void connectionsBeyondTheBoundAndThoseResetAreBroken() throws Exception {
-        Wire[] last = new Wire[1];
-        net.run(() -> net.listen("a", wire -> {
-            last[0] = wire;
-            return new Echo();
-        }));
+        listen(MUCH);
         try (Socket first = dial(); Socket second = dial(); Socket third = dial()) {
             third.getOutputStream().write('x');
             assertThat(third.getInputStream().read()).isEqualTo('x');
-            try (Socket fourth = dial()) {
-                assertThatThrownBy(() -> fourth.getInputStream().read()).isInstanceOf(SocketException.class);
-            }
-            net.run(() -> last[0].reset());
+            assertThatThrownBy(() -> {
+                try (Socket fourth = dial()) {
+                    fourth.getInputStream().read();
+                }
+            }).isInstanceOf(SocketException.class);
+            net.run(() -> taken.reset());
             assertThatThrownBy(() -> third.getInputStream().read()).isInstanceOf(SocketException.class);
             first.getOutputStream().write('x');
             assertThat(first.getInputStream().read()).isEqualTo('x');
@@ -210,9 +247,9 @@
     void aPartyConnectsToAPlaceAndIsToldIfNobodyListens() throws Exception {
         net.address("a");
         assertThat(hello().get(LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo("broken");
-        net.run(() -> net.listen("a", wire -> new Echo()));
+        net.run(() -> net.listen("a", wire -> new Echo(MUCH)));
         assertThat(hello().get(LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo("hi");
-        assertThatThrownBy(() -> net.run(() -> net.connect("x", "10.0.0.1:80", new Echo())))
+        assertThatThrownBy(() -> net.run(() -> net.connect("x", "10.0.0.1:80", new Echo(MUCH))))
                 .hasRootCauseInstanceOf(IllegalArgumentException.class);
     }
 }
