--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -17,6 +19,8 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
+import slateseam.show.Check;
+import slateseam.show.FarmShow;
 import slateseam.simulate.SimulateCommand;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
@@ -31,10 +35,12 @@
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
               check-config  reads a router's configuration and says what is wrong with it
               simulate      plays whole days on a virtual clock and checks the rules (simulate help)
+              farm show     shows the farm as a router of this configuration would see it now; --from FILE reads a saved
+                            list of EndpointSlices instead of asking, --json prints JSON
               benchlink     serves the simulator's wire on standard input and output
               version       prints the version
-            --config FILE is a router's configuration (serve, check-config); without it NODE_CONFIG names the file
-            --features FILE turns features on (serve, check-config); without it all are off""";
+            --config FILE is a router's configuration (serve, check-config, farm show); without it NODE_CONFIG names the
+            file; --features FILE turns features on (the same commands); without it all are off""";
 
     private Main() {
     }
@@ -55,27 +61,45 @@
         }
         try {
             Options options = new Options();
-            boolean configured = command.equals("serve") || command.equals("check-config");
-            if (configured) {
+            boolean farm = command.equals("farm");
+            if (farm) {
+                options.addOption(Option.builder().longOpt("from").hasArg().get());
+                options.addOption(Option.builder().longOpt("json").get());
+            }
+            if (farm || command.equals("serve") || command.equals("check-config")) {
                 options.addOption(Option.builder().longOpt("config").hasArg().get());
                 options.addOption(Option.builder().longOpt("features").hasArg().get());
             }
             String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
             CommandLine line = new DefaultParser().parse(options, rest);
-            if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unexpected " + line.getArgList().get(0));
+            List<String> words = new ArrayList<>(line.getArgList());
+            if (farm && (words.isEmpty() || !words.remove(0).equals("show"))) {
+                throw new ParseException("farm can only show");
+            }
+            if (!words.isEmpty()) {
+                throw new ParseException("unexpected " + words.get(0));
             }
             switch (command) {
                 case "serve" -> {
                     Path file = configFile(line);
                     NodeConfig config = NodeConfig.read(file);
-                    return serve(config, features(line, config), file, err);
+                    return serve(config, features(line, config), file, featuresFile(line), err);
                 }
                 case "check-config" -> {
                     NodeConfig config = NodeConfig.read(configFile(line));
-                    features(line, config);
+                    Check.files(features(line, config));
                     out.println("the configuration of " + config.name() + " is in order");
                 }
+                case "farm" -> {
+                    NodeConfig config = NodeConfig.read(configFile(line));
+                    String from = line.getOptionValue("from");
+                    Features features = features(line, config);
+                    if (from != null && features.kubernetes() == null) {
+                        throw new ParseException("--from needs --features with kubernetes_api");
+                    }
+                    Path list = from == null ? null : Path.of(from);
+                    new FarmShow(config, features).show(list, line.hasOption("json"), out);
+                }
                 case "benchlink" -> new WireHost().serve(System.in, out);
                 case "version" -> out.println("slateseam " + version());
                 case "help", "--help", "-h" -> out.println(HELP);
@@ -104,15 +128,21 @@
     }
 
     private static Features features(CommandLine line, NodeConfig config) throws InvalidConfigException {
+        Path file = featuresFile(line);
+        return file == null ? Features.OFF : Features.read(file, config);
+    }
+
+    /** Null if there is none. */
+    private static Path featuresFile(CommandLine line) {
         String file = line.getOptionValue("features");
-        return file == null ? Features.OFF : Features.read(Path.of(file), config);
+        return file == null ? null : Path.of(file);
     }
 
-    private static int serve(NodeConfig config, Features features, Path file, PrintStream err) {
+    private static int serve(NodeConfig config, Features features, Path file, Path settings, PrintStream err) {
         Console console = new Console(config.name(), err);
         CountDownLatch ended = new CountDownLatch(1);
         try {
-            serve(config, features, file, console, ended);
+            serve(config, features, file, settings, console, ended);
             return 0;
         } catch (IOException e) {
             // Not printed from here: an exit must not hang on a reader of standard error that has stopped.
@@ -125,13 +155,13 @@
         }
     }
 
-    private static void serve(NodeConfig config, Features features, Path file, Console console,
+    private static void serve(NodeConfig config, Features features, Path file, Path settings, Console console,
             CountDownLatch ended) throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
         Router router = new Router(config, features, clock, log, console);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
-        Signal.handle(new Signal("HUP"), signal -> router.reload(file));
+        Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings));
         if (features.hotList() != null) {
             // Before 'serving', so that whoever has read that may signal: unhandled, SIGUSR1 ends the process.
             Signal.handle(new Signal("USR1"), signal -> router.showHotList());
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -6,24 +6,28 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
+import java.util.concurrent.Executor;
 import java.util.stream.Stream;
 import slateseam.decision.Api.Limits;
 import slateseam.router.config.Features;
+import slateseam.router.config.KubernetesSettings;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.connections.servers.Bounds;
+import slateseam.router.connections.servers.Closing;
 import slateseam.router.connections.useragents.Cause;
 import slateseam.router.connections.useragents.UserAgentRoom;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
-import slateseam.router.farm.Watch;
 import slateseam.router.figures.Counts;
 import slateseam.router.figures.Figures;
 import slateseam.router.hot.HotList;
 import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
+import slateseam.router.net.Errands;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -51,7 +55,7 @@
     private final RespFront front;
     /** The program's own listener first, then those of features. */
     private final List<Acceptor> acceptors = new ArrayList<>();
-    private final Watch watch;
+    private final ToldFarm told;
     /** Null where it is off. */
     private final HotList hotList;
     /** Null where they are off. */
@@ -64,10 +68,13 @@
         this(config, features, SelectorProvider.provider(), clock, log, console);
     }
 
-    /** Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}. */
+    /**
+     * Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}.
+     */
     public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console)
             throws IOException {
-        this(config, features, network, clock, log, console, Runtime.getRuntime().maxMemory());
+        this(config, features, network, clock, log, console, Runtime.getRuntime().maxMemory(),
+                features.kubernetes() == null ? null : new Errands());
     }
 
     /**
@@ -75,9 +82,10 @@
      *
      * @param console null only where all features are off
      * @param heapBytes the heap of which the bounds of what it holds are parts
+     * @param aside does what would hold up the loop; null where no feature needs that
      */
     public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console,
-            long heapBytes) throws IOException {
+            long heapBytes, Executor aside) throws IOException {
         loop = new Loop(network, clock, log, heapBytes);
         Limits limits = config.settings().limits();
         int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
@@ -86,22 +94,22 @@
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
-        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(),
-                new Bounds(shared - userAgents, config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())));
-        watch = new Watch(loop, config.discovery(), farm, changed -> {
+        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
+                config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())));
+        told = new ToldFarm(loop, config, features, farm, aside, changed -> {
             passes.farmChanged();
             core.happened(changed);
         });
         Peers peers = config.peerListen() == null ? null
                 : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
-        core.start(passes, peers, watch);
+        core.start(passes, peers, told);
         try {
-            core.happened(farm.take(config.known(), true));
+            core.happened(told.known());
         } catch (MalformedException e) {
             log.line("farm-malformed", "the known list was dropped: " + e.getMessage());
         }
         if (!config.settings().askedDiscovery()) {
-            watch.begin();
+            told.begin();
         }
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
@@ -115,14 +123,14 @@
         }
         hotList = features.hotList() == null ? null : new HotList(features.hotList(), loop, names, console);
         figures = features.figures() == null ? null
-                : new Figures(features.figures(), loop, names, console, counts(front, farm));
+                : new Figures(features.figures(), loop, names, console, counts(front, farm, passes));
         tap = features.tap() == null ? null
                 : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
                         config.seed());
         Stream.<RequestObserver>of(hotList, figures, tap).filter(Objects::nonNull).forEach(core::observe);
     }
 
-    private static Counts counts(RespFront front, Farm farm) {
+    private static Counts counts(RespFront front, Farm farm, Passes passes) {
         UserAgentRoom room = front.room();
         Counts counts = new Counts().gauge("conns", front::connections).gauge("servers_ready", farm::readyServers)
                 .gauge("conns_idle", room::idle).gauge("conns_ending", room::ending)
@@ -131,6 +139,15 @@
         for (Cause cause : Cause.values()) {
             counts.total("conns_ended", "why", cause.word(), () -> room.figures().ended().get(cause));
         }
+        counts.gauge("server_conns", () -> passes.figures().open())
+                .gauge("server_conns_coming_up", () -> passes.figures().comingUp())
+                .gauge("passes_waiting", () -> passes.figures().waiting())
+                .total("server_conns_opened", () -> passes.figures().opened())
+                .total("server_conns_reused", () -> passes.figures().reused());
+        for (Closing cause : Closing.values()) {
+            counts.total("server_conns_closed", "why", cause.name().toLowerCase(Locale.ROOT),
+                    () -> passes.figures().closed().getOrDefault(cause, 0L));
+        }
         return counts;
     }
 
@@ -160,13 +177,18 @@
     }
 
     /**
-     * Reads the configuration again; may be called from any thread. Of what has changed, discovery's address is taken
-     * over; a file that cannot be used changes nothing.
+     * Reads the configuration and the settings file again; may be called from any thread. Of what has changed, the
+     * address of discovery or of Kubernetes' API, and what it takes to talk to that, is taken over; a file that cannot
+     * be used changes nothing.
+     *
+     * @param settings the settings file; null for none
      */
-    public void reload(Path file) {
+    public void reload(Path file, Path settings) {
         loop.handOver(() -> {
             try {
-                takeOver(NodeConfig.read(file));
+                NodeConfig changed = NodeConfig.read(file);
+                boolean follows = settings != null && told.followsKubernetes();
+                takeOver(changed, follows ? Features.read(settings, changed).kubernetes() : null);
             } catch (InvalidConfigException e) {
                 loop.log().line("reload-failed", "the configuration in use stays: " + e.getMessage());
             }
@@ -175,12 +197,11 @@
 
     /** The same with a configuration that has been read. */
     public void reload(NodeConfig changed) {
-        loop.handOver(() -> takeOver(changed));
+        loop.handOver(() -> takeOver(changed, null));
     }
 
-    private void takeOver(NodeConfig changed) {
-        watch.moveTo(changed.discovery());
-        loop.log().line("reloaded", "discovery is at " + changed.discovery());
+    private void takeOver(NodeConfig changed, KubernetesSettings settings) {
+        loop.log().line("reloaded", told.moveTo(changed, settings));
     }
 
     /** Shows the keys that are asked for most, if that is on; may be called from any thread. */
@@ -224,6 +245,9 @@
         if (figures != null && !loop.isStopped()) {
             figures.close();
         }
+        if (!loop.isStopped()) {
+            told.close();
+        }
         loop.stop();
     }
 }
--- a/src/main/java/slateseam/simulate/RouterProcess.java
+++ b/src/main/java/slateseam/simulate/RouterProcess.java
@@ -75,7 +75,7 @@
         try {
             Router started = new Router(config(), Features.OFF, process, net::now,
                     new Log(place.name(), net::now, line -> log.accept(place.name(), line)), null,
-                    (long) (day.routerRules().memoryBytes() * HEAP_PART));
+                    (long) (day.routerRules().memoryBytes() * HEAP_PART), null);
             router = started;
             VirtualProvider own = process;
             process.drive(new Program() {
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -102,6 +102,29 @@
         }
     }
 
+    /** The classes that a run has loaded, of this program and of TLS. */
+    private List<String> loaded() throws Exception {
+        signal("TERM");
+        process.waitFor();
+        return Files.readAllLines(dir.resolve("loaded")).stream()
+                .map(line -> line.replaceAll("^(\\[.*?])+ | source:.*", ""))
+                .filter(name -> name.matches("(slateseam|(java|javax|sun)\\.(net|security)\\.ssl)\\..*")).toList();
+    }
+
+    /** What is off costs neither memory nor time at the start. */
+    @Test
+    void whatIsOffLoadsNoClass() throws Exception {
+        start("hot_list on");
+        get("k");
+        assertThat(loaded()).contains("slateseam.router.farm.Watch").noneMatch(name -> name.matches(
+                "slateseam\\.(router\\.(kubernetes|membership|snapshot|tls)|show)\\..*|.*\\.ssl\\..*|.*net\\.Errands"));
+        start("kubernetes_api http://127.0.0.1:1", "kubernetes_namespace n", "kubernetes_service s",
+                "kubernetes_port p", "kubernetes_origin 127.0.0.1:1", "snapshot_folder " + dir);
+        line("example: kubernetes-unreachable: ");
+        assertThat(loaded()).contains("slateseam.router.kubernetes.Follower", "slateseam.router.snapshot.Store")
+                .noneMatch(name -> name.matches(".*\\.ssl\\..*|.*\\.TlsTransport"));
+    }
+
     @Test
     void aSignalShowsTheKeyThatWasAskedForMost() throws Exception {
         start("hot_list on", "hot_show 3");
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -67,8 +67,9 @@
                         change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
                                 "        }\n        return value;"))),
                 new PlantedBug("hears a drain and drops it", "drain", null, List.of(
-                        change(ROUTER + "farm/Farm", "if (entry.member.state() == MemberState.GONE) {",
-                                "if (entry.member.state() == MemberState.DRAINING) {\n    continue;\n"
+                        change(ROUTER + "farm/Farm", "entry(hosts.getJSONObject(i));\n                if (entry.member.state()"
+                                + " == MemberState.GONE) {", "entry(hosts.getJSONObject(i));\n"
+                                + "if (entry.member.state() == MemberState.DRAINING) {\n    continue;\n"
                                         + "} else if (entry.member.state() == MemberState.GONE) {"))),
                 new PlantedBug("never answers a request that failed", null, null, List.of(
                         change(ROUTER + "core/Core", "slot.front.answer(slot.exchange, answer);",
