--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.stream.Stream;
@@ -16,7 +15,6 @@
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.connections.servers.Bounds;
-import slateseam.router.connections.servers.Closing;
 import slateseam.router.connections.useragents.Cause;
 import slateseam.router.connections.useragents.UserAgentRoom;
 import slateseam.router.core.Core;
@@ -139,15 +137,6 @@
         for (Cause cause : Cause.values()) {
             counts.total("conns_ended", "why", cause.word(), () -> room.figures().ended().get(cause));
         }
-        counts.gauge("server_conns", () -> passes.figures().open())
-                .gauge("server_conns_coming_up", () -> passes.figures().comingUp())
-                .gauge("passes_waiting", () -> passes.figures().waiting())
-                .total("server_conns_opened", () -> passes.figures().opened())
-                .total("server_conns_reused", () -> passes.figures().reused());
-        for (Closing cause : Closing.values()) {
-            counts.total("server_conns_closed", "why", cause.name().toLowerCase(Locale.ROOT),
-                    () -> passes.figures().closed().getOrDefault(cause, 0L));
-        }
         return counts;
     }
 
