Answer at a second address: health, figures, and a drain that can be taken back

A connection without its first command gets 0.25 s where none is kept, so that a command on its way is not turned back.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -82,7 +82,7 @@
             switch (command) {
                 case "serve" -> {
                     Path file = configFile(line);
-                    NodeConfig config = NodeConfig.read(file);
+                    NodeConfig config = NodeConfig.read(file).withControl(System.getenv("NODE_CONTROL"));
                     return serve(config, features(line, config), file, featuresFile(line), err);
                 }
                 case "check-config" -> {
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -78,6 +78,12 @@
         else if (event instanceof Started) start();
     }
 
+    /** How many listed caches get nothing now: they drain, or are left alone. */
+    public int avoided() {
+        return (int) fleet.servers.values().stream()
+                .filter(s -> !s.isOrigin() && !s.member.isGone() && !s.usable()).count();
+    }
+
     private void start() {
         supply.start();
         out.accept(new SetTimer(TICK_TAG, pace()));
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executor;
 import java.util.stream.Stream;
 import slateseam.decision.Api.Limits;
+import slateseam.decision.Api.RequestClass;
 import slateseam.router.config.Features;
 import slateseam.router.config.KubernetesSettings;
 import slateseam.router.config.NodeConfig;
@@ -17,11 +18,15 @@
 import slateseam.router.connections.servers.Bounds;
 import slateseam.router.connections.useragents.Cause;
 import slateseam.router.connections.useragents.UserAgentRoom;
+import slateseam.router.control.Control;
+import slateseam.router.control.Reply;
 import slateseam.router.core.Core;
+import slateseam.router.counts.ServiceCounts;
 import slateseam.router.farm.Farm;
 import slateseam.router.figures.Counts;
 import slateseam.router.figures.Figures;
 import slateseam.router.hot.HotList;
+import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
@@ -51,6 +56,10 @@
     private final Loop loop;
     private final long longestNanos;
     private final RespFront front;
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final ServiceCounts served = new ServiceCounts();
+    /** Null where nobody calls. */
+    private final Control control;
     /** The program's own listener first, then those of features. */
     private final List<Acceptor> acceptors = new ArrayList<>();
     private final ToldFarm told;
@@ -86,14 +95,15 @@
             long heapBytes, Executor aside) throws IOException {
         loop = new Loop(network, clock, log, heapBytes);
         Limits limits = config.settings().limits();
-        int shared = config.sockets() - OTHER_SOCKETS - features.descriptors();
+        int shared = config.sockets() - OTHER_SOCKETS - features.descriptors()
+                - (config.control() == null ? 0 : Control.DESCRIPTORS);
         // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
         int userAgents = shared * 3 / 5;
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
         Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
         Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
-                config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())));
+                config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())), served::dispatched);
         told = new ToldFarm(loop, config, features, farm, aside, changed -> {
             passes.farmChanged();
             core.happened(changed);
@@ -111,10 +121,10 @@
         }
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
-        front = new RespFront(loop, longestNanos, userAgents, config.sockets() / HELD_PART);
-        acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests))));
+        front = new RespFront(loop, lifecycle, longestNanos, userAgents, config.sockets() / HELD_PART);
+        acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests, lifecycle))));
         if (features.multiGet() != null) {
-            MultiGet dialect = new MultiGet(loop, requests, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
+            MultiGet dialect = new MultiGet(loop, requests, lifecycle, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
                     loop.heapBytes() / 10); // somewhat less than may wait unread in the front
             acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()),
                     front.gate(dialect)));
@@ -125,9 +135,33 @@
         tap = features.tap() == null ? null
                 : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
                         config.seed());
+        List<RequestClass> classes = config.settings().classes();
+        for (int i = 0; i < classes.size(); i++) {
+            served.name(i, classes.get(i).name());
+        }
+        served.gauge("concurrent", core::open).gauge("targets", farm::servers).gauge("targets_disabled", core::avoided);
+        core.observe(served);
+        control = config.control() == null ? null : control(config.control());
+        lifecycle.started();
         Stream.<RequestObserver>of(hotList, figures, tap).filter(Objects::nonNull).forEach(core::observe);
     }
 
+    private Control control(InetSocketAddress listen) throws IOException {
+        return new Control(loop, listen).on("GET", "/healthcheck", () -> lifecycle.takesUserAgents()
+                        ? Reply.yes("takes user agents") : Reply.no("takes no user agents: " + lifecycle.state()))
+                .on("GET", "/stats", () -> Reply.json(served.json()))
+                .on("POST", "/healthcheck/fail", () -> {
+                    boolean drained = lifecycle.drain();
+                    loop.log().line("drained", "told to send user agents away" + (drained ? "" : ", but it ends"));
+                    return drained ? Reply.yes("user agents are sent away") : Reply.no("it ends");
+                })
+                .on("POST", "/healthcheck/ok", () -> {
+                    boolean serving = lifecycle.resume();
+                    loop.log().line("resumed", "told to take user agents again" + (serving ? "" : ", but it ends"));
+                    return serving ? Reply.yes("user agents are taken") : Reply.no("it ends");
+                });
+    }
+
     private static Counts counts(RespFront front, Farm farm, Passes passes) {
         UserAgentRoom room = front.room();
         Counts counts = new Counts().gauge("conns", front::connections).gauge("servers_ready", farm::readyServers)
@@ -145,6 +179,11 @@
         return acceptors.get(0).address();
     }
 
+    /** Where those call who operate it, if anybody does. */
+    public InetSocketAddress controlAddress() throws IOException {
+        return control.address();
+    }
+
     /** Where user agents connect for many values at once, if that is on. */
     public InetSocketAddress multiGetAddress() throws IOException {
         return acceptors.get(1).address();
@@ -179,6 +218,7 @@
                 boolean follows = settings != null && told.followsKubernetes();
                 takeOver(changed, follows ? Features.read(settings, changed).kubernetes() : null);
             } catch (InvalidConfigException e) {
+                served.reloaded(false);
                 loop.log().line("reload-failed", "the configuration in use stays: " + e.getMessage());
             }
         });
@@ -190,6 +230,7 @@
     }
 
     private void takeOver(NodeConfig changed, KubernetesSettings settings) {
+        served.reloaded(true);
         loop.log().line("reloaded", told.moveTo(changed, settings));
     }
 
@@ -203,7 +244,11 @@
      * are closed between requests, and when the last has gone the loop ends.
      */
     public void end() {
-        loop.handOver(() -> loop.after(LINGER_NANOS, this::close));
+        loop.handOver(() -> {
+            if (lifecycle.end()) {
+                loop.after(LINGER_NANOS, this::close);
+            }
+        });
     }
 
     private void close() {
@@ -211,6 +256,9 @@
             for (Acceptor acceptor : acceptors) {
                 acceptor.close();
             }
+            if (control != null) {
+                control.close();
+            }
             if (tap != null) {
                 tap.close();
             }
@@ -218,7 +266,7 @@
             loop.log().line("socket-error", e.toString());
         }
         front.onClose(this::stopWhenEmpty);
-        front.close();
+        lifecycle.close();
         stopWhenEmpty();
         // Guards against a user agent that never finishes its command: by then every answer is out.
         loop.after(longestNanos, this::stop);
--- a/src/main/java/slateseam/router/config/NodeConfig.java
+++ b/src/main/java/slateseam/router/config/NodeConfig.java
@@ -34,10 +34,11 @@
  * @param idleNanos for how long a server keeps an idle connection
  * @param mostHeld how many requests this router may hold open
  * @param settings what the decision module is told
+ * @param control where those who operate it call; null where nobody does
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, JSONObject known,
-        List<String> zones, List<String> kinds, long idleNanos, int mostHeld, Settings settings) {
+        List<String> zones, List<String> kinds, long idleNanos, int mostHeld, Settings settings, InetSocketAddress control) {
     private static final int MOST_HELD = 4096;
     /** For the program itself, and the connections without which it would be of no use. */
     static final int LEAST_SOCKETS = 64;
@@ -88,12 +89,22 @@
                     json.has("peers_all") ? address("peers_all", json.getString("peers_all")) : null,
                     json.getJSONObject("known"), strings(told.optJSONArray("zones")),
                     strings(told.optJSONArray("kinds")), limits.optLong("conn_idle_ns", 60_000_000_000L),
-                    Math.min(MOST_HELD, limits.optInt("most_held", MOST_HELD)), settings);
+                    Math.min(MOST_HELD, limits.optInt("most_held", MOST_HELD)), settings,
+                    json.has("control") ? address("control", json.getString("control")) : null);
         } catch (JSONException | InvalidSettingException e) {
             throw new InvalidConfigException(e.getMessage());
         }
     }
 
+    /** The same with a second address that the environment names, which counts where the file names none. */
+    public NodeConfig withControl(String named) throws InvalidConfigException {
+        if (control != null || named == null || named.isEmpty()) {
+            return this;
+        }
+        return new NodeConfig(name, listen, discovery, seed, sockets, peerListen, peers, peersAll, known, zones, kinds,
+                idleNanos, mostHeld, settings, address("NODE_CONTROL", named));
+    }
+
     private static long seed(String hex) throws InvalidConfigException {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -122,6 +122,16 @@
         observers.add(observer);
     }
 
+    /** How many requests were taken and have not ended. */
+    public int open() {
+        return slots.size();
+    }
+
+    /** How many listed caches get nothing now. */
+    public int avoided() {
+        return brain.avoided();
+    }
+
     /** Something happened that concerns no request. */
     public void happened(Event event) {
         if (handling) {
--- /dev/null
+++ b/src/main/java/slateseam/router/counts/ServiceCounts.java
@@ -0,0 +1,90 @@
+package slateseam.router.counts;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.json.JSONObject;
+import slateseam.router.request.Ending;
+import slateseam.router.request.RequestObserver;
+
+/**
+ * What the router has done since its start. Requests are counted where they end, attempts where their last byte was handed
+ * to the system; who asks only reads. One entry a class that was ever named here, of which there are as many as classes have
+ * slots.
+ */
+public final class ServiceCounts implements RequestObserver {
+    private static final class OfClass {
+        final String name;
+        long success;
+        long overload;
+        long error;
+
+        OfClass(String name) {
+            this.name = name;
+        }
+    }
+
+    private record Gauge(String name, IntSupplier now) {
+    }
+
+    /** By slot; null where none was ever named. */
+    private final List<OfClass> classes = new ArrayList<>();
+    private final List<Gauge> gauges = new ArrayList<>();
+    private long dispatches;
+    private long reloaded;
+    private long notReloaded;
+
+    /** Gives a class its slot; one that had that name before goes on counting there. */
+    public void name(int slot, String name) {
+        while (classes.size() <= slot) {
+            classes.add(null);
+        }
+        OfClass before = classes.get(slot);
+        if (before == null || !before.name.equals(name)) {
+            classes.set(slot, new OfClass(name));
+        }
+    }
+
+    /** Adds a figure that is asked for when it is shown. */
+    public ServiceCounts gauge(String name, IntSupplier now) {
+        gauges.add(new Gauge(name, now));
+        return this;
+    }
+
+    /** An attempt was written whole to a server. */
+    public void dispatched() {
+        dispatches++;
+    }
+
+    /** The files were read again, and taken or turned down. */
+    public void reloaded(boolean taken) {
+        reloaded += taken ? 1 : 0;
+        notReloaded += taken ? 0 : 1;
+    }
+
+    @Override
+    public void ended(int requestClass, int tenant, byte[] key, Ending ending, long nanos) {
+        OfClass counts = classes.get(requestClass);
+        switch (ending) {
+            case HIT, MISS, WRITTEN -> counts.success++;
+            case UNAVAILABLE -> counts.overload++;
+            case FAILED, TIMEOUT -> counts.error++;
+            case LEFT -> { } // nobody has seen how it ended
+        }
+    }
+
+    /** All figures, as one object of JSON. */
+    public String json() {
+        JSONObject replies = new JSONObject();
+        for (OfClass c : classes) {
+            if (c != null) {
+                replies.put(c.name, new JSONObject().put("success", c.success).put("overload", c.overload)
+                        .put("error", c.error));
+            }
+        }
+        JSONObject all = new JSONObject().put("replies", replies).put("dispatches", dispatches)
+                .put("reload_success", reloaded).put("reload_failure", notReloaded);
+        gauges.forEach(gauge -> all.put(gauge.name, gauge.now.getAsInt()));
+        return all.toString();
+    }
+}
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -58,6 +58,11 @@
         return (int) entries.values().stream().filter(entry -> entry.isReady() && !entry.isOrigin()).count();
     }
 
+    /** How many application servers are listed, those included that drain. */
+    public int servers() {
+        return (int) entries.values().stream().filter(entry -> !entry.isOrigin()).count();
+    }
+
     /** The version of what discovery told last. */
     public long version() {
         return version;
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
@@ -21,6 +22,7 @@
 
     private final Loop loop;
     private final Requests requests;
+    private final Lifecycle lifecycle;
     private final int mostKeys;
     private final long mostHeldBytes;
     private final Answer noRoom;
@@ -30,9 +32,10 @@
      * Creates the dialect for batches of at most so many reads. Of values that wait for the rest of their answer, all
      * batches hold so many bytes; one for which there is no room is to be asked for later.
      */
-    public MultiGet(Loop loop, Requests requests, int mostKeys, long retryAfterNanos, long mostHeldBytes) {
+    public MultiGet(Loop loop, Requests requests, Lifecycle lifecycle, int mostKeys, long retryAfterNanos, long mostHeldBytes) {
         this.loop = loop;
         this.requests = requests;
+        this.lifecycle = lifecycle;
         this.mostKeys = mostKeys;
         this.mostHeldBytes = mostHeldBytes;
         this.noRoom = new Answer.Unavailable(retryAfterNanos);
@@ -63,7 +66,7 @@
             }
             String name = Commands.name(command);
             if (!name.equals("SLATE.MGET")) {
-                finish(name.startsWith("CACHE.") ? Replies.line("-ERR only behind SLATE.MGET") : Replies.other(name));
+                finish(name.startsWith("CACHE.") ? Replies.line("-ERR only behind SLATE.MGET") : Replies.other(name, lifecycle.answersPing()));
                 return;
             }
             expected = number(command);
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -31,19 +31,23 @@
     private final Map<Long, Pass> byTicket = new HashMap<>();
     /** Given up, but perhaps still out on a connection that others share; of requests that may be sent again. */
     private final Map<Long, Pass> left = new HashMap<>();
+    private final Runnable whenWritten;
     private boolean obeying;
 
     /**
      * Creates the table.
      *
      * @param connectNanos for which a connection may be coming up
+     * @param whenWritten is called for each attempt whose last byte was handed to the system
      */
-    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, Bounds bounds) {
+    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, Bounds bounds,
+            Runnable whenWritten) {
         this.loop = loop;
         this.farm = farm;
         this.listener = listener;
         this.connectNanos = connectNanos;
         this.bounds = bounds;
+        this.whenWritten = whenWritten;
         this.connections = new ServerConnections(bounds);
     }
 
@@ -213,6 +217,13 @@
         connections.failed(loop.now(), link);
     }
 
+    /** All of a pass was handed to the system. */
+    void written(Pass pass) {
+        if (!pass.isProbe()) {
+            whenWritten.run();
+        }
+    }
+
     /** A connection has ended, not by an order. */
     void gone(Link link) {
         byLink.remove(link);
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.connections.servers.Link;
-import slateseam.router.connections.servers.Use;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
 import slateseam.router.net.Deadlines.Deadline;
@@ -82,7 +81,12 @@
 
     @Override
     protected void written() {
-        awaited.forEach(Use::markWritten);
+        for (Pass pass : awaited) {
+            if (!pass.isWritten()) {
+                pass.markWritten();
+                passes.written(pass);
+            }
+        }
     }
 
     @Override
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Locale;
+import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.net.Bytes;
 import slateseam.router.request.Answer;
 import slateseam.router.request.Ending;
@@ -10,10 +11,12 @@
 /** The platform's commands, each an exchange of its own. */
 public final class Commands implements Dialect {
     private final Requests requests;
+    private final Lifecycle lifecycle;
 
     /** Creates the dialect. */
-    public Commands(Requests requests) {
+    public Commands(Requests requests, Lifecycle lifecycle) {
         this.requests = requests;
+        this.lifecycle = lifecycle;
     }
 
     @Override
@@ -43,7 +46,7 @@
             String name = name(command);
             boolean write = name.equals("CACHE.SET");
             ByteBuffer[] atOnce = write || name.equals("CACHE.GET") ? requests.take(command, write, asked)
-                    : Replies.other(name);
+                    : Replies.other(name, lifecycle.answersPing());
             if (atOnce != null) {
                 finish(atOnce);
             }
--- a/src/main/java/slateseam/router/useragent/Replies.java
+++ b/src/main/java/slateseam/router/useragent/Replies.java
@@ -42,9 +42,9 @@
     }
 
     /** The answer to a command that is no request. */
-    public static ByteBuffer[] other(String command) {
+    public static ByteBuffer[] other(String command, boolean answersPing) {
         return line(switch (command) {
-            case "PING" -> "+PONG";
+            case "PING" -> answersPing ? "+PONG" : "-ERR user agents are sent away";
             case "CLIENT", "SELECT" -> "+OK";
             default -> "-ERR unknown command";
         });
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -10,6 +10,7 @@
 import slateseam.router.connections.useragents.Cause;
 import slateseam.router.connections.useragents.Kept;
 import slateseam.router.connections.useragents.UserAgentRoom;
+import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
 import slateseam.router.net.Slots;
@@ -30,19 +31,21 @@
     /** Of the longest class: an answer that is not read by then is of no use to anyone. */
     private final long readNanos;
     private final List<Runnable> whenClosed = new ArrayList<>();
+    private final Lifecycle lifecycle;
     private Deadline look;
     private int listeners;
-    private boolean closing;
 
     /**
      * Creates the front for at most so many connections, whatever listener they come to, of which user agents hold so many
      * for their requests.
      */
-    public RespFront(Loop loop, long longestAnswerNanos, int mostConnections, int held) {
+    public RespFront(Loop loop, Lifecycle lifecycle, long longestAnswerNanos, int mostConnections, int held) {
         this.loop = loop;
+        this.lifecycle = lifecycle;
         this.readNanos = longestAnswerNanos;
         this.userAgents = new Slots<>(mostConnections);
         this.room = new UserAgentRoom(mostConnections, held);
+        lifecycle.whenLeaving(this::leave);
     }
 
     /** How many connections are open. */
@@ -131,28 +134,27 @@
 
     /** There may be more connections than the room has place for; looked at when the present happening is over. */
     void lookSoon() {
-        if (!closing && look == null && room.lookAgain(loop.now()) != Long.MAX_VALUE) {
+        if (!isClosing() && look == null && room.lookAgain(loop.now()) != Long.MAX_VALUE) {
             look = loop.after(0, this::keepWithinRoom);
         }
     }
 
     /** Ends what the room has no place for, and looks again as long as there is too much. */
     private void keepWithinRoom() {
-        for (Kept kept; !closing && (kept = room.surplus(loop.now())) != null;) {
+        for (Kept kept; !isClosing() && (kept = room.surplus(loop.now())) != null;) {
             agent(kept).giveWay();
         }
-        long next = closing ? Long.MAX_VALUE : room.lookAgain(loop.now());
+        long next = isClosing() ? Long.MAX_VALUE : room.lookAgain(loop.now());
         look = next == Long.MAX_VALUE ? null : loop.after(next - loop.now(), this::keepWithinRoom);
     }
 
     /** Closes every connection as soon as it stands between requests. */
-    public void close() {
-        closing = true;
+    private void leave() {
         userAgents.all().forEach(UserAgent::closeWhenDone);
     }
 
     boolean isClosing() {
-        return closing;
+        return !lifecycle.keepsConnections();
     }
 
     long readNanos() {
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -21,6 +21,8 @@
     private static final int MOST_COMMANDS = 16;
     /** For a first command, or one of which a part has come: no user agent that waits for an answer takes so long. */
     private static final long COMMAND_NANOS = 2_500 * Clock.MILLI;
+    /** For a first command, where connections are not kept. */
+    private static final long FIRST_NANOS = 250 * Clock.MILLI;
     /** For the other side to end, after the last answer. */
     private static final long LINGER_NANOS = 1_000 * Clock.MILLI;
 
@@ -64,6 +66,7 @@
         ticket = ticketOfIt;
         kept = keptAs;
         enter(State.FIRST_COMMAND);
+        closeWhenDone(); // where none is kept, not even one that stays silent
     }
 
     long since() {
@@ -253,7 +256,16 @@
     /** Closes between requests; a little later, as commands may lie behind the one just answered. */
     void closeWhenDone() {
         if (front.isClosing() || last) {
+            long young = state == State.FIRST_COMMAND && !last ? since + FIRST_NANOS - loop().now() : 0;
+            if (young > 0) {
+                // Guards a first command that is on its way: its user agent would have to come once more.
+                loop().after(young, this::closeWhenDone);
+                return;
+            }
             loop().after(0, () -> {
+                if (!front.isClosing() && !last) {
+                    return; // taken back meanwhile
+                }
                 if (inOrder.isEmpty() && isFlushed() && !isClosed() && state != State.END) {
                     if (last) {
                         front.room().ends(kept, cause, loop().now());
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -41,7 +41,8 @@
  * and {@code define NAME TEXT}, which stands for {@code {NAME}} in what follows.
  *
  * <p>WHO is a server of the configuration or, with any other name, a user agent, which connects on its first line: to
- * the listener for many values if its name begins with {@code mget}, to the tap with {@code tap}. A server takes its
+ * the listener for many values if its name begins with {@code mget}, to the tap with {@code tap}, to the second address
+ * with {@code call}. A server takes its
  * next connection when its last one is gone, or under a further name: {@code s1#2} is one more of {@code s1}.
  */
 final class Recorded {
@@ -253,7 +254,8 @@
         if (who.startsWith("tap")) {
             channel.setOption(StandardSocketOptions.SO_RCVBUF, 4096); // so that one which does not read is soon full
         }
-        channel.connect(who.startsWith("tap") ? router.tapAddress() : who.startsWith("mget") ? router.multiGetAddress()
+        channel.connect(who.startsWith("call") ? router.controlAddress()
+                : who.startsWith("tap") ? router.tapAddress() : who.startsWith("mget") ? router.multiGetAddress()
                 : router.address());
         return channel;
     }
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import slateseam.router.config.NodeConfig;
+import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
@@ -44,7 +45,7 @@
             left.add(ticket);
         }
     }, NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings(), 1_000);
-    private final MultiGet multiGet = new MultiGet(loop, requests, MANY, 2_000 * MILLI, 10_000);
+    private final MultiGet multiGet = new MultiGet(loop, requests, new Lifecycle(), MANY, 2_000 * MILLI, 10_000);
 
     MultiGetTest() throws Exception {
     }
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -27,6 +27,7 @@
     private final ServerSocketChannel server = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
     private final Farm farm = new Farm(List.of("a"), List.of("box"), -1);
     private final Passes passes;
+    private int dispatched;
     private long id;
 
     PassesTest() throws Exception {
@@ -42,7 +43,7 @@
             public void happened(Event event) {
                 told.add(event);
             }
-        }, SECOND / 5, new Bounds(1, 60 * SECOND, 100));
+        }, SECOND / 5, new Bounds(1, 60 * SECOND, 100), () -> dispatched++);
         id = list("ready");
     }
 
@@ -151,4 +152,19 @@
         passes.probe(id + 1);
         assertThat(told).singleElement().asString().contains("MOOT");
     }
+
+    /** What waits for its connection, or was given up before its last byte, was never written whole; a probe is no attempt. */
+    @Test
+    void onlyAnAttemptThatWasWrittenWholeIsCountedAndOnce() throws Exception {
+        begin(1);
+        passes.answered(1);
+        assertThat(dispatched).isZero();
+        begin(2);
+        told.clear();
+        serve();
+        assertThat(dispatched).isEqualTo(1);
+        passes.probe(id);
+        settle();
+        assertThat(dispatched).isEqualTo(1);
+    }
 }
