Let a second process take a router over: shared listener, locks in TMPDIR, rest of the supply

Change: SO_REUSEPORT where a second address is named; router.handover says by locks who serves and who takes over, and keeps the farm for the one that comes; the module's Rests event lets one of the two leave the supply alone, and the successor joins the ring as after a restart. The one before accepts until its queue is empty, closes at once, and ends. Each keeps to half of the descriptors meanwhile.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -16,6 +16,7 @@
 import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
+import slateseam.router.handover.Handover;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
@@ -159,7 +160,10 @@
             CountDownLatch ended) throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
-        Router router = new Router(config, features, clock, log, console);
+        String folder = System.getenv("TMPDIR");
+        // Only who is called at a second address is ever started beside another process of the same router.
+        Handover handover = config.control() == null || folder == null ? null : new Handover(Path.of(folder));
+        Router router = new Router(config, features, clock, log, console, handover);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
         Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings));
         if (features.hotList() != null) {
@@ -174,7 +178,6 @@
                 Thread.currentThread().interrupt();
             }
         }));
-        log.line("serving", "at " + router.address());
         router.run();
         log.line("ended", "every connection was closed between requests");
     }
--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -156,6 +156,13 @@
     public record PeerMessage(int from, byte[] payload) implements Event {
     }
 
+    /**
+     * Another process of this router has its supply, or has it no longer: while it rests, an instance accrues and moves
+     * nothing; when that is over it joins the ring as one that has just started.
+     */
+    public record Rests(boolean rests) implements Event {
+    }
+
     /** Something this router is to do. */
     public sealed interface Action {
     }
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -76,6 +76,7 @@
         else if (event instanceof ClientGone e) requests.over(e.request(), true);
         else if (event instanceof StreamEstablished e) requests.over(e.request(), false);
         else if (event instanceof Started) start();
+        else if (event instanceof Rests e) supply.rest(e.rests());
     }
 
     /** How many listed caches get nothing now: they drain, or are left alone. */
@@ -301,7 +302,7 @@
         final List<Account> accounts = new ArrayList<>(List.of(origin));
         final List<Neighbour> neighbours = new ArrayList<>();
         /** Whether it uses its supply: not before its buddy has heard that it is there. */
-        boolean joined;
+        boolean joined, resting;
         boolean bound, calm = true;
         int life, busyIntervals;
         long startedAt, lastTick, nextInterval, cutAt = -3600 * SECOND;
@@ -323,6 +324,15 @@
             joined = neighbours.isEmpty();
         }
 
+        /** Guards against a supply that two processes of one router use at once: one of them rests. */
+        void rest(boolean rests) {
+            resting = rests;
+            if (rests) return;
+            neighbours.clear();
+            busyIntervals = 0;
+            start();
+        }
+
         void meet(int peer) {
             Neighbour e = new Neighbour(settings.me(), settings.routers(), peer, accounts, now);
             neighbours.add(e);
@@ -374,13 +384,13 @@
             joined |= now - startedAt >= INTERVAL;
             for (Account a : accounts) {
                 double burst = Math.max(1, a.supply() * BURST_SECONDS) * (a == origin ? 1 : TENANT_BURST);
-                if (joined) a.accrue((double) (now - lastTick) / SECOND, burst);
+                if (joined && !resting) a.accrue((double) (now - lastTick) / SECOND, burst);
             }
             lastTick = now;
             if (now >= nextInterval) interval();
             double five = 5 * SECOND / requests.arrivals.perSecond(); // five requests bear one exchange
             long usual = (long) Math.max(INTERVAL, Math.min(SECOND, five));
-            for (Neighbour e : neighbours) {
+            for (Neighbour e : resting ? List.<Neighbour>of() : neighbours) {
                 // Guards against lost messages that keep one that returns from its supply, or make one
                 // that is there look as if it were not, so that its supply is used twice.
                 boolean doubt = e.missed(SILENCE / 2, now) || !joined && !e.answered();
@@ -400,7 +410,7 @@
             // Guards against a budget that grows unused, or before the queue of the last overload has gone.
             double growth = 1 + GROWTH * Math.max(2.5, (double) (now - cutAt) / SECOND);
             // Or while the ring has brought next to nothing of it: then a larger R is not what is missing.
-            boolean grows = bound && calm && origin.held() > evenShare / 4;
+            boolean grows = bound && !resting && calm && origin.held() > evenShare / 4;
             if (grows && now - cutAt > 2 * INTERVAL) origin.rate *= Math.min(MOST_GROWTH, growth);
             bound = false;
             requests.interval();
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import slateseam.decision.Api.Limits;
 import slateseam.decision.Api.RequestClass;
+import slateseam.decision.Api.Rests;
 import slateseam.router.config.Features;
 import slateseam.router.config.KubernetesSettings;
 import slateseam.router.config.NodeConfig;
@@ -25,6 +26,7 @@
 import slateseam.router.farm.Farm;
 import slateseam.router.figures.Counts;
 import slateseam.router.figures.Figures;
+import slateseam.router.handover.Handover;
 import slateseam.router.hot.HotList;
 import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.multiget.MultiGet;
@@ -52,6 +54,8 @@
     private static final int HELD_PART = 3;
     /** New connections come for up to 0.4 s after a planned end is announced. */
     private static final long LINGER_NANOS = 550_000_000L;
+    /** One that is to take over waits so long for discovery before it takes user agents. */
+    private static final long FARM_NANOS = 2_000_000_000L;
 
     private final Loop loop;
     private final long longestNanos;
@@ -60,8 +64,17 @@
     private final ServiceCounts served = new ServiceCounts();
     /** Null where nobody calls. */
     private final Control control;
-    /** The program's own listener first, then those of features. */
+    /** The program's own listener first, then those of features; none while it does not take user agents yet. */
     private final List<Acceptor> acceptors = new ArrayList<>();
+    private final NodeConfig config;
+    private final Core core;
+    private final Passes passes;
+    /** Of descriptors, for user agents and servers together. */
+    private final int shared;
+    /** Null where no other process of this router ever runs. */
+    private final Upgrade upgrade;
+    private Peers peers;
+    private List<Listener> listeners = new ArrayList<>();
     private final ToldFarm told;
     /** Null where it is off. */
     private final HotList hotList;
@@ -75,6 +88,13 @@
         this(config, features, SelectorProvider.provider(), clock, log, console);
     }
 
+    /** The same where another process of this router may take over, or be there already. */
+    public Router(NodeConfig config, Features features, Clock clock, Log log, Console console, Handover handover)
+            throws IOException {
+        this(config, features, SelectorProvider.provider(), clock, log, console, Runtime.getRuntime().maxMemory(),
+                features.kubernetes() == null ? null : new Errands(), handover);
+    }
+
     /**
      * Opens a router on a network; it serves once {@link #run} is called, or round by round through its {@link #loop}.
      */
@@ -93,26 +113,37 @@
      */
     public Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log, Console console,
             long heapBytes, Executor aside) throws IOException {
+        this(config, features, network, clock, log, console, heapBytes, aside, null);
+    }
+
+    private Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log,
+            Console console, long heapBytes, Executor aside, Handover handover) throws IOException {
+        this.config = config;
         loop = new Loop(network, clock, log, heapBytes);
         Limits limits = config.settings().limits();
-        int shared = config.sockets() - OTHER_SOCKETS - features.descriptors()
-                - (config.control() == null ? 0 : Control.DESCRIPTORS);
-        // User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay.
-        int userAgents = shared * 3 / 5;
+        shared = config.sockets() - OTHER_SOCKETS - features.descriptors()
+                - (config.control() == null ? 0 : Control.DESCRIPTORS) - (handover == null ? 0 : Handover.DESCRIPTORS);
+        int userAgents = userAgents(shared);
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
-        Core core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
-        Passes passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
+        core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
+        passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
                 config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())), served::dispatched);
-        told = new ToldFarm(loop, config, features, farm, aside, changed -> {
+        told = new ToldFarm(loop, config, features, farm, handover, aside, changed -> {
             passes.farmChanged();
             core.happened(changed);
+            listen();
         });
-        Peers peers = config.peerListen() == null ? null
-                : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
+        boolean heir = handover != null && handover.isHeir();
+        peers = heir ? null : openPeers();
         core.start(passes, peers, told);
+        if (heir) {
+            core.happened(new Rests(true));
+        }
+        boolean known = !heir;
         try {
             core.happened(told.known());
+            known |= told.wasHanded();
         } catch (MalformedException e) {
             log.line("farm-malformed", "the known list was dropped: " + e.getMessage());
         }
@@ -122,12 +153,13 @@
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
         Requests requests = new Requests(core, config.settings(), config.mostHeld());
         front = new RespFront(loop, lifecycle, longestNanos, userAgents, config.sockets() / HELD_PART);
-        acceptors.add(new Acceptor(loop, config.listen(), front.gate(new Commands(requests, lifecycle))));
+        boolean several = handover != null;
+        listeners.add(new Listener(config.listen(), front.gate(new Commands(requests, lifecycle)), several));
         if (features.multiGet() != null) {
             MultiGet dialect = new MultiGet(loop, requests, lifecycle, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
                     loop.heapBytes() / 10); // somewhat less than may wait unread in the front
-            acceptors.add(new Acceptor(loop, Features.beside(config.listen(), features.multiGet().port()),
-                    front.gate(dialect)));
+            listeners.add(new Listener(Features.beside(config.listen(), features.multiGet().port()), front.gate(dialect),
+                    several));
         }
         hotList = features.hotList() == null ? null : new HotList(features.hotList(), loop, names, console);
         figures = features.figures() == null ? null
@@ -142,10 +174,74 @@
         served.gauge("concurrent", core::open).gauge("targets", farm::servers).gauge("targets_disabled", core::avoided);
         core.observe(served);
         control = config.control() == null ? null : control(config.control());
-        lifecycle.started();
+        upgrade = handover == null ? null : new Upgrade(loop, handover, this::takeOver, this::share);
+        if (upgrade != null) {
+            upgrade.begin();
+        }
+        if (known) {
+            listenNow();
+        } else {
+            loop.after(FARM_NANOS, this::listen);
+        }
         Stream.<RequestObserver>of(hotList, figures, tap).filter(Objects::nonNull).forEach(core::observe);
     }
 
+    private record Listener(InetSocketAddress at, Acceptor.Gate gate, boolean several) {
+    }
+
+    /** User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay. */
+    private static int userAgents(int descriptors) {
+        return descriptors * 3 / 5;
+    }
+
+    /** Takes user agents from now on; before that nobody is told that it does. */
+    private void listenNow() throws IOException {
+        List<Listener> open = listeners;
+        listeners = List.of();
+        for (Listener listener : open) {
+            acceptors.add(new Acceptor(loop, listener.at(), listener.gate(), listener.several()));
+        }
+        lifecycle.started();
+    }
+
+    private void listen() {
+        try {
+            boolean late = !listeners.isEmpty();
+            listenNow();
+            if (late && lifecycle.takesUserAgents()) {
+                loop.log().line("serving", "at " + address());
+            }
+        } catch (IOException e) {
+            loop.log().line("socket-error", e.getMessage());
+            loop.stop(); // nobody has been told yes yet
+        }
+    }
+
+    private Peers openPeers() throws IOException {
+        return config.peerListen() == null ? null
+                : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
+    }
+
+    /** Takes the supply and the port for messages over; false while the other process still has the port. */
+    private boolean takeOver() {
+        try {
+            peers = openPeers();
+            core.talk(peers);
+            core.happened(new Rests(false));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Keeps to half of the descriptors while another process of this router has its own. */
+    private void share(boolean halved) {
+        int kept = halved ? (shared - OTHER_SOCKETS) / 2 : shared;
+        int ofUserAgents = userAgents(kept);
+        front.bound(ofUserAgents, config.sockets() / HELD_PART / (halved ? 2 : 1));
+        passes.bound(kept - ofUserAgents);
+    }
+
     private Control control(InetSocketAddress listen) throws IOException {
         return new Control(loop, listen).on("GET", "/healthcheck", () -> lifecycle.takesUserAgents()
                         ? Reply.yes("takes user agents") : Reply.no("takes no user agents: " + lifecycle.state()))
@@ -201,6 +297,9 @@
 
     /** Serves until it has ended in order. */
     public void run() throws IOException {
+        if (lifecycle.takesUserAgents()) {
+            loop.log().line("serving", "at " + address());
+        }
         loop.run();
     }
 
@@ -246,15 +345,34 @@
     public void end() {
         loop.handOver(() -> {
             if (lifecycle.end()) {
-                loop.after(LINGER_NANOS, this::close);
+                if (upgrade != null && upgrade.ends()) {
+                    handOver();
+                } else {
+                    loop.after(LINGER_NANOS, this::close);
+                }
             }
         });
     }
 
+    /** User agents come to the other process from now on, which has all that this one had. */
+    private void handOver() {
+        try {
+            if (peers != null) {
+                peers.close();
+            }
+        } catch (IOException e) {
+            loop.log().line("socket-error", e.toString());
+        }
+        core.talk(null);
+        core.happened(new Rests(true));
+        upgrade.hand();
+        close();
+    }
+
     private void close() {
         try {
             for (Acceptor acceptor : acceptors) {
-                acceptor.close();
+                acceptor.closeEmpty();
             }
             if (control != null) {
                 control.close();
--- a/src/main/java/slateseam/router/ToldFarm.java
+++ b/src/main/java/slateseam/router/ToldFarm.java
@@ -1,7 +1,10 @@
 package slateseam.router;
 
+import java.io.IOException;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.json.JSONException;
+import org.json.JSONObject;
 import slateseam.decision.Api.MembersChanged;
 import slateseam.router.config.Features;
 import slateseam.router.config.KubernetesSettings;
@@ -9,6 +12,7 @@
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.FarmSource;
 import slateseam.router.farm.Watch;
+import slateseam.router.handover.Handover;
 import slateseam.router.kubernetes.KubernetesFarm;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -26,6 +30,10 @@
     /** Null where discovery does. */
     private final KubernetesFarm kubernetes;
     private KubernetesSettings settings;
+    private boolean wasHanded;
+    /** Null where no other process of this router ever runs. */
+    private final Handover handover;
+    private final Loop loop;
     /** Null where nothing is remembered. */
     private final Memory memory;
 
@@ -34,9 +42,11 @@
      *
      * @param aside does what would hold up the loop; null where nothing does
      */
-    ToldFarm(Loop loop, NodeConfig config, Features features, Farm farm, Executor aside,
+    ToldFarm(Loop loop, NodeConfig config, Features features, Farm farm, Handover handover, Executor aside,
             Consumer<MembersChanged> listener) {
         this.config = config;
+        this.loop = loop;
+        this.handover = handover;
         this.farm = farm;
         this.aside = aside;
         settings = features.kubernetes();
@@ -67,10 +77,32 @@
         if (kept != null) {
             return kept;
         }
+        MembersChanged handed = handover == null || kubernetes != null ? null : handed();
+        if (handed != null) {
+            wasHanded = true;
+            return handed;
+        }
         MembersChanged known = farm.take(config.known(), true);
         return known.members().isEmpty() && kubernetes != null ? kubernetes.known() : known;
     }
 
+    /** Whether the farm is as a process before had it last. */
+    boolean wasHanded() {
+        return wasHanded;
+    }
+
+    /** What the process before was told, if that is newer than what the configuration brought. */
+    private MembersChanged handed() {
+        String kept = handover.farm();
+        try {
+            JSONObject list = kept == null ? null : new JSONObject(kept);
+            return list == null || list.getLong("seq") <= config.known().optLong("seq") ? null : farm.take(list, true);
+        } catch (JSONException | MalformedException e) {
+            loop.log().line("handover", "the farm that was handed over cannot be read: " + e.getMessage());
+            return null;
+        }
+    }
+
     /** Whether Kubernetes tells the farm, and not discovery. */
     boolean followsKubernetes() {
         return kubernetes != null;
@@ -80,6 +112,13 @@
         if (memory != null) {
             memory.changed();
         }
+        if (handover != null && kubernetes == null) {
+            try {
+                handover.keepFarm(farm.list().toString());
+            } catch (IOException e) {
+                loop.log().line("handover", "the farm could not be kept for a process that comes: " + e);
+            }
+        }
     }
 
     @Override
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -27,6 +27,8 @@
     private static final int YOUNG_PART = 4;
 
     final Bounds bounds;
+    /** Connections that there may be now. */
+    private int most;
     final long keepNanos;
     final Learned learned = new Learned(null);
     /** Heard of more than one server: then the others are like them. */
@@ -51,6 +53,7 @@
     /** Creates it without servers. */
     public ServerConnections(Bounds bounds) {
         this.bounds = bounds;
+        this.most = bounds.mostConnections();
         this.keepNanos = (long) (bounds.idleNanos() * IDLE_PART);
         this.mostYoung = Math.max(LEAST_COMING, bounds.mostConnections() / (bounds.streams() > 1 ? YOUNG_PART : 1));
     }
@@ -182,6 +185,15 @@
         serveHeld(now);
     }
 
+    /** There may be so many connections from now on; those beyond that go as they are idle. */
+    public void bound(long now, int mostConnections) {
+        most = mostConnections;
+        for (int before = open + 1; open > most && open < before;) {
+            before = open;
+            makeRoom(now);
+        }
+    }
+
     /** The next order; null if there is none. */
     public Order next() {
         return orders.poll();
@@ -214,7 +226,7 @@
 
     /** Guards against one server's idle connections starving another: of the server that has most, the longest idle. */
     boolean makeRoom(long now) {
-        if (open >= bounds.mostConnections()) {
+        if (open >= most) {
             pools.stream().flatMap(pool -> pool.links.stream()).filter(Link::isFree)
                     .min(Comparator.<Link>comparingInt(link -> -link.pool.links.size())
                             .thenComparingLong(link -> link.freeSince))
@@ -223,7 +235,7 @@
                         held.add(link.pool); // what waited there for its rest must not wait for nothing
                     });
         }
-        return open < bounds.mostConnections();
+        return open < most;
     }
 
     void opened(Link link) {
--- a/src/main/java/slateseam/router/connections/useragents/UserAgentRoom.java
+++ b/src/main/java/slateseam/router/connections/useragents/UserAgentRoom.java
@@ -35,8 +35,8 @@
     private static final int SPARED_PART = 8;
     private static final long SEEN_NANOS = 10_000 * MILLI;
 
-    private final int table;
-    private final int held;
+    private int table;
+    private int held;
     private final Worth worth = new Worth();
     private final Rate coming = new Rate();
     private final UserAgentFigures figures = new UserAgentFigures();
@@ -57,8 +57,13 @@
      * @param held the most connections that user agents hold for their requests; where it is larger, {@code table} counts
      */
     public UserAgentRoom(int table, int held) {
-        this.table = table;
-        this.held = Math.max(1, Math.min(table, held));
+        bound(table, held);
+    }
+
+    /** The same bounds as at its creation, from now on. */
+    public void bound(int mostOpen, int mostHeld) {
+        table = mostOpen;
+        held = Math.max(1, Math.min(mostOpen, mostHeld));
     }
 
     /** Takes a connection in; its phase is {@link Phase#SILENT}. */
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -122,6 +122,11 @@
         observers.add(observer);
     }
 
+    /** Other routers are talked to by this from now on; null for not at all. */
+    public void talk(Peers by) {
+        peers = by;
+    }
+
     /** How many requests were taken and have not ended. */
     public int open() {
         return slots.size();
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -139,6 +139,11 @@
         }
     }
 
+    /** There may be so many connections from now on. */
+    public void bound(int mostConnections) {
+        tell(c -> c.bound(loop.now(), mostConnections));
+    }
+
     /** Whether a server is the origin, as the farm lists it now. */
     public boolean isOrigin(long serverId) {
         Farm.Entry entry = farm.entry(serverId);
--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -33,10 +33,20 @@
         this.all = all;
         this.listener = listener;
         this.channel = loop.provider().openDatagramChannel();
-        channel.bind(listen);
+        try {
+            channel.bind(listen);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
         loop.register(channel, SelectionKey.OP_READ, key -> receive());
     }
 
+    /** Lets go of the port, so that another process of this router can have it. */
+    public void close() throws IOException {
+        channel.close();
+    }
+
     /** Where messages arrive. */
     public SocketAddress address() throws IOException {
         return channel.getLocalAddress();
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -34,10 +35,18 @@
 
     /** Listens at an address. */
     public Acceptor(Loop loop, InetSocketAddress listen, Gate gate) throws IOException {
+        this(loop, listen, gate, false);
+    }
+
+    /** The same, at an address that another process of this router may listen at too. */
+    public Acceptor(Loop loop, InetSocketAddress listen, Gate gate, boolean shared) throws IOException {
         this.loop = loop;
         this.gate = gate;
         this.channel = loop.provider().openServerSocketChannel();
         try {
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             channel.bind(listen, BACKLOG);
         } catch (IOException e) {
             // There may be three listeners: whoever reads this must know which.
@@ -58,9 +67,22 @@
         channel.close();
     }
 
+    /**
+     * Takes all that have come, and stops listening at once. Guards connections that the system has set up already: what lies
+     * in the queue of a listener that is closed is reset.
+     */
+    public void closeEmpty() throws IOException {
+        accept(BACKLOG);
+        close();
+    }
+
     private void accept() {
+        accept(MOST_AT_ONCE);
+    }
+
+    private void accept(int most) {
         try {
-            for (int i = 0; i < MOST_AT_ONCE; i++) {
+            for (int i = 0; i < most; i++) {
                 if (!gate.makeRoom()) {
                     loop.log().line("user-agents-full", "no further connection is taken until one can be closed");
                     pause();
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -28,6 +28,8 @@
     private final Loop loop;
     private final Slots<UserAgent> userAgents;
     private final UserAgentRoom room;
+    /** Connections that there may be now. */
+    private int most;
     /** Of the longest class: an answer that is not read by then is of no use to anyone. */
     private final long readNanos;
     private final List<Runnable> whenClosed = new ArrayList<>();
@@ -44,6 +46,7 @@
         this.lifecycle = lifecycle;
         this.readNanos = longestAnswerNanos;
         this.userAgents = new Slots<>(mostConnections);
+        this.most = mostConnections;
         this.room = new UserAgentRoom(mostConnections, held);
         lifecycle.whenLeaving(this::leave);
     }
@@ -53,6 +56,13 @@
         return userAgents.size();
     }
 
+    /** There may be so many connections from now on, of which user agents hold so many; never more than at the start. */
+    public void bound(int mostConnections, int held) {
+        most = mostConnections;
+        room.bound(mostConnections, held);
+        lookSoon();
+    }
+
     /** The room that connections have, for its figures. */
     public UserAgentRoom room() {
         return room;
@@ -89,7 +99,7 @@
      * request: those that are being ended are cut short, then what the room can spare is ended, then half commands are.
      */
     private boolean makeRoom() {
-        for (int i = 0; i < MOST_AT_ONCE && userAgents.isFull(); i++) {
+        for (int i = 0; i < MOST_AT_ONCE && isFull(); i++) {
             Kept kept = room.endingForLongest(loop.now());
             if (kept != null) {
                 agent(kept).cutShort();
@@ -106,7 +116,11 @@
             }
             agent(kept).giveUpRest();
         }
-        return !userAgents.isFull();
+        return !isFull();
+    }
+
+    private boolean isFull() {
+        return userAgents.size() >= most;
     }
 
     private static UserAgent agent(Kept kept) {
