Take new settings at SIGHUP: one checked version, which a request keeps until it ends

Change: Versions gives requests an immutable version and classes stable slots; Retuned brings it to the module, where a job keeps its class and attempts; Reread compares a file with the one in use.

--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -163,6 +163,10 @@
     public record Rests(boolean rests) implements Event {
     }
 
+    /** Other classes, limits and rules are in force from now on; who the routers and tenants are has not changed. */
+    public record Retuned(Settings settings) implements Event {
+    }
+
     /** Something this router is to do. */
     public sealed interface Action {
     }
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -46,9 +46,9 @@
             Outcome.MOOT, Outcome.TIMEOUT, Outcome.CANCELLED); // no sign of life; we end these ourselves
     private static final int TICK_TAG = 1, SUBSCRIBE_TAG = 2;
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
-    private final long eject;
+    private long eject;
     private final Fleet fleet = new Fleet();
     private final Supply supply;
     private final Requests requests = new Requests();
@@ -57,10 +57,8 @@
 
     /** Creates the router's instance. */
     public Brain(Settings settings, long seed) {
-        this.settings = settings;
         random = new SplittableRandom(seed);
-        eject = EJECT_AIMS * settings.classes().stream().mapToLong(RequestClass::aimNanos).min()
-                .orElse(SECOND);
+        retune(settings);
         supply = new Supply();
     }
 
@@ -77,6 +75,14 @@
         else if (event instanceof StreamEstablished e) requests.over(e.request(), false);
         else if (event instanceof Started) start();
         else if (event instanceof Rests e) supply.rest(e.rests());
+        else if (event instanceof Retuned e) retune(e.settings());
+    }
+
+    /** What comes from now on comes with these; jobs keep what they came with. */
+    private void retune(Settings changed) {
+        settings = changed;
+        var aims = changed.classes().stream().mapToLong(RequestClass::aimNanos);
+        eject = EJECT_AIMS * aims.min().orElse(SECOND);
     }
 
     /** How many listed caches get nothing now: they drain, or are left alone. */
@@ -468,7 +474,7 @@
             RequestClass type = settings.classes().get(e.requestClass());
             long last = e.ttlNanos() - 2 * pace();
             long useful = type.lateShare() > 0 ? last : Math.min(last, type.aimNanos());
-            Job job = new Job(e, type, now, now + useful, overShare);
+            Job job = new Job(e, type, settings.limits().attempts(), now, now + useful, overShare);
             jobs.put(e.request(), job);
             // Guards against holding work for which nothing was done until its client could go nowhere else.
             job.dueAt = Math.min(job.giveUpAt, now + e.ttlNanos() / 2 - 2 * pace());
@@ -543,7 +549,7 @@
             hold(job);
         }
 
-        boolean mayTry(Job job, int times) { return job.attempts + times <= settings.limits().attempts(); }
+        boolean mayTry(Job job, int times) { return job.attempts + times <= job.most; }
 
         void hold(Job job) {
             held.add(job);
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -13,6 +13,8 @@
 final class Job {
     final RequestArrived asked;
     final RequestClass type;
+    /** How often it may be tried in all. */
+    final int most;
     final long arrivedAt;
     final long giveUpAt;
     final boolean overShare;
@@ -30,9 +32,10 @@
     /** Misses of the same key that wait for this one's fetch; null unless it leads one. */
     List<Job> followers;
 
-    Job(RequestArrived asked, RequestClass type, long arrivedAt, long giveUpAt, boolean overShare) {
+    Job(RequestArrived asked, RequestClass type, int most, long arrivedAt, long giveUpAt, boolean overShare) {
         this.asked = asked;
         this.type = type;
+        this.most = most;
         this.arrivedAt = arrivedAt;
         this.giveUpAt = giveUpAt;
         this.overShare = overShare;
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -40,6 +40,7 @@
 import slateseam.router.peer.Peers;
 import slateseam.router.request.Names;
 import slateseam.router.request.RequestObserver;
+import slateseam.router.request.Versions;
 import slateseam.router.tap.Tap;
 import slateseam.router.useragent.Acceptor;
 import slateseam.router.useragent.Commands;
@@ -58,7 +59,7 @@
     private static final long FARM_NANOS = 2_000_000_000L;
 
     private final Loop loop;
-    private final long longestNanos;
+    private long longestNanos;
     private final RespFront front;
     private final Lifecycle lifecycle = new Lifecycle();
     private final ServiceCounts served = new ServiceCounts();
@@ -67,6 +68,9 @@
     /** The program's own listener first, then those of features; none while it does not take user agents yet. */
     private final List<Acceptor> acceptors = new ArrayList<>();
     private final NodeConfig config;
+    /** The file in use: the last that was taken. */
+    private NodeConfig used;
+    private final Versions versions;
     private final Core core;
     private final Passes passes;
     /** Of descriptors, for user agents and servers together. */
@@ -119,6 +123,7 @@
     private Router(NodeConfig config, Features features, SelectorProvider network, Clock clock, Log log,
             Console console, long heapBytes, Executor aside, Handover handover) throws IOException {
         this.config = config;
+        this.used = config;
         loop = new Loop(network, clock, log, heapBytes);
         Limits limits = config.settings().limits();
         shared = config.sockets() - OTHER_SOCKETS - features.descriptors()
@@ -126,7 +131,8 @@
         int userAgents = userAgents(shared);
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
-        core = new Core(loop, config.settings(), config.seed(), config.mostHeld());
+        versions = new Versions(config.settings());
+        core = new Core(loop, versions, config.seed(), config.mostHeld());
         passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
                 config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())), served::dispatched);
         told = new ToldFarm(loop, config, features, farm, handover, aside, changed -> {
@@ -150,8 +156,8 @@
         if (!config.settings().askedDiscovery()) {
             told.begin();
         }
-        Names names = features.equals(Features.OFF) ? null : Names.of(config.settings());
-        Requests requests = new Requests(core, config.settings(), config.mostHeld());
+        Names names = features.equals(Features.OFF) ? null : Names.of(config.settings(), versions.names());
+        Requests requests = new Requests(core, versions, config.mostHeld());
         front = new RespFront(loop, lifecycle, longestNanos, userAgents, config.sockets() / HELD_PART);
         boolean several = handover != null;
         listeners.add(new Listener(config.listen(), front.gate(new Commands(requests, lifecycle)), several));
@@ -167,10 +173,7 @@
         tap = features.tap() == null ? null
                 : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
                         config.seed());
-        List<RequestClass> classes = config.settings().classes();
-        for (int i = 0; i < classes.size(); i++) {
-            served.name(i, classes.get(i).name());
-        }
+        served.name(versions.names());
         served.gauge("concurrent", core::open).gauge("targets", farm::servers).gauge("targets_disabled", core::avoided);
         core.observe(served);
         control = config.control() == null ? null : control(config.control());
@@ -313,7 +316,7 @@
     public void reload(Path file, Path settings) {
         loop.handOver(() -> {
             try {
-                NodeConfig changed = NodeConfig.read(file);
+                NodeConfig changed = used.reread(file);
                 boolean follows = settings != null && told.followsKubernetes();
                 takeOver(changed, follows ? Features.read(settings, changed).kubernetes() : null);
             } catch (InvalidConfigException e) {
@@ -330,7 +333,16 @@
 
     private void takeOver(NodeConfig changed, KubernetesSettings settings) {
         served.reloaded(true);
-        loop.log().line("reloaded", told.moveTo(changed, settings));
+        used = changed;
+        core.retune(changed.settings());
+        longestNanos = Math.max(longestNanos, changed.settings().longestAnswerNanos());
+        front.longest(longestNanos);
+        if (figures != null) {
+            figures.flush(); // what was counted so far stands under the names that it came with
+        }
+        served.name(versions.names());
+        loop.log().line("reloaded", told.moveTo(changed, settings) + "; classes " + String.join(", ",
+                changed.settings().classes().stream().map(RequestClass::name).toList()));
     }
 
     /** Shows the keys that are asked for most, if that is on; may be called from any thread. */
--- a/src/main/java/slateseam/router/config/NodeConfig.java
+++ b/src/main/java/slateseam/router/config/NodeConfig.java
@@ -8,12 +8,16 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
+import slateseam.decision.Api.Effect;
+import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
 import slateseam.router.config.SettingsParser.InvalidSettingException;
 
@@ -34,11 +38,13 @@
  * @param idleNanos for how long a server keeps an idle connection
  * @param mostHeld how many requests this router may hold open
  * @param settings what the decision module is told
+ * @param whole the file as it was read
  * @param control where those who operate it call; null where nobody does
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, JSONObject known,
-        List<String> zones, List<String> kinds, long idleNanos, int mostHeld, Settings settings, InetSocketAddress control) {
+        List<String> zones, List<String> kinds, long idleNanos, int mostHeld, Settings settings, JSONObject whole,
+        InetSocketAddress control) {
     private static final int MOST_HELD = 4096;
     /** For the program itself, and the connections without which it would be of no use. */
     static final int LEAST_SOCKETS = 64;
@@ -69,6 +75,7 @@
             JSONObject json = new JSONObject(text);
             JSONObject told = json.getJSONObject("settings");
             Settings settings = SettingsParser.parse(flat(told));
+            check(settings);
             int sockets = json.getJSONObject("limits").getInt("sockets");
             if (sockets < LEAST_SOCKETS) {
                 throw new InvalidConfigException("limits.sockets is " + sockets + ", under " + LEAST_SOCKETS);
@@ -89,20 +96,50 @@
                     json.has("peers_all") ? address("peers_all", json.getString("peers_all")) : null,
                     json.getJSONObject("known"), strings(told.optJSONArray("zones")),
                     strings(told.optJSONArray("kinds")), limits.optLong("conn_idle_ns", 60_000_000_000L),
-                    Math.min(MOST_HELD, limits.optInt("most_held", MOST_HELD)), settings,
+                    Math.min(MOST_HELD, limits.optInt("most_held", MOST_HELD)), settings, json,
                     json.has("control") ? address("control", json.getString("control")) : null);
         } catch (JSONException | InvalidSettingException e) {
             throw new InvalidConfigException(e.getMessage());
         }
     }
 
+    /** Reads a file again while this one is in use; what this one tells must be told there too. */
+    public NodeConfig reread(Path file) throws InvalidConfigException {
+        NodeConfig changed = read(file);
+        Reread.check(whole, changed.whole);
+        return changed;
+    }
+
+    /** Guards what no parser can tell: figures without which no request could be served, and names that mean two things. */
+    private static void check(Settings settings) throws InvalidConfigException {
+        if (settings.classes().isEmpty()) {
+            throw new InvalidConfigException("settings.profiles is empty");
+        }
+        if (settings.limits().attempts() < 1) {
+            throw new InvalidConfigException("settings.limits.try_limit is " + settings.limits().attempts() + ", under 1");
+        }
+        Set<String> names = new HashSet<>();
+        for (RequestClass type : settings.classes()) {
+            String at = "settings.profiles: class " + type.name();
+            if (type.name().isEmpty() || !names.add(type.name())) {
+                throw new InvalidConfigException(at + (type.name().isEmpty() ? "has no name" : " stands twice"));
+            }
+            if (type.deadlineNanos() <= 0 || type.aimNanos() <= 0) {
+                throw new InvalidConfigException(at + " has a deadline or an aim that is not over 0");
+            }
+            if (type.effect() == Effect.TOKEN && type.windowNanos() < 0) {
+                throw new InvalidConfigException(at + " has a window under 0");
+            }
+        }
+    }
+
     /** The same with a second address that the environment names, which counts where the file names none. */
     public NodeConfig withControl(String named) throws InvalidConfigException {
         if (control != null || named == null || named.isEmpty()) {
             return this;
         }
         return new NodeConfig(name, listen, discovery, seed, sockets, peerListen, peers, peersAll, known, zones, kinds,
-                idleNanos, mostHeld, settings, address("NODE_CONTROL", named));
+                idleNanos, mostHeld, settings, whole, address("NODE_CONTROL", named));
     }
 
     private static long seed(String hex) throws InvalidConfigException {
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -18,6 +18,7 @@
 import slateseam.decision.Api.Probe;
 import slateseam.decision.Api.Refuse;
 import slateseam.decision.Api.RequestArrived;
+import slateseam.decision.Api.Retuned;
 import slateseam.decision.Api.Send;
 import slateseam.decision.Api.SetTimer;
 import slateseam.decision.Api.Settings;
@@ -40,6 +41,7 @@
 import slateseam.router.request.Intake;
 import slateseam.router.request.Request;
 import slateseam.router.request.RequestObserver;
+import slateseam.router.request.Versions;
 
 /** The requests that are owed an answer. Turns happenings into events and carries out actions; decides nothing. */
 public final class Core implements PassListener, Intake {
@@ -83,7 +85,7 @@
     }
 
     private final Loop loop;
-    private final Settings settings;
+    private final Versions versions;
     private final Brain brain;
     private final Slots<Slot> slots;
     /** What has happened while an event is handled: an action may make something happen at once. */
@@ -101,10 +103,10 @@
     private FarmSource source;
 
     /** Creates the core of a router that holds at most so many requests. */
-    public Core(Loop loop, Settings settings, long seed, int mostHeld) {
+    public Core(Loop loop, Versions versions, long seed, int mostHeld) {
         this.loop = loop;
-        this.settings = settings;
-        this.brain = new Brain(settings, seed);
+        this.versions = versions;
+        this.brain = new Brain(versions.current().settings(), seed);
         this.slots = new Slots<>(mostHeld);
         this.mostHeldBytes = loop.heapBytes() / 8;
     }
@@ -122,6 +124,11 @@
         observers.add(observer);
     }
 
+    /** Other settings are in force: what comes from now on comes with them. */
+    public void retune(Settings settings) {
+        happened(new Retuned(versions.adopt(settings).settings()));
+    }
+
     /** Other routers are talked to by this from now on; null for not at all. */
     public void talk(Peers by) {
         peers = by;
@@ -149,7 +156,7 @@
     @Override
     public long arrived(Request request, Front front, long exchange) {
         if (slots.isFull() || heldBytes + request.valueBytes() > mostHeldBytes) {
-            front.answer(exchange, new Answer.Unavailable(settings.limits().maxRetryAfterNanos()));
+            front.answer(exchange, new Answer.Unavailable(request.version().settings().limits().maxRetryAfterNanos()));
             tell(request, Ending.UNAVAILABLE, 0);
             return -1;
         }
@@ -157,8 +164,9 @@
         long ticket = slots.add(slot);
         slot.ticket = ticket;
         heldBytes += request.valueBytes();
-        slot.overdue = loop.after(request.ttlNanos() + settings.rules().answerSlackNanos(), slot);
-        happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.requestClass(),
+        versions.begun(request.requestClass());
+        slot.overdue = loop.after(request.ttlNanos() + request.version().settings().rules().answerSlackNanos(), slot);
+        happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.type(),
                 request.isWrite(), request.repeated(), 0, request.ttlNanos()));
         return ticket;
     }
@@ -237,7 +245,7 @@
         Slot slot = slots.get(send.request());
         int attempt = slot == null ? 0 : slot.attempts;
         long left = slot == null ? 0 : slot.deadline - loop.now();
-        if (left <= 0 || attempt >= settings.limits().attempts()) {
+        if (left <= 0 || attempt >= slot.request.version().settings().limits().attempts()) {
             passEnded(send.request(), attempt, send.member(), Outcome.MOOT, false, null, 0);
             return;
         }
@@ -272,6 +280,7 @@
             loop.cancel(slot.overdue);
             passes.answered(ticket);
             heldBytes -= slot.request.valueBytes();
+            versions.ended(slot.request.requestClass());
         }
         return slot;
     }
--- a/src/main/java/slateseam/router/counts/ServiceCounts.java
+++ b/src/main/java/slateseam/router/counts/ServiceCounts.java
@@ -1,7 +1,10 @@
 package slateseam.router.counts;
 
 import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.IntSupplier;
 import org.json.JSONObject;
 import slateseam.router.request.Ending;
@@ -9,10 +12,11 @@
 
 /**
  * What the router has done since its start. Requests are counted where they end, attempts where their last byte was handed
- * to the system; who asks only reads. One entry a class that was ever named here, of which there are as many as classes have
- * slots.
+ * to the system; who asks only reads. One entry a class that is listed, or was: of those that are dropped the first go beyond 256.
  */
 public final class ServiceCounts implements RequestObserver {
+    private static final int MOST_NAMES = 256;
+
     private static final class OfClass {
         final String name;
         long success;
@@ -27,21 +31,25 @@
     private record Gauge(String name, IntSupplier now) {
     }
 
-    /** By slot; null where none was ever named. */
+    /** By slot. */
     private final List<OfClass> classes = new ArrayList<>();
+    private final Map<String, OfClass> all = new LinkedHashMap<>();
     private final List<Gauge> gauges = new ArrayList<>();
     private long dispatches;
     private long reloaded;
     private long notReloaded;
 
-    /** Gives a class its slot; one that had that name before goes on counting there. */
-    public void name(int slot, String name) {
-        while (classes.size() <= slot) {
-            classes.add(null);
+    /** Gives classes their slots; one that was there before goes on counting, and one that was dropped is still shown. */
+    public void name(List<String> names) {
+        classes.clear();
+        for (String name : names) {
+            classes.add(all.computeIfAbsent(name, OfClass::new));
         }
-        OfClass before = classes.get(slot);
-        if (before == null || !before.name.equals(name)) {
-            classes.set(slot, new OfClass(name));
+        // Guards the memory against ever new names: of those that are dropped, the first ones go.
+        for (Iterator<OfClass> i = all.values().iterator(); all.size() > MOST_NAMES && i.hasNext();) {
+            if (!classes.contains(i.next())) {
+                i.remove();
+            }
         }
     }
 
@@ -76,15 +84,13 @@
     /** All figures, as one object of JSON. */
     public String json() {
         JSONObject replies = new JSONObject();
-        for (OfClass c : classes) {
-            if (c != null) {
-                replies.put(c.name, new JSONObject().put("success", c.success).put("overload", c.overload)
-                        .put("error", c.error));
-            }
+        for (OfClass c : all.values()) {
+            replies.put(c.name, new JSONObject().put("success", c.success).put("overload", c.overload)
+                    .put("error", c.error));
         }
-        JSONObject all = new JSONObject().put("replies", replies).put("dispatches", dispatches)
+        JSONObject figures = new JSONObject().put("replies", replies).put("dispatches", dispatches)
                 .put("reload_success", reloaded).put("reload_failure", notReloaded);
-        gauges.forEach(gauge -> all.put(gauge.name, gauge.now.getAsInt()));
-        return all.toString();
+        gauges.forEach(gauge -> figures.put(gauge.name, gauge.now.getAsInt()));
+        return figures.toString();
     }
 }
--- a/src/main/java/slateseam/router/request/Names.java
+++ b/src/main/java/slateseam/router/request/Names.java
@@ -1,9 +1,9 @@
 package slateseam.router.request;
 
 import java.nio.charset.StandardCharsets;
+import java.util.AbstractList;
 import java.util.List;
 import java.util.stream.Stream;
-import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
 import slateseam.router.net.Bytes;
@@ -11,7 +11,7 @@
 /**
  * How features show classes, tenants and keys: as one word each, so that none can forge a line or a part of one.
  *
- * @param classes by number
+ * @param classes by slot
  * @param tenants by number; the last name is shared by all tenants that the settings do not know, so that nothing grows
  *     with what user agents make up
  */
@@ -19,9 +19,19 @@
     /** Of a key, so that lines stay short. */
     public static final int MOST_KEY_BYTES = 256;
 
-    /** The names of a router's settings. */
-    public static Names of(Settings settings) {
-        return new Names(settings.classes().stream().map(RequestClass::name).map(Names::word).toList(),
+    /** The names of a router's settings; those of classes as they are when they are asked for. */
+    public static Names of(Settings settings, List<String> classes) {
+        return new Names(new AbstractList<>() {
+            @Override
+            public String get(int slot) {
+                return word(classes.get(slot));
+            }
+
+            @Override
+            public int size() {
+                return classes.size();
+            }
+        },
                 Stream.concat(settings.tenants().stream().map(Tenant::name).map(Names::word), Stream.of("other"))
                         .toList());
     }
--- a/src/main/java/slateseam/router/request/RequestObserver.java
+++ b/src/main/java/slateseam/router/request/RequestObserver.java
@@ -6,7 +6,7 @@
     /**
      * A request has ended so long after it came.
      *
-     * @param requestClass the number of its class
+     * @param requestClass the slot of its class
      * @param tenant the number of its tenant; one past the last for those that the settings do not know
      * @param key what it asked for; not to be changed
      */
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -4,8 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import slateseam.decision.Api.RequestClass;
-import slateseam.decision.Api.Settings;
 import slateseam.decision.Api.Tenant;
 import slateseam.router.net.Bytes;
 import slateseam.router.net.Clock;
@@ -16,6 +14,8 @@
 import slateseam.router.request.Facts;
 import slateseam.router.request.Intake;
 import slateseam.router.request.Request;
+import slateseam.router.request.Version;
+import slateseam.router.request.Versions;
 
 /** Turns commands into requests, whatever listener they came to, and brings each its answer. */
 public final class Requests implements Front {
@@ -46,19 +46,17 @@
     }
 
     private final Intake core;
-    private final Settings settings;
-    private final List<String> classes;
+    private final Versions versions;
     private final List<String> tenants;
     private final Slots<Open> open;
     /** The ids of the requests that are owed an answer; they are held as long as those are, and no longer. */
     private final Set<String> openIds = new HashSet<>();
 
     /** Creates the table; the core holds at most so many requests. */
-    public Requests(Intake core, Settings settings, int mostHeld) {
+    public Requests(Intake core, Versions versions, int mostHeld) {
         this.core = core;
-        this.settings = settings;
-        this.classes = settings.classes().stream().map(RequestClass::name).toList();
-        this.tenants = settings.tenants().stream().map(Tenant::name).toList();
+        this.versions = versions;
+        this.tenants = versions.current().settings().tenants().stream().map(Tenant::name).toList();
         this.open = new Slots<>(mostHeld + 1); // the one more is being turned away
     }
 
@@ -78,17 +76,18 @@
         if (openIds.contains(openId)) {
             return Replies.line("-ERR a request with this id is open");
         }
-        int requestClass = classes.indexOf(Facts.value(facts, 'c'));
+        Version version = versions.current();
+        int type = version.number(Facts.value(facts, 'c'));
         String wait = Facts.value(facts, 'd');
         long waitMillis = wait == null ? -1 : Bytes.number(wait);
-        if (requestClass < 0 || waitMillis < 0) {
+        if (type < 0 || waitMillis < 0) {
             return Replies.line("-ERR unknown class or no time to wait");
         }
         int tenant = tenants.indexOf(Facts.value(facts, 't'));
         asked.waitNanos = waitMillis * Clock.MILLI;
         asked.tenant = tenant < 0 ? tenants.size() : tenant;
-        long ttl = Math.min(asked.waitNanos, settings.classes().get(requestClass).deadlineNanos());
-        Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, requestClass,
+        long ttl = Math.min(asked.waitNanos, version.type(type).deadlineNanos());
+        Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, version, type,
                 asked.tenant, "1".equals(Facts.value(facts, 'r')), ttl);
         asked.number = open.add(asked);
         asked.id = openId;
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -31,7 +31,7 @@
     /** Connections that there may be now. */
     private int most;
     /** Of the longest class: an answer that is not read by then is of no use to anyone. */
-    private final long readNanos;
+    private long readNanos;
     private final List<Runnable> whenClosed = new ArrayList<>();
     private final Lifecycle lifecycle;
     private Deadline look;
@@ -63,6 +63,11 @@
         lookSoon();
     }
 
+    /** Answers are waited for as long as this from now on; what is out keeps its time. */
+    public void longest(long longestAnswerNanos) {
+        readNanos = Math.max(readNanos, longestAnswerNanos);
+    }
+
     /** The room that connections have, for its figures. */
     public UserAgentRoom room() {
         return room;
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -1,5 +1,6 @@
 package slateseam.decision;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.api.Assertions.*;
 import static slateseam.decision.World.MS;
 import static slateseam.decision.World.ORIGIN;
@@ -724,4 +725,23 @@
         idle.pass(20_000 * MS);
         assertEquals(first, rate(idle));
     }
+
+    /** What is open keeps its class and how often it may be tried; what comes has the new. */
+    @Test
+    void newSettingsBindWhatComesAndNotWhatIsOpen() {
+        World w = World.single();
+        long before = w.request(World.keyOf(10, 0), 0);
+        Settings old = World.settings(0, 1, false, List.of());
+        RequestClass pay = old.classes().get(2);
+        Limits l = old.limits();
+        w.on(new Retuned(new Settings(0, 1, 0, MS, false, CacheMode.ASIDE, 1, 0.1, List.of(pay), List.of(),
+                new Limits(1, false, true, true, true, true, l.maxRetryAfterNanos(), l.connectTimeoutNanos(), 32),
+                old.rules())));
+        w.end(w.sent(before), Outcome.RESET, 0, MS);
+        assertThat(w.sends(before)).as("a read, tried again").isEqualTo(2);
+        long after = w.request(World.keyOf(10, 0), 0);
+        w.end(w.sent(after), Outcome.RESET, 0, MS);
+        assertThat(w.sends(after)).isEqualTo(1);
+        assertThat(w.failed(after)).as("it must not run twice now").isTrue();
+    }
 }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -21,6 +21,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import org.json.JSONObject;
 import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
 import slateseam.router.net.Console;
@@ -35,7 +36,7 @@
  * {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start}
  * (another router with the same files), {@code log TEXT} (the log has it), {@code log stops}, {@code log goes on} (its
  * reader does), {@code reload OLD => NEW} (the changed configuration or settings file is read again), {@code show the
- * hot list} or {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to
+ * hot list}, {@code stats POINTER VALUE} (the figures say so) or {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to
  * {@code again} are played N times. Before all others come {@code config OLD => NEW}, which changes the configuration,
  * {@code setting NAME VALUE}, a line of the settings file, {@code given NAME TEXT}, a file that is there at the start,
  * and {@code define NAME TEXT}, which stands for {@code {NAME}} in what follows.
@@ -49,6 +50,7 @@
     /** A guard against waiting for ever; no test depends on how long a round takes. */
     private static final int MOST_ROUNDS = 5_000;
     private static final long MILLI = 1_000_000L;
+    private static final int MOST_STATS = 64 * 1024;
     private static final Pattern LONG = Pattern.compile("\\{(\\d+) (.)}");
     private static final List<String> SERVERS = List.of("s1", "s2", "origin", "discovery", "discovery2");
 
@@ -122,7 +124,7 @@
     }
 
     private static String changed(String text, String change) {
-        String[] words = change.split(" => ");
+        String[] words = change.split(" => ", -1);
         assertThat(text).contains(words[0]);
         return text.replace(words[0], words[1]);
     }
@@ -179,12 +181,14 @@
             round();
         } else if (words[0].equals("reload")) {
             Path file = Files.createTempFile("node", ".json");
-            String[] change = line.substring(7).split(" => ");
+            String[] change = line.substring(7).split(" => ", -1);
             boolean node = config.contains(change[0]);
             router.reload(Files.writeString(file, fill(node ? changed(config, line.substring(7)) : config)),
                     settings(node ? "" : change[0], node ? "" : change[1]));
             round();
             Files.delete(file);
+        } else if (words[0].equals("stats")) {
+            assertThat(stats().query(words[1])).as(line).hasToString(rest);
         } else if (line.equals("ended")) {
             for (int i = 0; i < MOST_ROUNDS && !router.loop().isStopped(); i++) {
                 round();
@@ -231,6 +235,13 @@
         }
     }
 
+    private JSONObject stats() throws IOException {
+        write(channel("call stats"), "GET /stats HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        String answer = read("call stats", MOST_STATS);
+        channels.remove("call stats").close();
+        return new JSONObject(answer.substring(answer.indexOf('{'), answer.lastIndexOf('}') + 1));
+    }
+
     private void round() throws IOException {
         router.loop().round(MILLI);
     }
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -21,6 +21,7 @@
 import slateseam.router.request.Front;
 import slateseam.router.request.Intake;
 import slateseam.router.request.Request;
+import slateseam.router.request.Versions;
 import slateseam.router.useragent.Exchange;
 import slateseam.router.useragent.Requests;
 
@@ -44,7 +45,7 @@
         public void withdrawn(long ticket, Ending why) {
             left.add(ticket);
         }
-    }, NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings(), 1_000);
+    }, new Versions(NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings()), 1_000);
     private final MultiGet multiGet = new MultiGet(loop, requests, new Lifecycle(), MANY, 2_000 * MILLI, 10_000);
 
     MultiGetTest() throws Exception {
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -58,7 +58,7 @@
     }
 
     private void begin(long ticket) {
-        passes.begin(ticket, new Request(new byte[] {'k'}, new byte[] {'i'}, "c=read,d=9".getBytes(), null, 0, 0, false,
+        passes.begin(ticket, new Request(new byte[] {'k'}, new byte[] {'i'}, "c=read,d=9".getBytes(), null, null, 0, 0, false,
                 SECOND), 0, id, SECOND);
     }
 
