--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -60,9 +60,9 @@
                 new PlantedBug("closes at once in a planned end", "restart", null, List.of(
                         change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
                 new PlantedBug("tries beyond the limit", null, null, List.of(
-                        change(ROUTER + "core/Core", "left <= 0 || attempt >= settings.limits().attempts()",
+                        change(ROUTER + "core/Core", "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()",
                         "left <= 0"),
-                        change(BRAIN, "return job.attempts + times <= settings.limits().attempts();", "return true;"))),
+                        change(BRAIN, "return job.attempts + times <= job.most;", "return true;"))),
                 new PlantedBug("loses its place where a message is split", null, null, List.of(
                         change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
                                 "        }\n        return value;"))),
