Stream long answers to user agents through bounded buffers

A served answer with a value over 64 KiB is answered with its beginning; the rest goes from the server's connection to the user agent's as that takes it, with at most 64 KiB and one read waiting. 4 s without a byte, a break or a user agent that leaves end both. A reader is stuck only when it takes nothing at all. Chunks may have trailers.

Writes are still held whole.

--- a/src/main/java/slateseam/router/connections/useragents/Cause.java
+++ b/src/main/java/slateseam/router/connections/useragents/Cause.java
@@ -14,6 +14,8 @@
     MALFORMED("malformed"),
     /** Its answers were not read. */
     UNREAD("unread"),
+    /** The rest of a long value did not come from its server. */
+    CUT("cut"),
     /** The router ends. */
     PLANNED("planned");
 
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -77,7 +77,7 @@
         }
 
         Ending ending(Answer answer) {
-            if (answer instanceof Answer.Served) {
+            if (answer instanceof Answer.Served || answer instanceof Answer.Streamed) {
                 return request.isWrite() ? Ending.WRITTEN : atOrigin ? Ending.MISS : Ending.HIT;
             }
             return answer instanceof Answer.Unavailable ? Ending.UNAVAILABLE : Ending.FAILED;
@@ -181,10 +181,13 @@
     }
 
     @Override
-    public void passEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching, byte[] value,
+    public void passEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching, Answer served,
             long durationNanos) {
         if (outcome == Outcome.OK) {
-            finish(ticket, new Answer.Served(value));
+            if (served instanceof Answer.Streamed streamed && slots.get(ticket) == null) {
+                streamed.value().stop();
+            }
+            finish(ticket, served);
         }
         if (handling) {
             happenings.add(() -> attemptEnded(ticket, attempt, server, outcome, fetching, durationNanos));
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -11,8 +11,10 @@
 
 /** A TCP connection on the loop: a bounded input buffer, parsed in place, and gathered writes. */
 public abstract class Connection implements Loop.Handler {
-    /** The longest value that is carried: the protocol names 64 KiB, but values of several times that come. */
-    public static final int VALUE_LIMIT = 1024 * 1024;
+    /** The longest value that is carried: the daily service has them. */
+    public static final int VALUE_LIMIT = 4 * 1024 * 1024;
+    /** Longer ones stream. */
+    public static final int LONG_VALUE = 64 * 1024;
     private static final int INPUT_LIMIT = VALUE_LIMIT + 8 * 1024;
     private static final int FIRST_INPUT = 4 * 1024;
     /** Larger buffers are counted, so that many long values at once cannot fill the heap. */
@@ -32,6 +34,8 @@
     private boolean paused;
     private boolean lingering;
     private boolean closed;
+    /** Of what was to be written. */
+    private long handed;
     /** Whether the transport lets bytes pass. */
     private boolean open;
     /** Whether the transport's input is looked at in the next round anyway. */
@@ -397,6 +401,7 @@
         chunk.limit(gathered);
         int taken = transport == null ? channel.write(chunk) : transport.write(chunk);
         boolean all = taken == gathered;
+        handed += taken;
         while (taken > 0) {
             ByteBuffer first = unwritten.peek();
             int part = Math.min(taken, first.remaining());
@@ -409,6 +414,11 @@
         return all;
     }
 
+    /** How many bytes have been handed to the system so far. */
+    protected final long handedBytes() {
+        return handed;
+    }
+
     /** How many bytes are still to be handed to the system. */
     public final long unwrittenBytes() {
         return unwritten.stream().mapToLong(ByteBuffer::remaining).sum();
--- a/src/main/java/slateseam/router/net/HttpHead.java
+++ b/src/main/java/slateseam/router/net/HttpHead.java
@@ -16,7 +16,7 @@
     /** Of a head's line or a chunk's; room for a load report that nobody here can read. */
     public static final int LONGEST_LINE = 4096;
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
-    private static final int MOST_HEADERS = 64;
+    static final int MOST_HEADERS = 64;
     private static final String LENGTH = "content-length";
 
     /**
--- a/src/main/java/slateseam/router/net/HttpReply.java
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -47,7 +47,7 @@
         boolean chunked = head.isChunked();
         if (head.status() == OK && !head.endsByItself() || chunked && head.length() != null) {
             // Guards against passing on a part as the whole: only a length tells that nothing is missing.
-            throw new MalformedException("an answer without a length, or with two");
+            throw new MalformedException(chunked ? "an answer with a length and in chunks" : "an answer without a length");
         }
         boolean bodiless = head.status() < FIRST_FINAL || !head.endsByItself();
         byte[] body = chunked ? chunks(in) : bytes(in, bodiless ? 0 : length(head.length(), 10));
@@ -64,11 +64,18 @@
             int length = length(Bytes.text(line).split(";", 2)[0].trim(), 16);
             byte[] chunk = bytes(in, length);
             ByteBuffer end = chunk == null ? null : Resp.line(in, HttpHead.LONGEST_LINE);
+            // Behind the last chunk trailers may follow, of which nobody here needs any.
+            for (int i = 0; length == 0 && end != null && end.hasRemaining(); i++) {
+                if (i == HttpHead.MOST_HEADERS) {
+                    throw new MalformedException("too many trailers");
+                }
+                end = Resp.line(in, HttpHead.LONGEST_LINE);
+            }
             if (end == null) {
                 return null;
             }
             if (end.hasRemaining()) {
-                throw new MalformedException("a chunk does not end where it should, or trailers follow");
+                throw new MalformedException("a chunk does not end where it should");
             }
             if (length == 0) {
                 return body.toByteArray();
--- a/src/main/java/slateseam/router/net/Resp.java
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -83,6 +83,39 @@
         return value;
     }
 
+    /**
+     * Reads the length in a line that begins with this type and moves the buffer past it; -1, with the buffer as it was, if
+     * the line is of another type or not whole.
+     */
+    public static int head(ByteBuffer in, char type) throws MalformedException {
+        int start = in.position();
+        if (start >= in.limit() || in.get(start) != type) {
+            return -1;
+        }
+        int end = lineEnd(in, LONGEST_LINE);
+        if (end < 0) {
+            return -1;
+        }
+        in.position(end + 2);
+        return number(in, start + 1, end, type == '*' ? MOST_ITEMS : Connection.VALUE_LIMIT);
+    }
+
+    /** Passes the end of a bulk string and so many values behind it; false, with the buffer as it was, while not whole. */
+    public static boolean passEnd(ByteBuffer in, int values) throws MalformedException {
+        int start = in.position();
+        boolean whole = in.remaining() >= 2;
+        if (whole && (in.get() != '\r' || in.get() != '\n')) {
+            throw new MalformedException("a bulk string does not end where it should");
+        }
+        for (int i = 0; whole && i < values; i++) {
+            whole = value(in, DEEPEST - 1, MOST_ITEMS) != null;
+        }
+        if (!whole) {
+            in.position(start);
+        }
+        return whole;
+    }
+
     private static Value value(ByteBuffer in, int depth, int needed) throws MalformedException {
         int start = in.position();
         int end = lineEnd(in, LONGEST_LINE);
--- a/src/main/java/slateseam/router/pass/HttpOrigin.java
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -3,6 +3,8 @@
 import java.nio.ByteBuffer;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.net.Bytes;
+import slateseam.router.net.Connection;
+import slateseam.router.net.HttpHead;
 import slateseam.router.net.HttpReply;
 import slateseam.router.net.MalformedException;
 import slateseam.router.request.Request;
@@ -59,6 +61,24 @@
         return new Reply(outcome, false, outcome == Outcome.OK ? reply.body() : null, reply.keepsAlive());
     }
 
+    @Override
+    public Begun begun(ByteBuffer in) throws MalformedException {
+        int start = in.position();
+        HttpHead head = HttpHead.read(in);
+        int length = head == null || head.status() != 200 || head.isChunked() || head.length() == null ? -1
+                : Bytes.number(head.length());
+        if (length <= Connection.LONG_VALUE || length > Connection.VALUE_LIMIT) {
+            in.position(start);
+            return null;
+        }
+        return new Begun(length, 0, head.keepsAlive());
+    }
+
+    @Override
+    public boolean passRest(ByteBuffer in, Begun begun) {
+        return true;
+    }
+
     @Override
     public Reply probeReply(ByteBuffer in) throws MalformedException {
         Reply reply = reply(in);
--- a/src/main/java/slateseam/router/pass/Pass.java
+++ b/src/main/java/slateseam/router/pass/Pass.java
@@ -17,6 +17,8 @@
     Deadline timeout;
     /** The request has its final answer, so that no other attempt follows. */
     boolean isLast;
+    /** Its outcome was told. */
+    boolean isTold;
 
     Pass(long ticket, int attempt, Request request, ApplicationServer server, long begunAt, long endsAt) {
         // What may not run twice stands alone, so that no other's mishap makes its outcome unknown.
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -14,6 +14,7 @@
 import slateseam.router.connections.servers.ServerConnections;
 import slateseam.router.farm.Farm;
 import slateseam.router.net.Loop;
+import slateseam.router.request.Answer;
 import slateseam.router.request.Request;
 
 /** The proxy passes that are out. Which connection carries each is decided by {@link ServerConnections}. */
@@ -235,6 +236,15 @@
     }
 
     void end(Pass pass, ServerProtocol.Reply reply) {
+        end(pass, reply, reply.value() == null ? null : new Answer.Served(reply.value()));
+    }
+
+    /** The same with a value that is on its way; what becomes of that is no matter of the pass. */
+    void end(Pass pass, ServerProtocol.Reply reply, Answer served) {
+        if (pass.isTold) {
+            return;
+        }
+        pass.isTold = true;
         loop.cancel(pass.timeout);
         long duration = loop.now() - pass.begunAt;
         if (pass.isProbe()) {
@@ -243,7 +253,7 @@
         }
         byTicket.remove(pass.ticket, pass);
         listener.passEnded(pass.ticket, pass.attempt, pass.server.id(), reply.outcome(), reply.fetching(),
-                reply.value(), duration);
+                served, duration);
     }
 
     /** The server as the farm lists it now; one that moved to another address begins anew. */
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -5,6 +5,7 @@
 import java.util.regex.Pattern;
 import slateseam.decision.Api.Outcome;
 import slateseam.router.net.Bytes;
+import slateseam.router.net.Connection;
 import slateseam.router.net.MalformedException;
 import slateseam.router.net.Resp;
 import slateseam.router.request.Facts;
@@ -81,6 +82,23 @@
         };
     }
 
+    @Override
+    public Begun begun(ByteBuffer in) throws MalformedException {
+        int start = in.position();
+        int items = Resp.head(in, '*');
+        int length = items > 0 ? Resp.head(in, '$') : -1;
+        if (length <= Connection.LONG_VALUE) {
+            in.position(start);
+            return null;
+        }
+        return new Begun(length, items - 1, true);
+    }
+
+    @Override
+    public boolean passRest(ByteBuffer in, Begun begun) throws MalformedException {
+        return Resp.passEnd(in, begun.items());
+    }
+
     /** Guards against noise that happens to begin with a minus. */
     private static Reply failed(String text) throws MalformedException {
         if (!ERROR.matcher(text).matches()) {
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -15,12 +15,17 @@
 import slateseam.router.net.Hash;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
+import slateseam.router.request.Answer;
+import slateseam.router.request.Incoming;
 
 /** A connection to a server. It carries proxy passes in order and tells the passes' table what happens to it. */
 final class ServerConnection extends Connection {
     /** For the rest of an answer once a part has come: less than an aim, so that there is time for another pass. */
     private static final long REST_NANOS = 250 * Clock.MILLI;
 
+    /** Of a long value: it is passed on in pieces, and given up when nothing more comes for so long. */
+    private static final int PIECE = 16 * 1024;
+    private static final long STALLED_NANOS = 4_000 * Clock.MILLI;
     /** Of an answer, to compare it with the one before; what is the same so far is checked. */
     private static final int COMPARED = 256;
 
@@ -39,6 +44,8 @@
     /** Until when it may stay as it is: connecting, or with a part of an answer. */
     private Deadline limit;
     private boolean partial;
+    /** The long value that comes just now; null where none does. */
+    private LongValue coming;
 
     ServerConnection(Loop loop, Passes passes, ApplicationServer server, Link link, long connectNanos)
             throws IOException {
@@ -69,6 +76,9 @@
     void end() {
         loop().cancel(limit);
         close();
+        if (coming != null) {
+            coming.cut();
+        }
     }
 
     @Override
@@ -93,7 +103,7 @@
     protected void received(ByteBuffer in) throws MalformedException {
         reading = true;
         try {
-            while (!isClosed() && link.isOpen() && takeOne(in) && in.hasRemaining()) {
+            while (!isClosed() && link.isOpen() && (coming == null ? takeOne(in) : coming.take(in)) && in.hasRemaining()) {
                 // Goes on with the next answer.
             }
         } finally {
@@ -112,6 +122,15 @@
             return takeFence(in);
         }
         int start = in.position();
+        if (held == null && !first.isProbe() && first.request.streams() && first.isWritten() && !first.isGivenUp()) {
+            ServerProtocol.Begun begun = protocol.begun(in);
+            if (begun != null) {
+                awaitRest(false);
+                coming = new LongValue(first, begun);
+                coming.begin();
+                return true;
+            }
+        }
         ServerProtocol.Reply reply = first.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
         if (reply == null) {
             awaitRest(in.hasRemaining() || held != null);
@@ -181,11 +200,123 @@
         partial = begun;
     }
 
+    /**
+     * A long value on its way to its user agent. What has come is passed on from the connection's one buffer; while it is
+     * not taken, nothing further is read.
+     */
+    private final class LongValue implements Incoming {
+        private final Pass pass;
+        private final ServerProtocol.Begun begun;
+        private int left;
+        private Taker taker;
+        private boolean over;
+        private Deadline stalled;
+
+        LongValue(Pass pass, ServerProtocol.Begun begun) {
+            this.pass = pass;
+            this.begun = begun;
+            this.left = begun.length();
+        }
+
+        void begin() {
+            passes.end(pass, new ServerProtocol.Reply(Outcome.OK), new Answer.Streamed(this));
+            awaitMore();
+        }
+
+        @Override
+        public int length() {
+            return begun.length();
+        }
+
+        @Override
+        public void to(Taker by) {
+            taker = by;
+            if (over) {
+                by.cut(); // it broke while answers ahead of it were waited for
+            }
+            more();
+        }
+
+        @Override
+        public void more() {
+            if (!over && taker != null && taker.wantsMore()) {
+                pause(false);
+                awaitMore();
+            }
+        }
+
+        @Override
+        public void stop() {
+            taker = null;
+            if (!over) {
+                finish();
+                passes.tell(connections -> connections.giveUp(loop().now(), pass, false));
+            }
+        }
+
+        /** Whether there may be more to take. */
+        boolean take(ByteBuffer in) throws MalformedException {
+            while (left > 0 && in.hasRemaining()) {
+                if (taker == null || !taker.wantsMore()) {
+                    loop().cancel(stalled);
+                    pause(true);
+                    return false;
+                }
+                ByteBuffer part = in.slice(in.position(), Math.min(Math.min(left, PIECE), in.remaining()));
+                in.position(in.position() + part.limit());
+                left -= part.limit();
+                taker.bytes(part);
+                if (over) {
+                    return false;
+                }
+            }
+            awaitMore();
+            if (left == 0 && taker != null) {
+                Taker by = taker;
+                taker = null; // whatever lies behind the value is no matter of its taker
+                by.whole();
+            }
+            if (left > 0 || isClosed() || !server.protocol().passRest(in, begun)) {
+                return false;
+            }
+            finish();
+            coming = null;
+            awaited.remove();
+            passes.tell(connections -> connections.answered(loop().now(), link, begun.reusable(), in.hasRemaining()));
+            return true;
+        }
+
+        /** Guards against a server that stops within its answer, for as long as it is asked for more. */
+        private void awaitMore() {
+            loop().cancel(stalled);
+            stalled = over ? null : loop().after(STALLED_NANOS, ServerConnection.this::breakOff);
+        }
+
+        private void finish() {
+            over = true;
+            loop().cancel(stalled);
+        }
+
+        /** The connection has ended, or what came on it cannot be read. */
+        void cut() {
+            if (!over) {
+                finish();
+                if (taker != null) {
+                    taker.cut();
+                }
+            }
+        }
+    }
+
     /** What cannot be read may have run; the connection is of no more use. */
     @Override
     protected void malformed(MalformedException e) {
         loop().log().line("server-malformed", server.address() + ": " + e.getMessage());
         Pass first = awaited.peek();
+        if (coming != null) {
+            breakOff();
+            return;
+        }
         passes.tell(connections -> {
             if (first == null) {
                 connections.noise(loop().now(), link);
@@ -202,6 +333,9 @@
     @Override
     protected void broken() {
         loop().cancel(limit);
+        if (coming != null) {
+            coming.cut();
+        }
         passes.gone(link);
         passes.tell(connections -> {
             if (up) {
--- a/src/main/java/slateseam/router/pass/ServerProtocol.java
+++ b/src/main/java/slateseam/router/pass/ServerProtocol.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import slateseam.decision.Api.Outcome;
+import slateseam.router.net.Connection;
 import slateseam.router.net.MalformedException;
 import slateseam.router.request.Request;
 
@@ -33,6 +34,21 @@
     /** Reads the answer to a request; null, with the buffer as it was, while it is not whole. */
     Reply reply(ByteBuffer in) throws MalformedException;
 
+    /**
+     * The beginning of an answer whose value is longer than {@link Connection#LONG_VALUE}.
+     *
+     * @param length of the value, which lies next in the buffer
+     * @param items of the answer that come behind the value and its end
+     */
+    record Begun(int length, int items, boolean reusable) {
+    }
+
+    /** Reads the beginning of an answer with a long value; null, with the buffer as it was, for any other. */
+    Begun begun(ByteBuffer in) throws MalformedException;
+
+    /** Passes what comes behind a long value; false, with the buffer as it was, while it is not whole. */
+    boolean passRest(ByteBuffer in, Begun begun) throws MalformedException;
+
     /** Reads the answer to a probe; null, with the buffer as it was, while it is not whole. */
     Reply probeReply(ByteBuffer in) throws MalformedException;
 }
--- a/src/main/java/slateseam/router/request/Answer.java
+++ b/src/main/java/slateseam/router/request/Answer.java
@@ -6,6 +6,10 @@
     record Served(byte[] value) implements Answer {
     }
 
+    /** The same, of which the value is on its way; whoever gets this takes it or stops it. */
+    record Streamed(Incoming value) implements Answer {
+    }
+
     /** An unavailable answer: trying again is harmless, after so long; 0 gives no advice. */
     record Unavailable(long retryAfterNanos) implements Answer {
     }
--- a/src/main/java/slateseam/router/request/Request.java
+++ b/src/main/java/slateseam/router/request/Request.java
@@ -12,9 +12,10 @@
  * @param tenant the number of its tenant
  * @param repeated whether the user agent marked it as a retry
  * @param ttlNanos how long the user agent waits, from when it sent it
+ * @param streams whether a long value may be answered while it comes
  */
 public record Request(byte[] key, byte[] id, byte[] facts, byte[] value, Version version, int type,
-        int tenant, boolean repeated, long ttlNanos) {
+        int tenant, boolean repeated, long ttlNanos, boolean streams) {
     /** The slot of its class, by which it is counted. */
     public int requestClass() {
         return version.slots().get(type);
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -33,7 +33,16 @@
         private final Requests.Open asked = new Requests.Open() {
             @Override
             protected void answered(Answer answer) {
-                finish(Replies.of(answer));
+                if (answer instanceof Answer.Streamed streamed) {
+                    finish(streamed.value(), Replies.head(streamed.value().length()));
+                } else {
+                    finish(Replies.of(answer));
+                }
+            }
+
+            @Override
+            protected boolean streams() {
+                return true;
             }
         };
 
--- a/src/main/java/slateseam/router/useragent/Exchange.java
+++ b/src/main/java/slateseam/router/useragent/Exchange.java
@@ -3,11 +3,14 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import slateseam.router.net.MalformedException;
+import slateseam.router.request.Incoming;
 
 /** One command, or several that belong together, and the one answer, which waits for those ahead of it. */
 public abstract class Exchange {
     private final Runnable ready;
     private ByteBuffer[] answer;
+    /** The value that follows the answer as it comes; null where there is none. */
+    private Incoming stream;
 
     /** Creates one that calls back when its answer is there. */
     protected Exchange(Runnable ready) {
@@ -62,6 +65,17 @@
         ready.run();
     }
 
+    /** Brings the beginning of the answer; the value behind it is on its way. */
+    protected final void finish(Incoming value, ByteBuffer head) {
+        stream = value;
+        finish(head);
+    }
+
+    /** The value that follows the answer as it comes; null where there is none. */
+    final Incoming stream() {
+        return stream;
+    }
+
     /** The answer; null while it is not there. */
     public final ByteBuffer[] answer() {
         return answer;
--- a/src/main/java/slateseam/router/useragent/Replies.java
+++ b/src/main/java/slateseam/router/useragent/Replies.java
@@ -27,6 +27,16 @@
         return line("-ERR failed");
     }
 
+    /** What comes before a value of so many bytes; {@link #end} comes behind it. */
+    static ByteBuffer head(int length) {
+        return Bytes.putNumber(ByteBuffer.allocate(MOST_ROUND_VALUE).put((byte) '$'), length).put(LINE_END).flip();
+    }
+
+    /** What comes behind a value. */
+    static ByteBuffer end() {
+        return ByteBuffer.wrap(LINE_END);
+    }
+
     /** A short value is copied, so that there is one buffer to keep and to gather. */
     private static ByteBuffer[] value(byte[] value) {
         boolean copied = value.length <= MOST_COPIED;
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -34,6 +34,11 @@
         /** Takes the one final answer. */
         protected abstract void answered(Answer answer);
 
+        /** Whether it takes a long value while that comes. */
+        protected boolean streams() {
+            return false;
+        }
+
         /** The number of its tenant; -1 before it was taken. */
         public final int tenant() {
             return tenant;
@@ -88,7 +93,7 @@
         asked.tenant = tenant < 0 ? tenants.size() : tenant;
         long ttl = Math.min(asked.waitNanos, version.type(type).deadlineNanos());
         Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, version, type,
-                asked.tenant, "1".equals(Facts.value(facts, 'r')), ttl);
+                asked.tenant, "1".equals(Facts.value(facts, 'r')), ttl, asked.streams());
         asked.number = open.add(asked);
         asked.id = openId;
         openIds.add(openId);
@@ -110,6 +115,8 @@
         if (asked != null) {
             openIds.remove(asked.id);
             asked.answered(answer);
+        } else if (answer instanceof Answer.Streamed streamed) {
+            streamed.value().stop();
         }
     }
 
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -15,9 +15,12 @@
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 import slateseam.router.net.Resp;
+import slateseam.router.request.Incoming;
 
 /** One connection of a user agent. Its answers go out in the order of its commands. */
-final class UserAgent extends Connection {
+final class UserAgent extends Connection implements Incoming.Taker {
+    /** Of a value that streams: no more is asked for while so much is not handed to the system. */
+    private static final int MOST_UNWRITTEN = 64 * 1024;
     private static final int MOST_COMMANDS = 16;
     /** For a first command, or one of which a part has come: no user agent that waits for an answer takes so long. */
     private static final long COMMAND_NANOS = 2_500 * Clock.MILLI;
@@ -55,6 +58,10 @@
     private Cause cause = Cause.LEFT;
     /** Whether it was ended between requests: what comes now crossed that. */
     private boolean endedIdle;
+    /** The value that streams behind the answer that is first; null where none does. */
+    private Incoming flowing;
+    /** How much had been handed to the system when its reading was last looked at. */
+    private long handed;
 
     UserAgent(RespFront front, Loop loop, SocketChannel channel, Dialect dialect) throws IOException {
         super(loop, channel);
@@ -143,7 +150,11 @@
      * system is looked at first: a command that came just before the deadline is one like any other.
      */
     void overstayed() {
-        if (state == State.READER) {
+        if (state == State.READER && handedBytes() != handed) {
+            // Guards those that read a long value slowly: they are stuck only when they take nothing at all.
+            handed = handedBytes();
+            limit = loop().after(front.readNanos(), this::overstayed);
+        } else if (state == State.READER) {
             loop().log().line("user-agent-stuck", "answers were not read; the connection was closed");
             cutShort(Cause.UNREAD);
         } else if (state == State.END) {
@@ -231,11 +242,15 @@
     }
 
     private void flushAnswers() {
-        while (!inOrder.isEmpty() && inOrder.peek().answer() != null) {
-            Exchange done = inOrder.poll();
-            begun -= done.commands();
-            write(done.answer());
-            done.handedOver();
+        while (flowing == null && !inOrder.isEmpty() && inOrder.peek().answer() != null && !isClosed()) {
+            Exchange first = inOrder.peek();
+            write(first.answer());
+            if (first.stream() != null) {
+                flowing = first.stream();
+                flowing.to(this);
+            } else {
+                handedOver();
+            }
         }
         settle();
         if (state == State.READER) {
@@ -244,8 +259,43 @@
         closeWhenDone();
     }
 
+    private void handedOver() {
+        Exchange done = inOrder.poll();
+        begun -= done.commands();
+        done.handedOver();
+    }
+
+    @Override
+    public void bytes(ByteBuffer bytes) {
+        ByteBuffer kept = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+        write(kept);
+    }
+
+    @Override
+    public boolean wantsMore() {
+        return unwrittenBytes() < MOST_UNWRITTEN;
+    }
+
+    @Override
+    public void whole() {
+        flowing = null;
+        write(Replies.end());
+        handedOver();
+        flushAnswers();
+    }
+
+    /** The user agent can tell by the end of its connection that the value is not whole. */
+    @Override
+    public void cut() {
+        flowing = null;
+        cutShort(Cause.CUT);
+    }
+
     @Override
     protected void written() {
+        if (flowing != null) {
+            flowing.more();
+        }
         settle();
         if (mayBegin()) {
             pause(false);
@@ -297,6 +347,12 @@
     protected void broken() {
         loop().cancel(limit);
         front.forget(ticket, kept, cause);
+        flowing = null;
+        for (Exchange exchange : inOrder) {
+            if (exchange.stream() != null) {
+                exchange.stream().stop();
+            }
+        }
         inOrder.forEach(Exchange::withdraw);
         inOrder.clear();
     }
