Warm up before user agents come, ask busy discovery ever more seldom, and eject by known rates

Cause: after some upgrades a router refused 20 to 40% of reads for 5 s and more. And at half a core the first seconds go into interpreting and compiling. Discovery that answered 503 was asked for the whole list each second by every router.

Change: the arrival rate counts for ejections after four intervals; WarmUp plays made-up requests for 0.25 s (an heir 0.5 s) before a router listens; Watch keeps its version over 503 and waits longer, drawn, from the second failure on.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -21,6 +21,7 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
+import slateseam.router.warmup.WarmUp;
 import slateseam.show.Check;
 import slateseam.show.FarmShow;
 import slateseam.simulate.SimulateCommand;
@@ -32,6 +33,8 @@
 public final class Main {
     private static final int FAILED = 1;
     private static final int USAGE = 2;
+    /** Before a router takes user agents; what it costs a restart, and spares the first seconds. */
+    private static final long WARM_NANOS = 250_000_000L;
     private static final String HELP = """
             usage: java -jar slateseam.jar COMMAND [--config FILE] [--features FILE]
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
@@ -166,6 +169,8 @@
         String folder = System.getenv("TMPDIR");
         // Only who is called at a second address is ever started beside another process of the same router.
         Handover handover = config.control() == null || folder == null ? null : new Handover(Path.of(folder));
+        boolean waited = handover == null || !handover.isHeir(); // nobody waits for an heir: the one before serves
+        new WarmUp(config.settings()).play(clock, waited ? WARM_NANOS : 2 * WARM_NANOS);
         Router router = new Router(config, features, clock, log, console, handover);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
         Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings));
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -86,10 +86,7 @@
     }
 
     /** How many listed caches get nothing now: they drain, or are left alone. */
-    public int avoided() {
-        return (int) fleet.servers.values().stream()
-                .filter(s -> !s.isOrigin() && !s.member.isGone() && !s.usable()).count();
-    }
+    public int avoided() { return (int) fleet.servers.values().stream().filter(Server::isAvoided).count(); }
 
     private void start() {
         supply.start();
@@ -127,6 +124,8 @@
         /** Guards against dead members behind a stale list: after an ejection one request tries it. */
         boolean usable() { return ready() && (failures < FAILURES || triable()); }
 
+        boolean isAvoided() { return !isOrigin() && !member.isGone() && !usable(); }
+
         boolean triable() { return outstanding == 0 && now >= ejectedUntil; }
 
         boolean hasRoom(double part) { return hasRoom(part, requests.answerTime, now); }
@@ -179,7 +178,7 @@
             }
             // In which two requests for it come; just after a start nobody knows how many come.
             Tally arrivals = requests.arrivals;
-            double two = arrivals.isKnown() ? 2 * SECOND * fleet.readyCaches / arrivals.perSecond() : 0;
+            double two = arrivals.isSettled() ? 2 * SECOND * fleet.readyCaches / arrivals.perSecond() : 0;
             eject((long) Math.max(ejection, Math.min(two, 8 * eject)), now);
             if (!common) ejection = Math.min(2 * ejection, 8 * eject);
         }
--- a/src/main/java/slateseam/decision/Tally.java
+++ b/src/main/java/slateseam/decision/Tally.java
@@ -4,6 +4,8 @@
 final class Tally {
     /** Intervals that are counted; from then on the stated weight is the greater by far. */
     private static final int MOST = 1000;
+    /** Intervals after which it is no longer that of a start, or of one process beside another. */
+    private static final int SETTLED = 4;
     private double recent;
     private double perSecond = 1;
     private int intervals;
@@ -23,6 +25,11 @@
         return intervals > 0;
     }
 
+    /** Whether it has been counted for long enough: the first intervals may have had only a part of what comes. */
+    boolean isSettled() {
+        return intervals >= SETTLED;
+    }
+
     /** Ends an interval of so many seconds; what came in it weighs so much at least. */
     void endInterval(double seconds, double weight) {
         // Guards a router that has just started: the first intervals in which any came count alike.
--- a/src/main/java/slateseam/router/ToldFarm.java
+++ b/src/main/java/slateseam/router/ToldFarm.java
@@ -52,7 +52,7 @@
         settings = features.kubernetes();
         if (settings == null) {
             kubernetes = null;
-            watch = new Watch(loop, config.discovery(), farm, changed -> {
+            watch = new Watch(loop, config.discovery(), farm, config.seed() ^ SEED, changed -> {
                 listener.accept(changed);
                 remember();
             });
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.json.JSONException;
 import org.json.JSONObject;
@@ -22,11 +23,15 @@
     /** Beyond its wait an answer is late: the connection may be dead, so a new one is tried. */
     private static final long LATE_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 50;
+    /** Between two tries, however many have failed: what discovery has to tell counts as told before long. */
+    private static final long MOST_RETRY_MILLIS = 1_000;
 
     private final Loop loop;
     private final Farm farm;
     private final Consumer<MembersChanged> listener;
     private InetSocketAddress discovery;
+    private final SplittableRandom random;
+    private int failures;
     private boolean begun;
     private boolean listed;
     /** The call that is out; null while the next one waits its time. */
@@ -34,8 +39,9 @@
     /** When the call that is out is late, or else when the next one begins. */
     private Deadline next;
 
-    /** Creates a watch that reports what changed. */
-    public Watch(Loop loop, InetSocketAddress discovery, Farm farm, Consumer<MembersChanged> listener) {
+    /** Creates a watch that reports what changed; the seed is that of the waits between tries. */
+    public Watch(Loop loop, InetSocketAddress discovery, Farm farm, long seed, Consumer<MembersChanged> listener) {
+        this.random = new SplittableRandom(seed);
         this.loop = loop;
         this.discovery = discovery;
         this.farm = farm;
@@ -92,7 +98,17 @@
         call = null;
         loop.cancel(next);
         loop.log().line("farm-unreachable", why);
-        next = loop.after(RETRY_MILLIS * Clock.MILLI, this::connect);
+        next = loop.after(waitNanos(), this::connect);
+    }
+
+    /**
+     * The first try again is soon. Guards discovery against many routers that come back together, again and again: from then
+     * on the waits grow and are drawn.
+     */
+    private long waitNanos() {
+        long most = Math.min(MOST_RETRY_MILLIS, RETRY_MILLIS << Math.min(failures, 10)) * Clock.MILLI;
+        failures++;
+        return failures == 1 ? most : most / 2 + random.nextLong(most / 2 + 1);
     }
 
     private final class Call extends Connection {
@@ -120,9 +136,13 @@
                 return;
             }
             if (reply.status() != 200) {
-                throw new MalformedException("status " + reply.status());
+                // It is too busy, or down: what it told before still counts, and so does its version.
+                close();
+                failed("status " + reply.status());
+                return;
             }
             MembersChanged changed = read(reply);
+            failures = 0;
             listed = true;
             if (reply.keepsAlive()) {
                 ask();
--- a/src/main/java/slateseam/show/FarmShow.java
+++ b/src/main/java/slateseam/show/FarmShow.java
@@ -93,7 +93,7 @@
     private List<Shown> discovered() throws IOException {
         Farm farm = farm();
         boolean[] told = new boolean[1];
-        new Watch(loop, config.discovery(), farm, change -> told[0] = true).begin();
+        new Watch(loop, config.discovery(), farm, 1, change -> told[0] = true).begin();
         await(() -> told[0], "discovery at " + config.discovery());
         List<Shown> shown = new ArrayList<>();
         for (Farm.Entry entry : farm.entries()) {
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -744,4 +744,16 @@
         assertThat(w.sends(after)).isEqualTo(1);
         assertThat(w.failed(after)).as("it must not run twice now").isTrue();
     }
+
+    /** In its first second a router cannot tell how seldom a server is asked: it is not left alone for longer by that. */
+    @Test
+    void aFirstFailureDoesNotCostAServerManySeconds() {
+        World w = World.single();
+        w.end(w.sent(w.request(keyOf(10, 0), 0)), Outcome.OK, 0, 5 * MS);
+        w.pass(300 * MS); // one interval, in which one came
+        w.end(w.sent(w.request(keyOf(10, 1), 0)), Outcome.FULL, 0, 5 * MS);
+        assertThat(w.homeOf(keyOf(10, 2))).isNotEqualTo(10);
+        w.pass(1100 * MS);
+        assertThat(w.homeOf(keyOf(10, 3))).isEqualTo(10);
+    }
 }
