Share the tap's port too, so that a process with the tap on can take over

Cause: with tap_port set the second process of a router ended at once, as the tap's address was taken; the test of upgrades, run with the tap on, fails so without the change.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -171,7 +171,7 @@
         figures = features.figures() == null ? null
                 : new Figures(features.figures(), loop, names, console, counts(front, farm, passes));
         tap = features.tap() == null ? null
-                : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), names, console,
+                : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), several, names, console,
                         config.seed());
         served.name(versions.names());
         served.gauge("concurrent", core::open).gauge("targets", farm::servers).gauge("targets_disabled", core::avoided);
--- a/src/main/java/slateseam/router/tap/Tap.java
+++ b/src/main/java/slateseam/router/tap/Tap.java
@@ -41,9 +41,9 @@
     private final Slots<Watcher> watchers;
     private final Acceptor acceptor;
 
-    /** Listens at an address; what it writes itself goes to {@code out}. */
-    public Tap(Features.Tap settings, Loop loop, InetSocketAddress listen, Names names, Lines out, long seed)
-            throws IOException {
+    /** Listens at an address, which another process of this router may share; what it writes itself goes to {@code out}. */
+    public Tap(Features.Tap settings, Loop loop, InetSocketAddress listen, boolean shared, Names names, Lines out,
+            long seed) throws IOException {
         this.loop = loop;
         this.names = names;
         this.out = out;
@@ -51,7 +51,7 @@
         this.mostWatchers = settings.mostWatchers();
         this.random = new SplittableRandom(seed);
         this.watchers = new Slots<>(2 * mostWatchers);
-        this.acceptor = new Acceptor(loop, listen, this);
+        this.acceptor = new Acceptor(loop, listen, this, shared);
     }
 
     /** Where it listens. */
--- a/src/test/java/slateseam/UpgradeTest.java
+++ b/src/test/java/slateseam/UpgradeTest.java
@@ -37,7 +37,13 @@
             .bind(new InetSocketAddress("127.0.0.1", 0));
     private final int listen = ((InetSocketAddress) port.getLocalAddress()).getPort();
 
+    /** A listener of our own, which must not keep the second process from starting. */
+    private final int tap;
+
     UpgradeTest() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            tap = free.getLocalPort();
+        }
     }
 
     private final class Running {
@@ -54,7 +60,8 @@
                     .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []");
             ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-cp", System.getProperty("java.class.path"), "slateseam.Main", "serve", "--config",
-                    Files.writeString(dir.resolve("config.json"), config).toString());
+                    Files.writeString(dir.resolve("config.json"), config).toString(), "--features",
+                    Files.writeString(dir.resolve("slateseam.conf"), "tap_port " + tap + "\n").toString());
             builder.environment().put("TMPDIR", dir.toString());
             builder.environment().put("NODE_CONTROL", "127.0.0.1:" + control);
             process = builder.start();
