--- a/src/main/java/slateseam/router/handover/Handover.java
+++ b/src/main/java/slateseam/router/handover/Handover.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +11,7 @@
 import java.util.Arrays;
 import java.util.UUID;
 import java.util.zip.CRC32C;
+import slateseam.router.files.FileLocks;
 
 /**
  * What two processes of one router tell each other. Locks say who is there, as the system gives them up with the process,
@@ -42,10 +41,10 @@
         heir = folder.resolve("slateseam.heir");
         handed = folder.resolve("slateseam.handed");
         farm = folder.resolve("slateseam.farm");
-        servingLock = lock(serving);
+        servingLock = FileLocks.take(serving);
         another = servingLock == null;
         if (another) {
-            heirLock = lock(heir);
+            heirLock = FileLocks.take(heir);
             if (heirLock != null) {
                 heirLock.truncate(0);
                 heirLock.write(frame(token.getBytes(StandardCharsets.US_ASCII)), 0);
@@ -68,7 +67,7 @@
     /** Whether the process before has ended; from the first time on this one is the one that others find. */
     public boolean isAlone() throws IOException {
         if (servingLock == null) {
-            servingLock = lock(serving);
+            servingLock = FileLocks.take(serving);
             if (servingLock != null) {
                 Files.deleteIfExists(handed);
                 if (heirLock != null) {
@@ -86,7 +85,7 @@
         if (!Files.exists(heir)) {
             return false;
         }
-        try (FileChannel dead = lock(heir)) {
+        try (FileChannel dead = FileLocks.take(heir)) {
             if (dead == null) {
                 return true;
             }
@@ -124,20 +123,6 @@
         }
     }
 
-    private static FileChannel lock(Path file) throws IOException {
-        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        try {
-            FileLock lock = channel.tryLock();
-            if (lock != null) {
-                return channel;
-            }
-        } catch (OverlappingFileLockException e) {
-            // held by another router of this virtual machine
-        }
-        channel.close();
-        return null;
-    }
-
     private static void write(Path file, byte[] bytes) throws IOException {
         Path next = file.resolveSibling(file.getFileName() + ".next");
         try (FileChannel out = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
--- a/src/main/java/slateseam/router/snapshot/Disk.java
+++ b/src/main/java/slateseam/router/snapshot/Disk.java
@@ -4,13 +4,12 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
+import slateseam.router.files.FileLocks;
 
 /** What is asked of the file system, so that tests can let each step fail. */
 class Disk {
@@ -30,20 +29,7 @@
 
     /** A lock that is held until it is closed or the process ends; null if someone else holds it. */
     Closeable lock(Path file) throws IOException {
-        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        try {
-            FileLock lock = channel.tryLock();
-            if (lock != null) {
-                return channel;
-            }
-        } catch (OverlappingFileLockException e) {
-            // Another router in this process holds it.
-        } catch (IOException e) {
-            channel.close();
-            throw e;
-        }
-        channel.close();
-        return null;
+        return FileLocks.take(file);
     }
 
     /** Writes a file anew, so that it is on the disk when this returns. */
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -86,7 +86,8 @@
     void itLoadsNothingOfTheSimulation() throws Exception {
         start();
         String loaded = Files.readString(dir.resolve("loaded"));
-        assertThat(loaded).contains("slateseam.router.Router").doesNotContain("slateseam.simulate", "slateseam.standin",
+        assertThat(loaded).contains("slateseam.router.Router")
+                .doesNotContain("slateseam.simulate", "slateseam.standin", "slateseam.rehearse",
                 "HdrHistogram", "commons.rng");
     }
 
