Compare ledgers' totals by their difference, so that supply that goes round is not lost

Seen: with three routers and a demand that moves on round the ring every 8 s, 21% of the origin's budget was gone after 64 s and 69% after 8 minutes; nobody held it, and only restarts would have brought a part back. Each ledger keeps one running total; supply that circles adds to it in each round, and after two rounds it passes the end of its number.

At fault: Neighbour.debited, which took the greater of two totals. Where one of them has passed the end, the greater is the older one, so a movement is debited twice (or what comes back is not credited). All other places subtract. Ruled out: lost and doubled messages (there are none in this play), rounding in `wanted` (units are whole), inheritance (nobody is silent).

--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -179,8 +179,9 @@
         accounts.get(a).units -= Math.max(0, moved);
     }
 
+    /** By the difference: totals go on past the end of their numbers, where supply goes round the ring for long. */
     private int debited(int a) {
-        return Math.max(settled[a], flow[a]);
+        return flow[a] - settled[a] > 0 ? flow[a] : settled[a];
     }
 
     /** When it was last looked at whether to ask it. */
