Let go of held requests that have their answer, also while supply stays short

Seen: with 100 reads a second that miss and an origin that turns all away, 11,992 of 12,000 requests of two minutes were still in the queue of those that wait for supply, each with its answer long since. In service that is some 200 bytes for each request beyond supply, for as long as the shortage lasts, in a heap of 64 MB that ends the process when it is full.

At fault: Requests.release, which looks at the head alone, while the head is always the latest that came; the queue of those that wait for room was cleared by each housekeeping, the one of those that wait for supply was not. Ruled out: the other queues (jobs, byGiveUp, waiting, fetches are empty 2 s after the last request, which the test shows by a census of all tables that the module reaches).

Test: BoundsTest.aLastingShortageOfSupplyHoldsOnlyWhatIsStillOwed. Longest queue 11,992 before, under 200 now.

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -424,8 +424,8 @@
 
         /** Guards against turning work away because the ring has not yet brought the share that it is due. */
         boolean exceeds(int account) {
-            Account a = accounts.get(account);
-            return !a.ask() && a.held() > evenShare / 16 && now - startedAt > 2 * SECOND;
+            Account a = account < accounts.size() ? accounts.get(account) : null;
+            return a != null && !a.ask() && a.held() > evenShare / 16 && now - startedAt > 2 * SECOND;
         }
 
         boolean take() { return origin.take() || !(bound = true); }
@@ -707,7 +707,8 @@
                 if (!job.done) route(job, null);
             }
             release();
-            roomless.removeIf(j -> j.done);
+            // Guards the heap in a lasting shortage: what has its answer lies under what came later.
+            for (PriorityQueue<Job> queue : List.of(held, roomless)) queue.removeIf(j -> j.done);
             admitRoomless();
         }
 
--- a/src/test/java/slateseam/decision/BoundsTest.java
+++ b/src/test/java/slateseam/decision/BoundsTest.java
@@ -20,6 +20,31 @@
         return ((Collection<?>) SupplyTest.field(w.brain, path)).size();
     }
 
+    /** Guards the heap: what waits for supply lies under what came later, and stayed there after its answer. */
+    @Test
+    void aLastingShortageOfSupplyHoldsOnlyWhatIsStillOwed() {
+        World w = World.single();
+        for (int i = 0; i < 12_000; i++) {
+            Send first = w.sent(w.request(1_000 + i, 0));
+            if (first != null) {
+                w.end(first, Outcome.MISS, 0, MS);
+            }
+            for (Action a : List.copyOf(w.actions)) {
+                if (a instanceof Send s && s.member() == World.ORIGIN) {
+                    w.end(s, Outcome.FULL, 1, 5 * MS);
+                }
+            }
+            w.pass(10 * MS);
+            w.actions.clear();
+        }
+        assertThat(size(w, "requests", "held")).as("two minutes of 100 requests a second that wait for 0.5 s")
+                .isLessThan(200);
+        w.pass(2_000 * MS);
+        assertThat(Census.of(SupplyTest.field(w.brain, "requests"), MODULE)).as("queues of requests, when all have their answer")
+                .doesNotContainKeys("Requests.jobs", "Requests.byGiveUp", "Requests.waiting", "Requests.held",
+                        "Requests.roomless", "Requests.fetches");
+    }
+
     /** Demand that goes round the ring takes supply with it, and the ledgers' totals pass the end of their numbers. */
     @Test
     void supplyThatGoesRoundTheRingIsNeverUsedUp() {
