Bound the counts of keys, so that a tenant that asks for new keys only cannot fill them

Seen: each key read once is counted for 13 s; at 8,000 new keys a second that is 106,000 entries (some 10 MB of a heap of 64 MB), all of which are copied and sorted for each message to a neighbour, eight times a second. At fault: KeyCounts.read, which knew no bound. Now 8,192 keys are counted; from half of them on those read but once are forgotten at the end of each interval, so that a popular key always finds a place.

Tests: BoundsTest.keysNeverAskedForBeforeDoNotCrowdOutPopularOnes (failed at the sixth interval before), and serversThatWentForGoodAreForgotten, which found nothing to mend.

--- a/src/main/java/slateseam/decision/KeyCounts.java
+++ b/src/main/java/slateseam/decision/KeyCounts.java
@@ -11,6 +11,10 @@
  */
 final class KeyCounts {
     private static final double FORGOTTEN = 0.5;
+    /** Keys that are counted here at a time; while there are so many, a further one waits until some are forgotten. */
+    static final int MOST_KEYS = 8 * 1024;
+    /** From half of them on, keys that were read but once are forgotten at the end of the interval. */
+    private static final double FORGOTTEN_EARLY = 1;
     /** The key under which the reads of all keys are told; a request without a key is not counted. */
     private static final long ALL = 0;
 
@@ -25,7 +29,13 @@
 
     /** Counts a read. */
     void read(long key) {
-        own.computeIfAbsent(key, k -> new Count()).reads++;
+        Count count = own.get(key);
+        if (count == null && own.size() < MOST_KEYS) {
+            own.put(key, count = new Count());
+        }
+        if (count != null) {
+            count.reads++;
+        }
         total++;
     }
 
@@ -66,7 +76,9 @@
             count.reads *= part;
             count.misses *= part;
         });
-        own.values().removeIf(count -> count.reads < FORGOTTEN);
+        // Guards against one that asks for new keys only: popular ones must find a place.
+        double least = own.size() > MOST_KEYS / 2 ? FORGOTTEN_EARLY : FORGOTTEN;
+        own.values().removeIf(count -> count.reads < least);
         heard.values().forEach(reads -> reads.replaceAll((key, count) -> count * part));
     }
 
--- a/src/test/java/slateseam/decision/BoundsTest.java
+++ b/src/test/java/slateseam/decision/BoundsTest.java
@@ -69,4 +69,38 @@
     private static List<Neighbour> neighbours(World w) {
         return (List<Neighbour>) SupplyTest.field(w.brain, "supply", "neighbours");
     }
+
+    /** A list that is replaced again and again, each time by servers never heard of, leaves nothing behind. */
+    @Test
+    void serversThatWentForGoodAreForgotten() {
+        World w = World.single();
+        for (int i = 0; i < 2_000; i++) {
+            List<Member> all = new ArrayList<>(List.of(member(World.ORIGIN, MemberState.READY, 0)));
+            for (int k = 0; k < 5; k++) {
+                all.add(member(1_000 + 10L * i + k, MemberState.READY, 0));
+            }
+            w.on(new MembersChanged(ListKind.FULL, all));
+            w.homeOf(i);
+            w.actions.clear();
+        }
+        assertThat((Map<?, ?>) SupplyTest.field(w.brain, "fleet", "servers")).hasSize(6);
+    }
+
+    /** A tenant that asks only for new keys: the table of counts is full at its bound, and what is popular still counts. */
+    @Test
+    void keysNeverAskedForBeforeDoNotCrowdOutPopularOnes() {
+        KeyCounts keys = new KeyCounts();
+        for (int interval = 0; interval < 200; interval++) {
+            for (int i = 0; i < 2_000; i++) {
+                keys.read(1_000_000L + interval * 10_000L + i);
+                if (i % 200 == 0) {
+                    keys.read(interval < 100 ? 1 : 2);
+                }
+            }
+            keys.fade(0.987);
+            assertThat(Census.of(keys, MODULE).get("KeyCounts.own")).isLessThanOrEqualTo(KeyCounts.MOST_KEYS);
+        }
+        assertThat(keys.reads(2)).as("popular since the table was full").isGreaterThan(200);
+        assertThat(keys.tell(1, 3, 0.5)).containsKey(2L).hasSize(3);
+    }
 }
