Count as over its share what is asked for under a tenant that is not listed

Seen: requests under a name that the settings do not list were never over any share, so that one user agent that makes up names had the first place everywhere: in supply, in a server's window and when work is shed. Where no tenants are listed, all requests stay within share as before.

At fault: Requests.arrived, which asked only whether there is an account. Tenants that are listed beyond the thirteen that fit into a message still have no account and stay within share: that is a bound of the messages' form.

Test: BoundsTest.whatNoListedTenantAsksForIsBeyondAnyShare.

--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -92,6 +92,11 @@
             tenants = List.copyOf(tenants);
         }
 
+        /** Whether a request's tenant has a share; where no tenants are listed, all requests are within it. */
+        boolean lists(int tenant) {
+            return tenant < tenants.size() || tenants.isEmpty();
+        }
+
         /** After so long no answer can be in time any more, whatever the class. */
         public long longestAnswerNanos() {
             return classes.stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0) + rules.answerSlackNanos();
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -469,7 +469,7 @@
 
         void arrived(RequestArrived e) {
             arrivals.count();
-            boolean overShare = e.tenant() + 1 < supply.accounts.size() && supply.exceeds(e.tenant() + 1);
+            boolean overShare = !settings.lists(e.tenant()) || supply.exceeds(e.tenant() + 1);
             RequestClass type = settings.classes().get(e.requestClass());
             long last = e.ttlNanos() - 2 * pace();
             long useful = type.lateShare() > 0 ? last : Math.min(last, type.aimNanos());
--- a/src/test/java/slateseam/decision/BoundsTest.java
+++ b/src/test/java/slateseam/decision/BoundsTest.java
@@ -70,6 +70,23 @@
         return (List<Neighbour>) SupplyTest.field(w.brain, "supply", "neighbours");
     }
 
+    /** Guards a tenant's share against names that were never seen: under each of them everything would be within share. */
+    @Test
+    void whatNoListedTenantAsksForIsBeyondAnyShare() {
+        World w = new World(World.settings(0, 1, false, List.of(new Tenant("a", 1000, 1))), 3);
+        w.fleet(2);
+        w.pass(3_000 * MS);
+        List<Long> strangers = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            long id = 50_000 + i;
+            w.on(new RequestArrived(id, 7, 1, 0, false, false, 0, 1000 * MS));
+            strangers.add(id);
+        }
+        Map<?, ?> jobs = (Map<?, ?>) SupplyTest.field(w.brain, "requests", "jobs");
+        assertThat(jobs.values()).isNotEmpty().allMatch(job -> ((Job) job).overShare);
+        assertThat(w.sent(w.request(8, 0))).as("a listed tenant's").isNotNull();
+    }
+
     /** A list that is replaced again and again, each time by servers never heard of, leaves nothing behind. */
     @Test
     void serversThatWentForGoodAreForgotten() {
