Drop ring messages that tell of a rate no origin bears

Seen: a datagram with a rate of 1e9 fetches a second was taken, and with it a quarter of that on a logarithmic scale: from 40 a second to some 2,800, which the ring then passes on and all routers send until the origin is overrun. A neighbour's datagrams carry no proof of their sender but the address. At fault: SupplyMessage.decode, which checked that a rate is a number over 0 and no more. Now 1e6 is the most. Test: the rates in SupplyTest.messagesFitAndGarbledOnesAreIgnored; 0, below 0 and no number were dropped already.

--- a/src/main/java/slateseam/decision/SupplyMessage.java
+++ b/src/main/java/slateseam/decision/SupplyMessage.java
@@ -33,6 +33,8 @@
     private static final int ACCOUNT_BYTES = 16;
     private static final int KEY_BYTES = 12;
     private static final int MESSAGE_BYTES = 256;
+    /** Fetches a second that no origin bears: one such figure would have all routers of the ring send what they have. */
+    private static final double MOST_RATE = 1e6;
     /** As many accounts as a message holds. */
     static final int MOST_ACCOUNTS = (MESSAGE_BYTES - HEADER_BYTES) / ACCOUNT_BYTES;
 
@@ -64,7 +66,7 @@
         SupplyMessage m = new SupplyMessage((flags & ASK) != 0, (flags & KNOWN) != 0, (flags & STARTING) != 0,
                 b.getInt(), b.getInt(), b.getInt(), b.getInt(), b.getFloat(), new int[accounts], new int[accounts],
                 new int[accounts], new double[accounts], new LinkedHashMap<>());
-        boolean sound = m.from != 0 && m.rate > 0 && Double.isFinite(m.rate);
+        boolean sound = m.from != 0 && m.rate > 0 && m.rate <= MOST_RATE;
         for (int a = 0; a < accounts; a++) {
             m.flow[a] = b.getInt();
             m.units[a] = b.getInt();
--- a/src/test/java/slateseam/decision/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -127,6 +127,11 @@
         assertEquals(2, back.demand()[most - 1]);
         assertNull(SupplyMessage.decode(bytes, most - 1));
         assertNull(SupplyMessage.decode(Arrays.copyOf(bytes, bytes.length - 1), most));
+        for (double rate : new double[] {0, -1, Double.NaN, Double.POSITIVE_INFINITY, 1e9}) {
+            byte[] absurd = new SupplyMessage(true, false, true, 5, 6, 7, 8, rate, new int[most], new int[most],
+                    new int[most], demand, Map.of()).encode();
+            assertNull(SupplyMessage.decode(absurd, most), "a rate of " + rate);
+        }
         bytes[0]++;
         assertNull(SupplyMessage.decode(bytes, most), "another version");
     }
