--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -49,6 +49,11 @@
             this.neverRan = neverRan;
         }
 
+        /** Whether it tells of one answer or connection, not of the member: one that is down refuses next. */
+        public boolean isMishap() {
+            return this == SPOILT || this == RESET;
+        }
+
         /** Whether this outcome proves that the attempt had no effect. */
         public boolean neverRan() {
             return neverRan;
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -551,7 +551,9 @@
         boolean mayTry(Job job, int times) { return job.attempts + times <= job.most; }
 
         void hold(Job job) {
-            held.add(job);
+            // Guards against one that waits for supply, and takes some, though it has no attempt left.
+            if (mayTry(job, 1)) held.add(job);
+            else decline(job);
             release();
         }
 
@@ -574,6 +576,7 @@
         void ended(AttemptEnded e) {
             Server server = fleet.servers.get(e.member());
             Job job = jobs.get(e.request());
+            if (job != null && !e.concluded() && !job.awaits(e.attempt())) return; // late, or told twice
             if (server != null) judge(server, e, job);
             if (job != null) next(job, e, server);
             admitRoomless();
@@ -598,15 +601,12 @@
             // Another cache would miss, and then there is no attempt left for the origin.
             else if (e.outcome() != Outcome.MISS && aside && !mayTry(job, 2)) fetch(job);
             // Any member may spoil an answer or lose a connection: the key is still where it was.
-            else if (mishap(e.outcome())) route(job, null);
+            else if (e.outcome().isMishap()) route(job, null);
             else if (e.outcome() != Outcome.MISS || !aside) route(job, server);
             else if (e.fetching() && mayTry(job, 2)) wait(job, supply.fetchTime);
             else fetch(job);
         }
 
-        /** Whether it tells of one answer or connection, not of the member: one that is down refuses next. */
-        boolean mishap(Outcome outcome) { return outcome == Outcome.SPOILT || outcome == Outcome.RESET; }
-
         /** What an outcome tells of the member's health, and of overload. */
         void judge(Server server, AttemptEnded e, Job job) {
             server.ended();
@@ -621,7 +621,7 @@
             // What had little time from the start tells of the request and not of the member.
             if (e.outcome() == Outcome.TIMEOUT && !slow && !server.isOrigin()) return;
             if (!NOTHING_BACK.contains(e.outcome())) server.cameBack();
-            if (mishap(e.outcome())) {
+            if (e.outcome().isMishap()) {
                 // Guards against sparing members for what happens to all answers alike and tells nothing of
                 // their load. Only one that answers nothing else for a while is left alone.
                 if (!server.isOrigin()) server.fail(1);
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -41,6 +41,11 @@
         this.overShare = overShare;
     }
 
+    /** Whether this is the attempt that is out; they are numbered from 0. */
+    boolean awaits(int attempt) {
+        return open && attempt == attempts - 1;
+    }
+
     /** Whether it may be sent once more though an attempt of it may have run. */
     boolean repeatable(long now) {
         return repeatsAreHarmless() && (type.effect() == Effect.PURE || now - arrivedAt < type.windowNanos());
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -246,13 +246,13 @@
 
     private void send(Send send) {
         Slot slot = slots.get(send.request());
-        int attempt = slot == null ? 0 : slot.attempts;
+        // Counted even if it cannot be made: the module numbers attempts by what it has asked for.
+        int attempt = slot == null ? 0 : slot.attempts++;
         long left = slot == null ? 0 : slot.deadline - loop.now();
         if (left <= 0 || attempt >= slot.request.version().settings().limits().attempts()) {
             passEnded(send.request(), attempt, send.member(), Outcome.MOOT, false, null, 0);
             return;
         }
-        slot.attempts++;
         slot.atOrigin = passes.isOrigin(send.member());
         long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
         passes.begin(send.request(), slot.request, attempt, send.member(), timeout);
--- a/src/test/java/slateseam/simulate/Planted.java
+++ b/src/test/java/slateseam/simulate/Planted.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.lang.reflect.Method;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -77,6 +78,13 @@
         }
     }
 
+    /** Calls a static method of a class, of the tests too, that takes two numbers. */
+    String call(String type, String method, long first, long last) throws ReflectiveOperationException {
+        Method called = loadClass(type).getDeclaredMethod(method, long.class, long.class);
+        called.setAccessible(true);
+        return (String) called.invoke(null, first, last);
+    }
+
     /** Plays seeds in their order until one breaks a rule; null if none does. */
     Found find(long first, long last, int threads) {
         for (long from = first; from <= last; from += AT_ONCE) {
--- /dev/null
+++ b/src/test/java/slateseam/simulate/RulesModelTest.java
@@ -0,0 +1,76 @@
+package slateseam.simulate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import slateseam.simulate.PlantedBug.Change;
+
+/** The rules' model beside the real core, module and ring, over fixed seeds; and bugs that it must find. */
+class RulesModelTest {
+    private static final long HISTORIES = 40;
+    /** A planted bug may spin without end; by far more than any takes. */
+    private static final Duration MOST = Duration.ofMinutes(2);
+
+    @Test
+    void everyHistoryKeepsTheRules() throws Exception {
+        assertThat(RulesStage.play(1, HISTORIES)).isNull();
+    }
+
+    /** At least one for each rule. */
+    static Stream<PlantedBug> bugs() {
+        return Stream.of(
+                bug("ANSWERED_TWICE", change("router/core/Core", "            slot.front.answer(slot.exchange, answer);",
+                        "slot.front.answer(slot.exchange, answer);\n            slot.front.answer(slot.exchange, answer);")),
+                bug("LATE", change("router/core/Core", "slot.front.answer(slot.exchange, answer);",
+                        "if (!(answer instanceof Answer.Failed)) slot.front.answer(slot.exchange, answer);")),
+                bug("FOREIGN", change("router/core/Core", "finish(ticket, served);",
+                        "finish(ticket, served instanceof Answer.Served ? new Answer.Served(new byte[] {'x'}) : served);")),
+                bug("RESEND KEYED", change("decision/Job", "now - arrivedAt < type.windowNanos()", "true")),
+                bug("RESEND ONCE", change("decision/Job", "return repeatsAreHarmless() && (",
+                        "return type.effect() == Effect.SIDE_EFFECT || repeatsAreHarmless() && (")),
+                bug("TWO_AT_ONCE", change("decision/Job", "return open && attempt == attempts - 1;", "return true;")),
+                bug("ATTEMPTS", change("router/core/Core",
+                        "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()", "left <= 0 || attempt > 4"),
+                        change("decision/Brain", "return job.attempts + times <= job.most;",
+                                "return job.attempts + times <= job.most + 1;")),
+                bug("AFTER_ANSWER", change("router/pass/Passes", "            pass.isLast = true;\n            if (!pass.isWritten()) {",
+                        "            pass.isLast = true;\n            if (false) {"),
+                        change("decision/Brain", "if (job.open && !fills && settings.limits().cancel())", "if (false)")),
+                bug("DRAIN", change("router/pass/Passes", "|| !farm.entry(serverId).isReady()", ""),
+                        change("router/pass/Passes", "server.pool(), entry.isReady()", "server.pool(), true"),
+                        change("router/pass/Passes", "met.pool(), entry.isReady()", "met.pool(), true"),
+                        change("decision/Brain", "boolean ready() { return member.isReady(); }",
+                                "boolean ready() { return !member.isGone(); }")),
+                bug("FALLEN", change("decision/Brain", "double warmth = warmth();\n            if (JumpHash",
+                        "double warmth = 1;\n            if (JumpHash")),
+                bug("REFUSAL", change("decision/Brain", "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true")),
+                bug("NO_TIME", change("decision/Brain", "settings.limits().retryAfter() ? settings.limits().maxRetryAfterNanos() : 0",
+                        "0")),
+                bug("KEPT REPEATABLE", change("decision/Brain", "if (mayTry(job, 1)) held.add(job);\n            else decline(job);",
+                        "held.add(job);")),
+                bug("KEPT ONCE", change("decision/Brain",
+                        "else if (job.mayHaveRun && !job.repeatable(now)) decline(job);",
+                        "else if (job.mayHaveRun && !job.repeatable(now)) job.reached = true;")));
+    }
+
+    private static PlantedBug bug(String rule, Change... changes) {
+        return new PlantedBug(rule, null, null, List.of(changes));
+    }
+
+    private static Change change(String file, String text, String instead) {
+        return new Change("src/main/java/slateseam/" + file + ".java", text, instead);
+    }
+
+    @ParameterizedTest
+    @MethodSource("bugs")
+    void aPlantedBugIsFound(PlantedBug bug) throws Exception {
+        String found = assertTimeoutPreemptively(MOST, () -> new Planted(bug).call("slateseam.simulate.RulesStage", "play", 1, HISTORIES));
+        assertThat(found).as("what the model says of a bug that breaks " + bug.name()).startsWith(bug.name());
+    }
+}
