Give a long answer that nobody reads its deadline, and count it against the bound

Seen: a user agent that stops reading within a long answer was never closed: 12 s after the longest deadline its connection, and the server's that brought the answer, were still open, with no deadline on either side. Thirty such readers held 1,965,960 bytes where an eighth of the heap, 500,000 in the test, is the bound. One careless or ill-meant user agent could so use up the connections to a server one by one.

At fault: UserAgent.bytes, which wrote a piece and left the state as it was. The state that has the deadline and is counted (READER) was entered only when an answer was handed over, before its first piece had come. Ruled out: the server's side (its stall guard is taken off on purpose while the user agent takes nothing), short answers (the stages' ANSWER_UNREAD held), the bound itself (it is kept once it is asked).

Tests, which failed before: StagesTest.aLongAnswerThatNobodyReadsEndsAfterTheLongestDeadline and manySlowReadersAtOnceMeetTheBoundAndNobodyElseDoes; now under 570,000 bytes, and the last of the thirty gets its answer whole. Tests that found nothing to mend: a long answer in progress at a drain with new settings meanwhile, writes beyond what may be held, a list of 4,097 hosts, a list nested without end on the program's stack.

--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -269,6 +269,11 @@
     public void bytes(ByteBuffer bytes) {
         ByteBuffer kept = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         write(kept);
+        // Guards against one that stops reading within a long answer: it has a deadline too, and counts against the bound.
+        settle();
+        if (state == State.READER) {
+            front.boundUnread();
+        }
     }
 
     @Override
--- a/src/test/java/slateseam/router/farm/FarmTest.java
+++ b/src/test/java/slateseam/router/farm/FarmTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.json.JSONException;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -69,4 +72,30 @@
         assertThatThrownBy(() -> take(true, absurd)).isInstanceOf(MalformedException.class).hasMessageContaining("s9");
         assertThat(farm.entry(Farm.id("s1")).isReady()).isTrue();
     }
+
+    @Test
+    void aListThatIsFarTooLongIsDropped() throws Exception {
+        String[] hosts = new String[4_097];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = host("s" + i, "127.0.0.1:1", "box", "ready");
+        }
+        assertThatThrownBy(() -> take(true, hosts)).isInstanceOf(MalformedException.class).hasMessageContaining("4097");
+        assertThat(take(true, Arrays.copyOf(hosts, 4_096)).members()).hasSize(4_096);
+    }
+
+    /** On a stack as small as the program's: an error there would end the loop, and with it the router. */
+    @Test
+    void aListThatIsNestedWithoutEndIsNoMoreThanMalformed() throws Exception {
+        AtomicReference<Throwable> thrown = new AtomicReference<>();
+        Thread thread = new Thread(null, () -> {
+            try {
+                new JSONObject("{\"hosts\":" + "[{\"a\":".repeat(200_000));
+            } catch (JSONException | StackOverflowError e) {
+                thrown.set(e);
+            }
+        }, "small", 512 * 1024);
+        thread.start();
+        thread.join();
+        assertThat(thrown.get()).isInstanceOf(JSONException.class);
+    }
 }
--- a/src/test/java/slateseam/simulate/network/StagesTest.java
+++ b/src/test/java/slateseam/simulate/network/StagesTest.java
@@ -17,8 +17,10 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junitpioneer.jupiter.ExpectedToFail;
+import slateseam.router.config.NodeConfig;
 import slateseam.router.core.Core;
 import slateseam.router.farm.Farm;
+import slateseam.router.lifecycle.Lifecycle;
 import slateseam.router.pass.Passes;
 import slateseam.standin.Wire;
 
@@ -217,6 +219,108 @@
         assertThat(new JSONObject((String) stats()).getJSONObject("replies").getJSONObject("read").getLong("success")).isZero();
     }
 
+    /** A user agent that reads a long answer while its router is sent into a drain, and takes new settings there. */
+    @Test
+    void aLongAnswerInProgressAtADrainComesWholeAndNewSettingsLeaveTheDrainAsItIs() throws Exception {
+        script.cache = "*1\r\n$300000\r\n" + "y".repeat(300_000) + "\r\n";
+        Teller userAgent = stage.userAgentAfter(50);
+        userAgent.wire.write(Teller.bytes(command("CACHE.GET", "stage", "first", "c=read,t=acme,d=1400")));
+        stage.run(200);
+        assertThat(userAgent.got.length()).as("in progress").isBetween(1, 290_000);
+        Lifecycle lifecycle = (Lifecycle) field(stage.router, "lifecycle");
+        assertThat(lifecycle.drain()).isTrue();
+        stage.router.reload((NodeConfig) field(stage.router, "used"));
+        stage.run(20_000);
+        assertThat(userAgent.got).hasToString("$300000\r\n" + "y".repeat(300_000) + "\r\n");
+        assertThat(userAgent.happened).startsWith("opened", "ended");
+        assertThat(lifecycle.state()).isEqualTo(Lifecycle.State.DRAINED);
+        Teller asks = stage.userAgentAfter(50);
+        asks.wire.write(Teller.bytes(command("PING")));
+        stage.run(100);
+        assertThat(asks.got.toString()).startsWith("-ERR");
+        assertThat(lifecycle.resume()).isTrue();
+        assertThat(stage.log).anyMatch(line -> line.contains("reloaded")).noneMatch(line -> line.contains("internal-error"));
+    }
+
+    /** Guards the heap: a write beyond what may be held is turned away at once, with a time to come back. */
+    @Test
+    void writesBeyondWhatMayBeHeldAreTurnedAway() throws Exception {
+        Field most = Core.class.getDeclaredField("mostHeldBytes");
+        most.setAccessible(true);
+        most.setLong(core, 80_000);
+        script.origin = "";
+        List<Teller> writers = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            writers.add(stage.userAgentAfter(50));
+            writers.get(i).wire.write(Teller.bytes(command("CACHE.SET", "w" + i, "w" + i, "c=once,t=acme,d=4000", LONG_VALUE)));
+            stage.run(600); // through a narrow window; the first is given up 1.5 s after it came
+        }
+        assertThat(core.open()).isEqualTo(1);
+        assertThat(writers.get(0).got.toString()).isEmpty();
+        assertThat(writers.get(1).got).hasToString("-BUSY 2000\r\n");
+        stage.run(6_000);
+        assertThat(writers.get(0).got.toString()).isEqualTo("-ERR failed\r\n");
+        assertThat(left()).isEmpty();
+    }
+
+    /** Guards descriptors on both sides: one that stops reading a long answer is stuck like one that reads no short one. */
+    @Test
+    void aLongAnswerThatNobodyReadsEndsAfterTheLongestDeadline() throws Exception {
+        script.cache = "*1\r\n$300000\r\n" + "y".repeat(300_000) + "\r\n";
+        Teller reader = stage.userAgentAfter(50);
+        reader.wire.pause(true);
+        reader.wire.write(Teller.bytes(command("CACHE.GET", "stuck", "stuck", "c=read,t=acme,d=1500")));
+        stage.run(3_000);
+        assertThat(connections()).as("within the longest deadline").isEqualTo(1);
+        stage.run(9_000);
+        assertThat(connections()).isZero();
+        assertThat(stage.log).anyMatch(line -> line.contains("user-agent-stuck"));
+        assertThat((Map<?, ?>) field(passes, "byLink")).as("connections to servers").isEmpty();
+    }
+
+    /** The bound on what nobody reads cuts those who have been at it for longest, and serves everyone else. */
+    @Test
+    void manySlowReadersAtOnceMeetTheBoundAndNobodyElseDoes() throws Exception {
+        Field heap = stage.router.loop().getClass().getDeclaredField("heapBytes");
+        heap.setAccessible(true);
+        heap.setLong(stage.router.loop(), 4_000_000);
+        script.cache = "*1\r\n$300000\r\n" + "y".repeat(300_000) + "\r\n";
+        List<Teller> readers = new ArrayList<>();
+        long most = 0;
+        for (int i = 0; i < 30; i++) {
+            Teller reader = stage.userAgentAfter(50);
+            reader.wire.pause(true);
+            reader.wire.write(Teller.bytes(command("CACHE.GET", "slow" + i, "slow" + i, "c=read,t=acme,d=1500")));
+            readers.add(reader);
+            stage.run(100);
+            most = Math.max(most, unread());
+        }
+        script.cache = new Script().cache;
+        Teller other = stage.userAgentAfter(50);
+        other.wire.write(Teller.bytes(command("CACHE.GET", "quick", "quick", "c=read,t=acme,d=1500")));
+        stage.run(100);
+        assertThat(other.got).hasToString("$5\r\nquick\r\n");
+        assertThat(most).as("bytes that nobody reads; one answer's beginning beyond the bound at most")
+                .isBetween(400_000L, 4_000_000L / 8 + 70_000);
+        assertThat(connections()).as("those that are left").isBetween(5, 10);
+        readers.get(29).wire.pause(false);
+        stage.run(10_000);
+        assertThat(readers.get(29).got.toString()).as("the last to come").hasSize("$300000\r\n\r\n".length() + 300_000);
+        assertThat(left()).isEmpty();
+    }
+
+    private int connections() throws Exception {
+        return ((slateseam.router.net.Slots<?>) field(stage.router, "front", "userAgents")).size();
+    }
+
+    private long unread() throws Exception {
+        long bytes = 0;
+        for (Object userAgent : ((slateseam.router.net.Slots<?>) field(stage.router, "front", "userAgents")).all()) {
+            bytes += ((slateseam.router.net.Connection) userAgent).unwrittenBytes();
+        }
+        return bytes;
+    }
+
     private void theNextIsServed() throws Exception {
         Script usual = new Script();
         script.cache = usual.cache;
