--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -28,6 +28,7 @@
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line. */
 public final class Main {
@@ -173,7 +174,10 @@
         new WarmUp(config.settings()).play(clock, waited ? WARM_NANOS : 2 * WARM_NANOS);
         Router router = new Router(config, features, clock, log, console, handover);
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
-        Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings));
+        if (Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings)) == SignalHandler.SIG_IGN) {
+            // The virtual machine keeps to what its starter chose and installs nothing: said, lest it be found out by a stale farm.
+            log.line("signal-ignored", "signal=HUP since=start lost=new-settings start-by=\"env --default-signal=HUP\"");
+        }
         if (features.hotList() != null) {
             // Before 'serving', so that whoever has read that may signal: unhandled, SIGUSR1 ends the process.
             Signal.handle(new Signal("USR1"), signal -> router.showHotList());
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -39,14 +39,28 @@
     }
 
     private void launch(String config, String... settings) throws IOException {
-        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        launch(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xlog:class+load:file=" + dir.resolve("loaded"), "-cp", System.getProperty("java.class.path"),
                 "slateseam.Main", "serve",
                 "--config", Files.writeString(dir.resolve("config.json"), config).toString(),
-                "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()).start();
+                "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()));
+    }
+
+    private void launch(ProcessBuilder builder) throws IOException {
+        process = builder.start();
         err = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
     }
 
+    /** Starts the deployed line as somebody does who ignores SIGHUP, as nohup does; what runs is the classes under test. */
+    private void launchIgnoringHangups(String line) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; "
+                + line.replace("-jar target/slateseam.jar", "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main"));
+        String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0");
+        builder.environment().put("NODE_CONFIG", Files.writeString(dir.resolve("config.json"), config).toString());
+        builder.environment().merge("PATH", Path.of(System.getProperty("java.home"), "bin").toString(), (old, java) -> java + ":" + old);
+        launch(builder);
+    }
+
     @AfterEach
     void end() throws Exception {
         process.destroyForcibly().waitFor();
@@ -103,6 +117,28 @@
         }
     }
 
+    /**
+     * The virtual machine installs no handler for a SIGHUP that was ignored when it started, and says nothing: a router that was
+     * started so kept its old settings and asked discovery at its old address, whatever the operators sent.
+     */
+    @Test
+    void theDeployedLineTakesNewSettingsAlsoWhereItsStarterIgnoresHangups() throws Exception {
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = ")).findFirst()
+                .orElseThrow().replaceFirst("run = \"(.*)\"", "$1");
+        launchIgnoringHangups(line);
+        line("example: serving: at ");
+        signal("HUP");
+        signal("TERM");
+        assertThat(err.lines()).anyMatch(said -> said.startsWith("example: reloaded: "));
+    }
+
+    @Test
+    void aRouterThatNoHangupReachesSaysSo() throws Exception {
+        launchIgnoringHangups("exec java -jar target/slateseam.jar serve");
+        line("example: signal-ignored: signal=HUP ");
+        signal("TERM");
+    }
+
     /** The classes that a run has loaded, of this program and of TLS. */
     private List<String> loaded() throws Exception {
         signal("TERM");
