Look for a discovery that is away every 200 ms at most, however often calls failed

Cause, by reading: after five failed calls the watch waited 0.5 to 1 s between two tries, whatever had failed. What discovery's agent has counts as told from when it is there, so a drain told in such a pause was kept up to 0.5 s beyond the rule's 550 ms.

Change: the wait follows from what failed. No connection came up: 100 to 200 ms at most, as a refused connection costs nobody anything. A call was taken and no list given (503, a connection that ends, an answer that cannot be read): up to 1 s as before, as it is busy. No answer in time: 50 ms, as the call's own time bounds how often it is asked.

--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -23,8 +23,29 @@
     /** Beyond its wait an answer is late: the connection may be dead, so a new one is tried. */
     private static final long LATE_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 50;
-    /** Between two tries, however many have failed: what discovery has to tell counts as told before long. */
-    private static final long MOST_RETRY_MILLIS = 1_000;
+    /**
+     * Between two tries at one that is not there, however many have failed. A try that is refused costs nobody anything, and
+     * what discovery has to tell counts as told from the moment when it is there again: a drain has to be kept 500 ms later.
+     */
+    private static final long MOST_AWAY_MILLIS = 200;
+    /** Between two tries at one that is there and has too much to do. */
+    private static final long MOST_BUSY_MILLIS = 1_000;
+
+    /** Why a call has failed, by which the next one waits. */
+    private enum Failure {
+        /** It has had all the time that it may have: that is what bounds how often it is asked. */
+        SILENT(RETRY_MILLIS),
+        /** No connection came up. */
+        AWAY(MOST_AWAY_MILLIS),
+        /** It took the call and gave no list. */
+        BUSY(MOST_BUSY_MILLIS);
+
+        private final long mostMillis;
+
+        Failure(long mostMillis) {
+            this.mostMillis = mostMillis;
+        }
+    }
 
     private final Loop loop;
     private final Farm farm;
@@ -80,7 +101,7 @@
             call = new Call();
             lateAfter(LATE_MILLIS);
         } catch (IOException e) {
-            failed(e.toString());
+            failed(Failure.AWAY, e.toString());
         }
     }
 
@@ -91,33 +112,36 @@
 
     private void tooLate() {
         call.close();
-        failed("no answer in time");
+        failed(Failure.SILENT, "no answer in time");
     }
 
-    private void failed(String why) {
+    private void failed(Failure failure, String why) {
         call = null;
         loop.cancel(next);
         loop.log().line("farm-unreachable", why);
-        next = loop.after(waitNanos(), this::connect);
+        next = loop.after(waitNanos(failure), this::connect);
     }
 
     /**
-     * The first try again is soon. Guards discovery against many routers that come back together, again and again: from then
-     * on the waits grow and are drawn.
+     * The first try again is soon. Guards a discovery that is busy against many routers that come back together, again and
+     * again: from then on the waits grow and are drawn.
      */
-    private long waitNanos() {
-        long most = Math.min(MOST_RETRY_MILLIS, RETRY_MILLIS << Math.min(failures, 10)) * Clock.MILLI;
+    private long waitNanos(Failure failure) {
+        long most = Math.min(failure.mostMillis, RETRY_MILLIS << Math.min(failures, 10)) * Clock.MILLI;
         failures++;
         return failures == 1 ? most : most / 2 + random.nextLong(most / 2 + 1);
     }
 
     private final class Call extends Connection {
+        private boolean up;
+
         Call() throws IOException {
             super(loop, discovery);
         }
 
         @Override
         protected void connected() {
+            up = true;
             ask();
         }
 
@@ -138,7 +162,7 @@
             if (reply.status() != 200) {
                 // It is too busy, or down: what it told before still counts, and so does its version.
                 close();
-                failed("status " + reply.status());
+                failed(Failure.BUSY, "status " + reply.status());
                 return;
             }
             MembersChanged changed = read(reply);
@@ -167,12 +191,12 @@
             loop.log().line("farm-malformed", e.getMessage());
             listed = false;
             close();
-            failed("the answer was dropped");
+            failed(Failure.BUSY, "the answer was dropped");
         }
 
         @Override
         protected void broken() {
-            failed("the connection broke");
+            failed(up ? Failure.BUSY : Failure.AWAY, "the connection broke");
         }
     }
 }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -33,7 +33,7 @@
  * {@code WHO > BYTES} (WHO writes), {@code WHO >> BYTES} (WHO writes in the round of the next step, when the router has
  * looked at its sockets and not yet at its deadlines), {@code WHO < BYTES} (just these come to WHO),
  * {@code WHO closes}, {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it),
- * {@code WHO stops listening}, {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start}
+ * {@code WHO stops listening}, {@code WHO listens again}, {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start}
  * (another router with the same files), {@code log TEXT} (the log has it), {@code log stops}, {@code log goes on} (its
  * reader does), {@code reload OLD => NEW} (the changed configuration or settings file is read again), {@code show the
  * hot list}, {@code stats POINTER VALUE} (the figures say so) or {@code file NAME TEXT} (writes a file of the folder {@code {dir}}); the lines from {@code repeat N} to
@@ -58,6 +58,7 @@
     private static final List<String> BEFORE = List.of("config ", "setting ", "given ", "define ");
 
     private final Map<String, ServerSocketChannel> listeners = new HashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, String> defined = new LinkedHashMap<>();
     private final Path dir = Files.createTempDirectory("slateseam");
     private final Map<String, SocketChannel> channels = new HashMap<>();
@@ -85,6 +86,7 @@
         for (String name : SERVERS) {
             listeners.put(name, ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0)));
             listeners.get(name).configureBlocking(false);
+            addresses.put(name, (InetSocketAddress) listeners.get(name).getLocalAddress());
         }
         start();
     }
@@ -230,6 +232,9 @@
             }
         } else if (line.endsWith("stops listening")) {
             listeners.get(words[0]).close();
+        } else if (line.endsWith("listens again")) {
+            listeners.put(words[0], ServerSocketChannel.open().bind(addresses.get(words[0])));
+            listeners.get(words[0]).configureBlocking(false);
         } else {
             fail("no such step: " + line);
         }
