Play faults between several real processes of the router, on the simulation's scenarios

Need: everything that follows (members, policy, zones) is to be proven by several processes with faults between them, and nothing started more than two of them, paused one, or cut one way between two.

Change: slateseam.trial, `trial run FILE|NAME` and `trial list`. New kinds of fault, in both worlds and never drawn as a matter of course: pause, one-way, stall.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -25,6 +25,7 @@
 import slateseam.show.Check;
 import slateseam.show.FarmShow;
 import slateseam.simulate.SimulateCommand;
+import slateseam.trial.TrialCommand;
 import slateseam.wire.Frames.MalformedFrameException;
 import slateseam.wire.WireHost;
 import sun.misc.Signal;
@@ -41,6 +42,7 @@
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
               check-config  reads a router's configuration and says what is wrong with it
               simulate      plays whole days on a virtual clock and checks the rules (simulate help)
+              trial         plays faults on several real processes of the program (trial help)
               farm show     shows the farm as a router of this configuration would see it now; --from FILE reads a saved
                             list of EndpointSlices instead of asking, --json prints JSON
               rehearse      plays the service once by itself, for the archive of classes that the build makes
@@ -66,6 +68,9 @@
             // The only mention of the simulation, whose classes are so loaded by nothing else.
             return SimulateCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
         }
+        if (command.equals("trial")) {
+            return TrialCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err); // likewise
+        }
         try {
             Options options = new Options();
             boolean farm = command.equals("farm");
--- a/src/main/java/slateseam/simulate/FaultPlayer.java
+++ b/src/main/java/slateseam/simulate/FaultPlayer.java
@@ -79,6 +79,9 @@
             }
             case RELOAD -> targets.forEach(this::reload);
             case DATAGRAM_LOSS -> net.loseDatagrams(fault.size());
+            case PAUSE -> targets.forEach(router -> pause(router, true));
+            case ONE_WAY -> targets.forEach(pair -> net.mute(from(pair), to(pair), true));
+            case STALL -> targets.forEach(pair -> net.stall(from(pair), to(pair), true));
             case SURGE -> { } // drawn into the rate of the user agents
         }
     }
@@ -98,6 +101,9 @@
             case CUT -> targets.forEach(pair -> cut(pair, false));
             case SPOILT -> targets.forEach(server -> fleet.spoil(server, 0));
             case DATAGRAM_LOSS -> net.loseDatagrams(0);
+            case PAUSE -> targets.forEach(router -> pause(router, false));
+            case ONE_WAY -> targets.forEach(pair -> net.mute(from(pair), to(pair), false));
+            case STALL -> targets.forEach(pair -> net.stall(from(pair), to(pair), false));
             case VOID, RESET, RUDE, RESTART, RELOAD, SURGE -> { }
         }
     }
@@ -139,6 +145,19 @@
         }
     }
 
+    private void pause(String router, boolean on) {
+        routers.get(router).pause(on);
+        checker.standsStill(router, on);
+    }
+
+    private String from(String pair) {
+        return day.address(pair.split("~")[0]);
+    }
+
+    private String to(String pair) {
+        return day.address(pair.split("~")[1]);
+    }
+
     private void cut(String pair, boolean on) {
         String[] two = pair.split("~");
         net.cut(day.address(two[0]), day.address(two[1]), on);
--- a/src/main/java/slateseam/simulate/RouterProcess.java
+++ b/src/main/java/slateseam/simulate/RouterProcess.java
@@ -174,6 +174,13 @@
         }
     }
 
+    /** It stands still, or goes on; one that was killed meanwhile starts as usual. */
+    void pause(boolean stop) {
+        if (isUp()) {
+            process.pause(stop);
+        }
+    }
+
     boolean hasMoved() {
         return moved;
     }
--- a/src/main/java/slateseam/simulate/check/RouterState.java
+++ b/src/main/java/slateseam/simulate/check/RouterState.java
@@ -18,6 +18,8 @@
     boolean dead;
     /** Whether it was told to end. */
     boolean ending;
+    /** It stands still, or has just begun to go on: until then its answers may be late. */
+    long standsUntil = Long.MIN_VALUE;
 
     RouterState(Place place, Told told) {
         this.place = place;
--- a/src/main/java/slateseam/simulate/network/Paths.java
+++ b/src/main/java/slateseam/simulate/network/Paths.java
@@ -16,6 +16,8 @@
     private final List<String> sites = new ArrayList<>();
     private long[][] base = new long[0][];
     private final Set<Long> cut = new HashSet<>();
+    /** Datagrams alone, in one direction. */
+    private final Set<Long> mute = new HashSet<>();
     private final Map<Long, Long> extra = new HashMap<>();
 
     Paths(Conditions.Delays delays, Function<String, UniformRandomProvider> sources) {
@@ -88,6 +90,23 @@
         }
     }
 
+    /** Whether no datagram gets from one to the other. */
+    boolean isMute(Machine from, Machine to) {
+        return !mute.isEmpty() && mute.contains(way(from, to));
+    }
+
+    void mute(Machine from, Machine to, boolean on) {
+        if (on) {
+            mute.add(way(from, to));
+        } else {
+            mute.remove(way(from, to));
+        }
+    }
+
+    static long way(Machine from, Machine to) {
+        return (long) from.number << 32 | to.number;
+    }
+
     void slow(Machine a, Machine b, long nanos) {
         if (nanos == 0) {
             extra.remove(pair(a, b));
--- a/src/main/java/slateseam/simulate/network/VirtualNetwork.java
+++ b/src/main/java/slateseam/simulate/network/VirtualNetwork.java
@@ -225,6 +225,18 @@
         post.lose(share);
     }
 
+    /** Loses all datagrams from one machine to another, or lets them pass; the other way is left as it is. */
+    public void mute(String from, String to, boolean on) {
+        fault(known(from));
+        paths.mute(known(from), known(to), on);
+    }
+
+    /** Holds datagrams from one machine to another, or hands on at once all that were held. */
+    public void stall(String from, String to, boolean on) {
+        fault(known(from));
+        post.stall(known(from), known(to), on);
+    }
+
     /** Closes or opens the way between two machines, for both directions. */
     public void cut(String ip, String other, boolean on) {
         fault(known(ip));
--- a/src/main/java/slateseam/simulate/scenario/FaultChoice.java
+++ b/src/main/java/slateseam/simulate/scenario/FaultChoice.java
@@ -33,6 +33,9 @@
                 throw new IllegalArgumentException("there is no fault " + (word.isEmpty() ? "without a name" : word)
                         + Nearest.hint(word, FaultKind.words()));
             }
+            if (!kind.isDrawn()) {
+                throw new IllegalArgumentException(word + " is not drawn; write it into a scenario's script");
+            }
             kinds.add(kind);
         }
         return new FaultChoice(kinds);
--- a/src/main/java/slateseam/simulate/scenario/FaultDraw.java
+++ b/src/main/java/slateseam/simulate/scenario/FaultDraw.java
@@ -85,6 +85,8 @@
                 case ROUTERS -> routers;
                 case MACHINES -> Stream.concat(servers.stream(), routers.stream()).toList();
                 case PAIRS -> pairs(routers, servers, userAgents);
+                case ROUTER_PAIRS -> routers.stream().flatMap(from -> routers.stream().filter(to -> !to.equals(from))
+                        .map(to -> from + "~" + to)).toList();
                 default -> Arrays.stream(RudeKind.values()).map(RudeKind::word).toList();
             };
             int number = Math.max(1, (int) (figures.figure("share") * all.size() + 1e-9));
--- a/src/main/java/slateseam/simulate/scenario/FaultKind.java
+++ b/src/main/java/slateseam/simulate/scenario/FaultKind.java
@@ -41,7 +41,13 @@
     /** This part of all datagrams is lost, beside what is lost anyway. */
     DATAGRAM_LOSS("datagram-loss", Targets.NONE, true, Measure.SHARE, 0, 1),
     /** User agents ask so many times as much. */
-    SURGE("surge", Targets.NONE, true, Measure.FACTOR, 0, 20);
+    SURGE("surge", Targets.NONE, true, Measure.FACTOR, 0, 20),
+    /** These routers stand still, as a program does that is stopped or not scheduled; their sockets go on taking what comes. */
+    PAUSE("pause", Targets.ROUTERS, true, null, 0, 0),
+    /** No datagram gets from the first router of each pair to the second; the other way is left as it is. */
+    ONE_WAY("one-way", Targets.ROUTER_PAIRS, true, null, 0, 0),
+    /** Datagrams of the first router of each pair to the second are held, in order, and come all at once at the end. */
+    STALL("stall", Targets.ROUTER_PAIRS, true, null, 0, 0);
 
     /** Whom a fault befalls. */
     public enum Targets {
@@ -55,6 +61,8 @@
         MACHINES,
         /** Two machines each, written as {@code router-1~big-2}. */
         PAIRS,
+        /** Two routers each, in the order in which something passes: {@code router-1~router-2}. */
+        ROUTER_PAIRS,
         /** Kinds of rude user agents. */
         RUDE
     }
@@ -85,6 +93,11 @@
         return targets;
     }
 
+    /** Whether days are drawn with it where nobody says how; else it is played only where a file or script names it. */
+    public boolean isDrawn() {
+        return compareTo(PAUSE) < 0;
+    }
+
     /** Whether it has an end of its own. */
     public boolean lasts() {
         return lasts;
--- a/src/main/java/slateseam/simulate/scenario/InvalidScenarioException.java
+++ b/src/main/java/slateseam/simulate/scenario/InvalidScenarioException.java
@@ -8,7 +8,8 @@
 
     private final transient List<String> faults;
 
-    InvalidScenarioException(List<String> faults) {
+    /** Creates it with all that is wrong, one line each. */
+    public InvalidScenarioException(List<String> faults) {
         super(String.join("\n", faults));
         this.faults = List.copyOf(faults);
     }
--- a/src/main/java/slateseam/simulate/scenario/Scenario.java
+++ b/src/main/java/slateseam/simulate/scenario/Scenario.java
@@ -103,6 +103,11 @@
         return changed(type, name, section -> section.with(word, value));
     }
 
+    /** The same with so many routers; the script may then name some that are not there. */
+    public Scenario withRouters(int number) {
+        return with("routers", "", "number", new Value.Range(number, number, Unit.COUNT));
+    }
+
     private Scenario changed(String type, String name, UnaryOperator<Section> change) {
         return new Scenario(sections.stream()
                 .map(s -> s.type().equals(type) && s.name().equals(name) ? change.apply(s) : s).toList(), script, kept);
--- /dev/null
+++ b/src/main/java/slateseam/trial/RouterChild.java
@@ -0,0 +1,119 @@
+package slateseam.trial;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** One process of a router, from its start to its end; everything is done to it by its id. */
+final class RouterChild {
+    /** Of what it says; beyond it nothing more is written, though all is read, so that it never stands still for that. */
+    private static final long MOST_LOG_BYTES = 16L << 20;
+    private static final int LONGEST_LINE = 4_096;
+
+    private final String name;
+    private final Process process;
+    private final Thread reader;
+    private volatile boolean expected;
+    private volatile boolean serving;
+
+    /**
+     * Starts it.
+     *
+     * @param run the line that a shell is given, which ends by exec
+     * @param log where its standard error goes, each line with the time since the trial's begin
+     * @param said is told each line, on a thread of its own
+     */
+    RouterChild(String name, String run, Path folder, Map<String, String> environment, Path log, BiConsumer<String, String> said)
+            throws IOException {
+        this.name = name;
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", run);
+        builder.environment().putAll(environment);
+        builder.directory(folder.toFile());
+        builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        process = builder.start();
+        reader = new Thread(() -> read(log, said), name + " says");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read(Path log, BiConsumer<String, String> said) {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
+                OutputStream out = Files.newOutputStream(log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+            long written = Files.size(log);
+            for (String line; (line = in.readLine()) != null;) {
+                String kept = line.length() > LONGEST_LINE ? line.substring(0, LONGEST_LINE) : line;
+                serving |= kept.startsWith(name + ": serving: ");
+                byte[] bytes = (System.currentTimeMillis() + " " + kept + "\n").getBytes(StandardCharsets.UTF_8);
+                if (written + bytes.length <= MOST_LOG_BYTES) {
+                    out.write(bytes);
+                    written += bytes.length;
+                }
+                said.accept(name, kept);
+            }
+        } catch (IOException e) {
+            // It was killed while it was read; its end is told by its status.
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Whether it has said that it serves. */
+    boolean isServing() {
+        return serving;
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Whether it has ended though nobody told it to. */
+    boolean hasCrashed() {
+        return !process.isAlive() && !expected;
+    }
+
+    int status() {
+        return process.exitValue();
+    }
+
+    /** Sends a signal; to one that has ended, nothing. */
+    void signal(String signal) {
+        if (!process.isAlive()) {
+            return;
+        }
+        expected |= signal.equals("TERM") || signal.equals("KILL");
+        try {
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends it whatever state it is in, also one that is stopped, and waits until it has gone. */
+    void destroy() {
+        expected = true;
+        process.destroyForcibly();
+        try {
+            process.waitFor();
+            reader.join(1_000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    long pid() {
+        return process.pid();
+    }
+}
--- /dev/null
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -0,0 +1,207 @@
+package slateseam.trial;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import slateseam.simulate.scenario.Day;
+import slateseam.simulate.scenario.Fault;
+import slateseam.simulate.scenario.FaultChoice;
+import slateseam.simulate.scenario.InvalidScenarioException;
+import slateseam.simulate.scenario.Scenario;
+import slateseam.simulate.scenario.Scenarios;
+
+/** The sub-commands of {@code trial}. */
+public final class TrialCommand {
+    private static final int BROKEN = 1;
+    private static final int USAGE = 2;
+    private static final int MOST_ROUTERS = 32;
+    private static final String SCRIPTS = "/slateseam/trials/";
+    private static final String HELP = """
+            usage: java -jar slateseam.jar trial COMMAND
+              run FILE|NAME     starts real routers and stand-ins, plays a scenario's faults on them, and prints a row a phase
+              list              the scripts that come with the program
+            --routers N         so many routers instead of what the scenario says
+            --seed S            what is drawn; without it the scenario's own, or 1
+            --json FILE         the same rows as JSON
+            --keep DIR          configurations, logs and the history go there and stay; else only those of a trial that broke
+            --deploy FILE       whose line `run` starts a router; without it deploy/balancer.toml of the folder here
+            --run LINE          starts a router by this line of a shell instead, which must end by exec
+            exit: 0 if all held, 1 if a rule broke or the trial was spoilt, 2 if the command or a file is wrong""";
+
+    private TrialCommand() {
+    }
+
+    /** Runs a sub-command: 0 if all held, 1 if something broke or could not be done, 2 for bad use. */
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        String command = args.length == 0 ? "" : args[0];
+        try {
+            Options options = new Options();
+            if (command.equals("run")) {
+                for (String option : new String[] {"routers", "seed", "json", "keep", "deploy", "run"}) {
+                    options.addOption(Option.builder().longOpt(option).hasArg().get());
+                }
+            }
+            CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, Math.min(1, args.length), args.length));
+            switch (command) {
+                case "run" -> {
+                    return play(line, out, err);
+                }
+                case "list" -> names().forEach(out::println);
+                case "help", "--help", "-h" -> out.println(HELP);
+                default -> throw new ParseException(command.isEmpty() ? "no command" : "unknown command " + command);
+            }
+            return 0;
+        } catch (ParseException | IllegalArgumentException e) {
+            err.println("slateseam: trial: " + e.getMessage());
+            return USAGE;
+        } catch (InvalidScenarioException e) {
+            e.faults().forEach(err::println);
+            return USAGE;
+        } catch (IOException | UncheckedIOException | IllegalStateException e) {
+            err.println("slateseam: trial: " + e.getMessage());
+            return BROKEN;
+        } catch (InterruptedException e) {
+            return BROKEN; // everything was ended by who interrupted it
+        }
+    }
+
+    /** The scripts that come with the program. */
+    static List<String> names() throws IOException {
+        try (InputStream in = TrialCommand.class.getResourceAsStream(SCRIPTS + "index")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().filter(name -> !name.isBlank()).toList();
+        }
+    }
+
+    private static Scenario scenario(String name) throws IOException, InvalidScenarioException {
+        if (!names().contains(name)) {
+            return Scenarios.read(Path.of(name));
+        }
+        String file = name + ".scenario";
+        try (InputStream in = TrialCommand.class.getResourceAsStream(SCRIPTS + file)) {
+            return Scenarios.parse(file, in.readAllBytes());
+        }
+    }
+
+    /** Draws the day of a trial; a script must name nobody who is not there. */
+    static Day day(String name, Integer routers, long seed) throws IOException, InvalidScenarioException {
+        Scenario scenario = scenario(name);
+        Day day = Day.draw(routers == null ? scenario : scenario.withRouters(routers), seed, FaultChoice.AS_WRITTEN);
+        Set<String> there = new TreeSet<>(List.of(Day.Origin.NAME));
+        day.routers().forEach(router -> there.addAll(List.of(router.name(), router.agentName())));
+        day.servers().forEach(server -> there.add(server.name()));
+        day.userAgents().forEach(userAgent -> there.add(userAgent.name()));
+        for (Fault fault : day.timeline().faults()) {
+            for (String target : fault.targets()) {
+                for (String one : target.split("~")) {
+                    if (one.contains("-") && !there.contains(one)) {
+                        throw new InvalidScenarioException(List.of(name + ": " + fault + ": there is no " + one
+                                + " among " + day.routers().size() + " routers"));
+                    }
+                }
+            }
+        }
+        return day;
+    }
+
+    private static int play(CommandLine line, PrintStream out, PrintStream err)
+            throws ParseException, IOException, InvalidScenarioException, InterruptedException {
+        if (line.getArgList().size() != 1) {
+            throw new ParseException("one scenario is wanted: a file, or a name that `trial list` shows");
+        }
+        Integer routers = line.hasOption("routers")
+                ? (Integer) (int) number("--routers", line.getOptionValue("routers"), 1, MOST_ROUTERS) : null;
+        Day day = day(line.getArgList().get(0), routers, number("--seed", line.getOptionValue("seed", "1"), 0, Long.MAX_VALUE - 1));
+        String run = line.hasOption("run") ? line.getOptionValue("run")
+                : deployed(Path.of(line.getOptionValue("deploy", "deploy/balancer.toml")));
+        Path folder = line.hasOption("keep") ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
+                : Files.createTempDirectory("slateseam-trial");
+        boolean terminal = System.console() != null;
+        AtomicBoolean keep = new AtomicBoolean(line.hasOption("keep"));
+        TrialPlay play = new TrialPlay(day, run, Path.of("").toAbsolutePath(), folder,
+                text -> err.print(terminal ? "\r" + text + " " : ""));
+        // Guards against processes, some of them stopped, that stay behind when the trial is interrupted.
+        Thread hook = new Thread(() -> {
+            play.close();
+            if (!keep.get()) {
+                delete(folder);
+            }
+        });
+        Runtime.getRuntime().addShutdownHook(hook);
+        try (play) {
+            TrialResult result = play.play();
+            play.close();
+            out.println((terminal ? "\r" : "") + result.text());
+            if (line.hasOption("json")) {
+                Files.writeString(Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
+            }
+            boolean held = result.findings().isEmpty() && !result.isSpoilt();
+            keep.compareAndSet(false, !held);
+            if (keep.get()) {
+                out.println("logs: " + folder);
+            }
+            return held ? 0 : BROKEN;
+        } catch (IllegalStateException e) {
+            keep.set(true); // the message names a log
+            throw e;
+        } finally {
+            play.close();
+            try {
+                Runtime.getRuntime().removeShutdownHook(hook);
+                if (!keep.get()) {
+                    delete(folder);
+                }
+            } catch (IllegalStateException e) {
+                // It is the hook that ends this; it clears the folder away.
+            }
+        }
+    }
+
+    /** The line of a deploy file that starts a router. */
+    static String deployed(Path file) throws ParseException, IOException {
+        if (!Files.exists(file)) {
+            throw new ParseException("there is no " + file + "; --deploy names another, --run a line");
+        }
+        return Files.readAllLines(file).stream().filter(l -> l.matches("run\\s*=\\s*\".*\"\\s*(#.*)?")).findFirst()
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')))
+                .orElseThrow(() -> new ParseException(file + " has no line run = \"...\""));
+    }
+
+    private static void delete(Path folder) {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).collect(Collectors.toList())) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException e) {
+            // A file more in a temporary folder.
+        }
+    }
+
+    private static long number(String what, String text, long least, long most) throws ParseException {
+        try {
+            long number = Long.parseLong(text);
+            if (number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // reported below
+        }
+        throw new ParseException(what + " is " + text + ", no whole number from " + least + " to " + most);
+    }
+}
