Trouble streams in trials, play trials on the virtual clock, tell the loop's stalls

Need: a trial could trouble datagrams and processes only; its rows could not be had for more routers than a machine holds; and a stall of the loop could not be told from a process that stood still.

Phases moved to where both worlds reach them. The figures have loop_stall_ms. A relay's fault holds from the moment it is asked for: it was read after what had come, so that a datagram slipped through a cut (DatagramLinksTest found that).

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -169,7 +169,7 @@
         }
         hotList = features.hotList() == null ? null : new HotList(features.hotList(), loop, names, console);
         figures = features.figures() == null ? null
-                : new Figures(features.figures(), loop, names, console, counts(front, farm, passes));
+                : new Figures(features.figures(), loop, names, console, counts(loop, front, farm, passes));
         tap = features.tap() == null ? null
                 : new Tap(features.tap(), loop, Features.beside(config.listen(), features.tap().port()), several, names, console,
                         config.seed());
@@ -261,10 +261,10 @@
                 });
     }
 
-    private static Counts counts(RespFront front, Farm farm, Passes passes) {
+    private static Counts counts(Loop loop, RespFront front, Farm farm, Passes passes) {
         UserAgentRoom room = front.room();
         Counts counts = new Counts().gauge("conns", front::connections).gauge("servers_ready", farm::readyServers)
-                .gauge("conns_idle", room::idle).gauge("conns_ending", room::ending)
+                .gauge("loop_stall_ms", () -> (int) Math.min(Integer.MAX_VALUE, loop.takeStall() / Clock.MILLI)).gauge("conns_idle", room::idle).gauge("conns_ending", room::ending)
                 .total("conns_opened", room.figures()::opened).total("conns_reused", room.figures()::reused)
                 .total("conns_crossed", room.figures()::crossed);
         for (Cause cause : Cause.values()) {
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -38,6 +38,9 @@
     private long reserved;
     private long now;
     private boolean stopped;
+    /** When the present round had waited for long enough; 0 while it waits. */
+    private long woken;
+    private long longestStall;
 
     /** Creates a loop on the system's network, without sockets. */
     public Loop(Clock clock, Log log) throws IOException {
@@ -134,6 +137,16 @@
         return stopped;
     }
 
+    /**
+     * For how long at the most something that was ready or due has waited for the loop since the last call: behind what the
+     * loop had in hand, or because the whole process stood still.
+     */
+    public long takeStall() {
+        long longest = longestStall;
+        longestStall = 0;
+        return longest;
+    }
+
     /** Runs until stopped, then closes every socket. */
     public void run() throws IOException {
         while (!stopped) {
@@ -148,13 +161,20 @@
     /** One round: waits at most so long for a socket or a deadline, then handles all that is ready or due. */
     public void round(long mostNanos) throws IOException {
         int steps = next.size();
-        long wait = steps > 0 ? 0 : Math.min(mostNanos, deadlines.next() - clock.nanos());
+        long begins = clock.nanos();
+        long wait = steps > 0 ? 0 : Math.min(mostNanos, deadlines.next() - begins);
+        longestStall = Math.max(longestStall, woken == 0 ? 0 : begins - woken);
+        woken = 0;
         if (wait <= 0) {
             selector.selectNow(dispatch);
         } else {
             selector.select(dispatch, Clock.millisUp(wait));
         }
         now = clock.nanos();
+        if (woken == 0) {
+            woken = now;
+        }
+        longestStall = Math.max(longestStall, woken - begins - Math.max(0, wait));
         for (Runnable action; (action = handedOver.poll()) != null;) {
             guarded(action);
         }
@@ -168,6 +188,9 @@
 
     private void dispatch(SelectionKey key) {
         now = clock.nanos();
+        if (woken == 0) {
+            woken = now;
+        }
         try {
             if (key.isValid()) {
                 ((Handler) key.attachment()).ready(key);
--- a/src/main/java/slateseam/simulate/Arrived.java
+++ b/src/main/java/slateseam/simulate/Arrived.java
@@ -7,14 +7,13 @@
 import slateseam.standin.useragent.Answer;
 import slateseam.standin.useragent.Outcomes;
 import slateseam.standin.useragent.Request;
-import slateseam.standin.useragent.Service;
 
 /** Notes which requests were asked, and hands all on to the count of the service. */
 final class Arrived implements Outcomes {
-    private final Service service;
+    private final Outcomes service;
     private final Map<String, BitSet> asked = new TreeMap<>();
 
-    Arrived(Service service) {
+    Arrived(Outcomes service) {
         this.service = service;
     }
 
--- a/src/main/java/slateseam/simulate/Fleet.java
+++ b/src/main/java/slateseam/simulate/Fleet.java
@@ -230,7 +230,7 @@
     }
 
     /** Nothing was heard of it for so long, or it is heard again. */
-    void silent(String name, boolean on) {
+    public void silent(String name, boolean on) {
         Member member = members.get(name);
         if (member == null || !member.model.isUp()) {
             return;
--- a/src/main/java/slateseam/trial/Phases.java
+++ b/src/main/java/slateseam/simulate/Phases.java
@@ -1,4 +1,4 @@
-package slateseam.trial;
+package slateseam.simulate;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -6,39 +6,84 @@
 import java.util.Map;
 import java.util.TreeSet;
 import slateseam.simulate.scenario.Fault;
-import slateseam.standin.useragent.Answer;
+import slateseam.standin.Tallies;
+import slateseam.standin.Tally;
 import slateseam.standin.useragent.Outcomes;
 import slateseam.standin.useragent.Request;
 
 /** What user agents got, by the phase in which they first asked; a phase ends where a fault begins or ends. */
-final class Phases implements Outcomes {
+public final class Phases implements Outcomes {
     private static final long SECOND = 1_000_000_000L;
     /** Parts of the served share by which a second may be under the calm ones and still be like them. */
     private static final double LIKE_CALM = 0.03;
     private static final int CALM_SECONDS = 3;
 
-    /** One phase; times are nanoseconds since the trial's begin. */
-    static final class Phase {
-        final long from;
-        final long until;
-        final String faults;
-        final Map<Ending, Long> endings = new EnumMap<>(Ending.class);
-        long asked;
-        /** What the origin counted within it. */
-        long fetches;
-        long turnedAway;
-        double leastSupply = Double.NaN;
-        double mostSupply = Double.NaN;
-        double mostShare;
-
-        Phase(long from, long until, String faults) {
+    /** One phase; times are nanoseconds since the beginning. */
+    public static final class Phase {
+        private final long from;
+        private final long until;
+        private final String faults;
+        private final Map<Ending, Long> endings = new EnumMap<>(Ending.class);
+        private long asked;
+        private long fetches;
+        private long turnedAway;
+        private double leastSupply = Double.NaN;
+        private double mostSupply = Double.NaN;
+        private double mostShare;
+
+        private Phase(long from, long until, String faults) {
             this.from = from;
             this.until = until;
             this.faults = faults;
         }
 
+        /** When it begins. */
+        public long from() {
+            return from;
+        }
+
+        /** When it ends. */
+        public long until() {
+            return until;
+        }
+
+        /** The faults that last through it, by their words and targets; empty for none. */
+        public String faults() {
+            return faults;
+        }
+
+        /** Requests that were first asked in it. */
+        public long asked() {
+            return asked;
+        }
+
+        /** Values that the origin gave. */
+        public long fetches() {
+            return fetches;
+        }
+
+        /** What the origin turned away. */
+        public long turnedAway() {
+            return turnedAway;
+        }
+
+        /** The least of the budget that was used together; no number if nobody told. */
+        public double leastSupply() {
+            return leastSupply;
+        }
+
+        /** The most of it. */
+        public double mostSupply() {
+            return mostSupply;
+        }
+
+        /** The largest part at one router. */
+        public double largestPart() {
+            return mostShare;
+        }
+
         /** How many ended so. */
-        long of(Ending... which) {
+        public long of(Ending... which) {
             long sum = 0;
             for (Ending one : which) {
                 sum += endings.getOrDefault(one, 0L);
@@ -47,17 +92,18 @@
         }
 
         /** Those that got no answer in the time that they had. */
-        long lost() {
+        public long lost() {
             return of(Ending.GIVEN_UP, Ending.BROKEN, Ending.UNREACHABLE);
         }
 
         /** The part that was served of what ended in any way but by its user agent's own will. */
-        double servedPart() {
+        public double servedPart() {
             long all = asked - of(Ending.LEFT);
             return all <= 0 ? 1 : (double) of(Ending.SERVED) / all;
         }
 
-        void supply(double sum, double largest) {
+        /** The routers use so much of the budget together just now, and one of them so much of it. */
+        public void supply(double sum, double largest) {
             leastSupply = Double.isNaN(leastSupply) ? sum : Math.min(leastSupply, sum);
             mostSupply = Double.isNaN(mostSupply) ? sum : Math.max(mostSupply, sum);
             mostShare = Math.max(mostShare, largest);
@@ -70,8 +116,11 @@
     private final List<long[]> seconds = new ArrayList<>();
     private final List<Fault> faults;
     private long unasked;
+    private long fetchesBefore;
+    private long turnedBefore;
 
-    Phases(long begin, long duration, List<Fault> faults) {
+    /** Cuts a day into phases; the beginning is Unix time in nanoseconds. */
+    public Phases(long begin, long duration, List<Fault> faults) {
         this.begin = begin;
         this.faults = faults;
         TreeSet<Long> bounds = new TreeSet<>(List.of(0L, duration));
@@ -88,32 +137,38 @@
         }
     }
 
-    List<Phase> all() {
+    /** All phases, in their order. */
+    public List<Phase> all() {
         return phases;
     }
 
     /** The phase of a time; the last one is also that of all times behind it. */
-    Phase at(long unixNanos) {
+    public Phase at(long unixNanos) {
         long since = unixNanos - begin;
         return phases.stream().filter(phase -> since < phase.until).findFirst().orElse(phases.get(phases.size() - 1));
     }
 
     /** How often bytes came that nobody had asked for. */
-    long unasked() {
+    public long unasked() {
         return unasked;
     }
 
+    /** What the origin has counted so far; what is new belongs to this phase. */
+    public void origin(Phase phase, Tallies tallies) {
+        long fetched = tallies.of(Tally.FETCHED);
+        long turned = tallies.of(Tally.TURNED_AWAY);
+        phase.fetches += fetched - fetchesBefore;
+        phase.turnedAway += turned - turnedBefore;
+        fetchesBefore = fetched;
+        turnedBefore = turned;
+    }
+
     @Override
     public void asked(Request request) {
         at(request.asked()).asked++;
         second(request)[0]++;
     }
 
-    @Override
-    public void answered(Request request, String id, Answer answer, long at) {
-        // Counted where the request ends.
-    }
-
     @Override
     public void ended(Request request, Ending ending, long at) {
         at(request.asked()).endings.merge(ending, 1L, Long::sum);
@@ -134,7 +189,7 @@
     }
 
     /** Seconds from a fault's end until three in a row are like the first phase; -1 if none are. */
-    int backAfter(Fault fault) {
+    public int backAfter(Fault fault) {
         double calm = phases.get(0).servedPart() - LIKE_CALM;
         int from = (int) ((fault.until() + SECOND - 1) / SECOND);
         int row = 0;
@@ -148,7 +203,8 @@
         return -1;
     }
 
-    List<Fault> faults() {
+    /** The faults of the day. */
+    public List<Fault> faults() {
         return faults;
     }
 }
--- a/src/main/java/slateseam/simulate/Play.java
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import slateseam.simulate.check.Checker;
 import slateseam.simulate.check.Figures;
+import slateseam.simulate.check.Supplies;
 import slateseam.simulate.network.Conditions;
 import slateseam.simulate.network.VirtualNetwork;
 import slateseam.simulate.scenario.Day;
@@ -39,6 +40,8 @@
     private final Fleet fleet;
     private final Service service;
     private final Arrived arrived;
+    /** Null where nobody asks for them. */
+    private final Phases phases;
     private final SupplyWatch supplyWatch;
     private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
     private final Map<String, Long> logged = new TreeMap<>();
@@ -50,6 +53,11 @@
      * @param lines takes a line for every happening; null for none
      */
     Play(Day day, Consumer<String> lines) {
+        this(day, lines, null);
+    }
+
+    /** The same with phases that are told what user agents got, what the origin gave and how supply was used. */
+    Play(Day day, Consumer<String> lines, Phases phases) {
         this.day = day;
         net = new VirtualNetwork(conditions(day), day.streams()::of, BEGIN);
         checker = new Checker(figures(day), "origin",
@@ -63,7 +71,8 @@
         Witness witness = new Witnesses(trace == null ? List.of(checker, ledger) : List.of(checker, ledger, trace));
         fleet = new Fleet(day, new World(net, net, witness), checker::serverStarts, (router, dial) -> dial);
         service = new Service(BEGIN, day.routerRules().overShareWorth());
-        arrived = new Arrived(service);
+        this.phases = phases;
+        arrived = new Arrived(phases == null ? service : new Both(service, phases));
         supplyWatch = new SupplyWatch(net, checker.supplies());
         configs = new RouterConfig(day);
     }
@@ -127,7 +136,13 @@
         long end = BEGIN + day.durationNanos() + day.longestDeadlineNanos() + TAIL_NANOS;
         Crowd crowd = new Crowd(around, day.userAgents(), entry(end), day.streams()::of);
         crowd.start();
+        if (phases != null) {
+            samplePhases(end);
+        }
         new FaultPlayer(net, day, fleet, routers, crowd, checker, this::happened).plan();
+        if (phases != null) {
+            phases.all().forEach(phase -> net.at(BEGIN + phase.until(), () -> phases.origin(phase, fleet.origin().tallies())));
+        }
         supplyWatch.start(BEGIN + day.durationNanos());
         net.at(BEGIN + SECOND, this::tellOfAgents);
         while (net.next() <= end) {
@@ -137,11 +152,24 @@
         net.run(end);
         checker.step();
         ledger.add(net.hash());
+        if (phases != null) {
+            phases.origin(phases.at(end), fleet.origin().tallies());
+        }
         return new Result(day, BEGIN, net.now() - BEGIN, ledger.value(), net.happenings(), checker.breaches(),
                 checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies(),
                 arrived.kept());
     }
 
+    private void samplePhases(long end) {
+        if (!checker.supplies().last().isEmpty()) {
+            phases.at(net.now()).supply(checker.supplies().used(),
+                    checker.supplies().last().values().stream().mapToDouble(Supplies.Supply::held).max().orElse(0));
+        }
+        if (net.now() < BEGIN + day.durationNanos()) {
+            net.at(net.now() + SECOND / 4, () -> samplePhases(end));
+        }
+    }
+
     private void tellOfAgents() {
         routers.keySet().forEach(name -> {
             if (routers.get(name).isUp()) {
--- a/src/main/java/slateseam/trial/DatagramLinks.java
+++ b/src/main/java/slateseam/trial/DatagramLinks.java
@@ -137,15 +137,18 @@
     private void run() {
         try {
             while (!closing) {
-                long wait = due.isEmpty() ? 0 : Math.max(1, (due.peek().at - System.nanoTime()) / 1_000_000);
-                if (due.isEmpty() || due.peek().at > System.nanoTime()) {
-                    selector.select(this::read, wait);
+                long wait = due.isEmpty() ? 0 : (due.peek().at - System.nanoTime()) / 1_000_000;
+                if (!due.isEmpty() && wait <= 0) {
+                    selector.selectNow();
                 } else {
-                    selector.selectNow(this::read);
+                    selector.select(wait);
                 }
+                // Before what has come is read: a fault holds from the moment at which it was asked for.
                 for (Runnable action; (action = asked.poll()) != null;) {
                     action.run();
                 }
+                selector.selectedKeys().forEach(this::read);
+                selector.selectedKeys().clear();
                 for (long now = System.nanoTime(); !due.isEmpty() && due.peek().at <= now;) {
                     Delivery next = due.poll();
                     arrive(next.way, next.bytes);
--- a/src/main/java/slateseam/trial/TrialCommand.java
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -20,6 +21,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import slateseam.simulate.VirtualTrial;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.simulate.scenario.FaultChoice;
@@ -32,6 +34,7 @@
     private static final int BROKEN = 1;
     private static final int USAGE = 2;
     private static final int MOST_ROUTERS = 32;
+    private static final int MOST_VIRTUAL = 1_000;
     private static final String SCRIPTS = "/slateseam/trials/";
     private static final String HELP = """
             usage: java -jar slateseam.jar trial COMMAND
@@ -42,6 +45,7 @@
             --json FILE         the same rows as JSON
             --keep DIR          configurations, logs and the history go there and stay; else only those of a trial that broke
             --deploy FILE       whose line `run` starts a router; without it deploy/balancer.toml of the folder here
+            --virtual           plays the same on the virtual clock instead, without processes; all rules are checked there
             --run LINE          starts a router by this line of a shell instead, which must end by exec
             exit: 0 if all held, 1 if a rule broke or the trial was spoilt, 2 if the command or a file is wrong""";
 
@@ -57,6 +61,7 @@
                 for (String option : new String[] {"routers", "seed", "json", "keep", "deploy", "run"}) {
                     options.addOption(Option.builder().longOpt(option).hasArg().get());
                 }
+                options.addOption(Option.builder().longOpt("virtual").get());
             }
             CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, Math.min(1, args.length), args.length));
             switch (command) {
@@ -125,9 +130,17 @@
         if (line.getArgList().size() != 1) {
             throw new ParseException("one scenario is wanted: a file, or a name that `trial list` shows");
         }
-        Integer routers = line.hasOption("routers")
-                ? (Integer) (int) number("--routers", line.getOptionValue("routers"), 1, MOST_ROUTERS) : null;
+        boolean virtual = line.hasOption("virtual");
+        Integer routers = line.hasOption("routers") ? (Integer) (int) number("--routers", line.getOptionValue("routers"), 1,
+                virtual ? MOST_VIRTUAL : MOST_ROUTERS) : null;
         Day day = day(line.getArgList().get(0), routers, number("--seed", line.getOptionValue("seed", "1"), 0, Long.MAX_VALUE - 1));
+        if (virtual) {
+            VirtualTrial played = VirtualTrial.play(day);
+            List<Findings.Finding> broken = played.breaches().stream().map(breach -> new Findings.Finding(
+                    (breach.nanos() - played.begin()) / 1e9, breach.rule().name().toLowerCase(Locale.ROOT), breach.router(),
+                    breach.text())).toList();
+            return tell(new TrialResult(day, played.phases(), broken, 0, null), line, out);
+        }
         String run = line.hasOption("run") ? line.getOptionValue("run")
                 : deployed(Path.of(line.getOptionValue("deploy", "deploy/balancer.toml")));
         Path folder = line.hasOption("keep") ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
@@ -147,16 +160,13 @@
         try (play) {
             TrialResult result = play.play();
             play.close();
-            out.println((terminal ? "\r" : "") + result.text());
-            if (line.hasOption("json")) {
-                Files.writeString(Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
-            }
-            boolean held = result.findings().isEmpty() && !result.isSpoilt();
-            keep.compareAndSet(false, !held);
+            out.print(terminal ? "\r" : "");
+            int status = tell(result, line, out);
+            keep.compareAndSet(false, status != 0);
             if (keep.get()) {
                 out.println("logs: " + folder);
             }
-            return held ? 0 : BROKEN;
+            return status;
         } catch (IllegalStateException e) {
             keep.set(true); // the message names a log
             throw e;
@@ -173,6 +183,14 @@
         }
     }
 
+    private static int tell(TrialResult result, CommandLine line, PrintStream out) throws IOException {
+        out.println(result.text());
+        if (line.hasOption("json")) {
+            Files.writeString(Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
+        }
+        return result.findings().isEmpty() && !result.isSpoilt() ? 0 : BROKEN;
+    }
+
     /** The line of a deploy file that starts a router. */
     static String deployed(Path file) throws ParseException, IOException {
         if (!Files.exists(file)) {
--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -17,16 +17,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import slateseam.simulate.Fleet;
+import slateseam.simulate.Phases;
 import slateseam.simulate.check.Supplies;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.simulate.scenario.FaultKind;
 import slateseam.simulate.scenario.RouterConfig;
 import slateseam.standin.DiscoveryAgent;
-import slateseam.standin.Tally;
 import slateseam.standin.World;
 import slateseam.standin.sockets.SocketNet;
 import slateseam.standin.useragent.Crowd;
@@ -51,12 +52,12 @@
     /** After a pause or a silent agent: for what a router has to catch up with. */
     private static final long CATCH_UP_NANOS = 3 * SECOND;
     private static final String FRONT = "10.5.0.1";
-    /** What this world lacks. */
-    private static final Set<FaultKind> LACKS = EnumSet.of(FaultKind.SILENCE, FaultKind.CUT, FaultKind.RESET);
+    /** By these something befalls streams. */
+    private static final Set<FaultKind> OF_STREAMS = EnumSet.of(FaultKind.SILENCE, FaultKind.CUT, FaultKind.RESET);
 
     /** While one of these lasts a part of the budget may be used twice, or by nobody. */
     private static final Set<FaultKind> UNHEARD = EnumSet.of(FaultKind.ROUTER_KILL, FaultKind.RESTART, FaultKind.PAUSE,
-            FaultKind.ONE_WAY, FaultKind.STALL, FaultKind.DATAGRAM_LOSS);
+            FaultKind.ONE_WAY, FaultKind.STALL, FaultKind.DATAGRAM_LOSS, FaultKind.CUT);
     private static final long SETTLED_NANOS = 6 * SECOND;
     /** Of the budget; what is under way between two routers counts at neither or, for a moment, at both. */
     private static final double MOST_USED = 1.3;
@@ -76,14 +77,13 @@
     private final Set<String> moved = new java.util.HashSet<>();
     private final BufferedWriter history;
     private DatagramLinks links;
+    private final StreamLinks streams;
     private Fleet fleet;
     private RouterConfig configs;
     private Phases phases;
     private long begin;
     private long stoodStill;
     private long lastTick;
-    private long fetchesBefore;
-    private long turnedBefore;
     private int overspent;
     private boolean closing;
     private boolean over;
@@ -102,11 +102,16 @@
         this.folder = folder;
         this.progress = progress;
         for (Fault fault : day.timeline().faults()) {
-            if (LACKS.contains(fault.kind())) {
-                throw new IllegalArgumentException("a trial cannot play " + fault.kind().word() + "; the simulation can");
+            // User agents reach their routers without a relay, as ports are what tells routers apart there.
+            List<String> unheld = fault.targets().stream().filter(target -> target.contains("user-")
+                    || fault.kind() != FaultKind.CUT && target.startsWith("router-")).toList();
+            if (OF_STREAMS.contains(fault.kind()) && !unheld.isEmpty()) {
+                throw new IllegalArgumentException("a trial cannot play " + fault.kind().word() + " of " + unheld.get(0)
+                        + ", only between routers, or between a router and a server, the origin or its agent; the simulation can");
             }
         }
         net = new SocketNet(MOST_CONNECTIONS);
+        streams = new StreamLinks(net);
         findings = new Findings(net::now, day.routerRules().drainGraceNanos());
         history = Files.newBufferedWriter(folder.resolve("history.log"));
     }
@@ -121,7 +126,7 @@
                 network.datagramMostNanos(), network.lost(), network.doubled()), day.streams().of("links"), this::told);
         net.run(() -> {
             fleet = new Fleet(day, new World(net, net, findings), host -> say("rig", "starts server=" + host),
-                    (router, dial) -> text(net.address(dial)));
+                    this::dial);
             configs = new RouterConfig(day);
             fleet.start();
             fleet.prefill(configs, net.now());
@@ -137,7 +142,7 @@
         }
         net.run(() -> {
             over = true;
-            countOrigin(phases.at(net.now()));
+            phases.origin(phases.at(net.now()), fleet.origin().tallies());
             if (phases.unasked() > 0) {
                 findings.add("unasked", "routers", phases.unasked() + " answers came that nobody had asked for");
             }
@@ -145,6 +150,18 @@
         return new TrialResult(day, phases, findings.all(), stoodStill, folder);
     }
 
+    /** Where a router reaches whoever listens at a place: through a relay if a fault of the day troubles that way. */
+    private String dial(String router, String place) {
+        String name = day.origin().listen().equals(place) ? Day.Origin.NAME : Stream.concat(
+                day.servers().stream().filter(server -> server.listen().equals(place)).map(Day.Server::name),
+                day.routers().stream().filter(r -> r.discovery(false).equals(place) || r.discovery(true).equals(place))
+                        .map(Day.Router::agentName)).findFirst().orElseThrow();
+        boolean troubled = day.timeline().faults().stream().filter(fault -> OF_STREAMS.contains(fault.kind()))
+                .flatMap(fault -> fault.targets().stream()).anyMatch(target -> target.equals(name)
+                        || target.equals(router + "~" + name) || target.equals(name + "~" + router));
+        return text(net.address(troubled ? streams.open(router, name, place) : place));
+    }
+
     private synchronized boolean isClosing() {
         return closing;
     }
@@ -191,7 +208,8 @@
                 });
             }
         }
-        phases.all().forEach(phase -> net.at(begin + phase.until, () -> countOrigin(phase)));
+        phases.all().forEach(phase -> net.at(begin + phase.until(),
+                () -> phases.origin(phase, fleet.origin().tallies())));
         lastTick = net.now();
         tick();
         sample();
@@ -246,15 +264,6 @@
                 + SETTLED_NANOS);
     }
 
-    private void countOrigin(Phases.Phase phase) {
-        long fetched = fleet.origin().tallies().of(Tally.FETCHED);
-        long turned = fleet.origin().tallies().of(Tally.TURNED_AWAY);
-        phase.fetches += fetched - fetchesBefore;
-        phase.turnedAway += turned - turnedBefore;
-        fetchesBefore = fetched;
-        turnedBefore = turned;
-    }
-
     private void told(String from, String to, byte[] bytes, boolean lost) {
         synchronized (supplies) {
             supplies.told(from, bytes, net.now());
@@ -297,9 +306,13 @@
             case PAUSE -> targets.forEach(router -> child(router).signal("STOP"));
             case ONE_WAY -> targets.forEach(pair -> links.mute(pair, true));
             case STALL -> targets.forEach(pair -> links.stall(pair, true));
+            case CUT -> targets.forEach(pair -> cut(pair, true));
+            case SILENCE -> targets.forEach(machine -> silence(machine, true));
+            case RESET -> targets.forEach(machine -> streams.reset(machine, null));
             default -> { } // a surge is drawn into the rate of the user agents; the rest was refused
         }
-        if (EnumSet.of(FaultKind.PAUSE, FaultKind.LIST_LATE, FaultKind.LIST_FROZEN).contains(fault.kind())) {
+        if (EnumSet.of(FaultKind.PAUSE, FaultKind.LIST_LATE, FaultKind.LIST_FROZEN, FaultKind.CUT, FaultKind.SILENCE)
+                .contains(fault.kind())) {
             findings.excused(begin + fault.until() + (long) fault.size() + CATCH_UP_NANOS);
         }
     }
@@ -320,10 +333,34 @@
             case PAUSE -> targets.forEach(router -> child(router).signal("CONT"));
             case ONE_WAY -> targets.forEach(pair -> links.mute(pair, false));
             case STALL -> targets.forEach(pair -> links.stall(pair, false));
+            case CUT -> targets.forEach(pair -> cut(pair, false));
+            case SILENCE -> targets.forEach(machine -> silence(machine, false));
             default -> { }
         }
     }
 
+    /** Nothing passes between two; what hung meanwhile breaks at the end, as when a machine is back. */
+    private void cut(String pair, boolean on) {
+        String[] two = pair.split("~");
+        if (two[0].startsWith("router-") && two[1].startsWith("router-")) {
+            links.mute(pair, on);
+            links.mute(two[1] + "~" + two[0], on);
+            return;
+        }
+        streams.hold(two[0], two[1], on);
+        if (!on) {
+            streams.reset(two[0], two[1]);
+        }
+    }
+
+    private void silence(String machine, boolean on) {
+        streams.hold(machine, null, on);
+        fleet.silent(machine, on);
+        if (!on) {
+            streams.reset(machine, null);
+        }
+    }
+
     private DiscoveryAgent agent(String router) {
         return fleet.agent(router);
     }
@@ -396,7 +433,7 @@
         Day.Router place = place(router);
         boolean elsewhere = moved.contains(router);
         JSONObject config = new JSONObject(configs.text(place, starts.getOrDefault(router, 0), elsewhere, fleet.list(router)));
-        config.put("listen", text(net.address(place.listen()))).put("discovery", text(net.address(place.discovery(elsewhere))))
+        config.put("listen", text(net.address(place.listen()))).put("discovery", dial(router, place.discovery(elsewhere)))
                 .put("control", text(net.address(place.address() + ":7900")));
         if (config.has("peers")) {
             JSONArray ways = new JSONArray();
--- a/src/main/java/slateseam/trial/TrialResult.java
+++ b/src/main/java/slateseam/trial/TrialResult.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import org.json.JSONArray;
 import org.json.JSONObject;
+import slateseam.simulate.Phases;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.standin.useragent.Outcomes.Ending;
@@ -33,13 +34,13 @@
         lines.add(String.format(Locale.ROOT, "%7s %7s %7s %7s %7s %7s %7s %8s %7s  %-11s %7s  %s", "from s", "to s", "asked",
                 "served%", "refus.%", "failed%", "lost%", "fetch/s", "turned", "supply", "largest", "faults"));
         for (Phases.Phase phase : phases.all()) {
-            double asked = Math.max(1, phase.asked);
-            double seconds = (phase.until - phase.from) / 1e9;
+            double asked = Math.max(1, phase.asked());
+            double seconds = (phase.until() - phase.from()) / 1e9;
             lines.add(String.format(Locale.ROOT, "%7.1f %7.1f %7d %7.1f %7.1f %7.1f %7.1f %8.1f %7d  %4.2f .. %4.2f %7.2f  %s",
-                    phase.from / 1e9, phase.until / 1e9, phase.asked, 100 * phase.servedPart(),
+                    phase.from() / 1e9, phase.until() / 1e9, phase.asked(), 100 * phase.servedPart(),
                     100 * phase.of(Ending.UNAVAILABLE) / asked, 100 * phase.of(Ending.FAILED) / asked,
-                    100 * phase.lost() / asked, phase.fetches / Math.max(0.001, seconds), phase.turnedAway, phase.leastSupply,
-                    phase.mostSupply, phase.mostShare, phase.faults.isEmpty() ? "none" : phase.faults));
+                    100 * phase.lost() / asked, phase.fetches() / Math.max(0.001, seconds), phase.turnedAway(), phase.leastSupply(),
+                    phase.mostSupply(), phase.largestPart(), phase.faults().isEmpty() ? "none" : phase.faults()));
         }
         lines.add(String.format(Locale.ROOT, "the origin can do %.1f reads a second in calm", originRate()));
         for (Fault fault : phases.faults()) {
@@ -57,13 +58,13 @@
     JSONObject json() {
         JSONArray rows = new JSONArray();
         for (Phases.Phase phase : phases.all()) {
-            JSONObject row = new JSONObject().put("from_s", phase.from / 1e9).put("to_s", phase.until / 1e9)
-                    .put("asked", phase.asked).put("served", phase.of(Ending.SERVED)).put("refused", phase.of(Ending.UNAVAILABLE))
-                    .put("failed", phase.of(Ending.FAILED)).put("lost", phase.lost()).put("fetches", phase.fetches)
-                    .put("origin_turned_away", phase.turnedAway).put("faults", phase.faults);
-            if (!Double.isNaN(phase.leastSupply)) {
-                row.put("supply_least", phase.leastSupply).put("supply_most", phase.mostSupply)
-                        .put("supply_largest_part", phase.mostShare);
+            JSONObject row = new JSONObject().put("from_s", phase.from() / 1e9).put("to_s", phase.until() / 1e9)
+                    .put("asked", phase.asked()).put("served", phase.of(Ending.SERVED)).put("refused", phase.of(Ending.UNAVAILABLE))
+                    .put("failed", phase.of(Ending.FAILED)).put("lost", phase.lost()).put("fetches", phase.fetches())
+                    .put("origin_turned_away", phase.turnedAway()).put("faults", phase.faults());
+            if (!Double.isNaN(phase.leastSupply())) {
+                row.put("supply_least", phase.leastSupply()).put("supply_most", phase.mostSupply())
+                        .put("supply_largest_part", phase.largestPart());
             }
             rows.put(row);
         }
--- a/src/test/java/slateseam/router/net/TablesTest.java
+++ b/src/test/java/slateseam/router/net/TablesTest.java
@@ -102,4 +102,20 @@
         assertThat(out).hasSize(7).contains("n1: farm-malformed: line?4", "n1: overdue: another kind",
                 "n1: farm-malformed: later (and 3 such lines before)");
     }
+
+    /** A loop that is held up by one happening, or stands still while it waits, tells for how long others waited for it. */
+    @Test
+    void theLongestStallIsToldOnceAndThenForgotten() throws Exception {
+        long[] now = {1_000_000_000L};
+        Loop loop = new Loop(() -> now[0], new Log("n0", () -> now[0], line -> { }));
+        loop.after(0, () -> now[0] += 700 * Clock.MILLI);
+        loop.round(0);
+        loop.round(0);
+        assertThat(loop.takeStall()).isEqualTo(700 * Clock.MILLI);
+        assertThat(loop.takeStall()).isZero();
+        loop.round(0);
+        now[0] += 300 * Clock.MILLI; // between two rounds: the next begins late
+        loop.round(0);
+        assertThat(loop.takeStall()).isEqualTo(300 * Clock.MILLI);
+    }
 }
--- a/src/test/java/slateseam/trial/TrialTest.java
+++ b/src/test/java/slateseam/trial/TrialTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.withinPercentage;
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -13,7 +14,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import slateseam.simulate.Phases;
 import slateseam.simulate.Planted;
+import slateseam.simulate.VirtualTrial;
 import slateseam.simulate.scenario.Scenarios;
 
 /** Several real processes of the program with faults between them. Bounds have wide margins: the machine has other work. */
@@ -48,13 +51,21 @@
         TrialResult result = play("short", "");
         assertThat(result.findings()).isEmpty();
         List<Phases.Phase> phases = result.phases().all();
-        assertThat(phases).extracting(phase -> phase.faults).containsExactly("", "pause router-2", "",
+        assertThat(phases).extracting(phase -> phase.faults()).containsExactly("", "pause router-2", "",
                 "one-way router-1~router-3", "router-kill router-3", "");
         assertThat(phases.get(0).servedPart()).isGreaterThan(0.7);
-        assertThat(phases).allMatch(phase -> phase.asked > 0 && phase.mostSupply < 1.6 && phase.leastSupply > 0.3);
+        assertThat(phases).allMatch(phase -> phase.asked() > 0 && phase.mostSupply() < 1.6 && phase.leastSupply() > 0.3);
         // It is another process that answers in the end.
         assertThat(Files.readAllLines(dir.resolve("history.log"))).filteredOn(l -> l.contains("who=router-3 said=\"serving")).hasSize(2);
         assertThat(result.json().getJSONArray("phases").length()).isEqualTo(phases.size());
+        // The same text on the virtual clock: the same phases, and arrivals drawn ahead alike.
+        VirtualTrial virtual = VirtualTrial.play(TrialCommand.day("short", null, 1));
+        assertThat(virtual.breaches()).isEmpty();
+        for (int i = 0; i < phases.size(); i++) {
+            Phases.Phase other = virtual.phases().all().get(i);
+            assertThat(other.faults()).isEqualTo(phases.get(i).faults());
+            assertThat((double) phases.get(i).asked()).isCloseTo(other.asked(), withinPercentage(5));
+        }
     }
 
     /** The books between neighbours: what moves is not taken from who gives it. */
@@ -69,13 +80,26 @@
     @Test
     void aRouterThatDoesNotComeBackFromAPauseIsFound() throws Exception {
         Path planted = Planted.write(dir.resolve("planted"), "ends itself behind a long round", "router/net/Loop",
-                "        now = clock.nanos();\n        for (Runnable action; (action = handedOver.poll()) != null;) {",
-                "        if (clock.nanos() - now > 1_500 * Clock.MILLI && now > 0) { throw new IOException(\"stood still\"); }\n"
-                        + "        now = clock.nanos();\n        for (Runnable action; (action = handedOver.poll()) != null;) {");
+                "        longestStall = Math.max(longestStall, woken - begins - Math.max(0, wait));",
+                "        if (now - begins > 1_500 * Clock.MILLI) { throw new IOException(\"stood still\"); }");
         assertThat(play(file("pause", "6 s", "at 2 s pause router-2 for 2 s"), planted + ":").findings())
                 .extracting(Findings.Finding::rule, Findings.Finding::whom).containsExactly(org.assertj.core.api.Assertions.tuple("crash", "router-2"));
     }
 
+    /** A server that says nothing, the origin out of one router's reach, an agent whose connections break: no rule breaks. */
+    @Test
+    void troubledStreamsBreakNoRuleAndAreUndone() throws Exception {
+        TrialResult result = play(file("streams", "9 s", "at 1 s silence big-1 for 2 s\nat 2 s cut router-2~origin for 2 s\n"
+                + "at 3 s reset discovery-1"), "");
+        assertThat(result.findings()).isEmpty();
+        List<Phases.Phase> phases = result.phases().all();
+        assertThat(phases.get(0).servedPart()).isGreaterThan(0.7);
+        assertThat(phases.get(phases.size() - 1).servedPart()).isGreaterThan(0.7);
+        assertThat(phases.stream().mapToLong(phase -> phase.asked() - phase.of(slateseam.standin.useragent.Outcomes.Ending.SERVED)).sum())
+                .as("requests that the faults cost").isPositive();
+        assertThat(Files.readString(dir.resolve("router-1.log"))).contains("farm-unreachable: the connection broke");
+    }
+
     /** The script of the short trial with another one. */
     private String file(String name, String duration, String script) throws Exception {
         String text = new String(TrialTest.class.getResourceAsStream("/slateseam/trials/short.scenario").readAllBytes(),
@@ -135,7 +159,7 @@
         assertThat(said("run", "nowhere.scenario")).isEqualTo("2 nowhere.scenario:1: there is no such file");
         assertThat(said("run", "pause-most", "--routers", "2")).matches("2 pause-most: at 6000 ms pause .*: there is no router-3 among 2 routers");
         assertThat(said("run", file("lacks", "8 s", "at 1 s silence router-1 for 1 s")))
-                .startsWith("2 slateseam: trial: a trial cannot play silence");
+                .startsWith("2 slateseam: trial: a trial cannot play silence of router-1, only between ");
         assertThat(said("run", "short", "--deploy", "none.toml")).startsWith("2 slateseam: trial: there is no none.toml");
         assertThat(said("run", "short", "--routers", "0")).startsWith("2 slateseam: trial: --routers is 0");
         assertThat(said("play")).startsWith("2 slateseam: trial: unknown command play");
