--- a/src/main/java/slateseam/trial/TrialCommand.java
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -11,7 +11,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
@@ -47,6 +49,7 @@
             --deploy FILE       whose line `run` starts a router; without it deploy/balancer.toml of the folder here
             --virtual           plays the same on the virtual clock instead, without processes; all rules are checked there
             --run LINE          starts a router by this line of a shell instead, which must end by exec
+            --at ROUTER=LINE    starts that router by another line, such as one with a jar of another build; may be given again
             exit: 0 if all held, 1 if a rule broke or the trial was spoilt, 2 if the command or a file is wrong""";
 
     private TrialCommand() {
@@ -62,6 +65,7 @@
                     options.addOption(Option.builder().longOpt(option).hasArg().get());
                 }
                 options.addOption(Option.builder().longOpt("virtual").get());
+                options.addOption(Option.builder().longOpt("at").hasArg().get());
             }
             CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, Math.min(1, args.length), args.length));
             switch (command) {
@@ -147,7 +151,8 @@
                 : Files.createTempDirectory("slateseam-trial");
         boolean terminal = System.console() != null;
         AtomicBoolean keep = new AtomicBoolean(line.hasOption("keep"));
-        TrialPlay play = new TrialPlay(day, run, Path.of("").toAbsolutePath(), folder,
+        Map<String, String> others = others(line, day);
+        TrialPlay play = new TrialPlay(day, router -> others.getOrDefault(router, run), Path.of("").toAbsolutePath(), folder,
                 text -> err.print(terminal ? "\r" + text + " " : ""));
         // Guards against processes, some of them stopped, that stay behind when the trial is interrupted.
         Thread hook = new Thread(() -> {
@@ -183,6 +188,19 @@
         }
     }
 
+    private static Map<String, String> others(CommandLine line, Day day) throws ParseException {
+        Map<String, String> others = new TreeMap<>();
+        for (String one : line.hasOption("at") ? line.getOptionValues("at") : new String[0]) {
+            int sign = one.indexOf('=');
+            String router = sign < 0 ? one : one.substring(0, sign);
+            if (sign < 0 || day.routers().stream().noneMatch(there -> there.name().equals(router))) {
+                throw new ParseException("--at is " + one + ", no ROUTER=LINE of a router that is there");
+            }
+            others.put(router, one.substring(sign + 1));
+        }
+        return others;
+    }
+
     private static int tell(TrialResult result, CommandLine line, PrintStream out) throws IOException {
         out.println(result.text());
         if (line.hasOption("json")) {
--- a/src/test/java/slateseam/trial/TrialTest.java
+++ b/src/test/java/slateseam/trial/TrialTest.java
@@ -37,7 +37,8 @@
     private TrialResult play(String script, String planted) throws Exception {
         List<Long> left;
         TrialResult result;
-        TrialPlay play = new TrialPlay(TrialCommand.day(script, null, 1), line(planted), Path.of("").toAbsolutePath(), dir, text -> { });
+        String line = line(planted);
+        TrialPlay play = new TrialPlay(TrialCommand.day(script, null, 1), router -> line, Path.of("").toAbsolutePath(), dir, text -> { });
         try (play) {
             result = play.play();
             left = play.running();
@@ -58,6 +59,8 @@
         // It is another process that answers in the end.
         assertThat(Files.readAllLines(dir.resolve("history.log"))).filteredOn(l -> l.contains("who=router-3 said=\"serving")).hasSize(2);
         assertThat(result.json().getJSONArray("phases").length()).isEqualTo(phases.size());
+        assertThat(Files.readAllLines(dir.resolve("history.log"))).filteredOn(l -> l.contains("who=router-1 concurrent="))
+                .hasSizeGreaterThan(3).allMatch(l -> l.contains(" targets=6 "));
         // The same text on the virtual clock: the same phases, and arrivals drawn ahead alike.
         VirtualTrial virtual = VirtualTrial.play(TrialCommand.day("short", null, 1));
         assertThat(virtual.breaches()).isEmpty();
@@ -111,10 +114,11 @@
 
     @Test
     void aRouterThatEndsBeforeItServesIsNamedAndNothingIsLeft() throws Exception {
-        TrialPlay play = new TrialPlay(TrialCommand.day("short", null, 1), "echo no >&2; exit 7", dir, dir, text -> { });
+        TrialPlay play = new TrialPlay(TrialCommand.day("short", null, 1),
+                router -> router.equals("router-2") ? "echo no >&2; exit 7" : "exec sleep 60", dir, dir, text -> { });
         try (play) {
             assertThatThrownBy(play::play).isInstanceOf(IllegalStateException.class)
-                    .hasMessageMatching("router-[123] ended with status 7 before it served; its log: .*router-[123]\\.log");
+                    .hasMessageMatching("router-2 ended with status 7 before it served; its log: .*router-2\\.log");
         }
         assertThat(play.running()).isEmpty();
     }
@@ -161,6 +165,7 @@
         assertThat(said("run", file("lacks", "8 s", "at 1 s silence router-1 for 1 s")))
                 .startsWith("2 slateseam: trial: a trial cannot play silence of router-1, only between ");
         assertThat(said("run", "short", "--deploy", "none.toml")).startsWith("2 slateseam: trial: there is no none.toml");
+        assertThat(said("run", "short", "--at", "router-7=exit")).startsWith("2 slateseam: trial: --at is router-7=exit, no ROUTER=LINE");
         assertThat(said("run", "short", "--routers", "0")).startsWith("2 slateseam: trial: --routers is 0");
         assertThat(said("play")).startsWith("2 slateseam: trial: unknown command play");
     }
