Read whole numbers of both commands' lines in one place

Cause: the trial's command had a copy of the simulation's reading of a whole number, word for word. Change: it calls that one. Nothing that a user meets changes.

--- a/src/main/java/slateseam/simulate/SimulateCommand.java
+++ b/src/main/java/slateseam/simulate/SimulateCommand.java
@@ -221,7 +221,8 @@
         return BROKEN;
     }
 
-    private static long number(String what, String text, long least, long most) throws ParseException {
+    /** Reads a whole number of a command line, or says in one line what is wrong with it. */
+    public static long number(String what, String text, long least, long most) throws ParseException {
         try {
             long number = Long.parseLong(text);
             if (number >= least && number <= most) {
--- a/src/main/java/slateseam/trial/TrialCommand.java
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -23,6 +23,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import slateseam.simulate.SimulateCommand;
 import slateseam.simulate.VirtualTrial;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
@@ -135,9 +136,10 @@
             throw new ParseException("one scenario is wanted: a file, or a name that `trial list` shows");
         }
         boolean virtual = line.hasOption("virtual");
-        Integer routers = line.hasOption("routers") ? (Integer) (int) number("--routers", line.getOptionValue("routers"), 1,
-                virtual ? MOST_VIRTUAL : MOST_ROUTERS) : null;
-        Day day = day(line.getArgList().get(0), routers, number("--seed", line.getOptionValue("seed", "1"), 0, Long.MAX_VALUE - 1));
+        Integer routers = line.hasOption("routers") ? (Integer) (int) SimulateCommand.number("--routers",
+                line.getOptionValue("routers"), 1, virtual ? MOST_VIRTUAL : MOST_ROUTERS) : null;
+        long seed = SimulateCommand.number("--seed", line.getOptionValue("seed", "1"), 0, Long.MAX_VALUE - 1);
+        Day day = day(line.getArgList().get(0), routers, seed);
         if (virtual) {
             VirtualTrial played = VirtualTrial.play(day);
             List<Findings.Finding> broken = played.breaches().stream().map(breach -> new Findings.Finding(
@@ -228,16 +230,4 @@
             // A file more in a temporary folder.
         }
     }
-
-    private static long number(String what, String text, long least, long most) throws ParseException {
-        try {
-            long number = Long.parseLong(text);
-            if (number >= least && number <= most) {
-                return number;
-            }
-        } catch (NumberFormatException e) {
-            // reported below
-        }
-        throw new ParseException(what + " is " + text + ", no whole number from " + least + " to " + most);
-    }
 }
