--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -101,7 +101,7 @@
         start();
         String loaded = Files.readString(dir.resolve("loaded"));
         assertThat(loaded).contains("slateseam.router.Router")
-                .doesNotContain("slateseam.simulate", "slateseam.standin", "slateseam.rehearse",
+                .doesNotContain("slateseam.simulate", "slateseam.standin", "slateseam.rehearse", "slateseam.trial",
                 "HdrHistogram", "commons.rng");
     }
 
