See a user agent's end behind whatever it sent before, and begin nothing for it

A connection whose reading was paused (sixteen commands ahead, answers not read, a malformed command: UserAgent.received and malformed called pause(true)) had no read interest, so the end of its user agent was not seen, and what it had asked for was sent, and sent again, until an answer could not be written.

Now a paused connection of a user agent reads on, up to 256 KiB (counted beyond 16 KiB, and within an eighth of the heap for all of them), so the end behind it is seen; behind a malformed command everything is read and thrown away. Where the loop comes late (20 ms) it looks for the end before it hands out what came, since both may lie there. Buffers of connections are counted from 16 KiB on, not 64: six hundred half commands could hold 38 MB of a heap of 64.

Left: one that floods over 256 KiB of good commands and goes is found out when its first answer meets the reset. ConnectionFaultTest.aLoopThatIsLateLooksForTheEndFirst holds the last part.

--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -17,8 +17,8 @@
     public static final int LONG_VALUE = 64 * 1024;
     private static final int INPUT_LIMIT = VALUE_LIMIT + 8 * 1024;
     private static final int FIRST_INPUT = 4 * 1024;
-    /** Larger buffers are counted, so that many long values at once cannot fill the heap. */
-    private static final int UNCOUNTED = 64 * 1024;
+    /** Larger buffers are counted, so that many long values, or beginnings of commands, at once cannot fill the heap. */
+    private static final int UNCOUNTED = 16 * 1024;
     /** Of one read: the system's copies lie outside the heap, where there is little room. */
     private static final int CHUNK = 128 * 1024;
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
@@ -32,6 +32,10 @@
     private ByteBuffer input = NOTHING;
     private int counted;
     private boolean paused;
+    /** Of what is read while paused, so that the other side's end behind it is seen; 0 for nothing. */
+    private final int ahead;
+    /** Whether what comes is thrown away. */
+    private boolean ignoring;
     private boolean lingering;
     private boolean closed;
     /** Of what was to be written. */
@@ -43,6 +47,15 @@
 
     /** Takes over an accepted channel. */
     protected Connection(Loop loop, SocketChannel accepted) throws IOException {
+        this(loop, accepted, 0);
+    }
+
+    /**
+     * Takes over an accepted channel, of which up to so many bytes are read ahead while it is paused. Guards against work for
+     * one that has gone: its end lies behind what it sent before.
+     */
+    protected Connection(Loop loop, SocketChannel accepted, int ahead) throws IOException {
+        this.ahead = ahead;
         this.loop = loop;
         this.channel = accepted;
         this.transport = null;
@@ -57,6 +70,7 @@
 
     /** The same through a transport, or null for none; {@link #connected} follows when bytes can pass. */
     protected Connection(Loop loop, InetSocketAddress to, Transport transport) throws IOException {
+        this.ahead = 0;
         this.loop = loop;
         this.transport = transport;
         this.channel = loop.provider().openSocketChannel();
@@ -133,10 +147,19 @@
         }
     }
 
+    /** Throws away what comes from now on, and what has come and was not taken; {@link #broken} tells of the end as before. */
+    protected final void ignoreInput() {
+        if (!closed && !lingering) {
+            ignoring = true;
+            dropInput();
+            interest();
+        }
+    }
+
     /** Reads what has come, without waiting until the selector says so. */
     protected final void poll() {
         try {
-            if (!closed && !paused) {
+            if (!closed && reads()) {
                 read();
             }
         } catch (IOException e) {
@@ -144,7 +167,12 @@
         }
     }
 
-    /** Stops or goes on with reading. What lies in the buffer already is handed out again when reading goes on. */
+    /** Whether anything is read now: while paused only what may be read ahead. */
+    private boolean reads() {
+        return !paused || ignoring || input.position() < ahead;
+    }
+
+    /** Stops or goes on with handing out what comes, and but for what is read ahead with reading. What lies in the buffer already is handed out again when reading goes on. */
     protected final void pause(boolean stop) {
         if (paused != stop && !closed && !lingering) {
             paused = stop;
@@ -199,7 +227,7 @@
             if (!closed && ready.isWritable()) {
                 flush();
             }
-            if (!closed && ready.isReadable() && !paused) {
+            if (!closed && ready.isReadable() && reads()) {
                 read();
             }
         } catch (IOException e) {
@@ -251,7 +279,7 @@
         if (!closed && !isFlushed()) {
             flush();
         }
-        if (!closed && !paused) {
+        if (!closed && reads()) {
             read();
         }
         lookAgain();
@@ -278,19 +306,24 @@
     }
 
     private void read() throws IOException {
-        if (lingering) {
+        if (lingering || ignoring) {
             int come = take(loop.scratch());
             if (come < 0) {
                 breakOff();
-            } else if (come > 0) {
+            } else if (come > 0 && lingering) {
                 discarded();
             }
             return;
         }
-        if (input.position() > 0 && input.position() == input.capacity() && !grow()) {
-            return;
+        int come = readPart();
+        // Guards against beginning what one asked for that has gone since: the end may lie there already.
+        while (come > 0 && loop.isLate() && input.position() < ahead) {
+            int more = readPart();
+            if (more <= 0) {
+                come = more < 0 ? more : come;
+                break;
+            }
         }
-        int come = input.position() == 0 ? readFirst() : readOn();
         if (come < 0) {
             breakOff();
         } else if (come > 0) {
@@ -298,6 +331,14 @@
         }
     }
 
+    /** How much was read; 0 if there is no room either, -1 at the end. */
+    private int readPart() throws IOException {
+        if (input.position() > 0 && input.position() == input.capacity() && !grow()) {
+            return 0;
+        }
+        return input.position() == 0 ? readFirst() : readOn();
+    }
+
     /** Begins a buffer no longer than what has come: most messages come whole, and many polls find nothing. */
     private int readFirst() throws IOException {
         ByteBuffer scratch = loop.scratch().limit(FIRST_INPUT);
@@ -314,9 +355,13 @@
     }
 
     private boolean grow() {
-        int larger = Math.min(INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
+        int larger = Math.min(paused ? ahead : INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
         if (larger > UNCOUNTED) {
-            if (!loop.reserve(larger - counted)) {
+            if (paused && !loop.reserveAhead(larger - counted)) {
+                stopReadingAhead();
+                return false;
+            }
+            if (!paused && !loop.reserve(larger - counted)) {
                 malformed(new MalformedException("no room for a message of over " + input.capacity() + " bytes"));
                 return false;
             }
@@ -326,6 +371,13 @@
         return true;
     }
 
+    /** There is no room: what lies in the system waits until the pause is over. */
+    private void stopReadingAhead() {
+        if (key.isValid()) {
+            key.interestOps(key.interestOps() & ~SelectionKey.OP_READ);
+        }
+    }
+
     private void dropInput() {
         input = NOTHING;
         loop.reserve(-counted);
@@ -333,13 +385,16 @@
     }
 
     private void handOut() {
-        if (closed || paused || lingering) {
+        if (closed || paused || lingering || ignoring) {
+            if (!closed) {
+                interest();
+            }
             return;
         }
         ByteBuffer in = input.flip();
         try {
             received(in);
-            if (closed || lingering) {
+            if (closed || lingering || ignoring) {
                 return;
             }
             in.compact();
@@ -431,7 +486,7 @@
 
     private void interest() {
         if (key.isValid() && channel.isConnected()) {
-            boolean reads = transport == null || open ? !paused : !transport.waits();
+            boolean reads = transport == null || open ? reads() : !transport.waits();
             key.interestOps((reads ? SelectionKey.OP_READ : 0) | (isFlushed() ? 0 : SelectionKey.OP_WRITE));
         }
     }
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -16,6 +16,8 @@
 public final class Loop {
     private static final long LONGEST_WAIT = 1_000 * Clock.MILLI;
     private static final int SCRATCH_BYTES = 64 * 1024;
+    /** What was ready has waited for so long: what lies behind it, an end among that, may have come too. */
+    private static final long LATE_NANOS = 20 * Clock.MILLI;
 
     /** Takes what a socket is ready for. */
     @FunctionalInterface
@@ -41,6 +43,7 @@
     /** When the present round had waited for long enough; 0 while it waits. */
     private long woken;
     private long longestStall;
+    private boolean late;
 
     /** Creates a loop on the system's network, without sockets. */
     public Loop(Clock clock, Log log) throws IOException {
@@ -82,7 +85,16 @@
 
     /** Counts bytes of long messages in, or with a negative number out; whether there is room for them. */
     boolean reserve(int bytes) {
-        boolean room = bytes <= 0 || reserved + bytes <= heapBytes / 4;
+        return reserve(bytes, heapBytes / 4);
+    }
+
+    /** The same for what is read though nobody takes it yet: half of the room is left to messages that are waited for. */
+    boolean reserveAhead(int bytes) {
+        return reserve(bytes, heapBytes / 8);
+    }
+
+    private boolean reserve(int bytes, long most) {
+        boolean room = bytes <= 0 || reserved + bytes <= most;
         reserved += room ? bytes : 0;
         return room;
     }
@@ -147,6 +159,11 @@
         return longest;
     }
 
+    /** Whether what is handled now may have been ready for a while, as the loop was busy or the process stood still. */
+    boolean isLate() {
+        return late;
+    }
+
     /** Runs until stopped, then closes every socket. */
     public void run() throws IOException {
         while (!stopped) {
@@ -162,6 +179,7 @@
     public void round(long mostNanos) throws IOException {
         int steps = next.size();
         long begins = clock.nanos();
+        late = woken != 0 && begins - woken > LATE_NANOS;
         long wait = steps > 0 ? 0 : Math.min(mostNanos, deadlines.next() - begins);
         longestStall = Math.max(longestStall, woken == 0 ? 0 : begins - woken);
         woken = 0;
@@ -191,6 +209,7 @@
         if (woken == 0) {
             woken = now;
         }
+        late |= now - woken > LATE_NANOS;
         try {
             if (key.isValid()) {
                 ((Handler) key.attachment()).ready(key);
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -22,6 +22,8 @@
     /** Of a value that streams: no more is asked for while so much is not handed to the system. */
     private static final int MOST_UNWRITTEN = 64 * 1024;
     private static final int MOST_COMMANDS = 16;
+    /** Of what comes behind commands that wait, so that the end of its user agent is seen: then nothing is begun any more. */
+    private static final int AHEAD = 256 * 1024;
     /** For a first command, or one of which a part has come: no user agent that waits for an answer takes so long. */
     private static final long COMMAND_NANOS = 2_500 * Clock.MILLI;
     /** For a first command, where connections are not kept. */
@@ -64,7 +66,7 @@
     private long handed;
 
     UserAgent(RespFront front, Loop loop, SocketChannel channel, Dialect dialect) throws IOException {
-        super(loop, channel);
+        super(loop, channel, AHEAD);
         this.front = front;
         this.dialect = dialect;
     }
@@ -340,7 +342,7 @@
         cause = Cause.MALFORMED;
         last = true;
         half = false;
-        pause(true);
+        ignoreInput();
         if (isPartial()) {
             inOrder.pollLast().withdraw();
         }
--- a/src/test/java/slateseam/router/net/ConnectionFaultTest.java
+++ b/src/test/java/slateseam/router/net/ConnectionFaultTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A fault in the handling of what came: the bytes behind it must not be read as something else. */
 class ConnectionFaultTest {
@@ -39,6 +41,47 @@
         }
     }
 
+    private final class Quick extends Connection {
+        Quick(Loop loop, SocketChannel accepted) throws java.io.IOException {
+            super(loop, accepted, 64 * 1024);
+        }
+
+        @Override
+        protected void received(ByteBuffer in) {
+            happened.add("received " + in.remaining());
+            in.position(in.limit());
+        }
+
+        @Override
+        protected void malformed(MalformedException e) {
+            happened.add("malformed");
+        }
+
+        @Override
+        protected void broken() {
+            happened.add("broken");
+        }
+    }
+
+    /** What came before an end that lies there already is not begun when the loop comes late. */
+    @ParameterizedTest
+    @CsvSource({"0, received 5 broken", "50, broken"})
+    void aLoopThatIsLateLooksForTheEndFirst(long busyMillis, String expected) throws Exception {
+        Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
+        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+            SocketChannel other = SocketChannel.open(listener.getLocalAddress());
+            new Quick(loop, listener.accept());
+            loop.after(0, () -> now += busyMillis * 1_000_000);
+            loop.round(0);
+            other.write(ByteBuffer.wrap(new byte[5]));
+            other.close();
+            for (int i = 0; !happened.contains("broken") && i < 5_000; i++) {
+                loop.round(1_000_000);
+            }
+        }
+        assertThat(String.join(" ", happened)).isEqualTo(expected);
+    }
+
     @Test
     void aConnectionOfWhichNobodyKnowsWhatWasTakenIsClosed() throws Exception {
         List<String> log = new ArrayList<>();
