Take an answer without a length as whole when the origin ends in order, never at a reset

Lines at fault: HttpReply.whole threw for a 200 without a length. Now such an answer waits for the end of its connection: an orderly end makes it whole (Connection.ended, before broken), a reset, a time-out or 250 ms in which nothing comes do not. Longer ones may take longer, as long as something comes, within their pass's time; they are collected like chunked ones, within the bounds of long messages. The watch takes such lists too. A length that is cut, and chunks without their last, stay failed.

Test: the exchange origin-no-length (orderly end, long, reset with a keyed and a once-write, never ending, across a planned end) fails without the mend at its first case. origin-spoilt named this answer as spoilt; it has another spoilt one there now, an unreadable length, with the same expectations.

--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -189,9 +189,20 @@
         @Override
         protected void received(ByteBuffer in) throws MalformedException {
             HttpReply reply = HttpReply.read(in);
-            if (reply == null) {
-                return;
+            if (reply != null) {
+                answered(reply);
             }
+        }
+
+        @Override
+        protected void ended(ByteBuffer left) throws MalformedException {
+            HttpReply reply = HttpReply.readAtEnd(left);
+            if (reply != null) {
+                answered(reply);
+            }
+        }
+
+        private void answered(HttpReply reply) throws MalformedException {
             if (reply.status() != 200) {
                 // It is too busy, or down: what it told before still counts, and so does its version.
                 close();
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -102,6 +102,13 @@
     /** The other side sent what breaks the protocol. */
     protected abstract void malformed(MalformedException e);
 
+    /**
+     * The other side has ended its sending in order, behind bytes that {@link #received} has left; {@link #broken} follows. A
+     * reset is no such end.
+     */
+    protected void ended(ByteBuffer left) throws MalformedException {
+    }
+
     /** The other side has closed the connection, or it broke, or it never came up; it is closed now. */
     protected abstract void broken();
 
@@ -325,12 +332,24 @@
             }
         }
         if (come < 0) {
-            breakOff();
+            endInOrder();
         } else if (come > 0) {
             handOut();
         }
     }
 
+    private void endInOrder() {
+        try {
+            if (!paused && input.position() > 0) {
+                ended(input.flip());
+            }
+        } catch (MalformedException e) {
+            malformed(e);
+        } finally {
+            breakOff();
+        }
+    }
+
     /** How much was read; 0 if there is no room either, -1 at the end. */
     private int readPart() throws IOException {
         if (input.position() > 0 && input.position() == input.capacity() && !grow()) {
--- a/src/main/java/slateseam/router/net/HttpHead.java
+++ b/src/main/java/slateseam/router/net/HttpHead.java
@@ -17,6 +17,7 @@
     public static final int LONGEST_LINE = 4096;
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
     static final int MOST_HEADERS = 64;
+    private static final int OK = 200;
     private static final String LENGTH = "content-length";
 
     /**
@@ -68,6 +69,11 @@
         return isChunked() || length() != null;
     }
 
+    /** Whether the body is all that comes until the other side ends the connection. */
+    public boolean endsWithConnection() {
+        return status == OK && !endsByItself();
+    }
+
     /** Whether the connection may be used again. */
     public boolean keepsAlive() {
         return endsByItself() && !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
--- a/src/main/java/slateseam/router/net/HttpReply.java
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -13,7 +13,6 @@
  */
 public record HttpReply(int status, Map<String, String> headers, byte[] body) {
     private static final int FIRST_FINAL = 200;
-    private static final int OK = 200;
 
     /** Whether the connection may be used again. */
     public boolean keepsAlive() {
@@ -27,11 +26,31 @@
      * @return null, with the buffer at the answer that is not whole
      */
     public static HttpReply read(ByteBuffer in) throws MalformedException {
+        return read(in, false);
+    }
+
+    /** The same where the other side has ended its sending in order: then an answer that told no length is whole. */
+    public static HttpReply readAtEnd(ByteBuffer in) throws MalformedException {
+        return read(in, true);
+    }
+
+    /** Whether the head of an answer is there by which only the connection's end tells that it is whole; the buffer stays. */
+    public static boolean endsWithConnection(ByteBuffer in) throws MalformedException {
+        int start = in.position();
+        HttpHead head = HttpHead.read(in);
+        while (head != null && head.status() < FIRST_FINAL) {
+            head = HttpHead.read(in);
+        }
+        in.position(start);
+        return head != null && head.endsWithConnection();
+    }
+
+    private static HttpReply read(ByteBuffer in, boolean atEnd) throws MalformedException {
         HttpReply reply;
         int start;
         do {
             start = in.position();
-            reply = whole(in);
+            reply = whole(in, atEnd);
         } while (reply != null && reply.status < FIRST_FINAL);
         if (reply == null) {
             in.position(start);
@@ -39,15 +58,18 @@
         return reply;
     }
 
-    private static HttpReply whole(ByteBuffer in) throws MalformedException {
+    private static HttpReply whole(ByteBuffer in, boolean atEnd) throws MalformedException {
         HttpHead head = HttpHead.read(in);
         if (head == null) {
             return null;
         }
         boolean chunked = head.isChunked();
-        if (head.status() == OK && !head.endsByItself() || chunked && head.length() != null) {
-            // Guards against passing on a part as the whole: only a length tells that nothing is missing.
-            throw new MalformedException(chunked ? "an answer with a length and in chunks" : "an answer without a length");
+        if (chunked && head.length() != null) {
+            throw new MalformedException("an answer with a length and in chunks");
+        }
+        if (head.endsWithConnection()) {
+            // Guards against passing on a part as the whole: a reset is no end.
+            return atEnd ? new HttpReply(head.status(), head.headers(), bytes(in, in.remaining())) : null;
         }
         boolean bodiless = head.status() < FIRST_FINAL || !head.endsByItself();
         byte[] body = chunked ? chunks(in) : bytes(in, bodiless ? 0 : length(head.length(), 10));
--- a/src/main/java/slateseam/router/pass/HttpOrigin.java
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -51,7 +51,20 @@
 
     @Override
     public Reply reply(ByteBuffer in) throws MalformedException {
-        HttpReply reply = HttpReply.read(in);
+        return reply(HttpReply.read(in));
+    }
+
+    @Override
+    public Reply replyAtEnd(ByteBuffer in) throws MalformedException {
+        return reply(HttpReply.readAtEnd(in));
+    }
+
+    @Override
+    public boolean endsWithConnection(ByteBuffer in) throws MalformedException {
+        return HttpReply.endsWithConnection(in);
+    }
+
+    private static Reply reply(HttpReply reply) {
         if (reply == null) {
             return null;
         }
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -111,6 +111,16 @@
         }
     }
 
+    @Override
+    protected void ended(ByteBuffer left) throws MalformedException {
+        Pass first = awaited.peek();
+        boolean may = first != null && !first.isProbe() && coming == null && held == null && link.isOpen();
+        ServerProtocol.Reply reply = may ? server.protocol().replyAtEnd(left) : null;
+        if (reply != null) {
+            answered(reply, left.hasRemaining());
+        }
+    }
+
     /** Whether something whole was taken. */
     private boolean takeOne(ByteBuffer in) throws MalformedException {
         Pass first = awaited.peek();
@@ -133,6 +143,11 @@
         }
         ServerProtocol.Reply reply = first.isProbe() ? protocol.probeReply(in) : protocol.reply(in);
         if (reply == null) {
+            // Without a length its end is the connection's: for as long as something comes that may take its time.
+            boolean goesOn = in.hasRemaining() && protocol.endsWithConnection(in);
+            if (goesOn) {
+                awaitRest(false);
+            }
             awaitRest(in.hasRemaining() || held != null);
             return false;
         }
--- a/src/main/java/slateseam/router/pass/ServerProtocol.java
+++ b/src/main/java/slateseam/router/pass/ServerProtocol.java
@@ -34,6 +34,16 @@
     /** Reads the answer to a request; null, with the buffer as it was, while it is not whole. */
     Reply reply(ByteBuffer in) throws MalformedException;
 
+    /** The answer that the server's orderly end has made whole; null where its protocol or its head tells another end. */
+    default Reply replyAtEnd(ByteBuffer in) throws MalformedException {
+        return null;
+    }
+
+    /** Whether only the server's end will tell that the answer which has begun is whole; the buffer stays as it is. */
+    default boolean endsWithConnection(ByteBuffer in) throws MalformedException {
+        return false;
+    }
+
     /**
      * The beginning of an answer whose value is longer than {@link Connection#LONG_VALUE}.
      *
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -32,7 +32,7 @@
  * Plays a recorded exchange against a router, on ephemeral loopback ports and a clock moved by hand. A line is
  * {@code WHO > BYTES} (WHO writes), {@code WHO >> BYTES} (WHO writes in the round of the next step, when the router has
  * looked at its sockets and not yet at its deadlines), {@code WHO < BYTES} (just these come to WHO),
- * {@code WHO closes}, {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it),
+ * {@code WHO closes}, {@code WHO resets}, {@code WHO sees the end}, {@code WHO reads to the end} (past whatever comes before it),
  * {@code WHO stops listening}, {@code WHO listens again}, {@code clock +MS}, {@code end} (a planned end begins), {@code ended}, {@code start}
  * (another router with the same files), {@code log TEXT} (the log has it), {@code log stops}, {@code log goes on} (its
  * reader does), {@code reload OLD => NEW} (the changed configuration or settings file is read again), {@code show the
@@ -223,6 +223,10 @@
         } else if (words[1].equals("closes")) {
             channels.remove(words[0]).close();
             round();
+        } else if (words[1].equals("resets")) {
+            channels.get(words[0]).setOption(StandardSocketOptions.SO_LINGER, 0);
+            channels.remove(words[0]).close();
+            round();
         } else if (line.endsWith("sees the end")) {
             assertThat(read(words[0], 1)).as(line).isEqualTo("(end)");
             channels.remove(words[0]).close();
