Send no repeat of a keyed write whole after its window, however late it can be written

Now Send says by when an attempt must have been sent (Job.sentBy: a repeat of a keyed write only), and Passes holds it: nothing is begun too late (Use.endsAt), and what is not handed to the system whole by then is cut there, which the server sees as a command that never came. PassesTest has both, written late and written in part.

--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -205,8 +205,13 @@
     public sealed interface Action {
     }
 
-    /** Begin an attempt; a time-out of 0 runs to the client's deadline. */
-    public record Send(long request, long member, long timeoutNanos) implements Action {
+    /**
+     * Begin an attempt; a time-out of 0 runs to the client's deadline. An attempt that is not sent whole by
+     * {@code sentByNanos}, on the module's clock, must not be sent at all: its repeats are dropped no longer.
+     */
+    public record Send(long request, long member, long timeoutNanos, long sentByNanos) implements Action {
+        /** Of an attempt that may be sent as long as it lasts. */
+        public static final long ANY_TIME = Long.MAX_VALUE;
     }
 
     /** Stop waiting for an attempt. */
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -525,7 +525,7 @@
             // Guards against moving on too early, or too late for another answer.
             double most = left - ANOTHER * answerTime;
             long timeout = movable && most > LATE * answerTime ? (long) Math.min(most, left * PATIENCE) : 0;
-            out.accept(new Send(job.asked.request(), to.id(), timeout));
+            out.accept(new Send(job.asked.request(), to.id(), timeout, job.sentBy()));
         }
 
         /** A miss or a write: joins a fetch of its key that is out, else pays from supply, else is held. */
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -8,6 +8,7 @@
 import slateseam.decision.Api.Group;
 import slateseam.decision.Api.RequestArrived;
 import slateseam.decision.Api.RequestClass;
+import slateseam.decision.Api.Send;
 
 /** The state of a request that is owed its final answer; {@link Brain} alone reads and changes it. */
 final class Job {
@@ -51,6 +52,12 @@
         return repeatsAreHarmless() && (type.effect() == Effect.PURE || now - arrivedAt < type.windowNanos());
     }
 
+    /** When an attempt that begins now must have been sent; a first one may be sent at any time. */
+    long sentBy() {
+        boolean bound = mayHaveRun && type.effect() == Effect.TOKEN;
+        return bound ? arrivedAt + type.windowNanos() : Send.ANY_TIME;
+    }
+
     /** Whether running it twice changes nothing, or every member drops the repeat for a while. */
     boolean repeatsAreHarmless() {
         return type.effect() == Effect.PURE || type.effect() == Effect.TOKEN && type.group() == Group.ALL;
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -262,7 +262,7 @@
         }
         slot.atOrigin = passes.isOrigin(send.member());
         long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
-        passes.begin(send.request(), slot.request, attempt, send.member(), timeout);
+        passes.begin(send.request(), slot.request, attempt, send.member(), timeout, send.sentByNanos());
     }
 
     private void finish(long ticket, Answer answer) {
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -52,8 +52,12 @@
         this.connections = new ServerConnections(bounds);
     }
 
-    /** Begins an attempt of a request. */
-    public void begin(long ticket, Request request, int attempt, long serverId, long timeoutNanos) {
+    /**
+     * Begins an attempt of a request.
+     *
+     * @param writtenBy when its last byte must have been handed to the system, on the loop's clock; later it is not sent
+     */
+    public void begin(long ticket, Request request, int attempt, long serverId, long timeoutNanos, long writtenBy) {
         ApplicationServer server = server(serverId);
         if (server == null || !farm.entry(serverId).isReady()) {
             listener.passEnded(ticket, attempt, serverId, Outcome.MOOT, false, null, 0);
@@ -63,9 +67,12 @@
         if (before != null) {
             tell(c -> c.cut(loop.now(), before));
         }
-        Pass pass = new Pass(ticket, attempt, request, server, loop.now(), loop.now() + timeoutNanos);
+        Pass pass = new Pass(ticket, attempt, request, server, loop.now(), loop.now() + timeoutNanos, writtenBy);
         byTicket.put(ticket, pass);
         begin(pass, timeoutNanos);
+        if (!pass.isTold && !pass.isWritten() && pass.writtenBy < pass.endsAt) {
+            pass.unwritten = loop.after(pass.writtenBy - loop.now(), () -> stop(pass, Outcome.TIMEOUT));
+        }
     }
 
     /** Probes a server. */
@@ -74,7 +81,7 @@
         if (server == null) {
             listener.happened(new ProbeEnded(serverId, Outcome.MOOT, 0));
         } else {
-            begin(new Pass(-1, 0, null, server, loop.now(), loop.now() + PROBE_NANOS), PROBE_NANOS);
+            begin(new Pass(-1, 0, null, server, loop.now(), loop.now() + PROBE_NANOS, Long.MAX_VALUE), PROBE_NANOS);
         }
     }
 
@@ -225,6 +232,7 @@
 
     /** All of a pass was handed to the system. */
     void written(Pass pass) {
+        loop.cancel(pass.unwritten);
         if (!pass.isProbe()) {
             whenWritten.run();
         }
@@ -246,6 +254,7 @@
         }
         pass.isTold = true;
         loop.cancel(pass.timeout);
+        loop.cancel(pass.unwritten);
         long duration = loop.now() - pass.begunAt;
         if (pass.isProbe()) {
             listener.happened(new ProbeEnded(pass.server.id(), reply.outcome(), duration));
--- a/src/test/java/slateseam/decision/EmbeddingExampleTest.java
+++ b/src/test/java/slateseam/decision/EmbeddingExampleTest.java
@@ -27,7 +27,7 @@
                 new Member(9, 0, 1, 0, MemberState.READY, 1, 0))), actions::add);
         actions.clear();
         brain.handle(now, new RequestArrived(1, 0xB0A7, 0, 0, false, false, 0, 1000 * ms), actions::add);
-        assertEquals(new Send(1, 7, 400 * ms), actions.get(0));
+        assertEquals(new Send(1, 7, 400 * ms, Send.ANY_TIME), actions.get(0));
         brain.handle(now + 5 * ms, new AttemptEnded(1, 7, 0, Outcome.OK, false, true, 5 * ms), actions::add);
     }
 }
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -60,7 +60,7 @@
 
     private void begin(long ticket) {
         passes.begin(ticket, new Request(new byte[] {'k'}, new byte[] {'i'}, "c=read,d=9".getBytes(), null, null, 0, 0, false,
-                SECOND, false), 0, id, SECOND);
+                SECOND, false), 0, id, SECOND, Long.MAX_VALUE);
     }
 
     /** Serves the pass that the server's next connection brings. */
@@ -134,6 +134,50 @@
         assertThat(connection.read(ByteBuffer.allocate(9))).isZero();
     }
 
+    /** A repeat is dropped by the server for a while only: beyond that nothing of it may be sent whole, however late it can be written. */
+    @Test
+    void aRepeatThatCouldBeWrittenOnlyAfterItsWindowIsNotSent() throws Exception {
+        passes.begin(1, write(new byte[1]), 0, id, SECOND, now + SECOND / 4);
+        now += SECOND / 4; // its connection comes up just then
+        awaitOutcome();
+        assertThat(told).containsExactly(Outcome.UNSENT);
+        loop.round(1_000_000);
+        SocketChannel connection = server.accept();
+        connection.configureBlocking(false);
+        assertThat(connection.read(ByteBuffer.allocate(9))).isLessThanOrEqualTo(0);
+    }
+
+    @Test
+    void aRepeatOfWhichAPartIsWrittenWhenItsWindowEndsIsCutThere() throws Exception {
+        byte[] value = new byte[4 * 1024 * 1024];
+        passes.begin(1, write(value), 0, id, SECOND, now + SECOND / 4);
+        SocketChannel connection = server.accept();
+        for (int i = 0; i < 50; i++) {
+            loop.round(1_000_000);
+        }
+        assertThat(told).isEmpty();
+        now += SECOND / 4;
+        awaitOutcome();
+        assertThat(told).containsExactly(Outcome.UNSENT);
+        assertThat(dispatched).isZero();
+        assertThat(receivedBytes(connection)).isBetween(1L, value.length - 1L);
+    }
+
+    private static Request write(byte[] value) {
+        return new Request(new byte[] {'k'}, new byte[] {'i'}, "c=put,d=9,k=1".getBytes(), value, null, 0, 0, false, SECOND, false);
+    }
+
+    /** How many bytes come up to the end. */
+    private long receivedBytes(SocketChannel connection) throws Exception {
+        connection.configureBlocking(true);
+        long all = 0;
+        ByteBuffer in = ByteBuffer.allocate(64 * 1024);
+        for (int come = 0; come >= 0; come = connection.read(in.clear())) {
+            all += come;
+        }
+        return all;
+    }
+
     /** They are found when the next pass is about to be written, which goes out once, on another connection. */
     @Test
     void aPassMeetsBytesThatNobodyHasReadYet() throws Exception {
--- a/src/test/java/slateseam/simulate/RulesModelTest.java
+++ b/src/test/java/slateseam/simulate/RulesModelTest.java
@@ -30,7 +30,9 @@
                 known("LATE", "never answers a request that failed"),
                 bug("FOREIGN", change("router/core/Core", "finish(ticket, served);",
                         "finish(ticket, served instanceof Answer.Served ? new Answer.Served(new byte[] {'x'}) : served);")),
-                bug("RESEND KEYED", change("decision/Job", "now - arrivedAt < type.windowNanos()", "true")),
+                // Two guards: when it is sent, and when it is written.
+                bug("RESEND KEYED", change("decision/Job", "now - arrivedAt < type.windowNanos()", "true"),
+                        change("decision/Job", "boolean bound = mayHaveRun && type.effect() == Effect.TOKEN;", "boolean bound = false;")),
                 known("RESEND ONCE", "sends a once-write again that may have run"),
                 bug("TWO_AT_ONCE", change("decision/Job", "return open && attempt == attempts - 1;", "return true;")),
                 bug("ATTEMPTS", change("router/core/Core",
--- a/src/test/java/slateseam/wire/WireTest.java
+++ b/src/test/java/slateseam/wire/WireTest.java
@@ -106,7 +106,7 @@
     @Test
     void goldenReply() {
         Frames.Writer writer = new Frames.Writer();
-        writer.action(3, new Send(0xa578e5d3a91c4L, 0x03124a07L, 80_000_000L));
+        writer.action(3, new Send(0xa578e5d3a91c4L, 0x03124a07L, 80_000_000L, Send.ANY_TIME));
         writer.action(3, new SetTimer(77, 500_000_000L));
         writer.action(5, new Log("two servers known"));
         assertArrayEquals(hex("""
