Take user agents only when discovery has said how the farm is, or has not answered

What the agent has counts from the first moment of a process.

Ruled out: the watch's waits.

Lines at fault: Router's constructor listened at once where a list was known. Now the listener is bound at once, so a port that somebody else holds is named as before, but connections are taken only when the first call to discovery has been answered, has failed, or has had half a second, after which it is given up. Where discovery is asked by the module, and with Kubernetes, all is as it was. An heir in an upgrade that was handed the farm waits likewise, and listens only then.

Cost: a start while discovery is silent takes 0.5 s longer.

--- a/src/main/java/slateseam/rehearse/Rehearsal.java
+++ b/src/main/java/slateseam/rehearse/Rehearsal.java
@@ -49,6 +49,9 @@
             Handover handover = new Handover(folder);
             Features on = features == null ? Features.OFF : Features.read(features, config);
             Router router = new Router(config, on, Router.Place.system(on, handover), clock, new Log("rehearsal", clock, console), console);
+            while (!router.listens()) {
+                router.loop().round(Clock.MILLI);
+            }
             InetSocketAddress address = router.address();
             InetSocketAddress control = router.controlAddress();
             Thread userAgent = new Thread(() -> {
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -144,9 +144,6 @@
         } catch (MalformedException e) {
             log.line("farm-malformed", "the known list was dropped: " + e.getMessage());
         }
-        if (!config.settings().askedDiscovery()) {
-            told.begin();
-        }
         Requests requests = new Requests(core, versions, config.mostHeld());
         listeners.add(new Listener(config.listen(), front.gate(new Commands(requests, lifecycle)), several));
         if (features.multiGet() != null) {
@@ -159,10 +156,16 @@
         served.gauge("concurrent", core::open).gauge("targets", farm::servers).gauge("targets_disabled", core::avoided);
         core.observe(served);
         parts.begin();
-        if (known) {
-            listenNow();
-        } else {
+        if (!heir) {
+            bind(); // what somebody else holds is named before anybody waits
+        }
+        if (!known) {
             loop.after(FARM_NANOS, this::listen);
+        } else if (!told.whenFirstTold(this::listen)) {
+            listenNow();
+        }
+        if (!config.settings().askedDiscovery()) {
+            told.begin();
         }
         parts.observers().forEach(core::observe);
     }
@@ -177,17 +180,22 @@
 
     /** Takes user agents from now on; before that nobody is told that it does. */
     private void listenNow() throws IOException {
+        bind();
+        acceptors.forEach(Acceptor::begin);
+        lifecycle.started();
+    }
+
+    private void bind() throws IOException {
         List<Listener> open = listeners;
         listeners = List.of();
         for (Listener listener : open) {
             acceptors.add(new Acceptor(loop, listener.at(), listener.gate(), listener.several()));
         }
-        lifecycle.started();
     }
 
     private void listen() {
         try {
-            boolean late = !listeners.isEmpty();
+            boolean late = !listens();
             listenNow();
             if (late && lifecycle.takesUserAgents()) {
                 loop.log().line("serving", "at " + address());
@@ -224,6 +232,11 @@
         passes.bound(kept - ofUserAgents);
     }
 
+    /** Whether user agents are taken: not before the farm is known as it is now, or nobody says how it is. */
+    public boolean listens() {
+        return lifecycle.state() != Lifecycle.State.STARTING;
+    }
+
     /** Where user agents connect. */
     public InetSocketAddress address() throws IOException {
         return acceptors.get(0).address();
--- a/src/main/java/slateseam/router/ToldFarm.java
+++ b/src/main/java/slateseam/router/ToldFarm.java
@@ -86,6 +86,18 @@
         return known.members().isEmpty() && kubernetes != null ? kubernetes.known() : known;
     }
 
+    /**
+     * Whether somebody will say at once how the farm is now; calls back when that was said, or when nobody did. Guards what was
+     * told while no process of this router was there: it counts as told from the first moment of this one.
+     */
+    boolean whenFirstTold(Runnable action) {
+        if (watch == null || config.settings().askedDiscovery()) {
+            return false;
+        }
+        watch.whenFirstEnds(action);
+        return true;
+    }
+
     /** Whether the farm is as a process before had it last. */
     boolean wasHanded() {
         return wasHanded;
--- a/src/main/java/slateseam/router/control/Control.java
+++ b/src/main/java/slateseam/router/control/Control.java
@@ -38,6 +38,7 @@
     public Control(Loop loop, InetSocketAddress listen) throws IOException {
         this.loop = loop;
         this.acceptor = new Acceptor(loop, listen, this);
+        acceptor.begin();
     }
 
     /** Where it listens. */
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -32,6 +32,8 @@
     private static final long LATE_MILLIS = 500;
     /** For a call that is answered at once or not at all, with what its connection takes to come up. */
     private static final long AT_ONCE_MILLIS = 1_000;
+    /** For the first call of all, for which a router that starts waits: an agent that is there answers at once. */
+    private static final long FIRST_MILLIS = 500;
     private static final long RETRY_MILLIS = 50;
     /** So many lists in a row that are older than the one held show that discovery counts anew. */
     private static final int OLDER = 3;
@@ -66,6 +68,8 @@
     private final SplittableRandom random;
     private int failures;
     private boolean begun;
+    /** Is called when the first call has ended, however it did; null from then on. */
+    private Runnable firstEnded;
     private boolean listed;
     /** Lists in a row that were older than the one held. */
     private int older;
@@ -83,6 +87,19 @@
         this.listener = listener;
     }
 
+    /** Calls back once, when the first call is answered or has failed. */
+    public void whenFirstEnds(Runnable action) {
+        firstEnded = action;
+    }
+
+    private void firstEnds() {
+        Runnable action = firstEnded;
+        firstEnded = null;
+        if (action != null) {
+            action.run();
+        }
+    }
+
     /** Begins, with the whole list first; a watch that goes on already is left alone. */
     @Override
     public void begin() {
@@ -123,7 +140,7 @@
     private void connect(boolean proven) {
         try {
             call = new Call(proven);
-            lateAfter(AT_ONCE_MILLIS);
+            lateAfter(firstEnded == null ? AT_ONCE_MILLIS : FIRST_MILLIS);
         } catch (IOException e) {
             failed(Failure.AWAY, e.toString());
         }
@@ -144,6 +161,7 @@
         loop.cancel(next);
         loop.log().line("farm-unreachable", why);
         next = loop.after(waitNanos(failure), this::connect);
+        firstEnds();
     }
 
     /**
@@ -228,6 +246,7 @@
                 connect(true);
             }
             listener.accept(changed);
+            firstEnds();
         }
 
         private static JSONObject parse(HttpReply reply) throws MalformedException {
--- a/src/main/java/slateseam/router/tap/Tap.java
+++ b/src/main/java/slateseam/router/tap/Tap.java
@@ -52,6 +52,7 @@
         this.random = new SplittableRandom(seed);
         this.watchers = new Slots<>(2 * mostWatchers);
         this.acceptor = new Acceptor(loop, listen, this, shared);
+        acceptor.begin();
     }
 
     /** Where it listens. */
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -32,8 +32,10 @@
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private boolean closed;
+    /** Whether connections are taken from the system's queue; they wait there before. */
+    private boolean begun;
 
-    /** Listens at an address. */
+    /** Listens at an address; connections are taken once it has begun. */
     public Acceptor(Loop loop, InetSocketAddress listen, Gate gate) throws IOException {
         this(loop, listen, gate, false);
     }
@@ -52,10 +54,16 @@
             // There may be three listeners: whoever reads this must know which.
             throw new IOException("cannot listen at " + listen + ": " + e.getMessage(), e);
         }
-        this.key = loop.register(channel, SelectionKey.OP_ACCEPT, ready -> accept());
+        this.key = loop.register(channel, 0, ready -> accept());
         gate.onRoom(this::resume);
     }
 
+    /** Takes connections from now on. */
+    public void begin() {
+        begun = true;
+        resume();
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() throws IOException {
         return (InetSocketAddress) channel.getLocalAddress();
@@ -107,7 +115,7 @@
     }
 
     private void resume() {
-        if (!closed) {
+        if (!closed && begun) {
             key.interestOps(SelectionKey.OP_ACCEPT);
         }
     }
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -41,6 +41,8 @@
  * {@code setting NAME VALUE}, a line of the settings file, {@code given NAME TEXT}, a file that is there at the start,
  * and {@code define NAME TEXT}, which stands for {@code {NAME}} in what follows.
  *
+ * <p>Where no step names discovery, it tells the router what that knows already, once.
+ *
  * <p>WHO is a server of the configuration or, with any other name, a user agent, which connects on its first line: to
  * the listener for many values if its name begins with {@code mget}, to the tap with {@code tap}, to the second address
  * with {@code call}. A server takes its
@@ -54,6 +56,7 @@
     private static final Pattern LONG = Pattern.compile("\\{(\\d+) (.)}");
     private static final List<String> SERVERS = List.of("s1", "s2", "origin", "discovery", "discovery2");
 
+    private static final String WHOLE_LIST = "GET /api/targets HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n";
     private static final Pattern CHUNK = Pattern.compile("\\{chunk}(.*?)\\{end}", Pattern.DOTALL);
     private static final List<String> BEFORE = List.of("config ", "setting ", "given ", "define ");
 
@@ -96,6 +99,17 @@
         Features features = Features.read(settings("", ""), node);
         router = new Router(node, features, () -> now,
                 new Log("n0", () -> now, console), console);
+        if (!router.listens() && steps.stream().noneMatch(line -> line.startsWith("discovery"))) {
+            tellKnown(node.known().toString());
+        }
+    }
+
+    /** A discovery that the exchange says nothing of tells what the router knows already, and then nothing more. */
+    private void tellKnown(String list) throws IOException {
+        channels.remove("discovery");
+        assertThat(read("discovery", WHOLE_LIST.length())).isEqualTo(text(WHOLE_LIST.getBytes(StandardCharsets.US_ASCII)));
+        write(channel("discovery"), ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                .getBytes(StandardCharsets.US_ASCII));
     }
 
     private static List<String> repeated(List<String> lines) {
@@ -269,6 +283,9 @@
     }
 
     private SocketChannel connect(String who) throws IOException {
+        for (int i = 0; !router.listens() && i < MOST_ROUNDS; i++) {
+            round();
+        }
         SocketChannel channel = SocketChannel.open();
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true); // or a second part waits until the first is acknowledged
         if (who.startsWith("tap")) {
