Answer all that a planned end takes before the process may be killed, and end every connection

SIGKILL may come the longest deadline (3 s at most) and 0.7 s after SIGTERM; what came more than 0.7 s after SIGTERM and has no answer then is lost. Connections with a request open stay and take further commands (UserAgent.mayBegin), each of which had all its own time, 4 s in service, behind others' answers; and the process stopped by a clock of its own (Router.close, the longest answer after the linger), cutting connections on which commands came all the while.

Now Core.answerBy bounds it: from SIGTERM on nothing has longer than until 0.1 s before the earliest kill, so the module refuses or fails it in time; what was open before is given up then; from then on no connection takes a further command, each ends its sending behind what it has begun and throws away what comes (UserAgent.finish), and the process stops 1.1 s later at the latest.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -44,6 +44,12 @@
     private static final int HELD_PART = 3;
     /** New connections come for up to 0.4 s after a planned end is announced. */
     private static final long LINGER_NANOS = 550_000_000L;
+    /** It is killed no sooner than after the longest deadline, counted as this where it is longer, and what it may still take. */
+    private static final long LONGEST_NANOS = 3_000_000_000L;
+    /** Requests that come so long after a planned end began may be its own; somewhat less, as answers need their time. */
+    private static final long TAKEN_NANOS = 600_000_000L;
+    /** Connections that take no more commands have so long to end. */
+    private static final long ENDING_NANOS = 1_100_000_000L;
     /** One that is to take over waits so long for discovery before it takes user agents. */
     private static final long FARM_NANOS = 2_000_000_000L;
 
@@ -332,6 +338,10 @@
     public void end() {
         loop.handOver(() -> {
             if (lifecycle.end()) {
+                long left = Math.min(longestNanos, LONGEST_NANOS) + TAKEN_NANOS;
+                core.answerBy(loop.now() + left);
+                loop.after(left, front::finish);
+                loop.after(left + ENDING_NANOS, this::stop);
                 if (upgrade != null && upgrade.ends()) {
                     handOver();
                 } else {
@@ -369,8 +379,6 @@
         front.onClose(this::stopWhenEmpty);
         lifecycle.close();
         stopWhenEmpty();
-        // Guards against a user agent that never finishes its command: by then every answer is out.
-        loop.after(longestNanos, this::stop);
     }
 
     private void stopWhenEmpty() {
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -51,6 +51,7 @@
         final Request request;
         final Front front;
         final long exchange;
+        final long begunAt;
         final long deadline;
         long ticket;
         Deadline overdue;
@@ -58,23 +59,28 @@
         /** Whether its last attempt went to the origin. */
         boolean atOrigin;
 
-        Slot(Request request, Front front, long exchange, long deadline) {
+        Slot(Request request, Front front, long exchange, long begunAt, long ttlNanos) {
             this.request = request;
             this.front = front;
             this.exchange = exchange;
-            this.deadline = deadline;
+            this.begunAt = begunAt;
+            this.deadline = begunAt + ttlNanos;
         }
 
         /** Guards the rule that every request gets its answer in time, should the module ever leave one out. */
         @Override
         public void run() {
             loop.log().line("overdue", "the module left a request without an answer");
+            giveUp();
+        }
+
+        void giveUp() {
             finish(ticket, new Answer.Failed());
             happened(new ClientGone(ticket));
         }
 
         long openFor(long now) {
-            return now - (deadline - request.ttlNanos());
+            return now - begunAt;
         }
 
         Ending ending(Answer answer) {
@@ -97,6 +103,8 @@
     private final List<RequestObserver> observers = new ArrayList<>();
     private BooleanSupplier mayServe = () -> true;
     private boolean handling;
+    /** When this process may be killed: every answer is out before that. */
+    private long answersBy = Long.MAX_VALUE;
     /** Of values to be written, so that they cannot fill the heap. */
     private final long mostHeldBytes;
     private long heldBytes;
@@ -126,6 +134,15 @@
         mayServe = may;
     }
 
+    /**
+     * Every answer is out by then: what comes from now on has no more time than that, and what came before is given up then.
+     * Guards what a process that is told to end still takes: it is killed a while later.
+     */
+    public void answerBy(long at) {
+        answersBy = at;
+        loop.after(at - loop.now(), () -> slots.all().forEach(Slot::giveUp));
+    }
+
     /** Tells an observer of each request that ends from now on. */
     public void observe(RequestObserver observer) {
         observers.add(observer);
@@ -162,19 +179,21 @@
 
     @Override
     public long arrived(Request request, Front front, long exchange) {
-        if (!mayServe.getAsBoolean() || slots.isFull() || heldBytes + request.valueBytes() > mostHeldBytes) {
+        long now = loop.now();
+        long ttl = Math.min(request.ttlNanos(), answersBy - now);
+        if (!mayServe.getAsBoolean() || ttl <= 0 && ttl < request.ttlNanos() || slots.isFull() || heldBytes + request.valueBytes() > mostHeldBytes) {
             front.answer(exchange, new Answer.Unavailable(request.version().settings().limits().maxRetryAfterNanos()));
             tell(request, Ending.UNAVAILABLE, 0);
             return -1;
         }
-        Slot slot = new Slot(request, front, exchange, loop.now() + request.ttlNanos());
+        Slot slot = new Slot(request, front, exchange, now, ttl);
         long ticket = slots.add(slot);
         slot.ticket = ticket;
         heldBytes += request.valueBytes();
         versions.begun(request.requestClass());
-        slot.overdue = loop.after(request.ttlNanos() + request.version().settings().rules().answerSlackNanos(), slot);
+        slot.overdue = loop.after(ttl + request.version().settings().rules().answerSlackNanos(), slot);
         happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.type(),
-                request.isWrite(), request.repeated(), 0, request.ttlNanos()));
+                request.isWrite(), request.repeated(), 0, ttl));
         return ticket;
     }
 
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -172,6 +172,11 @@
         userAgents.all().forEach(UserAgent::closeWhenDone);
     }
 
+    /** Takes no further command on any connection; each ends behind what it has begun. */
+    public void finish() {
+        userAgents.all().forEach(UserAgent::finish);
+    }
+
     boolean isClosing() {
         return !lifecycle.keepsConnections();
     }
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -336,16 +336,28 @@
         }
     }
 
-    @Override
-    protected void malformed(MalformedException e) {
-        loop().log().line("user-agent-malformed", e.getMessage());
-        cause = Cause.MALFORMED;
+    /** Takes no further command: what comes now its user agent sends once more, elsewhere. */
+    void finish() {
+        if (state != State.END && !last) {
+            takeNoMore(Cause.PLANNED);
+            closeWhenDone();
+        }
+    }
+
+    private void takeNoMore(Cause why) {
+        cause = why;
         last = true;
         half = false;
         ignoreInput();
         if (isPartial()) {
             inOrder.pollLast().withdraw();
         }
+    }
+
+    @Override
+    protected void malformed(MalformedException e) {
+        loop().log().line("user-agent-malformed", e.getMessage());
+        takeNoMore(Cause.MALFORMED);
         inOrder.add(Exchange.answered(Replies.line("-ERR protocol error: " + e.getMessage())));
         flushAnswers();
     }
