Begin the bucket of a cold cache with one window's tokens, so the ramp holds for a fleet

Brain.Server.admits refilled the bucket from time 0 at its first call, so it was full when a cache was first seen and after each restart of a router: one request for each router in one instant, whatever the budget. With the rates of a hundred routers, 118 requests in a window in which 36 are the budget and 50 is chance (ColdBucketTest with the old beginning; 4, 20 and 30 routers were within it).

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -48,6 +48,7 @@
 
     private Settings settings;
     private final SplittableRandom random;
+    private final long salt;
     private long eject;
     private final Fleet fleet = new Fleet();
     private final Supply supply;
@@ -58,6 +59,7 @@
     /** Creates the router's instance. */
     public Brain(Settings settings, long seed) {
         random = new SplittableRandom(seed);
+        salt = JumpHash.mix(seed);
         retune(settings);
         supply = new Supply();
     }
@@ -108,12 +110,13 @@
     /** A member's health and load, as far as this router can tell. */
     private final class Server extends Health {
         Member member;
-        long crowdedUntil, coldSeen;
-        double coldTokens;
+        long crowdedUntil;
+        final ColdBucket bucket;
 
         Server(Member member) {
             super(START_WINDOW, eject);
             this.member = member;
+            bucket = new ColdBucket(JumpHash.unit(JumpHash.mix(member.id() ^ salt)));
         }
 
         long id() { return member.id(); }
@@ -199,10 +202,7 @@
             if (warmth >= 1) return true;
             double rate = requests.arrivals.perSecond() * warmth * COLD_PART
                     * settings.rules().overloadFactor() / Math.max(1, fleet.readyCaches);
-            double most = Math.max(1, rate * settings.rules().fallNanos() / (4 * SECOND));
-            coldTokens = Math.min(most, coldTokens + rate * (now - coldSeen) / SECOND);
-            coldSeen = now;
-            return coldTokens >= 1 && coldTokens-- >= 1;
+            return bucket.take(rate, settings.rules().fallNanos(), now);
         }
     }
 
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -181,7 +181,8 @@
     public long arrived(Request request, Front front, long exchange) {
         long now = loop.now();
         long ttl = Math.min(request.ttlNanos(), answersBy - now);
-        if (!mayServe.getAsBoolean() || ttl <= 0 && ttl < request.ttlNanos() || slots.isFull() || heldBytes + request.valueBytes() > mostHeldBytes) {
+        boolean ended = answersBy <= now;
+        if (!mayServe.getAsBoolean() || slots.isFull() || ended || heldBytes + request.valueBytes() > mostHeldBytes) {
             front.answer(exchange, new Answer.Unavailable(request.version().settings().limits().maxRetryAfterNanos()));
             tell(request, Ending.UNAVAILABLE, 0);
             return -1;
