--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -179,7 +179,10 @@
         return !paused || ignoring || input.position() < ahead;
     }
 
-    /** Stops or goes on with handing out what comes, and but for what is read ahead with reading. What lies in the buffer already is handed out again when reading goes on. */
+    /**
+     * Stops or goes on with handing out what comes, and but for what is read ahead with reading. What lies in the buffer already is
+     * handed out when that goes on.
+     */
     protected final void pause(boolean stop) {
         if (paused != stop && !closed && !lingering) {
             paused = stop;
