Test that idle user agents leave room for discovery, servers and who asks

A process under `ulimit -n 128`, with discovery refused, gets three times its limit of idle connections; then discovery comes up, its call comes, a request on a new connection goes to the server that was told, and is answered. It held at once, so nothing was changed. That the loop does not spin meanwhile is not measured.

--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -105,6 +105,54 @@
                 "HdrHistogram", "commons.rng");
     }
 
+    /**
+     * Idle user agents hold all the descriptors that they may while discovery is away: it is found when it is back, and one that
+     * asks on a new connection is served.
+     */
+    @Test
+    void idleUserAgentsLeaveRoomForDiscoveryForServersAndForWhoAsks() throws Exception {
+        int limit = 128;
+        List<Socket> idle = new ArrayList<>();
+        try (ServerSocket cache = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            int away;
+            try (ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                away = reserved.getLocalPort();
+            }
+            String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
+                    .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []").replaceFirst("\"sockets\": *\\d+", "\"sockets\": " + limit)
+                    .replaceFirst("(\"discovery\": *\")127[^\"]*", "$1127.0.0.1:" + away);
+            Path file = Files.writeString(dir.resolve("config.json"), config);
+            launch(new ProcessBuilder("sh", "-c", "ulimit -n " + limit + "; exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                    + "' -cp '" + System.getProperty("java.class.path") + "' slateseam.Main serve --config '" + file + "'"));
+            String serving = line("example: serving: at ");
+            int port = Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1));
+            for (int i = 0; i < 3 * limit; i++) {
+                idle.add(new Socket("127.0.0.1", port));
+            }
+            try (ServerSocket discovery = new ServerSocket(away, 1, InetAddress.getLoopbackAddress())) {
+                discovery.setSoTimeout(10_000);
+                Socket call = discovery.accept();
+                String list = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"c1\",\"dial\":\"127.0.0.1:" + cache.getLocalPort()
+                        + "\",\"site\":\"here\",\"class\":\"box\",\"block\":0,\"health\":\"ready\",\"share\":1,\"born_ms\":0}]}";
+                call.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.ISO_8859_1));
+                socket = new Socket("127.0.0.1", port);
+                socket.setSoTimeout(10_000);
+                ask("CACHE.GET", "key", "id", "c=read,t=acme,d=9000");
+                cache.setSoTimeout(10_000);
+                Socket pass = cache.accept();
+                assertThat(pass.getInputStream().read()).isEqualTo('*');
+                pass.getOutputStream().write("*1\r\n$5\r\nvalue\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                assertThat(answers.readLine()).isEqualTo("$5");
+            }
+        } finally {
+            for (Socket one : idle) {
+                one.close();
+            }
+        }
+    }
+
     @Test
     void aPortThatSomebodyElseHoldsIsNamed() throws Exception {
         try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
