Hold routers to a client's end behind commands that wait, in the checker too

The checker excused a router that had fifteen commands of a connection ahead, or answers that were not read: it might not see the end of its user agent. Since it reads on (up to 256 KiB) that excuse is gone; 256 KiB unread is the only one left.

--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -8,8 +8,8 @@
 final class UserWire {
     /** For how long what was written must lie unread until the user agent counts as one that does not read. */
     private static final long UNREAD_NANOS = 500_000_000L;
-    /** A router may stop reading while it has so many commands of one connection, and so not see its end. */
-    private static final int MOST_AT_ONCE = 15;
+    /** A router reads so much ahead of what it has begun, and so sees an end behind that. */
+    private static final long SEEN_BYTES = 256 * 1024;
     private static final String PROTOCOL_ERROR = "ERR protocol error";
 
     /** A whole command; the request is null if it is none, or one that the router must turn down. */
@@ -214,7 +214,7 @@
 
     /** The user agent has gone away: nothing is owed to it any more, though the router may not know yet. */
     void left() {
-        boolean heard = pending.size() <= MOST_AT_ONCE && !isUnread();
+        boolean heard = in.consumed() + in.size() - readTo < SEEN_BYTES;
         for (Command command : pending) {
             if (heard && command.asked != null && command.asked.isOpen()) {
                 command.asked.leftAt = report.now();
