Tell the origin the time that is left, not the client's whole wait

Cause: HttpOrigin.command took waitMillis and did not use it: X-Facts carried the list as it came, d included, so a fetch behind a slow cache server, one that waited for the budget, or a repeat told the origin more than was left. Ruled out: cache servers, which got Facts.withTimeLeft all along (RespServer).

Tests: exchange origin-time-left (a fetch behind a slow cache server, 1,180 of 1,480 ms; a fetch that waited 30 ms for the budget) fails without the mend with d=1480. The exchanges origin-no-length and planned-end-killed held the fault itself: a write repeated after 260 ms was recorded with d=800, one taken 1 s into a planned end with d=4000 of the 2,600 ms left. They now hold 540 and 2600, as strict as before.

--- a/src/main/java/slateseam/router/pass/HttpOrigin.java
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -7,6 +7,7 @@
 import slateseam.router.net.HttpHead;
 import slateseam.router.net.HttpReply;
 import slateseam.router.net.MalformedException;
+import slateseam.router.request.Facts;
 import slateseam.router.request.Request;
 
 /** HTTP/1.1, as the origin speaks it. */
@@ -21,7 +22,7 @@
     public ByteBuffer[] command(Request request, long waitMillis) {
         StringBuilder head = head(request.isWrite() ? "PUT" : "GET", "/" + text(request.key()));
         head.append("X-Correlation-Id: ").append(text(request.id())).append("\r\nX-Facts: ")
-                .append(text(request.facts())).append("\r\n");
+                .append(text(Facts.withTimeLeft(request.facts(), waitMillis))).append("\r\n");
         if (!request.isWrite()) {
             return new ByteBuffer[] {bytes(head.append("\r\n"))};
         }
