Divide Brain by concern into top-level classes of the decision package

Brain keeps the path of a request: which server, whether it is tried again, whether it is refused. Out of it came, each a package-private class with its own constants: Cluster (member list and a key's server), SlotTable, SlowStart (cold servers), OutlierDetection (windows and ejection), UpstreamServer, HotKeys, SharedBudgets (the ring's exchange), OriginRate (what the origin bears), AdmissionControl, RequestTable, DiscoverySubscription, TrafficStats, DecisionContext and Timing. Formulas, their order and the order of drawn numbers are as they were.

Tests: names that tests look up by reflection follow the code. Two checks of BoundsTest that named tables which must be empty now ask that all tables of RequestTable are, which holds after a rename too. A planted bug finds its place whatever the layout of the file, still exactly once.

--- a/src/main/java/slateseam/decision/ColdBucket.java
+++ b/src/main/java/slateseam/decision/ColdBucket.java
@@ -6,7 +6,7 @@
  *
  * <p>With a rate of r tokens a second and a window of W it holds at most a quarter of a window's tokens, but one where that is
  * less, and it begins with those of one window and a drawn part of one. As the rates add up to half of what the cache bears in a
- * window ({@link Brain} sets them so, for caches at full load), all routers together send at most the whole of it in the first
+ * window ({@link SlowStart} sets them so, for caches at full load), all routers together send at most the whole of it in the first
  * window, whatever they want to send, but for chance. A bucket that is full when its cache is first seen, as one that begins
  * anew with its router, lets through one for each router in one instant, however many there are.
  *
--- a/src/main/java/slateseam/decision/FarmHealth.java
+++ b/src/main/java/slateseam/decision/FarmHealth.java
@@ -4,7 +4,7 @@
 
 /**
  * What happens to the ready caches of the farm at the same time, so that none is blamed for what befalls most of them.
- * It counts; {@link Brain} decides. As many entries as the list has ready caches; each count looks at all of them.
+ * It counts; {@link OutlierDetection} decides. As many entries as the list has ready caches; each count looks at all of them.
  */
 final class FarmHealth {
     private List<? extends Health> caches = List.of();
--- a/src/main/java/slateseam/decision/FetchTimes.java
+++ b/src/main/java/slateseam/decision/FetchTimes.java
@@ -2,7 +2,7 @@
 
 /**
  * What fetches tell of the origin: how long they take lately, how long as a rule, and how many of them are lost. It
- * says what is slow; {@link Brain} decides what follows. Times are in nanoseconds.
+ * says what is slow; {@link OriginRate} decides what follows. Times are in nanoseconds.
  */
 final class FetchTimes {
     private static final double SLOW = 2.5;
--- a/src/main/java/slateseam/decision/Health.java
+++ b/src/main/java/slateseam/decision/Health.java
@@ -2,7 +2,7 @@
 
 /**
  * How a member fares with this router: what it has out there, how it failed of late, and its window, which is how
- * much it may have out at once. It counts and keeps times; {@link Brain} decides what follows. Times are in
+ * much it may have out at once. It counts and keeps times; {@link OutlierDetection} decides what follows. Times are in
  * nanoseconds of the module's clock, 0 is never.
  */
 class Health {
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -47,6 +47,11 @@
         return open && attempt == attempts - 1;
     }
 
+    /** Whether it may be tried so many times more. */
+    boolean mayTry(int times) {
+        return attempts + times <= most;
+    }
+
     /** Whether it may be sent once more though an attempt of it may have run. */
     boolean repeatable(long now) {
         return repeatsAreHarmless() && (type.effect() == Effect.PURE || now - arrivedAt < type.windowNanos());
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -8,7 +8,7 @@
 
 /**
  * What this router and one ring neighbour have moved between them, and what it holds for the neighbour while that is
- * away. It keeps the books; {@link Brain} decides how much moves.
+ * away. It keeps the books; {@link SharedBudgets} decides how much moves.
  *
  * <p>A router's own supply is an even share of the whole and what its two ledgers say. A ledger is one total for each
  * account, held by both ends, and so outlives the restart of either: the one that starts takes over what the other has,
@@ -18,7 +18,7 @@
  * <ul>
  * <li>On each ledger the giving end debits before the taking end credits. Own supplies therefore never add up to more
  * than the whole, and to less only by what is on its way: at most one movement a ledger.
- * <li>A router that starts uses nothing before its neighbours have answered, or until Brain no longer waits for them.
+ * <li>A router that starts uses nothing before its neighbours have answered, or until SharedBudgets no longer waits for them.
  * In the second case it may use, until they do answer, what its earlier life had given them on balance, and what its
  * buddy still holds for it.
  * <li>While a router is away its buddy holds its supply as last told. That can differ from the ledgers by what the
--- /dev/null
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -0,0 +1,227 @@
+package slateseam.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import slateseam.decision.Api.PeerMessage;
+import slateseam.decision.Api.TellPeer;
+import slateseam.decision.Api.TierSeen;
+
+/** The origin's budget and the tenants' shares, moved between ring neighbours by the fill-ratio gap. */
+final class SharedBudgets {
+    /** Usual pauses of a dead neighbour, more than chance loses. */
+    private static final int SILENCE = 4;
+    /** The paper's 1/(2d) with d = 2; here scaled by demand. */
+    private static final double ETA = 0.25;
+    /** The first R, fetches a second for each router; then learned. */
+    private static final double START_RATE = 40;
+    private static final double BURST_SECONDS = 0.25;
+    /** A tenant's burst, by the origin's. */
+    private static final double TENANT_BURST = 6;
+    /** Of a neighbour's counts of keys: some eight routers pool theirs. */
+    private static final double PASSED_ON = 0.7;
+    /** What a neighbour's R weighs. */
+    private static final double RATE_WEIGHT = 0.25;
+    /** Requests that bear the cost of one exchange. */
+    private static final double REQUESTS_AN_EXCHANGE = 5;
+    private static final long START = 2 * Timing.SECOND;
+    private final DecisionContext context;
+    private final TrafficStats traffic;
+    private final KeyCounts keys;
+    private final int evenShare;
+    private final Account origin;
+    private final OriginRate originRate;
+    private final List<Account> accounts = new ArrayList<>();
+    private final List<Neighbour> neighbours = new ArrayList<>();
+    /** Whether it uses its supply: not before its buddy has heard that it is there. */
+    private boolean joined;
+    private boolean resting;
+    private int life;
+    private int busyIntervals;
+    private long startedAt;
+    private long lastTick;
+    private long nextInterval;
+
+    SharedBudgets(DecisionContext context, TrafficStats traffic, KeyCounts keys) {
+        this.context = context;
+        this.traffic = traffic;
+        this.keys = keys;
+        int routers = context.settings().routers();
+        evenShare = Account.WHOLE / routers;
+        origin = new Account(START_RATE * routers, evenShare);
+        originRate = new OriginRate(context, origin, evenShare);
+        accounts.add(origin);
+        context.settings().tenants().stream().limit(SupplyMessage.MOST_ACCOUNTS - 1)
+                .forEach(tenant -> accounts.add(new Account(tenant.quotaPerSecond(), evenShare)));
+    }
+
+    OriginRate originRate() {
+        return originRate;
+    }
+
+    void start() {
+        long now = context.now();
+        startedAt = now;
+        lastTick = now;
+        nextInterval = now + Timing.INTERVAL;
+        life = (int) (now / (Timing.SECOND / 1000));
+        if (life == 0) {
+            life = 1;
+        }
+        int me = context.settings().me();
+        int routers = context.settings().routers();
+        boolean peers = context.settings().limits().peers();
+        if (routers > 1 && peers) {
+            meet((me + 1) % routers);
+        }
+        if (routers > 2 && peers) {
+            meet((me + routers - 1) % routers);
+        }
+        joined = neighbours.isEmpty();
+    }
+
+    /** Guards against a supply that two processes of one router use at once: one of them rests. */
+    void rest(boolean rests) {
+        resting = rests;
+        if (rests) {
+            return;
+        }
+        neighbours.clear();
+        busyIntervals = 0;
+        start();
+    }
+
+    void seen(TierSeen event) {
+        neighbours.forEach(neighbour -> neighbour.seen(event));
+    }
+
+    private void meet(int peer) {
+        long now = context.now();
+        Neighbour neighbour =
+                new Neighbour(context.settings().me(), context.settings().routers(), peer, accounts, now);
+        neighbours.add(neighbour);
+        neighbour.asked(now);
+        send(neighbour, true);
+    }
+
+    /** Until it has seen what is asked for here, nothing moves by a demand that is only the floor. */
+    private boolean starting() {
+        return busyIntervals < 2 && context.now() - startedAt < START;
+    }
+
+    private void send(Neighbour to, boolean ask) {
+        var popular = keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON);
+        SupplyMessage message = to.message(ask, starting(), life, origin.rate, popular);
+        context.emit(new TellPeer(to.peer, message.encode()));
+    }
+
+    void received(PeerMessage event) {
+        SupplyMessage message = SupplyMessage.decode(event.payload(), accounts.size());
+        for (Neighbour neighbour : neighbours) {
+            if (neighbour.peer != event.from()) {
+                continue;
+            }
+            if (message != null) {
+                received(neighbour, message);
+            } else {
+                neighbour.isThere(context.now()); // of another build: what it says is passed over
+            }
+        }
+    }
+
+    private void received(Neighbour from, SupplyMessage message) {
+        // Guards against a clock set back between two lives: this must be the later.
+        if (message.to() != 0 && message.to() - life > 0) {
+            life = message.to() + 1 == 0 ? 1 : message.to() + 1;
+        }
+        boolean knew = from.known();
+        boolean news = from.hear(message, life, context.now());
+        if (news) {
+            take(from, message, knew);
+        }
+        if (message.ask() && (news || message.from() != from.life())) {
+            send(from, false);
+        }
+    }
+
+    private void take(Neighbour from, SupplyMessage message, boolean knew) {
+        // Neighbours learn R together, each from few fetches; a new one takes it over.
+        double part = !message.known() ? 0 : !knew && starting() ? 1 : RATE_WEIGHT;
+        origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(message.rate(), part);
+        keys.hear(from.peer, message.popular());
+        joined |= neighbours.stream().allMatch(Neighbour::answered);
+        for (int a = 0; a < accounts.size() && from.mayMove() && !starting(); a++) {
+            from.move(a, wanted(accounts.get(a), message.held()[a], message.demand()[a]));
+        }
+    }
+
+    /** What is to move to the neighbour, by the fill-ratio gap. */
+    private int wanted(Account own, int theirs, double theirDemand) {
+        double demand = own.demand.perSecond();
+        double gap = own.held() / demand - theirs / theirDemand;
+        return (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
+    }
+
+    /** Adds the supply since the last time. */
+    void accrue() {
+        long now = context.now();
+        joined |= now - startedAt >= Timing.INTERVAL;
+        for (Account account : accounts) {
+            double burst = Math.max(1, account.supply() * BURST_SECONDS) * (account == origin ? 1 : TENANT_BURST);
+            if (joined && !resting) {
+                account.accrue((double) (now - lastTick) / Timing.SECOND, burst);
+            }
+        }
+        lastTick = now;
+    }
+
+    /** Whether an interval is over. */
+    boolean intervalIsOver() {
+        return context.now() >= nextInterval;
+    }
+
+    void endInterval() {
+        nextInterval = context.now() + Timing.INTERVAL;
+        if (traffic.arrivals.isKnown()) {
+            busyIntervals++;
+        }
+        accounts.forEach(a -> a.demand.endInterval(Timing.INTERVAL_SECONDS, Timing.DEMAND_WEIGHT));
+        originRate.endInterval(resting);
+    }
+
+    /** Asks those neighbours that are to be asked again, and inherits from one that has vanished. */
+    void exchange() {
+        if (resting) {
+            return;
+        }
+        long now = context.now();
+        double bearable = REQUESTS_AN_EXCHANGE * Timing.SECOND / traffic.arrivals.perSecond();
+        long usual = (long) Math.max(Timing.INTERVAL, Math.min(Timing.SECOND, bearable));
+        for (Neighbour neighbour : neighbours) {
+            neighbour.look(now);
+            boolean doubt = neighbour.missed(SILENCE / 2, now) || !joined && !neighbour.answered();
+            if (now - neighbour.askedAt() < (doubt ? Timing.INTERVAL / 5 : usual)) {
+                continue;
+            }
+            if (neighbour.vanished(SILENCE, now)) {
+                neighbour.inherit();
+            }
+            neighbour.asked(now);
+            if (neighbour.lower || doubt || !neighbour.known()) {
+                send(neighbour, true);
+            }
+        }
+    }
+
+    /** Counts a request of the origin, whether or not there is supply for it. */
+    void countOriginDemand() {
+        origin.demand.count();
+    }
+
+    /** Guards against turning work away because the ring has not yet brought the share that it is due. */
+    boolean exceedsShare(int tenant) {
+        int index = tenant + 1;
+        Account account = index < accounts.size() ? accounts.get(index) : null;
+        return account != null && !account.ask() && account.held() > evenShare / 16
+                && context.now() - startedAt > START;
+    }
+}
--- a/src/test/java/slateseam/decision/BoundsTest.java
+++ b/src/test/java/slateseam/decision/BoundsTest.java
@@ -37,12 +37,11 @@
             w.pass(10 * MS);
             w.actions.clear();
         }
-        assertThat(size(w, "requests", "held")).as("two minutes of 100 requests a second that wait for 0.5 s")
+        assertThat(size(w, "requests", "awaitingSupply")).as("two minutes of 100 requests a second that wait for 0.5 s")
                 .isLessThan(200);
         w.pass(2_000 * MS);
         assertThat(Census.of(SupplyTest.field(w.brain, "requests"), MODULE)).as("queues of requests, when all have their answer")
-                .doesNotContainKeys("Requests.jobs", "Requests.byGiveUp", "Requests.waiting", "Requests.held",
-                        "Requests.roomless", "Requests.fetches");
+                .isEmpty();
     }
 
     /** Guards housekeeping on a busy router: what was served at once stayed in the order of deadlines for half its time. */
@@ -53,8 +52,7 @@
             w.homeOf(1_000 + i % 7);
             w.actions.clear();
         }
-        assertThat(Census.of(SupplyTest.field(w.brain, "requests"), MODULE))
-                .doesNotContainKeys("Requests.jobs", "Requests.byGiveUp", "Requests.held");
+        assertThat(Census.of(SupplyTest.field(w.brain, "requests"), MODULE)).isEmpty();
     }
 
     /** Demand that goes round the ring takes supply with it, and the ledgers' totals pass the end of their numbers. */
@@ -79,7 +77,7 @@
 
     @SuppressWarnings("unchecked")
     private static List<Neighbour> neighbours(World w) {
-        return (List<Neighbour>) SupplyTest.field(w.brain, "supply", "neighbours");
+        return (List<Neighbour>) SupplyTest.field(w.brain, "budgets", "neighbours");
     }
 
     /** Guards a tenant's share against names that were never seen: under each of them everything would be within share. */
@@ -112,7 +110,7 @@
             w.homeOf(i);
             w.actions.clear();
         }
-        assertThat((Map<?, ?>) SupplyTest.field(w.brain, "fleet", "servers")).hasSize(6);
+        assertThat((Map<?, ?>) SupplyTest.field(w.brain, "cluster", "servers")).hasSize(6);
     }
 
     /** A tenant that asks only for new keys: the table of counts is full at its bound, and what is popular still counts. */
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -246,7 +246,7 @@
             }
         }
         assertTrue(moved < 200 * 20, moved + " of 20000 keys left a cache that was there");
-        assertEquals(11, ((Map<?, ?>) SupplyTest.field(w.brain, "fleet", "servers")).size());
+        assertEquals(11, ((Map<?, ?>) SupplyTest.field(w.brain, "cluster", "servers")).size());
     }
 
     @Test
--- a/src/test/java/slateseam/decision/Ring.java
+++ b/src/test/java/slateseam/decision/Ring.java
@@ -127,7 +127,7 @@
     /** What a router may use of an account; nothing while it is away or waits for its neighbours. */
     int held(int router, int account) {
         World w = routers[router];
-        boolean joined = w != null && (boolean) SupplyTest.field(w.brain, "supply", "joined");
+        boolean joined = w != null && (boolean) SupplyTest.field(w.brain, "budgets", "joined");
         return joined ? SupplyTest.accounts(w.brain).get(account).held() : 0;
     }
 
--- a/src/test/java/slateseam/decision/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -14,7 +14,7 @@
 class SupplyTest {
     @SuppressWarnings("unchecked")
     static List<Account> accounts(Brain brain) {
-        return (List<Account>) field(brain, "supply", "accounts");
+        return (List<Account>) field(brain, "budgets", "accounts");
     }
 
     /** What the module holds under these names, one within the other. */
@@ -91,7 +91,7 @@
     void aRouterWithoutItsShareBlamesNeitherTheOriginNorTheTenants() {
         World w = new World(World.settings(0, 2, false, List.of(new Tenant("t", 2, 1))), 3);
         w.fleet(10);
-        int to = (int) field(w.brain, "supply", "life");
+        int to = (int) field(w.brain, "budgets", "life");
         int[] all = {Account.WHOLE / 2, Account.WHOLE / 2};
         w.on(new PeerMessage(1, new SupplyMessage(false, true, false, 5, to, 1, 0, 40, all, new int[2], new int[2],
                 new double[] {1, 1}, Map.of()).encode()));
--- a/src/test/java/slateseam/simulate/Planted.java
+++ b/src/test/java/slateseam/simulate/Planted.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import javax.tools.FileObject;
 import javax.tools.ForwardingJavaFileManager;
 import javax.tools.JavaCompiler;
@@ -135,18 +136,24 @@
         }
     }
 
-    private static Map<String, byte[]> compile(PlantedBug bug) {
-        List<JavaFileObject> sources = new ArrayList<>();
+    /** The changed copies of the sources by file; throws if a text that is to be changed does not stand there once. */
+    static Map<String, String> changed(PlantedBug bug) {
         Map<String, String> texts = new HashMap<>();
         for (PlantedBug.Change change : bug.changes()) {
             String text = texts.computeIfAbsent(change.file(), Planted::read);
-            if (text.split(Pattern.quote(change.text()), -1).length != 2) {
+            Matcher found = anyLayout(change.text()).matcher(text);
+            if (found.results().count() != 1) {
                 throw new IllegalStateException("to plant '" + bug.name() + "', " + change.file()
                         + " must hold once: " + change.text());
             }
-            texts.put(change.file(), text.replace(change.text(), change.instead()));
+            texts.put(change.file(), found.replaceFirst(Matcher.quoteReplacement(change.instead())));
         }
-        texts.forEach((file, text) -> sources.add(new SimpleJavaFileObject(URI.create("string:///" + file),
+        return texts;
+    }
+
+    private static Map<String, byte[]> compile(PlantedBug bug) {
+        List<JavaFileObject> sources = new ArrayList<>();
+        changed(bug).forEach((file, text) -> sources.add(new SimpleJavaFileObject(URI.create("string:///" + file),
                 JavaFileObject.Kind.SOURCE) {
             @Override
             public CharSequence getCharContent(boolean ignoreErrors) {
@@ -177,6 +184,12 @@
         return classes;
     }
 
+    /** Finds a text of a source whatever its spaces and line ends are, so that it is found however the file is formatted. */
+    private static Pattern anyLayout(String text) {
+        return Pattern.compile(text.chars().filter(c -> !Character.isWhitespace(c))
+                .mapToObj(c -> Pattern.quote(Character.toString(c))).collect(Collectors.joining("\\s*")));
+    }
+
     private static Path written(Scenario scenario) {
         try {
             Path file = Files.createTempFile("planted", ".scenario");
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -17,6 +17,8 @@
 record PlantedBug(String name, String faults, Scenario scenario, List<Change> changes) {
     private static final String ROUTER = "router/";
     private static final String BRAIN = "decision/Brain";
+    private static final String JOB = "decision/Job";
+    private static final String UPSTREAM_SERVER = "decision/UpstreamServer";
     private static final String POOL = ROUTER + "connections/servers/Pool";
     /** With the usual figures the routers' windows alone keep a cold server from falling over. */
     private static final Scenario TIGHT = Scenarios.usual()
@@ -35,10 +37,10 @@
                         change(ROUTER + "pass/Passes", "|| !farm.entry(serverId).isReady()", ""),
                         change(ROUTER + "pass/Passes", "server.pool(), entry.isReady()", "server.pool(), true"),
                         change(ROUTER + "pass/Passes", "met.pool(), entry.isReady()", "met.pool(), true"),
-                        change(BRAIN, "boolean ready() { return member.isReady(); }",
+                        change(UPSTREAM_SERVER, "boolean ready() { return member.isReady(); }",
                                 "boolean ready() { return !member.isGone(); }"))),
                 new PlantedBug("sends a once-write again that may have run", null, null, List.of(
-                        change("decision/Job", "return repeatsAreHarmless() && (",
+                        change(JOB, "return repeatsAreHarmless() && (",
                                 "return type.effect() == Effect.SIDE_EFFECT || repeatsAreHarmless() && ("))),
                 new PlantedBug("answers -BUSY after one that may have run", null, null, List.of(
                         change(BRAIN, "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true"))),
@@ -55,14 +57,13 @@
                         change(ROUTER + "net/Slots", "generations[slot] + 1 & GENERATION_MASK",
                                 "generations[slot]"))),
                 new PlantedBug("ignores a cold server's budget", "crash,replace", TIGHT, List.of(
-                        change(BRAIN, "double warmth = warmth();\n            if (JumpHash", "double warmth = 1;\n"
-                                + "            if (JumpHash"))),
+                        change("decision/SlowStart", "double warmth = warmth(server);", "double warmth = 1;"))),
                 new PlantedBug("closes at once in a planned end", "restart", null, List.of(
                         change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
                 new PlantedBug("tries beyond the limit", null, null, List.of(
                         change(ROUTER + "core/Core", "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()",
                         "left <= 0"),
-                        change(BRAIN, "return job.attempts + times <= job.most;", "return true;"))),
+                        change(JOB, "return attempts + times <= most;", "return true;"))),
                 new PlantedBug("loses its place where a message is split", null, null, List.of(
                         change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
                                 "        }\n        return value;"))),
@@ -76,11 +77,10 @@
                                 "if (!(answer instanceof Answer.Failed)) slot.front.answer(slot.exchange, answer);"))),
                 new PlantedBug("answers pipelined commands out of order", "rude", null, List.of(
                         change(ROUTER + "useragent/UserAgent",
-                                "while (!inOrder.isEmpty() && inOrder.peek().answer() != null) {\n"
-                                        + "            Exchange done = inOrder.poll();",
-                                "for (Exchange done; (done = inOrder.stream().filter(e -> e.answer() != null)"
-                                        + ".findFirst().orElse(null)) != null;) {\n"
-                                        + "            inOrder.remove(done);"))),
+                                "while (flowing == null && !inOrder.isEmpty() && inOrder.peek().answer() != null && !isClosed()) {",
+                                "for (Exchange done; flowing == null && !isClosed() && (done = inOrder.stream()"
+                                        + ".filter(e -> e.answer() != null).findFirst().orElse(null)) != null;) {\n"
+                                        + "            inOrder.remove(done);\n            inOrder.addFirst(done);"))),
                 new PlantedBug("asks discovery once and never again", "drain,crash,replace", null, List.of(
                         change(ROUTER + "farm/Watch", "if (reply.keepsAlive()) {\n                ask();",
                                 "if (reply.keepsAlive()) {"),
--- a/src/test/java/slateseam/simulate/RulesModelTest.java
+++ b/src/test/java/slateseam/simulate/RulesModelTest.java
@@ -37,21 +37,21 @@
                 bug("TWO_AT_ONCE", change("decision/Job", "return open && attempt == attempts - 1;", "return true;")),
                 bug("ATTEMPTS", change("router/core/Core",
                         "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()", "left <= 0 || attempt > 4"),
-                        change("decision/Brain", "return job.attempts + times <= job.most;",
-                                "return job.attempts + times <= job.most + 1;")),
+                        change("decision/Job", "return attempts + times <= most;",
+                                "return attempts + times <= most + 1;")),
                 bug("AFTER_ANSWER", change("router/pass/Passes", "            pass.isLast = true;\n            if (!pass.isWritten()) {",
                         "            pass.isLast = true;\n            if (false) {"),
-                        change("decision/Brain", "if (job.open && !fills && settings.limits().cancel())", "if (false)")),
+                        change("decision/Brain", "if (job.open && !fills && context.settings().limits().cancel())", "if (false)")),
                 known("DRAIN", "sends to a draining server"),
                 known("FALLEN", "ignores a cold server's budget"),
                 known("REFUSAL", "answers -BUSY after one that may have run"),
-                bug("NO_TIME", change("decision/Brain", "settings.limits().retryAfter() ? settings.limits().maxRetryAfterNanos() : 0",
+                bug("NO_TIME", change("decision/Brain", "limits.retryAfter() ? limits.maxRetryAfterNanos() : 0",
                         "0")),
-                bug("KEPT REPEATABLE", change("decision/Brain", "if (mayTry(job, 1)) held.add(job);\n            else decline(job);",
-                        "held.add(job);")),
+                bug("KEPT REPEATABLE", change("decision/Brain", "if (job.mayTry(1)) {\n            requests.awaitSupply(job);\n        } else {\n            decline(job);\n        }",
+                        "requests.awaitSupply(job);")),
                 bug("KEPT ONCE", change("decision/Brain",
-                        "else if (job.mayHaveRun && !job.repeatable(now)) decline(job);",
-                        "else if (job.mayHaveRun && !job.repeatable(now)) job.reached = true;")));
+                        "else if (job.mayHaveRun && !job.repeatable(context.now())) {\n            decline(job);",
+                        "else if (job.mayHaveRun && !job.repeatable(context.now())) {\n            job.reached = true;")));
     }
 
     private static PlantedBug bug(String rule, Change... changes) {
--- a/src/test/java/slateseam/simulate/network/StagesTest.java
+++ b/src/test/java/slateseam/simulate/network/StagesTest.java
@@ -112,7 +112,7 @@
             case HALF_COMMAND -> asks = asks.substring(0, asks.length() - 9);
             case HELD_FOR_SUPPLY -> {
                 script.cache = "*1\r\n$-1\r\n";
-                Object account = field(core, "brain", "supply", "origin");
+                Object account = field(core, "brain", "budgets", "origin");
                 set(account, "rate", 1e-9);
                 set(account, "tokens", 0);
             }
@@ -365,13 +365,13 @@
     /** What still holds anything of a request, by name. */
     private Map<String, Object> left() throws Exception {
         Map<String, Object> left = new TreeMap<>();
-        for (String table : List.of("jobs", "byGiveUp", "waiting", "held", "roomless", "fetches")) {
+        for (String table : List.of("jobs", "byDueTime", "delayed", "awaitingSupply", "awaitingRoom", "fetches")) {
             Object all = field(core, "brain", "requests", table);
             if (!(all instanceof Map<?, ?> map ? map.isEmpty() : ((Collection<?>) all).isEmpty())) {
                 left.put(table, all);
             }
         }
-        for (Object server : ((Map<?, ?>) field(core, "brain", "fleet", "servers")).values()) {
+        for (Object server : ((Map<?, ?>) field(core, "brain", "cluster", "servers")).values()) {
             Field outstanding = server.getClass().getSuperclass().getDeclaredField("outstanding");
             outstanding.setAccessible(true);
             if (outstanding.getInt(server) != 0) {
