Keep one pause at a listener that has no room

Cause: each pause of a listener set a timer of its own, and a close of a connection ended the pause without ending its timer. Where room opened and filled again within 50 ms a timer was left behind, and each of them set the next one when it found no room: after 100 such closes the loop looked at the listener in every millisecond for as long as the table stayed full.

AcceptorTest counts the looks in a second without room after 100 closes: 1000 before, 20 with one pause at a time.

--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
 
 /** Accepts connections at one listener. */
@@ -34,6 +35,8 @@
     private boolean closed;
     /** Whether connections are taken from the system's queue; they wait there before. */
     private boolean begun;
+    /** The end of the pause; null where there is none. */
+    private Deadline pauseEnds;
 
     /** Listens at an address; connections are taken once it has begun. */
     public Acceptor(Loop loop, InetSocketAddress listen, Gate gate) throws IOException {
@@ -109,12 +112,16 @@
         }
     }
 
+    /** One pause at a time: room that opens and fills again within it must not leave a second one behind, for good. */
     private void pause() {
         key.interestOps(0);
-        loop.after(PAUSE_NANOS, this::resume);
+        loop.cancel(pauseEnds);
+        pauseEnds = loop.after(PAUSE_NANOS, this::resume);
     }
 
     private void resume() {
+        loop.cancel(pauseEnds);
+        pauseEnds = null;
         if (!closed && begun) {
             key.interestOps(SelectionKey.OP_ACCEPT);
         }
