--- a/src/main/java/slateseam/simulate/Both.java
+++ b/src/main/java/slateseam/simulate/Both.java
@@ -5,7 +5,7 @@
 import slateseam.standin.useragent.Request;
 
 /** Tells two of what user agents did and got, in their order. */
-record Both(Outcomes first, Outcomes second) implements Outcomes {
+public record Both(Outcomes first, Outcomes second) implements Outcomes {
     @Override
     public void asked(Request request) {
         first.asked(request);
