Bound heads and chunked bodies that never end

Cause: of a head the bound of 64 headers counted different names, so one that repeats a name went on up to 4 MiB; and a body in chunks was decoded anew, with its copies, at each read of it. A head or body that never ends so cost the loop time that grows with the square of its length, in which nobody else is served.

Lines of a head are counted now, a body that is not whole is gone through without copying, and it may have 65,536 chunks (a longest value in chunks of 64 bytes).

ParsersTest's head with one name fails without the mend.

--- a/src/main/java/slateseam/router/net/HttpHead.java
+++ b/src/main/java/slateseam/router/net/HttpHead.java
@@ -35,13 +35,14 @@
             throw new MalformedException("not an HTTP/1.1 status line");
         }
         Map<String, String> headers = new HashMap<>();
+        int lines = 0; // not the map's size: a head that never ends may repeat one name
         for (ByteBuffer line; (line = Resp.line(in, LONGEST_LINE)) == null || line.hasRemaining();) {
             if (line == null) {
                 return null;
             }
             String header = Bytes.text(line);
             int colon = header.indexOf(':');
-            if (colon <= 0 || headers.size() >= MOST_HEADERS) {
+            if (colon <= 0 || ++lines > MOST_HEADERS) {
                 throw new MalformedException("a header has no name, or there are too many");
             }
             String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
--- a/src/main/java/slateseam/router/net/HttpReply.java
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -1,6 +1,5 @@
 package slateseam.router.net;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Map;
 
@@ -13,6 +12,12 @@
  */
 public record HttpReply(int status, Map<String, String> headers, byte[] body) {
     private static final int FIRST_FINAL = 200;
+    private static final int DECIMAL = 10;
+    private static final int HEXADECIMAL = 16;
+    /** The bytes that end a line. */
+    private static final int LINE_END = 2;
+    /** Of a body: the longest value in chunks of 64 bytes. */
+    static final int MOST_CHUNKS = Connection.VALUE_LIMIT / 64;
 
     /** Whether the connection may be used again. */
     public boolean keepsAlive() {
@@ -72,38 +77,78 @@
             return atEnd ? new HttpReply(head.status(), head.headers(), bytes(in, in.remaining())) : null;
         }
         boolean bodiless = head.status() < FIRST_FINAL || !head.endsByItself();
-        byte[] body = chunked ? chunks(in) : bytes(in, bodiless ? 0 : length(head.length(), 10));
+        byte[] body = chunked ? chunks(in) : bytes(in, bodiless ? 0 : length(head.length(), DECIMAL));
         return body == null ? null : new HttpReply(head.status(), head.headers(), body);
     }
 
     private static byte[] chunks(ByteBuffer in) throws MalformedException {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        while (true) {
-            ByteBuffer line = Resp.line(in, HttpHead.LONGEST_LINE);
-            if (line == null) {
-                return null;
-            }
-            int length = length(Bytes.text(line).split(";", 2)[0].trim(), 16);
-            byte[] chunk = bytes(in, length);
-            ByteBuffer end = chunk == null ? null : Resp.line(in, HttpHead.LONGEST_LINE);
-            // Behind the last chunk trailers may follow, of which nobody here needs any.
-            for (int i = 0; length == 0 && end != null && end.hasRemaining(); i++) {
-                if (i == HttpHead.MOST_HEADERS) {
-                    throw new MalformedException("too many trailers");
-                }
-                end = Resp.line(in, HttpHead.LONGEST_LINE);
+        int start = in.position();
+        int length = passChunks(in);
+        if (length < 0) {
+            return null;
+        }
+        int end = in.position();
+        in.position(start);
+        ByteBuffer body = ByteBuffer.allocate(length);
+        while (body.hasRemaining()) {
+            int chunk = chunkLength(in);
+            body.put(in.slice(in.position(), chunk));
+            in.position(in.position() + chunk + LINE_END);
+        }
+        in.position(end);
+        return body.array();
+    }
+
+    /**
+     * Passes a body in chunks, and gives its length; -1 while it is not whole. Copies nothing: a body that never ends is gone
+     * through anew with each part that comes.
+     */
+    private static int passChunks(ByteBuffer in) throws MalformedException {
+        int all = 0;
+        for (int i = 0; i < MOST_CHUNKS; i++) {
+            int length = chunkLength(in);
+            if (length == 0) {
+                return passTrailers(in) ? all : -1;
             }
-            if (end == null) {
-                return null;
+            if (length < 0 || in.remaining() < length + LINE_END) {
+                return -1;
             }
-            if (end.hasRemaining()) {
+            in.position(in.position() + length);
+            if (in.get() != '\r' || in.get() != '\n') {
                 throw new MalformedException("a chunk does not end where it should");
             }
-            if (length == 0) {
-                return body.toByteArray();
+            all += length;
+        }
+        throw new MalformedException("an answer in more than " + MOST_CHUNKS + " chunks");
+    }
+
+    /** Passes the line ahead of a chunk and gives the chunk's length; -1 while the line is not whole. */
+    private static int chunkLength(ByteBuffer in) throws MalformedException {
+        int length = 0;
+        int end = in.position();
+        for (int digit; end < in.limit() && length <= Connection.VALUE_LIMIT
+                && (digit = Character.digit(in.get(end), HEXADECIMAL)) >= 0; end++) {
+            length = HEXADECIMAL * length + digit;
+        }
+        boolean plain = end > in.position() && length <= Connection.VALUE_LIMIT && end + 1 < in.limit()
+                && in.get(end) == '\r' && in.get(end + 1) == '\n';
+        if (plain) {
+            in.position(end + LINE_END);
+            return length;
+        }
+        ByteBuffer line = Resp.line(in, HttpHead.LONGEST_LINE);
+        return line == null ? -1 : length(Bytes.text(line).split(";", 2)[0].trim(), HEXADECIMAL);
+    }
+
+    /** Passes what may follow the last chunk, of which nobody here needs any; false while it is not whole. */
+    private static boolean passTrailers(ByteBuffer in) throws MalformedException {
+        for (int i = 0; i <= HttpHead.MOST_HEADERS; i++) {
+            ByteBuffer line = Resp.line(in, HttpHead.LONGEST_LINE);
+            if (line == null || !line.hasRemaining()) {
+                return line != null;
             }
-            body.writeBytes(chunk);
         }
+        throw new MalformedException("too many trailers");
     }
 
     private static byte[] bytes(ByteBuffer in, int length) {
--- a/src/test/java/slateseam/router/net/ParsersTest.java
+++ b/src/test/java/slateseam/router/net/ParsersTest.java
@@ -78,4 +78,27 @@
     void whatIsNoHttpAnswerIsMalformed(String text) {
         assertThatThrownBy(() -> HttpReply.read(bytes(text))).isInstanceOf(MalformedException.class);
     }
+
+    /** A head that never ends may give each of its lines the same name. */
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Load: a=1\r\n", "X-%d: a=1\r\n"})
+    void aHeadThatNeverEndsIsMalformedAfterItsMostLines(String line) throws Exception {
+        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+        for (int i = 0; i < HttpHead.MOST_HEADERS; i++) {
+            head.append(String.format(line, i));
+        }
+        assertThat(HttpReply.read(bytes(head.toString()))).isNull();
+        assertThat(HttpReply.read(bytes("HTTP/1.1 204 None" + head.substring(15) + "\r\n"))).isNotNull();
+        head.append(String.format(line, HttpHead.MOST_HEADERS));
+        assertThatThrownBy(() -> HttpReply.read(bytes(head.toString()))).isInstanceOf(MalformedException.class);
+    }
+
+    @Test
+    void aBodyOfChunksThatNeverEndsIsMalformedAfterItsMostChunks() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        String most = head + "1\r\nx\r\n".repeat(HttpReply.MOST_CHUNKS - 1);
+        assertThat(HttpReply.read(bytes(most))).isNull();
+        assertThat(HttpReply.read(bytes(most + "0\r\n\r\n")).body()).hasSize(HttpReply.MOST_CHUNKS - 1);
+        assertThatThrownBy(() -> HttpReply.read(bytes(most + "1\r\nx\r\n"))).isInstanceOf(MalformedException.class);
+    }
 }
