--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
 
 /**
@@ -40,6 +41,8 @@
     private ServerSocketChannel channel;
     private SelectionKey key;
     private boolean closed;
+    /** The end of the pause; null where there is none. */
+    private Deadline pauseEnds;
 
     /** Takes the port of an address, which fails if somebody listens there; connections come once it has begun. */
     public Acceptor(Loop loop, InetSocketAddress listen, Gate gate) throws IOException {
@@ -149,12 +152,16 @@
         }
     }
 
+    /** One pause at a time: room that opens and fills again within it must not leave a second one behind, for good. */
     private void pause() {
         key.interestOps(0);
-        loop.after(PAUSE_NANOS, this::resume);
+        loop.cancel(pauseEnds);
+        pauseEnds = loop.after(PAUSE_NANOS, this::resume);
     }
 
     private void resume() {
+        loop.cancel(pauseEnds);
+        pauseEnds = null;
         if (!closed && channel != null) {
             key.interestOps(SelectionKey.OP_ACCEPT);
         }
