Raise what bounds routers, servers and tenants below 1,024 in the router

Several bounds were far below the tiers that are deployed: 256 cells of figures (class, tenant and outcome), of which a tier with 1,024 tenants flushed several times a second and overran the queue to standard error; 16 watchers, 16 items of an array, 64 headers, 256 names of dropped classes, 100 lines of the hot list, 1,000 endpoints of a slice, and a handover's list of 1 MiB, where discovery may tell 4 MiB. A datagram's sender was looked for in the whole list of routers.

Cells take up to a 64th of the heap now, and a flush is written in portions, so that it finds room in the queue. The others are bounded at 1,024 or above, and what is read grows with what has come, not with what a length tells. The sender is looked up by its address.

FiguresTest plays 1,100 tenants: 1,024 combinations come whole, none dropped (256 and drops before).

--- a/src/main/java/slateseam/router/Parts.java
+++ b/src/main/java/slateseam/router/Parts.java
@@ -117,7 +117,7 @@
 
             @Override
             public void retune(NodeConfig changed) {
-                figures.flush(); // what was counted so far stands under the names that it came with
+                figures.flushWhole(); // what was counted so far stands under the names that it came with
             }
 
             @Override
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -36,6 +36,8 @@
     /** Of a router's name, which goes into datagrams. */
     private static final int MOST_NAME_BYTES = 64;
     private static final int MOST_VOTERS = 5;
+    /** The most that a setting may name of watchers or of lines that are shown. */
+    private static final int MOST_LISTED = 1_024;
 
     /** Many values in one answer: the listener's port, and how many commands one request may hold. */
     public record MultiGet(int port, int mostKeys) {
@@ -81,7 +83,7 @@
         boolean hot = settings.on("hot_list");
         HotList hotList = new HotList(settings.number("hot_slots", 1, 8192, 512),
                 settings.number("hot_window_s", 1, 86_400, 60) * 1_000 * Clock.MILLI,
-                settings.number("hot_show", 1, 100, 20));
+                settings.number("hot_show", 1, MOST_LISTED, 20));
         boolean figuresOn = settings.on("figures");
         Figures figures = new Figures(settings.word("figures_format", "statsd", "influx").equals("influx"),
                 settings.number("figures_flush_ms", 100, 3_600_000, 10_000) * Clock.MILLI,
@@ -89,7 +91,7 @@
                 settings.path("figures_file"), settings.address("figures_udp"));
         int tapPort = port(settings, "tap_port", ports);
         Tap tap = new Tap(tapPort, settings.number("tap_buffer_kb", 1, 1024, 64) * 1024,
-                settings.number("tap_max", 1, 16, 4));
+                settings.number("tap_max", 1, MOST_LISTED, 4));
         KubernetesSettings kubernetes = KubernetesSettings.read(settings, config);
         Path folder = settings.path("snapshot_folder");
         Snapshot snapshot = new Snapshot(folder,
@@ -116,7 +118,7 @@
         boolean on = settings.on("tier");
         String name = settings.text("tier_name");
         Tier tier = new Tier(name == null ? "slateseam" : name, settings.number("tier_period_ms", 50, 10_000, 200) * Clock.MILLI,
-                settings.number("tier_watchers", 1, 16, 8), settings.number("tier_forget_s", 60, 604_800, 3_600) * 1_000 * Clock.MILLI,
+                settings.number("tier_watchers", 1, MOST_LISTED, 8), settings.number("tier_forget_s", 60, 604_800, 3_600) * 1_000 * Clock.MILLI,
                 settings.word("tier_places", "told", "listed").equals("told"), settings.word("tier_in_doubt", "keep", "rest").equals("keep"));
         if (on && (config.peerListen() == null || !config.settings().limits().peers())) {
             throw settings.fault("tier", "tier is on, but the configuration lets routers send each other nothing");
--- a/src/main/java/slateseam/router/counts/ServiceCounts.java
+++ b/src/main/java/slateseam/router/counts/ServiceCounts.java
@@ -12,10 +12,10 @@
 
 /**
  * What the router has done since its start. Requests are counted where they end, attempts where their last byte was handed
- * to the system; who asks only reads. One entry a class that is listed, or was: of those that are dropped the first go beyond 256.
+ * to the system; who asks only reads. One entry a class that is listed, or was: of those that are dropped the first go beyond 1,024.
  */
 public final class ServiceCounts implements RequestObserver {
-    private static final int MOST_NAMES = 256;
+    private static final int MOST_NAMES = 1_024;
 
     private static final class OfClass {
         final String name;
--- a/src/main/java/slateseam/router/figures/Figures.java
+++ b/src/main/java/slateseam/router/figures/Figures.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import slateseam.router.config.Features;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
 import slateseam.router.net.Loop;
 import slateseam.router.request.Ending;
@@ -14,8 +15,16 @@
 
 /** Counters, gauges and timers for a collector: adds up what ends and writes it now and then. */
 public final class Figures implements RequestObserver {
-    /** Where there are more, a flush comes early. */
-    private static final int MOST_CELLS = 256;
+    /** Of the heap, for cells; where there are more of them a flush comes early. */
+    private static final int HEAP_PART = 64;
+    /** What a cell takes with its place in the order. */
+    private static final int CELL_BYTES = 320;
+    /** As many cells are kept whatever the heap. */
+    private static final int LEAST_CELLS = 1_024;
+    /** Cells that are written at once: what their lines take is less than what the console takes at a time. */
+    private static final int AT_ONCE = 64;
+    /** Until the next ones are written, so that they have room there. */
+    private static final long PAUSE_NANOS = 10 * Clock.MILLI;
     private static final Ending[] ENDINGS = Ending.values();
 
     private final Loop loop;
@@ -25,7 +34,10 @@
     private final long flushNanos;
     private final List<Batches> destinations = new ArrayList<>();
     /** By class, tenant and ending, in one number, in the order in which they are written. */
-    private final Map<Integer, Cell> cells = new TreeMap<>();
+    private TreeMap<Integer, Cell> cells = new TreeMap<>();
+    private final int mostCells;
+    /** Of a flush, what is not written yet. */
+    private TreeMap<Integer, Cell> unwritten = new TreeMap<>();
     private boolean over;
 
     /** Begins; the counts are asked at each flush. */
@@ -36,6 +48,7 @@
         this.counts = counts;
         this.format = settings.influx() ? Format.INFLUX : Format.STATSD;
         this.flushNanos = settings.flushNanos();
+        this.mostCells = (int) Math.min(Integer.MAX_VALUE, Math.max(LEAST_CELLS, loop.heapBytes() / HEAP_PART / CELL_BYTES));
         if (settings.file() != null) {
             destinations.add(new FiguresFile(console, settings.file()));
         }
@@ -54,7 +67,7 @@
             return;
         }
         int cell = (requestClass * names.tenants().size() + tenant) * ENDINGS.length + ending.ordinal();
-        if (cells.size() >= MOST_CELLS && !cells.containsKey(cell)) {
+        if (cells.size() >= mostCells && !cells.containsKey(cell)) {
             flush(); // guards the memory against many classes and tenants
         }
         cells.computeIfAbsent(cell, c -> new Cell()).add(nanos);
@@ -67,37 +80,64 @@
         }
     }
 
-    /** Writes all that has come since the last flush. */
+    /** Writes all that has come since the last flush: of few cells at once, of many in portions for which there is room. */
     public void flush() {
+        write(unwritten.size()); // of the flush before, which must not stand behind this one
         over = destinations.stream().allMatch(Batches::isOver);
         for (Batches to : destinations) {
             if (!to.isOver()) {
-                write(to);
+                head(to);
             }
         }
-        cells.clear();
         counts.told();
+        unwritten = cells;
+        cells = new TreeMap<>();
+        writePortion(unwritten);
     }
 
-    private void write(Batches to) {
+    /** The same, and all of it at once, where names or the loop are about to go. */
+    public void flushWhole() {
+        flush();
+        write(unwritten.size());
+    }
+
+    /** Goes on with a flush, unless another has begun meanwhile. */
+    private void writePortion(TreeMap<Integer, Cell> of) {
+        if (of == unwritten) {
+            write(AT_ONCE);
+            if (!unwritten.isEmpty()) {
+                loop.after(PAUSE_NANOS, () -> writePortion(of));
+            }
+        }
+    }
+
+    private void head(Batches to) {
         long dropped = to.takeDropped();
         if (dropped > 0) {
             to.add(format.counter("figures_dropped", "", dropped));
         }
         counts.write(format, to::add);
-        for (Map.Entry<Integer, Cell> entry : cells.entrySet()) {
-            int place = entry.getKey() / ENDINGS.length;
-            String tags = format.tags(names.classes().get(place / names.tenants().size()),
-                    names.tenants().get(place % names.tenants().size()), ENDINGS[entry.getKey() % ENDINGS.length].word());
-            to.add(format.counter("req", tags, entry.getValue().count()));
-            format.timer("latency_ms", tags, entry.getValue(), to::add);
+    }
+
+    private void write(int most) {
+        for (int i = 0; i < most && !unwritten.isEmpty(); i++) {
+            Map.Entry<Integer, Cell> entry = unwritten.pollFirstEntry();
+            destinations.stream().filter(to -> !to.isOver()).forEach(to -> write(to, entry.getKey(), entry.getValue()));
         }
-        to.send();
+        destinations.stream().filter(to -> !to.isOver()).forEach(Batches::send);
+    }
+
+    private void write(Batches to, int number, Cell cell) {
+        int place = number / ENDINGS.length;
+        String tags = format.tags(names.classes().get(place / names.tenants().size()),
+                names.tenants().get(place % names.tenants().size()), ENDINGS[number % ENDINGS.length].word());
+        to.add(format.counter("req", tags, cell.count()));
+        format.timer("latency_ms", tags, cell, to::add);
     }
 
     /** Writes what is left, at the end. */
     public void close() {
-        flush();
+        flushWhole();
         destinations.forEach(Batches::close);
     }
 }
--- a/src/main/java/slateseam/router/handover/Handover.java
+++ b/src/main/java/slateseam/router/handover/Handover.java
@@ -23,7 +23,8 @@
     public static final int DESCRIPTORS = 3;
     private static final byte[] MAGIC = {'S', 'L', 'H', 'A', 'N', 'D', '1', '\n'};
     private static final int HEAD = MAGIC.length + 2 * Integer.BYTES;
-    private static final int MOST_BYTES = 1024 * 1024;
+    /** Over what any list takes that discovery may tell, written in the router's own form. */
+    private static final int MOST_BYTES = 8 * 1024 * 1024;
 
     private final Path serving;
     private final Path heir;
--- a/src/main/java/slateseam/router/kubernetes/SliceReader.java
+++ b/src/main/java/slateseam/router/kubernetes/SliceReader.java
@@ -16,8 +16,9 @@
 
 /** Reads an EndpointSlice of {@code discovery.k8s.io/v1}. What is not needed is passed over, whatever it is. */
 final class SliceReader {
+    /** Over what the API itself takes, which is 1,000. */
+    private static final int MOST_ENDPOINTS = 4_096;
     /** The API's own bounds. */
-    private static final int MOST_ENDPOINTS = 1_000;
     private static final int MOST_PORTS = 1_024;
     private static final int LONGEST_NAME = 253;
     private static final Pattern VERSION = Pattern.compile("[0-9]{1,18}");
--- a/src/main/java/slateseam/router/net/HttpHead.java
+++ b/src/main/java/slateseam/router/net/HttpHead.java
@@ -10,13 +10,13 @@
  * The head of an HTTP/1.1 answer.
  *
  * @param status the status code, 100 to 599
- * @param headers at most 64, their names in lower case
+ * @param headers at most 1,024, their names in lower case
  */
 public record HttpHead(int status, Map<String, String> headers) {
     /** Of a head's line or a chunk's; room for a load report that nobody here can read. */
     public static final int LONGEST_LINE = 4096;
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
-    static final int MOST_HEADERS = 64;
+    static final int MOST_HEADERS = 1_024;
     private static final int OK = 200;
     private static final String LENGTH = "content-length";
 
--- a/src/main/java/slateseam/router/net/Resp.java
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -8,7 +8,10 @@
 public final class Resp {
     /** The type of what could not be read. */
     public static final char UNREADABLE = '?';
-    private static final int MOST_ITEMS = 16;
+    /** Of an array; so long that no list of servers or routers is longer. */
+    private static final int MOST_ITEMS = 1_024;
+    /** Room for the items of an usual array; of others it grows with what has come, and not with what a length tells. */
+    private static final int USUAL_ITEMS = 8;
     private static final int DEEPEST = 3;
     private static final int LONGEST_LINE = 1024;
 
@@ -154,7 +157,7 @@
         if (depth == 0) {
             throw new MalformedException("arrays nested too deep");
         }
-        List<Value> items = new ArrayList<>(Math.max(0, length));
+        List<Value> items = new ArrayList<>(Math.max(0, Math.min(USUAL_ITEMS, length)));
         for (int i = 0; i < length; i++) {
             try {
                 Value item = value(in, depth - 1, MOST_ITEMS);
--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -23,6 +23,8 @@
 
     private final Loop loop;
     private final List<InetSocketAddress> peers;
+    /** The number of the router at an address. */
+    private final Map<SocketAddress, Integer> numbers = new HashMap<>();
     private final InetSocketAddress all;
     private final Consumer<PeerMessage> listener;
     private final DatagramChannel channel;
@@ -34,6 +36,9 @@
             Consumer<PeerMessage> listener) throws IOException {
         this.loop = loop;
         this.peers = peers;
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.putIfAbsent(peers.get(i), i);
+        }
         this.all = all;
         this.listener = listener;
         this.channel = loop.provider().openDatagramChannel();
@@ -96,8 +101,8 @@
                 elsewhere.accept((InetSocketAddress) from, payload);
                 continue;
             }
-            int sender = peers.indexOf(from);
-            if (sender < 0 || payload.length > MOST_BYTES) {
+            Integer sender = numbers.get(from);
+            if (sender == null || payload.length > MOST_BYTES) {
                 loop.log().line("peer-dropped", "a message of " + payload.length + " bytes from " + from);
             } else {
                 listener.accept(new PeerMessage(sender, payload));
