--- a/src/main/java/slateseam/simulate/Fleet.java
+++ b/src/main/java/slateseam/simulate/Fleet.java
@@ -51,7 +51,7 @@
     private final Clockwork net;
     private final Day day;
     private final World world;
-    private final Consumer<String> whenStarts;
+    private final Consumer<ApplicationServer> whenStarts;
     private final BinaryOperator<String> dials;
     private final Shared shared;
     private final Map<String, Member> members = new LinkedHashMap<>();
@@ -62,10 +62,10 @@
     /**
      * Creates them, not yet up.
      *
-     * @param whenStarts is told the name of each server that starts cold
+     * @param whenStarts is told each server that starts cold
      * @param dials where a router, named first, reaches a server that listens at the address named second
      */
-    public Fleet(Day day, World world, Consumer<String> whenStarts, BinaryOperator<String> dials) {
+    public Fleet(Day day, World world, Consumer<ApplicationServer> whenStarts, BinaryOperator<String> dials) {
         this.net = world.clock();
         this.day = day;
         this.world = world;
@@ -207,7 +207,7 @@
 
     private void begin(Member member) {
         member.model.start(true);
-        whenStarts.accept(member.model.name());
+        whenStarts.accept(member.model);
         member.listing = member.listing.with(Listing.Health.READY).born(net.now() / MILLI);
         tell(member.listing, day.discovery().startNanos());
     }
--- a/src/main/java/slateseam/simulate/Play.java
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -1,8 +1,10 @@
 package slateseam.simulate;
 
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import slateseam.simulate.check.Checker;
@@ -12,7 +14,9 @@
 import slateseam.simulate.network.VirtualNetwork;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
+import slateseam.simulate.scenario.FaultKind;
 import slateseam.simulate.scenario.RouterConfig;
+import slateseam.standin.ApplicationServer;
 import slateseam.standin.Witness;
 import slateseam.standin.World;
 import slateseam.standin.useragent.ClassFigures;
@@ -32,6 +36,8 @@
     private static final String USERS = "at the routers";
     private static final long SECOND = 1_000_000_000L;
     private static final String FRONT = "10.5.0.1";
+    private static final Set<FaultKind> PLANNED = EnumSet.of(FaultKind.SURGE, FaultKind.RESTART, FaultKind.RELOAD,
+            FaultKind.DRAIN, FaultKind.REPLACE);
 
     private final Day day;
     private final VirtualNetwork net;
@@ -76,7 +82,7 @@
         }
         lay();
         Witness witness = new Witnesses(trace == null ? List.of(checker, ledger) : List.of(checker, ledger, trace));
-        fleet = new Fleet(day, new World(net, net, witness), checker::serverStarts, (router, dial) -> dial);
+        fleet = new Fleet(day, new World(net, net, witness), this::serverStarts, (router, dial) -> dial);
         service = new Service(BEGIN, day.routerRules().overShareWorth());
         this.phases = phases;
         arrived = new Arrived(phases == null ? service : new Both(service, phases));
@@ -97,15 +103,38 @@
                         network.lost(), datagrams.swapped(), network.doubled()));
     }
 
+    private void serverStarts(ApplicationServer server) {
+        checker.serverStarts(server.name(), server.address(), server.figures().capacity() / meanWorkSeconds(day));
+    }
+
+    /** The mean work of a request over all classes, in core seconds at speed 1. */
+    private static double meanWorkSeconds(Day day) {
+        double work = 0;
+        double share = 0;
+        for (ClassFigures one : day.classes()) {
+            work += one.share() * day.work().of(one.name()).meanSeconds();
+            share += one.share();
+        }
+        return work / share;
+    }
+
+    /** Whether nothing happens but what is planned, and what user agents do. */
+    private static boolean isCalm(Day day) {
+        return day.timeline().faults().stream().allMatch(fault -> PLANNED.contains(fault.kind()));
+    }
+
     private static Figures figures(Day day) {
         Day.RouterRules rules = day.routerRules();
+        double meanWork = meanWorkSeconds(day);
         return new Figures(day.classes().stream().map(one -> new Figures.ClassFigures(one.name(),
                 switch (one.effect()) {
             case REPEATABLE -> Figures.Repeats.HARMLESS;
             case KEYED -> Figures.Repeats.KEYED;
             case ONCE -> Figures.Repeats.FORBIDDEN;
-        }, one.deadlineNanos(), one.effect() == ClassFigures.Effect.KEYED ? one.windowNanos() : 0)).toList(),
-                rules.tries(), rules.answerSlackNanos(), rules.drainGraceNanos(), rules.overloadNanos(),
+        }, one.deadlineNanos(), one.effect() == ClassFigures.Effect.KEYED ? one.windowNanos() : 0,
+                day.work().of(one.name()).meanSeconds() / meanWork)).toList(),
+                rules.tries(), rules.answerSlackNanos(), rules.drainGraceNanos(),
+                new Figures.Cold(rules.overload(), rules.overloadNanos(), rules.coldFrom(), rules.coldNanos()),
                 rules.descriptors(), rules.memoryBytes() / 2);
     }
 
@@ -159,6 +188,7 @@
         }
         net.run(end);
         checker.step();
+        checker.over(isCalm(day));
         ledger.add(net.hash());
         if (phases != null) {
             phases.origin(phases.at(end), fleet.origin().tallies());
--- a/src/main/java/slateseam/simulate/check/Asked.java
+++ b/src/main/java/slateseam/simulate/check/Asked.java
@@ -37,6 +37,8 @@
     long heldBytes;
     /** Whether its lateness was reported. */
     boolean late;
+    /** Whether it was counted as one that had no answer when its time was up. */
+    boolean countedUnanswered;
     /** One of the same id that was read while this was open. */
     Asked second;
     /** How many attempts came to servers whole. */
--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -45,6 +45,7 @@
     private final Map<Long, Connecting> connecting = new HashMap<>();
     private final Map<Long, PassWire> passWires = new HashMap<>();
     private final Map<Long, DiscoveryWire> discoveryWires = new HashMap<>();
+    private final DayCounts dayCounts;
     private final Judge judge;
     private final PriorityQueue<Watched> watched =
             new PriorityQueue<>(Comparator.comparingLong(Watched::at).thenComparingLong(Watched::number));
@@ -64,8 +65,9 @@
         this.figures = figures;
         this.originClass = originClass;
         this.report = new Report(clock);
-        this.coldStarts = new ColdStarts(figures.fallNanos());
-        this.judge = new Judge(figures, report, coldStarts);
+        this.coldStarts = new ColdStarts(figures.cold(), report);
+        this.dayCounts = new DayCounts(report);
+        this.judge = new Judge(figures, report, coldStarts, dayCounts);
         this.logged = new Logged(report, garbled);
         this.peers = Set.copyOf(peers);
     }
@@ -114,9 +116,14 @@
         routerKilled(name);
     }
 
-    /** A server starts, and is cold. */
-    public void serverStarts(String host) {
-        coldStarts.started(host, report.now());
+    /**
+     * A server starts, and is cold.
+     *
+     * @param dial its address
+     * @param requestsPerSecond how many requests of mean work it can do once it is warm
+     */
+    public void serverStarts(String host, String dial, double requestsPerSecond) {
+        coldStarts.started(host, dial, requestsPerSecond, report.now());
     }
 
     /**
@@ -180,6 +187,15 @@
         }
     }
 
+    /**
+     * The day is over: judges what is judged over the whole of it.
+     *
+     * @param calm whether it was one on which routers have no reason to turn away all that they get
+     */
+    public void over(boolean calm) {
+        dayCounts.over(byName.size(), calm);
+    }
+
     /** The rules that were broken so far, in their order; of very many the first. */
     public List<Breach> breaches() {
         return report.first();
@@ -195,6 +211,10 @@
         return supplies;
     }
 
+    DayCounts dayCounts() {
+        return dayCounts;
+    }
+
     Judge judge() {
         return judge;
     }
--- a/src/main/java/slateseam/simulate/check/Judge.java
+++ b/src/main/java/slateseam/simulate/check/Judge.java
@@ -14,15 +14,17 @@
     private final Figures figures;
     private final Report report;
     private final ColdStarts coldStarts;
+    private final DayCounts dayCounts;
     /** By id, all that servers made. */
     private final Map<String, List<byte[]>> made = new HashMap<>();
     /** By id, where a write that must not run twice has run. */
     private final Map<String, String> ranOnce = new HashMap<>();
 
-    Judge(Figures figures, Report report, ColdStarts coldStarts) {
+    Judge(Figures figures, Report report, ColdStarts coldStarts, DayCounts dayCounts) {
         this.figures = figures;
         this.report = report;
         this.coldStarts = coldStarts;
+        this.dayCounts = dayCounts;
     }
 
     /** A server made these bytes for a request. */
@@ -41,6 +43,7 @@
     /** The answer of a request is overdue. */
     void late(Asked asked, String what) {
         asked.late = true;
+        dayCounts.unanswered(asked);
         report.breach(Rule.LATE, asked.wire.router, asked.id, what + " " + (report.now() - asked.writtenAt) / 1_000_000
                 + " ms after the request, which had " + asked.waitNanos / 1_000_000 + " ms"
                 + (asked.read ? "" : "; it was never read") + (asked.wire.router.ending ? "; in a planned end" : ""));
@@ -50,13 +53,14 @@
     void attempt(RouterState router, Passed passed, Attempt attempt, long firstAt) {
         String id = passed.id();
         String dial = attempt.wire.dial;
-        coldStarts.sent(router, dial, report.now());
+        Asked asked = attempt.asked;
+        dayCounts.attempt(router);
+        coldStarts.sent(router, dial, asked == null ? 1 : asked.figures.weight(), report.now());
         long closed = router.told.closedFor(dial, firstAt);
         if (closed > figures.graceNanos() + Figures.SOCKETS_NANOS) {
             report.breach(Rule.DRAIN, router, id, "sent to " + dial + " " + closed / 1_000_000
                     + " ms after the router was told that it drains or is gone");
         }
-        Asked asked = attempt.asked;
         if (asked == null) {
             report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial
                     + ", but the router never took such a request");
@@ -115,8 +119,11 @@
     /** The whole final answer of an open request was written. */
     void finalAnswer(Asked asked, Resp answer) {
         RouterState router = asked.wire.router;
-        if (report.now() > asked.wire.due(asked) && !asked.late && !asked.wire.isUnread()
-                && report.now() > router.standsUntil) {
+        boolean excused = asked.wire.isHeldUp() || report.now() <= router.standsUntil;
+        if (!excused && report.now() > asked.wire.timeUp(asked)) {
+            dayCounts.unanswered(asked);
+        }
+        if (!excused && report.now() > asked.wire.due(asked) && !asked.late) {
             late(asked, "the answer came");
         }
         byte[] value = answer.type() == '$' ? answer.bytes() : answer.type() == '*' && !answer.items().isEmpty()
@@ -130,6 +137,9 @@
         } else if (answer.type() == '-' && answer.text().startsWith("BUSY")) {
             refused(router, asked);
         }
+        if (value == null && asked.attempts.isEmpty()) {
+            dayCounts.turnedAway(router);
+        }
         router.end(asked, Asked.State.ANSWERED, report.now());
     }
 
--- a/src/main/java/slateseam/simulate/check/RouterState.java
+++ b/src/main/java/slateseam/simulate/check/RouterState.java
@@ -21,6 +21,10 @@
     /** It stands still, or has just begun to go on: until then its answers may be late. */
     long standsUntil = Long.MIN_VALUE;
 
+    /** Requests that it turned away since its last attempt of one, and since when. */
+    int turnedAway;
+    long turnsAwaySince;
+
     RouterState(Place place, Told told) {
         this.place = place;
         this.told = told;
--- a/src/main/java/slateseam/simulate/check/Rule.java
+++ b/src/main/java/slateseam/simulate/check/Rule.java
@@ -6,6 +6,10 @@
     LOST,
     /** A request that was taken had no whole final answer in its time. */
     LATE,
+    /** Over a day too many requests had no answer when their time was up, be it that one came soon after. */
+    UNANSWERED,
+    /** Too many routers turned away, for seconds on end, all that they got. */
+    IDLE,
     /** A request was served with bytes that no server made for it. */
     FOREIGN,
     /** An answer came that belongs to no command, or no reader can make out. */
@@ -30,6 +34,8 @@
     DRAIN,
     /** A cold server was pushed over by routers that had been told of its start. */
     FALLEN,
+    /** Routers that had been told of a cold server's start sent it more requests together than it bears but for chance. */
+    RAMP,
     /** A datagram was too long, or went to or came from an address that is no router's. */
     DATAGRAM,
     /** A router held more descriptors than its limit. */
--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -30,6 +30,7 @@
     private long sent;
     private long delivered;
     private long undeliveredSince;
+    private boolean heldUp;
     /** The user agent's bytes make no sense from some place on, or the router said so where it may. */
     private boolean garbled;
     private boolean over;
@@ -110,15 +111,20 @@
             }
             if (command.asked != null && !command.asked.read) {
                 router.read(command.asked, report.now());
+                checker.dayCounts().request();
             }
         }
     }
 
     /** When the answer of a request must be there, as things stand; not known while others are ahead of it. */
     long due(Asked asked) {
+        return timeUp(asked) + checker.figures().slackNanos() + Figures.SOCKETS_NANOS;
+    }
+
+    /** When its user agent has waited for as long as it said, as things stand. */
+    long timeUp(Asked asked) {
         long base = asked.read && !isUndisturbed(asked.writtenAt) ? asked.readAt : Math.max(asked.writtenAt, upAt);
-        return Math.max(base, lastAnswerAt) + asked.waitNanos + checker.figures().slackNanos()
-                + Figures.SOCKETS_NANOS;
+        return Math.max(base, lastAnswerAt) + asked.waitNanos;
     }
 
     /** Whether nothing kept what the user agent wrote since a time from coming over. */
@@ -130,6 +136,11 @@
         return !pending.isEmpty() && pending.peek().asked == asked;
     }
 
+    /** Whether the answer that is being written comes behind others that the user agent has not taken. */
+    boolean isHeldUp() {
+        return heldUp;
+    }
+
     /** Whether the user agent does not take what was written to it. */
     boolean isUnread() {
         return sent > delivered;
@@ -148,7 +159,8 @@
 
     /** The router's system took bytes of answers. */
     void answered(byte[] bytes) {
-        if (sent == delivered) {
+        heldUp = isUnread();
+        if (!heldUp) {
             undeliveredSince = report.now();
         }
         sent += bytes.length;
--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -76,7 +76,7 @@
             }
         }
         net.run(() -> {
-            fleet = new Fleet(day, new World(net, net, findings), host -> history.say("rig", "starts server=" + host), ways::dial);
+            fleet = new Fleet(day, new World(net, net, findings), server -> history.say("rig", "starts server=" + server.name()), ways::dial);
             fleet.start();
             routers.startAll(links, ways, fleet);
         });
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -57,6 +57,8 @@
                 new PlantedBug("ignores a cold server's budget", "crash,replace", TIGHT, List.of(
                         change(BRAIN, "double warmth = warmth();\n            if (JumpHash", "double warmth = 1;\n"
                                 + "            if (JumpHash"))),
+                new PlantedBug("begins with a full bucket for a cold server", "none", null, List.of(
+                        change("decision/ColdBucket", ": ofAWindow + phase;", ": Double.MAX_VALUE;"))),
                 new PlantedBug("closes at once in a planned end", "restart", null, List.of(
                         change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
                 new PlantedBug("tries beyond the limit", null, null, List.of(
--- a/src/test/java/slateseam/simulate/check/CheckerTest.java
+++ b/src/test/java/slateseam/simulate/check/CheckerTest.java
@@ -24,9 +24,10 @@
     private final Map<String, Long> wires = new HashMap<>();
     private final Map<String, String> types = new HashMap<>();
     private final Checker checker = new Checker(new Figures(List.of(
-            new ClassFigures("read", Repeats.HARMLESS, 1500 * MILLI, 0),
-            new ClassFigures("put", Repeats.KEYED, 4000 * MILLI, 2000 * MILLI),
-            new ClassFigures("once", Repeats.FORBIDDEN, 4000 * MILLI, 0)), 3, 20 * MILLI, 500 * MILLI, 2000 * MILLI,
+            new ClassFigures("read", Repeats.HARMLESS, 1500 * MILLI, 0, 1),
+            new ClassFigures("put", Repeats.KEYED, 4000 * MILLI, 2000 * MILLI, 2),
+            new ClassFigures("once", Repeats.FORBIDDEN, 4000 * MILLI, 0, 2)), 3, 20 * MILLI, 500 * MILLI,
+            new Figures.Cold(2, 1000 * MILLI, 0.5, 8000 * MILLI),
             100, 5_000), "origin", List.of("10.0.0.1:7946"), () -> now);
 
     CheckerTest() {
@@ -41,6 +42,7 @@
             u ask r1 read 400, +469, u fail                                                              |
             u ask r1 read 400, +471, u fail                                                              | LATE
             u ask r1 read 400, +1600                                                                     | LATE
+            u ask r1 read 400, unseen +471, u fail                                                       | LATE
             u ask r1 read 400, u ask r2 read 400, +400, u fail, +400, u fail                             |
             u ask r1 read 400, u router closes                                                           | LOST
             u write r1 read 400, u router closes                                                         |
@@ -92,12 +94,46 @@
     void namesTheRulesThatAStoryBreaks(String story, String rules) {
         for (String step : story.split(", ")) {
             play(step.split(" "));
-            checker.step();
+            if (!step.startsWith("unseen")) {
+                checker.step();
+            }
         }
         assertThat(checker.breaches()).extracting(breach -> breach.rule().name())
                 .isEqualTo(rules == null ? List.of() : List.of(rules.split(" ")));
     }
 
+    /** What is counted over a whole day, or over all routers, takes many of the same; {@code r%d} is another id each time. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            start s1, d ready 1 | u ask r%d read 900, s send r%d, s hit r%d, u value r%d | 18 | calm    |
+            start s1, d ready 1 | u ask r%d read 900, s send r%d, s hit r%d, u value r%d | 19 | calm    | RAMP
+            start s1, d ready 1 | u ask r%d read 900, s send r%d, s hit r%d, u value r%d, +60 | 40 | calm |
+            start s1            | u ask r%d read 900, s send r%d, s hit r%d, u value r%d | 40 | calm    |
+            +0                  | u ask r%d read 400, +410, u fail                       |  5 | calm    |
+            +0                  | u ask r%d read 400, +410, u fail                       |  6 | calm    | UNANSWERED
+            +0                  | u ask r%d read 400, +390, u fail                       |  9 | calm    |
+            +0                  | u ask r%d read 400, +300, u busy                       | 14 | calm    |
+            +0                  | u ask r%d read 400, +300, u busy                       | 15 | calm    | IDLE
+            +0                  | u ask r%d read 400, +300, u fail                       | 15 | calm    | IDLE
+            +0                  | u ask r%d read 400, +300, u busy                       | 15 | trouble |
+            +0                  | u ask r%d read 400, +270, u busy                       | 15 | calm    |
+            +0                  | u ask r%d read 400, s send r%d, s busy, +300, u busy   | 30 | calm    |
+            """)
+    void countsOverMany(String first, String each, int times, String day, String rule) {
+        for (String step : first.split(", ")) {
+            play(step.split(" "));
+        }
+        for (int i = 1; i <= times; i++) {
+            for (String step : each.replace("r%d", "r" + (char) ('A' + i)).split(", ")) {
+                play(step.split(" "));
+                checker.step();
+            }
+        }
+        checker.over(day.equals("calm"));
+        assertThat(checker.breaches()).extracting(breach -> breach.rule().name())
+                .isEqualTo(rule == null ? List.of() : List.of(rule));
+    }
+
     private void play(String... words) {
         String what = words.length > 1 ? words[1] : "";
         switch (words[0]) {
@@ -111,10 +147,11 @@
             case "agent" -> checker.agentHas("n0", list(what, 0));
             case "killed" -> checker.routerKilled("n0");
             case "ran" -> checker.ran("o", what, "k", true, null);
-            case "start" -> checker.serverStarts(what);
+            case "start" -> checker.serverStarts(what, "10.1.0.1:6379", 10);
             case "fell" -> checker.fell(what);
             case "datagram" -> checker.datagram("10.0.0.1", words[2], new byte[Integer.parseInt(what)], false);
             case "descriptors" -> checker.descriptors("n0", Integer.parseInt(what));
+            case "unseen" -> play(what);
             case "log" -> checker.log("n0", "n0: " + String.join(" ", words).substring(4));
             default -> now += Long.parseLong(words[0].substring(1)) * MILLI;
         }
