--- a/src/main/java/slateseam/simulate/scenario/DayDraw.java
+++ b/src/main/java/slateseam/simulate/scenario/DayDraw.java
@@ -165,9 +165,10 @@
     /** What differs between machines of a kind is speed and warming; the rest is the same for all of them on a day. */
     private static ServerFigures figures(Drawn kind, Drawn own, RouterRules rules) {
         int cores = kind.count("cores");
+        double fallMultiple = kind.yes("falls") ? rules.overload() : ServerFigures.Cold.NEVER_FALLS;
         return new ServerFigures(cores, own.figure("speed"), kind.has("slots") ? kind.count("slots") : cores,
                 kind.count("room"), new ServerFigures.Crowding(kind.figure("crowded-from"), kind.figure("crowded")),
-                new ServerFigures.Cold(own.figure("cold-from"), own.nanos("cold"), rules.overload(),
+                new ServerFigures.Cold(own.figure("cold-from"), own.nanos("cold"), fallMultiple,
                         rules.overloadNanos()),
                 new ServerFigures.Connections(kind.count("connections"), switch (kind.word("beyond")) {
                     case "reset" -> ServerFigures.Beyond.RESET;
--- a/src/main/java/slateseam/simulate/scenario/Schema.java
+++ b/src/main/java/slateseam/simulate/scenario/Schema.java
@@ -213,6 +213,7 @@
                 Name.time("probe-work", 0, 1, "0.07..0.14 ms", "work of a probe"),
                 Name.choice("cancelled", List.of("stops", "goes-on"), "stops | goes-on",
                         "what becomes of work that nobody waits for"),
+                Name.choice("falls", YES_NO, "yes", "whether one that is cold falls by the work that its requests happen to be"),
                 Name.share("errors", 0, 100, "0..0.1 %", "requests that end in an error"),
                 Name.share("told-size", 1, 1000, "80..125 %",
                         "the size that discovery tells, as a part of the true one")),
--- a/src/main/java/slateseam/standin/ServerFigures.java
+++ b/src/main/java/slateseam/standin/ServerFigures.java
@@ -56,6 +56,9 @@
      * @param fallNanos the window
      */
     public record Cold(double share, long warmNanos, double fallMultiple, long fallNanos) {
+        /** The multiple of a server that does not fall, whatever it is sent. */
+        public static final double NEVER_FALLS = 0;
+
         /** Checks the figures. */
         public Cold {
             Range.check("cold share", share, 0.01, 1);
--- a/src/test/java/slateseam/simulate/HardCasesTest.java
+++ b/src/test/java/slateseam/simulate/HardCasesTest.java
@@ -63,7 +63,23 @@
                 new Value.Range(40, 40, Unit.PERCENT)), "sends a once-write again that may have run", "RESEND"),
         CONNECTIONS_COME_UP_AS_THEIR_PASSES_ARE_GIVEN_UP(CALM.withScript(DEAD_AND_SLOW)
                 .with("user-agents", "", "patience", new Value.Range(2, 3, Unit.PERCENT)),
-                "writes a pass that was given up while it waited for its connection", "AFTER_ANSWER");
+                "writes a pass that was given up while it waited for its connection", "AFTER_ANSWER"),
+        COLD_SERVERS_OF_FOUR_ROUTERS(PlantedBug.scenario("cold-servers").withRouters(4), "ignores a cold server's budget",
+                "RAMP"),
+        COLD_SERVERS_OF_TWENTY_ROUTERS(PlantedBug.scenario("cold-servers").withRouters(20),
+                "ignores a cold server's budget", "RAMP"),
+        COLD_SERVERS_OF_THIRTY_ROUTERS(PlantedBug.scenario("cold-servers").withRouters(30),
+                "ignores a cold server's budget", "RAMP"),
+        COLD_SERVERS_OF_A_HUNDRED_ROUTERS(PlantedBug.scenario("cold-servers").withRouters(100),
+                "begins with a full bucket for a cold server", "RAMP"),
+        KEYED_WRITES_FIND_NO_CONNECTION_WITHIN_THEIR_WINDOW(PlantedBug.scenario("keyed-window"),
+                "writes a keyed write's repeat behind its window", "RESEND"),
+        USER_AGENTS_LEAVE(CALM.with("user-agents", "", "leaving", new Value.Range(20, 20, Unit.PERCENT)),
+                "lets requests go on whose user agent has gone", "AFTER_ANSWER"),
+        REQUESTS_WAIT_FOR_A_SLOW_ORIGIN(CALM.withScript(DEAD_AND_SLOW),
+                "gives up only when the time of a request is over", "UNANSWERED"),
+        ROUTERS_GET_NEW_SETTINGS(CALM.withScript(List.of(at(2, FaultKind.RELOAD, 0, 0, "router-1", "router-2",
+                "router-3", "router-4"))), "turns all away after new settings", "IDLE");
 
         private final Scenario scenario;
         private final String bug;
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -1,6 +1,8 @@
 package slateseam.simulate;
 
+import java.nio.file.Path;
 import java.util.List;
+import slateseam.simulate.scenario.InvalidScenarioException;
 import slateseam.simulate.scenario.Scenario;
 import slateseam.simulate.scenario.Scenarios;
 import slateseam.simulate.scenario.Unit;
@@ -27,6 +29,15 @@
             .with("servers", "big", "miss-work", new Value.Range(100, 100, Unit.PERCENT))
             .with("servers", "small", "miss-work", new Value.Range(100, 100, Unit.PERCENT));
 
+    /** A scenario of the tests. */
+    static Scenario scenario(String name) {
+        try {
+            return Scenarios.read(Path.of("src/test/resources/scenarios", name + ".scenario"));
+        } catch (InvalidScenarioException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** In a source file, a text that stands there once and what stands there instead. */
     record Change(String file, String text, String instead) {
     }
@@ -58,8 +69,18 @@
                                 "generations[slot]"))),
                 new PlantedBug("ignores a cold server's budget", "crash,replace", TIGHT, List.of(
                         change("decision/SlowStart", "double warmth = warmth(server);", "double warmth = 1;"))),
-                new PlantedBug("begins with a full bucket for a cold server", "none", null, List.of(
+                new PlantedBug("begins with a full bucket for a cold server", null, scenario("cold-servers"), List.of(
                         change("decision/ColdBucket", ": ofAWindow + phase;", ": Double.MAX_VALUE;"))),
+                new PlantedBug("writes a keyed write's repeat behind its window", null, scenario("keyed-window"),
+                        List.of(change("decision/Job", "return bound ? arrivedAt + type.windowNanos() : Send.ANY_TIME;",
+                                "return Send.ANY_TIME;"))),
+                new PlantedBug("lets requests go on whose user agent has gone", null, null, List.of(
+                        change(ROUTER + "useragent/Requests", "core.withdrawn(asked.request, why);", ""))),
+                new PlantedBug("gives up only when the time of a request is over", "origin-slow,void", null, List.of(
+                        change(BRAIN, "Math.min(last, type.aimNanos())", "event.ttlNanos() + margin / 4"),
+                        change(BRAIN, "type.lateShare() > 0 ? last", "type.lateShare() < 0 ? last"))),
+                new PlantedBug("turns all away after new settings", "reload", null, List.of(
+                        change(ROUTER + "Router", "used = changed;", "used = changed;\n        core.gate(() -> false);"))),
                 new PlantedBug("closes at once in a planned end", "restart", null, List.of(
                         change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
                 new PlantedBug("tries beyond the limit", null, null, List.of(
