--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -1,6 +1,5 @@
 package slateseam.decision;
 
-import java.util.EnumSet;
 import java.util.Set;
 import java.util.function.Consumer;
 import slateseam.decision.Api.Action;
@@ -50,8 +49,7 @@
     /** Requests that look for room again when an attempt has ended. */
     private static final int RETRIES_FOR_ROOM = 2;
     /** Of an attempt that came whole to no server. */
-    private static final Set<Outcome> SENT_NOTHING =
-            EnumSet.of(Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT);
+    private static final Set<Outcome> NOT_SENT = Set.of(Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT);
 
     private final DecisionContext context;
     private final TrafficStats traffic = new TrafficStats();
@@ -193,10 +191,7 @@
     /** Sends a request to its key's cache server, other than {@code not}, or where else it may go. */
     private void route(Job job, UpstreamServer not) {
         boolean aside = cluster.origin() != null;
-        long named = job.asked.key();
-        long key = named != 0
-                ? hotKeys.replicaOf(named, cluster.readyCaches())
-                : JumpHash.mix(job.asked.request());
+        long key = placementKey(job);
         UpstreamServer home = job.asked.write() && aside ? null : cluster.home(key, not);
         boolean spill = home != null && !hasRoom(home, job) && not == null && !job.overShare;
         if (spill) {
@@ -211,6 +206,15 @@
         }
     }
 
+    /** By which a request finds its cache server: its key or a copy of it; without one, its number. */
+    private long placementKey(Job job) {
+        long key = job.asked.key();
+        if (key == 0) {
+            return JumpHash.mix(job.asked.request());
+        }
+        return hotKeys.replicaOf(key, cluster.readyCaches());
+    }
+
     private boolean hasRoom(UpstreamServer server, Job job) {
         double part = job.overShare ? OVER_SHARE_WINDOW : 1;
         return server.hasRoom(part, traffic.answerTime(), context.now());
@@ -337,7 +341,7 @@
         boolean aside = context.settings().mode() == CacheMode.ASIDE;
         job.open = false;
         job.mayHaveRun |= !outcome.neverRan();
-        job.reached |= !SENT_NOTHING.contains(outcome);
+        job.reached |= !NOT_SENT.contains(outcome);
         if (event.concluded()) {
             finish(job);
         } else if (job.mayHaveRun && !job.repeatable(context.now())) {
