--- a/src/main/java/slateseam/router/net/HttpHead.java
+++ b/src/main/java/slateseam/router/net/HttpHead.java
@@ -10,13 +10,13 @@
  * The head of an HTTP/1.1 answer.
  *
  * @param status the status code, 100 to 599
- * @param headers at most 64, their names in lower case
+ * @param headers at most 1,024, their names in lower case
  */
 public record HttpHead(int status, Map<String, String> headers) {
     /** Of a head's line or a chunk's; room for a load report that nobody here can read. */
     public static final int LONGEST_LINE = 4096;
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
-    static final int MOST_HEADERS = 64;
+    static final int MOST_HEADERS = 1_024;
     private static final int OK = 200;
     private static final String LENGTH = "content-length";
 
@@ -35,13 +35,14 @@
             throw new MalformedException("not an HTTP/1.1 status line");
         }
         Map<String, String> headers = new HashMap<>();
+        int lines = 0; // not the map's size: a head that never ends may repeat one name
         for (ByteBuffer line; (line = Resp.line(in, LONGEST_LINE)) == null || line.hasRemaining();) {
             if (line == null) {
                 return null;
             }
             String header = Bytes.text(line);
             int colon = header.indexOf(':');
-            if (colon <= 0 || headers.size() >= MOST_HEADERS) {
+            if (colon <= 0 || ++lines > MOST_HEADERS) {
                 throw new MalformedException("a header has no name, or there are too many");
             }
             String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
