Take at most 64 commands of a connection in one go

Cause: all commands that lay in a connection's buffer, up to 256 KiB of them, were taken in one go as long as each was answered at once (PING, refusals, errors). 18,000 PINGs at once so held the loop for a tenth of a second and more, in which nobody else was read.

What lies behind 64 commands waits for the loop's next round now; meanwhile the connection counts as busy, so that nobody ends it as a spare one. Loop.nextDeadline tells of work that is left for the next round, or the virtual clock would not go on with it.

--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -120,9 +120,12 @@
         deadlines.cancel(deadline);
     }
 
-    /** The time of the next deadline, for who runs the loop round by round; {@link Long#MAX_VALUE} if there is none. */
+    /**
+     * The time of the next deadline, for who runs the loop round by round; {@link Long#MAX_VALUE} if there is none. It has
+     * passed while work is left for the next round.
+     */
     public long nextDeadline() {
-        return deadlines.next();
+        return next.isEmpty() ? deadlines.next() : now;
     }
 
     /** Runs an action on the loop's thread; the only call that other threads may make. */
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -22,6 +22,8 @@
     /** Of a value that streams: no more is asked for while so much is not handed to the system. */
     private static final int MOST_UNWRITTEN = 64 * 1024;
     private static final int MOST_COMMANDS = 16;
+    /** Of commands that are taken in one go, however quickly each is answered: what lies behind them waits a round. */
+    private static final int MOST_IN_A_ROW = 64;
     /** Of what comes behind commands that wait, so that the end of its user agent is seen: then nothing is begun any more. */
     private static final int AHEAD = 256 * 1024;
     /** For a first command, or one of which a part has come: no user agent that waits for an answer takes so long. */
@@ -53,6 +55,8 @@
     private boolean last;
     /** Whether a part of a command has come and the rest has not. */
     private boolean half;
+    /** Whether commands that have come wait for the loop's next round. */
+    private boolean yields;
     private State state;
     private long since;
     private Deadline limit;
@@ -88,7 +92,11 @@
 
     @Override
     protected void received(ByteBuffer in) throws MalformedException {
-        while (!isClosed() && mayBegin() && isFlushed()) {
+        for (int taken = 0; !isClosed() && mayBegin() && isFlushed(); taken++) {
+            if (taken == MOST_IN_A_ROW && in.hasRemaining()) {
+                letOthersGoFirst();
+                return;
+            }
             List<ByteBuffer> command = Resp.command(in);
             if (command == null) {
                 half = in.hasRemaining();
@@ -101,6 +109,19 @@
         pause(true);
     }
 
+    /** Goes on in the next round. Guards others against one that sends very many commands at once. */
+    private void letOthersGoFirst() {
+        yields = true;
+        settle();
+        pause(true);
+        loop().nextRound(() -> {
+            yields = false;
+            if (mayBegin() && isFlushed()) {
+                pause(false);
+            }
+        });
+    }
+
     /**
      * Whether a command may be begun; one that belongs to what has begun always may. In a planned end all may: those
      * that waited for the ones ahead of them would be cut off at its end without an answer.
@@ -121,7 +142,7 @@
         }
         boolean first = state == State.FIRST_COMMAND; // it stays so until a whole command has come
         boolean answered = inOrder.isEmpty();
-        enter(!isFlushed() ? State.READER : !answered && inOrder.peek().isWhole() ? State.ANSWER
+        enter(!isFlushed() ? State.READER : yields || !answered && inOrder.peek().isWhole() ? State.ANSWER
                 : answered && first ? State.FIRST_COMMAND : half || !answered ? State.REST_OF_COMMAND
                 : State.NEXT_COMMAND);
     }
@@ -136,7 +157,7 @@
         since = loop().now();
         loop().cancel(limit);
         limit = switch (next) {
-            case ANSWER -> null; // the core has a deadline for it
+            case ANSWER -> null; // the core has a deadline for it, or the next round takes what waits
             case FIRST_COMMAND, REST_OF_COMMAND -> loop().after(COMMAND_NANOS, this::overstayed);
             case READER -> loop().after(front.readNanos(), this::overstayed);
             case NEXT_COMMAND -> loop().after(front.room().mostIdleNanos(), this::overstayed);
@@ -304,7 +325,7 @@
             flowing.more();
         }
         settle();
-        if (mayBegin()) {
+        if (mayBegin() && !yields) {
             pause(false);
         }
         closeWhenDone();
