--- a/src/test/java/slateseam/router/net/ConnectionFaultTest.java
+++ b/src/test/java/slateseam/router/net/ConnectionFaultTest.java
@@ -2,11 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ProtocolFamily;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.Pipe;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.channels.spi.AbstractSelector;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -19,7 +26,7 @@
     private long now = 1_000_000_000L;
 
     private final class Faulty extends Connection {
-        Faulty(Loop loop, SocketChannel accepted) throws java.io.IOException {
+        Faulty(Loop loop, SocketChannel accepted) throws IOException {
             super(loop, accepted);
         }
 
@@ -42,7 +49,7 @@
     }
 
     private final class Quick extends Connection {
-        Quick(Loop loop, SocketChannel accepted) throws java.io.IOException {
+        Quick(Loop loop, SocketChannel accepted) throws IOException {
             super(loop, accepted, 64 * 1024);
         }
 
@@ -101,4 +108,72 @@
         assertThat(happened).containsExactly("received 5", "broken");
         assertThat(log).hasSize(1).allMatch(line -> line.contains("internal-error") && line.contains("planted"));
     }
+
+    /** Opens channels of the system, and remembers the last one that connects. */
+    private static final class Remembering extends SelectorProvider {
+        private final SelectorProvider system = SelectorProvider.provider();
+        private SocketChannel last;
+
+        @Override
+        public DatagramChannel openDatagramChannel() throws IOException {
+            return system.openDatagramChannel();
+        }
+
+        @Override
+        public DatagramChannel openDatagramChannel(ProtocolFamily family) throws IOException {
+            return system.openDatagramChannel(family);
+        }
+
+        @Override
+        public Pipe openPipe() throws IOException {
+            return system.openPipe();
+        }
+
+        @Override
+        public AbstractSelector openSelector() throws IOException {
+            return system.openSelector();
+        }
+
+        @Override
+        public ServerSocketChannel openServerSocketChannel() throws IOException {
+            return system.openServerSocketChannel();
+        }
+
+        @Override
+        public SocketChannel openSocketChannel() throws IOException {
+            last = system.openSocketChannel();
+            return last;
+        }
+    }
+
+    /** What the system holds back goes with a close over unread bytes; so it holds back nothing. */
+    @Test
+    void theSystemHoldsBackNothingOnAnyConnection() throws Exception {
+        Remembering network = new Remembering();
+        Loop loop = new Loop(network, () -> now, new Log("n0", () -> now, line -> { }), 1 << 20);
+        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+            Connection connecting = new Connection(loop, (InetSocketAddress) listener.getLocalAddress()) {
+                @Override
+                protected void received(ByteBuffer in) {
+                    in.position(in.limit());
+                }
+
+                @Override
+                protected void malformed(MalformedException e) {
+                    happened.add("malformed");
+                }
+
+                @Override
+                protected void broken() {
+                    happened.add("broken");
+                }
+            };
+            SocketChannel accepted = listener.accept();
+            Connection taken = new Quick(loop, accepted);
+            assertThat(network.last.getOption(StandardSocketOptions.TCP_NODELAY)).isTrue();
+            assertThat(accepted.getOption(StandardSocketOptions.TCP_NODELAY)).isTrue();
+            connecting.close();
+            taken.close();
+        }
+    }
 }
