Let a trial find requests without an answer and routers that serve nobody

Need: two terms of the standing test on real processes had no row in a trial: a request that is unanswered at its deadline, and a router that turns away all that it gets for 4 s.

--- a/src/main/java/slateseam/trial/Look.java
+++ b/src/main/java/slateseam/trial/Look.java
@@ -37,6 +37,7 @@
     /** Null where no policy is shared. */
     private final PolicyLook policy;
     private Phases phases;
+    private ServiceLook service;
     private long begin;
     private long lastTick;
     private long stoodStill;
@@ -53,9 +54,10 @@
         this.policy = PolicyLook.isIn(day) ? new PolicyLook(day, net, routers, findings, history) : null;
     }
 
-    void start(long from, Phases told) {
+    void start(long from, Phases told, ServiceLook served) {
         begin = from;
         phases = told;
+        service = served;
         tier.start(told);
         if (policy != null) {
             policy.start();
@@ -69,6 +71,7 @@
     /** Looks no more. */
     void end() {
         over = true;
+        service.atTheEnd(day.routers().size(), findings);
         if (policy != null) {
             policy.atTheEnd(net.now() - begin);
         }
@@ -143,6 +146,9 @@
             if (routers.child(router.name()).isAlive() && asked.add(router.name())) {
                 net.connect("rig", routers.control(router.name()), new StatsCall("/stats", figures -> {
                     asked.remove(router.name());
+                    if (figures != null) {
+                        service.attempts(router.name(), figures.optLong("dispatches"));
+                    }
                     history.say(router.name(), figures == null ? "figures=none" : String.join(" ", List.of("concurrent", "targets",
                             "targets_disabled", "reload_success", "reload_failure", "dispatches").stream()
                             .map(name -> name + "=" + figures.optLong(name)).toList()));
--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import slateseam.simulate.Both;
 import slateseam.simulate.Fleet;
 import slateseam.simulate.Phases;
 import slateseam.simulate.scenario.Day;
@@ -127,7 +129,9 @@
         findings.begins(begin);
         history.begins(begin);
         phases = new Phases(begin, day.durationNanos(), day.timeline().faults());
-        Crowd crowd = new Crowd(new Surroundings(net, net, phases, day.classes(), day.tenants(), day.habits(), day.rate(),
+        ServiceLook service = new ServiceLook(begin, phases.faults(),
+                day.routers().stream().collect(Collectors.toMap(Day.Router::listen, Day.Router::name)));
+        Crowd crowd = new Crowd(new Surroundings(net, net, new Both(phases, service), day.classes(), day.tenants(), day.habits(), day.rate(),
                 new Popularity(day.popularity()), day.values(), Surroundings.Asks.ALL, begin, day.durationNanos()),
                 day.userAgents(), entry(), day.streams()::of);
         crowd.start();
@@ -137,7 +141,7 @@
         if (faults.waits()) {
             routers.heard((router, line) -> net.run(() -> faults.said(router, line)));
         }
-        look.start(begin, phases);
+        look.start(begin, phases, service);
     }
 
     /** What deals out the connections of those that have no router beside them; null if each has. */
--- a/src/test/java/slateseam/trial/TrialTest.java
+++ b/src/test/java/slateseam/trial/TrialTest.java
@@ -144,6 +144,23 @@
         assertThat(play(file("mints", "8 s", ""), planted + ":").findings()).extracting(Findings.Finding::rule).containsOnly("supply");
     }
 
+    /** A router that refuses all, at once and in order, though servers and supply are there. */
+    @Test
+    void aRouterThatServesNobodyIsFound() throws Exception {
+        Path planted = Planted.write(dir.resolve("planted"), "refuses all", "router/core/Core", "if (!mayServe.getAsBoolean() ||",
+                "if (true || !mayServe.getAsBoolean() ||");
+        assertThat(play(file("refuses", "6 s", ""), planted + ":").findings()).extracting(Findings.Finding::rule).containsOnly("idle");
+    }
+
+    /** A router that keeps its refusals to itself: who asked waits until its time is up. */
+    @Test
+    void aRouterThatLeavesRequestsUnansweredIsFound() throws Exception {
+        Path planted = Planted.write(dir.resolve("planted"), "never refuses", "router/core/Core",
+                "slot.front.answer(slot.exchange, answer);", "if (!(answer instanceof Answer.Unavailable)) { slot.front.answer(slot.exchange, answer); }");
+        assertThat(play(file("keeps", "6 s", "at 1 s silence origin for 3 s"), planted + ":").findings())
+                .extracting(Findings.Finding::rule).containsOnly("unanswered");
+    }
+
     /** What a router does after a pause: this one takes the missing time for a fault of its own and ends. */
     @Test
     void aRouterThatDoesNotComeBackFromAPauseIsFound() throws Exception {
