--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -21,6 +21,7 @@
 final class UserAgent extends Connection implements Incoming.Taker {
     /** Of a value that streams: no more is asked for while so much is not handed to the system. */
     private static final int MOST_UNWRITTEN = 64 * 1024;
+
     private static final int MOST_COMMANDS = 16;
     /** Of commands that are taken in one go, however quickly each is answered: what lies behind them waits a round. */
     private static final int MOST_IN_A_ROW = 64;
@@ -35,8 +36,12 @@
 
     /** What a connection waits for; each has its deadline. */
     private enum State {
-        FIRST_COMMAND(Phase.SILENT), REST_OF_COMMAND(Phase.HALF), ANSWER(Phase.BUSY), READER(Phase.BUSY),
-        NEXT_COMMAND(Phase.IDLE), END(Phase.ENDING);
+        FIRST_COMMAND(Phase.SILENT),
+        REST_OF_COMMAND(Phase.HALF),
+        ANSWER(Phase.BUSY),
+        READER(Phase.BUSY),
+        NEXT_COMMAND(Phase.IDLE),
+        END(Phase.ENDING);
 
         private final Phase phase;
 
@@ -50,6 +55,7 @@
     private final Deque<Exchange> inOrder = new ArrayDeque<>();
     /** How many commands the exchanges have taken. */
     private int begun;
+
     private long ticket;
     private Kept kept;
     private boolean last;
@@ -57,6 +63,7 @@
     private boolean half;
     /** Whether commands that have come wait for the loop's next round. */
     private boolean yields;
+
     private State state;
     private long since;
     private Deadline limit;
@@ -142,9 +149,14 @@
         }
         boolean first = state == State.FIRST_COMMAND; // it stays so until a whole command has come
         boolean answered = inOrder.isEmpty();
-        enter(!isFlushed() ? State.READER : yields || !answered && inOrder.peek().isWhole() ? State.ANSWER
-                : answered && first ? State.FIRST_COMMAND : half || !answered ? State.REST_OF_COMMAND
-                : State.NEXT_COMMAND);
+        enter(
+                !isFlushed()
+                        ? State.READER
+                        : yields || !answered && inOrder.peek().isWhole()
+                                ? State.ANSWER
+                                : answered && first
+                                        ? State.FIRST_COMMAND
+                                        : half || !answered ? State.REST_OF_COMMAND : State.NEXT_COMMAND);
     }
 
     private void enter(State next) {
@@ -292,7 +304,8 @@
     public void bytes(ByteBuffer bytes) {
         ByteBuffer kept = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         write(kept);
-        // Guards against one that stops reading within a long answer: it has a deadline too, and counts against the bound.
+        // Guards against one that stops reading within a long answer: it has a deadline too, and counts against the
+        // bound.
         settle();
         if (state == State.READER) {
             front.boundUnread();
--- a/src/test/java/slateseam/FloodTest.java
+++ b/src/test/java/slateseam/FloodTest.java
@@ -34,6 +34,7 @@
     private static final long MOST_MIB = 128;
     /** Of the answers to another user agent the slowest in a hundred: what it waits. */
     private static final long MOST_P99_MILLIS = 480;
+
     private static final int ANSWERS = 150;
     private static final String FACTS = "c=read,t=acme,d=480";
     private static final byte[] PIECE = filled(64 * 1024);
@@ -41,6 +42,7 @@
 
     @TempDir
     Path dir;
+
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final List<ServerSocket> listeners = Collections.synchronizedList(new ArrayList<>());
     private volatile boolean over;
@@ -101,7 +103,7 @@
         InputStream in = new BufferedInputStream(socket.getInputStream());
         OutputStream out = socket.getOutputStream();
         socket.setTcpNoDelay(true);
-        for (List<String> command; !over && (command = command(in)) != null;) {
+        for (List<String> command; !over && (command = command(in)) != null; ) {
             String key = command.size() > 1 ? command.get(1) : "";
             if (key.startsWith("miss")) {
                 write(out, "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
@@ -209,7 +211,8 @@
 
     private RouterProcess start(int discovery) throws IOException {
         Path jar = RouterProcess.jar(dir.resolve("slateseam.jar"), null);
-        return RouterProcess.start(jar, dir, RouterProcess.config(listen(this::cache), listen(this::origin), discovery, 1_024), "")
+        return RouterProcess.start(
+                        jar, dir, RouterProcess.config(listen(this::cache), listen(this::origin), discovery, 1_024), "")
                 .awaitServing();
     }
 
@@ -217,7 +220,9 @@
     private static double servedUnderFlood(RouterProcess router) throws IOException {
         Asker asker = new Asker();
         asker.asks(router);
-        assertThat(asker.micros.getValueAtPercentile(99) / 1_000).as("ms of the slowest answer in a hundred").isLessThan(MOST_P99_MILLIS);
+        assertThat(asker.micros.getValueAtPercentile(99) / 1_000)
+                .as("ms of the slowest answer in a hundred")
+                .isLessThan(MOST_P99_MILLIS);
         assertThat(router.mostResidentMib()).as("MiB resident at most").isLessThan(MOST_MIB);
         assertThat(router.isAlive()).isTrue();
         return (double) asker.served / ANSWERS;
@@ -230,7 +235,9 @@
             flood(router, socket -> endless(socket.getOutputStream(), MANY_COMMANDS));
             flood(router, socket -> endless(socket.getOutputStream(), PIECE));
             flood(router, socket -> {
-                write(socket.getOutputStream(), "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=put,d\r\n$4000000\r\n");
+                write(
+                        socket.getOutputStream(),
+                        "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=put,d\r\n$4000000\r\n");
                 for (int i = 0; i < 60; i++) {
                     socket.getOutputStream().write(PIECE);
                 }
--- a/src/test/java/slateseam/ReadinessTest.java
+++ b/src/test/java/slateseam/ReadinessTest.java
@@ -31,6 +31,7 @@
     private static final double PART_OF_A_CORE = 0.1;
     /** What a router waits for a discovery that says nothing, whatever its part of a core is. */
     private static final long SILENT_MILLIS = 500;
+
     private static final byte[] PING = RouterProcess.command("PING");
     private static final int NOBODY = 1;
 
@@ -50,6 +51,7 @@
 
     @TempDir
     Path dir;
+
     private final List<ServerSocket> listeners = new ArrayList<>();
     private final List<Socket> queued = new ArrayList<>();
 
@@ -87,7 +89,8 @@
 
     private void tell(ServerSocket listener, Discovery kind) {
         String list = "{\"seq\":41,\"whole\":true,\"hosts\":[]}";
-        byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list).getBytes(StandardCharsets.US_ASCII);
+        byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                .getBytes(StandardCharsets.US_ASCII);
         while (!listener.isClosed()) {
             try {
                 Socket call = listener.accept();
@@ -111,7 +114,8 @@
                     Path folder = Files.createDirectories(dir.resolve(kind + "-" + i));
                     kinds.add(kind);
                     begun.add(System.nanoTime());
-                    routers.add(RouterProcess.start(jar, folder, RouterProcess.config(NOBODY, NOBODY, discovery, 1_024), ""));
+                    routers.add(RouterProcess.start(
+                            jar, folder, RouterProcess.config(NOBODY, NOBODY, discovery, 1_024), ""));
                 }
             }
             for (int i = 0; i < routers.size(); i++) {
@@ -119,7 +123,10 @@
                 try (Socket socket = router.connect()) {
                     assertThat(RouterProcess.ask(socket, PING)).isEqualTo("+PONG");
                 }
-                starts.add(new Start(kinds.get(i), (System.nanoTime() - begun.get(i)) / 1_000_000, router.processorMillis(),
+                starts.add(new Start(
+                        kinds.get(i),
+                        (System.nanoTime() - begun.get(i)) / 1_000_000,
+                        router.processorMillis(),
                         router.mostResidentMib()));
             }
             return starts;
@@ -139,7 +146,9 @@
         Path jar = RouterProcess.jar(dir.resolve("slateseam.jar"), null);
         RouterProcess.archive(jar);
         List<Start> starts = startTogether(jar, 1);
-        assertThat(starts).hasSize(Discovery.values().length).allMatch(start -> start.millis < READY_MILLIS)
+        assertThat(starts)
+                .hasSize(Discovery.values().length)
+                .allMatch(start -> start.millis < READY_MILLIS)
                 .allMatch(start -> start.derivedMillis() < READY_MILLIS);
     }
 
@@ -150,14 +159,24 @@
         Path jar = RouterProcess.jar(trial.dir.resolve("slateseam.jar"), null);
         RouterProcess.archive(jar);
         List<Start> starts = trial.startTogether(jar, Integer.parseInt(args[0]));
-        System.out.println("discovery  routers  slowest ms  processor ms (median, most)  at a tenth of a core ms (most)  MiB");
+        System.out.println(
+                "discovery  routers  slowest ms  processor ms (median, most)  at a tenth of a core ms (most)  MiB");
         for (Discovery kind : Discovery.values()) {
-            List<Start> own = starts.stream().filter(start -> start.discovery == kind)
-                    .sorted(Comparator.comparingLong(Start::processorMillis)).toList();
+            List<Start> own = starts.stream()
+                    .filter(start -> start.discovery == kind)
+                    .sorted(Comparator.comparingLong(Start::processorMillis))
+                    .toList();
             Start last = own.get(own.size() - 1);
-            System.out.printf(Locale.ROOT, "%-9s %8d %11d %12d %6d %20d %16d%n", kind, own.size(),
-                    own.stream().mapToLong(Start::millis).max().orElseThrow(), own.get(own.size() / 2).processorMillis,
-                    last.processorMillis, last.derivedMillis(), own.stream().mapToLong(Start::mib).max().orElseThrow());
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-9s %8d %11d %12d %6d %20d %16d%n",
+                    kind,
+                    own.size(),
+                    own.stream().mapToLong(Start::millis).max().orElseThrow(),
+                    own.get(own.size() / 2).processorMillis,
+                    last.processorMillis,
+                    last.derivedMillis(),
+                    own.stream().mapToLong(Start::mib).max().orElseThrow());
         }
         try (Stream<Path> all = Files.walk(trial.dir)) {
             for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/test/java/slateseam/router/CommandsAtOnceTest.java
+++ b/src/test/java/slateseam/router/CommandsAtOnceTest.java
@@ -26,8 +26,10 @@
     private long now = 1_000_000_000_000L * 1_000_000L;
 
     private Router router() throws Exception {
-        String config = Files.readString(Path.of("src/test/resources/node.json")).replaceAll("\\{(s1|origin|discovery)}", "127.0.0.1:1");
-        Router router = new Router(NodeConfig.parse(config), Features.OFF, () -> now, new Log("n0", () -> now, console), console);
+        String config = Files.readString(Path.of("src/test/resources/node.json"))
+                .replaceAll("\\{(s1|origin|discovery)}", "127.0.0.1:1");
+        Router router = new Router(
+                NodeConfig.parse(config), Features.OFF, () -> now, new Log("n0", () -> now, console), console);
         for (int i = 0; !router.listens() && i < MOST_ROUNDS; i++) {
             router.loop().round(1_000_000);
         }
@@ -52,11 +54,13 @@
     @Test
     void commandsBehindOthersOfTheirConnectionWaitARoundAndAllAreAnswered() throws Exception {
         Router router = router();
-        try (SocketChannel many = connect(router); SocketChannel one = connect(router)) {
+        try (SocketChannel many = connect(router);
+                SocketChannel one = connect(router)) {
             for (int i = 0; i < 10; i++) {
                 router.loop().round(0);
             }
-            ByteBuffer commands = ByteBuffer.wrap("*1\r\n$4\r\nPING\r\n".repeat(COMMANDS).getBytes(StandardCharsets.US_ASCII));
+            ByteBuffer commands =
+                    ByteBuffer.wrap("*1\r\n$4\r\nPING\r\n".repeat(COMMANDS).getBytes(StandardCharsets.US_ASCII));
             many.write(commands);
             assertThat(commands.hasRemaining()).isFalse();
             int answered = 0;
--- a/src/test/java/slateseam/router/net/ConnectionFaultTest.java
+++ b/src/test/java/slateseam/router/net/ConnectionFaultTest.java
@@ -74,8 +74,9 @@
     @ParameterizedTest
     @CsvSource({"0, received 5 broken", "50, broken"})
     void aLoopThatIsLateLooksForTheEndFirst(long busyMillis, String expected) throws Exception {
-        Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
-        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> {}));
+        try (ServerSocketChannel listener =
+                ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             SocketChannel other = SocketChannel.open(listener.getLocalAddress());
             new Quick(loop, listener.accept());
             loop.after(0, () -> now += busyMillis * 1_000_000);
@@ -93,7 +94,8 @@
     void aConnectionOfWhichNobodyKnowsWhatWasTakenIsClosed() throws Exception {
         List<String> log = new ArrayList<>();
         Loop loop = new Loop(() -> now, new Log("n0", () -> now, log::add));
-        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        try (ServerSocketChannel listener =
+                        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
                 SocketChannel other = SocketChannel.open(listener.getLocalAddress())) {
             new Faulty(loop, listener.accept());
             other.write(ByteBuffer.wrap(new byte[5]));
@@ -150,8 +152,9 @@
     @Test
     void theSystemHoldsBackNothingOnAnyConnection() throws Exception {
         Remembering network = new Remembering();
-        Loop loop = new Loop(network, () -> now, new Log("n0", () -> now, line -> { }), 1 << 20);
-        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        Loop loop = new Loop(network, () -> now, new Log("n0", () -> now, line -> {}), 1 << 20);
+        try (ServerSocketChannel listener =
+                ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             Connection connecting = new Connection(loop, (InetSocketAddress) listener.getLocalAddress()) {
                 @Override
                 protected void received(ByteBuffer in) {
@@ -170,7 +173,8 @@
             };
             SocketChannel accepted = listener.accept();
             Connection taken = new Quick(loop, accepted);
-            assertThat(network.last.getOption(StandardSocketOptions.TCP_NODELAY)).isTrue();
+            assertThat(network.last.getOption(StandardSocketOptions.TCP_NODELAY))
+                    .isTrue();
             assertThat(accepted.getOption(StandardSocketOptions.TCP_NODELAY)).isTrue();
             connecting.close();
             taken.close();
--- a/src/test/java/slateseam/trial/ServiceLookTest.java
+++ b/src/test/java/slateseam/trial/ServiceLookTest.java
@@ -20,8 +20,8 @@
     private static final Answer SERVED = new Answer(Answer.Kind.SERVED, 0, new byte[0]);
 
     private final List<Fault> faults = new ArrayList<>();
-    private final ServiceLook look = new ServiceLook(0, faults,
-            Map.of("at r1", "r1", "at r2", "r2", "at r3", "r3", "at r4", "r4"));
+    private final ServiceLook look =
+            new ServiceLook(0, faults, Map.of("at r1", "r1", "at r2", "r2", "at r3", "r3", "at r4", "r4"));
     private final Findings findings = new Findings(() -> 0, 0);
     private int requests;
 
@@ -47,7 +47,9 @@
 
     private List<String> rules(int routers) {
         look.atTheEnd(routers, findings);
-        return findings.all().stream().map(finding -> finding.rule() + " " + finding.whom()).toList();
+        return findings.all().stream()
+                .map(finding -> finding.rule() + " " + finding.whom())
+                .toList();
     }
 
     @Test
