--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -89,7 +89,7 @@
             fleet = new Fleet(
                     day,
                     new World(net, net, findings),
-                    host -> history.say("rig", "starts server=" + host),
+                    server -> history.say("rig", "starts server=" + server.name()),
                     ways::dial);
             fleet.start();
             routers.startAll(links, ways, fleet);
