--- a/src/main/java/slateseam/simulate/scenario/Schema.java
+++ b/src/main/java/slateseam/simulate/scenario/Schema.java
@@ -132,7 +132,7 @@
 
     private static Type routers() {
         return new Type("routers", Often.ONCE, 1, List.of(
-                Name.count("number", 1, 250, null, "how many there are"),
+                Name.count("number", 1, 1024, null, "how many there are"),
                 Name.count("descriptors", 64, 65_536, "1024", "descriptors that each may hold"),
                 Name.size("memory", 32 * 1024, 16 * 1024 * 1024, "192 MiB", "memory of each"),
                 Name.count("held", 1, 4096, "4096", "requests that each may hold open"),
@@ -181,7 +181,7 @@
     }
 
     private static Type tenant() {
-        return new Type("tenant", Often.NAMED, 64, List.of(
+        return new Type("tenant", Often.NAMED, 1024, List.of(
                 Name.share("share", 0, 100, null, "its part of the service"),
                 Name.share("use", 0, 1000, "100 %", "how much of its part it asks for"),
                 Name.rate("limit", 0, 1e6, null, "requests a second over all routers within its share")), "a tenant");
@@ -189,7 +189,7 @@
 
     private static Type servers() {
         return new Type("servers", Often.NAMED, 16, List.of(
-                Name.count("number", 0, 1000, null, "how many there are"),
+                Name.count("number", 0, 4096, null, "how many there are"),
                 Name.count("cores", 1, 256, null, "cores of each"),
                 Name.factor("speed", 0.01, 100, "1", "speed of a core, drawn for each machine"),
                 Name.count("slots", 1, 4096, "", "requests in work; as many as cores, where it is not written"),
--- a/src/main/java/slateseam/trial/TrialCommand.java
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -36,8 +36,8 @@
 public final class TrialCommand {
     private static final int BROKEN = 1;
     private static final int USAGE = 2;
-    private static final int MOST_ROUTERS = 32;
-    private static final int MOST_VIRTUAL = 1_000;
+    private static final int MOST_ROUTERS = 1_024;
+    private static final int MOST_VIRTUAL = 1_024;
     private static final String SCRIPTS = "/slateseam/trials/";
     private static final List<String> TIERS = List.of("off", "keep", "rest");
     private static final String HELP = """
