Give every listed tenant a share, told in pages of 256 bytes

Only the first thirteen tenants had an account, as a datagram between routers holds no more: what any further tenant asked for was always within its share, at the cost of the others. With thirteen tenants there was no room for popular keys either.

Accounts are divided over pages, each a message of its own with its own ledger: the first keeps the layout that routers before this build know, the further ones (a version of their own, ten accounts beside six keys on the second, fourteen on each behind it) are passed over by those. Further pages are asked for in turn, all within eight exchanges where the requests bear it (one message for five requests, one at least), and one after the other by a router that has just started. Whether the other router is there is told by every page; what is inherited, and given back, is that of all pages.

Worse: where a router is away, the shares on further pages are inherited as they were told last, which is up to a round of pages ago.

--- a/src/main/java/slateseam/decision/KeyCounts.java
+++ b/src/main/java/slateseam/decision/KeyCounts.java
@@ -82,9 +82,11 @@
         heard.values().forEach(reads -> reads.replaceAll((key, count) -> count * part));
     }
 
-    /** Takes what a neighbour tells in place of what it told before. */
+    /** Takes what a neighbour tells in place of what it told before; a message without room for keys tells nothing of them. */
     void hear(int from, Map<Long, Double> reads) {
-        heard.put(from, new HashMap<>(reads));
+        if (!reads.isEmpty()) {
+            heard.put(from, new HashMap<>(reads));
+        }
     }
 
     /**
@@ -92,6 +94,9 @@
      * A part of what the other neighbour tells is passed on.
      */
     Map<Long, Double> tell(int to, int entries, double passedOn) {
+        if (entries <= 0) {
+            return Map.of();
+        }
         Map<Long, Double> reads = new HashMap<>();
         own.forEach((key, count) -> reads.put(key, count.reads));
         reads.put(ALL, total);
@@ -102,12 +107,10 @@
         });
         double all = reads.remove(ALL);
         Map<Long, Double> told = new LinkedHashMap<>();
-        if (entries > 0) {
-            told.put(ALL, all);
-        }
+        told.put(ALL, all);
         Comparator<Map.Entry<Long, Double>> most = Map.Entry.comparingByValue(Comparator.reverseOrder());
         reads.entrySet().stream().filter(e -> e.getValue() >= 1)
-                .sorted(most.thenComparing(Map.Entry::getKey)).limit(Math.max(0, entries - 1))
+                .sorted(most.thenComparing(Map.Entry::getKey)).limit(entries - 1)
                 .forEach(e -> told.put(e.getKey(), e.getValue()));
         return told;
     }
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -1,7 +1,7 @@
 package slateseam.decision;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import slateseam.decision.Api.Sight;
 import slateseam.decision.Api.TierSeen;
 import slateseam.decision.Api.Trust;
@@ -12,7 +12,8 @@
  *
  * <p>A router's own supply is an even share of the whole and what its two ledgers say. A ledger is one total for each
  * account, held by both ends, and so outlives the restart of either: the one that starts takes over what the other has,
- * in the first message that answers it. Messages carry totals and never amounts, so that a message that is lost,
+ * in the first message that answers it. Where the accounts take several pages of messages, there is a {@link Ledger} for each page;
+ * whether the other router is there is told by all of them. Messages carry totals and never amounts, so that a message that is lost,
  * doubled, late or overtaken changes nothing.
  *
  * <ul>
@@ -22,7 +23,8 @@
  * In the second case it may use, until they do answer, what its earlier life had given them on balance, and what its
  * buddy still holds for it.
  * <li>While a router is away its buddy holds its supply as last told. That can differ from the ledgers by what the
- * vanished one moved with its other neighbour after it last told its buddy: at most one movement. A router that is
+ * vanished one moved with its other neighbour after it last told its buddy: at most one movement, or as many as there were since a
+ * page behind the first was last told. A router that is
  * there but not heard is counted twice for as long as that lasts.
  * <li>When it is heard again, its buddy stops using its supply before it answers. What the buddy has passed on
  * meanwhile and no longer has, it books as moved to itself: the one that returns gets what is left, nobody owes, and
@@ -42,14 +44,12 @@
     /** Whether this router inherits the other's supply: it is its ring successor. */
     final boolean buddy;
     private final List<Account> accounts;
-    /** Whether this end holds the ledger; one that has just started does not. */
-    private boolean known;
-    private boolean answered;
-    private boolean mayMove;
-    private boolean told;
-    private int life;
-    private int sent;
-    private int heard;
+    /** One for each page of the messages. */
+    private final List<Ledger> ledgers = new ArrayList<>();
+    /** The page behind the first that was asked for last. */
+    private int turn;
+    /** Whether it holds the other's supply. */
+    private boolean inherits;
     private long heardAt;
     private long askedAt;
     private long lookedAt;
@@ -57,12 +57,6 @@
     private Trust trust = Trust.FULL;
     /** The usual time between its messages. */
     private long pause = SECOND / 2;
-    /** All that went from the lower to the higher: as this end tells it; as the other end was last seen to have it. */
-    private final int[] flow;
-    private final int[] settled;
-    private int[] theirFlow;
-    private int[] theirUnits;
-    private int[] loan;
 
     Neighbour(int me, int routers, int peer, List<Account> accounts, long now) {
         this.peer = peer;
@@ -71,128 +65,63 @@
         buddy = (peer + 1) % routers == me;
         heardAt = now;
         lookedAt = now;
-        flow = new int[accounts.size()];
-        settled = flow.clone();
-        theirFlow = flow.clone();
-        theirUnits = accounts.stream().mapToInt(a -> a.units).toArray();
+        int first = 0;
+        for (int size : SupplyMessage.pages(accounts.size())) {
+            ledgers.add(new Ledger(ledgers.size(), lower, accounts.subList(first, first + size)));
+            first += size;
+        }
     }
 
-    /** The life of the other router that was heard last; 0 if none was. */
-    int life() {
-        return life;
+    /** The ledger of the accounts on a page of the messages. */
+    Ledger ledger(int page) {
+        return ledgers.get(page);
     }
 
     /** Whether it has told something to this life of this router. */
     boolean answered() {
-        return answered;
-    }
-
-    /** Whether this end holds the ledger. */
-    boolean known() {
-        return known;
+        return ledgers.get(0).answered();
     }
 
-    /** Whether the message that was heard last shows the ledger as this end told it, so that more may move. */
-    boolean mayMove() {
-        return mayMove;
+    /** The next page behind the first, in turn. */
+    int nextPage() {
+        turn = turn + 1 < ledgers.size() ? turn + 1 : 1;
+        return turn;
     }
 
-    /** What the next message is to say of the ledger and of messages. */
-    SupplyMessage message(boolean ask, boolean starting, int me, double rate,
-            Map<Long, Double> popular) {
-        return new SupplyMessage(ask, known, starting, me, life, ++sent, heard, rate, flow.clone(),
-                accounts.stream().mapToInt(a -> a.units).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
-                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(), popular);
+    /** The first page whose ledger this end does not hold; 0 if there is none behind the first. */
+    int unknownPage() {
+        for (int page = 1; page < ledgers.size(); page++) {
+            if (!ledgers.get(page).known()) {
+                return page;
+            }
+        }
+        return 0;
     }
 
     /** Takes a message to this life; false, and nothing is changed, if it is doubled, overtaken or of an earlier life. */
     boolean hear(SupplyMessage m, int me, long now) {
-        boolean anew = life == 0 || m.from() - life > 0;
-        if (!anew && (m.from() != life || m.sequence() - heard <= 0)) {
+        Ledger ledger = ledgers.get(m.page());
+        if (!ledger.isNews(m)) {
             return false;
         }
-        giveBack(anew && !m.known());
-        if (!anew) {
+        for (Ledger each : ledgers) {
+            each.giveBack(each.isAnew(m) && !m.known());
+        }
+        inherits = false;
+        if (m.page() == 0 && !ledger.isAnew(m)) {
             pause += (Math.min(now - heardAt, 2 * SECOND) - pause) / 2;
         }
-        life = m.from();
-        heard = m.sequence();
         heardAt = now;
-        // One that has just started does not know its supply yet; what its earlier life told still holds.
-        if (!told || m.known() && !m.starting()) {
-            theirUnits = m.units().clone();
-            theirFlow = m.flow();
-            told = true;
-        }
-        mayMove = false;
-        if (m.to() == me) {
-            take(m);
-        }
+        ledger.hear(m, me);
         return true;
     }
 
     /** It is there, if in a way that cannot be understood: what it holds is not to be used twice. */
     void isThere(long now) {
-        giveBack(false);
+        giveBack();
         heardAt = now;
     }
 
-    private void take(SupplyMessage m) {
-        answered = true;
-        boolean had = known;
-        known = true;
-        // Where both have just started the ledger begins at nothing.
-        if (!had && m.known()) {
-            adopt(m.flow());
-        } else if (had && m.known() && !lower) {
-            apply(m.flow());
-        } else if (had && m.known() && m.heard() == sent) {
-            settle(m.flow());
-            mayMove = !m.starting();
-        }
-    }
-
-    private void adopt(int[] theirs) {
-        for (int a = 0; a < flow.length; a++) {
-            accounts.get(a).units += lower ? -theirs[a] : theirs[a];
-            flow[a] = theirs[a];
-            settled[a] = theirs[a];
-        }
-    }
-
-    /** The higher end: takes what has come, and gives what is asked back as far as it has it. */
-    private void apply(int[] theirs) {
-        for (int a = 0; a < flow.length; a++) {
-            Account own = accounts.get(a);
-            int moved = Math.max(theirs[a] - flow[a], -Math.max(0, own.held()));
-            own.units += moved;
-            flow[a] += moved;
-            theirUnits[a] += Math.max(0, -moved);
-        }
-    }
-
-    /** The lower end: takes back what the other end has not taken, and what it gave. */
-    private void settle(int[] theirs) {
-        for (int a = 0; a < flow.length; a++) {
-            accounts.get(a).units += debited(a) - theirs[a];
-            flow[a] = theirs[a];
-            settled[a] = theirs[a];
-        }
-    }
-
-    /** Moves so much of an account to the other end; below 0 it is asked for. Only the lower end does. */
-    void move(int a, int amount) {
-        int most = Math.max(0, accounts.get(a).held());
-        int moved = Math.min(amount, most);
-        flow[a] += moved;
-        accounts.get(a).units -= Math.max(0, moved);
-    }
-
-    /** By the difference: totals go on past the end of their numbers, where supply goes round the ring for long. */
-    private int debited(int a) {
-        return flow[a] - settled[a] > 0 ? flow[a] : settled[a];
-    }
-
     /** When it was last looked at whether to ask it. */
     long askedAt() {
         return askedAt;
@@ -218,7 +147,7 @@
      * messages that keep one that returns from its supply, or make one that is there look as if it were not.
      */
     boolean missed(int pauses, long now) {
-        return buddy && loan == null && now - heardAt > pauses * Math.max(LEAST_PAUSE, pause);
+        return buddy && !inherits && now - heardAt > pauses * Math.max(LEAST_PAUSE, pause);
     }
 
     /**
@@ -230,7 +159,7 @@
         accounts.forEach(a -> a.rests = trust == Trust.NONE);
         sight = e.peer() == peer ? e.sight() : sight;
         if (sight == Sight.THERE || trust != Trust.FULL) {
-            giveBack(false);
+            giveBack();
         }
     }
 
@@ -244,28 +173,12 @@
 
     /** Uses the supply of one that has vanished until it is heard again. */
     void inherit() {
-        loan = new int[flow.length];
-        for (int a = 0; a < loan.length; a++) {
-            int underway = lower ? debited(a) - theirFlow[a] : 0;
-            loan[a] = Math.max(0, theirUnits[a] + underway);
-            accounts.get(a).inherited += loan[a];
-        }
+        inherits = true;
+        ledgers.forEach(Ledger::inherit);
     }
 
-    private void giveBack(boolean anew) {
-        if (loan == null) {
-            return;
-        }
-        for (int a = 0; a < loan.length; a++) {
-            Account own = accounts.get(a);
-            own.inherited -= loan[a];
-            int gone = anew ? Math.min(loan[a], Math.max(0, -own.booked())) : 0;
-            known |= gone > 0;
-            own.units += gone;
-            flow[a] += lower ? -gone : gone;
-            settled[a] += lower ? -gone : gone;
-            theirUnits[a] -= lower ? 0 : gone;
-        }
-        loan = null;
+    private void giveBack() {
+        inherits = false;
+        ledgers.forEach(ledger -> ledger.giveBack(false));
     }
 }
--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -23,6 +23,8 @@
     private static final double RATE_WEIGHT = 0.25;
     /** Requests that bear the cost of one exchange. */
     private static final double REQUESTS_AN_EXCHANGE = 5;
+    /** Exchanges in which all pages behind the first are told, if requests bear that many messages. */
+    private static final int EXCHANGES_A_ROUND = 8;
     private static final long START = 2 * Timing.SECOND;
     private final DecisionContext context;
     private final TrafficStats traffic;
@@ -31,6 +33,8 @@
     private final Account origin;
     private final OriginRate originRate;
     private final List<Account> accounts = new ArrayList<>();
+    /** How many accounts each page of the messages holds. */
+    private final List<Integer> pages;
     private final List<Neighbour> neighbours = new ArrayList<>();
     /** Whether it uses its supply: not before its buddy has heard that it is there. */
     private boolean joined;
@@ -50,8 +54,9 @@
         origin = new Account(START_RATE * routers, evenShare);
         originRate = new OriginRate(context, origin, evenShare);
         accounts.add(origin);
-        context.settings().tenants().stream().limit(SupplyMessage.MOST_ACCOUNTS - 1)
+        context.settings().tenants()
                 .forEach(tenant -> accounts.add(new Account(tenant.quotaPerSecond(), evenShare)));
+        pages = SupplyMessage.pages(accounts.size());
     }
 
     OriginRate originRate() {
@@ -100,7 +105,7 @@
                 new Neighbour(context.settings().me(), context.settings().routers(), peer, accounts, now);
         neighbours.add(neighbour);
         neighbour.asked(now);
-        send(neighbour, true);
+        send(neighbour, 0, true);
     }
 
     /** Until it has seen what is asked for here, nothing moves by a demand that is only the floor. */
@@ -108,14 +113,14 @@
         return busyIntervals < 2 && context.now() - startedAt < START;
     }
 
-    private void send(Neighbour to, boolean ask) {
-        var popular = keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON);
-        SupplyMessage message = to.message(ask, starting(), life, origin.rate, popular);
+    private void send(Neighbour to, int page, boolean ask) {
+        var popular = keys.tell(to.peer, SupplyMessage.room(page, pages.get(page)), PASSED_ON);
+        SupplyMessage message = to.ledger(page).message(ask, starting(), life, origin.rate, popular);
         context.emit(new TellPeer(to.peer, message.encode()));
     }
 
     void received(PeerMessage event) {
-        SupplyMessage message = SupplyMessage.decode(event.payload(), accounts.size());
+        SupplyMessage message = SupplyMessage.decode(event.payload(), pages);
         for (Neighbour neighbour : neighbours) {
             if (neighbour.peer != event.from()) {
                 continue;
@@ -133,24 +138,37 @@
         if (message.to() != 0 && message.to() - life > 0) {
             life = message.to() + 1 == 0 ? 1 : message.to() + 1;
         }
-        boolean knew = from.known();
+        Ledger ledger = from.ledger(message.page());
+        boolean knew = ledger.known();
         boolean news = from.hear(message, life, context.now());
         if (news) {
             take(from, message, knew);
         }
-        if (message.ask() && (news || message.from() != from.life())) {
-            send(from, false);
+        if (message.ask() && (news || message.from() != ledger.life())) {
+            send(from, message.page(), false);
+        }
+        if (!knew && ledger.known()) {
+            askForUnknownPage(from);
+        }
+    }
+
+    /** One that has just started takes over all pages at once: it asks for each as the one before is answered. */
+    private void askForUnknownPage(Neighbour of) {
+        int page = of.unknownPage();
+        if (page > 0) {
+            send(of, page, true);
         }
     }
 
     private void take(Neighbour from, SupplyMessage message, boolean knew) {
         // Neighbours learn R together, each from few fetches; a new one takes it over.
-        double part = !message.known() ? 0 : !knew && starting() ? 1 : RATE_WEIGHT;
+        double part = message.page() > 0 || !message.known() ? 0 : !knew && starting() ? 1 : RATE_WEIGHT;
         origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(message.rate(), part);
         keys.hear(from.peer, message.popular());
         joined |= neighbours.stream().allMatch(Neighbour::answered);
-        for (int a = 0; a < accounts.size() && from.mayMove() && !starting(); a++) {
-            from.move(a, wanted(accounts.get(a), message.held()[a], message.demand()[a]));
+        Ledger ledger = from.ledger(message.page());
+        for (int a = 0; a < message.held().length && ledger.mayMove() && !starting(); a++) {
+            ledger.move(a, wanted(ledger.account(a), message.held()[a], message.demand()[a]));
         }
     }
 
@@ -206,8 +224,23 @@
                 neighbour.inherit();
             }
             neighbour.asked(now);
-            if (neighbour.lower || doubt || !neighbour.known()) {
-                send(neighbour, true);
+            if (neighbour.lower || doubt || !neighbour.ledger(0).known()) {
+                send(neighbour, 0, true);
+            }
+            if (!doubt) {
+                askForFurtherPages(neighbour, usual / bearable);
+            }
+        }
+    }
+
+    /** Asks for pages behind the first, in turn; no more of them than the requests since the last exchange bear, but for one. */
+    private void askForFurtherPages(Neighbour of, double bearable) {
+        int further = pages.size() - 1;
+        int most = (further + EXCHANGES_A_ROUND - 1) / EXCHANGES_A_ROUND;
+        for (int i = 0; i < Math.min(most, Math.max(1, bearable)); i++) {
+            int page = of.nextPage();
+            if (of.lower || !of.ledger(page).known()) {
+                send(of, page, true);
             }
         }
     }
--- a/src/test/java/slateseam/decision/BoundsTest.java
+++ b/src/test/java/slateseam/decision/BoundsTest.java
@@ -66,7 +66,7 @@
             misses[turn % 3] = 2;
             ring.pass(8_000 * MS, misses);
             Neighbour n = neighbours(ring.routers[0]).get(0);
-            int flow = ((int[]) SupplyTest.field(n, "flow"))[0];
+            int flow = ((int[]) SupplyTest.field(n.ledger(0), "flow"))[0];
             passed += flow - before;
             before = flow;
             assertThat(ring.total(0)).as("after turn " + turn + ", " + passed + " units went by")
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -275,7 +275,7 @@
         for (int i = 0; i < 12; i++) {
             before.add(w.homeOf(77));
         }
-        w.on(new PeerMessage(1, new SupplyMessage(false, false, false, 5, 0, 1, 0, 9, new int[1], new int[1], new int[1],
+        w.on(new PeerMessage(1, new SupplyMessage(0, false, false, false, 5, 0, 1, 0, 9, new int[1], new int[1], new int[1],
                 new double[] {1}, Map.of(0L, 1000.0, 77L, 300.0)).encode()));
         for (int i = 0; i < 12; i++) {
             after.add(w.homeOf(77));
--- a/src/test/java/slateseam/decision/Ring.java
+++ b/src/test/java/slateseam/decision/Ring.java
@@ -30,7 +30,16 @@
     long most;
     long least;
 
+    final List<Tenant> tenants;
+    /** Whose requests come; by its place among the tenants. */
+    int asks;
+
     Ring(int n, long seed, double loss, double repeat) {
+        this(n, seed, loss, repeat, List.of(new Tenant("t", 50, 1)));
+    }
+
+    Ring(int n, long seed, double loss, double repeat, List<Tenant> tenants) {
+        this.tenants = tenants;
         random = new Random(seed);
         this.loss = loss;
         this.repeat = repeat;
@@ -44,7 +53,7 @@
     }
 
     void start(int i) {
-        World w = new World(World.settings(i, routers.length, false, List.of(new Tenant("t", 50, 1))),
+        World w = new World(World.settings(i, routers.length, false, tenants),
                 random.nextLong(), now - behind[i]);
         w.fleet(3);
         routers[i] = w;
@@ -53,7 +62,7 @@
 
     /** A further process of a router, which is to take over and has not yet; it is talked to by nobody. */
     World heir(int i) {
-        World w = new World(World.settings(i, routers.length, false, List.of(new Tenant("t", 50, 1))),
+        World w = new World(World.settings(i, routers.length, false, tenants),
                 random.nextLong(), now - behind[i]);
         w.on(new Rests(true));
         w.fleet(3);
@@ -93,7 +102,7 @@
                 World w = routers[i];
                 w.now = now - behind[i];
                 for (double m = misses[i]; m > random.nextDouble(); m--) {
-                    long r = w.request(random.nextLong() | 1, 0);
+                    long r = w.request(random.nextLong() | 1, 0, asks);
                     Send s = w.sent(r);
                     if (s != null && s.member() != World.ORIGIN) {
                         w.end(s, Outcome.MISS, 0, MS);
--- a/src/test/java/slateseam/decision/World.java
+++ b/src/test/java/slateseam/decision/World.java
@@ -73,8 +73,13 @@
     }
 
     long request(long key, int type) {
+        return request(key, type, 0);
+    }
+
+    /** The same of another tenant than the first. */
+    long request(long key, int type, int tenant) {
         long id = nextRequest++;
-        on(new RequestArrived(id, key, 0, type, type == 1 || type == 2, false, 0, 1000 * MS));
+        on(new RequestArrived(id, key, tenant, type, type == 1 || type == 2, false, 0, 1000 * MS));
         return id;
     }
 
