Spread keys over the few servers that are left of a large list

A key tries 128 hashes for a slot with a server that takes it; if all miss, the first such server of the table got it. With 1,024 listed and 16 ready there are 8,192 slots, so the hashes miss four times in five, and one server got 15,852 of 20,000 keys.

The search goes on behind the key's own slot, round the table: the same at every router with the same list. SlicesPlacementTest plays the 16 of 1,024; none gets a third of the keys. It fails without this (15,852).

--- a/src/main/java/slateseam/decision/Cluster.java
+++ b/src/main/java/slateseam/decision/Cluster.java
@@ -99,8 +99,10 @@
                 return server;
             }
         }
-        // Of few caches all the hashes may have missed the one that is left.
-        for (UpstreamServer server : slots.all()) {
+        // All the hashes may have missed the few that are left of many: then the next one behind the key's own slot.
+        int own = slots.slotOf(key);
+        for (int step = 0; step < slots.size(); step++) {
+            UpstreamServer server = slots.behind(own, step);
             if (takes(server, key, not)) {
                 return server;
             }
--- a/src/main/java/slateseam/decision/SlotTable.java
+++ b/src/main/java/slateseam/decision/SlotTable.java
@@ -21,17 +21,27 @@
             while (at(hash) != null) {
                 hash = JumpHash.mix(hash + 1);
             }
-            slots[JumpHash.bucket(hash, slots.length)] = server;
+            slots[slotOf(hash)] = server;
         }
     }
 
     /** The server of a hash; null where its slot is empty. */
     UpstreamServer at(long hash) {
-        return slots[JumpHash.bucket(hash, slots.length)];
+        return slots[slotOf(hash)];
     }
 
-    /** All slots, null where empty. */
-    UpstreamServer[] all() {
-        return slots;
+    /** How many slots there are. */
+    int size() {
+        return slots.length;
+    }
+
+    /** The slot of a hash. */
+    int slotOf(long hash) {
+        return JumpHash.bucket(hash, slots.length);
+    }
+
+    /** The server so many slots behind another, round the table; null where that slot is empty. */
+    UpstreamServer behind(int slot, int steps) {
+        return slots[(slot + steps) % slots.length];
     }
 }
--- a/src/test/java/slateseam/decision/SlicesPlacementTest.java
+++ b/src/test/java/slateseam/decision/SlicesPlacementTest.java
@@ -5,9 +5,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import slateseam.decision.Api.*;
@@ -53,6 +55,25 @@
         return IntStream.range(0, KEYS).filter(i -> before[i] != after[i]).count();
     }
 
+    /** All but a few of a large farm drain: none of the few gets what belongs to the others alone. */
+    @Test
+    void theFewThatAreLeftOfManyShareTheKeys() {
+        int listed = 1_024;
+        int left = 16;
+        List<Member> members = new ArrayList<>();
+        members.add(World.member(World.ORIGIN, MemberState.READY, 0));
+        for (int i = 0; i < listed; i++) {
+            members.add(World.member(10 + i, i % (listed / left) == 0 ? MemberState.READY : MemberState.DRAINING, 0));
+        }
+        world.on(new MembersChanged(ListKind.FULL, members));
+        Map<Long, Long> keysOf = IntStream.range(0, KEYS).mapToObj(key -> {
+            world.actions.clear();
+            return world.homeOf(JumpHash.mix(key + 1));
+        }).collect(Collectors.groupingBy(home -> home, Collectors.counting()));
+        assertThat(keysOf).doesNotContainKey(-1L).hasSize(left);
+        assertThat(Collections.max(keysOf.values())).as("keys of the one that has most").isLessThan(KEYS / 3);
+    }
+
     @Test
     void keysStayWhenSlicesAreRepackedAndOnlyThoseOfAServerThatGoesMove() {
         membership.listed(List.of(slice("a", 0, 50), slice("b", 50, SERVERS)), "12", 0);
