--- a/src/main/java/slateseam/tier/members/Roster.java
+++ b/src/main/java/slateseam/tier/members/Roster.java
@@ -17,7 +17,7 @@
 final class Roster {
     static final int PARTS = 16;
     private static final int PART_SHIFT = Long.SIZE - 4;
-    private static final int MOST_FORGOTTEN = 1_024;
+    private static final int MOST_FORGOTTEN = MembersSettings.MOST;
 
     /** One that was forgotten: what it says of a life that was over is not believed. */
     private record Tombstone(long life, int sequence) {
