--- a/src/main/java/slateseam/decision/Ledger.java
+++ b/src/main/java/slateseam/decision/Ledger.java
@@ -11,9 +11,11 @@
     private final int page;
     /** Whether this router has the lower number: it alone decides what moves. */
     private final boolean lower;
+
     private final List<Account> accounts;
     /** Whether this end holds the ledger; one that has just started does not. */
     private boolean known;
+
     private boolean answered;
     private boolean mayMove;
     private boolean told;
@@ -22,6 +24,7 @@
     private int heard;
     /** All that went from the lower to the higher: as this end tells it; as the other end was last seen to have it. */
     private final int[] flow;
+
     private final int[] settled;
     private int[] theirFlow;
     private int[] theirUnits;
@@ -64,9 +67,21 @@
 
     /** What the next message is to say of the ledger and of messages. */
     SupplyMessage message(boolean ask, boolean starting, int me, double rate, Map<Long, Double> popular) {
-        return new SupplyMessage(page, ask, known, starting, me, life, ++sent, heard, rate, flow.clone(),
-                accounts.stream().mapToInt(a -> a.units).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
-                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(), popular);
+        return new SupplyMessage(
+                page,
+                ask,
+                known,
+                starting,
+                me,
+                life,
+                ++sent,
+                heard,
+                rate,
+                flow.clone(),
+                accounts.stream().mapToInt(a -> a.units).toArray(),
+                accounts.stream().mapToInt(Account::held).toArray(),
+                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(),
+                popular);
     }
 
     /** Whether a message is of a later life than all before it. */
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -43,6 +43,7 @@
     final boolean lower;
     /** Whether this router inherits the other's supply: it is its ring successor. */
     final boolean buddy;
+
     private final List<Account> accounts;
     /** One for each page of the messages. */
     private final List<Ledger> ledgers = new ArrayList<>();
@@ -50,6 +51,7 @@
     private int turn;
     /** Whether it holds the other's supply. */
     private boolean inherits;
+
     private long heardAt;
     private long askedAt;
     private long lookedAt;
--- a/src/main/java/slateseam/decision/SupplyMessage.java
+++ b/src/main/java/slateseam/decision/SupplyMessage.java
@@ -28,11 +28,25 @@
  * @param demand for each account, the sender's demand a second
  * @param popular the sender's reads lately of its most popular keys, and of all keys under 0
  */
-record SupplyMessage(int page, boolean ask, boolean known, boolean starting, int from, int to, int sequence, int heard,
-        double rate, int[] flow, int[] units, int[] held, double[] demand, Map<Long, Double> popular) {
+record SupplyMessage(
+        int page,
+        boolean ask,
+        boolean known,
+        boolean starting,
+        int from,
+        int to,
+        int sequence,
+        int heard,
+        double rate,
+        int[] flow,
+        int[] units,
+        int[] held,
+        double[] demand,
+        Map<Long, Double> popular) {
     private static final byte VERSION = 3;
     /** Of the pages behind the first. */
     private static final byte PAGE_VERSION = 4;
+
     private static final int ASK = 1;
     private static final int KNOWN = 2;
     private static final int STARTING = 4;
@@ -48,13 +62,14 @@
     static final int MOST_ACCOUNTS = (MESSAGE_BYTES - HEADER_BYTES) / ACCOUNT_BYTES;
     /** The page that tells of popular keys where the first is full of accounts, and the accounts that it holds beside them. */
     private static final int KEYS_PAGE = 1;
+
     private static final int ACCOUNTS_BESIDE_KEYS = 10;
 
     /** How many accounts each page holds of so many; there is always a page with room for popular keys. */
     static List<Integer> pages(int accounts) {
         List<Integer> sizes = new ArrayList<>();
         sizes.add(Math.min(accounts, MOST_ACCOUNTS));
-        for (int left = accounts - MOST_ACCOUNTS; left > 0 || left == 0 && sizes.size() == KEYS_PAGE;) {
+        for (int left = accounts - MOST_ACCOUNTS; left > 0 || left == 0 && sizes.size() == KEYS_PAGE; ) {
             int size = Math.min(left, sizes.size() == KEYS_PAGE ? ACCOUNTS_BESIDE_KEYS : MOST_ACCOUNTS);
             sizes.add(size);
             left -= size;
@@ -72,9 +87,15 @@
     }
 
     byte[] encode() {
-        ByteBuffer b = ByteBuffer.allocate(headerBytes(page) + ACCOUNT_BYTES * flow.length + KEY_BYTES * popular.size());
+        ByteBuffer b =
+                ByteBuffer.allocate(headerBytes(page) + ACCOUNT_BYTES * flow.length + KEY_BYTES * popular.size());
         int flags = (ask ? ASK : 0) | (known ? KNOWN : 0) | (starting ? STARTING : 0) | flow.length << FLAG_BITS;
-        b.put(page == 0 ? VERSION : PAGE_VERSION).put((byte) flags).putInt(from).putInt(to).putInt(sequence).putInt(heard)
+        b.put(page == 0 ? VERSION : PAGE_VERSION)
+                .put((byte) flags)
+                .putInt(from)
+                .putInt(to)
+                .putInt(sequence)
+                .putInt(heard)
                 .putFloat((float) rate);
         if (page > 0) {
             b.putShort((short) page);
@@ -99,9 +120,21 @@
         }
         ByteBuffer b = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
         int flags = b.get();
-        SupplyMessage m = new SupplyMessage(page, (flags & ASK) != 0, (flags & KNOWN) != 0, (flags & STARTING) != 0,
-                b.getInt(), b.getInt(), b.getInt(), b.getInt(), b.getFloat(), new int[accounts], new int[accounts],
-                new int[accounts], new double[accounts], new LinkedHashMap<>());
+        SupplyMessage m = new SupplyMessage(
+                page,
+                (flags & ASK) != 0,
+                (flags & KNOWN) != 0,
+                (flags & STARTING) != 0,
+                b.getInt(),
+                b.getInt(),
+                b.getInt(),
+                b.getInt(),
+                b.getFloat(),
+                new int[accounts],
+                new int[accounts],
+                new int[accounts],
+                new double[accounts],
+                new LinkedHashMap<>());
         b.position(headerBytes(page));
         boolean sound = m.from != 0 && m.rate > 0 && m.rate <= MOST_RATE;
         for (int a = 0; a < accounts; a++) {
--- a/src/test/java/slateseam/LargeTierTest.java
+++ b/src/test/java/slateseam/LargeTierTest.java
@@ -46,10 +46,12 @@
     private static final int DESCRIPTORS = 512;
     /** The least that the deployments name, in KiB. */
     private static final long MEMORY_KIB = 144 * 1_024;
+
     private static final int COMMANDS_AT_ONCE = 8;
 
     @TempDir
     Path dir;
+
     private final List<AutoCloseable> open = new ArrayList<>();
     private final Set<String> tenantsSeen = new HashSet<>();
     private final BlockingQueue<JSONObject> changes = new LinkedBlockingQueue<>();
@@ -67,8 +69,13 @@
     }
 
     private static String serverName(int number) {
-        return String.format(Locale.ROOT, "cache-server-%04d.rack-%02d.row-%d.hall-west.building-7.campus-north.region-south"
-                + ".application-servers.customers.example.internal", number, number / 32, number / 256);
+        return String.format(
+                Locale.ROOT,
+                "cache-server-%04d.rack-%02d.row-%d.hall-west.building-7.campus-north.region-south"
+                        + ".application-servers.customers.example.internal",
+                number,
+                number / 32,
+                number / 256);
     }
 
     private static String tenantName(int number) {
@@ -86,11 +93,19 @@
     }
 
     private static JSONObject host(String name, String kind, int port, String health) {
-        return new JSONObject().put("host", name).put("dial", "127.0.0.1:" + port).put("site", "campus-north").put("class", kind)
-                .put("block", 17).put("health", health).put("share", 1.25).put("born_ms", 0);
+        return new JSONObject()
+                .put("host", name)
+                .put("dial", "127.0.0.1:" + port)
+                .put("site", "campus-north")
+                .put("class", kind)
+                .put("block", 17)
+                .put("health", health)
+                .put("share", 1.25)
+                .put("born_ms", 0);
     }
 
-    private JSONObject config(int discovery, JSONObject known, DatagramSocket next, DatagramSocket previous, String... moreClasses)
+    private JSONObject config(
+            int discovery, JSONObject known, DatagramSocket next, DatagramSocket previous, String... moreClasses)
             throws Exception {
         JSONObject config = new JSONObject(Files.readString(Path.of("examples/config.json")));
         JSONArray peers = new JSONArray();
@@ -98,19 +113,30 @@
             peers.put("127." + (100 + i / 250) + ".1." + (1 + i % 250) + ":7946");
         }
         peers.put(1, "127.0.0.1:" + next.getLocalPort()).put(ROUTERS - 1, "127.0.0.1:" + previous.getLocalPort());
-        config.put("listen", "127.0.0.1:0").put("peer_listen", "127.0.0.1:0").put("discovery", "127.0.0.1:" + discovery)
-                .put("peers", peers).put("known", known);
+        config.put("listen", "127.0.0.1:0")
+                .put("peer_listen", "127.0.0.1:0")
+                .put("discovery", "127.0.0.1:" + discovery)
+                .put("peers", peers)
+                .put("known", known);
         config.getJSONObject("limits").put("sockets", DESCRIPTORS);
-        JSONObject settings = config.getJSONObject("settings").put("replicas_of_me", ROUTERS)
-                .put("zones", new JSONArray().put("campus-north")).put("kinds", new JSONArray().put("application-server").put("origin"));
+        JSONObject settings = config.getJSONObject("settings")
+                .put("replicas_of_me", ROUTERS)
+                .put("zones", new JSONArray().put("campus-north"))
+                .put("kinds", new JSONArray().put("application-server").put("origin"));
         JSONArray tenants = new JSONArray();
         for (int i = 0; i < TENANTS; i++) {
-            tenants.put(new JSONObject().put("name", tenantName(i)).put("quota_per_s", 1000).put("fraction", 1.0 / TENANTS));
+            tenants.put(new JSONObject()
+                    .put("name", tenantName(i))
+                    .put("quota_per_s", 1000)
+                    .put("fraction", 1.0 / TENANTS));
         }
         settings.put("accounts", tenants);
         for (String name : moreClasses) {
-            settings.getJSONArray("profiles").put(new JSONObject(settings.getJSONArray("profiles").getJSONObject(0).toString())
-                    .put("name", name));
+            settings.getJSONArray("profiles")
+                    .put(new JSONObject(settings.getJSONArray("profiles")
+                                    .getJSONObject(0)
+                                    .toString())
+                            .put("name", name));
         }
         return config;
     }
@@ -148,20 +174,24 @@
     }
 
     private static void thread(Task task) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // the other side, or the test, has ended
-            }
-        }, "stand-in", 256 * 1024);
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException | InterruptedException e) {
+                        // the other side, or the test, has ended
+                    }
+                },
+                "stand-in",
+                256 * 1024);
         thread.setDaemon(true);
         thread.start();
     }
 
     private static String readLine(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b; (b = in.read()) != '\n';) {
+        for (int b; (b = in.read()) != '\n'; ) {
             if (b < 0) {
                 throw new IOException("the end");
             }
@@ -199,7 +229,7 @@
     /** The first line of a head, all of which is read. */
     private static String readHead(InputStream in) throws IOException {
         String first = readLine(in);
-        for (String line = first; !line.isEmpty();) {
+        for (String line = first; !line.isEmpty(); ) {
             line = readLine(in);
         }
         return first;
@@ -212,21 +242,40 @@
             JSONObject told = whole;
             if (call.contains("index=")) {
                 told = call.contains("wait=1 ") ? null : changes.poll(2, TimeUnit.SECONDS);
-                told = told != null ? told : new JSONObject().put("seq", whole.getLong("seq")).put("whole", false).put("hosts", new JSONArray());
+                told = told != null
+                        ? told
+                        : new JSONObject()
+                                .put("seq", whole.getLong("seq"))
+                                .put("whole", false)
+                                .put("hosts", new JSONArray());
             }
             byte[] body = told.toString().getBytes(StandardCharsets.UTF_8);
-            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
             out.write(body);
         }
     }
 
     private void launch(JSONObject config) throws IOException {
-        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = ")).findFirst()
-                .orElseThrow().replaceFirst("run = \"(.*)\"", "$1")
-                .replace("-jar target/slateseam.jar", "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main");
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .findFirst()
+                .orElseThrow()
+                .replaceFirst("run = \"(.*)\"", "$1")
+                .replace(
+                        "-jar target/slateseam.jar",
+                        "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main");
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; " + line);
-        builder.environment().put("NODE_CONFIG", Files.writeString(dir.resolve("config.json"), config.toString()).toString());
-        builder.environment().merge("PATH", Path.of(System.getProperty("java.home"), "bin").toString(), (old, java) -> java + ":" + old);
+        builder.environment()
+                .put(
+                        "NODE_CONFIG",
+                        Files.writeString(dir.resolve("config.json"), config.toString())
+                                .toString());
+        builder.environment()
+                .merge(
+                        "PATH",
+                        Path.of(System.getProperty("java.home"), "bin").toString(),
+                        (old, java) -> java + ":" + old);
         process = builder.start();
         err = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
     }
@@ -241,12 +290,18 @@
     }
 
     private void signal(String name) throws Exception {
-        assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor()).isZero();
+        assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
+                        .start()
+                        .waitFor())
+                .isZero();
     }
 
     private long memoryKib() throws IOException {
-        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream().filter(l -> l.startsWith("VmHWM:"))
-                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElseThrow();
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(l -> l.startsWith("VmHWM:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .findFirst()
+                .orElseThrow();
     }
 
     private long descriptors() throws IOException {
@@ -259,14 +314,21 @@
     private static int served(Socket socket, int from, int number, String type) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         int served = 0;
-        for (int asked = 0; asked < number;) {
+        for (int asked = 0; asked < number; ) {
             int together = Math.min(COMMANDS_AT_ONCE, number - asked);
             StringBuilder commands = new StringBuilder();
             for (int i = 0; i < together; i++, asked++) {
                 commands.append("*4\r\n");
-                for (String word : List.of("CACHE.GET", "key-" + (from + asked), "id-" + (from + asked),
+                for (String word : List.of(
+                        "CACHE.GET",
+                        "key-" + (from + asked),
+                        "id-" + (from + asked),
                         "c=" + type + ",t=" + tenantName((from + asked) % TENANTS) + ",d=1400")) {
-                    commands.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+                    commands.append('$')
+                            .append(word.length())
+                            .append("\r\n")
+                            .append(word)
+                            .append("\r\n");
                 }
             }
             socket.getOutputStream().write(commands.toString().getBytes(StandardCharsets.ISO_8859_1));
@@ -294,9 +356,12 @@
         launch(config(discovery, whole, next, previous));
         String serving = line("example: serving: at ");
         assertThat(asked.getCount()).as("discovery was asked").isZero();
-        try (Socket socket = new Socket("127.0.0.1", Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)))) {
+        try (Socket socket =
+                new Socket("127.0.0.1", Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)))) {
             socket.setSoTimeout(20_000);
-            assertThat(served(socket, 0, 3 * TENANTS, "read")).as("served of " + 3 * TENANTS).isGreaterThanOrEqualTo(3 * TENANTS * 99 / 100);
+            assertThat(served(socket, 0, 3 * TENANTS, "read"))
+                    .as("served of " + 3 * TENANTS)
+                    .isGreaterThanOrEqualTo(3 * TENANTS * 99 / 100);
             assertThat(tenantsSeen).hasSize(TENANTS);
             for (DatagramSocket neighbour : List.of(next, previous)) {
                 DatagramPacket packet = new DatagramPacket(new byte[512], 512);
@@ -309,14 +374,20 @@
                 drained.put(host(serverName(i), "application-server", servers, "draining"));
             }
             changes.add(new JSONObject().put("seq", 2).put("whole", false).put("hosts", drained));
-            Files.writeString(dir.resolve("config.json"), config(discovery, whole, next, previous, "feed").toString());
+            Files.writeString(
+                    dir.resolve("config.json"),
+                    config(discovery, whole, next, previous, "feed").toString());
             signal("HUP");
             assertThat(line("example: reloaded: ")).contains("feed");
-            assertThat(served(socket, 10_000, TENANTS, "feed")).as("served of the new class").isGreaterThanOrEqualTo(TENANTS * 99 / 100);
+            assertThat(served(socket, 10_000, TENANTS, "feed"))
+                    .as("served of the new class")
+                    .isGreaterThanOrEqualTo(TENANTS * 99 / 100);
             assertThat(descriptors()).isLessThanOrEqualTo(DESCRIPTORS);
             assertThat(memoryKib()).as("KiB held at the most").isLessThan(MEMORY_KIB);
             signal("TERM");
-            assertThat(served(socket, 20_000, 1, "read")).as("asked as the end is planned").isEqualTo(1);
+            assertThat(served(socket, 20_000, 1, "read"))
+                    .as("asked as the end is planned")
+                    .isEqualTo(1);
         }
         assertThat(process.waitFor(15, TimeUnit.SECONDS)).as("it ends").isTrue();
         assertThat(process.exitValue()).isIn(0, 143);
--- a/src/test/java/slateseam/decision/ManyTenantsTest.java
+++ b/src/test/java/slateseam/decision/ManyTenantsTest.java
@@ -20,7 +20,9 @@
     private static final int FORMER_VERSION = 3;
 
     private static List<Tenant> tenants(int number) {
-        return IntStream.range(0, number).mapToObj(i -> new Tenant("tenant-" + i, 40, 1.0 / number)).toList();
+        return IntStream.range(0, number)
+                .mapToObj(i -> new Tenant("tenant-" + i, 40, 1.0 / number))
+                .toList();
     }
 
     /** Four routers in a ring; the tenant's requests enter by the first, 100 a second where its share of all four is 40. */
@@ -35,7 +37,8 @@
     @ValueSource(ints = {13, 14, 16, 24, 25, 1024})
     void theLastTenantsShareMovesToWhereItsRequestsEnter(int number) {
         Ring ring = busy(number, number - 1, 60);
-        assertThat(ring.total(number)).as("units of all routers").isBetween((long) (0.9 * Account.WHOLE), (long) Account.WHOLE);
+        assertThat(ring.total(number)).as("units of all routers").isBetween((long) (0.9 * Account.WHOLE), (long)
+                Account.WHOLE);
         assertThat(ring.held(0, number)).as("units where it enters").isGreaterThan(Account.WHOLE / 2);
         assertThat(ring.everything).allMatch(letter -> letter.payload().length <= 256);
     }
@@ -74,10 +77,12 @@
         Ring ring = busy(100, 99, 20);
         ring.routers[0] = null;
         ring.pass(3_000 * MS, 0, 1, 0, 0);
-        assertThat(ring.total(100)).as("inherited").isBetween((long) (0.85 * Account.WHOLE), (long) (1.1 * Account.WHOLE));
+        assertThat(ring.total(100)).as("inherited").isBetween((long) (0.85 * Account.WHOLE), (long)
+                (1.1 * Account.WHOLE));
         ring.start(0);
         ring.pass(10_000 * MS, 1, 0, 0, 0);
-        assertThat(ring.total(100)).as("returned").isBetween((long) (0.85 * Account.WHOLE), (long) (1.001 * Account.WHOLE));
+        assertThat(ring.total(100)).as("returned").isBetween((long) (0.85 * Account.WHOLE), (long)
+                (1.001 * Account.WHOLE));
     }
 
     /** A router before this build passes over the further pages; what it knows of moves as it did. */
@@ -87,12 +92,14 @@
         double[] misses = {1, 0, 0, 0};
         for (int i = 0; i < 1500; i++) {
             ring.pass(10 * MS, misses);
-            ring.post.removeIf(letter -> letter.payload()[0] > FORMER_VERSION && (letter.from() == 1 || letter.to() == 1));
+            ring.post.removeIf(
+                    letter -> letter.payload()[0] > FORMER_VERSION && (letter.from() == 1 || letter.to() == 1));
         }
         assertThat(ring.held(0, 0)).as("the origin's budget").isGreaterThan(Account.WHOLE / 2);
         assertThat(ring.held(0, 1)).as("the first tenant's share").isGreaterThan(Account.WHOLE / 2);
         for (int account : new int[] {0, 1, 13, 14, 64}) {
-            assertThat(ring.total(account)).as("account " + account).isBetween((long) (0.9 * Account.WHOLE), (long) Account.WHOLE);
+            assertThat(ring.total(account)).as("account " + account).isBetween((long) (0.9 * Account.WHOLE), (long)
+                    Account.WHOLE);
         }
     }
 
@@ -104,11 +111,14 @@
         ring.everything.clear();
         ring.pass(20_000 * MS, 0.2, 0.2);
         Map<Integer, Integer> times = new HashMap<>();
-        ring.everything.stream().map(letter -> letter.payload()).filter(bytes -> bytes[0] > FORMER_VERSION)
+        ring.everything.stream()
+                .map(letter -> letter.payload())
+                .filter(bytes -> bytes[0] > FORMER_VERSION)
                 .forEach(bytes -> times.merge(bytes[22] << 8 | bytes[23] & 0xff, 1, Integer::sum));
         int pages = SupplyMessage.pages(1025).size() - 1;
         assertThat(times).hasSize(pages);
-        assertThat(Collections.max(times.values()) - Collections.min(times.values())).isLessThanOrEqualTo(2);
+        assertThat(Collections.max(times.values()) - Collections.min(times.values()))
+                .isLessThanOrEqualTo(2);
         assertThat(ring.everything.size()).as("of some 800 requests").isLessThan(400);
     }
 
@@ -127,13 +137,30 @@
             int size = pages.get(page);
             double[] demand = new double[size];
             Arrays.fill(demand, 1);
-            SupplyMessage message = new SupplyMessage(page, true, true, false, 1, 2, 3, 4, 5, new int[size], new int[size],
-                    new int[size], demand, Map.of());
+            SupplyMessage message = new SupplyMessage(
+                    page,
+                    true,
+                    true,
+                    false,
+                    1,
+                    2,
+                    3,
+                    4,
+                    5,
+                    new int[size],
+                    new int[size],
+                    new int[size],
+                    demand,
+                    Map.of());
             byte[] bytes = message.encode();
             assertThat(bytes.length).isLessThanOrEqualTo(256);
             assertThat(SupplyMessage.decode(bytes, pages).page()).isEqualTo(page);
-            assertThat(SupplyMessage.decode(bytes, pages.subList(0, page))).as("a page that is not there").isNull();
-            assertThat(SupplyMessage.decode(Arrays.copyOf(bytes, bytes.length - 1), pages)).as("cut off").isNull();
+            assertThat(SupplyMessage.decode(bytes, pages.subList(0, page)))
+                    .as("a page that is not there")
+                    .isNull();
+            assertThat(SupplyMessage.decode(Arrays.copyOf(bytes, bytes.length - 1), pages))
+                    .as("cut off")
+                    .isNull();
         }
     }
 
