Run hollow routers on real sockets beside real processes, and measure those

What control costs a router at hundreds of routers was known from the virtual clock alone. A hollow router runs the shipped members, policy, ring and discovery's watch on a loop that it shares; real ones are started as trials start them. Their processor time, memory and datagrams are taken with control on, with the ring alone and with neither, in turn; deaths and changes of policy are timed.

--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -22,6 +22,7 @@
 import slateseam.router.net.Console;
 import slateseam.router.net.Log;
 import slateseam.router.warmup.WarmUp;
+import slateseam.scale.ScaleCommand;
 import slateseam.show.Check;
 import slateseam.show.FarmShow;
 import slateseam.show.PolicyCommand;
@@ -45,6 +46,7 @@
               check-config  reads a router's configuration and says what is wrong with it
               simulate      plays whole days on a virtual clock and checks the rules (simulate help)
               trial         plays faults on several real processes of the program (trial help)
+              scale         measures what control costs real routers among many hollow ones (scale help)
               farm show     shows the farm as a router of this configuration would see it now; --from FILE reads a saved
                             list of EndpointSlices instead of asking, --json prints JSON
               tier show     shows the tier of routers as a running router sees it; --at HOST:PORT asks at that second address, again
@@ -76,6 +78,9 @@
         if (command.equals("trial")) {
             return TrialCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err); // likewise
         }
+        if (command.equals("scale")) {
+            return ScaleCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err); // likewise
+        }
         if (command.equals("tier")) {
             return TierShow.run(Arrays.copyOfRange(args, 1, args.length), out, err);
         }
--- a/src/main/java/slateseam/router/tier/Tier.java
+++ b/src/main/java/slateseam/router/tier/Tier.java
@@ -43,6 +43,7 @@
     private final NodeConfig config;
     private final Loop loop;
     private final Consumer<Event> decision;
+    private Consumer<Change> observer = change -> { };
     private final Map<Integer, Sight> sights = new HashMap<>();
     private Trust trust = Trust.FULL;
     /** Null while another process of this router speaks for it. */
@@ -61,6 +62,11 @@
         this.decision = decision;
     }
 
+    /** Tells of each change of this router's view, too, from now on. */
+    public void observe(Consumer<Change> told) {
+        observer = told;
+    }
+
     /** Begins a life, by these datagrams; null to fall silent without a word, as another process of this router goes on. */
     public void talk(Peers by) {
         peers = by;
@@ -111,6 +117,7 @@
         }
         lastChange = change.kind().word() + " name=" + change.member() + " number=" + change.number() + " " + change.why();
         loop.log().line(change.kind().word(), lastChange.substring(change.kind().word().length() + 1));
+        observer.accept(change);
     }
 
     /** Tells the decision module what its ring needs to know. */
--- a/src/main/java/slateseam/trial/DatagramLinks.java
+++ b/src/main/java/slateseam/trial/DatagramLinks.java
@@ -24,7 +24,7 @@
  * its own and a way can be troubled in one direction. What one sends to the socket (from, to) leaves by the socket (to, from), so
  * that it comes from the address that its receiver knows. One thread; what is held is bounded.
  */
-final class DatagramLinks implements AutoCloseable {
+public final class DatagramLinks implements AutoCloseable {
     private static final int LONGEST = 2_048;
     /** Of one way; beyond it the oldest goes, as in a full buffer. */
     private static final int MOST_HELD = 4_096;
@@ -32,12 +32,13 @@
     private static final long MOST_OVERTAKEN = 250_000_000L;
 
     /** What becomes of datagrams that no fault troubles. */
-    record Conditions(long leastNanos, long mostNanos, double lost, double doubled) {
+    public record Conditions(long leastNanos, long mostNanos, double lost, double doubled) {
     }
 
     /** Is told of each datagram as it is sent; by the links' thread. */
     @FunctionalInterface
-    interface Observer {
+    public interface Observer {
+        /** A datagram was sent, and is lost or will arrive. */
         void sent(String from, String to, byte[] bytes, boolean lost);
     }
 
@@ -86,7 +87,7 @@
     private volatile boolean closing;
 
     /** Opens the ways between routers, named with the address where each listens for datagrams. */
-    DatagramLinks(Map<String, InetSocketAddress> routers, Conditions usual, UniformRandomProvider random, Observer observer)
+    public DatagramLinks(Map<String, InetSocketAddress> routers, Conditions usual, UniformRandomProvider random, Observer observer)
             throws IOException {
         this.usual = usual;
         this.random = random;
@@ -109,12 +110,12 @@
     }
 
     /** The address by which one router reaches another. */
-    InetSocketAddress address(String from, String to) {
+    public InetSocketAddress address(String from, String to) {
         return ways.get(from + "~" + to).address;
     }
 
     /** Lets nothing pass in one direction, or undoes one such fault. */
-    void mute(String pair, boolean on) {
+    public void mute(String pair, boolean on) {
         ask(() -> ways.get(pair).muted += on ? 1 : -1);
     }
 
@@ -130,7 +131,7 @@
     }
 
     /** Loses this part of all datagrams, beside what is lost anyway. */
-    void lose(double share) {
+    public void lose(double share) {
         ask(() -> lostBeside = share);
     }
 
--- a/src/main/java/slateseam/trial/RouterChild.java
+++ b/src/main/java/slateseam/trial/RouterChild.java
@@ -14,7 +14,7 @@
 import java.util.function.BiConsumer;
 
 /** One process of a router, from its start to its end; everything is done to it by its id. */
-final class RouterChild {
+public final class RouterChild {
     /** Of what it says; beyond it nothing more is written, though all is read, so that it never stands still for that. */
     private static final long MOST_LOG_BYTES = 16L << 20;
     private static final int LONGEST_LINE = 4_096;
@@ -36,7 +36,7 @@
      * @param log where its standard error goes, each line with the time since the trial's begin
      * @param said is told each line, on a thread of its own
      */
-    RouterChild(String name, String run, Path folder, Map<String, String> environment, Path log, BiConsumer<String, String> said)
+    public RouterChild(String name, String run, Path folder, Map<String, String> environment, Path log, BiConsumer<String, String> said)
             throws IOException {
         this.name = name;
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", run);
@@ -68,30 +68,33 @@
         }
     }
 
-    String name() {
+    /** Of the router. */
+    public String name() {
         return name;
     }
 
     /** Whether it has said that it serves. */
-    boolean isServing() {
+    public boolean isServing() {
         return serving;
     }
 
-    boolean isAlive() {
+    /** Whether its process runs. */
+    public boolean isAlive() {
         return process.isAlive();
     }
 
     /** Whether it has ended though nobody told it to. */
-    boolean hasCrashed() {
+    public boolean hasCrashed() {
         return !process.isAlive() && !expected;
     }
 
-    int status() {
+    /** What its process ended with; it must have ended. */
+    public int status() {
         return process.exitValue();
     }
 
     /** Sends a signal; to one that has ended, nothing. */
-    void signal(String signal) {
+    public void signal(String signal) {
         if (!process.isAlive()) {
             return;
         }
@@ -129,7 +132,7 @@
     }
 
     /** Ends it whatever state it is in, also one that is stopped, and waits until it has gone. */
-    void destroy() {
+    public void destroy() {
         expected = true;
         process.destroyForcibly();
         if (starver != null) {
@@ -143,7 +146,8 @@
         }
     }
 
-    long pid() {
+    /** Of its process. */
+    public long pid() {
         return process.pid();
     }
 }
--- a/src/main/java/slateseam/trial/Routers.java
+++ b/src/main/java/slateseam/trial/Routers.java
@@ -17,8 +17,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.UnaryOperator;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import slateseam.router.net.Clock;
@@ -39,8 +37,6 @@
     private static final long HEIR_NANOS = 6_000 * MILLI;
     private static final int CONTROL_PORT = 7_900;
 
-    private static final Pattern FEATURES = Pattern.compile("--features\\s+(\\S+)");
-
     private final Day day;
     private final SocketNet net;
     private final UnaryOperator<String> run;
@@ -137,7 +133,7 @@
             String extra = (lasting == null ? "" : lasting.features(router)) + (day.routerRules().hasTier() || shares
                     ? "tier on\ntier_places listed\ntier_in_doubt " + (shares ? "keep" : day.routerRules().tier()) + "\n" : "")
                     + (shares ? "policy on\npolicy_proposal " + PolicyLook.proposal(folder, router) + "\n" : "");
-            line = extra.isEmpty() ? line : withFeatures(router, line, extra);
+            line = extra.isEmpty() ? line : RunLine.withFeatures(line, extra, root, folder.resolve(router).resolve("features"));
             if (ahead.getOrDefault(router, 0L) != 0) {
                 options += " -D" + Clock.AHEAD_MILLIS + "=" + ahead.get(router) / MILLI;
             }
@@ -150,17 +146,6 @@
         }
     }
 
-    /** The line that starts it, with further features. */
-    private String withFeatures(String router, String line, String extra) throws IOException {
-        Matcher named = FEATURES.matcher(line);
-        if (!named.find()) {
-            throw new IllegalStateException("the line that starts " + router + " names no --features, which this scenario needs");
-        }
-        Path features = Files.writeString(folder.resolve(router).resolve("features"),
-                Files.readString(root.resolve(named.group(1))) + extra);
-        return new StringBuilder(line).replace(named.start(1), named.end(1), "'" + features + "'").toString();
-    }
-
     private void logged(String router, String line) {
         history.logged(router, line);
         if (lasting != null) {
--- a/src/main/java/slateseam/trial/TrialCommand.java
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -159,7 +159,7 @@
             return tell(new TrialResult(day, played.phases(), broken, 0, null), line, out);
         }
         String run = line.hasOption("run") ? line.getOptionValue("run")
-                : deployed(Path.of(line.getOptionValue("deploy", "deploy/balancer.toml")));
+                : RunLine.deployed(Path.of(line.getOptionValue("deploy", "deploy/balancer.toml")));
         Path folder = line.hasOption("keep") ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
                 : Files.createTempDirectory("slateseam-trial");
         boolean terminal = System.console() != null;
@@ -222,16 +222,6 @@
         return result.findings().isEmpty() && !result.isSpoilt() ? 0 : BROKEN;
     }
 
-    /** The line of a deploy file that starts a router. */
-    static String deployed(Path file) throws ParseException, IOException {
-        if (!Files.exists(file)) {
-            throw new ParseException("there is no " + file + "; --deploy names another, --run a line");
-        }
-        return Files.readAllLines(file).stream().filter(l -> l.matches("run\\s*=\\s*\".*\"\\s*(#.*)?")).findFirst()
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')))
-                .orElseThrow(() -> new ParseException(file + " has no line run = \"...\""));
-    }
-
     private static void delete(Path folder) {
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).collect(Collectors.toList())) {
--- a/src/test/java/slateseam/trial/TrialTest.java
+++ b/src/test/java/slateseam/trial/TrialTest.java
@@ -32,7 +32,7 @@
 
     /** The deployed line, with the classes under test and what is planted before them. */
     private static String line(String planted) throws Exception {
-        return TrialCommand.deployed(Path.of("deploy/balancer.toml")).replace(" java ", " '" + JAVA + "' ")
+        return RunLine.deployed(Path.of("deploy/balancer.toml")).replace(" java ", " '" + JAVA + "' ")
                 .replace("-jar target/slateseam.jar", "-cp '" + planted + System.getProperty("java.class.path") + "' slateseam.Main")
                 .replace("-XX:SharedArchiveFile=target/slateseam.jsa -Xshare:auto", "-Xshare:auto");
     }
