Find who sent a datagram by a table instead of along the list of routers

Each datagram of the ring and of the policy compared its sender with the list of all routers, one after another: the one cost of a datagram in the router's own part that grew with their number. Now it is looked up; the first of two equal addresses counts, as before.

--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -19,10 +19,13 @@
 public final class Peers {
     private static final int MOST_BYTES = 256;
     private static final int EVERY_PEER = -1;
+    private static final int NOBODY = -1;
     private static final int MOST_AT_ONCE = 64;
 
     private final Loop loop;
     private final List<InetSocketAddress> peers;
+    /** The same the other way: looked up for each datagram, which along a list of thousands would cost more than all else. */
+    private final Map<SocketAddress, Integer> numbers = new HashMap<>();
     private final InetSocketAddress all;
     private final Consumer<PeerMessage> listener;
     private final DatagramChannel channel;
@@ -34,6 +37,9 @@
             Consumer<PeerMessage> listener) throws IOException {
         this.loop = loop;
         this.peers = peers;
+        for (int number = 0; number < peers.size(); number++) {
+            numbers.putIfAbsent(peers.get(number), number);
+        }
         this.all = all;
         this.listener = listener;
         this.channel = loop.provider().openDatagramChannel();
@@ -46,6 +52,11 @@
         loop.register(channel, SelectionKey.OP_READ, key -> receive());
     }
 
+    /** The number of the router that sends from an address; -1 if none does. */
+    public int number(SocketAddress from) {
+        return numbers.getOrDefault(from, NOBODY);
+    }
+
     /** Datagrams whose first byte is this go there instead, whoever sent them. */
     public void divert(byte first, BiConsumer<InetSocketAddress, byte[]> to) {
         diverted.put(first, to);
@@ -96,7 +107,7 @@
                 elsewhere.accept((InetSocketAddress) from, payload);
                 continue;
             }
-            int sender = peers.indexOf(from);
+            int sender = number(from);
             if (sender < 0 || payload.length > MOST_BYTES) {
                 loop.log().line("peer-dropped", "a message of " + payload.length + " bytes from " + from);
             } else {
--- a/src/main/java/slateseam/router/tier/SharedPolicy.java
+++ b/src/main/java/slateseam/router/tier/SharedPolicy.java
@@ -80,7 +80,7 @@
     }
 
     private void heard(InetSocketAddress from, byte[] datagram) {
-        int router = config.peers().indexOf(from);
+        int router = peers == null ? -1 : peers.number(from);
         if (policy != null && router >= 0) {
             policy.heard(loop.now(), router, datagram);
         }
