--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -394,6 +394,11 @@
         return nodes.stream().mapToLong(node -> node.datagrams).sum();
     }
 
+    /** Those that one router has sent. */
+    long datagrams(int index) {
+        return nodes.get(index).datagrams;
+    }
+
     long bytes() {
         return nodes.stream().mapToLong(node -> node.bytes).sum();
     }
