--- a/src/main/java/slateseam/tier/members/Watch.java
+++ b/src/main/java/slateseam/tier/members/Watch.java
@@ -15,6 +15,8 @@
  */
 final class Watch {
     /** Periods after which other watchers that say nothing are no longer waited for. */
+    /** Of one member: others whose last word on whether they hear it is kept. */
+    private static final int MOST_EARS = 1_024;
     private static final int UNANSWERED = 3;
     /** Periods for which a verdict holds; it is said again each period. */
     private static final int HOLDS = 3;
@@ -131,7 +133,7 @@
                 || verdict.ear() != Ear.HEARS && verdict.incarnation() != member.incarnation) {
             return;
         }
-        if (member.ears.size() < MembersSettings.MOST) {
+        if (member.ears.size() < MOST_EARS) {
             member.ears.put(by.id, new Heard(verdict.ear(), now + HOLDS * settings.periodNanos()));
         }
         if (verdict.ear() != Ear.HEARS && heardNow(member, now)) {
--- a/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
@@ -4,15 +4,20 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import slateseam.Census;
 import slateseam.simulate.tier.MembersWorld.Ways;
+import slateseam.tier.members.Change;
 import slateseam.tier.members.Change.Kind;
 import slateseam.tier.members.Doubt;
 import slateseam.tier.members.MemberView;
+import slateseam.tier.members.Members;
 import slateseam.tier.members.MembersSettings;
 import slateseam.tier.members.Reach;
+import slateseam.tier.members.Sink;
 import slateseam.tier.members.State;
 import slateseam.tier.members.Traffic;
 
@@ -385,6 +390,42 @@
         assertThat(seen(world, Kind.FULL)).isNotEmpty();
     }
 
+    /** A tier of thousands has room; names without end fill no more than the bound, which is told once, and each costs no more. */
+    @Test
+    void thousandsAreTakenAndNoMoreThanTheBound() {
+        int tier = 3_000;
+        MembersWorld world = new MembersWorld(1, 1, Ways.USUAL, UnaryOperator.identity());
+        world.start(0);
+        for (int number = 1; number <= MembersSettings.MOST + 1_000; number++) {
+            world.inject(0, new InetSocketAddress("127.0.0.1", number), firstWord("guest-" + number, world.place(0)));
+            if (number == tier) {
+                assertThat(world.members(0).view()).hasSize(tier);
+                assertThat(seen(world, Kind.FULL)).isEmpty();
+            }
+        }
+        assertThat(world.members(0).view()).hasSize(MembersSettings.MOST);
+        assertThat(seen(world, Kind.FULL)).hasSize(1);
+        long entries = Census.of(world.members(0), "slateseam.tier.").values().stream().mapToLong(entry -> entry).sum();
+        assertThat(entries).isLessThan(10L * MembersSettings.MOST);
+    }
+
+    /** What a router says first to another that its list has. */
+    private static byte[] firstWord(String name, InetSocketAddress to) {
+        byte[][] said = new byte[1][];
+        new Members(MembersSettings.usual("tier", name, 1, List.of(to)), MembersWorld.BEGIN, new SplittableRandom(1), new Sink() {
+            @Override
+            public void send(InetSocketAddress place, byte[] datagram) {
+                said[0] = datagram;
+            }
+
+            @Override
+            public void changed(Change change) {
+                // only its word is wanted
+            }
+        }).tick(MembersWorld.BEGIN);
+        return said[0];
+    }
+
     /** Bits that flip, a tier of another name, an absurd life, and what an earlier life sent: dropped, counted, nothing changed. */
     @Test
     void whatCannotBeIsDroppedAndCounted() {
