--- a/src/main/java/slateseam/scale/HollowLoop.java
+++ b/src/main/java/slateseam/scale/HollowLoop.java
@@ -12,6 +12,9 @@
 
 /** A thread with a router's loop, on which many hollow routers live. */
 final class HollowLoop implements AutoCloseable {
+    /** The beginning of the threads' names; the system keeps 15 letters of one. */
+    static final String THREAD_NAME = "hollow-";
+
     private static final String INTERNAL_ERROR = ": internal-error: ";
 
     private final Loop loop;
@@ -24,7 +27,7 @@
         Log log = new Log("hollow", clock, this::logged);
         loop = new Loop(provider, clock, log, Runtime.getRuntime().maxMemory());
         provider.later(loop::after);
-        thread = new Thread(this::run, "hollow routers " + number);
+        thread = new Thread(this::run, THREAD_NAME + number);
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/main/java/slateseam/scale/ProcessCost.java
+++ b/src/main/java/slateseam/scale/ProcessCost.java
@@ -7,12 +7,13 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * What a process has spent until now, as the system tells it.
  *
  * @param cpuNanos processor time of all its threads, those that have ended among them, to 10 ms
- * @param delayNanos by thread, for how long it could have run and had no processor
+ * @param delayNanos by thread, for how long it could have run and had no processor; of those threads alone that are looked at
  * @param residentBytes of memory now
  */
 record ProcessCost(long cpuNanos, Map<String, Long> delayNanos, long residentBytes) {
@@ -23,22 +24,25 @@
     private static final int USER_TIME = 11;
     private static final int SYSTEM_TIME = 12;
 
-    /** Reads it from {@code /proc}. */
-    static ProcessCost of(long pid) throws IOException {
+    /** Reads it from {@code /proc}; delays are those of the threads that the system knows by such a name. */
+    static ProcessCost of(long pid, Predicate<String> threads) throws IOException {
         Path folder = Path.of("/proc", Long.toString(pid));
         String stat = Files.readString(folder.resolve("stat"));
         String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         long cpu = (Long.parseLong(words[USER_TIME]) + Long.parseLong(words[SYSTEM_TIME])) * TICK_NANOS;
         String resident = Files.readAllLines(folder.resolve("status")).stream()
                 .filter(line -> line.startsWith("VmRSS:")).findFirst().orElse("VmRSS: 0 kB");
-        return new ProcessCost(cpu, delays(folder), Long.parseLong(resident.replaceAll("[^0-9]", "")) * KIBIBYTE);
+        return new ProcessCost(cpu, delays(folder, threads), Long.parseLong(resident.replaceAll("[^0-9]", "")) * KIBIBYTE);
     }
 
-    private static Map<String, Long> delays(Path folder) throws IOException {
+    private static Map<String, Long> delays(Path folder, Predicate<String> threads) throws IOException {
         Map<String, Long> delays = new HashMap<>();
-        try (DirectoryStream<Path> threads = Files.newDirectoryStream(folder.resolve("task"))) {
-            for (Path thread : threads) {
+        try (DirectoryStream<Path> all = Files.newDirectoryStream(folder.resolve("task"))) {
+            for (Path thread : all) {
                 try {
+                    if (!threads.test(Files.readString(thread.resolve("comm")).strip())) {
+                        continue;
+                    }
                     delays.put(thread.getFileName().toString(), Long.parseLong(Files.readString(thread.resolve("schedstat")).trim().split(" ")[1]));
                 } catch (NoSuchFileException e) {
                     // It has ended meanwhile.
--- a/src/main/java/slateseam/scale/RealCost.java
+++ b/src/main/java/slateseam/scale/RealCost.java
@@ -7,6 +7,9 @@
 
 /** What one real router spends between two moments. */
 final class RealCost {
+    /** The system's name of the thread that carries a router's loop. */
+    private static final String LOOP_THREAD = "java";
+
     private final RealRouter router;
     private final Impairments.DatagramCounts counts;
     private final Clock clock;
@@ -26,7 +29,7 @@
             bytes.put(protocol, -bytes(protocol));
             datagrams.put(protocol, -datagrams(protocol));
         }
-        before = ProcessCost.of(router.child().pid());
+        before = ProcessCost.of(router.child().pid(), LOOP_THREAD::equals);
         since = clock.nanos();
     }
 
@@ -41,7 +44,7 @@
     /** Ends. */
     void end() throws IOException {
         seconds = (clock.nanos() - since) / 1e9;
-        after = ProcessCost.of(router.child().pid());
+        after = ProcessCost.of(router.child().pid(), LOOP_THREAD::equals);
         for (Protocol protocol : Protocol.values()) {
             bytes.merge(protocol, bytes(protocol), Long::sum);
             datagrams.merge(protocol, datagrams(protocol), Long::sum);
@@ -56,7 +59,7 @@
         return seconds;
     }
 
-    /** For how long its thread that waited most waited for a processor. */
+    /** For how long its loop could have run and had no processor. */
     long delayNanos() {
         return after.longestDelaySince(before);
     }
--- a/src/main/java/slateseam/scale/ScaleRun.java
+++ b/src/main/java/slateseam/scale/ScaleRun.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -59,7 +60,6 @@
     private final RouterTexts texts;
     private final SocketNet net;
     private final HollowTier hollow;
-    private final Busyness busyness;
     private final Map<Integer, DiscoveryAgent> agents = new LinkedHashMap<>();
     private final List<RealRouter> real = new ArrayList<>();
     private final Random random = new Random(1);
@@ -84,7 +84,6 @@
         texts = new RouterTexts(settings);
         net = new SocketNet(4 * settings.routers() + SAMPLE);
         hollow = new HollowTier(settings.threads(), impairments, clock);
-        busyness = new Busyness(hollow);
     }
 
     /** Plays it to its end; may be called once. */
@@ -166,7 +165,7 @@
     /** All start at once; until all see all. */
     private void join() throws IOException, InterruptedException {
         progress.accept("all join");
-        busyness.begin();
+        PhaseWatch watch = watch("join", List.of());
         long since = clock.nanos();
         hollow.start();
         for (RealRouter one : real) {
@@ -194,7 +193,7 @@
             return seenByReal.size() == real.size();
         });
         result.add("join", "all start until one sees all, real", "s", seenByReal.values(), real.size() - seenByReal.size());
-        busyness.end("join", result);
+        watch.end();
         if (!all) {
             result.fault("not all had seen all within " + settings.joinSeconds() + " s of the start");
         }
@@ -237,7 +236,7 @@
     /** A group of voters begins, at the first router; whether it did. */
     private boolean beginPolicy() throws IOException, InterruptedException {
         progress.accept("the policy's group begins");
-        busyness.begin();
+        PhaseWatch watch = watch("begin", real);
         long since = clock.nanos();
         String[] why = {""};
         boolean begun = await(settings.joinSeconds(), 500, () -> {
@@ -260,7 +259,7 @@
             return seats != null && seats.length() == settings.voters();
         });
         result.add("begin", "begun until all voters have their seats", "s", begun ? List.of(secondsSince(since)) : List.of(), begun ? 0 : 1);
-        busyness.end("begin", result);
+        watch.end();
         sleep(SETTLE_SECONDS);
         return begun;
     }
@@ -310,18 +309,13 @@
     /** What each real router spends in a while. */
     private List<RealCost> window(String phase, double seconds) throws IOException, InterruptedException {
         progress.accept(phase);
-        busyness.begin();
-        List<RealCost> costs = new ArrayList<>();
-        for (RealRouter one : real) {
-            costs.add(new RealCost(one, impairments.counts(one.number()), clock));
-        }
+        PhaseWatch watch = watch(phase, real);
         sleep(seconds);
-        for (RealCost cost : costs) {
-            cost.end();
-            busyness.delayed(phase, cost.name(), cost.delayNanos(), cost.seconds(), result);
-        }
-        busyness.end(phase, result);
-        return costs;
+        return watch.end();
+    }
+
+    private PhaseWatch watch(String phase, List<RealRouter> of) throws IOException, InterruptedException {
+        return new PhaseWatch(phase, hollow, of, impairments, clock, result);
     }
 
     /** Times changes of policy, proposed at the last real router. */
@@ -330,6 +324,7 @@
         List<Double> byHollow = new ArrayList<>();
         int missingReal = 0;
         int missingHollow = 0;
+        PhaseWatch watch = watch(phase + " change", real);
         for (int i = 0; i < times; i++) {
             progress.accept(phase + ": change of policy " + (i + 1) + " of " + times);
             int number = ++changes;
@@ -342,8 +337,12 @@
             int reals = (int) known.keySet().stream().filter(settings::isReal).count();
             missingReal += settings.real() - reals;
             missingHollow += settings.hollow() - known.size() + reals;
-            sleep(SETTLE_SECONDS);
+            settleBefore(i + 1, times);
         }
+        if (times == 0) {
+            return;
+        }
+        watch.end();
         result.add(phase, "change of policy held, real", "s", byReal, missingReal);
         result.add(phase, "change of policy held, hollow", "s", byHollow, missingHollow);
     }
@@ -354,6 +353,7 @@
         List<Double> byHollow = new ArrayList<>();
         int missingReal = 0;
         int missingHollow = 0;
+        PhaseWatch watch = watch(phase + " death", real);
         for (int i = 0; i < times; i++) {
             progress.accept(phase + ": death " + (i + 1) + " of " + times);
             int dead = expendable(1).get(0);
@@ -366,13 +366,23 @@
             missingReal += settings.real() - reals;
             missingHollow += settings.hollow() - 1 - known.size() + reals;
             bringBack(dead);
-            sleep(SETTLE_SECONDS);
+            settleBefore(i + 1, times);
         }
+        if (times == 0) {
+            return;
+        }
+        watch.end();
         result.add(phase, "death known, real", "s", byReal, missingReal);
         result.add(phase, "death known, hollow", "s", byHollow, missingHollow);
         result.add(phase, "wrong deaths", "count", List.of((double) sightings.takeWrongDeaths()), 0);
     }
 
+    private void settleBefore(int next, int times) throws InterruptedException {
+        if (next < times) {
+            sleep(SETTLE_SECONDS);
+        }
+    }
+
     private void bringBack(int number) {
         hollow.tell(number, one -> {
             sightings.started(RouterTexts.name(number));
@@ -384,7 +394,7 @@
     private List<Integer> expendable(int many) {
         List<Integer> all = new ArrayList<>(hollow.numbers());
         all.removeIf(number -> !settings.isExpendable(number));
-        java.util.Collections.shuffle(all, random);
+        Collections.shuffle(all, random);
         return all.subList(0, Math.min(many, all.size()));
     }
 
@@ -392,6 +402,8 @@
     private void play(ScaleFault fault, boolean shared) throws IOException, InterruptedException {
         String phase = fault.word();
         progress.accept(phase);
+        awaitOneView(settings.joinSeconds());
+        sleep(SETTLE_SECONDS);
         sightings.takeWrongDeaths();
         List<Integer> gone = begin(fault);
         CostSums sums = new CostSums();
@@ -406,7 +418,6 @@
         long since = clock.nanos();
         boolean healed = awaitOneView(HEAL_SECONDS);
         result.add(phase, "over until one view again", "s", healed ? List.of(secondsSince(since)) : List.of(), healed ? 0 : 1);
-        sleep(SETTLE_SECONDS);
     }
 
     private List<Integer> begin(ScaleFault fault) {
