--- a/src/main/java/slateseam/scale/HollowRouter.java
+++ b/src/main/java/slateseam/scale/HollowRouter.java
@@ -71,8 +71,11 @@
         return tier != null;
     }
 
-    /** Begins a life. */
+    /** Begins a life; one that is up goes on as it is. */
     void start() {
+        if (isUp()) {
+            return;
+        }
         life++;
         try {
             peers = new Peers(loop, config.peerListen(), config.peers(), null, this::decide);
--- a/src/main/java/slateseam/scale/ScaleRun.java
+++ b/src/main/java/slateseam/scale/ScaleRun.java
@@ -7,11 +7,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -64,6 +66,8 @@
     private final List<RealRouter> real = new ArrayList<>();
     private final Random random = new Random(1);
     private final AtomicBoolean closing = new AtomicBoolean();
+    /** Hollow routers that are down for the whole of a phase. */
+    private final Set<Integer> down = new HashSet<>();
     private DatagramLinks links;
     private int changes;
 
@@ -331,12 +335,13 @@
             sightings.watchHold();
             real.get(real.size() - 1).propose("change-" + number,
                     new JSONObject().put("settings", new JSONObject().put("limits", new JSONObject().put("try_limit", 2 + number % 2))).toString());
-            await(HOLD_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == settings.routers());
+            int hollowUp = settings.hollow() - down.size();
+            await(HOLD_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == hollowUp + settings.real());
             Map<Integer, Long> known = sightings.known();
             known.forEach((router, nanos) -> (settings.isReal(router) ? byReal : byHollow).add(nanos / 1e9));
             int reals = (int) known.keySet().stream().filter(settings::isReal).count();
             missingReal += settings.real() - reals;
-            missingHollow += settings.hollow() - known.size() + reals;
+            missingHollow += hollowUp - known.size() + reals;
             settleBefore(i + 1, times);
         }
         if (times == 0) {
@@ -359,12 +364,13 @@
             int dead = expendable(1).get(0);
             sightings.watchDeath(RouterTexts.name(dead));
             hollow.tell(dead, HollowRouter::kill);
-            await(DEATH_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == settings.routers() - 1);
+            int hollowUp = settings.hollow() - down.size() - 1;
+            await(DEATH_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == hollowUp + settings.real());
             Map<Integer, Long> known = sightings.known();
             known.forEach((router, nanos) -> (settings.isReal(router) ? byReal : byHollow).add(nanos / 1e9));
             int reals = (int) known.keySet().stream().filter(settings::isReal).count();
             missingReal += settings.real() - reals;
-            missingHollow += settings.hollow() - 1 - known.size() + reals;
+            missingHollow += hollowUp - known.size() + reals;
             bringBack(dead);
             settleBefore(i + 1, times);
         }
@@ -393,7 +399,7 @@
     /** So many hollow routers that do not vote, drawn. */
     private List<Integer> expendable(int many) {
         List<Integer> all = new ArrayList<>(hollow.numbers());
-        all.removeIf(number -> !settings.isExpendable(number));
+        all.removeIf(number -> !settings.isExpendable(number) || down.contains(number));
         Collections.shuffle(all, random);
         return all.subList(0, Math.min(many, all.size()));
     }
@@ -405,7 +411,7 @@
         awaitOneView(settings.joinSeconds());
         sleep(SETTLE_SECONDS);
         sightings.takeWrongDeaths();
-        List<Integer> gone = begin(fault);
+        begin(fault);
         CostSums sums = new CostSums();
         sums.add(window(phase, settings.faultSeconds()));
         sums.tell(phase, "all", result);
@@ -414,35 +420,33 @@
             change(phase, shared ? 1 : 0);
             deaths(phase, 1);
         }
-        end(fault, gone);
+        end(fault);
         long since = clock.nanos();
         boolean healed = awaitOneView(HEAL_SECONDS);
         result.add(phase, "over until one view again", "s", healed ? List.of(secondsSince(since)) : List.of(), healed ? 0 : 1);
     }
 
-    private List<Integer> begin(ScaleFault fault) {
+    private void begin(ScaleFault fault) {
         switch (fault) {
             case RESTARTS -> spread(expendable(Math.max(1, settings.routers() / 100)), HollowRouter::kill);
             case REPLACEMENTS -> spread(expendable(settings.replacements()), HollowRouter::leave);
-            case HALVES -> impairments.cut(settings.routers() / 2);
+            case HALVES -> {
+                impairments.cut(settings.routers() / 2);
+                cutReals(true);
+            }
             case LOSS -> {
                 impairments.lose(LOST);
                 links.lose(LOST);
             }
             case SLOW_VOTER -> impairments.delay(1, SLOW_NANOS);
             case GROUP -> {
-                List<Integer> gone = expendable(settings.group());
-                gone.forEach(number -> {
+                down.addAll(expendable(settings.group()));
+                down.forEach(number -> {
                     sightings.killed(RouterTexts.name(number));
                     hollow.tell(number, HollowRouter::kill);
                 });
-                return gone;
             }
         }
-        if (fault == ScaleFault.HALVES) {
-            cutReals(true);
-        }
-        return List.of();
     }
 
     /** Ends routers one after another and starts each again, evenly over a phase. */
@@ -474,7 +478,7 @@
         }
     }
 
-    private void end(ScaleFault fault, List<Integer> gone) {
+    private void end(ScaleFault fault) {
         impairments.cut(0);
         impairments.lose(0);
         links.lose(0);
@@ -482,7 +486,8 @@
         if (fault == ScaleFault.HALVES) {
             cutReals(false);
         }
-        gone.forEach(this::bringBack);
+        down.forEach(this::bringBack);
+        down.clear();
     }
 
     /** Waits until all that are looked at see all; whether they did. */
--- a/src/main/java/slateseam/tier/members/MembersSettings.java
+++ b/src/main/java/slateseam/tier/members/MembersSettings.java
@@ -23,8 +23,8 @@
         long suspicionNanos, long recentNanos, long forgetNanos, int most, boolean toldPlaces) {
     /** Of a name, in bytes. */
     public static final int LONGEST_NAME = 64;
-    /** As many members as one router ever keeps: twice what a tier of two thousand needs, as those that have gone are remembered. */
-    public static final int MOST = 4_096;
+    /** As many members as one router ever keeps: four times what a tier of two thousand has, as those that have gone are remembered. */
+    public static final int MOST = 8_192;
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
 
