--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -24,7 +24,7 @@
 
     private final Loop loop;
     private final List<InetSocketAddress> peers;
-    /** The same the other way: looked up for each datagram, which along a list of thousands would cost more than all else. */
+    /** The number of the router at an address. */
     private final Map<SocketAddress, Integer> numbers = new HashMap<>();
     private final InetSocketAddress all;
     private final Consumer<PeerMessage> listener;
@@ -37,8 +37,8 @@
             Consumer<PeerMessage> listener) throws IOException {
         this.loop = loop;
         this.peers = peers;
-        for (int number = 0; number < peers.size(); number++) {
-            numbers.putIfAbsent(peers.get(number), number);
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.putIfAbsent(peers.get(i), i);
         }
         this.all = all;
         this.listener = listener;
@@ -108,7 +108,7 @@
                 continue;
             }
             int sender = number(from);
-            if (sender < 0 || payload.length > MOST_BYTES) {
+            if (sender == NOBODY || payload.length > MOST_BYTES) {
                 loop.log().line("peer-dropped", "a message of " + payload.length + " bytes from " + from);
             } else {
                 listener.accept(new PeerMessage(sender, payload));
