--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -394,9 +394,9 @@
         return nodes.stream().mapToLong(node -> node.datagrams).sum();
     }
 
-    /** Those that one router has sent. */
-    long datagrams(int index) {
-        return nodes.get(index).datagrams;
+    /** What each has sent, by number. */
+    long[] datagramsOfEach() {
+        return nodes.stream().mapToLong(node -> node.datagrams).toArray();
     }
 
     long bytes() {
