--- a/src/main/java/slateseam/scale/PhaseWatch.java
+++ b/src/main/java/slateseam/scale/PhaseWatch.java
@@ -47,7 +47,9 @@
             delayed(cost.name(), cost.delayNanos() / 1e9 / cost.seconds());
         }
         double seconds = (clock.nanos() - since) / 1e9;
-        delayed("a thread of hollow routers", own().longestDelaySince(ownBefore) / 1e9 / seconds);
+        ProcessCost own = own();
+        result.add(phase, "this process's processor", "% of a core", List.of((own.cpuNanos() - ownBefore.cpuNanos()) / 1e7 / seconds), 0);
+        delayed("a thread of hollow routers", own.longestDelaySince(ownBefore) / 1e9 / seconds);
         long stall = hollow.takeStall();
         result.add(phase, "hollow routers' longest stall", "ms", List.of(stall / 1e6), 0);
         if (stall > MOST_STALL_NANOS) {
--- a/src/main/java/slateseam/scale/Sightings.java
+++ b/src/main/java/slateseam/scale/Sightings.java
@@ -11,9 +11,14 @@
     private static final String FAILED = ": " + Change.Kind.FAILED.word() + ": name=";
     private static final String HOLDS = ": policy-holds: ";
 
+    /** What is heard so long after a start may be of the life before. */
+    private static final long LATE_NANOS = 4_000 * Clock.MILLI;
+
     private final Clock clock;
     /** When each that is down now was killed. */
     private final Map<String, Long> killedAt = new HashMap<>();
+    /** When each was started again. */
+    private final Map<String, Long> startedAt = new HashMap<>();
     /** Of the one event that is watched now: after how many nanoseconds each router knew. */
     private final Map<Integer, Long> known = new TreeMap<>();
     private String watchedDeath;
@@ -33,6 +38,7 @@
     /** It runs again, or is about to. */
     synchronized void started(String name) {
         killedAt.remove(name);
+        startedAt.put(name, clock.nanos());
     }
 
     /** From now on it is noted who learns of this router's death, which is now. */
@@ -75,7 +81,7 @@
     private void failed(int by, String name, long nanos) {
         if (name.equals(watchedDeath)) {
             known.putIfAbsent(by, nanos - watchedSince);
-        } else if (!killedAt.containsKey(name)) {
+        } else if (!killedAt.containsKey(name) && nanos - startedAt.getOrDefault(name, 0L) > LATE_NANOS) {
             wrongDeaths++;
         }
     }
