--- a/src/main/java/slateseam/scale/ControlCall.java
+++ b/src/main/java/slateseam/scale/ControlCall.java
@@ -10,12 +10,12 @@
 final class ControlCall {
     private static final int MOST_MILLIS = 5_000;
 
-    private ControlCall() {
-    }
+    private ControlCall() {}
 
     /** The answer's text; one that is no yes is an error with that text. */
     static String ask(String place, String method, String path) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + place + path).toURL().openConnection();
+        HttpURLConnection call =
+                (HttpURLConnection) URI.create("http://" + place + path).toURL().openConnection();
         call.setRequestMethod(method);
         call.setConnectTimeout(MOST_MILLIS);
         call.setReadTimeout(MOST_MILLIS);
--- a/src/main/java/slateseam/scale/CostSums.java
+++ b/src/main/java/slateseam/scale/CostSums.java
@@ -36,12 +36,27 @@
     void tell(String phase, String kind, ScaleResult result) {
         result.add(phase, "processor, " + kind, "% of a core", each(RealCost::cpu), 0);
         result.add(phase, "memory, " + kind, "MB resident", each(RealCost::memory), 0);
-        result.add(phase, "waited for a processor, " + kind, "% of the time", each(cost -> cost.delayNanos() / 1e7 / cost.seconds()), 0);
+        result.add(
+                phase,
+                "waited for a processor, " + kind,
+                "% of the time",
+                each(cost -> cost.delayNanos() / 1e7 / cost.seconds()),
+                0);
         for (Protocol protocol : Protocol.values()) {
             if (costs.stream().anyMatch(cost -> cost.datagramsASecond(protocol) > 0)) {
-                result.add(phase, protocol.word() + " sent and received, " + kind, "datagrams/s", each(cost -> cost.datagramsASecond(protocol)), 0);
-                result.add(phase, protocol.word() + " sent and received, " + kind, "KB/s with headers",
-                        each(cost -> (cost.bytesASecond(protocol) + HEADER_BYTES * cost.datagramsASecond(protocol)) / 1e3), 0);
+                result.add(
+                        phase,
+                        protocol.word() + " sent and received, " + kind,
+                        "datagrams/s",
+                        each(cost -> cost.datagramsASecond(protocol)),
+                        0);
+                result.add(
+                        phase,
+                        protocol.word() + " sent and received, " + kind,
+                        "KB/s with headers",
+                        each(cost ->
+                                (cost.bytesASecond(protocol) + HEADER_BYTES * cost.datagramsASecond(protocol)) / 1e3),
+                        0);
             }
         }
     }
--- a/src/main/java/slateseam/scale/Figure.java
+++ b/src/main/java/slateseam/scale/Figure.java
@@ -33,7 +33,11 @@
     }
 
     JSONObject json() {
-        return new JSONObject().put("phase", phase).put("name", name).put("unit", unit).put("values", new JSONArray(values))
+        return new JSONObject()
+                .put("phase", phase)
+                .put("name", name)
+                .put("unit", unit)
+                .put("values", new JSONArray(values))
                 .put("missing", missing);
     }
 }
--- a/src/main/java/slateseam/scale/HollowLoop.java
+++ b/src/main/java/slateseam/scale/HollowLoop.java
@@ -1,11 +1,11 @@
 package slateseam.scale;
 
 import java.io.IOException;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
--- a/src/main/java/slateseam/scale/HollowRouter.java
+++ b/src/main/java/slateseam/scale/HollowRouter.java
@@ -50,6 +50,7 @@
     private int life;
     /** Null while it is down, as are the others. */
     private Brain brain;
+
     private Peers peers;
     private Tier tier;
     private SharedPolicy policy;
@@ -84,7 +85,8 @@
         }
         brain = new Brain(config.settings(), config.seed());
         decide(new Started());
-        decide(new MembersChanged(ListKind.CACHED, farm.entries().stream().map(Farm.Entry::member).toList()));
+        decide(new MembersChanged(
+                ListKind.CACHED, farm.entries().stream().map(Farm.Entry::member).toList()));
         tier = new Tier(features.tier(), config, loop, this::decide);
         tier.observe(change -> observer.changed(number(), change, loop.now()));
         tier.talk(peers);
--- a/src/main/java/slateseam/scale/HollowTier.java
+++ b/src/main/java/slateseam/scale/HollowTier.java
@@ -27,8 +27,14 @@
     }
 
     /** Adds a router, which is down. */
-    void add(int number, RouterTexts texts, List<InetSocketAddress> peers, InetSocketAddress discovery, Features features,
-            HollowRouter.Observer observer) throws InvalidConfigException {
+    void add(
+            int number,
+            RouterTexts texts,
+            List<InetSocketAddress> peers,
+            InetSocketAddress discovery,
+            Features features,
+            HollowRouter.Observer observer)
+            throws InvalidConfigException {
         HollowLoop home = loops.get(routers.size() % loops.size());
         routers.put(number, new HollowRouter(texts.hollow(number, peers, discovery), features, home.loop(), observer));
         homes.put(number, home);
@@ -75,7 +81,11 @@
 
     /** The first fault inside the code under test; null if there was none. */
     String error() {
-        return loops.stream().map(HollowLoop::error).filter(error -> error != null).findFirst().orElse(null);
+        return loops.stream()
+                .map(HollowLoop::error)
+                .filter(error -> error != null)
+                .findFirst()
+                .orElse(null);
     }
 
     @Override
--- a/src/main/java/slateseam/scale/ImpairedDatagramChannel.java
+++ b/src/main/java/slateseam/scale/ImpairedDatagramChannel.java
@@ -20,7 +20,11 @@
     private final BiConsumer<Long, Runnable> later;
     private int router;
 
-    ImpairedDatagramChannel(SelectorProvider provider, DatagramChannel system, Impairments impairments, BiConsumer<Long, Runnable> later) {
+    ImpairedDatagramChannel(
+            SelectorProvider provider,
+            DatagramChannel system,
+            Impairments impairments,
+            BiConsumer<Long, Runnable> later) {
         super(provider);
         this.system = system;
         this.impairments = impairments;
@@ -74,7 +78,8 @@
             int sender = impairments.number(from);
             // What hollow routers send was looked at as it was sent.
             boolean fromReal = impairments.counts(sender) != null;
-            if (into.position() > begin && (!fromReal || impairments.passes(sender, router, into.get(begin), into.position() - begin))) {
+            if (into.position() > begin
+                    && (!fromReal || impairments.passes(sender, router, into.get(begin), into.position() - begin))) {
                 return from;
             }
             into.position(begin);
--- a/src/main/java/slateseam/scale/ImpairedSelector.java
+++ b/src/main/java/slateseam/scale/ImpairedSelector.java
@@ -22,7 +22,8 @@
 
     @Override
     protected SelectionKey register(AbstractSelectableChannel channel, int operations, Object attachment) {
-        SelectableChannel registered = channel instanceof ImpairedDatagramChannel impaired ? impaired.system() : channel;
+        SelectableChannel registered =
+                channel instanceof ImpairedDatagramChannel impaired ? impaired.system() : channel;
         try {
             return (AbstractSelectionKey) registered.register(system, operations, attachment);
         } catch (IOException e) {
--- a/src/main/java/slateseam/scale/PhaseWatch.java
+++ b/src/main/java/slateseam/scale/PhaseWatch.java
@@ -22,7 +22,13 @@
     private final long since;
 
     /** The phase begins; routers that are to start in it are not to be named. */
-    PhaseWatch(String phase, HollowTier hollow, List<RealRouter> real, Impairments impairments, Clock clock, ScaleResult result)
+    PhaseWatch(
+            String phase,
+            HollowTier hollow,
+            List<RealRouter> real,
+            Impairments impairments,
+            Clock clock,
+            ScaleResult result)
             throws IOException, InterruptedException {
         this.phase = phase;
         this.hollow = hollow;
@@ -48,7 +54,12 @@
         }
         double seconds = (clock.nanos() - since) / 1e9;
         ProcessCost own = own();
-        result.add(phase, "this process's processor", "% of a core", List.of((own.cpuNanos() - ownBefore.cpuNanos()) / 1e7 / seconds), 0);
+        result.add(
+                phase,
+                "this process's processor",
+                "% of a core",
+                List.of((own.cpuNanos() - ownBefore.cpuNanos()) / 1e7 / seconds),
+                0);
         delayed("a thread of hollow routers", own.longestDelaySince(ownBefore) / 1e9 / seconds);
         long stall = hollow.takeStall();
         result.add(phase, "hollow routers' longest stall", "ms", List.of(stall / 1e6), 0);
@@ -60,7 +71,9 @@
 
     private void delayed(String who, double share) {
         if (share > MOST_DELAY) {
-            result.spoilt(phase, String.format(Locale.ROOT, "%s waited %.0f%% of its time for a processor", who, 100 * share));
+            result.spoilt(
+                    phase,
+                    String.format(Locale.ROOT, "%s waited %.0f%% of its time for a processor", who, 100 * share));
         }
     }
 }
--- a/src/main/java/slateseam/scale/Places.java
+++ b/src/main/java/slateseam/scale/Places.java
@@ -20,7 +20,8 @@
     }
 
     private InetAddress host(int router) throws IOException {
-        return InetAddress.getByAddress(new byte[] {127, (byte) net, (byte) (router / HOSTS), (byte) (1 + router % HOSTS)});
+        return InetAddress.getByAddress(
+                new byte[] {127, (byte) net, (byte) (router / HOSTS), (byte) (1 + router % HOSTS)});
     }
 
     /** Where a router listens for datagrams. */
--- a/src/main/java/slateseam/scale/ProcessCost.java
+++ b/src/main/java/slateseam/scale/ProcessCost.java
@@ -22,6 +22,7 @@
     private static final long TICK_NANOS = 10_000_000L;
     /** Of the words behind the name in parentheses. */
     private static final int USER_TIME = 11;
+
     private static final int SYSTEM_TIME = 12;
 
     /** Reads it from {@code /proc}; delays are those of the threads that the system knows by such a name. */
@@ -31,8 +32,11 @@
         String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         long cpu = (Long.parseLong(words[USER_TIME]) + Long.parseLong(words[SYSTEM_TIME])) * TICK_NANOS;
         String resident = Files.readAllLines(folder.resolve("status")).stream()
-                .filter(line -> line.startsWith("VmRSS:")).findFirst().orElse("VmRSS: 0 kB");
-        return new ProcessCost(cpu, delays(folder, threads), Long.parseLong(resident.replaceAll("[^0-9]", "")) * KIBIBYTE);
+                .filter(line -> line.startsWith("VmRSS:"))
+                .findFirst()
+                .orElse("VmRSS: 0 kB");
+        return new ProcessCost(
+                cpu, delays(folder, threads), Long.parseLong(resident.replaceAll("[^0-9]", "")) * KIBIBYTE);
     }
 
     private static Map<String, Long> delays(Path folder, Predicate<String> threads) throws IOException {
@@ -43,7 +47,11 @@
                     if (!threads.test(Files.readString(thread.resolve("comm")).strip())) {
                         continue;
                     }
-                    delays.put(thread.getFileName().toString(), Long.parseLong(Files.readString(thread.resolve("schedstat")).trim().split(" ")[1]));
+                    delays.put(
+                            thread.getFileName().toString(),
+                            Long.parseLong(Files.readString(thread.resolve("schedstat"))
+                                    .trim()
+                                    .split(" ")[1]));
                 } catch (NoSuchFileException e) {
                     // It has ended meanwhile.
                 }
@@ -54,7 +62,9 @@
 
     /** For how long, since an earlier look, the thread that waited most waited for a processor; new threads count from their start. */
     long longestDelaySince(ProcessCost before) {
-        return delayNanos.entrySet().stream().mapToLong(thread -> thread.getValue() - before.delayNanos.getOrDefault(thread.getKey(), 0L))
-                .max().orElse(0);
+        return delayNanos.entrySet().stream()
+                .mapToLong(thread -> thread.getValue() - before.delayNanos.getOrDefault(thread.getKey(), 0L))
+                .max()
+                .orElse(0);
     }
 }
--- a/src/main/java/slateseam/scale/Protocol.java
+++ b/src/main/java/slateseam/scale/Protocol.java
@@ -6,7 +6,9 @@
 
 /** The protocols that routers speak by datagrams, told apart by the first byte. */
 enum Protocol {
-    MEMBERS, POLICY, RING;
+    MEMBERS,
+    POLICY,
+    RING;
 
     static Protocol of(byte first) {
         if (first == Members.firstByte()) {
--- a/src/main/java/slateseam/scale/RealRouter.java
+++ b/src/main/java/slateseam/scale/RealRouter.java
@@ -27,8 +27,11 @@
     }
 
     /** Where it is reached. */
-    record Addresses(InetSocketAddress listen, InetSocketAddress control, InetSocketAddress datagrams, InetSocketAddress discovery) {
-    }
+    record Addresses(
+            InetSocketAddress listen,
+            InetSocketAddress control,
+            InetSocketAddress datagrams,
+            InetSocketAddress discovery) {}
 
     private final int number;
     private final Addresses addresses;
@@ -48,7 +51,14 @@
      * @param run the line that starts it
      * @param said is told each line of its log
      */
-    RealRouter(int number, Addresses addresses, List<InetSocketAddress> peers, RouterTexts texts, Path folder, Path root, String run,
+    RealRouter(
+            int number,
+            Addresses addresses,
+            List<InetSocketAddress> peers,
+            RouterTexts texts,
+            Path folder,
+            Path root,
+            String run,
             BiConsumer<String, String> said) {
         this.number = number;
         this.addresses = addresses;
@@ -75,15 +85,20 @@
     /** Starts a process; the one before must have ended. */
     void start(Mode mode, JSONObject known) throws IOException {
         Path own = Files.createDirectories(folder.resolve(name()));
-        JSONObject config = texts.config(number, mode != Mode.ALONE, known).put("listen", Places.text(addresses.listen()))
-                .put("control", Places.text(addresses.control())).put("discovery", Places.text(addresses.discovery()));
+        JSONObject config = texts.config(number, mode != Mode.ALONE, known)
+                .put("listen", Places.text(addresses.listen()))
+                .put("control", Places.text(addresses.control()))
+                .put("discovery", Places.text(addresses.discovery()));
         if (mode != Mode.ALONE) {
             config.put("peer_listen", Places.text(addresses.datagrams()))
                     .put("peers", new JSONArray(peers.stream().map(Places::text).toList()));
         }
         Path file = Files.writeString(own.resolve("config.json"), config.toString());
-        String line = mode == Mode.ALL ? RunLine.withFeatures(run, texts.features(proposal().toString()), root, own.resolve("features")) : run;
-        Map<String, String> environment = new HashMap<>(Map.of("NODE_CONFIG", file.toString(), "NODE_NAME", name(), "TMPDIR", own.toString()));
+        String line = mode == Mode.ALL
+                ? RunLine.withFeatures(run, texts.features(proposal().toString()), root, own.resolve("features"))
+                : run;
+        Map<String, String> environment =
+                new HashMap<>(Map.of("NODE_CONFIG", file.toString(), "NODE_NAME", name(), "TMPDIR", own.toString()));
         child = new RouterChild(name(), line, root, environment, folder.resolve(name() + ".log"), said);
     }
 
@@ -93,8 +108,14 @@
 
     /** Proposes a change of policy here. */
     void propose(String name, String document) throws IOException {
-        Path next = Files.writeString(proposal().resolveSibling("proposal.next"), new JSONObject().put("name", name).put("document", document)
-                .put("watch_s", 1).put("points", 100).toString());
+        Path next = Files.writeString(
+                proposal().resolveSibling("proposal.next"),
+                new JSONObject()
+                        .put("name", name)
+                        .put("document", document)
+                        .put("watch_s", 1)
+                        .put("points", 100)
+                        .toString());
         Files.move(next, proposal(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         ask("POST", "/policy/propose");
     }
--- a/src/main/java/slateseam/scale/ScaleCommand.java
+++ b/src/main/java/slateseam/scale/ScaleCommand.java
@@ -31,6 +31,7 @@
     private static final int MOST_SECONDS = 7_200;
     /** The zones of the size that is planned for; a group is as many routers as one has. */
     private static final int ZONES = 28;
+
     private static final String HELP = """
             usage: java -jar slateseam.jar scale run [--hollow N] [--real N] ...
               starts many hollow routers in this process (control alone, no requests) beside a few real processes, on loopback, and
@@ -54,8 +55,7 @@
             --deploy FILE        whose line `run` starts a real router (usual deploy/balancer.toml); --run LINE is one itself
             exit: 0 if it was measured, 1 if something broke or the machine was too busy, 2 if the command is wrong""";
 
-    private ScaleCommand() {
-    }
+    private ScaleCommand() {}
 
     /** Runs it: 0 if it was measured, 1 if it was spoilt or something broke, 2 for bad use. */
     public static int run(String[] args, PrintStream out, PrintStream err) {
@@ -86,8 +86,26 @@
 
     private static Options options() {
         Options options = new Options();
-        for (String option : new String[] {"hollow", "real", "servers", "threads", "window", "turns", "changes", "deaths", "faults",
-            "fault-seconds", "group", "replacements", "join-seconds", "most-seconds", "json", "keep", "deploy", "run"}) {
+        for (String option : new String[] {
+            "hollow",
+            "real",
+            "servers",
+            "threads",
+            "window",
+            "turns",
+            "changes",
+            "deaths",
+            "faults",
+            "fault-seconds",
+            "group",
+            "replacements",
+            "join-seconds",
+            "most-seconds",
+            "json",
+            "keep",
+            "deploy",
+            "run"
+        }) {
             options.addOption(Option.builder().longOpt(option).hasArg().get());
         }
         return options.addOption(Option.builder().longOpt("no-policy").get());
@@ -105,11 +123,22 @@
                 faults.add(ScaleFault.of(word.strip()));
             }
         }
-        return new ScaleSettings(hollow, real, number(line, "servers", 590, 1, 4_000), number(line, "threads", 2, 1, MOST_THREADS),
-                number(line, "window", 10, 1, 600), number(line, "turns", 1, 0, 100), number(line, "changes", 3, 0, 100),
-                number(line, "deaths", 3, 0, 100), faults, number(line, "fault-seconds", 20, 1, 3_600),
-                number(line, "group", Math.max(1, (hollow + real) / ZONES), 1, MOST_HOLLOW), number(line, "replacements", 210, 1, MOST_HOLLOW),
-                !line.hasOption("no-policy"), number(line, "join-seconds", 120, 1, MOST_SECONDS), number(line, "most-seconds", 900, 1, MOST_SECONDS));
+        return new ScaleSettings(
+                hollow,
+                real,
+                number(line, "servers", 590, 1, 4_000),
+                number(line, "threads", 2, 1, MOST_THREADS),
+                number(line, "window", 10, 1, 600),
+                number(line, "turns", 1, 0, 100),
+                number(line, "changes", 3, 0, 100),
+                number(line, "deaths", 3, 0, 100),
+                faults,
+                number(line, "fault-seconds", 20, 1, 3_600),
+                number(line, "group", Math.max(1, (hollow + real) / ZONES), 1, MOST_HOLLOW),
+                number(line, "replacements", 210, 1, MOST_HOLLOW),
+                !line.hasOption("no-policy"),
+                number(line, "join-seconds", 120, 1, MOST_SECONDS),
+                number(line, "most-seconds", 900, 1, MOST_SECONDS));
     }
 
     private static int number(CommandLine line, String option, int usual, int least, int most) throws ParseException {
@@ -122,13 +151,16 @@
 
     private static int play(ScaleSettings settings, CommandLine line, PrintStream out, PrintStream err)
             throws ParseException, IOException, InterruptedException, InvalidConfigException {
-        String run = line.hasOption("run") ? line.getOptionValue("run")
+        String run = line.hasOption("run")
+                ? line.getOptionValue("run")
                 : RunLine.deployed(Path.of(line.getOptionValue("deploy", "deploy/balancer.toml")));
         AtomicBoolean keep = new AtomicBoolean(line.hasOption("keep"));
-        Path folder = keep.get() ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
+        Path folder = keep.get()
+                ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
                 : Files.createTempDirectory("slateseam-scale");
         long begin = System.nanoTime();
-        Consumer<String> progress = text -> err.printf("%4d s  %s%n", (System.nanoTime() - begin) / 1_000_000_000L, text);
+        Consumer<String> progress =
+                text -> err.printf("%4d s  %s%n", (System.nanoTime() - begin) / 1_000_000_000L, text);
         ScaleRun scale = new ScaleRun(settings, run, Path.of("").toAbsolutePath(), folder, progress);
         // Guards against processes that stay behind when the run is interrupted.
         Thread hook = new Thread(() -> {
@@ -142,7 +174,8 @@
             ScaleResult result = scale.play();
             out.println(result.text());
             if (line.hasOption("json")) {
-                Files.writeString(Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
+                Files.writeString(
+                        Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
             }
             return result.hasFaults() || result.isSpoilt() ? BROKEN : 0;
         } catch (IllegalStateException e) {
--- a/src/main/java/slateseam/scale/ScaleFault.java
+++ b/src/main/java/slateseam/scale/ScaleFault.java
@@ -24,7 +24,9 @@
     }
 
     static ScaleFault of(String word) {
-        return Arrays.stream(values()).filter(fault -> fault.word().equals(word)).findFirst()
+        return Arrays.stream(values())
+                .filter(fault -> fault.word().equals(word))
+                .findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("there is no fault " + word + ", but " + words()));
     }
 
--- a/src/main/java/slateseam/scale/ScaleResult.java
+++ b/src/main/java/slateseam/scale/ScaleResult.java
@@ -48,14 +48,36 @@
 
     /** A table, a line for each figure. */
     String text() {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%d routers: %d hollow, %d real; %d servers listed%n",
-                settings.routers(), settings.hollow(), settings.real(), settings.servers()));
-        text.append(String.format(Locale.ROOT, "%-16s %-44s %9s %9s %9s %7s %7s  %s%n", "phase", "figure", "50%", "99%", "most", "values",
-                "missing", "unit"));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%d routers: %d hollow, %d real; %d servers listed%n",
+                settings.routers(),
+                settings.hollow(),
+                settings.real(),
+                settings.servers()));
+        text.append(String.format(
+                Locale.ROOT,
+                "%-16s %-44s %9s %9s %9s %7s %7s  %s%n",
+                "phase",
+                "figure",
+                "50%",
+                "99%",
+                "most",
+                "values",
+                "missing",
+                "unit"));
         for (Figure figure : figures) {
-            text.append(String.format(Locale.ROOT, "%-16s %-44s %9s %9s %9s %7d %7d  %s%n", figure.phase(), figure.name(),
-                    number(figure.percentile(50)), number(figure.percentile(99)), number(figure.most()), figure.values().size(),
-                    figure.missing(), figure.unit()));
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%-16s %-44s %9s %9s %9s %7d %7d  %s%n",
+                    figure.phase(),
+                    figure.name(),
+                    number(figure.percentile(50)),
+                    number(figure.percentile(99)),
+                    number(figure.most()),
+                    figure.values().size(),
+                    figure.missing(),
+                    figure.unit()));
         }
         spoilt.forEach(why -> text.append("SPOILT ").append(why).append('\n'));
         faults.forEach(why -> text.append("FAULT ").append(why).append('\n'));
@@ -63,14 +85,22 @@
     }
 
     private static String number(double value) {
-        return Double.isInfinite(value) ? "-" : Math.abs(value) >= 100 ? String.format(Locale.ROOT, "%.0f", value)
-                : String.format(Locale.ROOT, "%.2f", value);
+        return Double.isInfinite(value)
+                ? "-"
+                : Math.abs(value) >= 100
+                        ? String.format(Locale.ROOT, "%.0f", value)
+                        : String.format(Locale.ROOT, "%.2f", value);
     }
 
     JSONObject json() {
-        return new JSONObject().put("hollow", settings.hollow()).put("real", settings.real()).put("servers", settings.servers())
-                .put("window_s", settings.windowSeconds()).put("turns", settings.turns())
-                .put("figures", new JSONArray(figures.stream().map(Figure::json).toList())).put("spoilt", new JSONArray(spoilt))
+        return new JSONObject()
+                .put("hollow", settings.hollow())
+                .put("real", settings.real())
+                .put("servers", settings.servers())
+                .put("window_s", settings.windowSeconds())
+                .put("turns", settings.turns())
+                .put("figures", new JSONArray(figures.stream().map(Figure::json).toList()))
+                .put("spoilt", new JSONArray(spoilt))
                 .put("faults", new JSONArray(faults));
     }
 }
--- a/src/main/java/slateseam/scale/ScaleRun.java
+++ b/src/main/java/slateseam/scale/ScaleRun.java
@@ -38,6 +38,7 @@
     private static final double START_SECONDS = 60;
     /** After a change of what runs, until it counts as usual again. */
     private static final double SETTLE_SECONDS = 5;
+
     private static final double HOLD_SECONDS = 20;
     private static final double DEATH_SECONDS = 15;
     private static final double HEAL_SECONDS = 60;
@@ -45,6 +46,7 @@
     private static final double DOWN_SECONDS = 2;
     /** Hollow routers whose view is looked at where looking at all would cost too much. */
     private static final int SAMPLE = 32;
+
     private static final double LOST = 0.2;
     private static final long SLOW_NANOS = 300 * Clock.MILLI;
     private static final String CALM = "calm";
@@ -68,6 +70,7 @@
     private final AtomicBoolean closing = new AtomicBoolean();
     /** Hollow routers that are down for the whole of a phase. */
     private final Set<Integer> down = new HashSet<>();
+
     private DatagramLinks links;
     private int changes;
 
@@ -121,14 +124,22 @@
             listens.add(places.datagrams(router));
             impairments.at(router, listens.get(router));
         }
-        Path features = Files.writeString(folder.resolve("hollow-features"), texts.features(folder.resolve("none").toString()));
+        Path features = Files.writeString(
+                folder.resolve("hollow-features"),
+                texts.features(folder.resolve("none").toString()));
         List<InetSocketAddress> shared = List.copyOf(listens);
         var farm = texts.farm();
-        World world = new World(net, net, new Witness() { });
+        World world = new World(net, net, new Witness() {});
         net.run(() -> {
             for (int router = 0; router < settings.routers(); router++) {
-                agents.put(router, new DiscoveryAgent("discovery-" + router, DiscoveryFigures.usual(), world,
-                        RandomSource.XO_RO_SHI_RO_128_PP.create(router), farm));
+                agents.put(
+                        router,
+                        new DiscoveryAgent(
+                                "discovery-" + router,
+                                DiscoveryFigures.usual(),
+                                world,
+                                RandomSource.XO_RO_SHI_RO_128_PP.create(router),
+                                farm));
             }
         });
         Map<String, InetSocketAddress> reals = new LinkedHashMap<>();
@@ -138,8 +149,12 @@
             reals.put(RouterTexts.name(router), listens.get(router));
         }
         synchronized (this) {
-            links = new DatagramLinks(reals, new DatagramLinks.Conditions(0, 0, 0, 0), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
-                    (from, to, bytes, lost) -> impairments.between(RouterTexts.number(from), RouterTexts.number(to), bytes[0], bytes.length, !lost));
+            links = new DatagramLinks(
+                    reals,
+                    new DatagramLinks.Conditions(0, 0, 0, 0),
+                    RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+                    (from, to, bytes, lost) -> impairments.between(
+                            RouterTexts.number(from), RouterTexts.number(to), bytes[0], bytes.length, !lost));
         }
         Features told = null;
         for (int router = 0; router < settings.routers(); router++) {
@@ -153,7 +168,8 @@
         }
     }
 
-    private RealRouter real(int router, Places places, List<InetSocketAddress> listens, InetSocketAddress discovery) throws IOException {
+    private RealRouter real(int router, Places places, List<InetSocketAddress> listens, InetSocketAddress discovery)
+            throws IOException {
         List<InetSocketAddress> peers = new ArrayList<>(listens);
         for (int which = 0; which < settings.real(); which++) {
             int other = settings.numberOfReal(which);
@@ -161,8 +177,8 @@
                 peers.set(other, links.address(RouterTexts.name(router), RouterTexts.name(other)));
             }
         }
-        RealRouter.Addresses addresses = new RealRouter.Addresses(places.connections(router), places.connections(router), listens.get(router),
-                discovery);
+        RealRouter.Addresses addresses = new RealRouter.Addresses(
+                places.connections(router), places.connections(router), listens.get(router), discovery);
         return new RealRouter(router, addresses, peers, texts, folder, root, run, sightings::said);
     }
 
@@ -196,7 +212,12 @@
             }
             return seenByReal.size() == real.size();
         });
-        result.add("join", "all start until one sees all, real", "s", seenByReal.values(), real.size() - seenByReal.size());
+        result.add(
+                "join",
+                "all start until one sees all, real",
+                "s",
+                seenByReal.values(),
+                real.size() - seenByReal.size());
         watch.end();
         if (!all) {
             result.fault("not all had seen all within " + settings.joinSeconds() + " s of the start");
@@ -208,7 +229,10 @@
     private List<Integer> sample() {
         List<Integer> all = hollow.numbers();
         int step = Math.max(1, all.size() / SAMPLE);
-        return IntStream.range(0, all.size()).filter(i -> i % step == 0).mapToObj(all::get).toList();
+        return IntStream.range(0, all.size())
+                .filter(i -> i % step == 0)
+                .mapToObj(all::get)
+                .toList();
     }
 
     private int present(RealRouter one) throws IOException {
@@ -220,7 +244,8 @@
     }
 
     private void start(RealRouter one, RealRouter.Mode mode) throws IOException {
-        JSONObject known = net.call(() -> new JSONObject(agents.get(one.number()).whole()));
+        JSONObject known =
+                net.call(() -> new JSONObject(agents.get(one.number()).whole()));
         synchronized (this) {
             if (!closing.get()) {
                 one.start(mode, known);
@@ -229,10 +254,15 @@
     }
 
     private void awaitServing() throws IOException, InterruptedException {
-        boolean serve = await(START_SECONDS, LOOK_MILLIS, () -> real.stream().allMatch(one -> one.child().isServing() || !one.child().isAlive()));
+        boolean serve = await(
+                START_SECONDS,
+                LOOK_MILLIS,
+                () -> real.stream()
+                        .allMatch(one -> one.child().isServing() || !one.child().isAlive()));
         for (RealRouter one : real) {
             if (!serve || !one.child().isAlive()) {
-                throw new IllegalStateException(one.name() + " does not run; its log: " + folder.resolve(one.name() + ".log"));
+                throw new IllegalStateException(
+                        one.name() + " does not run; its log: " + folder.resolve(one.name() + ".log"));
             }
         }
     }
@@ -252,7 +282,12 @@
                 return why[0].startsWith("there is a group");
             }
         });
-        result.add("begin", "all see all until a group may begin", "s", begun ? List.of(secondsSince(since)) : List.of(), begun ? 0 : 1);
+        result.add(
+                "begin",
+                "all see all until a group may begin",
+                "s",
+                begun ? List.of(secondsSince(since)) : List.of(),
+                begun ? 0 : 1);
         if (!begun) {
             result.fault("no group could begin: " + why[0]);
             return false;
@@ -262,7 +297,12 @@
             JSONArray seats = told.optJSONArray("seats");
             return seats != null && seats.length() == settings.voters();
         });
-        result.add("begin", "begun until all voters have their seats", "s", begun ? List.of(secondsSince(since)) : List.of(), begun ? 0 : 1);
+        result.add(
+                "begin",
+                "begun until all voters have their seats",
+                "s",
+                begun ? List.of(secondsSince(since)) : List.of(),
+                begun ? 0 : 1);
         watch.end();
         sleep(SETTLE_SECONDS);
         return begun;
@@ -286,8 +326,18 @@
         CostSums all = sums.get(RealRouter.Mode.ALL);
         CostSums alone = sums.get(RealRouter.Mode.ALONE);
         sums.forEach((mode, sum) -> sum.tell("cost", mode.name().toLowerCase(Locale.ROOT), result));
-        result.add("cost", "control: all less alone, median", "% of a core", List.of(all.medianCpu() - alone.medianCpu()), 0);
-        result.add("cost", "control: all less alone, median", "MB resident", List.of(all.medianMemory() - alone.medianMemory()), 0);
+        result.add(
+                "cost",
+                "control: all less alone, median",
+                "% of a core",
+                List.of(all.medianCpu() - alone.medianCpu()),
+                0);
+        result.add(
+                "cost",
+                "control: all less alone, median",
+                "MB resident",
+                List.of(all.medianMemory() - alone.medianMemory()),
+                0);
         restartReal(RealRouter.Mode.ALL);
         awaitOneView(settings.joinSeconds());
         sleep(SETTLE_SECONDS);
@@ -299,7 +349,10 @@
             sightings.killed(one.name());
             one.child().signal("TERM");
         }
-        await(START_SECONDS, LOOK_MILLIS, () -> real.stream().noneMatch(one -> one.child().isAlive()));
+        await(
+                START_SECONDS,
+                LOOK_MILLIS,
+                () -> real.stream().noneMatch(one -> one.child().isAlive()));
         for (RealRouter one : real) {
             one.child().destroy();
             start(one, mode);
@@ -333,8 +386,15 @@
             progress.accept(phase + ": change of policy " + (i + 1) + " of " + times);
             int number = ++changes;
             sightings.watchHold();
-            real.get(real.size() - 1).propose("change-" + number,
-                    new JSONObject().put("settings", new JSONObject().put("limits", new JSONObject().put("try_limit", 2 + number % 2))).toString());
+            real.get(real.size() - 1)
+                    .propose(
+                            "change-" + number,
+                            new JSONObject()
+                                    .put(
+                                            "settings",
+                                            new JSONObject()
+                                                    .put("limits", new JSONObject().put("try_limit", 2 + number % 2)))
+                                    .toString());
             int hollowUp = settings.hollow() - down.size();
             await(HOLD_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == hollowUp + settings.real());
             Map<Integer, Long> known = sightings.known();
@@ -423,7 +483,12 @@
         end(fault);
         long since = clock.nanos();
         boolean healed = awaitOneView(HEAL_SECONDS);
-        result.add(phase, "over until one view again", "s", healed ? List.of(secondsSince(since)) : List.of(), healed ? 0 : 1);
+        result.add(
+                phase,
+                "over until one view again",
+                "s",
+                healed ? List.of(secondsSince(since)) : List.of(),
+                healed ? 0 : 1);
     }
 
     private void begin(ScaleFault fault) {
@@ -520,7 +585,8 @@
         }
     }
 
-    private boolean await(double seconds, long lookMillis, Condition condition) throws IOException, InterruptedException {
+    private boolean await(double seconds, long lookMillis, Condition condition)
+            throws IOException, InterruptedException {
         long since = clock.nanos();
         while (!condition.holds()) {
             if (secondsSince(since) > seconds) {
@@ -533,7 +599,7 @@
 
     private void sleep(double seconds) throws InterruptedException {
         long until = clock.nanos() + (long) (seconds * 1e9);
-        for (long left; (left = (until - clock.nanos()) / Clock.MILLI) > 0;) {
+        for (long left; (left = (until - clock.nanos()) / Clock.MILLI) > 0; ) {
             pause(Math.min(left, 200));
         }
     }
@@ -547,8 +613,8 @@
         }
         for (RealRouter one : real) {
             if (one.child() != null && one.child().hasCrashed()) {
-                throw new IllegalStateException(one.name() + " ended by itself with status " + one.child().status() + "; its log: "
-                        + folder.resolve(one.name() + ".log"));
+                throw new IllegalStateException(one.name() + " ended by itself with status "
+                        + one.child().status() + "; its log: " + folder.resolve(one.name() + ".log"));
             }
         }
         Thread.sleep(millis);
--- a/src/main/java/slateseam/scale/ScaleSettings.java
+++ b/src/main/java/slateseam/scale/ScaleSettings.java
@@ -21,8 +21,22 @@
  * @param joinSeconds within which all must have seen all
  * @param mostSeconds of the whole run; beyond it, it is given up
  */
-record ScaleSettings(int hollow, int real, int servers, int threads, double windowSeconds, int turns, int changes, int deaths,
-        List<ScaleFault> faults, double faultSeconds, int group, int replacements, boolean policy, double joinSeconds, double mostSeconds) {
+record ScaleSettings(
+        int hollow,
+        int real,
+        int servers,
+        int threads,
+        double windowSeconds,
+        int turns,
+        int changes,
+        int deaths,
+        List<ScaleFault> faults,
+        double faultSeconds,
+        int group,
+        int replacements,
+        boolean policy,
+        double joinSeconds,
+        double mostSeconds) {
     /** Routers that may vote, at the most. */
     private static final int VOTERS = 5;
 
--- a/src/main/java/slateseam/scale/Sightings.java
+++ b/src/main/java/slateseam/scale/Sightings.java
@@ -21,6 +21,7 @@
     private final Map<String, Long> startedAt = new HashMap<>();
     /** Of the one event that is watched now: after how many nanoseconds each router knew. */
     private final Map<Integer, Long> known = new TreeMap<>();
+
     private String watchedDeath;
     private long watchedSince;
     private boolean watchesHold;
@@ -97,7 +98,10 @@
     synchronized void said(String router, String line) {
         int failed = line.indexOf(FAILED);
         if (failed >= 0) {
-            failed(RouterTexts.number(router), line.substring(failed + FAILED.length()).split(" ")[0], clock.nanos());
+            failed(
+                    RouterTexts.number(router),
+                    line.substring(failed + FAILED.length()).split(" ")[0],
+                    clock.nanos());
         } else if (line.contains(HOLDS)) {
             holds(RouterTexts.number(router), clock.nanos());
         }
--- a/src/main/java/slateseam/trial/RunLine.java
+++ b/src/main/java/slateseam/trial/RunLine.java
@@ -11,15 +11,16 @@
 public final class RunLine {
     private static final Pattern FEATURES = Pattern.compile("--features\\s+(\\S+)");
 
-    private RunLine() {
-    }
+    private RunLine() {}
 
     /** The line of a deploy file that starts a router. */
     public static String deployed(Path file) throws ParseException, IOException {
         if (!Files.exists(file)) {
             throw new ParseException("there is no " + file + "; --deploy names another, --run a line");
         }
-        return Files.readAllLines(file).stream().filter(l -> l.matches("run\\s*=\\s*\".*\"\\s*(#.*)?")).findFirst()
+        return Files.readAllLines(file).stream()
+                .filter(l -> l.matches("run\\s*=\\s*\".*\"\\s*(#.*)?"))
+                .findFirst()
                 .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')))
                 .orElseThrow(() -> new ParseException(file + " has no line run = \"...\""));
     }
@@ -34,9 +35,12 @@
     public static String withFeatures(String line, String extra, Path root, Path features) throws IOException {
         Matcher named = FEATURES.matcher(line);
         if (!named.find()) {
-            throw new IllegalStateException("the line that starts a router names no --features, which this needs: " + line);
+            throw new IllegalStateException(
+                    "the line that starts a router names no --features, which this needs: " + line);
         }
         Files.writeString(features, Files.readString(root.resolve(named.group(1))) + extra);
-        return new StringBuilder(line).replace(named.start(1), named.end(1), "'" + features + "'").toString();
+        return new StringBuilder(line)
+                .replace(named.start(1), named.end(1), "'" + features + "'")
+                .toString();
     }
 }
--- a/src/test/java/slateseam/scale/ImpairmentsTest.java
+++ b/src/test/java/slateseam/scale/ImpairmentsTest.java
@@ -56,8 +56,10 @@
     @Test
     void aRouterIsKnownByItsAddress() {
         impairments.at(7, new InetSocketAddress("127.64.0.8", 4_000));
-        assertThat(impairments.number(new InetSocketAddress("127.64.0.8", 4_000))).isEqualTo(7);
-        assertThat(impairments.number(new InetSocketAddress("127.64.0.8", 4_001))).isEqualTo(-1);
+        assertThat(impairments.number(new InetSocketAddress("127.64.0.8", 4_000)))
+                .isEqualTo(7);
+        assertThat(impairments.number(new InetSocketAddress("127.64.0.8", 4_001)))
+                .isEqualTo(-1);
     }
 
     @Test
--- a/src/test/java/slateseam/scale/ScaleTest.java
+++ b/src/test/java/slateseam/scale/ScaleTest.java
@@ -22,8 +22,11 @@
 
     /** The deployed line, with the classes under test. */
     private static String line() throws Exception {
-        return RunLine.deployed(Path.of("deploy/balancer.toml")).replace(" java ", " '" + JAVA + "' ")
-                .replace("-jar target/slateseam.jar", "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main")
+        return RunLine.deployed(Path.of("deploy/balancer.toml"))
+                .replace(" java ", " '" + JAVA + "' ")
+                .replace(
+                        "-jar target/slateseam.jar",
+                        "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main")
                 .replace("-XX:SharedArchiveFile=target/slateseam.jsa -Xshare:auto", "-Xshare:auto");
     }
 
@@ -31,12 +34,14 @@
     @Test
     void aRealRouterAmongHollowOnesIsOneOfThem() throws Exception {
         ScaleSettings settings = new ScaleSettings(11, 1, 20, 1, 1, 0, 1, 1, List.of(), 1, 1, 1, true, 60, 120);
-        List<Long> before = ProcessHandle.current().children().map(ProcessHandle::pid).toList();
+        List<Long> before =
+                ProcessHandle.current().children().map(ProcessHandle::pid).toList();
         ScaleResult result;
-        try (ScaleRun run = new ScaleRun(settings, line(), Path.of("").toAbsolutePath(), dir, text -> { })) {
+        try (ScaleRun run = new ScaleRun(settings, line(), Path.of("").toAbsolutePath(), dir, text -> {})) {
             result = run.play();
         }
-        assertThat(ProcessHandle.current().children().map(ProcessHandle::pid).filter(pid -> !before.contains(pid))).isEmpty();
+        assertThat(ProcessHandle.current().children().map(ProcessHandle::pid).filter(pid -> !before.contains(pid)))
+                .isEmpty();
         assertThat(result.hasFaults()).as(result.text()).isFalse();
         assertThat(figure(result, "all start until one sees all, real")).isEqualTo(1);
         assertThat(figure(result, "change of policy held, real")).isEqualTo(1);
@@ -47,7 +52,10 @@
 
     /** How many values a figure has; none may be missing. */
     private static int figure(ScaleResult result, String name) {
-        Figure found = result.figures().stream().filter(figure -> figure.name().equals(name)).findFirst().orElseThrow();
+        Figure found = result.figures().stream()
+                .filter(figure -> figure.name().equals(name))
+                .findFirst()
+                .orElseThrow();
         assertThat(found.missing()).as(result.text()).isZero();
         return found.values().size();
     }
--- a/src/test/java/slateseam/simulate/GrowthTest.java
+++ b/src/test/java/slateseam/simulate/GrowthTest.java
@@ -15,16 +15,32 @@
 
     /** Bugs that are planted in copies of the program. */
     private enum Bug {
-        HEARTBEATS_GO_TO_ALL(MEMBERS, "MEMBERS_DATAGRAMS", "tier/members/Members", "to.forEach(id -> heartbeat(roster.find(id)));",
+        HEARTBEATS_GO_TO_ALL(
+                MEMBERS,
+                "MEMBERS_DATAGRAMS",
+                "tier/members/Members",
+                "to.forEach(id -> heartbeat(roster.find(id)));",
                 "roster.all().forEach(this::heartbeat);"),
-        EACH_MEMBER_IS_KEPT_WITH_ALL_OTHERS(MEMBERS, "MEMBERS_STATE", "tier/members/Members", "            roster.forget(now);\n",
+        EACH_MEMBER_IS_KEPT_WITH_ALL_OTHERS(
+                MEMBERS,
+                "MEMBERS_STATE",
+                "tier/members/Members",
+                "            roster.forget(now);\n",
                 "            roster.forget(now);\n            roster.all().forEach(member -> roster.all().forEach(other -> member.ears.put(other.id,"
                         + " new Member.Heard(Message.Ear.UNSURE, 0))));\n"),
-        A_SUSPICION_IS_TOLD_TO_ALL(MEMBERS, "DEATH_DATAGRAMS", "tier/members/Watch", "        List<Member> over = new ArrayList<>();\n",
+        A_SUSPICION_IS_TOLD_TO_ALL(
+                MEMBERS,
+                "DEATH_DATAGRAMS",
+                "tier/members/Watch",
+                "        List<Member> over = new ArrayList<>();\n",
                 "        List<Member> over = new ArrayList<>();\n        roster.all().stream().filter(one -> one.state == State.SUSPECT).forEach(one ->"
                         + " roster.all().forEach(other -> tell.accept(other, new Verdict(one.id, one.life, one.incarnation, Ear.SILENT))));\n"),
-        ALL_LEARNERS_ASK_THE_LEADER(POLICY, "POLICY_MOST_DATAGRAMS", "tier/policy/Tree",
-                "return rank < BRANCHES * above.size()", "if (leader >= 0) return leader;\n                return rank < BRANCHES * above.size()");
+        ALL_LEARNERS_ASK_THE_LEADER(
+                POLICY,
+                "POLICY_MOST_DATAGRAMS",
+                "tier/policy/Tree",
+                "return rank < BRANCHES * above.size()",
+                "if (leader >= 0) return leader;\n                return rank < BRANCHES * above.size()");
 
         private final String check;
         private final String found;
@@ -50,6 +66,7 @@
     @ParameterizedTest
     @EnumSource
     void growthIsFound(Bug bug) throws ReflectiveOperationException {
-        assertThat(new Planted(bug.planted).call(CHECK, bug.check, 1, 1).lines().map(line -> line.split(" ")[0])).contains(bug.found);
+        assertThat(new Planted(bug.planted).call(CHECK, bug.check, 1, 1).lines().map(line -> line.split(" ")[0]))
+                .contains(bug.found);
     }
 }
--- a/src/test/java/slateseam/simulate/tier/Growth.java
+++ b/src/test/java/slateseam/simulate/tier/Growth.java
@@ -9,7 +9,6 @@
 import slateseam.Census;
 import slateseam.simulate.tier.MembersWorld.Ways;
 import slateseam.tier.members.Change.Kind;
-import slateseam.tier.members.Members;
 import slateseam.tier.members.Traffic;
 
 /**
@@ -21,9 +20,11 @@
     private static final long SECOND = 1_000_000_000L;
     /** In none of them does everybody watch everybody. */
     private static final int[] MEMBERS_SIZES = {12, 48};
+
     private static final int[] POLICY_SIZES = {16, 64};
     /** Until the news of so many that joined at once has been told often enough. */
     private static final long SETTLE = 10 * SECOND;
+
     private static final long WINDOW = 6 * SECOND;
     private static final int VOTERS = 5;
     private static final String[] OWN = {"slateseam.tier."};
@@ -35,8 +36,7 @@
      * @param mostGrowth from the smallest tier to the largest, as a factor
      * @param most at any size
      */
-    private record Bound(String name, double mostGrowth, double most) {
-    }
+    private record Bound(String name, double mostGrowth, double most) {}
 
     private static final List<Bound> MEMBERS = List.of(
             new Bound("MEMBERS_DATAGRAMS", 1.25, 60),
@@ -50,8 +50,7 @@
             new Bound("POLICY_MOST_DATAGRAMS", 1.6, 250),
             new Bound("POLICY_STATE", 1.4, 30));
 
-    private Growth() {
-    }
+    private Growth() {}
 
     /** A line for each figure of membership that breaks a bound, with the figure's name first; empty if none does. */
     static String brokenMembers(long seed, long unused) {
@@ -72,8 +71,15 @@
             List<Double> figures = bySize.stream().map(all -> all.get(figure)).toList();
             double growth = figures.get(sizes.length - 1) / figures.get(0);
             if (!(growth <= bound.mostGrowth()) || figures.stream().anyMatch(one -> one > bound.most())) {
-                broken.append(String.format(Locale.ROOT, "%s at %s routers: %s; grows %.2f times, at most %.2f; bound %.1f%n", bound.name(),
-                        Arrays.toString(sizes), figures, growth, bound.mostGrowth(), bound.most()));
+                broken.append(String.format(
+                        Locale.ROOT,
+                        "%s at %s routers: %s; grows %.2f times, at most %.2f; bound %.1f%n",
+                        bound.name(),
+                        Arrays.toString(sizes),
+                        figures,
+                        growth,
+                        bound.mostGrowth(),
+                        bound.most()));
             }
         }
         return broken.toString();
@@ -98,39 +104,56 @@
         world.kill(dead);
         world.run(WINDOW);
         double duringDeath = (sum(world, Traffic.SENT) - sentByOthers) / each;
-        long[] known = world.seen().subList(before, world.seen().size()).stream().filter(one -> one.change().kind() == Kind.FAILED
-                && one.change().member().equals(MembersWorld.name(dead))).mapToLong(one -> one.at() - death).sorted().toArray();
+        long[] known = world.seen().subList(before, world.seen().size()).stream()
+                .filter(one -> one.change().kind() == Kind.FAILED
+                        && one.change().member().equals(MembersWorld.name(dead)))
+                .mapToLong(one -> one.at() - death)
+                .sorted()
+                .toArray();
         int most = (int) Math.ceil(0.99 * (members - 1));
         double seconds = known.length < most ? Double.POSITIVE_INFINITY : known[most - 1] / 1e9;
         return List.of(datagrams, bytes, state, duringDeath, seconds);
     }
 
     private static double sum(MembersWorld world, Traffic what) {
-        return IntStream.range(0, world.size()).mapToObj(world::members).filter(one -> one != null).mapToLong(one -> one.count(what)).sum();
+        return IntStream.range(0, world.size())
+                .mapToObj(world::members)
+                .filter(one -> one != null)
+                .mapToLong(one -> one.count(what))
+                .sum();
     }
 
     /** In calm: datagrams and bytes a router and second, datagrams of the router that sends most, entries kept a router and member. */
     private static List<Double> policy(int routers, long seed) {
         PolicyWorld world = new PolicyWorld(VOTERS, routers, seed, Ways.USUAL, Long.MAX_VALUE / 4);
-        world.net().run(SECOND, () -> { });
+        world.net().run(SECOND, () -> {});
         world.begin();
         for (int waited = 0; waited < 60 && (world.leader() < 0 || !world.isHeld(0)); waited++) {
-            world.net().run(SECOND, () -> { });
+            world.net().run(SECOND, () -> {});
         }
-        world.net().run(4 * SECOND, () -> { });
+        world.net().run(4 * SECOND, () -> {});
         long datagrams = world.datagrams();
         long bytes = world.bytes();
         long[] before = world.datagramsOfEach();
-        world.net().run(WINDOW, () -> { });
+        world.net().run(WINDOW, () -> {});
         double seconds = WINDOW / 1e9;
         long[] after = world.datagramsOfEach();
-        double most = IntStream.range(0, routers).mapToLong(i -> after[i] - before[i]).max().orElse(0) / seconds;
-        return List.of((world.datagrams() - datagrams) / seconds / routers, (world.bytes() - bytes) / seconds / routers, most,
+        double most = IntStream.range(0, routers)
+                        .mapToLong(i -> after[i] - before[i])
+                        .max()
+                        .orElse(0)
+                / seconds;
+        return List.of(
+                (world.datagrams() - datagrams) / seconds / routers,
+                (world.bytes() - bytes) / seconds / routers,
+                most,
                 entries(world.policy(routers / 2)) / routers);
     }
 
     /** All entries of all tables that are reached from a module; the list of peers, which its settings tell, among them. */
     private static double entries(Object module) {
-        return Census.of(module, OWN).values().stream().mapToLong(entries -> entries).sum();
+        return Census.of(module, OWN).values().stream()
+                .mapToLong(entries -> entries)
+                .sum();
     }
 }
