--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -434,6 +434,11 @@
         return nodes.stream().mapToLong(node -> node.datagrams).sum();
     }
 
+    /** What each has sent, by number. */
+    long[] datagramsOfEach() {
+        return nodes.stream().mapToLong(node -> node.datagrams).toArray();
+    }
+
     long bytes() {
         return nodes.stream().mapToLong(node -> node.bytes).sum();
     }
