--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -19,6 +19,7 @@
 public final class Peers {
     private static final int MOST_BYTES = 256;
     private static final int EVERY_PEER = -1;
+    private static final int NOBODY = -1;
     private static final int MOST_AT_ONCE = 64;
 
     private final Loop loop;
@@ -57,6 +58,11 @@
         loop.register(channel, SelectionKey.OP_READ, key -> receive());
     }
 
+    /** The number of the router that sends from an address; -1 if none does. */
+    public int number(SocketAddress from) {
+        return numbers.getOrDefault(from, NOBODY);
+    }
+
     /** Datagrams whose first byte is this go there instead, whoever sent them. */
     public void divert(byte first, BiConsumer<InetSocketAddress, byte[]> to) {
         diverted.put(first, to);
@@ -107,8 +113,8 @@
                 elsewhere.accept((InetSocketAddress) from, payload);
                 continue;
             }
-            Integer sender = numbers.get(from);
-            if (sender == null || payload.length > MOST_BYTES) {
+            int sender = number(from);
+            if (sender == NOBODY || payload.length > MOST_BYTES) {
                 loop.log().line("peer-dropped", "a message of " + payload.length + " bytes from " + from);
             } else {
                 listener.accept(new PeerMessage(sender, payload));
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -208,8 +208,8 @@
                         List.of(
                                 change(
                                         "decision/SupplyMessage",
-                                        "/ KEY_BYTES;\n    }\n\n    byte[] encode",
-                                        "/ KEY_BYTES + 1;\n    }\n\n    byte[] encode"),
+                                        "ACCOUNT_BYTES * accounts) / KEY_BYTES;",
+                                        "ACCOUNT_BYTES * accounts) / KEY_BYTES + 1;"),
                                 change(ROUTER + "peer/Peers", "MOST_BYTES = 256", "MOST_BYTES = 512"))));
     }
 
