--- a/src/main/java/slateseam/tier/members/MembersSettings.java
+++ b/src/main/java/slateseam/tier/members/MembersSettings.java
@@ -33,8 +33,8 @@
         boolean toldPlaces) {
     /** Of a name, in bytes. */
     public static final int LONGEST_NAME = 64;
-    /** As many members as one router ever keeps. */
-    public static final int MOST = 1_024;
+    /** As many members as one router ever keeps: four times what a tier of two thousand has, as those that have gone are remembered. */
+    public static final int MOST = 8_192;
 
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -279,6 +279,7 @@
         w.on(new PeerMessage(
                 1,
                 new SupplyMessage(
+                                0,
                                 false,
                                 false,
                                 false,
