Divide scale runs: faults and waiting are classes of their own

More real routers than hollow ones are refused, as router 1, the slow voter, has to be a hollow one.

--- a/src/main/java/slateseam/scale/ScaleCommand.java
+++ b/src/main/java/slateseam/scale/ScaleCommand.java
@@ -117,6 +117,10 @@
         if (hollow + real < LEAST_ROUTERS) {
             throw new ParseException("a tier wants " + LEAST_ROUTERS + " routers at least");
         }
+        if (hollow < real) {
+            throw new ParseException(
+                    "--real is " + real + ", more than the hollow routers among which they are to stand");
+        }
         List<ScaleFault> faults = new ArrayList<>();
         for (String word : line.getOptionValue("faults", "").split(",")) {
             if (!word.isBlank()) {
--- a/src/main/java/slateseam/scale/ScaleRun.java
+++ b/src/main/java/slateseam/scale/ScaleRun.java
@@ -5,15 +5,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -42,13 +38,9 @@
     private static final double HOLD_SECONDS = 20;
     private static final double DEATH_SECONDS = 15;
     private static final double HEAL_SECONDS = 60;
-    /** How long one that is replaced is down. */
-    private static final double DOWN_SECONDS = 2;
     /** Hollow routers whose view is looked at where looking at all would cost too much. */
     private static final int SAMPLE = 32;
 
-    private static final double LOST = 0.2;
-    private static final long SLOW_NANOS = 300 * Clock.MILLI;
     private static final String CALM = "calm";
 
     private final ScaleSettings settings;
@@ -57,7 +49,7 @@
     private final String run;
     private final Consumer<String> progress;
     private final Clock clock = Clock.system();
-    private final long begin = clock.nanos();
+    private final Waiting waiting;
     private final Impairments impairments = new Impairments();
     private final Sightings sightings = new Sightings(clock);
     private final ScaleResult result;
@@ -66,12 +58,9 @@
     private final HollowTier hollow;
     private final Map<Integer, DiscoveryAgent> agents = new LinkedHashMap<>();
     private final List<RealRouter> real = new ArrayList<>();
-    private final Random random = new Random(1);
     private final AtomicBoolean closing = new AtomicBoolean();
-    /** Hollow routers that are down for the whole of a phase. */
-    private final Set<Integer> down = new HashSet<>();
-
     private DatagramLinks links;
+    private FaultPlayer faults;
     private int changes;
 
     /**
@@ -87,6 +76,7 @@
         this.root = root;
         this.folder = folder;
         this.progress = progress;
+        waiting = new Waiting(clock, settings.mostSeconds(), this::checkReal);
         result = new ScaleResult(settings);
         texts = new RouterTexts(settings);
         net = new SocketNet(4 * settings.routers() + SAMPLE);
@@ -107,7 +97,7 @@
             for (ScaleFault fault : settings.faults()) {
                 play(fault, shared);
             }
-        } catch (TimeOverException e) {
+        } catch (Waiting.TimeOverException e) {
             result.fault(e.getMessage());
         }
         String error = hollow.error();
@@ -156,6 +146,7 @@
                     (from, to, bytes, lost) -> impairments.between(
                             RouterTexts.number(from), RouterTexts.number(to), bytes[0], bytes.length, !lost));
         }
+        faults = new FaultPlayer(settings, impairments, links, hollow, real, sightings);
         Features told = null;
         for (int router = 0; router < settings.routers(); router++) {
             InetSocketAddress discovery = net.address("discovery-" + router);
@@ -395,7 +386,7 @@
                                             new JSONObject()
                                                     .put("limits", new JSONObject().put("try_limit", 2 + number % 2)))
                                     .toString());
-            int hollowUp = settings.hollow() - down.size();
+            int hollowUp = settings.hollow() - faults.down();
             await(HOLD_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == hollowUp + settings.real());
             Map<Integer, Long> known = sightings.known();
             known.forEach((router, nanos) -> (settings.isReal(router) ? byReal : byHollow).add(nanos / 1e9));
@@ -421,17 +412,17 @@
         PhaseWatch watch = watch(phase + " death", real);
         for (int i = 0; i < times; i++) {
             progress.accept(phase + ": death " + (i + 1) + " of " + times);
-            int dead = expendable(1).get(0);
+            int dead = faults.expendable(1).get(0);
             sightings.watchDeath(RouterTexts.name(dead));
             hollow.tell(dead, HollowRouter::kill);
-            int hollowUp = settings.hollow() - down.size() - 1;
+            int hollowUp = settings.hollow() - faults.down() - 1;
             await(DEATH_SECONDS, LOOK_MILLIS, () -> sightings.known().size() == hollowUp + settings.real());
             Map<Integer, Long> known = sightings.known();
             known.forEach((router, nanos) -> (settings.isReal(router) ? byReal : byHollow).add(nanos / 1e9));
             int reals = (int) known.keySet().stream().filter(settings::isReal).count();
             missingReal += settings.real() - reals;
             missingHollow += hollowUp - known.size() + reals;
-            bringBack(dead);
+            faults.bringBack(dead);
             settleBefore(i + 1, times);
         }
         if (times == 0) {
@@ -449,21 +440,6 @@
         }
     }
 
-    private void bringBack(int number) {
-        hollow.tell(number, one -> {
-            sightings.started(RouterTexts.name(number));
-            one.start();
-        });
-    }
-
-    /** So many hollow routers that do not vote, drawn. */
-    private List<Integer> expendable(int many) {
-        List<Integer> all = new ArrayList<>(hollow.numbers());
-        all.removeIf(number -> !settings.isExpendable(number) || down.contains(number));
-        Collections.shuffle(all, random);
-        return all.subList(0, Math.min(many, all.size()));
-    }
-
     /** One fault: what it costs, what still works under it, and how long until all is as before. */
     private void play(ScaleFault fault, boolean shared) throws IOException, InterruptedException {
         String phase = fault.word();
@@ -471,7 +447,7 @@
         awaitOneView(settings.joinSeconds());
         sleep(SETTLE_SECONDS);
         sightings.takeWrongDeaths();
-        begin(fault);
+        faults.begin(fault);
         CostSums sums = new CostSums();
         sums.add(window(phase, settings.faultSeconds()));
         sums.tell(phase, "all", result);
@@ -480,7 +456,7 @@
             change(phase, shared ? 1 : 0);
             deaths(phase, 1);
         }
-        end(fault);
+        faults.end(fault);
         long since = clock.nanos();
         boolean healed = awaitOneView(HEAL_SECONDS);
         result.add(
@@ -491,70 +467,6 @@
                 healed ? 0 : 1);
     }
 
-    private void begin(ScaleFault fault) {
-        switch (fault) {
-            case RESTARTS -> spread(expendable(Math.max(1, settings.routers() / 100)), HollowRouter::kill);
-            case REPLACEMENTS -> spread(expendable(settings.replacements()), HollowRouter::leave);
-            case HALVES -> {
-                impairments.cut(settings.routers() / 2);
-                cutReals(true);
-            }
-            case LOSS -> {
-                impairments.lose(LOST);
-                links.lose(LOST);
-            }
-            case SLOW_VOTER -> impairments.delay(1, SLOW_NANOS);
-            case GROUP -> {
-                down.addAll(expendable(settings.group()));
-                down.forEach(number -> {
-                    sightings.killed(RouterTexts.name(number));
-                    hollow.tell(number, HollowRouter::kill);
-                });
-            }
-        }
-    }
-
-    /** Ends routers one after another and starts each again, evenly over a phase. */
-    private void spread(List<Integer> routers, Consumer<HollowRouter> end) {
-        double each = settings.faultSeconds() * 0.9 / routers.size();
-        for (int i = 0; i < routers.size(); i++) {
-            int number = routers.get(i);
-            long at = (long) (i * each * 1e9);
-            long back = at + (long) (DOWN_SECONDS * 1e9);
-            hollow.after(number, at, one -> {
-                sightings.killed(RouterTexts.name(number));
-                end.accept(one);
-            });
-            hollow.after(number, back, one -> {
-                sightings.started(RouterTexts.name(number));
-                one.start();
-            });
-        }
-    }
-
-    private void cutReals(boolean on) {
-        for (RealRouter one : real) {
-            for (RealRouter other : real) {
-                if (one.number() < settings.routers() / 2 && other.number() >= settings.routers() / 2) {
-                    links.mute(one.name() + "~" + other.name(), on);
-                    links.mute(other.name() + "~" + one.name(), on);
-                }
-            }
-        }
-    }
-
-    private void end(ScaleFault fault) {
-        impairments.cut(0);
-        impairments.lose(0);
-        links.lose(0);
-        impairments.delay(1, 0);
-        if (fault == ScaleFault.HALVES) {
-            cutReals(false);
-        }
-        down.forEach(this::bringBack);
-        down.clear();
-    }
-
     /** Waits until all that are looked at see all; whether they did. */
     private boolean awaitOneView(double seconds) throws IOException, InterruptedException {
         List<Integer> sample = sample();
@@ -569,55 +481,26 @@
     }
 
     private double secondsSince(long nanos) {
-        return (clock.nanos() - nanos) / 1e9;
-    }
-
-    private interface Condition {
-        boolean holds() throws IOException, InterruptedException;
-    }
-
-    /** The run has had all its time. */
-    private static final class TimeOverException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        TimeOverException(String message) {
-            super(message);
-        }
+        return waiting.secondsSince(nanos);
     }
 
-    private boolean await(double seconds, long lookMillis, Condition condition)
+    private boolean await(double seconds, long lookMillis, Waiting.Condition condition)
             throws IOException, InterruptedException {
-        long since = clock.nanos();
-        while (!condition.holds()) {
-            if (secondsSince(since) > seconds) {
-                return false;
-            }
-            pause(lookMillis);
-        }
-        return true;
+        return waiting.await(seconds, lookMillis, condition);
     }
 
     private void sleep(double seconds) throws InterruptedException {
-        long until = clock.nanos() + (long) (seconds * 1e9);
-        for (long left; (left = (until - clock.nanos()) / Clock.MILLI) > 0; ) {
-            pause(Math.min(left, 200));
-        }
+        waiting.sleep(seconds);
     }
 
-    private void pause(long millis) throws InterruptedException {
-        if (closing.get()) {
-            throw new InterruptedException();
-        }
-        if (secondsSince(begin) > settings.mostSeconds()) {
-            throw new TimeOverException("the run was given up after " + settings.mostSeconds() + " s");
-        }
+    /** A real router that ended by itself ends the run. */
+    private void checkReal() {
         for (RealRouter one : real) {
             if (one.child() != null && one.child().hasCrashed()) {
                 throw new IllegalStateException(one.name() + " ended by itself with status "
                         + one.child().status() + "; its log: " + folder.resolve(one.name() + ".log"));
             }
         }
-        Thread.sleep(millis);
     }
 
     /** Ends everything that was started, in whatever phase; may be called by any thread, and again. */
@@ -627,6 +510,7 @@
             if (closing.getAndSet(true)) {
                 return;
             }
+            waiting.end();
         }
         for (RealRouter one : List.copyOf(real)) {
             RouterChild child = one.child();
