Let a member's clock cost what it watches, not all members

Cause: at 400 members and more the figures of membership took minutes of a core each, and most of that was the shipped module: at each tick it went through all members five times; while anybody was a suspect it worked out twice a tick who watches whom, for all, on trees of boxed numbers; each change of the tier did the same; the router built a sorted view of all members each 50 ms to tell the policy who is there; and a learner of the policy sorted all routers at each question.

On the virtual clock alone: the key of a way no longer collides (a long's hash is its halves' difference), who is there is one set for all routers, a document is read only when a rule looks at it.

New tests: RingsTest holds the arrays against the plain definition, TreeTest the order of learners.

--- a/src/main/java/slateseam/router/tier/Tier.java
+++ b/src/main/java/slateseam/router/tier/Tier.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -143,11 +142,7 @@
 
     /** The numbers of the routers that are there, this one among them. */
     public Set<Integer> present() {
-        Set<Integer> present = new HashSet<>(Set.of(config.settings().me()));
-        if (members != null) {
-            members.view().stream().filter(one -> !one.state().isGone() && one.number() >= 0).forEach(one -> present.add(one.number()));
-        }
-        return present;
+        return members == null ? Set.of(config.settings().me()) : members.numbers();
     }
 
     /** Whether it trusts that. */
--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -157,6 +157,9 @@
     private final long bound;
     private MembersDay.Broken broken;
     private long mixedSince;
+    /** Those that all others see until {@link #thereUntil}; null if they are to be worked out anew. */
+    private Set<Integer> there;
+    private long thereUntil;
     private long longestMixed;
 
     /** So many routers, all started, and a group of the first voters among them begun. */
@@ -201,7 +204,7 @@
         node.inbox.clear();
         node.document = "";
         node.heldNumber = 0;
-        node.apartSince = 0;
+        apart(node, 0);
         node.backSince = net.now();
         node.policy = new Policy(PolicySettings.usual(index, nodes.size(), voters), node.memory.read(), net.now(), random.split(), node);
         tick(node, node.life, random.nextLong(TICK));
@@ -220,13 +223,34 @@
         });
     }
 
-    private void view(Node node) {
-        Set<Integer> alive = new HashSet<>();
-        for (Node other : nodes) {
-            if (other == node || other.apartSince == 0 || net.now() - other.apartSince < KNOWN) {
-                alive.add(other.index);
+    /** Those that all others see; one set for all, not to be changed: a set for each would cost the square of their number. */
+    private Set<Integer> there() {
+        if (there == null || net.now() >= thereUntil) {
+            there = new HashSet<>();
+            thereUntil = Long.MAX_VALUE;
+            for (Node node : nodes) {
+                if (node.apartSince == 0) {
+                    there.add(node.index);
+                } else if (net.now() - node.apartSince < KNOWN) {
+                    there.add(node.index);
+                    thereUntil = Math.min(thereUntil, node.apartSince + KNOWN);
+                }
             }
         }
+        return there;
+    }
+
+    private void apart(Node node, long since) {
+        node.apartSince = since;
+        there = null;
+    }
+
+    private void view(Node node) {
+        Set<Integer> alive = there();
+        if (!alive.contains(node.index)) {
+            alive = new HashSet<>(alive);
+            alive.add(node.index);
+        }
         node.policy.view(alive, node.apartSince == 0 && !node.doubts);
     }
 
@@ -235,7 +259,7 @@
         node.policy = null;
         node.life++;
         node.memory.cut();
-        node.apartSince = net.now();
+        apart(node, net.now());
     }
 
     boolean isUp(int index) {
@@ -253,7 +277,7 @@
         }
         node.paused = on;
         node.backSince = net.now();
-        node.apartSince = on ? net.now() : node.policy == null ? node.apartSince : 0;
+        apart(node, on ? net.now() : node.policy == null ? node.apartSince : 0);
         if (!on && node.policy != null) {
             look(node); // requests that came meanwhile are the first that it sees
             while (!node.inbox.isEmpty() && node.policy != null) {
@@ -268,7 +292,7 @@
         Node node = nodes.get(index);
         node.doubts = on;
         node.backSince = net.now();
-        node.apartSince = on ? node.apartSince == 0 ? net.now() : node.apartSince : node.policy == null || node.paused ? node.apartSince : 0;
+        apart(node, on ? node.apartSince == 0 ? net.now() : node.apartSince : node.policy == null || node.paused ? node.apartSince : 0);
     }
 
     void doubts(int index, boolean on) {
@@ -330,9 +354,11 @@
             if (known.committed != committed) {
                 broken("SPLIT", "version " + version.number() + " is committed and aborted");
             }
-            String document = new String(contents(node, version), StandardCharsets.UTF_8);
-            if (committed && version.all() && document.startsWith(REFUSED_BY) && known.at == net.now() && !mayBePassedOver(document)) {
-                broken("REFUSED", "version " + version.number() + " is committed: " + document);
+            if (committed && version.all() && known.at == net.now()) {
+                String document = new String(contents(node, version), StandardCharsets.UTF_8);
+                if (document.startsWith(REFUSED_BY) && !mayBePassedOver(document)) {
+                    broken("REFUSED", "version " + version.number() + " is committed: " + document);
+                }
             }
             if (committed && version.number() > node.heldNumber && node.isServing() && net.now() - known.at > bound) {
                 broken("LATE", String.format(Locale.ROOT, "router %d serves by version %d, %.3f s after version %d was committed", node.index,
@@ -394,6 +420,16 @@
         return nodes.stream().mapToLong(node -> node.datagrams).sum();
     }
 
+    /** What each has sent, by number. */
+    long[] datagramsOfEach() {
+        return nodes.stream().mapToLong(node -> node.datagrams).toArray();
+    }
+
+    /** What each has sent, by number. */
+    long[] bytesOfEach() {
+        return nodes.stream().mapToLong(node -> node.bytes).toArray();
+    }
+
     long bytes() {
         return nodes.stream().mapToLong(node -> node.bytes).sum();
     }
--- a/src/main/java/slateseam/simulate/tier/TierNet.java
+++ b/src/main/java/slateseam/simulate/tier/TierNet.java
@@ -11,6 +11,8 @@
 /** Datagrams between numbered machines and a virtual clock, with all that may befall the ways between them. */
 final class TierNet {
     private static final long MILLI = 1_000_000L;
+    /** More than there are machines. */
+    private static final long SPREAD = 1_000_003L;
 
     private record Event(long at, long order, Runnable action) {
     }
@@ -65,8 +67,9 @@
         }
     }
 
+    /** Of a pair of machines; no shift, as a long's hash is its halves' difference and all ways of one length would collide. */
     private static long way(int from, int to) {
-        return (long) from << 32 | to;
+        return from * SPREAD + to;
     }
 
     /** Nothing gets from one to another, or does again. */
--- a/src/main/java/slateseam/tier/members/Member.java
+++ b/src/main/java/slateseam/tier/members/Member.java
@@ -9,6 +9,8 @@
 final class Member {
     private static final long LEAST_VOUCH = 2_000_000_000L;
     private static final long MOST_VOUCH = 16_000_000_000L;
+    /** All that it and others watch are silent. */
+    static final int MOST_SILENT = 255;
 
     /** How a watcher heard it last, and until when that holds. */
     record Heard(Ear ear, long until) {
@@ -50,8 +52,12 @@
     int otherSequence;
     int others;
     long twiceAt;
-    /** Which part of those that it and others watch is silent, as it said last; 0 to 1. */
-    double silentPart;
+    /** Which part of those that it and others watch is silent, as it said last; of {@link #MOST_SILENT}. */
+    int silent;
+    /** Whether it is among those that were heard lately. */
+    boolean isRecent;
+    /** The last search for those that can be reached which came to it. */
+    int reachedBy;
     /** How often in a row its sender's digest was another. */
     int differs;
 
--- a/src/main/java/slateseam/tier/members/Members.java
+++ b/src/main/java/slateseam/tier/members/Members.java
@@ -125,7 +125,7 @@
     private void period() {
         periods++;
         whoLeft = MOST_WHO_A_PERIOD;
-        Set<Long> to = roster.rings.watchers(self);
+        Set<Long> to = ownWatchers();
         if (doubt.now() == Doubt.UNHEARD || doubt.now() == Doubt.MINORITY) {
             for (int i = 0; i < BESIDE; i++) {
                 Member other = any();
@@ -149,14 +149,24 @@
         }
     }
 
+    /** Who watches this router, in the rings' order. */
+    private Set<Long> ownWatchers() {
+        Set<Long> watchers = new LinkedHashSet<>();
+        for (long id : roster.rings.watchers(self)) {
+            watchers.add(id);
+        }
+        return watchers;
+    }
+
     private Member any() {
-        List<Member> there = new ArrayList<>();
+        int others = roster.present() - 1;
+        int left = others == 0 ? 0 : random.nextInt(others);
         for (Member member : roster.all()) {
-            if (!member.state.isGone()) {
-                there.add(member);
+            if (!member.state.isGone() && left-- == 0) {
+                return member;
             }
         }
-        return there.isEmpty() ? null : there.get(random.nextInt(there.size()));
+        return null;
     }
 
     /** Whoever is a suspect here is told so with each message, as others lose or overtake one another and it has little time to answer. */
@@ -233,7 +243,7 @@
             all.addAll(roster.news.take(room, roster.present()));
         }
         byte[] bytes = new Message(kind, doubt.isThere(), asks, tier, self, own.life(), own.incarnation(), own.next(), roster.digest(),
-                (int) Math.round(255 * doubt.silentPart()), all).encode();
+                (int) Math.round(Member.MOST_SILENT * doubt.silentPart()), all).encode();
         count(Traffic.SENT, 1);
         count(Traffic.SENT_BYTES, bytes.length);
         sink.send(to, bytes);
@@ -344,8 +354,8 @@
         sender.sequence = message.sequence();
         sender.place = from;
         sender.hear(now, settings.periodNanos(), !doubt.isThere());
-        sender.silentPart = message.silent() / 255.0;
-        doubt.heard(sender.id);
+        sender.silent = message.silent();
+        doubt.heard(sender);
         if (message.incarnation() > sender.incarnation) {
             roster.take(sender, message.life(), message.incarnation(), State.ALIVE, sender.id, now);
         } else if (sender.state == State.SUSPECT) {
@@ -449,7 +459,7 @@
         now = nanos;
         if (!left) {
             Claim claim = new Claim(self, own.life(), own.incarnation(), State.LEFT, self);
-            Set<Long> to = roster.rings.watchers(self);
+            Set<Long> to = ownWatchers();
             for (Member member : roster.all()) {
                 if (to.contains(member.id) || member.state == State.ALIVE && to.size() < settings.watchers() + BESIDE && to.add(member.id)) {
                     send(member.place, Message.Kind.LEAVE, false, List.of(claim), false);
@@ -493,6 +503,11 @@
         return List.copyOf(views.values());
     }
 
+    /** The numbers of those that are there, this router among them; the same object until that changes. */
+    public Set<Integer> numbers() {
+        return roster.numbers();
+    }
+
     /** A digest of who is there; the same at all routers that see the same. */
     public int digest() {
         return roster.digest();
--- a/src/main/java/slateseam/tier/members/OwnDoubt.java
+++ b/src/main/java/slateseam/tier/members/OwnDoubt.java
@@ -22,6 +22,12 @@
     private final Roster roster;
     private final Watch watch;
     private final Set<Long> heardSince = new HashSet<>();
+    /** Those that were heard lately, and some that were not since. */
+    private final List<Member> recent = new ArrayList<>();
+    /** Whom each watches, by their numbers; worked out for {@link #watchedVersion} of the rings. */
+    private final Map<Long, List<Member>> watched = new HashMap<>();
+    private int watchedVersion = -1;
+    private int searches;
     private long lastTick;
     private boolean heardAny;
     private boolean paused;
@@ -57,10 +63,14 @@
         }
     }
 
-    void heard(long id) {
+    void heard(Member sender) {
         heardAny = true;
         if (paused) {
-            heardSince.add(id);
+            heardSince.add(sender.id);
+        }
+        if (!sender.isRecent) {
+            sender.isRecent = true;
+            recent.add(sender);
         }
     }
 
@@ -74,42 +84,59 @@
      * others say it, it comes to what all on this side of the cut see together.
      */
     private void evenOut(double own, long now) {
-        double sum = own;
-        int number = 1;
-        for (Member member : roster.all()) {
-            if (watch.heardNow(member, now)) {
-                sum += member.silentPart;
-                number++;
+        recent.removeIf(member -> {
+            member.isRecent = watch.heardNow(member, now);
+            return !member.isRecent;
+        });
+        int sum = 0;
+        for (Member member : recent) {
+            sum += member.silent;
+        }
+        silentPart = (own + (double) sum / Member.MOST_SILENT) / (1 + recent.size());
+    }
+
+    /** Whom each watches, of all that are there. */
+    private Map<Long, List<Member>> watched() {
+        if (watchedVersion != roster.rings.version()) {
+            watchedVersion = roster.rings.version();
+            watched.clear();
+            for (Member member : roster.all()) {
+                if (!member.state.isGone()) {
+                    for (long by : roster.rings.watchers(member.id)) {
+                        watched.computeIfAbsent(by, x -> new ArrayList<>()).add(member);
+                    }
+                }
             }
         }
-        silentPart = sum / number;
+        return watched;
     }
 
     /**
-     * How many are there as far as this router can know: those that it hears, those that one of these watches and does not suspect,
-     * and so on. Guards against one whom nobody on this side of a cut watches, so that nobody misses it.
+     * Whether there are more than half of so many, as far as this router can know: those that it hears, those that one of these watches
+     * and does not suspect, and so on. Guards against one whom nobody on this side of a cut watches, so that nobody misses it.
      */
-    private long reached(long now) {
-        Map<Long, List<Long>> subjects = new HashMap<>();
+    private boolean reachesMost(long base, long now) {
+        searches++;
+        int alive = 1;
         Deque<Long> open = new ArrayDeque<>(List.of(self));
-        Set<Long> reached = new HashSet<>(open);
         for (Member member : roster.all()) {
-            if (!member.state.isGone()) {
-                roster.rings.watchers(member.id).forEach(by -> subjects.computeIfAbsent(by, x -> new ArrayList<>()).add(member.id));
-                if (!watch.isLate(member, now) && member.heardAt != 0 && reached.add(member.id)) {
-                    open.add(member.id);
-                }
+            if (!member.state.isGone() && !watch.isLate(member, now) && member.heardAt != 0) {
+                member.reachedBy = searches;
+                open.add(member.id);
+                alive += member.state == State.ALIVE ? 1 : 0;
             }
         }
-        while (!open.isEmpty()) {
-            for (long id : subjects.getOrDefault(open.poll(), List.of())) {
-                Member member = roster.find(id);
-                if (member.state == State.ALIVE && !(watch.subjects().contains(member) && watch.isLate(member, now)) && reached.add(id)) {
-                    open.add(id);
+        while (!open.isEmpty() && alive * 2L <= base) {
+            for (Member member : watched().getOrDefault(open.poll(), List.of())) {
+                if (member.reachedBy != searches && member.state == State.ALIVE
+                        && !(watch.isLate(member, now) && watch.subjects().contains(member))) {
+                    member.reachedBy = searches;
+                    open.add(member.id);
+                    alive++;
                 }
             }
         }
-        return reached.stream().filter(id -> id == self || roster.find(id).state == State.ALIVE).count();
+        return alive * 2L > base;
     }
 
     /** Which part of the tier is silent, as far as one can tell here; 0 to 1. */
@@ -131,16 +158,13 @@
             paused = false;
             heardSince.clear();
         }
-        long base = 1;
-        long suspects = 0;
-        for (Member member : roster.all()) {
-            boolean recent = member.state == State.FAILED && now - member.since < settings.recentNanos();
-            base += !member.state.isGone() || recent ? 1 : 0;
-            suspects += member.state == State.SUSPECT ? 1 : 0;
+        long base = roster.present();
+        for (Member member : roster.gone()) {
+            base += member.state == State.FAILED && now - member.since < settings.recentNanos() ? 1 : 0;
         }
-        long there = suspects == 0 ? roster.present() : reached(now);
+        boolean most = roster.suspects() == 0 ? roster.present() * 2L > base : reachesMost(base, now);
         evenOut(subjects == 0 ? 0 : (double) silent / subjects * (base - 1) / base, now);
-        boolean minority = silentPart > LEAST_MINORITY || there * 2 <= base;
+        boolean minority = silentPart > LEAST_MINORITY || !most;
         boolean alone = !heardAny && settings.peers().size() > 1;
         doubt = paused ? Doubt.PAUSED : unheard ? Doubt.UNHEARD : alone ? Doubt.STARTING : minority ? Doubt.MINORITY : Doubt.NONE;
         return doubt;
--- a/src/main/java/slateseam/tier/members/Parts.java
+++ b/src/main/java/slateseam/tier/members/Parts.java
@@ -1,8 +1,10 @@
 package slateseam.tier.members;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import slateseam.tier.members.Message.Introduction;
 import slateseam.tier.members.Message.PartDigest;
 import slateseam.tier.members.Message.Record;
@@ -41,28 +43,38 @@
 
     /** What this router knows of the parts that differ, a few datagrams at most; its own entry first, if it lies in one. */
     List<List<Record>> answers(Message theirs, Introduction own) {
-        List<Record> known = new ArrayList<>();
+        List<Member> known = new ArrayList<>();
         boolean ownToo = false;
+        List<List<Member>> members = differ(theirs) ? byPart() : List.of();
         for (Record record : theirs.records()) {
             if (differs(record)) {
                 int part = ((PartDigest) record).part();
                 ownToo |= Roster.part(self) == part;
-                roster.all().stream().filter(member -> Roster.part(member.id) == part).map(roster::record).forEach(known::add);
+                known.addAll(members.get(part));
             }
         }
-        List<Record> all = new ArrayList<>(ownToo ? List.of(own) : List.of());
         // Begins anywhere, so that in some answers all has been told.
         int at = known.isEmpty() ? 0 : random.nextInt(known.size());
-        for (int i = 0; i < known.size(); i++) {
-            all.add(known.get((at + i) % known.size()));
+        Collections.rotate(known, -at);
+        Stream<Record> records = known.stream().map(roster::record);
+        return packed(ownToo ? Stream.concat(Stream.of(own), records) : records);
+    }
+
+    private List<List<Member>> byPart() {
+        List<List<Member>> parts = new ArrayList<>();
+        for (int part = 0; part < Roster.PARTS; part++) {
+            parts.add(new ArrayList<>());
+        }
+        for (Member member : roster.all()) {
+            parts.get(Roster.part(member.id)).add(member);
         }
-        return packed(all);
+        return parts;
     }
 
-    private static List<List<Record>> packed(List<Record> all) {
+    private static List<List<Record>> packed(Stream<Record> all) {
         List<List<Record>> datagrams = new ArrayList<>();
         int room = 0;
-        for (Record record : all) {
+        for (Record record : (Iterable<Record>) all::iterator) {
             if (record.bytes() > room) {
                 if (datagrams.size() == MOST_ANSWERS) {
                     return datagrams;
--- a/src/main/java/slateseam/tier/members/Roster.java
+++ b/src/main/java/slateseam/tier/members/Roster.java
@@ -3,8 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,7 +20,7 @@
 final class Roster {
     static final int PARTS = 16;
     private static final int PART_SHIFT = Long.SIZE - 4;
-    private static final int MOST_FORGOTTEN = 1_024;
+    private static final int MOST_FORGOTTEN = MembersSettings.MOST;
 
     /** One that was forgotten: what it says of a life that was over is not believed. */
     private record Tombstone(long life, int sequence) {
@@ -35,6 +38,12 @@
             return size() > MOST_FORGOTTEN;
         }
     };
+    /** Those that failed or left and are not forgotten. */
+    private final Set<Member> gone = new LinkedHashSet<>();
+    private int suspects;
+    /** The numbers of those that are there; null if they are to be worked out anew, as at another version of the rings. */
+    private Set<Integer> numbers;
+    private int numbersVersion;
     final Rings rings;
     final News news = new News();
     private final int[] digests = new int[PARTS];
@@ -97,6 +106,7 @@
             if (member.name == null || member.number != said.number()) {
                 member.name = said.name();
                 member.number = said.number();
+                numbers = null;
             }
             return member;
         }
@@ -167,10 +177,13 @@
             member.since = now;
             member.afresh = 0;
         }
+        suspects += (state == State.SUSPECT ? 1 : 0) - (was == State.SUSPECT ? 1 : 0);
         if (was.isGone() && !state.isGone()) {
+            gone.remove(member);
             rings.add(member.id);
             member.watchedSince = now;
         } else if (!was.isGone() && state.isGone()) {
+            gone.add(member);
             rings.remove(member.id);
         }
         if (was == State.SUSPECT && state == State.ALIVE && by != self) {
@@ -198,20 +211,49 @@
 
     /** Forgets those that have been gone for long. */
     void forget(long now) {
-        List<Member> gone = new ArrayList<>();
+        if (gone.isEmpty()) {
+            return;
+        }
+        List<Member> over = new ArrayList<>();
         for (Member member : members.values()) {
             if (member.state.isGone() && now - member.since >= settings.forgetNanos()) {
-                gone.add(member);
+                over.add(member);
             }
         }
-        for (Member member : gone) {
+        for (Member member : over) {
             members.remove(member.id);
+            gone.remove(member);
             forgotten.put(member.id, new Tombstone(member.life, member.sequence));
             full = false;
             sink.changed(new Change(Kind.FORGOTTEN, name(member.id), member.number, why(member) + " before=" + member.state.word()));
         }
     }
 
+    /** The numbers of those that are there, this router's own among them. */
+    Set<Integer> numbers() {
+        if (numbers == null || numbersVersion != rings.version()) {
+            Set<Integer> found = new HashSet<>(Set.of(settings.number()));
+            for (Member member : members.values()) {
+                if (!member.state.isGone() && member.number >= 0) {
+                    found.add(member.number);
+                }
+            }
+            numbersVersion = rings.version();
+            numbers = Collections.unmodifiableSet(found);
+        }
+        return numbers;
+    }
+
+    /** How many are suspects. */
+    int suspects() {
+        return suspects;
+    }
+
+    /** Those that failed or left and are not forgotten. */
+    Collection<Member> gone() {
+        return gone;
+    }
+
     /** How many are there, this router among them. */
     int present() {
         return rings.size();
@@ -219,8 +261,13 @@
 
     /** Who watches a member, without those that are suspects themselves and without {@code but}. */
     Set<Long> watchers(long id, long but) {
-        Set<Long> watchers = rings.watchers(id);
-        watchers.removeIf(watcher -> watcher == but || members.containsKey(watcher) && members.get(watcher).state != State.ALIVE);
+        Set<Long> watchers = new LinkedHashSet<>();
+        for (long watcher : rings.watchers(id)) {
+            Member member = members.get(watcher);
+            if (watcher != but && (member == null || member.state == State.ALIVE)) {
+                watchers.add(watcher);
+            }
+        }
         return watchers;
     }
 }
--- a/src/main/java/slateseam/tier/members/Watch.java
+++ b/src/main/java/slateseam/tier/members/Watch.java
@@ -141,6 +141,9 @@
 
     /** Those whose time to answer is over have failed. */
     void judge(long now, boolean doubts) {
+        if (roster.suspects() == 0) {
+            return;
+        }
         List<Member> over = new ArrayList<>();
         for (Member member : roster.all()) {
             if (member.state == State.SUSPECT && doubts) {
--- a/src/main/java/slateseam/tier/policy/Tree.java
+++ b/src/main/java/slateseam/tier/policy/Tree.java
@@ -1,6 +1,7 @@
 package slateseam.tier.policy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -14,6 +15,11 @@
     private final PolicySettings settings;
     private final RandomGenerator random;
     private Set<Integer> alive = Set.of();
+    /** The same in order. */
+    private List<Integer> ordered = List.of();
+    /** Those of them that learn, in order, while {@link #learnersWithout} vote. */
+    private List<Integer> learners = List.of();
+    private Set<Integer> learnersWithout;
     private int unanswered;
 
     Tree(PolicySettings settings, RandomGenerator random) {
@@ -22,6 +28,10 @@
     }
 
     void alive(Set<Integer> routers) {
+        if (routers != alive && !routers.equals(alive)) {
+            ordered = routers.stream().sorted().toList();
+            learnersWithout = null;
+        }
         alive = routers;
     }
 
@@ -35,11 +45,19 @@
 
     /** While there is no group: one that has not said so yet, or anybody; -1 for nobody. */
     int next(Set<Integer> answered) {
-        List<Integer> open = new ArrayList<>(new TreeSet<>(alive));
+        List<Integer> open = new ArrayList<>(ordered);
         open.removeIf(router -> router == settings.me() || answered.contains(router));
         return open.isEmpty() ? parent(-1, Set.of()) : open.get(random.nextInt(open.size()));
     }
 
+    private List<Integer> learners(Set<Integer> voting) {
+        if (!voting.equals(learnersWithout)) {
+            learnersWithout = Set.copyOf(voting);
+            learners = ordered.stream().filter(router -> !voting.contains(router) && !settings.voters().contains(router)).toList();
+        }
+        return learners;
+    }
+
     /** The one to ask now; -1 for nobody. */
     int parent(int leader, Set<Integer> voting) {
         int me = settings.me();
@@ -49,9 +67,8 @@
             }
             List<Integer> above = new ArrayList<>(new TreeSet<>(voting));
             above.removeIf(router -> !alive.contains(router));
-            List<Integer> below = new ArrayList<>(new TreeSet<>(alive));
-            below.removeIf(router -> voting.contains(router) || settings.voters().contains(router));
-            int rank = below.indexOf(me);
+            List<Integer> below = learners(voting);
+            int rank = Collections.binarySearch(below, me);
             if (rank >= 0 && !above.isEmpty()) {
                 return rank < BRANCHES * above.size() ? above.get(rank % above.size()) : below.get((rank - BRANCHES * above.size()) / BRANCHES);
             }
--- /dev/null
+++ b/src/test/java/slateseam/tier/members/RingsTest.java
@@ -0,0 +1,82 @@
+package slateseam.tier.members;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Who watches whom, held against the plain definition while members come and go. */
+final class RingsTest {
+    private static final int STEPS = 300;
+    private static final int MOST_IDS = 40;
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 8})
+    void watchersAreTheNextOnEachRingThatDoNotWatchYetAndSubjectsTheirInverse(int number) {
+        SplittableRandom random = new SplittableRandom(number);
+        Rings rings = new Rings(number);
+        Set<Long> there = new TreeSet<>();
+        List<Long> ids = new ArrayList<>();
+        random.longs(MOST_IDS).forEach(ids::add);
+        rings.add(ids.get(0));
+        there.add(ids.get(0));
+        for (int step = 0; step < STEPS; step++) {
+            int version = rings.version();
+            long id = ids.get(1 + random.nextInt(MOST_IDS - 1));
+            boolean comes = random.nextInt(3) > 0;
+            boolean changed = comes ? there.add(id) : there.remove(id);
+            if (comes) {
+                rings.add(id);
+            } else {
+                rings.remove(id);
+            }
+
+            assertThat(rings.size()).isEqualTo(there.size());
+            assertThat(rings.version() != version).isEqualTo(changed);
+            for (long one : ids) {
+                assertThat(rings.watchers(one)).as("watchers of %s", one).containsExactly(watchers(there, number, one));
+            }
+            for (long one : there) {
+                Set<Long> subjects = new TreeSet<>();
+                there.stream().filter(other -> other != one && contains(watchers(there, number, other), one)).forEach(subjects::add);
+                assertThat(rings.subjects(one)).as("subjects of %s", one).containsExactlyInAnyOrderElementsOf(subjects);
+            }
+        }
+    }
+
+    private static boolean contains(long[] all, long one) {
+        for (long each : all) {
+            if (each == one) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** On each ring in turn the first behind the member that is none of its watchers yet, until all others are. */
+    private static long[] watchers(Set<Long> there, int rings, long id) {
+        Set<Long> watchers = new LinkedHashSet<>();
+        for (int i = 0; i < rings && watchers.size() < there.size() - 1; i++) {
+            NavigableMap<Long, Long> ring = new TreeMap<>(Long::compareUnsigned);
+            for (long one : there) {
+                ring.put(Ids.on(i, one), one);
+            }
+            List<Long> after = new ArrayList<>(ring.tailMap(Ids.on(i, id), false).values());
+            after.addAll(ring.headMap(Ids.on(i, id), true).values());
+            for (long next : after) {
+                if (next != id && watchers.add(next)) {
+                    break;
+                }
+            }
+        }
+        return watchers.stream().mapToLong(one -> one).toArray();
+    }
+}
--- /dev/null
+++ b/src/test/java/slateseam/tier/policy/TreeTest.java
@@ -0,0 +1,47 @@
+package slateseam.tier.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Whom a router asks while others come and go and who votes changes. */
+final class TreeTest {
+    private static final int ROUTERS = 60;
+    private static final int STEPS = 400;
+    private static final int BRANCHES = 4;
+    private static final Set<Integer> TO_VOTE = Set.of(0, 1, 2, 3, 4);
+
+    @Test
+    void aLearnerAsksTheOneAboveItByItsRankAmongThoseThatAreThere() {
+        SplittableRandom random = new SplittableRandom(1);
+        int me = 33;
+        Tree tree = new Tree(PolicySettings.usual(me, ROUTERS, TO_VOTE), random);
+        for (int step = 0; step < STEPS; step++) {
+            Set<Integer> alive = drawn(random, ROUTERS);
+            alive.add(me);
+            Set<Integer> voting = drawn(random, TO_VOTE.size());
+            voting.add(0);
+            alive.add(0);
+            tree.alive(alive);
+
+            TreeSet<Integer> above = new TreeSet<>(voting);
+            above.retainAll(alive);
+            TreeSet<Integer> learners = new TreeSet<>(alive);
+            learners.removeAll(TO_VOTE);
+            int rank = learners.headSet(me).size();
+            int wanted = rank < BRANCHES * above.size() ? above.stream().toList().get(rank % above.size())
+                    : learners.stream().toList().get((rank - BRANCHES * above.size()) / BRANCHES);
+            assertThat(tree.parent(0, voting)).isEqualTo(wanted);
+            assertThat(tree.parent(0, voting)).as("asked again").isEqualTo(wanted);
+        }
+    }
+
+    private static Set<Integer> drawn(SplittableRandom random, int of) {
+        return IntStream.range(0, of).filter(i -> random.nextBoolean()).boxed().collect(Collectors.toSet());
+    }
+}
