Measure how members and policy grow: simulate members-slopes, policy-slopes

Need: a tier of 2,000 is to be planned for; figures at single sizes tell nothing of it. Each command plays some sizes on a virtual clock and prints each cost and time at each size, the line in the number or in its logarithm that fits better, its residual, and what it comes to at a size (--at, 2000).

Members' cap of 1,024 goes to 8,192, since nothing over it could be measured; whoever they are must be named by a datagram of the tier, as before.

--- a/src/main/java/slateseam/simulate/SimulateCommand.java
+++ b/src/main/java/slateseam/simulate/SimulateCommand.java
@@ -24,8 +24,10 @@
 import slateseam.simulate.scenario.Scenario;
 import slateseam.simulate.scenario.Scenarios;
 import slateseam.simulate.tier.MembersCommand;
+import slateseam.simulate.tier.MembersSlopes;
 import slateseam.simulate.tier.PolicyFigures;
 import slateseam.simulate.tier.TierDays;
+import slateseam.tier.members.MembersSettings;
 
 /** The sub-commands of {@code simulate}. */
 public final class SimulateCommand {
@@ -43,13 +45,15 @@
               policy --seeds A..B      the same of changes of policy that take hold everywhere or nowhere
               policy-figures      prints how long a change of policy takes and what it costs (--members N,N... routers)
               members             prints how fast and how wrong membership is, and what it costs
+              members-slopes      prints how membership's costs and times grow with the number of members (--members N,N..., --at N)
+              policy-slopes       the same of a change of policy
               shrink SEED         makes a day that breaks a rule as small as can be and writes it as a scenario file
             --scenario FILE       what days are drawn from, or the one day of its own seed; without it the usual scenario
             --faults KIND,...     just these faults, or none; without it as the scenario says
             --threads N           for run: days that are played at once; without it one for each core
             --json FILE           for run: what each day gave
             --trace FILE          for replay: every happening, one line each
-            --members N,N...      for members: of how many (2 to 1024; usual 5,20,100); --hours H is how many member-hours are played
+            --members N,N...      for members: of how many (2 to 8192; usual 5,20,100); --hours H is how many member-hours are played
                                   for each figure of wrong accusations
             --out FILE            for shrink: where the scenario goes; without it seed-SEED.scenario
             exit: 0 if no rule was broken, 1 if one was, 2 if the command or a file is wrong""";
@@ -86,6 +90,7 @@
                 case "shrink" -> new String[] {"scenario", "faults", "out"};
                 case "tier", "agreement", "policy" -> new String[] {"seeds"};
                 case "members", "policy-figures" -> new String[] {"members", "seeds", "hours"};
+                case "members-slopes", "policy-slopes" -> new String[] {"members", "seeds", "at"};
                 case "help", "--help", "-h" -> new String[0];
                 default -> throw new ParseException(command.isEmpty() ? "no command" : "unknown command " + command);
             }) {
@@ -102,6 +107,9 @@
             if (command.equals("members") || command.equals("policy-figures")) {
                 return members(command, line, out);
             }
+            if (command.equals("members-slopes") || command.equals("policy-slopes")) {
+                return slopes(command, line, out);
+            }
             SimulateCommand simulate = new SimulateCommand(line, out, err);
             return switch (command) {
                 case "run" -> simulate.run();
@@ -147,11 +155,7 @@
         if (seeds.length != 2 || !line.getArgList().isEmpty()) {
             throw new ParseException(command + " wants --seeds A..B and no further words");
         }
-        List<Integer> members = new ArrayList<>();
-        for (String one : line.getOptionValue("members", "5,20,100").split(",")) {
-            members.add((int) number("--members", one, 2, 1_024));
-        }
-        int[] all = members.stream().mapToInt(one -> one).toArray();
+        int[] all = sizes(line, "5,20,100");
         long first = number("--seeds", seeds[0], 0, Long.MAX_VALUE - 1);
         long last = number("--seeds", seeds[1], first, Long.MAX_VALUE - 1);
         double hours = number("--hours", line.getOptionValue("hours", "100"), 1, 1_000_000);
@@ -163,6 +167,32 @@
         return 0;
     }
 
+    private static int[] sizes(CommandLine line, String usual) throws ParseException {
+        List<Integer> members = new ArrayList<>();
+        for (String one : line.getOptionValue("members", usual).split(",")) {
+            members.add((int) number("--members", one, 2, MembersSettings.MOST));
+        }
+        return members.stream().mapToInt(one -> one).toArray();
+    }
+
+    /** How costs and times grow with the number of routers. */
+    private static int slopes(String command, CommandLine line, PrintStream out) throws ParseException {
+        String[] seeds = line.getOptionValue("seeds", "1..2").split("\\.\\.", -1);
+        if (seeds.length != 2 || !line.getArgList().isEmpty()) {
+            throw new ParseException(command + " wants --seeds A..B and no further words");
+        }
+        int[] all = sizes(line, "50,100,200,400");
+        long first = number("--seeds", seeds[0], 0, Long.MAX_VALUE - 1);
+        long last = number("--seeds", seeds[1], first, Long.MAX_VALUE - 1);
+        int at = (int) number("--at", line.getOptionValue("at", "2000"), 2, Integer.MAX_VALUE);
+        if (command.equals("members-slopes")) {
+            MembersSlopes.run(all, first, last, at, out::println);
+        } else {
+            PolicyFigures.slopes(all, first, last, at, out::println);
+        }
+        return 0;
+    }
+
     private int run() throws ParseException, IOException {
         if (!line.getArgList().isEmpty()) {
             throw new ParseException("unexpected " + line.getArgList().get(0));
--- a/src/main/java/slateseam/tier/members/MembersSettings.java
+++ b/src/main/java/slateseam/tier/members/MembersSettings.java
@@ -24,7 +24,7 @@
     /** Of a name, in bytes. */
     public static final int LONGEST_NAME = 64;
     /** As many members as one router ever keeps. */
-    public static final int MOST = 1_024;
+    public static final int MOST = 8_192;
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
 
