--- a/examples/ToyFarm.java
+++ b/examples/ToyFarm.java
@@ -11,14 +11,18 @@
 /**
  * A toy farm to try the router with: discovery at port 8500, the origin at 7000 and an application server at 7001,
  * all on 127.0.0.1. Run it with {@code java examples/ToyFarm.java}; {@code java examples/ToyFarm.java 2 quiet} has two
- * application servers, at 7001 and 7002, and shows no commands. It keeps nothing but what passed through it, and all
- * its application servers keep the same.
+ * application servers, at 7001 and 7002, and shows no commands; {@code 2 quiet 65536} has values of 65,536 bytes, and with a fourth
+ * word {@code forget} application servers keep nothing, so that each read goes on to the origin. It keeps nothing but what passed
+ * through it, and all its application servers keep the same.
  */
 public final class ToyFarm {
     private static final Map<String, String> ORIGIN = new ConcurrentHashMap<>();
     private static final Map<String, String> CACHE = new ConcurrentHashMap<>();
     private static int servers = 1;
     private static boolean quiet;
+    /** Of a value that was never written, at least. */
+    private static int valueBytes;
+    private static boolean forgets;
 
     /** Speaks with one connection until it ends. */
     private interface Speaker {
@@ -28,6 +32,8 @@
     public static void main(String[] args) throws IOException {
         servers = args.length > 0 ? Integer.parseInt(args[0]) : 1;
         quiet = args.length > 1 && args[1].equals("quiet");
+        valueBytes = args.length > 2 ? Integer.parseInt(args[2]) : 0;
+        forgets = args.length > 3 && args[3].equals("forget");
         ORIGIN.put("hello", "world");
         listen(8500, in -> discovery(line(in), in));
         listen(7000, in -> origin(line(in), in));
@@ -101,11 +107,18 @@
             CACHE.remove(key);
             return http(200, "stored");
         }
-        String value = ORIGIN.getOrDefault(key, "nothing is stored under " + key);
-        CACHE.put(key, value);
+        String value = ORIGIN.computeIfAbsent(key, ToyFarm::unwritten);
+        if (!forgets) {
+            CACHE.put(key, value);
+        }
         return http(200, value);
     }
 
+    private static String unwritten(String key) {
+        String text = "nothing is stored under " + key;
+        return text + ".".repeat(Math.max(0, valueBytes - text.length()));
+    }
+
     private static String http(int status, String body) {
         return "HTTP/1.1 " + status + " OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
