--- a/src/main/java/slateseam/simulate/check/ColdStarts.java
+++ b/src/main/java/slateseam/simulate/check/ColdStarts.java
@@ -16,10 +16,10 @@
 final class ColdStarts {
     /** The part of the work that must come from routers that were told, for a fall to be their doing. */
     private static final double MOST = 2.0 / 3;
+
     private static final double SECOND = 1e9;
 
-    private record Sent(long nanos, double weight, boolean told) {
-    }
+    private record Sent(long nanos, double weight, boolean told) {}
 
     private static final class Start {
         final String host;
@@ -27,6 +27,7 @@
         final long nanos;
         /** Of the last window. */
         final Deque<Sent> sent = new ArrayDeque<>();
+
         double weight;
         double toldWeight;
         /** Whether the ramp was left already; only the first time counts. */
@@ -95,11 +96,21 @@
         }
         start.over = true;
         if (start.toldWeight > MOST * start.weight) {
-            report.breach(Rule.RAMP, "", "", String.format(Locale.ROOT,
-                    "%s got requests of %.1f times the mean work in %d ms, %d ms after its start, where %.1f of %.1f may be "
-                            + "chance; %.1f were of routers that had been told",
-                    start.host, start.weight, figures.fallNanos() / 1_000_000, age / 1_000_000, most, bears,
-                    start.toldWeight));
+            report.breach(
+                    Rule.RAMP,
+                    "",
+                    "",
+                    String.format(
+                            Locale.ROOT,
+                            "%s got requests of %.1f times the mean work in %d ms, %d ms after its start, where %.1f of %.1f may be "
+                                    + "chance; %.1f were of routers that had been told",
+                            start.host,
+                            start.weight,
+                            figures.fallNanos() / 1_000_000,
+                            age / 1_000_000,
+                            most,
+                            bears,
+                            start.toldWeight));
         }
     }
 
@@ -115,8 +126,10 @@
         start.forgetBefore(now - figures.fallNanos());
         int all = start.sent.size();
         long told = start.sent.stream().filter(Sent::told).count();
-        return all > 0 && told >= MOST * all ? told + " of " + all + " requests in the last "
-                + figures.fallNanos() / 1_000_000 + " ms came from routers that had been told of its start "
-                + (now - start.nanos) / 1_000_000 + " ms before" : null;
+        return all > 0 && told >= MOST * all
+                ? told + " of " + all + " requests in the last "
+                        + figures.fallNanos() / 1_000_000 + " ms came from routers that had been told of its start "
+                        + (now - start.nanos) / 1_000_000 + " ms before"
+                : null;
     }
 }
--- a/src/main/java/slateseam/simulate/check/DayCounts.java
+++ b/src/main/java/slateseam/simulate/check/DayCounts.java
@@ -68,12 +68,19 @@
      */
     void over(int routers, boolean calm) {
         if (unanswered > requests / ONE_UNANSWERED_IN + MORE_UNANSWERED) {
-            report.breach(Rule.UNANSWERED, "", firstUnanswered, unanswered + " of " + requests
-                    + " requests had no answer when their time was up");
+            report.breach(
+                    Rule.UNANSWERED,
+                    "",
+                    firstUnanswered,
+                    unanswered + " of " + requests + " requests had no answer when their time was up");
         }
         if (calm && idle.size() > routers / ONE_IDLE_IN) {
-            report.breach(Rule.IDLE, idle.iterator().next(), "", idle.size() + " of " + routers
-                    + " routers turned away all that they got for seconds on end: " + String.join(", ", idle));
+            report.breach(
+                    Rule.IDLE,
+                    idle.iterator().next(),
+                    "",
+                    idle.size() + " of " + routers + " routers turned away all that they got for seconds on end: "
+                            + String.join(", ", idle));
         }
     }
 }
--- a/src/main/java/slateseam/simulate/check/Figures.java
+++ b/src/main/java/slateseam/simulate/check/Figures.java
@@ -13,8 +13,14 @@
  * @param descriptors the most descriptors of a router
  * @param heldBytes the most bytes that a router may hold
  */
-public record Figures(List<ClassFigures> classes, int attempts, long slackNanos, long graceNanos, Cold cold,
-        int descriptors, long heldBytes) {
+public record Figures(
+        List<ClassFigures> classes,
+        int attempts,
+        long slackNanos,
+        long graceNanos,
+        Cold cold,
+        int descriptors,
+        long heldBytes) {
     /** By how much each time limit is longer on sockets. */
     public static final long SOCKETS_NANOS = 50_000_000L;
 
@@ -38,8 +44,7 @@
      *
      * @param weight the mean work of one as a multiple of the mean over all requests
      */
-    public record ClassFigures(String name, Repeats repeats, long deadlineNanos, long windowNanos, double weight) {
-    }
+    public record ClassFigures(String name, Repeats repeats, long deadlineNanos, long windowNanos, double weight) {}
 
     /**
      * What the settings say of a server that has just started. Its capacity grows evenly from a share to the whole.
@@ -52,8 +57,7 @@
     public record Cold(double multiple, long fallNanos, double startShare, long warmNanos) {
         /** The part of its capacity that a server has so long after its start. */
         double share(long sinceStartNanos) {
-            return sinceStartNanos >= warmNanos ? 1
-                    : startShare + (1 - startShare) * sinceStartNanos / warmNanos;
+            return sinceStartNanos >= warmNanos ? 1 : startShare + (1 - startShare) * sinceStartNanos / warmNanos;
         }
     }
 
--- a/src/main/java/slateseam/simulate/tier/MembersSlopes.java
+++ b/src/main/java/slateseam/simulate/tier/MembersSlopes.java
@@ -26,6 +26,7 @@
     private static final long MOST_JOINING = 120 * SECOND;
     /** Until the news of those that joined has been told often enough. */
     private static final long CALM = 10 * SECOND;
+
     private static final int MEASURED_SECONDS = 10;
     private static final long MOST_DEATH = 8 * SECOND;
     private static final int DEATHS = 3;
@@ -33,6 +34,7 @@
     private static final int MOST_OFTEN = 400;
     /** More bytes a member and second tell that the news of the start is still on its way; it takes minutes where there are many. */
     private static final double CALM_BYTES = 2_400;
+
     private static final long MOST_CALMING = 120 * SECOND;
     private static final double LOSS = 0.2;
     /** So that the small sizes are not measured before the code is compiled. */
@@ -88,10 +90,13 @@
             all.add(one);
             rows.accept("# " + size + " members played");
         }
-        rows.accept("| a member | " + String.join(" | ", Arrays.stream(sizes).mapToObj(String::valueOf).toList())
-                + " |" + Slope.headings(sizes, at));
+        rows.accept("| a member | "
+                + String.join(
+                        " | ", Arrays.stream(sizes).mapToObj(String::valueOf).toList()) + " |"
+                + Slope.headings(sizes, at));
         for (Figure figure : Figure.values()) {
-            double[] figures = all.stream().mapToDouble(one -> one.median(figure)).toArray();
+            double[] figures =
+                    all.stream().mapToDouble(one -> one.median(figure)).toArray();
             StringBuilder row = new StringBuilder("| ").append(figure.text).append(" | ");
             for (double value : figures) {
                 row.append(String.format(Locale.ROOT, "%.4g | ", value));
@@ -101,7 +106,8 @@
     }
 
     private double median(Figure figure) {
-        List<Double> values = found.getOrDefault(figure, List.of()).stream().sorted().toList();
+        List<Double> values =
+                found.getOrDefault(figure, List.of()).stream().sorted().toList();
         return values.isEmpty() ? Double.NaN : values.get((values.size() - 1) / 2);
     }
 
@@ -188,7 +194,10 @@
     }
 
     private double sum(MembersWorld world, Traffic what) {
-        return IntStream.range(0, members).filter(i -> world.members(i) != null).mapToLong(i -> world.members(i).count(what)).sum();
+        return IntStream.range(0, members)
+                .filter(i -> world.members(i) != null)
+                .mapToLong(i -> world.members(i).count(what))
+                .sum();
     }
 
     /** When each of the others knew of something, in nanoseconds after it, the first first. */
@@ -197,9 +206,13 @@
         long began = world.now();
         happens.run();
         world.run(MOST_DEATH);
-        return world.seen().stream().filter(seen -> seen.by() != one && seen.change().kind() == kind
+        return world.seen().stream()
+                .filter(seen -> seen.by() != one
+                        && seen.change().kind() == kind
                         && seen.change().member().equals(MembersWorld.name(one)))
-                .mapToLong(seen -> seen.at() - began).sorted().toArray();
+                .mapToLong(seen -> seen.at() - began)
+                .sorted()
+                .toArray();
     }
 
     /** When a part of the others knew it, in seconds; not a number if it was not seen in time. */
--- a/src/main/java/slateseam/simulate/tier/Slope.java
+++ b/src/main/java/slateseam/simulate/tier/Slope.java
@@ -36,10 +36,22 @@
 
     /** The text of the best fit through the figures that are there; empty where they are too few. */
     static String text(int[] sizes, double[] figures, int routers) {
-        int[] there = IntStream.range(0, sizes.length).filter(i -> !Double.isNaN(figures[i])).toArray();
-        return sizes.length < LEAST_SIZES ? "" : there.length < LEAST_SIZES ? "too few sizes | | | |"
-                : of(IntStream.of(there).map(i -> sizes[i]).toArray(), IntStream.of(there).mapToDouble(i -> figures[i]).toArray())
-                        .text(routers) + " |";
+        int[] there = IntStream.range(0, sizes.length)
+                .filter(i -> !Double.isNaN(figures[i]))
+                .toArray();
+        return sizes.length < LEAST_SIZES
+                ? ""
+                : there.length < LEAST_SIZES
+                        ? "too few sizes | | | |"
+                        : of(
+                                                IntStream.of(there)
+                                                        .map(i -> sizes[i])
+                                                        .toArray(),
+                                                IntStream.of(there)
+                                                        .mapToDouble(i -> figures[i])
+                                                        .toArray())
+                                        .text(routers)
+                                + " |";
     }
 
     /** The shape with the smaller residual. */
@@ -83,12 +95,22 @@
 
     /** The headings of {@link #text(int[], double[], int)}. */
     static String headings(int[] sizes, int routers) {
-        return sizes.length < LEAST_SIZES ? "" : " best fit | residual | at " + routers + " | the other shape: at " + routers + " (residual) |";
+        return sizes.length < LEAST_SIZES
+                ? ""
+                : " best fit | residual | at " + routers + " | the other shape: at " + routers + " (residual) |";
     }
 
     /** Its formula, its residual, what it comes to at a size, and what the other shape would. */
     private String text(int routers) {
-        return String.format(Locale.ROOT, "%.4g %+.4g x %s | %.1f%% | %.4g | %.4g (%.1f%%)", base, step, shape.text, 100 * residual,
-                at(routers), other.at(routers), 100 * other.residual);
+        return String.format(
+                Locale.ROOT,
+                "%.4g %+.4g x %s | %.1f%% | %.4g | %.4g (%.1f%%)",
+                base,
+                step,
+                shape.text,
+                100 * residual,
+                at(routers),
+                other.at(routers),
+                100 * other.residual);
     }
 }
--- a/src/main/java/slateseam/tier/members/OwnDoubt.java
+++ b/src/main/java/slateseam/tier/members/OwnDoubt.java
@@ -26,6 +26,7 @@
     private final List<Member> recent = new ArrayList<>();
     /** Whom each watches, by their numbers; worked out for {@link #watchedVersion} of the rings. */
     private final Map<Long, List<Member>> watched = new HashMap<>();
+
     private int watchedVersion = -1;
     private int searches;
     private long lastTick;
@@ -34,6 +35,7 @@
     private boolean unheard;
     /** Which part of the tier is silent: as it is here, evened out with what others say. */
     private double silentPart;
+
     private Doubt doubt = Doubt.STARTING;
 
     OwnDoubt(MembersSettings settings, long self, Roster roster, Watch watch, long now) {
@@ -128,7 +130,8 @@
         }
         while (!open.isEmpty() && alive * 2L <= base) {
             for (Member member : watched().getOrDefault(open.poll(), List.of())) {
-                if (member.reachedBy != searches && member.state == State.ALIVE
+                if (member.reachedBy != searches
+                        && member.state == State.ALIVE
                         && !(watch.isLate(member, now) && watch.subjects().contains(member))) {
                     member.reachedBy = searches;
                     open.add(member.id);
@@ -166,7 +169,9 @@
         evenOut(subjects == 0 ? 0 : (double) silent / subjects * (base - 1) / base, now);
         boolean minority = silentPart > LEAST_MINORITY || !most;
         boolean alone = !heardAny && settings.peers().size() > 1;
-        doubt = paused ? Doubt.PAUSED : unheard ? Doubt.UNHEARD : alone ? Doubt.STARTING : minority ? Doubt.MINORITY : Doubt.NONE;
+        doubt = paused
+                ? Doubt.PAUSED
+                : unheard ? Doubt.UNHEARD : alone ? Doubt.STARTING : minority ? Doubt.MINORITY : Doubt.NONE;
         return doubt;
     }
 }
--- a/src/main/java/slateseam/tier/members/Parts.java
+++ b/src/main/java/slateseam/tier/members/Parts.java
@@ -33,7 +33,9 @@
     }
 
     private boolean differs(Record record) {
-        return record instanceof PartDigest theirs && theirs.part() < Roster.PARTS && theirs.digest() != roster.digest(theirs.part());
+        return record instanceof PartDigest theirs
+                && theirs.part() < Roster.PARTS
+                && theirs.digest() != roster.digest(theirs.part());
     }
 
     /** Whether a part of another's view is not as it is here. */
--- a/src/main/java/slateseam/tier/members/Rings.java
+++ b/src/main/java/slateseam/tier/members/Rings.java
@@ -16,6 +16,7 @@
     private final List<Ring> rings = new ArrayList<>();
     /** Watchers that were worked out since the rings changed last. */
     private final Map<Long, long[]> known = new HashMap<>();
+
     private int version;
 
     /** One ring: its members in ascending order of their places, which are compared without a sign. */
--- a/src/main/java/slateseam/tier/members/Roster.java
+++ b/src/main/java/slateseam/tier/members/Roster.java
@@ -23,8 +23,7 @@
     private static final int MOST_FORGOTTEN = MembersSettings.MOST;
 
     /** One that was forgotten: what it says of a life that was over is not believed. */
-    private record Tombstone(long life, int sequence) {
-    }
+    private record Tombstone(long life, int sequence) {}
 
     private final MembersSettings settings;
     private final long self;
@@ -40,9 +39,11 @@
     };
     /** Those that failed or left and are not forgotten. */
     private final Set<Member> gone = new LinkedHashSet<>();
+
     private int suspects;
     /** The numbers of those that are there; null if they are to be worked out anew, as at another version of the rings. */
     private Set<Integer> numbers;
+
     private int numbersVersion;
     final Rings rings;
     final News news = new News();
@@ -68,7 +69,9 @@
     /** Its name, or its number if it has not said. */
     String name(long id) {
         Member member = members.get(id);
-        return id == self ? settings.name() : member != null && member.name != null ? member.name : Long.toHexString(id);
+        return id == self
+                ? settings.name()
+                : member != null && member.name != null ? member.name : Long.toHexString(id);
     }
 
     static int part(long id) {
@@ -125,7 +128,10 @@
         member = new Member(said.id());
         member.name = said.name();
         member.number = said.number();
-        InetSocketAddress listed = said.number() >= 0 && said.number() < settings.peers().size() ? settings.peers().get(said.number()) : null;
+        InetSocketAddress listed =
+                said.number() >= 0 && said.number() < settings.peers().size()
+                        ? settings.peers().get(said.number())
+                        : null;
         member.place = from != null ? from : listed != null ? listed : settings.toldPlaces() ? said.place() : null;
         member.lives(said.life(), said.incarnation(), now);
         member.since = now;
@@ -147,7 +153,8 @@
 
     /** What tells others of a member as it is now. */
     Record record(Member member) {
-        return member.state == State.ALIVE && member.name != null ? introduction(member)
+        return member.state == State.ALIVE && member.name != null
+                ? introduction(member)
                 : new Claim(member.id, member.life, member.incarnation, member.state, member.by);
     }
 
@@ -225,7 +232,8 @@
             gone.remove(member);
             forgotten.put(member.id, new Tombstone(member.life, member.sequence));
             full = false;
-            sink.changed(new Change(Kind.FORGOTTEN, name(member.id), member.number, why(member) + " before=" + member.state.word()));
+            sink.changed(new Change(
+                    Kind.FORGOTTEN, name(member.id), member.number, why(member) + " before=" + member.state.word()));
         }
     }
 
--- a/src/main/java/slateseam/tier/policy/Tree.java
+++ b/src/main/java/slateseam/tier/policy/Tree.java
@@ -19,6 +19,7 @@
     private List<Integer> ordered = List.of();
     /** Those of them that learn, in order, while {@link #learnersWithout} vote. */
     private List<Integer> learners = List.of();
+
     private Set<Integer> learnersWithout;
     private int unanswered;
 
@@ -53,7 +54,10 @@
     private List<Integer> learners(Set<Integer> voting) {
         if (!voting.equals(learnersWithout)) {
             learnersWithout = Set.copyOf(voting);
-            learners = ordered.stream().filter(router -> !voting.contains(router) && !settings.voters().contains(router)).toList();
+            learners = ordered.stream()
+                    .filter(router ->
+                            !voting.contains(router) && !settings.voters().contains(router))
+                    .toList();
         }
         return learners;
     }
@@ -62,7 +66,9 @@
     int parent(int leader, Set<Integer> voting) {
         int me = settings.me();
         if (unanswered < UNANSWERED) {
-            if (leader >= 0 && leader != me && (voting.contains(me) || settings.voters().contains(me))) {
+            if (leader >= 0
+                    && leader != me
+                    && (voting.contains(me) || settings.voters().contains(me))) {
                 return leader;
             }
             List<Integer> above = new ArrayList<>(new TreeSet<>(voting));
@@ -70,7 +76,9 @@
             List<Integer> below = learners(voting);
             int rank = Collections.binarySearch(below, me);
             if (rank >= 0 && !above.isEmpty()) {
-                return rank < BRANCHES * above.size() ? above.get(rank % above.size()) : below.get((rank - BRANCHES * above.size()) / BRANCHES);
+                return rank < BRANCHES * above.size()
+                        ? above.get(rank % above.size())
+                        : below.get((rank - BRANCHES * above.size()) / BRANCHES);
             }
         }
         List<Integer> others = new ArrayList<>();
--- a/src/test/java/slateseam/simulate/tier/SlopesTest.java
+++ b/src/test/java/slateseam/simulate/tier/SlopesTest.java
@@ -62,7 +62,10 @@
 
     private static Set<Integer> viewed(MembersWorld world) {
         Set<Integer> there = new TreeSet<>(Set.of(3));
-        world.members(3).view().stream().filter(one -> !one.state().isGone()).map(MemberView::number).forEach(there::add);
+        world.members(3).view().stream()
+                .filter(one -> !one.state().isGone())
+                .map(MemberView::number)
+                .forEach(there::add);
         return there;
     }
 }
--- a/src/test/java/slateseam/tier/members/RingsTest.java
+++ b/src/test/java/slateseam/tier/members/RingsTest.java
@@ -46,7 +46,9 @@
             }
             for (long one : there) {
                 Set<Long> subjects = new TreeSet<>();
-                there.stream().filter(other -> other != one && contains(watchers(there, number, other), one)).forEach(subjects::add);
+                there.stream()
+                        .filter(other -> other != one && contains(watchers(there, number, other), one))
+                        .forEach(subjects::add);
                 assertThat(rings.subjects(one)).as("subjects of %s", one).containsExactlyInAnyOrderElementsOf(subjects);
             }
         }
@@ -69,7 +71,8 @@
             for (long one : there) {
                 ring.put(Ids.on(i, one), one);
             }
-            List<Long> after = new ArrayList<>(ring.tailMap(Ids.on(i, id), false).values());
+            List<Long> after =
+                    new ArrayList<>(ring.tailMap(Ids.on(i, id), false).values());
             after.addAll(ring.headMap(Ids.on(i, id), true).values());
             for (long next : after) {
                 if (next != id && watchers.add(next)) {
--- a/src/test/java/slateseam/tier/policy/LargeTierTest.java
+++ b/src/test/java/slateseam/tier/policy/LargeTierTest.java
@@ -25,7 +25,8 @@
     }
 
     @Test
-    @ExpectedToFail("verdicts are 128 bytes, a bit for each router: no change that all must take is committed beyond 1,024 routers")
+    @ExpectedToFail(
+            "verdicts are 128 bytes, a bit for each router: no change that all must take is committed beyond 1,024 routers")
     void thatTwoThousandRoutersTakeAVersionIsTold() {
         assertThat(isTold(ROUTERS)).isTrue();
     }
--- a/src/test/java/slateseam/tier/policy/TreeTest.java
+++ b/src/test/java/slateseam/tier/policy/TreeTest.java
@@ -34,7 +34,8 @@
             TreeSet<Integer> learners = new TreeSet<>(alive);
             learners.removeAll(TO_VOTE);
             int rank = learners.headSet(me).size();
-            int wanted = rank < BRANCHES * above.size() ? above.stream().toList().get(rank % above.size())
+            int wanted = rank < BRANCHES * above.size()
+                    ? above.stream().toList().get(rank % above.size())
                     : learners.stream().toList().get((rank - BRANCHES * above.size()) / BRANCHES);
             assertThat(tree.parent(0, voting)).isEqualTo(wanted);
             assertThat(tree.parent(0, voting)).as("asked again").isEqualTo(wanted);
