--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import slateseam.simulate.Both;
 import slateseam.simulate.Fleet;
 import slateseam.simulate.Phases;
 import slateseam.simulate.scenario.Day;
@@ -140,11 +142,15 @@
         findings.begins(begin);
         history.begins(begin);
         phases = new Phases(begin, day.durationNanos(), day.timeline().faults());
+        ServiceLook service = new ServiceLook(
+                begin,
+                phases.faults(),
+                day.routers().stream().collect(Collectors.toMap(Day.Router::listen, Day.Router::name)));
         Crowd crowd = new Crowd(
                 new Surroundings(
                         net,
                         net,
-                        phases,
+                        new Both(phases, service),
                         day.classes(),
                         day.tenants(),
                         day.habits(),
@@ -165,7 +171,7 @@
         if (faults.waits()) {
             routers.heard((router, line) -> net.run(() -> faults.said(router, line)));
         }
-        look.start(begin, phases);
+        look.start(begin, phases, service);
     }
 
     /** What deals out the connections of those that have no router beside them; null if each has. */
