--- a/src/main/java/slateseam/trial/DatagramLinks.java
+++ b/src/main/java/slateseam/trial/DatagramLinks.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
@@ -183,10 +182,11 @@
         Way way = (Way) key.attachment();
         try {
             room.clear();
-            for (SocketAddress sender; (sender = way.channel.receive(room)) != null; room.clear()) {
+            while (way.channel.receive(room) != null) {
                 byte[] bytes = new byte[room.flip().remaining()];
                 room.get(bytes);
                 take(way, bytes);
+                room.clear();
             }
         } catch (IOException e) {
             // The system tells so that a receiver was not there when something left by this socket.
--- a/src/test/java/slateseam/standin/Stage.java
+++ b/src/test/java/slateseam/standin/Stage.java
@@ -178,6 +178,7 @@
         public boolean ended;
         public boolean broken;
 
+        /** Sends a text as it is. */
         public void say(String text) {
             wire.write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
