--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -87,6 +87,11 @@
                         "crash,replace",
                         TIGHT,
                         List.of(change("decision/SlowStart", "double warmth = warmth(server);", "double warmth = 1;"))),
+                new PlantedBug(
+                        "begins with a full bucket for a cold server",
+                        "none",
+                        null,
+                        List.of(change("decision/ColdBucket", ": ofAWindow + phase;", ": Double.MAX_VALUE;"))),
                 new PlantedBug(
                         "closes at once in a planned end",
                         "restart",
