Name the members' parts as SWIM does: self state, local health, gossip queue

Own, OwnDoubt, Doubt, News and Sink said nothing to a reader who knows SWIM and Lifeguard. They are SelfState, LocalHealth, LocalHealthIssue, GossipQueue and MembersPort now (as RaftPort and PolicyPort).

--- a/src/main/java/slateseam/router/tier/Tier.java
+++ b/src/main/java/slateseam/router/tier/Tier.java
@@ -22,12 +22,12 @@
 import slateseam.router.net.Loop;
 import slateseam.router.peer.Peers;
 import slateseam.tier.members.Change;
-import slateseam.tier.members.Doubt;
+import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
 import slateseam.tier.members.Members;
+import slateseam.tier.members.MembersPort;
 import slateseam.tier.members.MembersSettings;
 import slateseam.tier.members.Reach;
-import slateseam.tier.members.Sink;
 import slateseam.tier.members.State;
 import slateseam.tier.members.Traffic;
 
@@ -88,7 +88,7 @@
                         settings.toldPlaces()),
                 loop.now(),
                 new SplittableRandom(config.seed() ^ SEED),
-                new Sink() {
+                new MembersPort() {
                     @Override
                     public void send(InetSocketAddress to, byte[] datagram) {
                         if (peers != null) {
@@ -179,7 +179,7 @@
 
     /** Whether it trusts that. */
     public boolean isTrusted() {
-        return members != null && members.doubt() == Doubt.NONE;
+        return members != null && members.doubt() == LocalHealthIssue.NONE;
     }
 
     /** It ends, and says so. */
@@ -204,7 +204,7 @@
                 .gauge("tier_suspect", () -> count(State.SUSPECT))
                 .gauge("tier_failed", () -> count(State.FAILED))
                 .gauge("tier_detect_ms", () -> (int) Math.min(Integer.MAX_VALUE, detectNanos / Clock.MILLI))
-                .gauge("tier_doubt", () -> members == null || members.doubt() == Doubt.NONE ? 0 : 1)
+                .gauge("tier_doubt", () -> members == null || members.doubt() == LocalHealthIssue.NONE ? 0 : 1)
                 .gauge(
                         "tier_not_heard",
                         () -> members == null
--- a/src/main/java/slateseam/simulate/tier/MembersDay.java
+++ b/src/main/java/slateseam/simulate/tier/MembersDay.java
@@ -12,7 +12,7 @@
 import slateseam.simulate.tier.MembersWorld.Seen;
 import slateseam.simulate.tier.MembersWorld.Ways;
 import slateseam.tier.members.Change.Kind;
-import slateseam.tier.members.Doubt;
+import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
 import slateseam.tier.members.State;
 import slateseam.tier.members.Traffic;
@@ -122,7 +122,7 @@
                 befall(one, lasts, () -> world.pause(one, true), () -> {
                     boolean alone = world.members(one).present() == 1;
                     world.pause(one, false);
-                    if (lasts > 500 * MILLI && !alone && world.members(one).doubt() == Doubt.NONE) {
+                    if (lasts > 500 * MILLI && !alone && world.members(one).doubt() == LocalHealthIssue.NONE) {
                         breaks("PAUSE", "one that stood still for " + lasts / MILLI + " ms does not doubt itself");
                     }
                 });
@@ -168,7 +168,7 @@
                     if (lasts > KNOWS_ITSELF_UNHEARD
                             && members > 3
                             && faults == number
-                            && world.members(one).doubt() == Doubt.NONE) {
+                            && world.members(one).doubt() == LocalHealthIssue.NONE) {
                         breaks("UNHEARD", "one that nobody hears for " + lasts / MILLI + " ms does not doubt itself");
                     }
                     world.mute(one, false);
@@ -244,7 +244,7 @@
         String pair = seen.by() + " " + world.process(seen.by()) + " " + name;
         boolean decides = why.contains(" by=" + MembersWorld.name(seen.by()) + " ");
         if (seen.change().kind() == Kind.FAILED && decides) {
-            if (world.members(seen.by()) != null && world.members(seen.by()).doubt() != Doubt.NONE) {
+            if (world.members(seen.by()) != null && world.members(seen.by()).doubt() != LocalHealthIssue.NONE) {
                 breaks("DOUBT", seen + ": it declares one failed while it doubts itself");
             }
             if (fewer > 0
@@ -292,7 +292,7 @@
     }
 
     private boolean isPausedJustNow(int one) {
-        return world.members(one) != null && world.members(one).doubt() == Doubt.PAUSED;
+        return world.members(one) != null && world.members(one).doubt() == LocalHealthIssue.PAUSED;
     }
 
     private void atTheEnd() {
@@ -306,7 +306,7 @@
                         "ONE_VIEW",
                         "router " + (i + 1) + " sees " + world.members(i).view());
             }
-            if (world.members(i).doubt() != Doubt.NONE) {
+            if (world.members(i).doubt() != LocalHealthIssue.NONE) {
                 breaks(
                         "STILL_DOUBTS",
                         "router " + (i + 1) + " doubts=" + world.members(i).doubt());
--- a/src/main/java/slateseam/simulate/tier/MembersWorld.java
+++ b/src/main/java/slateseam/simulate/tier/MembersWorld.java
@@ -13,8 +13,8 @@
 import java.util.function.UnaryOperator;
 import slateseam.tier.members.Change;
 import slateseam.tier.members.Members;
+import slateseam.tier.members.MembersPort;
 import slateseam.tier.members.MembersSettings;
-import slateseam.tier.members.Sink;
 
 /** Many routers' views of one another, on one thread and a virtual clock; all chance comes from one seed. */
 public final class MembersWorld {
@@ -140,7 +140,7 @@
                 settings.apply(MembersSettings.usual("tier", name, index, listed)),
                 net.now() + node.ahead,
                 random.split(),
-                new Sink() {
+                new MembersPort() {
                     @Override
                     public void send(InetSocketAddress to, byte[] datagram) {
                         if (node.life == life) {
--- a/src/main/java/slateseam/tier/members/News.java
+++ b/src/main/java/slateseam/tier/members/GossipQueue.java
@@ -10,7 +10,7 @@
 import slateseam.tier.members.Message.Record;
 
 /** What is to be passed on: of each member the last that was said, told to so many others, the least told first. */
-final class News {
+final class GossipQueue {
     private static final int TELLS_PER_DOUBLING = 3;
     /** Guards against looking through a thousand that do not fit for one that does. */
     private static final int MOST_LOOKS = 32;
--- a/src/main/java/slateseam/tier/members/OwnDoubt.java
+++ b/src/main/java/slateseam/tier/members/LocalHealth.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** Whether this router trusts what it sees: it was not paused, hears most, and is heard. */
-final class OwnDoubt {
+final class LocalHealth {
     /** Between two ticks; after a longer time this router stood still. */
     private static final long STOOD_STILL = 300_000_000L;
 
@@ -29,9 +29,9 @@
     /** Which part of the tier is silent: as it is here, evened out with what others say. */
     private double silentPart;
 
-    private Doubt doubt = Doubt.STARTING;
+    private LocalHealthIssue doubt = LocalHealthIssue.STARTING;
 
-    OwnDoubt(MembersSettings settings, long self, Roster roster, Watch watch, long now) {
+    LocalHealth(MembersSettings settings, long self, Roster roster, Watch watch, long now) {
         this.settings = settings;
         this.self = self;
         this.roster = roster;
@@ -39,12 +39,12 @@
         lastTick = now;
     }
 
-    Doubt now() {
+    LocalHealthIssue now() {
         return doubt;
     }
 
     boolean isThere() {
-        return doubt != Doubt.NONE;
+        return doubt != LocalHealthIssue.NONE;
     }
 
     /** Time goes on; a gap in it was a pause of this router. */
@@ -126,7 +126,7 @@
     }
 
     /** What it comes to now. */
-    Doubt look(long now) {
+    LocalHealthIssue look(long now) {
         long subjects = 0;
         long silent = 0;
         long since = 0;
@@ -151,8 +151,12 @@
         boolean minority = silentPart > LEAST_MINORITY || there * 2 <= base;
         boolean alone = !heardAny && settings.peers().size() > 1;
         doubt = paused
-                ? Doubt.PAUSED
-                : unheard ? Doubt.UNHEARD : alone ? Doubt.STARTING : minority ? Doubt.MINORITY : Doubt.NONE;
+                ? LocalHealthIssue.PAUSED
+                : unheard
+                        ? LocalHealthIssue.UNHEARD
+                        : alone
+                                ? LocalHealthIssue.STARTING
+                                : minority ? LocalHealthIssue.MINORITY : LocalHealthIssue.NONE;
         return doubt;
     }
 }
--- a/src/main/java/slateseam/tier/members/Doubt.java
+++ b/src/main/java/slateseam/tier/members/LocalHealthIssue.java
@@ -3,7 +3,7 @@
 import java.util.Locale;
 
 /** Why a router does not trust what it sees. */
-public enum Doubt {
+public enum LocalHealthIssue {
     /** It does. */
     NONE,
     /** It has just started and has heard nobody yet. */
--- a/src/main/java/slateseam/tier/members/Members.java
+++ b/src/main/java/slateseam/tier/members/Members.java
@@ -18,7 +18,7 @@
 import slateseam.tier.members.Message.Verdict;
 
 /**
- * One router's view of the tier. It is told the time and datagrams, and tells its {@link Sink} what to send and what has changed. Not
+ * One router's view of the tier. It is told the time and datagrams, and tells its {@link MembersPort} what to send and what has changed. Not
  * thread-safe. The same settings, source of chance and calls give the same actions.
  */
 public final class Members {
@@ -44,14 +44,14 @@
 
     private final MembersSettings settings;
     private final RandomGenerator random;
-    private final Sink sink;
+    private final MembersPort sink;
     private final long self;
     private final int tier;
     private final Roster roster;
     private final Watch watch;
-    private final OwnDoubt doubt;
+    private final LocalHealth doubt;
     private final Map<Traffic, Long> traffic = new EnumMap<>(Traffic.class);
-    private final Own own;
+    private final SelfState own;
     private final Parts parts;
     private boolean left;
     private long now;
@@ -62,14 +62,14 @@
     /** Whose digest was another for long. */
     private final Set<Long> differing = new LinkedHashSet<>();
 
-    private Doubt told = Doubt.NONE;
+    private LocalHealthIssue told = LocalHealthIssue.NONE;
 
     /**
      * Begins a life.
      *
      * @param now in Unix time; its milliseconds are the life's number
      */
-    public Members(MembersSettings settings, long now, RandomGenerator random, Sink sink) {
+    public Members(MembersSettings settings, long now, RandomGenerator random, MembersPort sink) {
         this.settings = settings;
         this.random = random;
         this.sink = sink;
@@ -77,7 +77,7 @@
         nextPeriod = now;
         self = Ids.of(settings.name());
         tier = (int) Ids.of(settings.tier());
-        roster = new Roster(settings, self, new Sink() {
+        roster = new Roster(settings, self, new MembersPort() {
             @Override
             public void send(InetSocketAddress to, byte[] datagram) {
                 throw new IllegalStateException("the roster sends nothing");
@@ -97,8 +97,8 @@
                 self,
                 roster,
                 (to, verdict) -> send(to.place, Message.Kind.HEARTBEAT, false, accused(to, verdict), true));
-        doubt = new OwnDoubt(settings, self, roster, watch, now);
-        own = new Own(settings, self, now, roster, doubt, sink);
+        doubt = new LocalHealth(settings, self, roster, watch, now);
+        own = new SelfState(settings, self, now, roster, doubt, sink);
     }
 
     private void count(Traffic what, long more) {
@@ -117,12 +117,12 @@
             period();
         }
         boolean doubted = doubt.isThere();
-        Doubt is = doubt.look(now);
-        if (doubted && is == Doubt.NONE) {
+        LocalHealthIssue is = doubt.look(now);
+        if (doubted && is == LocalHealthIssue.NONE) {
             watch.listenAnew(now);
         }
-        watch.look(now, is != Doubt.NONE);
-        watch.judge(now, is != Doubt.NONE);
+        watch.look(now, is != LocalHealthIssue.NONE);
+        watch.judge(now, is != LocalHealthIssue.NONE);
         is = doubt.look(now);
         if (is != told) {
             sink.changed(new Change(
@@ -135,7 +135,7 @@
         periods++;
         whoLeft = MOST_WHO_A_PERIOD;
         Set<Long> to = roster.rings.watchers(self);
-        if (doubt.now() == Doubt.UNHEARD || doubt.now() == Doubt.MINORITY) {
+        if (doubt.now() == LocalHealthIssue.UNHEARD || doubt.now() == LocalHealthIssue.MINORITY) {
             for (int i = 0; i < BESIDE; i++) {
                 Member other = any();
                 if (other != null) {
@@ -518,7 +518,7 @@
     }
 
     /** Why this router does not trust its view; none if it does. */
-    public Doubt doubt() {
+    public LocalHealthIssue doubt() {
         return doubt.now();
     }
 
--- a/src/main/java/slateseam/tier/members/Sink.java
+++ b/src/main/java/slateseam/tier/members/MembersPort.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 
 /** Takes what a router is to do. */
-public interface Sink {
+public interface MembersPort {
     /** Send a datagram. */
     void send(InetSocketAddress to, byte[] datagram);
 
--- a/src/main/java/slateseam/tier/members/Roster.java
+++ b/src/main/java/slateseam/tier/members/Roster.java
@@ -24,7 +24,7 @@
 
     private final MembersSettings settings;
     private final long self;
-    private final Sink sink;
+    private final MembersPort sink;
     private final Map<Long, Member> members = new HashMap<>();
     private final Map<Long, Tombstone> forgotten = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -35,11 +35,11 @@
         }
     };
     final Rings rings;
-    final News news = new News();
+    final GossipQueue news = new GossipQueue();
     private final int[] digests = new int[PARTS];
     private boolean full;
 
-    Roster(MembersSettings settings, long self, Sink sink) {
+    Roster(MembersSettings settings, long self, MembersPort sink) {
         this.settings = settings;
         this.self = self;
         this.sink = sink;
--- a/src/main/java/slateseam/tier/members/Own.java
+++ b/src/main/java/slateseam/tier/members/SelfState.java
@@ -3,7 +3,7 @@
 import slateseam.tier.members.Change.Kind;
 
 /** This router's own name in the tier: which life and incarnation of it this is, and what others say of it. */
-final class Own {
+final class SelfState {
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
     /** After its start a router may still take a later life than its clock gave it. */
@@ -15,8 +15,8 @@
     private final long self;
     private final long startedAt;
     private final Roster roster;
-    private final OwnDoubt doubt;
-    private final Sink sink;
+    private final LocalHealth doubt;
+    private final MembersPort sink;
     private long life;
     private int incarnation;
     private int sequence;
@@ -28,7 +28,7 @@
     private long twiceToldAt;
 
     /** Begins a life: the milliseconds of its start. */
-    Own(MembersSettings settings, long self, long now, Roster roster, OwnDoubt doubt, Sink sink) {
+    SelfState(MembersSettings settings, long self, long now, Roster roster, LocalHealth doubt, MembersPort sink) {
         this.settings = settings;
         this.self = self;
         this.startedAt = now;
--- a/src/test/java/slateseam/simulate/TierBugs.java
+++ b/src/test/java/slateseam/simulate/TierBugs.java
@@ -23,12 +23,12 @@
                         "        } else if (sender.state == State.FAILED)"),
                 bug(
                         "a suspicion of itself is not answered",
-                        "Own",
+                        "SelfState",
                         "                is(life, anIncarnation + 1);\n",
                         ""),
                 bug(
                         "a pause is not noticed",
-                        "OwnDoubt",
+                        "LocalHealth",
                         "if (gap > STOOD_STILL) {",
                         "if (gap > 1000 * STOOD_STILL) {"),
                 bug(
@@ -50,7 +50,7 @@
                 bug("one who doubts declares failed", "Watch", "member.state == State.SUSPECT && doubts", "false"),
                 bug(
                         "the smaller part does not know it",
-                        "OwnDoubt",
+                        "LocalHealth",
                         "silentPart > LEAST_MINORITY || there * 2 <= base",
                         "false"),
                 bug(
@@ -65,7 +65,7 @@
                         "    private void compare(Member with) {\n        if (false) {"),
                 bug(
                         "a later life by its own name is not noticed",
-                        "Own",
+                        "SelfState",
                         "            raised = true;\n            lives(ofLife + 1);",
                         "            raised = true;"),
                 bug(
@@ -73,7 +73,7 @@
                         "Watch",
                         "member.watchedSince = subjects.contains(member) ? member.watchedSince : Math.max(member.watchedSince, time);",
                         ""),
-                bug("nobody is told that it is unheard", "OwnDoubt", "unheard = so;", ""),
+                bug("nobody is told that it is unheard", "LocalHealth", "unheard = so;", ""),
                 bug(
                         "an end is not believed",
                         "Members",
--- a/src/test/java/slateseam/simulate/tier/MembersEveryCutTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersEveryCutTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import slateseam.simulate.tier.MembersWorld.Ways;
 import slateseam.tier.members.Change.Kind;
-import slateseam.tier.members.Doubt;
+import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
 import slateseam.tier.members.State;
 
@@ -92,7 +92,7 @@
         }
         world.run(HEALED);
         boolean one = MembersFigures.isOne(world)
-                && IntStream.range(0, n).allMatch(i -> world.members(i).doubt() == Doubt.NONE);
+                && IntStream.range(0, n).allMatch(i -> world.members(i).doubt() == LocalHealthIssue.NONE);
         return one ? null : text(n, patterns, "after all cuts not all see the same");
     }
 
--- a/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import slateseam.simulate.tier.MembersWorld.Ways;
 import slateseam.tier.members.Change.Kind;
-import slateseam.tier.members.Doubt;
+import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
 import slateseam.tier.members.MembersSettings;
 import slateseam.tier.members.Reach;
@@ -41,7 +41,7 @@
                         .isEqualTo(there);
                 assertThat(world.members(i).doubt())
                         .as("%s: doubt of router %d", what, i)
-                        .isEqualTo(Doubt.NONE);
+                        .isEqualTo(LocalHealthIssue.NONE);
                 assertThat(world.members(i).digest())
                         .as("%s: view of router %d", what, i)
                         .isEqualTo(first(world).digest());
@@ -125,7 +125,7 @@
             world.run(30 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).hasSize(4).noneMatch(one -> one.by() == 1);
             world.pause(1, false);
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.PAUSED);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.PAUSED);
             world.run(3 * SECOND);
             assertThat(seen(world, Kind.SUSPECTED)).noneMatch(one -> one.by() == 1);
             assertThat(seen(world, Kind.FAILED)).hasSize(4);
@@ -143,8 +143,8 @@
             }
             world.run(5 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).isEmpty();
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.MINORITY);
-            assertThat(world.members(4).doubt()).isEqualTo(Doubt.MINORITY);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.MINORITY);
+            assertThat(world.members(4).doubt()).isEqualTo(LocalHealthIssue.MINORITY);
             for (int i : new int[] {0, 2, 3}) {
                 world.pause(i, false);
             }
@@ -215,9 +215,9 @@
             world.mute(1, true);
             world.run(5 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).hasSize(4).noneMatch(one -> one.by() == 1);
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.UNHEARD);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.UNHEARD);
             world.run(15 * SECOND);
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.UNHEARD);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.UNHEARD);
             assertThat(world.members(1).present()).isEqualTo(5);
             world.mute(1, false);
             world.run(3 * SECOND);
@@ -232,7 +232,7 @@
             world.deaf(1, true);
             world.run(20 * SECOND);
             assertThat(seen(world, Kind.SUSPECTED)).as("seed " + seed).isEmpty();
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.MINORITY);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.MINORITY);
             assertThat(world.members(0).present()).isEqualTo(5);
             world.deaf(1, false);
             world.run(2 * SECOND);
@@ -254,7 +254,7 @@
                     boolean most = i >= fewer && 2 * fewer < n;
                     assertThat(world.members(i).doubt())
                             .as("%d routers, seed %d, router %d", n, seed, i)
-                            .isEqualTo(most ? Doubt.NONE : Doubt.MINORITY);
+                            .isEqualTo(most ? LocalHealthIssue.NONE : LocalHealthIssue.MINORITY);
                     assertThat(world.members(i).present()).isEqualTo(most ? n - fewer : n);
                 }
                 world.halve(fewer, false);
@@ -422,7 +422,7 @@
         world.run(400 * SECOND);
         assertThat(world.members(0).view()).hasSize(2);
         assertThat(seen(world, Kind.FORGOTTEN)).hasSize(3_000);
-        assertThat(world.members(0).doubt()).isEqualTo(Doubt.NONE);
+        assertThat(world.members(0).doubt()).isEqualTo(LocalHealthIssue.NONE);
     }
 
     @Test
@@ -461,7 +461,7 @@
                 MembersSettings.usual("tier", "router-2", 1, List.of(world.place(0))),
                 MembersWorld.BEGIN - SECOND,
                 new java.util.SplittableRandom(1),
-                new slateseam.tier.members.Sink() {
+                new slateseam.tier.members.MembersPort() {
                     @Override
                     public void send(InetSocketAddress to, byte[] datagram) {
                         kept[0] = datagram;
