--- a/src/main/java/slateseam/router/tier/SharedPolicy.java
+++ b/src/main/java/slateseam/router/tier/SharedPolicy.java
@@ -19,9 +19,9 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Loop;
 import slateseam.router.peer.Peers;
+import slateseam.tier.agreement.DurableState;
 import slateseam.tier.agreement.Raft;
-import slateseam.tier.agreement.Seat;
-import slateseam.tier.agreement.Stable;
+import slateseam.tier.agreement.Voter;
 import slateseam.tier.policy.Policy;
 import slateseam.tier.policy.PolicyPort;
 import slateseam.tier.policy.PolicySettings;
@@ -133,7 +133,7 @@
 
     /** Nothing lasts here: a voter that restarts is another one. */
     @Override
-    public void persist(long number, Stable.Change change) {
+    public void persist(long number, DurableState.Change change) {
         Policy of = policy;
         loop.after(0, () -> {
             if (of != null && of == policy) {
@@ -304,7 +304,7 @@
                 .put("leader", raft.leader() == null ? -1 : raft.leader().router())
                 .put(
                         "seats",
-                        new JSONArray(raft.seats().stream().map(Seat::toString).toList()))
+                        new JSONArray(raft.seats().stream().map(Voter::toString).toList()))
                 .put("version", held == null ? 0 : held.number())
                 .put("version_name", held == null ? "own file" : held.name())
                 .put(
--- a/src/main/java/slateseam/simulate/tier/AgreementWorld.java
+++ b/src/main/java/slateseam/simulate/tier/AgreementWorld.java
@@ -13,13 +13,13 @@
 import java.util.TreeSet;
 import slateseam.simulate.tier.MembersWorld.Ways;
 import slateseam.tier.agreement.Admission;
+import slateseam.tier.agreement.DurableState;
 import slateseam.tier.agreement.Entry;
 import slateseam.tier.agreement.Raft;
 import slateseam.tier.agreement.RaftPort;
 import slateseam.tier.agreement.RaftSettings;
 import slateseam.tier.agreement.Rpc;
-import slateseam.tier.agreement.Seat;
-import slateseam.tier.agreement.Stable;
+import slateseam.tier.agreement.Voter;
 
 /**
  * Routers that agree on a log, on one thread and a virtual clock, each with a disk of its own. What each applies is held against what all
@@ -49,7 +49,7 @@
         }
 
         @Override
-        public void send(Seat to, Rpc message) {
+        public void send(Voter to, Rpc message) {
             byte[] bytes = message.encode();
             Node target = nodes.get(to.router());
             sent++;
@@ -69,7 +69,7 @@
         }
 
         @Override
-        public void persist(long number, Stable.Change change) {
+        public void persist(long number, DurableState.Change change) {
             memory.write(change);
             int of = life;
             int size = memory.size();
@@ -129,7 +129,7 @@
         void afterwards() {
             if (lost) {
                 lost = false;
-                start(index, memory.begin(new Seat(index, ++memories)), false);
+                start(index, memory.begin(new Voter(index, ++memories)), false);
             }
             if (raft != null && raft.role() == Raft.Role.LEADER) {
                 Integer other = leaders.putIfAbsent(raft.term(), index * 1_000 + life);
@@ -168,7 +168,7 @@
             wanted.add(i);
         }
         for (int i = 0; i < voters; i++) {
-            start(i, nodes.get(i).memory.begin(new Seat(i, ++memories)), false);
+            start(i, nodes.get(i).memory.begin(new Voter(i, ++memories)), false);
         }
         nodes.get(0).raft.begin(1 + random.nextLong(Long.MAX_VALUE - 1));
         admit();
@@ -202,7 +202,7 @@
         }
     }
 
-    private void start(int index, Stable stable, boolean fromDisk) {
+    private void start(int index, DurableState stable, boolean fromDisk) {
         Node node = nodes.get(index);
         node.life++;
         node.paused = false;
@@ -252,9 +252,9 @@
     /** It starts with what its disk has. */
     void start(int index) {
         Node node = nodes.get(index);
-        Stable stable = node.memory.read();
+        DurableState stable = node.memory.read();
         boolean had = stable != null;
-        start(index, had ? stable : node.memory.begin(new Seat(index, ++memories)), had);
+        start(index, had ? stable : node.memory.begin(new Voter(index, ++memories)), had);
     }
 
     boolean isUp(int index) {
@@ -316,7 +316,7 @@
                 .allMatch(i -> nodes.get(i).raft != null
                         && nodes.get(i).log.size() == all.size()
                         && nodes.get(i).raft.seats().stream()
-                                .map(Seat::router)
+                                .map(Voter::router)
                                 .toList()
                                 .containsAll(wanted)
                         && nodes.get(i).raft.seats().contains(nodes.get(i).raft.self())
--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -13,8 +13,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import slateseam.simulate.tier.MembersWorld.Ways;
+import slateseam.tier.agreement.DurableState;
 import slateseam.tier.agreement.Raft;
-import slateseam.tier.agreement.Stable;
 import slateseam.tier.policy.Policy;
 import slateseam.tier.policy.PolicyPort;
 import slateseam.tier.policy.PolicySettings;
@@ -82,7 +82,7 @@
         }
 
         @Override
-        public void persist(long number, Stable.Change change) {
+        public void persist(long number, DurableState.Change change) {
             memory.write(change);
             int of = life;
             int size = memory.size();
--- a/src/main/java/slateseam/simulate/tier/VirtualMemory.java
+++ b/src/main/java/slateseam/simulate/tier/VirtualMemory.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import slateseam.tier.agreement.Seat;
-import slateseam.tier.agreement.Stable;
+import slateseam.tier.agreement.DurableState;
+import slateseam.tier.agreement.Voter;
 
 /** What one who votes has on its disk, on the virtual clock: changes in their order, of which a power cut leaves those that were forced. */
 final class VirtualMemory {
-    private final List<Stable.Change> written = new ArrayList<>();
+    private final List<DurableState.Change> written = new ArrayList<>();
     private int lasting;
     private boolean damaged;
     /** Forces say that they are done and are not. */
@@ -15,7 +15,7 @@
     /** How long a force takes. */
     long forceNanos = 2_000_000L;
 
-    void write(Stable.Change change) {
+    void write(DurableState.Change change) {
         written.add(change);
     }
 
@@ -54,22 +54,22 @@
     }
 
     /** What a start reads; null for nothing that can be trusted. */
-    Stable read() {
+    DurableState read() {
         if (damaged || written.isEmpty()) {
             empty();
             return null;
         }
-        Stable stable = new Stable();
+        DurableState stable = new DurableState();
         written.forEach(stable::apply);
         return stable.seat() == null ? null : stable;
     }
 
     /** Begins anew as another seat. */
-    Stable begin(Seat seat) {
+    DurableState begin(Voter seat) {
         empty();
-        Stable stable = new Stable();
-        stable.apply(new Stable.Begin(0, seat));
-        write(new Stable.Begin(0, seat));
+        DurableState stable = new DurableState();
+        stable.apply(new DurableState.Begin(0, seat));
+        write(new DurableState.Begin(0, seat));
         force(1);
         return stable;
     }
--- a/src/main/java/slateseam/tier/agreement/Admission.java
+++ b/src/main/java/slateseam/tier/agreement/Admission.java
@@ -22,10 +22,10 @@
         if (raft.role() != Raft.Role.LEADER) {
             return null;
         }
-        List<Seat> seats = raft.seats();
-        List<Seat> coming = wanted.stream()
+        List<Voter> seats = raft.seats();
+        List<Voter> coming = wanted.stream()
                 .filter(memories::containsKey)
-                .map(router -> new Seat(router, memories.get(router)))
+                .map(router -> new Voter(router, memories.get(router)))
                 .filter(seat -> !seats.contains(seat))
                 .sorted()
                 .toList();
@@ -39,28 +39,28 @@
         if (left != null) {
             return left;
         }
-        for (Seat seat : coming) {
+        for (Voter seat : coming) {
             boolean hasOld = seats.stream().anyMatch(old -> old.router() == seat.router());
-            if (!hasOld && raft.hasCaughtUp(seat) && seats.size() < Seat.MOST) {
-                List<Seat> more = new ArrayList<>(seats);
+            if (!hasOld && raft.hasCaughtUp(seat) && seats.size() < Voter.MOST) {
+                List<Voter> more = new ArrayList<>(seats);
                 more.add(seat);
                 return raft.change(more) ? "seat-taken seat=" + seat : null;
             }
         }
         // Those that are wanted no longer go once the others are in, so that there are never fewer than need be.
-        boolean allIn = seats.stream().map(Seat::router).toList().containsAll(wanted);
+        boolean allIn = seats.stream().map(Voter::router).toList().containsAll(wanted);
         return allIn ? without(raft, seats.stream().filter(seat -> !wanted.contains(seat.router()))) : null;
     }
 
     /** The one that leads goes last: it has to see the others' changes through. */
-    private static String without(Raft raft, Stream<Seat> going) {
-        Seat first = going.min(Comparator.comparing((Seat seat) -> seat.equals(raft.self()))
-                        .thenComparing(Seat::compareTo))
+    private static String without(Raft raft, Stream<Voter> going) {
+        Voter first = going.min(Comparator.comparing((Voter seat) -> seat.equals(raft.self()))
+                        .thenComparing(Voter::compareTo))
                 .orElse(null);
         if (first == null || raft.seats().size() == 1) {
             return null;
         }
-        List<Seat> fewer = new ArrayList<>(raft.seats());
+        List<Voter> fewer = new ArrayList<>(raft.seats());
         fewer.remove(first);
         return raft.change(fewer) ? "seat-left seat=" + first : null;
     }
--- a/src/main/java/slateseam/tier/agreement/Stable.java
+++ b/src/main/java/slateseam/tier/agreement/DurableState.java
@@ -4,15 +4,15 @@
 import java.util.List;
 
 /** What one who votes must never forget: its seat, term and vote, and its log from a snapshot on. */
-public final class Stable {
+public final class DurableState {
     /** One change of it; whoever applies all in their order has the same. */
     public sealed interface Change {}
 
     /** A memory begins, or comes into a group. */
-    public record Begin(long group, Seat seat) implements Change {}
+    public record Begin(long group, Voter seat) implements Change {}
 
     /** A term, and for whom the vote in it is; null while it is for nobody. */
-    public record Term(long term, Seat vote) implements Change {}
+    public record Term(long term, Voter vote) implements Change {}
 
     /** An entry at the end of the log. */
     public record Append(long index, Entry entry) implements Change {}
@@ -21,15 +21,15 @@
     public record Cut(long index) implements Change {}
 
     /** What all entries up to this one came to, in their place. */
-    public record Snapshot(long index, long term, List<Seat> seats, byte[] state) implements Change {}
+    public record Snapshot(long index, long term, List<Voter> seats, byte[] state) implements Change {}
 
     private long group;
-    private Seat seat;
+    private Voter seat;
     private long term;
-    private Seat vote;
+    private Voter vote;
     private long baseIndex;
     private long baseTerm;
-    private List<Seat> baseSeats = List.of();
+    private List<Voter> baseSeats = List.of();
     private byte[] baseState = new byte[0];
     private List<Entry> entries = new ArrayList<>();
 
@@ -65,7 +65,7 @@
     }
 
     /** Whose memory this is; null while it has not begun. */
-    public Seat seat() {
+    public Voter seat() {
         return seat;
     }
 
@@ -73,7 +73,7 @@
         return term;
     }
 
-    Seat vote() {
+    Voter vote() {
         return vote;
     }
 
@@ -85,7 +85,7 @@
         return baseTerm;
     }
 
-    List<Seat> baseSeats() {
+    List<Voter> baseSeats() {
         return baseSeats;
     }
 
@@ -113,9 +113,9 @@
     }
 
     /** Who votes by the newest entry that says so, committed or not. */
-    List<Seat> seats() {
+    List<Voter> seats() {
         long at = seatsAt();
-        return at == baseIndex ? baseSeats : Seat.all(entry(at).body());
+        return at == baseIndex ? baseSeats : Voter.all(entry(at).body());
     }
 
     /** The entry that says so; the snapshot's if none does. */
@@ -129,10 +129,10 @@
     }
 
     /** The same as of an entry. */
-    List<Seat> seatsAsOf(long index) {
+    List<Voter> seatsAsOf(long index) {
         for (long i = index; i > baseIndex; i--) {
             if (entry(i).kind() == Entry.Kind.SEATS) {
-                return Seat.all(entry(i).body());
+                return Voter.all(entry(i).body());
             }
         }
         return baseSeats;
--- a/src/main/java/slateseam/tier/agreement/Leadership.java
+++ b/src/main/java/slateseam/tier/agreement/Leadership.java
@@ -32,17 +32,17 @@
         }
     }
 
-    private final Seat self;
-    private final Map<Seat, Progress> progress = new HashMap<>();
+    private final Voter self;
+    private final Map<Voter, Progress> progress = new HashMap<>();
     /** When each of the last rounds was sent. */
     private final TreeMap<Long, Long> sent = new TreeMap<>();
 
-    private List<Seat> joining = List.of();
+    private List<Voter> joining = List.of();
     private long round;
     /** The first round after an entry of its own term was committed: before that it may not know what is. */
     private long readyRound = Long.MAX_VALUE;
 
-    Leadership(Seat self) {
+    Leadership(Voter self) {
         this.self = self;
     }
 
@@ -59,13 +59,13 @@
         return round;
     }
 
-    void join(Collection<Seat> seats) {
+    void join(Collection<Voter> seats) {
         joining = List.copyOf(seats);
     }
 
     /** All that it sends to: those that vote, and those that are to. */
-    List<Seat> followers(List<Seat> seats) {
-        Map<Seat, Seat> all = new LinkedHashMap<>();
+    List<Voter> followers(List<Voter> seats) {
+        Map<Voter, Voter> all = new LinkedHashMap<>();
         seats.forEach(seat -> all.put(seat, seat));
         joining.forEach(seat -> all.put(seat, seat));
         all.remove(self);
@@ -73,12 +73,12 @@
         return new ArrayList<>(all.keySet());
     }
 
-    Progress of(Seat seat, long lastIndex, long now) {
+    Progress of(Voter seat, long lastIndex, long now) {
         return progress.computeIfAbsent(seat, s -> new Progress(lastIndex + 1, now));
     }
 
     /** Null for one that it does not send to. */
-    Progress find(Seat seat) {
+    Progress find(Voter seat) {
         return progress.get(seat);
     }
 
@@ -91,9 +91,9 @@
     }
 
     /** The greatest figure that a majority has reached. */
-    private long ofMajority(List<Seat> seats, long own, ToLongFunction<Progress> figure) {
+    private long ofMajority(List<Voter> seats, long own, ToLongFunction<Progress> figure) {
         List<Long> all = new ArrayList<>();
-        for (Seat seat : seats) {
+        for (Voter seat : seats) {
             Progress one = progress.get(seat);
             all.add(seat.equals(self) ? own : one == null ? 0 : figure.applyAsLong(one));
         }
@@ -102,17 +102,17 @@
     }
 
     /** Up to where a majority has the log. */
-    long matched(List<Seat> seats, long own) {
+    long matched(List<Voter> seats, long own) {
         return ofMajority(seats, own, one -> one.match);
     }
 
     /** Whether a majority has answered since then. */
-    boolean isHeard(List<Seat> seats, long now, long since) {
+    boolean isHeard(List<Voter> seats, long now, long since) {
         return ofMajority(seats, now, one -> one.answeredAt) >= since;
     }
 
     /** When the newest round was sent that a majority has answered; -1 while that proves nothing. */
-    long provenAt(List<Seat> seats) {
+    long provenAt(List<Voter> seats) {
         long answered = ofMajority(seats, round, one -> one.answeredRound);
         return answered >= readyRound ? sent.getOrDefault(answered, -1L) : -1;
     }
--- a/src/main/java/slateseam/tier/agreement/Raft.java
+++ b/src/main/java/slateseam/tier/agreement/Raft.java
@@ -51,7 +51,7 @@
     private static final int RECALL_PERIODS = 20;
 
     /** Waits for the disk. */
-    private record Held(long number, Seat to, Rpc message) {}
+    private record Held(long number, Voter to, Rpc message) {}
 
     /** What was had from one who votes: its latest term, and up to where it said in that term that it has the log. */
     private record Seen(long term, long match) {
@@ -61,19 +61,19 @@
     }
 
     private final RaftSettings settings;
-    private final Stable stable;
+    private final DurableState stable;
     private final RandomGenerator random;
     private final RaftPort port;
-    private final Map<Seat, Seen> seen = new HashMap<>();
-    private final Set<Seat> votes = new HashSet<>();
-    private final Set<Seat> recalled = new HashSet<>();
+    private final Map<Voter, Seen> seen = new HashMap<>();
+    private final Set<Voter> votes = new HashSet<>();
+    private final Set<Voter> recalled = new HashSet<>();
     private final Deque<Held> held = new ArrayDeque<>();
     /** Entries on their way to the disk: the number of the change, the entry. */
     private final Deque<long[]> writing = new ArrayDeque<>();
 
-    private List<Seat> seats;
+    private List<Voter> seats;
     private Role role;
-    private Seat leader;
+    private Voter leader;
     private Leadership leadership;
     private long now;
     private long lastTick;
@@ -95,7 +95,12 @@
      * @param fromDisk whether that was read from a disk, which may have forgotten some
      */
     public Raft(
-            RaftSettings settings, Stable stable, boolean fromDisk, long now, RandomGenerator random, RaftPort port) {
+            RaftSettings settings,
+            DurableState stable,
+            boolean fromDisk,
+            long now,
+            RandomGenerator random,
+            RaftPort port) {
         this.settings = settings;
         this.stable = stable;
         this.now = now;
@@ -116,7 +121,7 @@
     }
 
     /** Its own seat. */
-    public Seat self() {
+    public Voter self() {
         return stable.seat();
     }
 
@@ -126,9 +131,9 @@
             throw new IllegalStateException("it is in a group");
         }
         enter();
-        write(new Stable.Begin(group, self()));
-        write(new Stable.Snapshot(1, 1, List.of(self()), port.state()));
-        write(new Stable.Term(1, null));
+        write(new DurableState.Begin(group, self()));
+        write(new DurableState.Snapshot(1, 1, List.of(self()), port.state()));
+        write(new DurableState.Term(1, null));
         commit = 1;
         applied = 1;
         role = Role.FOLLOWER;
@@ -161,15 +166,15 @@
         lasts();
     }
 
-    private void write(Stable.Change change) {
+    private void write(DurableState.Change change) {
         stable.apply(change);
         written++;
-        if (change instanceof Stable.Append append) {
+        if (change instanceof DurableState.Append append) {
             writing.add(new long[] {written, append.index()});
-        } else if (change instanceof Stable.Cut cut) {
+        } else if (change instanceof DurableState.Cut cut) {
             lastingIndex = Math.min(lastingIndex, cut.index() - 1);
             writing.removeIf(one -> one[1] >= cut.index());
-        } else if (change instanceof Stable.Snapshot snapshot) {
+        } else if (change instanceof DurableState.Snapshot snapshot) {
             lastingIndex = Math.min(lastingIndex, stable.lastIndex());
             writing.removeIf(one -> one[1] > stable.lastIndex());
             writing.add(new long[] {written, snapshot.index()});
@@ -202,7 +207,7 @@
     }
 
     /** Guards against an answer for what a power cut would make undone. */
-    private void sendOnceLasting(Seat to, Rpc message) {
+    private void sendOnceLasting(Voter to, Rpc message) {
         if (lasting >= written) {
             port.send(to, message);
         } else {
@@ -213,7 +218,7 @@
         }
     }
 
-    private Head head(Seat to) {
+    private Head head(Voter to) {
         return new Head(stable.group(), self(), to, stable.term());
     }
 
@@ -254,11 +259,11 @@
         }
     }
 
-    private List<Seat> others() {
+    private List<Voter> others() {
         return seats.stream().filter(seat -> !seat.equals(self())).toList();
     }
 
-    private boolean isMajority(Set<Seat> some) {
+    private boolean isMajority(Set<Voter> some) {
         return 2 * seats.stream().filter(some::contains).count() > seats.size();
     }
 
@@ -272,7 +277,7 @@
             return;
         }
         role = Role.PRE_CANDIDATE;
-        for (Seat seat : others()) {
+        for (Voter seat : others()) {
             Head asked = new Head(stable.group(), self(), seat, stable.term() + 1);
             sendOnceLasting(seat, new RequestVote(asked, true, stable.lastIndex(), stable.lastTerm()));
         }
@@ -283,7 +288,7 @@
 
     private void stand() {
         role = Role.CANDIDATE;
-        write(new Stable.Term(stable.term() + 1, self()));
+        write(new DurableState.Term(stable.term() + 1, self()));
         votes.clear();
         votes.add(self());
         others().forEach(seat ->
@@ -297,14 +302,15 @@
         role = Role.LEADER;
         leader = self();
         leadership = new Leadership(self());
-        write(new Stable.Append(stable.lastIndex() + 1, new Entry(stable.term(), Entry.Kind.NOTHING, new byte[0])));
+        write(new DurableState.Append(
+                stable.lastIndex() + 1, new Entry(stable.term(), Entry.Kind.NOTHING, new byte[0])));
         beat();
     }
 
     /** Follows whoever leads in a term, or waits for one. */
-    private void follow(long term, Seat whom) {
+    private void follow(long term, Voter whom) {
         if (term > stable.term()) {
-            write(new Stable.Term(term, null));
+            write(new DurableState.Term(term, null));
         }
         role = isSeated() ? Role.FOLLOWER : Role.LEARNER;
         leadership = null;
@@ -315,7 +321,7 @@
     private void beat() {
         nextBeat = now + settings.periodNanos();
         leadership.begin(now);
-        for (Seat seat : leadership.followers(seats)) {
+        for (Voter seat : leadership.followers(seats)) {
             Leadership.Progress one = leadership.of(seat, stable.lastIndex(), now);
             if (now - one.answeredAt > 2 * settings.periodNanos() && !one.probing) {
                 one.probing = true; // what was under way is lost
@@ -326,7 +332,7 @@
     }
 
     /** Sends what it lacks; a heartbeat even if it lacks nothing. */
-    private void send(Seat to, Leadership.Progress one, boolean always) {
+    private void send(Voter to, Leadership.Progress one, boolean always) {
         boolean first = always;
         while (first || !one.probing && one.next <= stable.lastIndex() && one.next - 1 - one.match < MOST_UNDER_WAY) {
             first = false;
@@ -368,7 +374,7 @@
         }
         enter();
         if (joins) {
-            write(new Stable.Begin(head.group(), self()));
+            write(new DurableState.Begin(head.group(), self()));
         }
         remember(message);
         if (message instanceof Recall) {
@@ -436,7 +442,7 @@
     }
 
     private void asked(RequestVote r) {
-        Seat from = r.head().from();
+        Voter from = r.head().from();
         boolean hasAll = r.lastTerm() > stable.lastTerm()
                 || r.lastTerm() == stable.lastTerm() && r.lastIndex() >= stable.lastIndex();
         if (r.pre()) {
@@ -463,7 +469,7 @@
                 && hasAll
                 && (stable.vote() == null || stable.vote().equals(from));
         if (granted && stable.vote() == null) {
-            write(new Stable.Term(stable.term(), from));
+            write(new DurableState.Term(stable.term(), from));
         }
         if (granted) {
             patient(now);
@@ -505,7 +511,7 @@
         if (!isOfLeader(r)) {
             return;
         }
-        Seat from = r.head().from();
+        Voter from = r.head().from();
         long before = r.previousIndex();
         if (before > stable.lastIndex() || before >= stable.baseIndex() && stable.termAt(before) != r.previousTerm()) {
             sendOnceLasting(from, new Appended(head(from), false, Math.min(before - 1, stable.lastIndex()), r.round()));
@@ -523,9 +529,9 @@
                 return;
             }
             if (index <= stable.lastIndex()) {
-                write(new Stable.Cut(index));
+                write(new DurableState.Cut(index));
             }
-            write(new Stable.Append(index, entry));
+            write(new DurableState.Append(index, entry));
         }
         commit = Math.max(commit, Math.min(r.commit(), index));
         applyAll();
@@ -537,11 +543,11 @@
         if (!isOfLeader(r)) {
             return;
         }
-        Seat from = r.head().from();
+        Voter from = r.head().from();
         boolean has = r.index() <= commit;
         byte[] state = has ? null : port.content(r.hash(), r.length(), from.router());
         if (state != null) {
-            write(new Stable.Snapshot(r.index(), r.lastTerm(), r.seats(), state));
+            write(new DurableState.Snapshot(r.index(), r.lastTerm(), r.seats(), state));
             commit = r.index();
             applied = commit;
             port.install(applied, state);
@@ -609,7 +615,7 @@
             port.apply(applied, stable.entry(applied));
         }
         if (applied - stable.baseIndex() > settings.keptEntries()) {
-            write(new Stable.Snapshot(applied, stable.termAt(applied), stable.seatsAsOf(applied), port.state()));
+            write(new DurableState.Snapshot(applied, stable.termAt(applied), stable.seatsAsOf(applied), port.state()));
         }
     }
 
@@ -620,15 +626,15 @@
         }
         enter();
         long index = stable.lastIndex() + 1;
-        write(new Stable.Append(index, new Entry(stable.term(), Entry.Kind.COMMAND, body)));
+        write(new DurableState.Append(index, new Entry(stable.term(), Entry.Kind.COMMAND, body)));
         beat();
         leave();
         return index;
     }
 
     /** Changes who votes, by one; false if it does not lead, or another change is not committed yet. */
-    public boolean change(List<Seat> to) {
-        Set<Seat> differ = new HashSet<>(to);
+    public boolean change(List<Voter> to) {
+        Set<Voter> differ = new HashSet<>(to);
         seats.forEach(seat -> {
             if (!differ.remove(seat)) {
                 differ.add(seat);
@@ -639,31 +645,32 @@
                 || stable.seatsAt() > commit
                 || differ.size() != 1
                 || to.isEmpty()
-                || to.size() > Seat.MOST) {
+                || to.size() > Voter.MOST) {
             return false;
         }
         enter();
-        write(new Stable.Append(stable.lastIndex() + 1, new Entry(stable.term(), Entry.Kind.SEATS, Seat.bytes(to))));
+        write(new DurableState.Append(
+                stable.lastIndex() + 1, new Entry(stable.term(), Entry.Kind.SEATS, Voter.bytes(to))));
         beat();
         leave();
         return true;
     }
 
     /** The leader sends the log to these as well, so that they have it when they are to vote. */
-    public void join(Collection<Seat> some) {
+    public void join(Collection<Voter> some) {
         if (role == Role.LEADER) {
             leadership.join(some);
         }
     }
 
     /** Whether one that joins has nearly all. */
-    public boolean hasCaughtUp(Seat seat) {
+    public boolean hasCaughtUp(Voter seat) {
         Leadership.Progress one = role == Role.LEADER ? leadership.find(seat) : null;
         return one != null && one.match > 0 && one.match + MOST_UNDER_WAY / 4 >= stable.lastIndex();
     }
 
     /** Whether one that votes has not answered its leader for longer than messages are lost by chance. */
-    public boolean isSilent(Seat seat) {
+    public boolean isSilent(Voter seat) {
         Leadership.Progress one = role == Role.LEADER ? leadership.find(seat) : null;
         return one != null && now - one.answeredAt > 2 * settings.electionNanos();
     }
@@ -679,7 +686,7 @@
     }
 
     /** Whom it follows, itself if it leads; null while it knows nobody. */
-    public Seat leader() {
+    public Voter leader() {
         return leader;
     }
 
@@ -699,7 +706,7 @@
     }
 
     /** Who votes, as far as it knows. */
-    public List<Seat> seats() {
+    public List<Voter> seats() {
         return seats;
     }
 
@@ -717,7 +724,7 @@
                     .append(Arrays.toString(stable.entry(i).body()));
         }
         if (leadership != null) {
-            for (Seat seat : seats) {
+            for (Voter seat : seats) {
                 Leadership.Progress one = leadership.find(seat);
                 text.append(one == null ? "|" : "|" + one.next + "," + one.match);
             }
--- a/src/main/java/slateseam/tier/agreement/RaftPort.java
+++ b/src/main/java/slateseam/tier/agreement/RaftPort.java
@@ -3,13 +3,13 @@
 /** What the log's protocol asks of whoever carries it. */
 public interface RaftPort {
     /** Sends a message; it may be lost. */
-    void send(Seat to, Rpc message);
+    void send(Voter to, Rpc message);
 
     /**
      * Writes a change to where it lasts, behind those before it. Once it is there, {@link Raft#persisted} is to be called with
      * its number, at once or later.
      */
-    void persist(long number, Stable.Change change);
+    void persist(long number, DurableState.Change change);
 
     /** An entry is committed; each is told once, in order. */
     void apply(long index, Entry entry);
--- a/src/main/java/slateseam/tier/agreement/Rpc.java
+++ b/src/main/java/slateseam/tier/agreement/Rpc.java
@@ -27,7 +27,7 @@
     int ENTRY_ROOM = MOST_BYTES - HEAD_BYTES - 4 * Long.BYTES - 1;
 
     /** Which group of voters it is of, who sent it, to whom, and in which term. */
-    record Head(long group, Seat from, Seat to, long term) {}
+    record Head(long group, Voter from, Voter to, long term) {}
 
     /** What all have. */
     Head head();
@@ -46,7 +46,7 @@
     record Appended(Head head, boolean fitted, long match, long round) implements Rpc {}
 
     /** Entries up to this one are no longer there: what they came to is, by its hash. */
-    record InstallSnapshot(Head head, long index, long lastTerm, long round, byte[] hash, int length, List<Seat> seats)
+    record InstallSnapshot(Head head, long index, long lastTerm, long round, byte[] hash, int length, List<Voter> seats)
             implements Rpc {}
 
     /** One who read its memory from a disk asks what was had from it last. */
@@ -121,7 +121,7 @@
         }
         try {
             ByteBuffer in = ByteBuffer.wrap(bytes).position(8);
-            Head head = new Head(in.getLong(), Seat.get(in), Seat.get(in), in.getLong());
+            Head head = new Head(in.getLong(), Voter.get(in), Voter.get(in), in.getLong());
             Rpc rpc = switch (bytes[2]) {
                 case 0 -> new RequestVote(head, in.get() != 0, in.getLong(), in.getLong());
                 case 1 -> new Vote(head, in.get() != 0, in.get() != 0);
@@ -139,9 +139,9 @@
                     byte[] hash = new byte[in.get()];
                     in.get(hash);
                     int length = in.getInt();
-                    List<Seat> seats = new ArrayList<>();
+                    List<Voter> seats = new ArrayList<>();
                     for (int i = in.get(); i > 0; i--) {
-                        seats.add(Seat.get(in));
+                        seats.add(Voter.get(in));
                     }
                     yield new InstallSnapshot(head, numbers[0], numbers[1], numbers[2], hash, length, seats);
                 }
--- a/src/main/java/slateseam/tier/agreement/Seat.java
+++ b/src/main/java/slateseam/tier/agreement/Voter.java
@@ -11,7 +11,7 @@
  * @param router its number
  * @param memory drawn when the memory began, never 0
  */
-public record Seat(int router, long memory) implements Comparable<Seat> {
+public record Voter(int router, long memory) implements Comparable<Voter> {
     static final int BYTES = Short.BYTES + Long.BYTES;
     /** As many vote at the most. */
     public static final int MOST = 7;
@@ -20,18 +20,18 @@
         out.putShort((short) router).putLong(memory);
     }
 
-    static Seat get(ByteBuffer in) {
-        return new Seat(in.getShort(), in.getLong());
+    static Voter get(ByteBuffer in) {
+        return new Voter(in.getShort(), in.getLong());
     }
 
-    static byte[] bytes(List<Seat> seats) {
+    static byte[] bytes(List<Voter> seats) {
         ByteBuffer out = ByteBuffer.allocate(seats.size() * BYTES);
         seats.forEach(seat -> seat.put(out));
         return out.array();
     }
 
-    static List<Seat> all(byte[] bytes) {
-        List<Seat> seats = new ArrayList<>();
+    static List<Voter> all(byte[] bytes) {
+        List<Voter> seats = new ArrayList<>();
         for (ByteBuffer in = ByteBuffer.wrap(bytes); in.remaining() >= BYTES; ) {
             seats.add(get(in));
         }
@@ -39,9 +39,9 @@
     }
 
     @Override
-    public int compareTo(Seat other) {
-        return Comparator.comparingInt(Seat::router)
-                .thenComparingLong(Seat::memory)
+    public int compareTo(Voter other) {
+        return Comparator.comparingInt(Voter::router)
+                .thenComparingLong(Voter::memory)
                 .compare(this, other);
     }
 
--- a/src/main/java/slateseam/tier/policy/Policy.java
+++ b/src/main/java/slateseam/tier/policy/Policy.java
@@ -10,12 +10,12 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import slateseam.tier.agreement.Admission;
+import slateseam.tier.agreement.DurableState;
 import slateseam.tier.agreement.Entry;
 import slateseam.tier.agreement.Raft;
 import slateseam.tier.agreement.RaftPort;
 import slateseam.tier.agreement.Rpc;
-import slateseam.tier.agreement.Seat;
-import slateseam.tier.agreement.Stable;
+import slateseam.tier.agreement.Voter;
 
 /**
  * One router's part in the policy of the tier: what it knows of versions and how old that is, which one it serves by, whether it may
@@ -90,7 +90,7 @@
      *
      * @param memory of the voter, as its disk had it; null for none that can be relied on
      */
-    public Policy(PolicySettings settings, Stable memory, long now, RandomGenerator random, PolicyPort port) {
+    public Policy(PolicySettings settings, DurableState memory, long now, RandomGenerator random, PolicyPort port) {
         this.settings = settings;
         this.port = port;
         this.random = random;
@@ -109,12 +109,12 @@
     /** Its part in the log's protocol. */
     private final class Log implements RaftPort {
         @Override
-        public void send(Seat to, Rpc message) {
+        public void send(Voter to, Rpc message) {
             port.send(to.router(), message.encode());
         }
 
         @Override
-        public void persist(long number, Stable.Change change) {
+        public void persist(long number, DurableState.Change change) {
             port.persist(number, change);
         }
 
@@ -160,8 +160,8 @@
 
     /** A memory begins, as another seat. */
     private void remember() {
-        Stable stable = new Stable();
-        Stable.Begin begin = new Stable.Begin(0, new Seat(settings.me(), 1 + (random.nextLong() >>> 2)));
+        DurableState stable = new DurableState();
+        DurableState.Begin begin = new DurableState.Begin(0, new Voter(settings.me(), 1 + (random.nextLong() >>> 2)));
         stable.apply(begin);
         raft = new Raft(settings.raft(), stable, false, now, random, new Log());
         port.persist(0, begin);
@@ -340,7 +340,7 @@
                                 leader(),
                                 voting().stream()
                                         .mapToInt(i -> i)
-                                        .limit(Seat.MOST)
+                                        .limit(Voter.MOST)
                                         .toArray())
                         .encode());
     }
--- a/src/main/java/slateseam/tier/policy/PolicyPort.java
+++ b/src/main/java/slateseam/tier/policy/PolicyPort.java
@@ -1,6 +1,6 @@
 package slateseam.tier.policy;
 
-import slateseam.tier.agreement.Stable;
+import slateseam.tier.agreement.DurableState;
 
 /** What the policy asks of whoever carries it. */
 public interface PolicyPort {
@@ -8,7 +8,7 @@
     void send(int router, byte[] datagram);
 
     /** Writes a change of the voter's memory; {@link Policy#persisted} is to be called with its number once it lasts. */
-    void persist(long number, Stable.Change change);
+    void persist(long number, DurableState.Change change);
 
     /** The voter's memory begins anew: what was written so far is void. */
     void forget(String why);
--- a/src/test/java/slateseam/simulate/AgreementBugs.java
+++ b/src/test/java/slateseam/simulate/AgreementBugs.java
@@ -28,7 +28,7 @@
                 bug(
                         "a vote is not written down",
                         "Raft",
-                        "            write(new Stable.Term(stable.term(), from));",
+                        "            write(new DurableState.Term(stable.term(), from));",
                         ""),
                 bug("answers do not wait for the disk", "Raft", "if (lasting >= written) {", "if (true) {"),
                 bug(
@@ -74,8 +74,8 @@
                 bug(
                         "a snapshot forgets who votes",
                         "Raft",
-                        "write(new Stable.Snapshot(r.index(), r.lastTerm(), r.seats(), state));",
-                        "write(new Stable.Snapshot(r.index(), r.lastTerm(), stable.baseSeats(), state));"));
+                        "write(new DurableState.Snapshot(r.index(), r.lastTerm(), r.seats(), state));",
+                        "write(new DurableState.Snapshot(r.index(), r.lastTerm(), stable.baseSeats(), state));"));
     }
 
     private static PlantedBug bug(String name, String file, String text, String instead) {
--- a/src/test/java/slateseam/tier/agreement/RaftExplorationTest.java
+++ b/src/test/java/slateseam/tier/agreement/RaftExplorationTest.java
@@ -33,7 +33,7 @@
     /** A small world in which a path of steps is played from the beginning. */
     private static final class Play {
         final Raft[] rafts = new Raft[VOTERS];
-        final List<List<Stable.Change>> disks = new ArrayList<>();
+        final List<List<DurableState.Change>> disks = new ArrayList<>();
         final long[] clocks = new long[VOTERS];
         final List<Rpc> underWay = new ArrayList<>();
         final List<List<String>> applied = new ArrayList<>();
@@ -43,15 +43,15 @@
         String broken;
 
         Play(List<Step> path) {
-            List<Seat> seats = new ArrayList<>();
+            List<Voter> seats = new ArrayList<>();
             for (int i = 0; i < VOTERS; i++) {
-                seats.add(new Seat(i, 1));
+                seats.add(new Voter(i, 1));
             }
             for (int i = 0; i < VOTERS; i++) {
                 disks.add(new ArrayList<>(List.of(
-                        new Stable.Begin(GROUP, seats.get(i)),
-                        new Stable.Snapshot(1, 1, seats, new byte[0]),
-                        new Stable.Term(1, null))));
+                        new DurableState.Begin(GROUP, seats.get(i)),
+                        new DurableState.Snapshot(1, 1, seats, new byte[0]),
+                        new DurableState.Term(1, null))));
                 applied.add(new ArrayList<>());
                 start(i, false);
             }
@@ -59,17 +59,17 @@
         }
 
         void start(int i, boolean fromDisk) {
-            Stable stable = new Stable();
+            DurableState stable = new DurableState();
             disks.get(i).forEach(stable::apply);
             applied.get(i).clear();
             rafts[i] = new Raft(SETTINGS, stable, fromDisk, clocks[i], () -> 0L, new RaftPort() {
                 @Override
-                public void send(Seat to, Rpc message) {
+                public void send(Voter to, Rpc message) {
                     underWay.add(message);
                 }
 
                 @Override
-                public void persist(long number, Stable.Change change) {
+                public void persist(long number, DurableState.Change change) {
                     disks.get(i).add(change);
                     if (rafts[i] != null) {
                         rafts[i].persisted(number);
