--- a/src/main/java/slateseam/tier/policy/Contents.java
+++ b/src/main/java/slateseam/tier/policy/DocumentStore.java
@@ -16,7 +16,7 @@
  * Documents and states by their hashes: what is here, and what is being got from another router, in parts that fit into datagrams. What
  * does not have the hash that was asked for is thrown away.
  */
-final class Contents {
+final class DocumentStore {
     /** Of one content. */
     static final int MOST_BYTES = 96 * 1024;
 
@@ -41,13 +41,13 @@
         }
     }
 
-    private final BiConsumer<Integer, Talk> send;
+    private final BiConsumer<Integer, PolicyMessage> send;
     private final Map<ByteBuffer, byte[]> kept = new LinkedHashMap<>(16, 0.75f, true);
     private final Map<ByteBuffer, Wanted> wanted = new LinkedHashMap<>();
     private Set<ByteBuffer> pinned = Set.of();
     private long now;
 
-    Contents(BiConsumer<Integer, Talk> send) {
+    DocumentStore(BiConsumer<Integer, PolicyMessage> send) {
         this.send = send;
     }
 
@@ -121,7 +121,8 @@
         }
         if (!some.isEmpty()) {
             send.accept(
-                    one.from, new Talk.Want(hash, some.stream().mapToInt(i -> i).toArray()));
+                    one.from,
+                    new PolicyMessage.Want(hash, some.stream().mapToInt(i -> i).toArray()));
         }
     }
 
@@ -131,14 +132,14 @@
     }
 
     /** Another asks for parts. */
-    void asked(int from, Talk.Want want) {
+    void asked(int from, PolicyMessage.Want want) {
         byte[] bytes = get(want.hash());
         for (int part : want.parts()) {
             int at = part * PART_BYTES;
             if (bytes != null && part >= 0 && at < bytes.length) {
                 send.accept(
                         from,
-                        new Talk.Part(
+                        new PolicyMessage.Part(
                                 want.hash(),
                                 part,
                                 Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + PART_BYTES))));
@@ -147,7 +148,7 @@
     }
 
     /** A part came; whether with it all is here. */
-    boolean came(Talk.Part part) {
+    boolean came(PolicyMessage.Part part) {
         ByteBuffer key = ByteBuffer.wrap(part.hash());
         Wanted one = wanted.get(key);
         int at = part.index() * PART_BYTES;
--- a/src/main/java/slateseam/tier/policy/Policy.java
+++ b/src/main/java/slateseam/tier/policy/Policy.java
@@ -33,16 +33,16 @@
     private static final long UNKNOWN = Long.MAX_VALUE;
 
     /** A newer state than is here, which is being got. */
-    private record Newer(Talk.Word word, long provenAt, long holdsAt) {}
+    private record Newer(PolicyMessage.Word word, long provenAt, long holdsAt) {}
 
     private final PolicySettings settings;
     private final PolicyPort port;
     private final RandomGenerator random;
-    private final Contents contents;
+    private final DocumentStore contents;
     private final Verdicts verdicts = new Verdicts();
     private final Shares shares = new Shares();
     private final Tree tree;
-    private final Steward steward;
+    private final PolicyCoordinator steward;
     /** Polls that are out: when each was sent. */
     private final TreeMap<Integer, Long> polls = new TreeMap<>();
     /** Who said that it knows of no group. */
@@ -79,7 +79,7 @@
     private long nextAdmit;
     private Version asks;
     private long nextAsk;
-    private byte[] stateHash = Contents.hash(new byte[0]);
+    private byte[] stateHash = DocumentStore.hash(new byte[0]);
     private int stateLength;
     private long stateRevision = -1;
     private String twoGroups = "";
@@ -95,9 +95,10 @@
         this.port = port;
         this.random = random;
         this.now = now;
-        contents = new Contents((router, talk) -> port.send(router, talk.encode()));
+        contents = new DocumentStore((router, talk) -> port.send(router, talk.encode()));
         tree = new Tree(settings, random);
-        steward = new Steward(settings, contents, verdicts, shares, port, command -> raft.propose(command.encode()));
+        steward = new PolicyCoordinator(
+                settings, contents, verdicts, shares, port, command -> raft.propose(command.encode()));
         if (memory == null) {
             remember();
         } else {
@@ -251,7 +252,7 @@
         Shares.Sum sum = shares.sum(now);
         port.send(
                 parent,
-                new Talk.Poll(
+                new PolicyMessage.Poll(
                                 group,
                                 settings.me(),
                                 raft.self().memory(),
@@ -294,16 +295,16 @@
                 raft.heard(now, rpc);
             }
         } else {
-            Talk talk = Talk.decode(datagram);
-            if (talk instanceof Talk.Poll poll) {
+            PolicyMessage talk = PolicyMessage.decode(datagram);
+            if (talk instanceof PolicyMessage.Poll poll) {
                 polled(from, poll);
-            } else if (talk instanceof Talk.Word word) {
+            } else if (talk instanceof PolicyMessage.Word word) {
                 told(from, word);
-            } else if (talk instanceof Talk.Want want) {
+            } else if (talk instanceof PolicyMessage.Want want) {
                 contents.asked(from, want);
-            } else if (talk instanceof Talk.Part part) {
+            } else if (talk instanceof PolicyMessage.Part part) {
                 contents.came(part);
-            } else if (talk instanceof Talk.Ask ask && raft.role() == Raft.Role.LEADER) {
+            } else if (talk instanceof PolicyMessage.Ask ask && raft.role() == Raft.Role.LEADER) {
                 steward.asked(ask, replica, now);
             }
         }
@@ -312,10 +313,10 @@
 
     /** The first bytes of all its datagrams, by which they are told from others. */
     public static byte[] firstBytes() {
-        return new byte[] {Rpc.MAGIC, Talk.MAGIC};
+        return new byte[] {Rpc.MAGIC, PolicyMessage.MAGIC};
     }
 
-    private void polled(int from, Talk.Poll poll) {
+    private void polled(int from, PolicyMessage.Poll poll) {
         memories.put(from, poll.memory());
         memoriesAt.put(from, now);
         if (poll.group() == group) {
@@ -328,7 +329,7 @@
         state();
         port.send(
                 from,
-                new Talk.Word(
+                new PolicyMessage.Word(
                                 group,
                                 settings.me(),
                                 poll.sequence(),
@@ -355,7 +356,7 @@
         }
     }
 
-    private void told(int from, Talk.Word word) {
+    private void told(int from, PolicyMessage.Word word) {
         Long sentAt = polls.remove(word.sequence());
         if (sentAt == null) {
             return;
@@ -615,7 +616,8 @@
         if (last == null) {
             return null;
         }
-        Version version = Steward.undo(last, current().before(last), settings.me(), port.unixMillis(), "by hand");
+        Version version =
+                PolicyCoordinator.undo(last, current().before(last), settings.me(), port.unixMillis(), "by hand");
         ask(version);
         return version;
     }
@@ -631,7 +633,7 @@
             asks = null;
             return;
         }
-        Talk.Ask ask = new Talk.Ask(settings.me(), asks);
+        PolicyMessage.Ask ask = new PolicyMessage.Ask(settings.me(), asks);
         if (raft.role() == Raft.Role.LEADER) {
             steward.asked(ask, replica, now);
         } else if (leader() >= 0) {
--- a/src/main/java/slateseam/tier/policy/Steward.java
+++ b/src/main/java/slateseam/tier/policy/PolicyCoordinator.java
@@ -8,14 +8,14 @@
 import java.util.function.Consumer;
 
 /** What the leader decides: whether a proposal is one, what becomes of it, and whether what holds is taken back. */
-final class Steward {
+final class PolicyCoordinator {
     private static final long SECOND = 1_000_000_000L;
     private static final long AGAIN_NANOS = SECOND;
     /** Whoever is alive may have just come, and be known to some only. */
     private static final int MOST_SHOWN = 4;
 
     private final PolicySettings settings;
-    private final Contents contents;
+    private final DocumentStore contents;
     private final Verdicts verdicts;
     private final Shares shares;
     private final PolicyPort port;
@@ -33,9 +33,9 @@
      *
      * @param log where commands are proposed
      */
-    Steward(
+    PolicyCoordinator(
             PolicySettings settings,
-            Contents contents,
+            DocumentStore contents,
             Verdicts verdicts,
             Shares shares,
             PolicyPort port,
@@ -56,7 +56,7 @@
     }
 
     /** A proposal has come from a router. */
-    void asked(Talk.Ask ask, Versions versions, long now) {
+    void asked(PolicyMessage.Ask ask, Versions versions, long now) {
         Version version = ask.version();
         Version same = versions.find(version.name());
         if (same != null && same.isLike(version.name(), version.hash())
@@ -190,7 +190,7 @@
 
     /** What brings back what was before a version. */
     static Version undo(Version version, Version before, int proposer, long unixMillis, String cause) {
-        byte[] hash = before == null ? Contents.hash(new byte[0]) : before.hash();
+        byte[] hash = before == null ? DocumentStore.hash(new byte[0]) : before.hash();
         return new Version(
                 0,
                 "undo-" + version.number(),
@@ -215,16 +215,16 @@
         if (was.length != is.length) {
             return null;
         }
-        for (int i = 0; i < Talk.CLASSES; i++) {
+        for (int i = 0; i < PolicyMessage.CLASSES; i++) {
             int points = 100 * ((was[i] & 0xff) - (is[i] & 0xff)) / 255;
             if (since.asked[i] >= Shares.LEAST_ASKED && points > newest.boundPoints()) {
                 return "class " + i + " served " + 100 * (is[i] & 0xff) / 255 + " after " + 100 * (was[i] & 0xff) / 255;
             }
         }
-        int more = 100 * ((is[Talk.CLASSES] & 0xff) - (was[Talk.CLASSES] & 0xff)) / 255;
+        int more = 100 * ((is[PolicyMessage.CLASSES] & 0xff) - (was[PolicyMessage.CLASSES] & 0xff)) / 255;
         return more > newest.boundPoints()
-                ? "refused " + 100 * (is[Talk.CLASSES] & 0xff) / 255 + " after "
-                        + 100 * (was[Talk.CLASSES] & 0xff) / 255
+                ? "refused " + 100 * (is[PolicyMessage.CLASSES] & 0xff) / 255 + " after "
+                        + 100 * (was[PolicyMessage.CLASSES] & 0xff) / 255
                 : null;
     }
 }
--- a/src/main/java/slateseam/tier/policy/Talk.java
+++ b/src/main/java/slateseam/tier/policy/PolicyMessage.java
@@ -16,7 +16,7 @@
  * 8  the kind's own fields
  * </pre>
  */
-sealed interface Talk {
+sealed interface PolicyMessage {
     byte MAGIC = (byte) 0xb9;
     int MOST_BYTES = 256;
     /** Classes whose shares are told. */
@@ -45,7 +45,7 @@
             int[] asked,
             int[] served,
             int refused)
-            implements Talk {}
+            implements PolicyMessage {}
 
     /**
      * The answer: what the newest state is, how old that knowledge is at the most, and how long it is until the newest version holds.
@@ -64,16 +64,16 @@
             int holdsInMillis,
             int leader,
             int[] voters)
-            implements Talk {}
+            implements PolicyMessage {}
 
     /** Parts of a content are asked for. */
-    record Want(byte[] hash, int[] parts) implements Talk {}
+    record Want(byte[] hash, int[] parts) implements PolicyMessage {}
 
     /** One of them. */
-    record Part(byte[] hash, int index, byte[] bytes) implements Talk {}
+    record Part(byte[] hash, int index, byte[] bytes) implements PolicyMessage {}
 
     /** A proposal on its way to the leader, who gets its document from whom it came. */
-    record Ask(int from, Version version) implements Talk {}
+    record Ask(int from, Version version) implements PolicyMessage {}
 
     default byte[] encode() {
         ByteBuffer out = ByteBuffer.allocate(2 * MOST_BYTES);
@@ -134,7 +134,7 @@
     }
 
     /** Reads a datagram; null for what is none of these, or is damaged. */
-    static Talk decode(byte[] bytes) {
+    static PolicyMessage decode(byte[] bytes) {
         if (bytes.length < 8
                 || bytes.length > MOST_BYTES
                 || bytes[0] != MAGIC
@@ -144,7 +144,7 @@
         }
         try {
             ByteBuffer in = ByteBuffer.wrap(bytes).position(8);
-            Talk talk = switch (bytes[2]) {
+            PolicyMessage talk = switch (bytes[2]) {
                 case 0 -> poll(in);
                 case 1 ->
                     new Word(
--- a/src/main/java/slateseam/tier/policy/Shares.java
+++ b/src/main/java/slateseam/tier/policy/Shares.java
@@ -14,16 +14,16 @@
     /** Fewer say nothing. */
     static final int LEAST_ASKED = 40;
 
-    private record Told(Talk.Poll poll, long at) {}
+    private record Told(PolicyMessage.Poll poll, long at) {}
 
     /** Sums of a time. */
     static final class Sum {
-        final long[] asked = new long[Talk.CLASSES];
-        final long[] served = new long[Talk.CLASSES];
+        final long[] asked = new long[PolicyMessage.CLASSES];
+        final long[] served = new long[PolicyMessage.CLASSES];
         long refused;
 
         void add(Sum other) {
-            for (int i = 0; i < Talk.CLASSES; i++) {
+            for (int i = 0; i < PolicyMessage.CLASSES; i++) {
                 asked[i] += other.asked[i];
                 served[i] += other.served[i];
             }
@@ -32,13 +32,13 @@
 
         /** The served share of each class and the refused share of all, in 255ths; 255 served and 0 refused where too few asked. */
         byte[] shares() {
-            byte[] shares = new byte[Talk.CLASSES + 1];
+            byte[] shares = new byte[PolicyMessage.CLASSES + 1];
             long all = 0;
-            for (int i = 0; i < Talk.CLASSES; i++) {
+            for (int i = 0; i < PolicyMessage.CLASSES; i++) {
                 all += asked[i];
                 shares[i] = (byte) (asked[i] < LEAST_ASKED ? 255 : Math.min(255, 255 * served[i] / asked[i]));
             }
-            shares[Talk.CLASSES] = (byte) (all < LEAST_ASKED ? 0 : Math.min(255, 255 * refused / all));
+            shares[PolicyMessage.CLASSES] = (byte) (all < LEAST_ASKED ? 0 : Math.min(255, 255 * refused / all));
             return shares;
         }
     }
@@ -50,7 +50,7 @@
     private long nextAt;
 
     /** What another tells of itself and of those that tell it. */
-    void told(Talk.Poll poll, long now) {
+    void told(PolicyMessage.Poll poll, long now) {
         children.put(poll.from(), new Told(poll, now));
     }
 
@@ -61,7 +61,7 @@
         }
         nextAt = now + SECOND;
         own = new Sum();
-        for (int i = 0; before != null && i < Math.min(Talk.CLASSES, tally.asked().length); i++) {
+        for (int i = 0; before != null && i < Math.min(PolicyMessage.CLASSES, tally.asked().length); i++) {
             own.asked[i] = tally.asked()[i] - (i < before.asked().length ? before.asked()[i] : 0);
             own.served[i] = tally.served()[i] - (i < before.served().length ? before.served()[i] : 0);
         }
@@ -80,7 +80,7 @@
         Sum sum = new Sum();
         sum.add(own);
         for (Told told : children.values()) {
-            for (int i = 0; i < Talk.CLASSES; i++) {
+            for (int i = 0; i < PolicyMessage.CLASSES; i++) {
                 sum.asked[i] += told.poll.asked()[i];
                 sum.served[i] += told.poll.served()[i];
             }
--- a/src/main/java/slateseam/tier/policy/Verdicts.java
+++ b/src/main/java/slateseam/tier/policy/Verdicts.java
@@ -36,7 +36,7 @@
     }
 
     /** What another says, if it is of the same version. */
-    void take(Talk.Poll poll) {
+    void take(PolicyMessage.Poll poll) {
         if (poll.open() == number && number != 0) {
             accepted.or(BitSet.valueOf(poll.accepted()));
             if (poll.refuser() >= 0) {
--- a/src/test/java/slateseam/simulate/PolicyBugs.java
+++ b/src/test/java/slateseam/simulate/PolicyBugs.java
@@ -25,10 +25,14 @@
                         "tier/agreement/Raft",
                         "return role == Role.LEADER ? leadership.provenAt(seats) : -1;",
                         "return role == Role.LEADER ? now : -1;"),
-                bug("a refusal is passed over", AT + "Steward", "if (verdicts.refuser() >= 0) {", "if (false) {"),
+                bug(
+                        "a refusal is passed over",
+                        AT + "PolicyCoordinator",
+                        "if (verdicts.refuser() >= 0) {",
+                        "if (false) {"),
                 bug(
                         "a change does not wait for all",
-                        AT + "Steward",
+                        AT + "PolicyCoordinator",
                         "} else if (kept && sure && verdicts.hasAll(alive)) {",
                         "} else if (kept && sure) {"),
                 bug(
