--- a/src/test/java/slateseam/tier/policy/LargeTierTest.java
+++ b/src/test/java/slateseam/tier/policy/LargeTierTest.java
@@ -38,8 +38,8 @@
         all.forEach(teller::accept);
         Verdicts told = new Verdicts();
         told.begin(VERSION);
-        Talk.Poll poll = poll(teller.bytes(), new int[Talk.CLASSES], new int[Talk.CLASSES]);
-        if (Talk.decode(poll.encode()) instanceof Talk.Poll read) {
+        PolicyMessage.Poll poll = poll(teller.bytes(), new int[PolicyMessage.CLASSES], new int[PolicyMessage.CLASSES]);
+        if (PolicyMessage.decode(poll.encode()) instanceof PolicyMessage.Poll read) {
             told.take(read);
         }
         return told.hasAll(all);
@@ -58,20 +58,20 @@
 
     /** What a router that asks nothing itself takes for the served share of the one below it. */
     private static double servedShare(int asked, int served) {
-        Talk.Poll poll = poll(new byte[0], filled(asked), filled(served));
+        PolicyMessage.Poll poll = poll(new byte[0], filled(asked), filled(served));
         Shares shares = new Shares();
-        shares.tick(new Tally(new long[Talk.CLASSES], new long[Talk.CLASSES], 0), SECOND);
-        shares.told((Talk.Poll) Talk.decode(poll.encode()), SECOND);
+        shares.tick(new Tally(new long[PolicyMessage.CLASSES], new long[PolicyMessage.CLASSES], 0), SECOND);
+        shares.told((PolicyMessage.Poll) PolicyMessage.decode(poll.encode()), SECOND);
         return (shares.sum(SECOND).shares()[0] & 0xff) / 255.0;
     }
 
     private static int[] filled(int number) {
-        int[] numbers = new int[Talk.CLASSES];
+        int[] numbers = new int[PolicyMessage.CLASSES];
         Arrays.fill(numbers, number);
         return numbers;
     }
 
-    private static Talk.Poll poll(byte[] accepted, int[] asked, int[] served) {
-        return new Talk.Poll(1, 7, 1, 1, 1, VERSION, accepted, -1, "", asked, served, 0);
+    private static PolicyMessage.Poll poll(byte[] accepted, int[] asked, int[] served) {
+        return new PolicyMessage.Poll(1, 7, 1, 1, 1, VERSION, accepted, -1, "", asked, served, 0);
     }
 }
