--- a/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
@@ -15,9 +15,9 @@
 import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
 import slateseam.tier.members.Members;
+import slateseam.tier.members.MembersPort;
 import slateseam.tier.members.MembersSettings;
 import slateseam.tier.members.Reach;
-import slateseam.tier.members.MembersPort;
 import slateseam.tier.members.State;
 import slateseam.tier.members.Traffic;
 
