Plant the minting bug where the accounts of links live now

Cause: TrialTest.aRouterThatMintsSupplyIsFound could not plant its bug ('must hold once') since the line that takes what moves from an account went from Neighbour to Ledger. The test names Ledger; the bug and what must be found are as before. Run alone: found, as supply.

--- a/src/test/java/slateseam/trial/TrialTest.java
+++ b/src/test/java/slateseam/trial/TrialTest.java
@@ -181,7 +181,7 @@
         Path planted = Planted.write(
                 dir.resolve("planted"),
                 "mints what it moves",
-                "decision/Neighbour",
+                "decision/Ledger",
                 "accounts.get(a).units -= Math.max(0, moved);",
                 "");
         assertThat(play(file("mints", "8 s", ""), planted + ":").findings())
