Name the stand-ins' parts by what they are: worker pool, server, counter, address

Workshop, Station, Tally, Tallies of standin and Place of standin.sockets are WorkerPool, StandInServer, Counter, Counters and ListenAddress.

--- a/src/main/java/slateseam/simulate/Fleet.java
+++ b/src/main/java/slateseam/simulate/Fleet.java
@@ -16,6 +16,7 @@
 import slateseam.standin.Archive;
 import slateseam.standin.Clockwork;
 import slateseam.standin.Copies;
+import slateseam.standin.Counter;
 import slateseam.standin.DiscoveryAgent;
 import slateseam.standin.DiscoveryFigures;
 import slateseam.standin.Listing;
@@ -23,7 +24,6 @@
 import slateseam.standin.Receipts;
 import slateseam.standin.Shared;
 import slateseam.standin.Spoil;
-import slateseam.standin.Tally;
 import slateseam.standin.World;
 import slateseam.standin.useragent.ClassFigures;
 import slateseam.standin.useragent.Popularity;
@@ -178,7 +178,7 @@
     /** What the servers together and the origin counted. */
     public Map<String, Long> tallies() {
         Map<String, Long> all = new TreeMap<>();
-        for (Tally tally : Tally.values()) {
+        for (Counter tally : Counter.values()) {
             all.put("origin " + tally, origin.tallies().of(tally));
             all.put(
                     "servers " + tally,
--- a/src/main/java/slateseam/simulate/Phases.java
+++ b/src/main/java/slateseam/simulate/Phases.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.TreeSet;
 import slateseam.simulate.scenario.Fault;
-import slateseam.standin.Tallies;
-import slateseam.standin.Tally;
+import slateseam.standin.Counter;
+import slateseam.standin.Counters;
 import slateseam.standin.useragent.Outcomes;
 import slateseam.standin.useragent.Request;
 
@@ -193,9 +193,9 @@
     }
 
     /** What the origin has counted so far; what is new belongs to this phase. */
-    public void origin(Phase phase, Tallies tallies) {
-        long fetched = tallies.of(Tally.FETCHED);
-        long turned = tallies.of(Tally.TURNED_AWAY);
+    public void origin(Phase phase, Counters tallies) {
+        long fetched = tallies.of(Counter.FETCHED);
+        long turned = tallies.of(Counter.TURNED_AWAY);
         phase.fetches += fetched - fetchesBefore;
         phase.turnedAway += turned - turnedBefore;
         fetchesBefore = fetched;
--- a/src/main/java/slateseam/simulate/Reports.java
+++ b/src/main/java/slateseam/simulate/Reports.java
@@ -48,7 +48,7 @@
                 .put("counts", new JSONObject(result.tallies()));
     }
 
-    private static JSONObject parts(Map<String, Service.Tally> tallies) {
+    private static JSONObject parts(Map<String, Service.Counter> tallies) {
         JSONObject parts = new JSONObject();
         tallies.forEach((name, tally) -> parts.put(
                 name, new JSONObject().put("requests", tally.requests()).put("service", tally.service())));
@@ -77,7 +77,7 @@
                         .collect(Collectors.joining()));
     }
 
-    private static String shown(Map<String, Service.Tally> tallies) {
+    private static String shown(Map<String, Service.Counter> tallies) {
         return tallies.entrySet().stream()
                 .map(entry -> String.format(
                         Locale.ROOT,
--- a/src/main/java/slateseam/standin/ApplicationServer.java
+++ b/src/main/java/slateseam/standin/ApplicationServer.java
@@ -9,7 +9,7 @@
  * An application server: cores with slots and a waiting room, a store of copies, and connections on which routers ask
  * in RESP2. It begins down; {@link #start} brings it up. What lies beyond a bound is told at the figure that sets it.
  */
-public final class ApplicationServer extends Station {
+public final class ApplicationServer extends StandInServer {
     /** Fetches that are told to be out; beyond them the oldest counts as out no more. */
     private static final int MOST_FETCHES = 65_536;
 
@@ -29,7 +29,7 @@
     private Store store;
     private Warmth warmth;
     private ColdLoad coldLoad;
-    private Workshop workshop;
+    private WorkerPool workshop;
     private double slowness = 1;
     private int starts;
     private long born;
@@ -84,7 +84,7 @@
         fetches.clear();
         warmth = new Warmth(born, figures.cold().share(), cold ? figures.cold().warmNanos() : 0);
         coldLoad = new ColdLoad(figures.cold());
-        workshop = new Workshop(
+        workshop = new WorkerPool(
                 clock,
                 warmth,
                 figures.cores(),
@@ -200,7 +200,7 @@
 
     /** Does a new connection's work, then lets its first request wait, then goes on. */
     void handshake(ServerLink link) {
-        workshop.beside(new Workshop.Job() {
+        workshop.beside(new WorkerPool.Job() {
             @Override
             double begin() {
                 return figures.connections().openSeconds();
@@ -223,9 +223,9 @@
 
     /** Counts a request; whether the server still stands. */
     boolean stands(ServerRequest request) {
-        tallies.add(Tally.ASKED);
+        tallies.add(Counter.ASKED);
         if (draining) {
-            tallies.add(Tally.ASKED_DRAINING);
+            tallies.add(Counter.ASKED_DRAINING);
         }
         if (!warmth.isCold(clock.now())) {
             return true;
@@ -262,8 +262,8 @@
 
     /** The load report, as names and values. */
     String report() {
-        long reads = tallies.of(Tally.HIT) + tallies.of(Tally.MISS) + tallies.of(Tally.PENDING);
-        long hits = reads == 0 ? 0 : 100 * tallies.of(Tally.HIT) / reads;
+        long reads = tallies.of(Counter.HIT) + tallies.of(Counter.MISS) + tallies.of(Counter.PENDING);
+        long hits = reads == 0 ? 0 : 100 * tallies.of(Counter.HIT) / reads;
         return "inwork=" + workshop.inWork() + ",waiting=" + (workshop.held() - workshop.inWork()) + ",hits=" + hits;
     }
 
@@ -271,7 +271,7 @@
         return store;
     }
 
-    Workshop workshop() {
+    WorkerPool workshop() {
         return workshop;
     }
 
--- a/src/main/java/slateseam/standin/Tally.java
+++ b/src/main/java/slateseam/standin/Counter.java
@@ -1,7 +1,7 @@
 package slateseam.standin;
 
 /** What stand-ins count. */
-public enum Tally {
+public enum Counter {
     /** Commands and requests that came whole, probes not among them. */
     ASKED,
     /** Answers with a kept value. */
--- a/src/main/java/slateseam/standin/Tallies.java
+++ b/src/main/java/slateseam/standin/Counters.java
@@ -1,17 +1,17 @@
 package slateseam.standin;
 
 /** The counts of one stand-in since it was made. */
-public final class Tallies {
-    private final long[] counts = new long[Tally.values().length];
+public final class Counters {
+    private final long[] counts = new long[Counter.values().length];
 
-    Tallies() {}
+    Counters() {}
 
-    void add(Tally tally) {
+    void add(Counter tally) {
         counts[tally.ordinal()]++;
     }
 
     /** So many of them. */
-    public long of(Tally tally) {
+    public long of(Counter tally) {
         return counts[tally.ordinal()];
     }
 }
--- a/src/main/java/slateseam/standin/DiscoveryAgent.java
+++ b/src/main/java/slateseam/standin/DiscoveryAgent.java
@@ -13,7 +13,7 @@
  * Discovery's agent on one router's machine, asked in HTTP/1.1: {@code GET /api/targets} for the whole list, with
  * {@code ?index=N&wait=MS} for what is newer. It takes up to 64 connections and refuses more.
  */
-public final class DiscoveryAgent extends Station {
+public final class DiscoveryAgent extends StandInServer {
     private static final int MOST_CONNECTIONS = 64;
 
     private final DiscoveryFigures figures;
@@ -104,7 +104,7 @@
     }
 
     void take(DiscoveryCall call, int movesBefore) {
-        tallies.add(Tally.ASKED);
+        tallies.add(Counter.ASKED);
         if (movesBefore == moves) {
             calls.add(call);
             clock.at(call.until(), () -> answerInTurn(call));
--- a/src/main/java/slateseam/standin/Link.java
+++ b/src/main/java/slateseam/standin/Link.java
@@ -21,7 +21,7 @@
         GONE
     }
 
-    final Station station;
+    final StandInServer station;
     final Wire wire;
     /** What came and is not read yet. */
     protected final Inbox inbox = new Inbox();
@@ -35,7 +35,7 @@
     private boolean idleArmed;
 
     /** A connection on which so many requests are begun at once. */
-    protected Link(Station station, Wire wire, int atOnce) {
+    protected Link(StandInServer station, Wire wire, int atOnce) {
         this.station = station;
         this.wire = wire;
         this.atOnce = atOnce;
@@ -105,7 +105,7 @@
                 begin(exchange);
             }
         } catch (UnreadableException e) {
-            station.tallies.add(Tally.UNREADABLE);
+            station.tallies.add(Counter.UNREADABLE);
             Simple last = new Simple(this, true, unreadable());
             open.add(last);
             last.give();
@@ -164,7 +164,7 @@
         idleArmed = false;
         if (state == State.OPEN && open.isEmpty()) {
             if (station.clock.now() >= quietSince + station.idleNanos) {
-                station.tallies.add(Tally.IDLE);
+                station.tallies.add(Counter.IDLE);
                 end();
             } else {
                 armIdle();
--- a/src/main/java/slateseam/standin/Origin.java
+++ b/src/main/java/slateseam/standin/Origin.java
@@ -7,13 +7,13 @@
  * down; {@link #start} brings it up. A write that is carried out voids the copies of its key at all application
  * servers; a read that is still waited for when it ends is stored at those that missed it.
  */
-public final class Origin extends Station {
+public final class Origin extends StandInServer {
     private final String name;
     private final OriginFigures figures;
     private final Witness witness;
     private final Shared shared;
     private final Spoiler spoiler;
-    private Workshop workshop;
+    private WorkerPool workshop;
     private double slowness = 1;
     private double trouble;
 
@@ -44,7 +44,7 @@
         if (isUp()) {
             throw new IllegalStateException(name + " is up");
         }
-        workshop = new Workshop(
+        workshop = new WorkerPool(
                 clock,
                 new Warmth(clock.now(), 1, 0),
                 figures.places(),
@@ -132,7 +132,7 @@
         return figures.reports() ? "X-Backend-Load: " + report() + "\r\n" : "";
     }
 
-    Workshop workshop() {
+    WorkerPool workshop() {
         return workshop;
     }
 
--- a/src/main/java/slateseam/standin/OriginLink.java
+++ b/src/main/java/slateseam/standin/OriginLink.java
@@ -45,7 +45,7 @@
     }
 
     private Exchange probe(String path, boolean closes) {
-        origin.tallies.add(Tally.PROBED);
+        origin.tallies.add(Counter.PROBED);
         return new Simple(
                 this,
                 closes,
--- a/src/main/java/slateseam/standin/OriginRequest.java
+++ b/src/main/java/slateseam/standin/OriginRequest.java
@@ -24,7 +24,7 @@
     private Course course;
     private boolean fails;
     private boolean gone;
-    private final Workshop.Job job = new Workshop.Job() {
+    private final WorkerPool.Job job = new WorkerPool.Job() {
         @Override
         double begin() {
             return beginWork();
@@ -50,7 +50,7 @@
 
     /** Its last byte has come. */
     void arrive() {
-        origin.tallies.add(Tally.ASKED);
+        origin.tallies.add(Counter.ASKED);
         if (trouble == 503 || trouble == 504) {
             turnAway(trouble);
         } else if (origin.workshop().isFull()) {
@@ -70,7 +70,7 @@
     }
 
     private void turnAway(int status) {
-        origin.tallies.add(Tally.TURNED_AWAY);
+        origin.tallies.add(Counter.TURNED_AWAY);
         if (!gone) {
             give(Answers.http(status, NEVER_RAN + origin.reportHeader(), "never ran\n"));
         }
@@ -103,17 +103,17 @@
         if (course == Course.WRITE) {
             version = archive.write(key);
             origin.shared().copies().written(key);
-            origin.tallies.add(Tally.WRITTEN);
+            origin.tallies.add(Counter.WRITTEN);
         } else if (course == Course.READ) {
-            origin.tallies.add(Tally.FETCHED);
+            origin.tallies.add(Counter.FETCHED);
         } else if (course == Course.REPEAT) {
-            origin.tallies.add(Tally.REPEAT);
+            origin.tallies.add(Counter.REPEAT);
         }
         if (gone) {
             return;
         }
         if (fails) {
-            origin.tallies.add(Tally.FAILED);
+            origin.tallies.add(Counter.FAILED);
             give(Answers.http(500, origin.reportHeader(), "failed\n"));
             return;
         }
@@ -151,7 +151,7 @@
         gone = true;
         boolean mayStop = !origin.figures().goesOn() && !(job.isInWork() && course == Course.WRITE);
         if (mayStop && origin.workshop().remove(job)) {
-            origin.tallies.add(Tally.STOPPED);
+            origin.tallies.add(Counter.STOPPED);
         }
     }
 }
--- a/src/main/java/slateseam/standin/ServerLink.java
+++ b/src/main/java/slateseam/standin/ServerLink.java
@@ -68,7 +68,7 @@
                     RequestFacts.of(RequestFacts.visible(command.get(3))),
                     write);
         } catch (UnreadableException e) {
-            server.tallies.add(Tally.UNREADABLE);
+            server.tallies.add(Counter.UNREADABLE);
             return new Simple(this, surplus, Answers.line("-SYNTAX " + e.getMessage()));
         }
     }
@@ -81,7 +81,7 @@
     }
 
     private Exchange probe(byte[] reply) {
-        server.tallies.add(Tally.PROBED);
+        server.tallies.add(Counter.PROBED);
         return server.figures().probing().allowed()
                 ? new ServerProbe(server, this, surplus, reply)
                 : new Simple(this, surplus, reply);
@@ -92,7 +92,7 @@
         if (exchange instanceof Simple simple) {
             simple.give();
         } else if (surplus) {
-            server.tallies.add(Tally.TURNED_AWAY);
+            server.tallies.add(Counter.TURNED_AWAY);
             exchange.answer(Answers.line("-BUSY"));
         } else if (exchange instanceof ServerProbe probe) {
             onceReady(probe::enter);
--- a/src/main/java/slateseam/standin/ServerProbe.java
+++ b/src/main/java/slateseam/standin/ServerProbe.java
@@ -6,7 +6,7 @@
     /** Null for the load report as it is then. */
     private final byte[] reply;
 
-    private final Workshop.Job job = new Workshop.Job() {
+    private final WorkerPool.Job job = new WorkerPool.Job() {
         @Override
         double begin() {
             return server.figures().probing().seconds();
--- a/src/main/java/slateseam/standin/ServerRequest.java
+++ b/src/main/java/slateseam/standin/ServerRequest.java
@@ -23,7 +23,7 @@
     private Course course;
     private long version;
     private boolean gone;
-    private final Workshop.Job job = new Workshop.Job() {
+    private final WorkerPool.Job job = new WorkerPool.Job() {
         @Override
         double begin() {
             return beginWork();
@@ -82,7 +82,7 @@
     }
 
     private void turnAway() {
-        server.tallies.add(Tally.TURNED_AWAY);
+        server.tallies.add(Counter.TURNED_AWAY);
         answer(Answers.line("-BUSY"));
     }
 
@@ -118,29 +118,29 @@
         if (course == Course.WRITE) {
             version = server.shared().archive().write(key);
             server.shared().copies().written(key);
-            server.tallies.add(Tally.WRITTEN);
+            server.tallies.add(Counter.WRITTEN);
         }
         if (gone) {
             return;
         }
         if (Draws.chance(draws, "error", server.figures().errorShare())) {
-            server.tallies.add(Tally.FAILED);
+            server.tallies.add(Counter.FAILED);
             answer(Answers.line("-ERR failed"));
             return;
         }
         switch (course) {
-            case HIT -> give(Tally.HIT, server.shared().archive().value(key, version, id), "hit");
+            case HIT -> give(Counter.HIT, server.shared().archive().value(key, version, id), "hit");
             case WRITE -> give(null, server.shared().archive().receipt(key, version, id), null);
             case REPEAT ->
                 give(
-                        Tally.REPEAT,
+                        Counter.REPEAT,
                         server.shared()
                                 .archive()
                                 .receipt(key, server.shared().archive().version(key), id),
                         null);
             case MISS, PENDING -> {
                 boolean pending = course == Course.PENDING;
-                server.tallies.add(pending ? Tally.PENDING : Tally.MISS);
+                server.tallies.add(pending ? Counter.PENDING : Counter.MISS);
                 if (!write) {
                     server.shared().copies().missed(id, server);
                 }
@@ -149,7 +149,7 @@
         }
     }
 
-    private void give(Tally tally, byte[] value, String how) {
+    private void give(Counter tally, byte[] value, String how) {
         if (tally != null) {
             server.tallies.add(tally);
         }
@@ -173,7 +173,7 @@
         boolean begun = job.isInWork();
         server.workshop().remove(job);
         if (begun) {
-            server.tallies.add(Tally.STOPPED);
+            server.tallies.add(Counter.STOPPED);
             answer(Answers.line("-ERR failed"));
         } else {
             turnAway();
@@ -184,7 +184,7 @@
     protected void withdrawn() {
         gone = true;
         if (mayStop() && server.workshop().remove(job)) {
-            server.tallies.add(Tally.STOPPED);
+            server.tallies.add(Counter.STOPPED);
         }
     }
 }
--- a/src/main/java/slateseam/standin/Spoiler.java
+++ b/src/main/java/slateseam/standin/Spoiler.java
@@ -10,10 +10,10 @@
 
     private final Clockwork clock;
     private final UniformRandomProvider random;
-    private final Tallies tallies;
+    private final Counters tallies;
     private Spoil spoil;
 
-    Spoiler(Clockwork clock, UniformRandomProvider random, Tallies tallies) {
+    Spoiler(Clockwork clock, UniformRandomProvider random, Counters tallies) {
         this.clock = clock;
         this.random = random;
         this.tallies = tallies;
@@ -29,7 +29,7 @@
         if (spoil == null || !Draws.chance(random, spoil.share())) {
             return null;
         }
-        tallies.add(Tally.SPOILT);
+        tallies.add(Counter.SPOILT);
         return spoil.kind();
     }
 
--- a/src/main/java/slateseam/standin/Station.java
+++ b/src/main/java/slateseam/standin/StandInServer.java
@@ -9,7 +9,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** A stand-in that takes connections at an address. */
-public abstract class Station {
+public abstract class StandInServer {
     private static final int MOST_IDS = 4_096;
 
     /** Time and timers. */
@@ -17,7 +17,7 @@
     /** Its own source of random numbers; null where it draws none. */
     protected final UniformRandomProvider random;
 
-    final Tallies tallies = new Tallies();
+    final Counters tallies = new Counters();
     final long idleNanos;
     private final Net net;
     private final int most;
@@ -33,7 +33,7 @@
     private boolean listening;
 
     /** Takes {@code most} connections; beyond them it refuses, or takes surplus ones up to a second bound. */
-    protected Station(
+    protected StandInServer(
             Clockwork clock,
             Net net,
             UniformRandomProvider random,
@@ -77,7 +77,7 @@
     }
 
     /** What it counted. */
-    public final Tallies tallies() {
+    public final Counters tallies() {
         return tallies;
     }
 
@@ -117,10 +117,10 @@
     final boolean admit(Link link) {
         boolean room = up && links.size() < mostWithSurplus;
         if (links.size() >= most) {
-            tallies.add(Tally.SURPLUS);
+            tallies.add(Counter.SURPLUS);
         }
         if (room) {
-            tallies.add(Tally.CONNECTED);
+            tallies.add(Counter.CONNECTED);
             links.add(link);
             counted(links.size());
             listen();
--- a/src/main/java/slateseam/standin/Workshop.java
+++ b/src/main/java/slateseam/standin/WorkerPool.java
@@ -9,7 +9,7 @@
  * Cores that share out among the jobs in slots, and a waiting room before them. A clock of its own counts the work that
  * each job in a slot has got, so that one timer, for the job that is done next, is enough.
  */
-final class Workshop {
+final class WorkerPool {
     /** For what rounding to nanoseconds loses, in core seconds. */
     private static final double ROUNDING = 4e-9;
 
@@ -64,7 +64,7 @@
     private long arming;
     private boolean closed;
 
-    Workshop(
+    WorkerPool(
             Clockwork clock,
             Warmth warmth,
             int cores,
--- a/src/main/java/slateseam/standin/kubernetes/ApiServer.java
+++ b/src/main/java/slateseam/standin/kubernetes/ApiServer.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import slateseam.standin.Link;
-import slateseam.standin.Station;
+import slateseam.standin.StandInServer;
 import slateseam.standin.Wire;
 import slateseam.standin.World;
 
@@ -13,7 +13,7 @@
  * The API server of a {@link Cluster}, as far as EndpointSlices go: lists in pages, watches, tokens, compaction, and
  * trouble as asked. Where a kind of trouble says nothing else it concerns the connections and watches that are open.
  */
-public final class ApiServer extends Station {
+public final class ApiServer extends StandInServer {
     private final ApiFigures figures;
     private final Cluster cluster;
     private final SliceStore store;
--- a/src/main/java/slateseam/standin/sockets/Place.java
+++ b/src/main/java/slateseam/standin/sockets/ListenAddress.java
@@ -14,7 +14,7 @@
 import slateseam.standin.Wire;
 
 /** An address of a stand-in: a port of loopback that it keeps, whether or not it takes connections now. */
-final class Place {
+final class ListenAddress {
     private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     /** Holds the port while nothing listens: bound, it makes the system refuse connections and give it to nobody. */
     private SocketChannel holder;
@@ -23,7 +23,7 @@
     private Function<Wire, Party> listener;
     private SSLContext tls;
 
-    Place() throws IOException {
+    ListenAddress() throws IOException {
         hold();
     }
 
--- a/src/main/java/slateseam/standin/sockets/SocketNet.java
+++ b/src/main/java/slateseam/standin/sockets/SocketNet.java
@@ -48,7 +48,7 @@
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::time).thenComparingLong(Timer::order));
     private final Queue<Runnable> asked = new ConcurrentLinkedQueue<>();
-    private final Map<String, Place> places = new LinkedHashMap<>();
+    private final Map<String, ListenAddress> places = new LinkedHashMap<>();
     /** Held while the selector is woken or closed, by whichever thread. */
     private final Object waking = new Object();
 
@@ -117,11 +117,11 @@
         run(() -> place(name).tls(context));
     }
 
-    private Place place(String name) {
+    private ListenAddress place(String name) {
         try {
-            Place place = places.get(name);
+            ListenAddress place = places.get(name);
             if (place == null) {
-                place = new Place();
+                place = new ListenAddress();
                 places.put(name, place);
             }
             return place;
@@ -221,7 +221,7 @@
         List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
         selector.selectedKeys().clear();
         for (SelectionKey key : ready) {
-            if (key.isValid() && key.attachment() instanceof Place place) {
+            if (key.isValid() && key.attachment() instanceof ListenAddress place) {
                 accept(place);
             } else if (key.isValid() && key.attachment() instanceof Connection connection) {
                 connection.ready();
@@ -240,7 +240,7 @@
         }
     }
 
-    private void accept(Place place) throws IOException {
+    private void accept(ListenAddress place) throws IOException {
         for (SocketChannel channel; (channel = place.accept()) != null; ) {
             try {
                 take(place, channel);
@@ -251,7 +251,7 @@
         }
     }
 
-    private void take(Place place, SocketChannel channel) throws IOException {
+    private void take(ListenAddress place, SocketChannel channel) throws IOException {
         if (connections.size() >= mostConnections) {
             channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             channel.close();
@@ -277,7 +277,7 @@
     private void release() {
         try {
             new ArrayList<>(connections).forEach(Connection::close);
-            for (Place place : places.values()) {
+            for (ListenAddress place : places.values()) {
                 place.close();
             }
             synchronized (waking) {
--- a/src/main/java/slateseam/standin/useragent/Service.java
+++ b/src/main/java/slateseam/standin/useragent/Service.java
@@ -21,7 +21,7 @@
     private static final int DIGITS = 2;
 
     /** Worth asked for and worth served. */
-    public static final class Tally {
+    public static final class Counter {
         private double asked;
         private double served;
         private long requests;
@@ -45,10 +45,10 @@
 
     private final long begin;
     private final double overShareWorth;
-    private final Tally whole = new Tally();
-    private final Map<String, Tally> classes = new TreeMap<>();
-    private final Map<String, Tally> tenants = new TreeMap<>();
-    private final List<Tally> seconds = new ArrayList<>();
+    private final Counter whole = new Counter();
+    private final Map<String, Counter> classes = new TreeMap<>();
+    private final Map<String, Counter> tenants = new TreeMap<>();
+    private final List<Counter> seconds = new ArrayList<>();
     private final Map<Ending, Long> endings = new EnumMap<>(Ending.class);
     private final Map<String, Histogram> times = new TreeMap<>();
     /** How many requests each tenant has asked in the second that it asked in last. */
@@ -115,14 +115,14 @@
         // An unserved request that failed before its aim could still have been asked for elsewhere in time.
         beyondAim += part == 0 && took > kind.aimNanos() ? worth : 0;
         whole.add(worth, part);
-        classes.computeIfAbsent(kind.name(), name -> new Tally()).add(worth, part);
+        classes.computeIfAbsent(kind.name(), name -> new Counter()).add(worth, part);
         if (request.tenant() != null) {
-            tenants.computeIfAbsent(request.tenant().name(), name -> new Tally())
+            tenants.computeIfAbsent(request.tenant().name(), name -> new Counter())
                     .add(worth, part);
         }
         int second = (int) Math.max(0, (request.asked() - begin) / SECOND);
         while (seconds.size() <= second) {
-            seconds.add(new Tally());
+            seconds.add(new Counter());
         }
         seconds.get(second).add(worth, part);
     }
@@ -133,17 +133,17 @@
     }
 
     /** Of all requests. */
-    public Tally whole() {
+    public Counter whole() {
         return whole;
     }
 
     /** By the classes' names, in their order. */
-    public Map<String, Tally> byClass() {
+    public Map<String, Counter> byClass() {
         return new TreeMap<>(classes);
     }
 
     /** By the tenants' names, in their order. */
-    public Map<String, Tally> byTenant() {
+    public Map<String, Counter> byTenant() {
         return new TreeMap<>(tenants);
     }
 
@@ -188,7 +188,7 @@
         for (int from = 0; from + WINDOW <= seconds.size(); from++) {
             double worth = 0;
             double served = 0;
-            for (Tally second : seconds.subList(from, from + WINDOW)) {
+            for (Counter second : seconds.subList(from, from + WINDOW)) {
                 worth += second.asked;
                 served += second.served;
             }
--- a/src/test/java/slateseam/standin/ApplicationServerTest.java
+++ b/src/test/java/slateseam/standin/ApplicationServerTest.java
@@ -103,7 +103,7 @@
             String heard = peer.heard();
             whole = whole == null ? heard : whole;
             assertThat(heard).as("split at " + split).isEqualTo(whole);
-            assertThat(server.tallies().of(Tally.UNREADABLE)).isEqualTo(2);
+            assertThat(server.tallies().of(Counter.UNREADABLE)).isEqualTo(2);
         }
         assertThat(whole)
                 .startsWith("+OK\r\n*3\r\n$80\r\nvalue k 1 i1 ")
@@ -156,7 +156,7 @@
         assertThat(staying.heard()).isEqualTo(stops ? hit("i2") : "");
         stage.pass(50 * MILLI);
         assertThat(stage.made).containsOnlyKeys("i2");
-        assertThat(server.tallies().of(Tally.STOPPED)).isEqualTo(stops ? 1 : 0);
+        assertThat(server.tallies().of(Counter.STOPPED)).isEqualTo(stops ? 1 : 0);
     }
 
     /** Guards the effect of a write against a router that leaves: begun is carried out. */
@@ -262,7 +262,7 @@
         peer.ask("CACHE.GET", "k", "i1", "c=read");
         stage.pass(SECOND);
         assertThat(peer.heard()).isEqualTo(hit("i1"));
-        assertThat(server.tallies().of(Tally.ASKED_DRAINING)).isEqualTo(1);
+        assertThat(server.tallies().of(Counter.ASKED_DRAINING)).isEqualTo(1);
     }
 
     @ParameterizedTest
--- a/src/test/java/slateseam/standin/FleetTest.java
+++ b/src/test/java/slateseam/standin/FleetTest.java
@@ -201,7 +201,7 @@
         stage.pass(110 * MILLI);
         assertThat(staying.heard().isEmpty()).isEqualTo(goesOn);
         stage.pass(SECOND);
-        assertThat(origin.tallies().of(Tally.FETCHED)).isEqualTo(goesOn ? 2 : 1);
+        assertThat(origin.tallies().of(Counter.FETCHED)).isEqualTo(goesOn ? 2 : 1);
         Stage.Peer writing = stage.dial("origin");
         writing.say(put("k", "w", "c=put,k=t"));
         stage.pass(50 * MILLI);
--- a/src/test/java/slateseam/standin/SpoilTest.java
+++ b/src/test/java/slateseam/standin/SpoilTest.java
@@ -19,7 +19,7 @@
     private static final byte[] VALUE = new Archive(new ValueFigures(300, 0, 300), 1).value("k", 1, "i");
 
     private final Stage stage = new Stage();
-    private final Spoiler spoiler = new Spoiler(stage, RandomSource.XO_SHI_RO_256_PP.create(5L), new Tallies());
+    private final Spoiler spoiler = new Spoiler(stage, RandomSource.XO_SHI_RO_256_PP.create(5L), new Counters());
 
     @ParameterizedTest
     @EnumSource(Kind.class)
