--- a/src/test/java/slateseam/decision/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -96,6 +96,7 @@
         w.on(new PeerMessage(
                 1,
                 new SupplyMessage(
+                                0,
                                 false,
                                 true,
                                 false,
@@ -136,16 +137,30 @@
         double[] demand = new double[most];
         Arrays.fill(demand, 2);
         byte[] bytes = new SupplyMessage(
-                        true, false, true, 5, 6, 7, 8, 9, new int[most], new int[most], new int[most], demand, Map.of())
+                        0,
+                        true,
+                        false,
+                        true,
+                        5,
+                        6,
+                        7,
+                        8,
+                        9,
+                        new int[most],
+                        new int[most],
+                        new int[most],
+                        demand,
+                        Map.of())
                 .encode();
         assertTrue(bytes.length <= 256);
-        SupplyMessage back = SupplyMessage.decode(bytes, most);
+        SupplyMessage back = SupplyMessage.decode(bytes, SupplyMessage.pages(most));
         assertEquals(7, back.sequence());
         assertEquals(2, back.demand()[most - 1]);
-        assertNull(SupplyMessage.decode(bytes, most - 1));
-        assertNull(SupplyMessage.decode(Arrays.copyOf(bytes, bytes.length - 1), most));
+        assertNull(SupplyMessage.decode(bytes, SupplyMessage.pages(most - 1)));
+        assertNull(SupplyMessage.decode(Arrays.copyOf(bytes, bytes.length - 1), SupplyMessage.pages(most)));
         for (double rate : new double[] {0, -1, Double.NaN, Double.POSITIVE_INFINITY, 1e9}) {
             byte[] absurd = new SupplyMessage(
+                            0,
                             true,
                             false,
                             true,
@@ -160,10 +175,10 @@
                             demand,
                             Map.of())
                     .encode();
-            assertNull(SupplyMessage.decode(absurd, most), "a rate of " + rate);
+            assertNull(SupplyMessage.decode(absurd, SupplyMessage.pages(most)), "a rate of " + rate);
         }
         bytes[0]++;
-        assertNull(SupplyMessage.decode(bytes, most), "another version");
+        assertNull(SupplyMessage.decode(bytes, SupplyMessage.pages(most)), "another version");
     }
 
     @Test
@@ -174,8 +189,9 @@
                 keys.read(key);
             }
         }
-        int room = SupplyMessage.room(3);
+        int room = SupplyMessage.room(0, 3);
         byte[] bytes = new SupplyMessage(
+                        0,
                         true,
                         false,
                         true,
@@ -191,7 +207,8 @@
                         keys.tell(1, room, 0.5))
                 .encode();
         assertTrue(bytes.length <= 256);
-        Map<Long, Double> told = SupplyMessage.decode(bytes, 3).popular();
+        Map<Long, Double> told =
+                SupplyMessage.decode(bytes, SupplyMessage.pages(3)).popular();
         assertEquals(room, told.size());
         assertEquals(40, told.get(40L));
         assertEquals(821, told.get(0L));
