--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -23,7 +23,7 @@
 import slateseam.router.multiget.MultiGet;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Console;
-import slateseam.router.net.Errands;
+import slateseam.router.net.BackgroundExecutor;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -101,7 +101,7 @@
             return new Place(
                     network,
                     Runtime.getRuntime().maxMemory(),
-                    features.kubernetes() == null ? null : new Errands(),
+                    features.kubernetes() == null ? null : new BackgroundExecutor(),
                     handover);
         }
     }
--- a/src/main/java/slateseam/router/kubernetes/Events.java
+++ b/src/main/java/slateseam/router/kubernetes/Events.java
@@ -14,7 +14,7 @@
     private final Loop loop;
     private final SliceReader reader;
     private final Membership membership;
-    private final Remarks remarks;
+    private final RateLimitedLog remarks;
     private final Runnable told;
     private final Consumer<JSONObject> ended;
     private boolean over;
@@ -29,7 +29,7 @@
             Loop loop,
             SliceReader reader,
             Membership membership,
-            Remarks remarks,
+            RateLimitedLog remarks,
             Runnable told,
             Consumer<JSONObject> ended) {
         this.loop = loop;
--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -48,7 +48,7 @@
     private final Runnable told;
 
     private final BackOff backOff;
-    private final Remarks remarks;
+    private final RateLimitedLog remarks;
     private KubernetesSettings settings;
     private SliceReader reader;
     private Access access;
@@ -82,7 +82,7 @@
             KubernetesSettings settings,
             Membership membership,
             BackOff backOff,
-            Remarks remarks,
+            RateLimitedLog remarks,
             Runnable told) {
         this.loop = loop;
         this.aside = aside;
--- a/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
+++ b/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
@@ -10,7 +10,7 @@
 import slateseam.router.farm.Farm;
 import slateseam.router.farm.FarmSource;
 import slateseam.router.membership.Membership;
-import slateseam.router.membership.Note;
+import slateseam.router.membership.OperatorNotice;
 import slateseam.router.membership.Remembered;
 import slateseam.router.membership.Server;
 import slateseam.router.net.Clock;
@@ -28,7 +28,7 @@
     private final Consumer<MembersChanged> listener;
     private final Membership membership;
     private final Follower follower;
-    private final Remarks remarks;
+    private final RateLimitedLog remarks;
     /** Whether the farm has had a list from here; until then it is what the router had before. */
     private boolean listed;
 
@@ -54,7 +54,7 @@
         this.farm = farm;
         this.listener = listener;
         membership = new Membership(Memberships.settings(settings));
-        remarks = new Remarks(loop);
+        remarks = new RateLimitedLog(loop);
         follower = new Follower(
                 loop, aside, settings, membership, new BackOff(new SplittableRandom(seed)), remarks, this::told);
     }
@@ -115,7 +115,7 @@
 
     private void told() {
         Membership.Changes changes = membership.changes(loop.now());
-        for (Note note : membership.notes()) {
+        for (OperatorNotice note : membership.notes()) {
             remarks.say(note.kind(), note.text());
         }
         MembersChanged members = listed
--- a/src/main/java/slateseam/router/kubernetes/Remarks.java
+++ b/src/main/java/slateseam/router/kubernetes/RateLimitedLog.java
@@ -7,7 +7,7 @@
 import slateseam.router.net.Loop;
 
 /** Writes to the operators' log, and says again what it said already only once a minute while trouble lasts. */
-final class Remarks {
+final class RateLimitedLog {
     private static final long AGAIN_NANOS = 60_000 * Clock.MILLI;
 
     private record Said(String text, long at) {}
@@ -17,7 +17,7 @@
     /** By kind, of which there is a fixed set. */
     private final Map<String, Said> said = new HashMap<>();
 
-    Remarks(Loop loop) {
+    RateLimitedLog(Loop loop) {
         this.loop = loop;
         this.log = loop.log();
     }
--- a/src/main/java/slateseam/router/membership/Absent.java
+++ b/src/main/java/slateseam/router/membership/Absent.java
@@ -8,7 +8,7 @@
  */
 final class Absent {
     private final MembershipSettings.Guard settings;
-    private final Notes notes;
+    private final OperatorNotices notes;
     private final Losses farm;
     private final Losses origins;
     private final Waits<Tracked> moving;
@@ -17,7 +17,7 @@
     private int released;
     private boolean noneReady;
 
-    Absent(MembershipSettings settings, Notes notes) {
+    Absent(MembershipSettings settings, OperatorNotices notes) {
         this.settings = settings.guard();
         this.notes = notes;
         int most = settings.bounds().servers();
--- a/src/main/java/slateseam/router/membership/Membership.java
+++ b/src/main/java/slateseam/router/membership/Membership.java
@@ -21,7 +21,7 @@
 
     private final MembershipSettings settings;
     private final Trim trim;
-    private final Notes notes = new Notes();
+    private final OperatorNotices notes = new OperatorNotices();
     private final Position position;
     private final Deletions deletions;
     private final Table table;
@@ -219,7 +219,7 @@
     }
 
     /** What the operators should read since this was asked last; at most 16. */
-    public List<Note> notes() {
+    public List<OperatorNotice> notes() {
         return notes.take();
     }
 
--- a/src/main/java/slateseam/router/membership/Table.java
+++ b/src/main/java/slateseam/router/membership/Table.java
@@ -18,7 +18,7 @@
     private static final String ORIGIN = "origin/";
 
     private final MembershipSettings settings;
-    private final Notes notes;
+    private final OperatorNotices notes;
     private final Describer describer;
     private final Map<String, Tracked> servers = new HashMap<>();
     private final Left left;
@@ -31,7 +31,7 @@
     private int views;
     private boolean full;
 
-    Table(MembershipSettings settings, Notes notes) {
+    Table(MembershipSettings settings, OperatorNotices notes) {
         this.settings = settings;
         this.notes = notes;
         describer = new Describer(settings);
--- a/src/main/java/slateseam/simulate/Arrived.java
+++ b/src/main/java/slateseam/simulate/Arrived.java
@@ -3,7 +3,7 @@
 import java.util.BitSet;
 import java.util.Map;
 import java.util.TreeMap;
-import slateseam.simulate.scenario.Kept;
+import slateseam.simulate.scenario.RequestSelection;
 import slateseam.standin.useragent.Answer;
 import slateseam.standin.useragent.Outcomes;
 import slateseam.standin.useragent.Request;
@@ -17,8 +17,8 @@
         this.service = service;
     }
 
-    Kept kept() {
-        return new Kept(asked);
+    RequestSelection kept() {
+        return new RequestSelection(asked);
     }
 
     @Override
--- a/src/main/java/slateseam/simulate/Result.java
+++ b/src/main/java/slateseam/simulate/Result.java
@@ -5,7 +5,7 @@
 import slateseam.simulate.check.Breach;
 import slateseam.simulate.check.Rule;
 import slateseam.simulate.scenario.Day;
-import slateseam.simulate.scenario.Kept;
+import slateseam.simulate.scenario.RequestSelection;
 import slateseam.standin.useragent.Service;
 
 /**
@@ -36,7 +36,7 @@
         SupplyWatch.Summary supplies,
         Map<String, Long> logged,
         Map<String, Long> tallies,
-        Kept asked) {
+        RequestSelection asked) {
     /** Whether no rule was broken. */
     boolean isSound() {
         return breaches.isEmpty();
--- a/src/main/java/slateseam/simulate/Shrinker.java
+++ b/src/main/java/slateseam/simulate/Shrinker.java
@@ -14,7 +14,7 @@
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.simulate.scenario.FaultChoice;
-import slateseam.simulate.scenario.Kept;
+import slateseam.simulate.scenario.RequestSelection;
 import slateseam.simulate.scenario.Scenario;
 
 /**
@@ -153,11 +153,11 @@
         told(result.asked().size() + " requests");
     }
 
-    private static Kept kept(List<Arrival> arrivals) {
+    private static RequestSelection kept(List<Arrival> arrivals) {
         Map<String, BitSet> numbers = new TreeMap<>();
         arrivals.forEach(one ->
                 numbers.computeIfAbsent(one.userAgent, name -> new BitSet()).set(one.number));
-        return new Kept(numbers);
+        return new RequestSelection(numbers);
     }
 
     private void told(String what) {
--- a/src/main/java/slateseam/simulate/scenario/Kept.java
+++ b/src/main/java/slateseam/simulate/scenario/RequestSelection.java
@@ -10,9 +10,9 @@
  *
  * @param numbers for each user agent that still asks, the numbers of its arrivals
  */
-public record Kept(Map<String, BitSet> numbers) {
+public record RequestSelection(Map<String, BitSet> numbers) {
     /** Copies the map without empty sets; the sets are not changed afterwards. */
-    public Kept {
+    public RequestSelection {
         Map<String, BitSet> some = new TreeMap<>(numbers);
         some.values().removeIf(BitSet::isEmpty);
         numbers = Collections.unmodifiableMap(some);
--- a/src/main/java/slateseam/simulate/scenario/Scenario.java
+++ b/src/main/java/slateseam/simulate/scenario/Scenario.java
@@ -18,7 +18,7 @@
  * @param script the faults that are played for every seed
  * @param kept the requests that are asked; null for all
  */
-public record Scenario(List<Section> sections, List<Fault> script, Kept kept) {
+public record Scenario(List<Section> sections, List<Fault> script, RequestSelection kept) {
     private static final String DAY = "day";
 
     /** Copies the lists. */
@@ -95,7 +95,7 @@
     }
 
     /** The same with other kept requests; null for all. */
-    public Scenario withKept(Kept others) {
+    public Scenario withKept(RequestSelection others) {
         return new Scenario(sections, script, others);
     }
 
--- a/src/main/java/slateseam/simulate/scenario/ScenarioReader.java
+++ b/src/main/java/slateseam/simulate/scenario/ScenarioReader.java
@@ -106,7 +106,7 @@
         return new Scenario(
                 sections.stream().map(Open::section).toList(),
                 script.stream().map(Scripted::fault).toList(),
-                headings.containsKey(Schema.REQUESTS) ? new Kept(kept) : null);
+                headings.containsKey(Schema.REQUESTS) ? new RequestSelection(kept) : null);
     }
 
     private void complaint(String text) {
--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -253,7 +253,7 @@
                 .contains("slateseam.router.farm.Watch")
                 .noneMatch(
                         name -> name.matches(
-                                "slateseam\\.(router\\.(kubernetes|membership|snapshot|tls)|show)\\..*|.*\\.ssl\\..*|.*net\\.Errands"));
+                                "slateseam\\.(router\\.(kubernetes|membership|snapshot|tls)|show)\\..*|.*\\.ssl\\..*|.*net\\.BackgroundExecutor"));
         start(
                 "kubernetes_api http://127.0.0.1:1",
                 "kubernetes_namespace n",
--- a/src/test/java/slateseam/router/kubernetes/Followed.java
+++ b/src/test/java/slateseam/router/kubernetes/Followed.java
@@ -15,7 +15,7 @@
 import slateseam.router.membership.Remembered;
 import slateseam.router.membership.Server;
 import slateseam.router.net.Clock;
-import slateseam.router.net.Errands;
+import slateseam.router.net.BackgroundExecutor;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 
@@ -37,7 +37,7 @@
         NodeConfig config = config();
         source = new KubernetesFarm(
                 loop,
-                new Errands(),
+                new BackgroundExecutor(),
                 settings,
                 new Farm(config.zones(), config.kinds(), config.settings().originKind()),
                 7,
--- a/src/test/java/slateseam/router/membership/GuardTest.java
+++ b/src/test/java/slateseam/router/membership/GuardTest.java
@@ -24,7 +24,7 @@
         assertThat(told.after(3_000).servers()).isEqualTo(before);
         assertThat(told.membership.notes())
                 .singleElement()
-                .extracting(Note::text)
+                .extracting(OperatorNotice::text)
                 .asString()
                 .startsWith("100 of 100 ready application servers are listed no more; they count for another 10000 ms");
         for (int i = 0; i < 10; i++) { // slice by slice: the rest stays while they return
@@ -44,7 +44,7 @@
         assertThat(told.membership.nextChange()).isEqualTo(due);
         assertThat(told.after(1).pods()).isEqualTo(row(0, 50));
         assertThat(told.membership.notes())
-                .extracting(Note::text)
+                .extracting(OperatorNotice::text)
                 .last()
                 .asString()
                 .startsWith("50 servers are still not");
@@ -70,7 +70,7 @@
         Told told = of(10).after(60_000);
         told.changed("a", 11, row(0, 10).replaceAll("(\\d)", "$1x"));
         assertThat(told.ready()).as("all at once").isZero();
-        assertThat(told.membership.notes()).extracting(Note::kind).containsExactly("farm-none-ready");
+        assertThat(told.membership.notes()).extracting(OperatorNotice::kind).containsExactly("farm-none-ready");
         told.changed("a", 12, "");
         assertThat(told.after(200).pods()).as("what drained first is no loss").isEmpty();
 
--- a/src/test/java/slateseam/router/membership/MembershipTest.java
+++ b/src/test/java/slateseam/router/membership/MembershipTest.java
@@ -130,7 +130,7 @@
         told.listed(15, slice("a", 5, "1 2 3"), slice("b", 6, "4"));
         assertThat(told.after(300).pods()).isEqualTo("1x 2 3 4 5");
         assertThat(told.membership.version()).isEqualTo("21");
-        assertThat(told.membership.notes()).extracting(Note::kind).containsExactly("farm-behind");
+        assertThat(told.membership.notes()).extracting(OperatorNotice::kind).containsExactly("farm-behind");
         told.listed(30, slice("a", 21, "1x 2 3"), slice("c", 20, "5"));
         assertThat(told.after(300).pods()).isEqualTo("1x 2 3 5");
         told.changed("b", 25, "4");
@@ -306,7 +306,7 @@
         Told slices = new Told(Told.bounds(2, 100, 10, 256)).listed(10, slice("a", 5, "1 9"), slice("b", 6, "2"));
         slices.changed("c", 11, "1x 3").changed("d", 12, "4");
         assertThat(slices.pods()).isEqualTo("1x 2 9");
-        assertThat(slices.membership.notes()).extracting(Note::kind).containsExactly("farm-bound");
+        assertThat(slices.membership.notes()).extracting(OperatorNotice::kind).containsExactly("farm-bound");
         slices.deleted("b", 13);
         assertThat(slices.membership.nextLook()).as("there is room again").isZero();
         slices.listed(14, slice("a", 5, "1 9"), slice("c", 11, "1x 3"));
--- a/src/test/java/slateseam/router/tls/TlsTransportTest.java
+++ b/src/test/java/slateseam/router/tls/TlsTransportTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import slateseam.router.net.Clock;
 import slateseam.router.net.Connection;
-import slateseam.router.net.Errands;
+import slateseam.router.net.BackgroundExecutor;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -91,7 +91,7 @@
     private Loop loop;
     private ServerSocket listener;
     private Thread thread;
-    private Executor aside = new Errands();
+    private Executor aside = new BackgroundExecutor();
 
     @BeforeEach
     void begin() throws Exception {
--- a/src/test/java/slateseam/simulate/scenario/ScenarioFileTest.java
+++ b/src/test/java/slateseam/simulate/scenario/ScenarioFileTest.java
@@ -122,7 +122,7 @@
         Scenario changed = Scenarios.read(FOLDER.resolve("small.scenario"))
                 .withSeed(77)
                 .withDuration(9_000_000_000L)
-                .withKept(new Kept(Map.of("user-1", some, "user-2", new BitSet())))
+                .withKept(new RequestSelection(Map.of("user-1", some, "user-2", new BitSet())))
                 .without(Set.of("big-1", "router-2"));
         Scenario read = Scenarios.parse("written", changed.toString());
 
