--- a/src/main/java/slateseam/tier/members/Roster.java
+++ b/src/main/java/slateseam/tier/members/Roster.java
@@ -3,8 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,7 +27,7 @@
 
     private final MembersSettings settings;
     private final long self;
-    private final Sink sink;
+    private final MembersPort sink;
     private final Map<Long, Member> members = new HashMap<>();
     private final Map<Long, Tombstone> forgotten = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -34,12 +37,20 @@
             return size() > MOST_FORGOTTEN;
         }
     };
+    /** Those that failed or left and are not forgotten. */
+    private final Set<Member> gone = new LinkedHashSet<>();
+
+    private int suspects;
+    /** The numbers of those that are there; null if they are to be worked out anew, as at another version of the rings. */
+    private Set<Integer> numbers;
+
+    private int numbersVersion;
     final Rings rings;
-    final News news = new News();
+    final GossipQueue news = new GossipQueue();
     private final int[] digests = new int[PARTS];
     private boolean full;
 
-    Roster(MembersSettings settings, long self, Sink sink) {
+    Roster(MembersSettings settings, long self, MembersPort sink) {
         this.settings = settings;
         this.self = self;
         this.sink = sink;
@@ -98,6 +109,7 @@
             if (member.name == null || member.number != said.number()) {
                 member.name = said.name();
                 member.number = said.number();
+                numbers = null;
             }
             return member;
         }
@@ -172,10 +184,13 @@
             member.since = now;
             member.afresh = 0;
         }
+        suspects += (state == State.SUSPECT ? 1 : 0) - (was == State.SUSPECT ? 1 : 0);
         if (was.isGone() && !state.isGone()) {
+            gone.remove(member);
             rings.add(member.id);
             member.watchedSince = now;
         } else if (!was.isGone() && state.isGone()) {
+            gone.add(member);
             rings.remove(member.id);
         }
         if (was == State.SUSPECT && state == State.ALIVE && by != self) {
@@ -203,14 +218,18 @@
 
     /** Forgets those that have been gone for long. */
     void forget(long now) {
-        List<Member> gone = new ArrayList<>();
+        if (gone.isEmpty()) {
+            return;
+        }
+        List<Member> over = new ArrayList<>();
         for (Member member : members.values()) {
             if (member.state.isGone() && now - member.since >= settings.forgetNanos()) {
-                gone.add(member);
+                over.add(member);
             }
         }
-        for (Member member : gone) {
+        for (Member member : over) {
             members.remove(member.id);
+            gone.remove(member);
             forgotten.put(member.id, new Tombstone(member.life, member.sequence));
             full = false;
             sink.changed(new Change(
@@ -218,6 +237,31 @@
         }
     }
 
+    /** The numbers of those that are there, this router's own among them. */
+    Set<Integer> numbers() {
+        if (numbers == null || numbersVersion != rings.version()) {
+            Set<Integer> found = new HashSet<>(Set.of(settings.number()));
+            for (Member member : members.values()) {
+                if (!member.state.isGone() && member.number >= 0) {
+                    found.add(member.number);
+                }
+            }
+            numbersVersion = rings.version();
+            numbers = Collections.unmodifiableSet(found);
+        }
+        return numbers;
+    }
+
+    /** How many are suspects. */
+    int suspects() {
+        return suspects;
+    }
+
+    /** Those that failed or left and are not forgotten. */
+    Collection<Member> gone() {
+        return gone;
+    }
+
     /** How many are there, this router among them. */
     int present() {
         return rings.size();
@@ -225,9 +269,13 @@
 
     /** Who watches a member, without those that are suspects themselves and without {@code but}. */
     Set<Long> watchers(long id, long but) {
-        Set<Long> watchers = rings.watchers(id);
-        watchers.removeIf(
-                watcher -> watcher == but || members.containsKey(watcher) && members.get(watcher).state != State.ALIVE);
+        Set<Long> watchers = new LinkedHashSet<>();
+        for (long watcher : rings.watchers(id)) {
+            Member member = members.get(watcher);
+            if (watcher != but && (member == null || member.state == State.ALIVE)) {
+                watchers.add(watcher);
+            }
+        }
         return watchers;
     }
 }
