--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.json.JSONObject;
@@ -163,6 +164,38 @@
         assertThat(receivedBytes(connection)).isBetween(1L, value.length - 1L);
     }
 
+    /** What a server is told is what is left when the pass is written, not when it was begun. */
+    @Test
+    void aPassWhoseConnectionComesUpLateTellsTheTimeThatIsLeftThen() throws Exception {
+        begin(1);
+        now += 150_000_000;
+        assertThat(text(server.accept(), "d=850")).contains("c=read,d=850\r\n");
+    }
+
+    /** The time told is among the first bytes that the system takes, however late it takes the rest. */
+    @Test
+    void aWriteThatTheSystemTakesInPartsHasToldItsTimeWithTheFirst() throws Exception {
+        byte[] value = new byte[4 * 1024 * 1024];
+        passes.begin(1, write(value), 0, id, SECOND, Long.MAX_VALUE);
+        now += 150_000_000;
+        SocketChannel connection = server.accept();
+        assertThat(text(connection, "k=1")).contains("c=put,d=850,k=1\r\n");
+        assertThat(dispatched).isZero();
+    }
+
+    /** What has come once it holds a text. */
+    private String text(SocketChannel connection, String awaited) throws Exception {
+        connection.configureBlocking(false);
+        ByteBuffer in = ByteBuffer.allocate(4096);
+        String text = "";
+        for (int i = 0; !text.contains(awaited) && i < 5_000; i++) {
+            loop.round(1_000_000);
+            connection.read(in);
+            text = StandardCharsets.ISO_8859_1.decode(in.duplicate().flip()).toString();
+        }
+        return text;
+    }
+
     private static Request write(byte[] value) {
         return new Request(new byte[] {'k'}, new byte[] {'i'}, "c=put,d=9,k=1".getBytes(), value, null, 0, 0, false, SECOND, false);
     }
