--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -41,9 +41,11 @@
     final boolean lower;
     /** Whether this router inherits the other's supply: it is its ring successor. */
     final boolean buddy;
+
     private final List<Account> accounts;
     /** Whether this end holds the ledger; one that has just started does not. */
     private boolean known;
+
     private boolean answered;
     private boolean mayMove;
     private boolean told;
@@ -59,6 +61,7 @@
     private long pause = SECOND / 2;
     /** All that went from the lower to the higher: as this end tells it; as the other end was last seen to have it. */
     private final int[] flow;
+
     private final int[] settled;
     private int[] theirFlow;
     private int[] theirUnits;
@@ -98,11 +101,21 @@
     }
 
     /** What the next message is to say of the ledger and of messages. */
-    SupplyMessage message(boolean ask, boolean starting, int me, double rate,
-            Map<Long, Double> popular) {
-        return new SupplyMessage(ask, known, starting, me, life, ++sent, heard, rate, flow.clone(),
-                accounts.stream().mapToInt(a -> a.units).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
-                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(), popular);
+    SupplyMessage message(boolean ask, boolean starting, int me, double rate, Map<Long, Double> popular) {
+        return new SupplyMessage(
+                ask,
+                known,
+                starting,
+                me,
+                life,
+                ++sent,
+                heard,
+                rate,
+                flow.clone(),
+                accounts.stream().mapToInt(a -> a.units).toArray(),
+                accounts.stream().mapToInt(Account::held).toArray(),
+                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(),
+                popular);
     }
 
     /** Takes a message to this life; false, and nothing is changed, if it is doubled, overtaken or of an earlier life. */
--- a/src/main/java/slateseam/simulate/check/Passed.java
+++ b/src/main/java/slateseam/simulate/check/Passed.java
@@ -21,18 +21,23 @@
 
     /** Whether it is the same request, with nothing changed but how long somebody waits. */
     boolean isSame(Passed other) {
-        return key.equals(other.key) && Arrays.equals(value, other.value)
+        return key.equals(other.key)
+                && Arrays.equals(value, other.value)
                 && (facts.equals(other.facts) || timeless(facts).equals(timeless(other.facts)));
     }
 
     /** For how long somebody waits, in milliseconds; -1 if the list does not tell. */
     long waitMillis() {
-        return Arrays.stream(facts.split(",")).filter(fact -> fact.matches(WAIT + "[0-9]{1,9}")).findFirst()
-                .map(fact -> Long.parseLong(fact.substring(WAIT.length()))).orElse(-1L);
+        return Arrays.stream(facts.split(","))
+                .filter(fact -> fact.matches(WAIT + "[0-9]{1,9}"))
+                .findFirst()
+                .map(fact -> Long.parseLong(fact.substring(WAIT.length())))
+                .orElse(-1L);
     }
 
     private static String timeless(String facts) {
-        return Arrays.stream(facts.split(",")).filter(fact -> !fact.startsWith(WAIT))
+        return Arrays.stream(facts.split(","))
+                .filter(fact -> !fact.startsWith(WAIT))
                 .collect(Collectors.joining(","));
     }
 }
--- a/src/test/java/slateseam/simulate/PlantedBugsTest.java
+++ b/src/test/java/slateseam/simulate/PlantedBugsTest.java
@@ -17,7 +17,9 @@
             tells the origin the user agent's whole wait              | TIME_TOLD
             """)
     void isFoundReplayedAndShrunk(String name, String rule, @TempDir Path folder) {
-        Planted planted = new Planted(PlantedBug.all().stream().filter(bug -> bug.name().equals(name)).findFirst()
+        Planted planted = new Planted(PlantedBug.all().stream()
+                .filter(bug -> bug.name().equals(name))
+                .findFirst()
                 .orElseThrow());
         Found found = planted.find(1, 32, 4);
         assertThat(found.rule()).isEqualTo(rule);
@@ -27,6 +29,7 @@
         Path file = folder.resolve("smallest.scenario");
         assertThat(planted.run("shrink", seed, "--out", file.toString()).text()).contains("play it with");
         assertThat(planted.run("run", "--scenario", file.toString()).text()).startsWith("seed " + seed + ": " + rule);
-        assertThat(new Planted(null).run("run", "--scenario", file.toString()).status()).isZero();
+        assertThat(new Planted(null).run("run", "--scenario", file.toString()).status())
+                .isZero();
     }
 }
