--- a/src/main/java/slateseam/simulate/scenario/Schema.java
+++ b/src/main/java/slateseam/simulate/scenario/Schema.java
@@ -354,6 +354,11 @@
                                 List.of("stops", "goes-on"),
                                 "stops | goes-on",
                                 "what becomes of work that nobody waits for"),
+                        Name.choice(
+                                "falls",
+                                YES_NO,
+                                "yes",
+                                "whether one that is cold falls by the work that its requests happen to be"),
                         Name.share("errors", 0, 100, "0..0.1 %", "requests that end in an error"),
                         Name.share(
                                 "told-size",
