--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -136,8 +136,18 @@
 
     /** When its user agent has waited for as long as it said, as things stand. */
     long timeUp(Asked asked) {
+        return begins(asked) + asked.waitNanos;
+    }
+
+    /** How much of a request's time has passed at a time; none while answers ahead of it are waited for. */
+    long waited(Asked asked, long at) {
+        return isHead(asked) ? Math.max(0, at - begins(asked)) : 0;
+    }
+
+    /** Since when the time of a request counts that is first in order. */
+    private long begins(Asked asked) {
         long base = asked.read && !isUndisturbed(asked.writtenAt) ? asked.readAt : Math.max(asked.writtenAt, upAt);
-        return Math.max(base, lastAnswerAt) + asked.waitNanos;
+        return Math.max(base, lastAnswerAt);
     }
 
     /** Whether nothing kept what the user agent wrote since a time from coming over. */
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -201,6 +201,14 @@
                         null,
                         null,
                         List.of(change(ROUTER + "useragent/UserAgent", "AHEAD = 256 * 1024", "AHEAD = 0"))),
+                new PlantedBug(
+                        "tells the origin the user agent's whole wait",
+                        null,
+                        null,
+                        List.of(change(
+                                ROUTER + "pass/HttpOrigin",
+                                "text(Facts.withTimeLeft(request.facts(), waitMillis))",
+                                "text(request.facts())"))),
                 new PlantedBug(
                         "sends datagrams that are too long",
                         null,
