Plant the smaller part's bug where the members' rule stands now

The members' rule on the smaller part of a cut was rewritten; the planted bug "the smaller part does not know it" still looked for its old text, so it could not be planted and PlantedTextsTest failed on the merged tree. It replaces the new condition by the same false.

--- a/src/test/java/slateseam/simulate/TierBugs.java
+++ b/src/test/java/slateseam/simulate/TierBugs.java
@@ -51,7 +51,7 @@
                 bug(
                         "the smaller part does not know it",
                         "LocalHealth",
-                        "silentPart > LEAST_MINORITY || there * 2 <= base",
+                        "silentPart > LEAST_MINORITY || !most",
                         "false"),
                 bug(
                         "one that left comes back in the same life",
