Exchange supply over links at powers of two along the ring, off unless named

Need: a shift of demand crosses the ring in rounds that grow with the square of its length: at 50 routers and more half of an imbalance is still there after 40 s, at 2,000 it does not move.

Change: with `supply_links on` a router exchanges supply also with those at distances of 2, 4, 8, ... on the ring, by the pair's ledger that ring neighbours have. One that has just started uses nothing but what is moved to it until all partners have answered or its heir has reminded it of what it had.

Off: nothing else is sent or decided.

--- a/src/main/java/slateseam/decision/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -7,6 +7,8 @@
 
     /** This router's own part of the whole: an even share and what its neighbours moved; below 0 while it owes. */
     int units;
+    /** What ledgers that have not been heard since the start are taken to say; what they owe this router is not used. */
+    int unheard;
     /** What it holds beside for a neighbour that has vanished. */
     int inherited;
     /** Whether it must not be used now: others may use it. */
@@ -29,7 +31,12 @@
 
     /** The same by the books, whether or not it may be used now. */
     int booked() {
-        return units + inherited;
+        return own() + inherited;
+    }
+
+    /** Its own part, as far as is known. */
+    int own() {
+        return units + Math.min(0, unheard);
     }
 
     /** The supply of a second. */
--- a/src/main/java/slateseam/decision/Api.java
+++ b/src/main/java/slateseam/decision/Api.java
@@ -249,4 +249,20 @@
     /** A line for the operators' log. */
     public record Log(String text) implements Action {
     }
+
+    /**
+     * What a router holds of the origin's budget, in parts of the whole.
+     *
+     * @param joined whether it uses its supply; one that has just started does not yet, and its books may still be away
+     * @param own its own supply, by its books
+     * @param usable what it may use now, with what it has inherited
+     * @param rate the whole budget as this router knows it, fetches a second
+     * @param demand what is asked for here, fetches a second
+     */
+    public record Holding(boolean joined, double own, double usable, double rate, double demand) {
+        Holding(Account account, boolean joined) {
+            this(joined, joined ? (double) account.own() / Account.WHOLE : 0, joined ? (double) account.held() / Account.WHOLE : 0, account.rate,
+                    account.demand.perSecond());
+        }
+    }
 }
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -11,6 +11,7 @@
 import slateseam.decision.Api.Effect;
 import slateseam.decision.Api.Event;
 import slateseam.decision.Api.Fail;
+import slateseam.decision.Api.Holding;
 import slateseam.decision.Api.ListKind;
 import slateseam.decision.Api.MembersChanged;
 import slateseam.decision.Api.Outcome;
@@ -64,18 +65,28 @@
     private final DiscoverySubscription discovery;
     private final RequestTable requests = new RequestTable();
 
-    /** Creates the router's instance. */
+    /** Creates the router's instance, which exchanges supply with its ring neighbours alone. */
     public Brain(Settings settings, long seed) {
+        this(settings, seed, SupplyLinks.OFF);
+    }
+
+    /** Creates the router's instance. */
+    public Brain(Settings settings, long seed, SupplyLinks links) {
         context = new DecisionContext(settings, seed);
         cluster = new Cluster(context, traffic);
         hotKeys = new HotKeys(context);
-        budgets = new SharedBudgets(context, traffic, hotKeys.counts);
+        budgets = new SharedBudgets(context, traffic, hotKeys.counts, links);
         originRate = budgets.originRate();
         admission = new AdmissionControl(context.random);
         outliers = new OutlierDetection(context, traffic, cluster, hotKeys, originRate, admission);
         discovery = new DiscoverySubscription(context);
     }
 
+    /** What this router holds of the origin's budget. */
+    public Holding holding() {
+        return budgets.holding();
+    }
+
     /** Takes an event and hands the actions that answer it to {@code actions}, in their order. */
     public void handle(long clockNanos, Event event, Consumer<Action> actions) {
         context.begin(clockNanos, actions);
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import slateseam.decision.Api.Sight;
 import slateseam.decision.Api.TierSeen;
 import slateseam.decision.Api.Trust;
@@ -41,12 +42,18 @@
     final boolean lower;
     /** Whether this router inherits the other's supply: it is its ring successor. */
     final boolean buddy;
+    /** Whether the other is beside this router on the ring; else it is the partner of a link. */
+    final boolean ring;
+    /** Whether the other inherits this router's supply. */
+    final boolean heir;
     private final List<Account> accounts;
     /** Whether this end holds the ledger; one that has just started does not. */
     private boolean known;
     private boolean answered;
     private boolean mayMove;
     private boolean told;
+    /** Whether what it told last is what its books said, and not what a life that has just started makes of them. */
+    private boolean toldByBooks;
     private int life;
     private int sent;
     private int heard;
@@ -69,6 +76,8 @@
         this.accounts = accounts;
         lower = me < peer;
         buddy = (peer + 1) % routers == me;
+        heir = (me + 1) % routers == peer;
+        ring = buddy || heir;
         heardAt = now;
         lookedAt = now;
         flow = new int[accounts.size()];
@@ -101,7 +110,7 @@
     SupplyMessage message(boolean ask, boolean starting, int me, double rate,
             Map<Long, Double> popular) {
         return new SupplyMessage(ask, known, starting, me, life, ++sent, heard, rate, flow.clone(),
-                accounts.stream().mapToInt(a -> a.units).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
+                accounts.stream().mapToInt(Account::own).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
                 accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(), popular);
     }
 
@@ -123,6 +132,7 @@
             theirUnits = m.units().clone();
             theirFlow = m.flow();
             told = true;
+            toldByBooks = m.known() && !m.starting();
         }
         mayMove = false;
         if (m.to() == me) {
@@ -246,12 +256,24 @@
     void inherit() {
         loan = new int[flow.length];
         for (int a = 0; a < loan.length; a++) {
-            int underway = lower ? debited(a) - theirFlow[a] : 0;
-            loan[a] = Math.max(0, theirUnits[a] + underway);
+            loan[a] = Math.max(0, theirs(a));
             accounts.get(a).inherited += loan[a];
         }
     }
 
+    /** The other's own supply as it told last, with what has moved to it since. */
+    private int theirs(int a) {
+        return theirUnits[a] + (lower ? debited(a) - theirFlow[a] : 0);
+    }
+
+    /**
+     * What a life of the other that has just started is to know of the one before; null if this
+     * router does not know it. Only the heir does: what it has passed on meanwhile is in no other's figure.
+     */
+    SupplyReminder reminder() {
+        return buddy && toldByBooks && known ? new SupplyReminder(life, IntStream.range(0, flow.length).map(this::theirs).toArray()) : null;
+    }
+
     private void giveBack(boolean anew) {
         if (loan == null) {
             return;
--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import slateseam.decision.Api.Holding;
 import slateseam.decision.Api.PeerMessage;
 import slateseam.decision.Api.TellPeer;
 import slateseam.decision.Api.TierSeen;
@@ -31,7 +34,11 @@
     private final Account origin;
     private final OriginRate originRate;
     private final List<Account> accounts = new ArrayList<>();
+    /** Those beside it on the ring, and the partners of its links. */
     private final List<Neighbour> neighbours = new ArrayList<>();
+    private final SupplyLinks links;
+    private final Set<Integer> partners;
+    private final EarlierSupply earlier;
     /** Whether it uses its supply: not before its buddy has heard that it is there. */
     private boolean joined;
     private boolean resting;
@@ -41,10 +48,11 @@
     private long lastTick;
     private long nextInterval;
 
-    SharedBudgets(DecisionContext context, TrafficStats traffic, KeyCounts keys) {
+    SharedBudgets(DecisionContext context, TrafficStats traffic, KeyCounts keys, SupplyLinks links) {
         this.context = context;
         this.traffic = traffic;
         this.keys = keys;
+        this.links = links;
         int routers = context.settings().routers();
         evenShare = Account.WHOLE / routers;
         origin = new Account(START_RATE * routers, evenShare);
@@ -52,6 +60,9 @@
         accounts.add(origin);
         context.settings().tenants().stream().limit(SupplyMessage.MOST_ACCOUNTS - 1)
                 .forEach(tenant -> accounts.add(new Account(tenant.quotaPerSecond(), evenShare)));
+        boolean peers = context.settings().limits().peers();
+        partners = peers ? links.partners(context.settings().me(), routers) : Set.of();
+        earlier = new EarlierSupply(accounts);
     }
 
     OriginRate originRate() {
@@ -76,7 +87,14 @@
         if (routers > 2 && peers) {
             meet((me + routers - 1) % routers);
         }
+        partners.forEach(this::meet);
         joined = neighbours.isEmpty();
+        earlier.start(!partners.isEmpty(), now);
+    }
+
+    /** What this router holds of the origin's budget. */
+    Holding holding() {
+        return new Holding(origin, joined && !resting);
     }
 
     /** Guards against a supply that two processes of one router use at once: one of them rests. */
@@ -108,19 +126,49 @@
         return busyIntervals < 2 && context.now() - startedAt < START;
     }
 
+    /** The same as one neighbour is to see it: its heir keeps what the earlier life told until it has told that. */
+    private boolean starting(Neighbour to) {
+        return starting() || awaitsWordOf(to);
+    }
+
+    private boolean awaitsWordOf(Neighbour neighbour) {
+        return neighbour.heir && earlier.isWaiting();
+    }
+
     private void send(Neighbour to, boolean ask) {
-        var popular = keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON);
-        SupplyMessage message = to.message(ask, starting(), life, origin.rate, popular);
+        Map<Long, Double> popular =
+                to.ring ? keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON) : Map.of();
+        SupplyMessage message = to.message(ask, starting(to), life, origin.rate, popular);
         context.emit(new TellPeer(to.peer, message.encode()));
     }
 
+    /** Tells a router that has just started what its earlier life had, if this router is its heir. */
+    private void remind(Neighbour neighbour) {
+        SupplyReminder reminder = partners.isEmpty() ? null : neighbour.reminder();
+        if (reminder != null) {
+            context.emit(new TellPeer(neighbour.peer, reminder.encode()));
+        }
+    }
+
+    private void reminded(Neighbour by, SupplyReminder reminder) {
+        if (reminder != null && reminder.to() == life && by.heir && by.known()) {
+            earlier.told(reminder);
+        }
+    }
+
+    private boolean allKnown() {
+        return neighbours.stream().allMatch(Neighbour::known);
+    }
+
     void received(PeerMessage event) {
         SupplyMessage message = SupplyMessage.decode(event.payload(), accounts.size());
         for (Neighbour neighbour : neighbours) {
             if (neighbour.peer != event.from()) {
                 continue;
             }
-            if (message != null) {
+            if (!partners.isEmpty() && SupplyReminder.isOne(event.payload())) {
+                reminded(neighbour, SupplyReminder.decode(event.payload(), accounts.size()));
+            } else if (message != null) {
                 received(neighbour, message);
             } else {
                 neighbour.isThere(context.now()); // of another build: what it says is passed over
@@ -134,37 +182,52 @@
             life = message.to() + 1 == 0 ? 1 : message.to() + 1;
         }
         boolean knew = from.known();
+        earlier.hearing();
         boolean news = from.hear(message, life, context.now());
+        if (!knew && from.known()) {
+            earlier.adopted(allKnown());
+        }
         if (news) {
             take(from, message, knew);
         }
         if (message.ask() && (news || message.from() != from.life())) {
             send(from, false);
         }
+        if (message.ask() && message.starting()) {
+            remind(from);
+        }
     }
 
     private void take(Neighbour from, SupplyMessage message, boolean knew) {
         // Neighbours learn R together, each from few fetches; a new one takes it over.
-        double part = !message.known() ? 0 : !knew && starting() ? 1 : RATE_WEIGHT;
+        double weight = from.ring ? RATE_WEIGHT : links.rateWeight(partners.size());
+        double part = !message.known() ? 0 : !knew && starting() ? 1 : weight;
         origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(message.rate(), part);
-        keys.hear(from.peer, message.popular());
+        if (from.ring) {
+            keys.hear(from.peer, message.popular());
+        }
         joined |= neighbours.stream().allMatch(Neighbour::answered);
-        for (int a = 0; a < accounts.size() && from.mayMove() && !starting(); a++) {
-            from.move(a, wanted(accounts.get(a), message.held()[a], message.demand()[a]));
+        for (int a = 0; a < accounts.size() && from.mayMove() && !starting(from); a++) {
+            from.move(a, wanted(accounts.get(a), message.held()[a], message.demand()[a], movedPart(from)));
         }
     }
 
+    private double movedPart(Neighbour with) {
+        return with.ring ? ETA : SupplyLinks.movedPart(partners.size());
+    }
+
     /** What is to move to the neighbour, by the fill-ratio gap. */
-    private int wanted(Account own, int theirs, double theirDemand) {
+    private static int wanted(Account own, int theirs, double theirDemand, double movedPart) {
         double demand = own.demand.perSecond();
         double gap = own.held() / demand - theirs / theirDemand;
-        return (int) (ETA * gap * 2 * demand * theirDemand / (demand + theirDemand));
+        return (int) (movedPart * gap * 2 * demand * theirDemand / (demand + theirDemand));
     }
 
     /** Adds the supply since the last time. */
     void accrue() {
         long now = context.now();
         joined |= now - startedAt >= Timing.INTERVAL;
+        earlier.pass(neighbours.stream().anyMatch(each -> each.heir && each.answered()), now);
         for (Account account : accounts) {
             double burst = Math.max(1, account.supply() * BURST_SECONDS) * (account == origin ? 1 : TENANT_BURST);
             if (joined && !resting) {
@@ -199,14 +262,15 @@
         for (Neighbour neighbour : neighbours) {
             neighbour.look(now);
             boolean doubt = neighbour.missed(SILENCE / 2, now) || !joined && !neighbour.answered();
-            if (now - neighbour.askedAt() < (doubt ? Timing.INTERVAL / 5 : usual)) {
+            long pause = neighbour.ring ? usual : links.pause(neighbour.answered());
+            if (now - neighbour.askedAt() < (doubt ? Timing.INTERVAL / 5 : pause)) {
                 continue;
             }
             if (neighbour.vanished(SILENCE, now)) {
                 neighbour.inherit();
             }
             neighbour.asked(now);
-            if (neighbour.lower || doubt || !neighbour.known()) {
+            if (neighbour.lower || doubt || !neighbour.known() || awaitsWordOf(neighbour)) {
                 send(neighbour, true);
             }
         }
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -120,7 +120,7 @@
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
         versions = new Versions(config.settings());
-        core = new Core(loop, versions, config.seed(), config.mostHeld());
+        core = new Core(loop, versions, config.seed(), config.mostHeld(), features.supplyLinks());
         passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
                 config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())), served::dispatched);
         told = new ToldFarm(loop, config, features, farm, handover, place.aside(), changed -> {
--- a/src/main/java/slateseam/router/config/Features.java
+++ b/src/main/java/slateseam/router/config/Features.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import slateseam.decision.SupplyLinks;
 import slateseam.router.net.Bytes;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 import slateseam.router.net.Clock;
@@ -23,11 +24,12 @@
  * @param tier the members of the tier of routers, known in common
  * @param policy a policy that all routers of the tier share
  * @param serverStreams requests that may be out on one connection to a server at once
+ * @param supplyLinks whether supply is exchanged beyond ring neighbours, and how often
  */
 public record Features(MultiGet multiGet, HotList hotList, Figures figures, Tap tap, KubernetesSettings kubernetes,
-        Snapshot snapshot, Tier tier, Policy policy, int serverStreams) {
+        Snapshot snapshot, Tier tier, Policy policy, int serverStreams, SupplyLinks supplyLinks) {
     /** No feature at all, as without a settings file. */
-    public static final Features OFF = new Features(null, null, null, null, null, null, null, null, 1);
+    public static final Features OFF = new Features(null, null, null, null, null, null, null, null, 1, SupplyLinks.OFF);
 
     /** Two connections, as one closes while the next opens, and a file that is read. */
     private static final int KUBERNETES_FILES = 3;
@@ -100,10 +102,11 @@
         Tier tier = tier(settings, config);
         Policy policy = policy(settings, config, tier);
         int serverStreams = settings.number("server_streams", 1, 100, 1);
+        SupplyLinks supplyLinks = supplyLinks(settings, config);
         settings.rejectTheRest();
         Features features = new Features(multiGetPort == 0 ? null : new MultiGet(multiGetPort, multiGetKeys),
                 hot ? hotList : null, figuresOn ? figures : null, tapPort == 0 ? null : tap, kubernetes,
-                folder == null ? null : snapshot, tier, policy, serverStreams);
+                folder == null ? null : snapshot, tier, policy, serverStreams, supplyLinks);
         if (features.descriptors() + NodeConfig.LEAST_SOCKETS > config.sockets()) {
             String most = tapPort > 0 ? "tap_port" : multiGetPort > 0 ? "multiget_port" : figuresOn ? "figures"
                     : kubernetes != null ? "kubernetes_api" : "snapshot_folder";
@@ -129,6 +132,15 @@
         return on ? tier : null;
     }
 
+    private static SupplyLinks supplyLinks(SettingsFile settings, NodeConfig config) throws InvalidConfigException {
+        boolean on = settings.on("supply_links");
+        long pauseNanos = settings.number("supply_links_ms", 100, 10_000, 500) * Clock.MILLI;
+        if (on && (config.peerListen() == null || !config.settings().limits().peers())) {
+            throw settings.fault("supply_links", "supply_links is on, but the configuration lets routers send each other nothing");
+        }
+        return on ? new SupplyLinks(true, pauseNanos) : SupplyLinks.OFF;
+    }
+
     private static Policy policy(SettingsFile settings, NodeConfig config, Tier tier) throws InvalidConfigException {
         boolean on = settings.on("policy");
         String named = settings.text("policy_voters");
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -28,6 +28,7 @@
 import slateseam.decision.Api.TellPeer;
 import slateseam.decision.Api.TimerFired;
 import slateseam.decision.Brain;
+import slateseam.decision.SupplyLinks;
 import slateseam.router.farm.FarmSource;
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Hash;
@@ -114,9 +115,14 @@
 
     /** Creates the core of a router that holds at most so many requests. */
     public Core(Loop loop, Versions versions, long seed, int mostHeld) {
+        this(loop, versions, seed, mostHeld, SupplyLinks.OFF);
+    }
+
+    /** The same of one that exchanges supply beyond its ring neighbours. */
+    public Core(Loop loop, Versions versions, long seed, int mostHeld, SupplyLinks links) {
         this.loop = loop;
         this.versions = versions;
-        this.brain = new Brain(versions.current().settings(), seed);
+        this.brain = new Brain(versions.current().settings(), seed, links);
         this.slots = new Slots<>(mostHeld);
         this.mostHeldBytes = loop.heapBytes() / 8;
     }
--- a/src/main/java/slateseam/simulate/RouterProcess.java
+++ b/src/main/java/slateseam/simulate/RouterProcess.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.json.JSONObject;
+import slateseam.decision.SupplyLinks;
 import slateseam.router.Router;
 import slateseam.router.config.Features;
 import slateseam.router.config.NodeConfig;
@@ -27,6 +28,7 @@
     private static final long LEAST_DEADLINE_NANOS = 3_000_000_000L;
 
     private static final long TIER_PERIOD_NANOS = 200_000_000L;
+    private static final long LINKS_PAUSE_NANOS = 500_000_000L;
     private static final long TIER_FORGET_NANOS = 3_600_000_000_000L;
 
     private final VirtualNetwork net;
@@ -107,8 +109,10 @@
 
     private Features features() {
         Day.RouterRules rules = day.routerRules();
-        return !rules.hasTier() ? Features.OFF : new Features(null, null, null, null, null, null,
-                new Features.Tier("slateseam", TIER_PERIOD_NANOS, 8, TIER_FORGET_NANOS, true, rules.tier().equals("keep")), null, 1);
+        Features.Tier tier = rules.hasTier()
+                ? new Features.Tier("slateseam", TIER_PERIOD_NANOS, 8, TIER_FORGET_NANOS, true, rules.tier().equals("keep")) : null;
+        SupplyLinks links = rules.supplyLinks() && rules.messages() ? new SupplyLinks(true, LINKS_PAUSE_NANOS) : SupplyLinks.OFF;
+        return new Features(null, null, null, null, null, null, tier, null, 1, links);
     }
 
     private NodeConfig config() {
--- a/src/main/java/slateseam/simulate/SimulateCommand.java
+++ b/src/main/java/slateseam/simulate/SimulateCommand.java
@@ -17,6 +17,8 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.json.JSONArray;
+import slateseam.decision.Brain;
+import slateseam.decision.SupplyLinks;
 import slateseam.simulate.check.Breach;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.FaultChoice;
@@ -25,6 +27,7 @@
 import slateseam.simulate.scenario.Scenarios;
 import slateseam.simulate.tier.MembersCommand;
 import slateseam.simulate.tier.PolicyFigures;
+import slateseam.simulate.tier.SupplyFigures;
 import slateseam.simulate.tier.TierDays;
 
 /** The sub-commands of {@code simulate}. */
@@ -41,6 +44,9 @@
               tier --seeds A..B   plays what the tier of routers decides in common through days of faults, and checks it
               agreement --seeds A..B   the same of the log that a few routers agree on: votes, disks that lie, changes of who votes
               policy --seeds A..B      the same of changes of policy that take hold everywhere or nowhere
+              supply --seeds A..B      the same of the budget that routers share over links (supply_links)
+              supply-figures      prints how fast supply follows a shift of demand (--members N,N... routers; --links MS: over links,
+                                  exchanged so often; --loss PERCENT of the datagrams)
               policy-figures      prints how long a change of policy takes and what it costs (--members N,N... routers)
               members             prints how fast and how wrong membership is, and what it costs
               shrink SEED         makes a day that breaks a rule as small as can be and writes it as a scenario file
@@ -84,7 +90,8 @@
                 case "run" -> new String[] {"scenario", "faults", "seeds", "threads", "json"};
                 case "replay" -> new String[] {"scenario", "faults", "trace"};
                 case "shrink" -> new String[] {"scenario", "faults", "out"};
-                case "tier", "agreement", "policy" -> new String[] {"seeds"};
+                case "tier", "agreement", "policy", "supply" -> new String[] {"seeds"};
+                case "supply-figures" -> new String[] {"members", "seeds", "loss", "links"};
                 case "members", "policy-figures" -> new String[] {"members", "seeds", "hours"};
                 case "help", "--help", "-h" -> new String[0];
                 default -> throw new ParseException(command.isEmpty() ? "no command" : "unknown command " + command);
@@ -96,9 +103,12 @@
                 out.println(HELP);
                 return 0;
             }
-            if (List.of("tier", "agreement", "policy").contains(command)) {
+            if (List.of("tier", "agreement", "policy", "supply").contains(command)) {
                 return tier(command, line, out);
             }
+            if (command.equals("supply-figures")) {
+                return supplyFigures(line, out);
+            }
             if (command.equals("members") || command.equals("policy-figures")) {
                 return members(command, line, out);
             }
@@ -135,6 +145,7 @@
         long broken = switch (command) {
             case "tier" -> TierDays.play(first, last, out::println);
             case "agreement" -> TierDays.playAgreement(first, last, out::println);
+            case "supply" -> TierDays.playSupply(first, last, out::println);
             default -> TierDays.playPolicy(first, last, out::println);
         };
         out.println((last - first + 1) + " days, " + broken + " broke a rule");
@@ -163,6 +174,25 @@
         return 0;
     }
 
+    /** How fast supply follows a shift of demand. */
+    private static int supplyFigures(CommandLine line, PrintStream out) throws ParseException {
+        int[] routers = routers(line, "20,50,100");
+        long seed = number("--seeds", line.getOptionValue("seeds", "1"), 0, Long.MAX_VALUE - 1);
+        double loss = number("--loss", line.getOptionValue("loss", "0"), 0, 99) / 100.0;
+        long millis = number("--links", line.getOptionValue("links", "0"), 0, 10_000);
+        SupplyLinks links = millis == 0 ? SupplyLinks.OFF : new SupplyLinks(true, millis * 1_000_000);
+        SupplyFigures.run(routers, seed, loss, (settings, random) -> new Brain(settings, random, links), out::println);
+        return 0;
+    }
+
+    private static int[] routers(CommandLine line, String usual) throws ParseException {
+        List<Integer> routers = new ArrayList<>();
+        for (String one : line.getOptionValue("members", usual).split(",")) {
+            routers.add((int) number("--members", one, 2, 10_000));
+        }
+        return routers.stream().mapToInt(one -> one).toArray();
+    }
+
     private int run() throws ParseException, IOException {
         if (!line.getArgList().isEmpty()) {
             throw new ParseException("unexpected " + line.getArgList().get(0));
--- a/src/main/java/slateseam/simulate/scenario/Day.java
+++ b/src/main/java/slateseam/simulate/scenario/Day.java
@@ -117,6 +117,7 @@
      * @param probes whether servers may be probed
      * @param messages whether routers may send each other datagrams
      * @param tier whether routers know their tier in common: off, keep or rest
+     * @param supplyLinks whether routers exchange supply beyond their ring neighbours
      * @param comeBack whether an unavailable answer may tell when to come back
      * @param longestComeBackNanos the latest such time
      * @param connectNanos a server's connection that is not up by then has failed
@@ -132,7 +133,7 @@
      * @param overShareWorth worth of what a tenant asks beyond its share, as a part
      */
     public record RouterRules(int descriptors, long memoryBytes, int held, long tickNanos, int tries,
-            boolean secondCopies, boolean cancel, boolean probes, boolean messages, String tier, boolean comeBack,
+            boolean secondCopies, boolean cancel, boolean probes, boolean messages, String tier, boolean supplyLinks, boolean comeBack,
             long longestComeBackNanos, long connectNanos, int commands, long idleNanos, boolean asked,
             long drainGraceNanos, double coldFrom, long coldNanos, double overload, long overloadNanos,
             long answerSlackNanos, double overShareWorth) {
--- a/src/main/java/slateseam/simulate/scenario/DayDraw.java
+++ b/src/main/java/slateseam/simulate/scenario/DayDraw.java
@@ -135,7 +135,7 @@
         Drawn r = drawn("routers");
         return new RouterRules(r.count("descriptors"), (long) r.figure("memory"), r.count("held"), r.nanos("tick"),
                 r.count("tries"), r.yes("second-copies"), r.yes("cancel"), r.yes("probes"), r.yes("messages"), r.word("tier"),
-                r.yes("come-back"), r.nanos("longest-come-back"), r.nanos("connect-within"), r.count("commands"),
+                r.word("supply-links").equals("on"), r.yes("come-back"), r.nanos("longest-come-back"), r.nanos("connect-within"), r.count("commands"),
                 r.nanos("idle"), r.word("discovery").equals("ask"), r.nanos("drain-grace"), r.figure("cold-from"),
                 r.nanos("cold"), r.figure("overload"), r.nanos("overload-for"), r.nanos("answer-slack"),
                 r.figure("over-share-worth"));
--- a/src/main/java/slateseam/simulate/scenario/Schema.java
+++ b/src/main/java/slateseam/simulate/scenario/Schema.java
@@ -145,6 +145,8 @@
                 Name.choice("messages", YES_NO, "yes", "whether routers may send each other datagrams"),
                 Name.choice("tier", List.of("off", "keep", "rest"), "off",
                         "whether they know their tier in common, and what those in the smaller part of a cut do with their supply"),
+                Name.choice("supply-links", List.of("off", "on"), "off",
+                        "whether they exchange supply beyond their ring neighbours"),
                 Name.choice("come-back", YES_NO, "yes", "whether an unavailable answer may tell when to come back"),
                 Name.time("longest-come-back", 0, 60, "2 s", "the latest such time"),
                 Name.time("connect-within", 0.001, 10, "200 ms",
--- a/src/main/java/slateseam/simulate/tier/TierDays.java
+++ b/src/main/java/slateseam/simulate/tier/TierDays.java
@@ -25,6 +25,11 @@
         return play(from, to, seed -> new PolicyDay(seed).play(), lines);
     }
 
+    /** The same of those who share a budget over links. */
+    public static long playSupply(long from, long to, Consumer<String> lines) {
+        return play(from, to, seed -> new SupplyDay(seed).play(), lines);
+    }
+
     private static long play(long from, long to, LongFunction<MembersDay.Broken> day, Consumer<String> lines) {
         AtomicLong broken = new AtomicLong();
         LongStream.rangeClosed(from, to).parallel().forEach(seed -> {
--- a/src/main/java/slateseam/trial/Routers.java
+++ b/src/main/java/slateseam/trial/Routers.java
@@ -136,7 +136,7 @@
             boolean shares = PolicyLook.isIn(day);
             String extra = (lasting == null ? "" : lasting.features(router)) + (day.routerRules().hasTier() || shares
                     ? "tier on\ntier_places listed\ntier_in_doubt " + (shares ? "keep" : day.routerRules().tier()) + "\n" : "")
-                    + (shares ? "policy on\npolicy_proposal " + PolicyLook.proposal(folder, router) + "\n" : "");
+                    + (day.routerRules().supplyLinks() ? "supply_links on\n" : "") + (shares ? "policy on\npolicy_proposal " + PolicyLook.proposal(folder, router) + "\n" : "");
             line = extra.isEmpty() ? line : withFeatures(router, line, extra);
             if (ahead.getOrDefault(router, 0L) != 0) {
                 options += " -D" + Clock.AHEAD_MILLIS + "=" + ahead.get(router) / MILLI;
--- /dev/null
+++ b/src/test/java/slateseam/decision/SupplyLinksTest.java
@@ -0,0 +1,96 @@
+package slateseam.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static slateseam.decision.World.MS;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import slateseam.decision.Api.Action;
+import slateseam.decision.Api.PeerMessage;
+import slateseam.decision.Api.Started;
+import slateseam.decision.Api.TellPeer;
+import slateseam.decision.Api.TimerFired;
+
+/** Who is linked with whom, what is asked of partners, and what one that has just started is told. */
+class SupplyLinksTest {
+    private static final SupplyLinks ON = new SupplyLinks(true, 500 * MS);
+
+    @Test
+    void linksAreMutualAndGrowWithTheLogarithm() {
+        for (int routers = 1; routers <= 300; routers++) {
+            for (int me = 0; me < routers; me++) {
+                var partners = ON.partners(me, routers);
+                assertThat(partners).hasSizeLessThanOrEqualTo(2 * (32 - Integer.numberOfLeadingZeros(routers)));
+                for (int partner : partners) {
+                    int apart = Math.floorMod(partner - me, routers);
+                    assertThat(apart).isBetween(2, routers - 2);
+                    assertThat(ON.partners(partner, routers)).contains(me);
+                }
+            }
+        }
+        assertThat(ON.partners(0, 2_000)).hasSize(20);
+        assertThat(SupplyLinks.OFF.partners(0, 2_000)).isEmpty();
+    }
+
+    private static List<TellPeer> told(SupplyLinks links, PeerMessage heard) {
+        Brain brain = new Brain(World.settings(0, 16, false, List.of()), 1, links);
+        List<Action> actions = new ArrayList<>();
+        long now = 1_000_000 * MS;
+        brain.handle(now, new Started(), actions::add);
+        actions.clear();
+        if (heard != null) {
+            brain.handle(now, heard, actions::add);
+        }
+        for (int i = 0; heard == null && i < 2_000; i++) {
+            now += 10 * MS;
+            brain.handle(now, new TimerFired(1), actions::add);
+        }
+        return actions.stream().filter(TellPeer.class::isInstance).map(TellPeer.class::cast).toList();
+    }
+
+    private static PeerMessage ask(int from) {
+        int[] none = new int[1];
+        return new PeerMessage(from, new SupplyMessage(true, false, true, 5, 0, 1, 0, 40, none, none, none,
+                new double[] {1}, Map.of()).encode());
+    }
+
+    @Test
+    void onlyWhoHasLinksAnswersAPartner() {
+        assertThat(told(ON, ask(4))).hasSize(1).allMatch(tell -> tell.to() == 4);
+        assertThat(told(ON, ask(5))).isEmpty();
+        assertThat(told(SupplyLinks.OFF, ask(4))).isEmpty();
+        assertThat(told(SupplyLinks.OFF, ask(1))).hasSize(1);
+    }
+
+    /** Guards against a tier of two builds, or one with dead routers, in which many are asked in vain and often. */
+    @Test
+    void whoNeverAnswersIsAskedSeldom() {
+        List<TellPeer> told = told(ON, null);
+        // Every 50 ms while it waits for answers at its start, 0.25 s; then every 4 s of the 20.
+        assertThat(told.stream().filter(tell -> tell.to() == 4)).hasSizeBetween(5, 12);
+        assertThat(told(SupplyLinks.OFF, null)).allMatch(tell -> tell.to() == 1 || tell.to() == 15);
+    }
+
+    @Test
+    void partnersAreToldNoKeys() {
+        for (TellPeer tell : told(ON, ask(4))) {
+            assertThat(SupplyMessage.decode(tell.payload(), 1).popular()).isEmpty();
+        }
+    }
+
+    @Test
+    void remindersAreReadAndGarbledOnesAreNot() {
+        byte[] bytes = new SupplyReminder(7, new int[] {3, -4}).encode();
+        SupplyReminder back = SupplyReminder.decode(bytes, 2);
+        assertThat(back.to()).isEqualTo(7);
+        assertThat(back.units()).containsExactly(3, -4);
+        assertThat(SupplyReminder.decode(bytes, 1)).isNull();
+        assertThat(SupplyReminder.decode(Arrays.copyOf(bytes, bytes.length - 1), 2)).isNull();
+        assertThat(SupplyReminder.isOne(new byte[0])).isFalse();
+        // A build without links takes it for a message of another version.
+        assertThat(SupplyMessage.decode(bytes, 2)).isNull();
+    }
+}
--- a/src/test/java/slateseam/router/config/FeaturesTest.java
+++ b/src/test/java/slateseam/router/config/FeaturesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import slateseam.decision.SupplyLinks;
 import slateseam.router.config.NodeConfig.InvalidConfigException;
 
 class FeaturesTest {
@@ -43,6 +44,8 @@
         assertThat(read("tier on;tier_places listed").tier()).isEqualTo(new Features.Tier("slateseam", 200_000_000L, 8,
                 3_600_000_000_000L, false, true));
         assertThat(read("tier_name other;tier_in_doubt rest")).isEqualTo(Features.OFF);
+        assertThat(read("supply_links_ms 700")).isEqualTo(Features.OFF);
+        assertThat(read("supply_links on").supplyLinks()).isEqualTo(new SupplyLinks(true, 500_000_000L));
         assertThat(read("hot_list off")).isEqualTo(Features.OFF);
         assertThat(read("hot_list on").hotList()).isEqualTo(new Features.HotList(512, 60_000_000_000L, 20));
     }
--- /dev/null
+++ b/src/test/java/slateseam/simulate/SupplyBugsTest.java
@@ -0,0 +1,19 @@
+package slateseam.simulate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Some of the bugs planted in the exchange of supply; the main of {@link SupplyBugs} looks for all of them outside the build. */
+class SupplyBugsTest {
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            a transfer is counted again with each message that tells it | MINTED
+            a restart forgets what its partners' books say              | MINTED
+            """)
+    void isFound(String name, String rule) {
+        PlantedBug bug = SupplyBugs.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+        assertThat(TierBugs.find("supply", bug, 64)).isNotNull().extracting(Planted.Found::rule).isEqualTo(rule);
+    }
+}
--- /dev/null
+++ b/src/test/java/slateseam/simulate/tier/SupplyHardCasesTest.java
@@ -0,0 +1,200 @@
+package slateseam.simulate.tier;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import slateseam.decision.Brain;
+import slateseam.decision.SupplyLinks;
+import slateseam.simulate.tier.MembersWorld.Ways;
+import slateseam.simulate.tier.SupplyWorld.Maker;
+
+/** What befalls supply that is exchanged over links, one thing at a time. */
+class SupplyHardCasesTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final Maker OFF = Brain::new;
+    private static final Maker ON = (settings, seed) -> new Brain(settings, seed, new SupplyLinks(true, SECOND / 2));
+    /** Rounding. */
+    private static final double EXACT = 1e-6;
+    /** What may be on its way while demand varies by chance. */
+    private static final double ON_ITS_WAY = 0.1;
+
+    /** Routers of which the first has so much more to do that it has been given much of the others' supply. */
+    private static SupplyWorld uneven(int routers, Ways ways) {
+        SupplyWorld world = new SupplyWorld(routers, 1, ways, ON);
+        IntStream.range(0, routers).forEach(i -> world.demand(i, i == 0 ? 20.0 * routers : 10));
+        world.startAll();
+        run(world, 15 * SECOND);
+        assertThat(world.holding(0).own()).isGreaterThan(2.0 / routers);
+        return world;
+    }
+
+    /** At no step do they own more than there is. */
+    private static void run(SupplyWorld world, long nanos) {
+        world.run(nanos, () -> assertThat(world.owned()).isLessThan(1 + EXACT));
+    }
+
+    /** Once nothing is asked for any more, the supply is whole and the ends of each pair tell the same. */
+    private static void endsWhole(SupplyWorld world) {
+        IntStream.range(0, world.size()).forEach(i -> world.demand(i, 0));
+        run(world, 20 * SECOND);
+        assertThat(world.owned()).isBetween(1 - ON_ITS_WAY, 1 + EXACT);
+        assertThat(world.used()).isBetween(1 - ON_ITS_WAY, 1 + EXACT);
+        assertThat(world.books().differences(1 << 17)).isEmpty();
+    }
+
+    private static double leftAfter(int routers, Maker maker, long nanos) {
+        SupplyWorld world = new SupplyWorld(routers, 1, Ways.USUAL, maker);
+        IntStream.range(0, routers).forEach(i -> world.demand(i, 30));
+        world.startAll();
+        world.run(3 * SECOND);
+        IntStream.range(0, routers).forEach(i -> world.demand(i, i < routers / 10 ? 150 : 30 * 5.0 / 9));
+        double first = world.imbalance();
+        world.run(nanos);
+        return world.imbalance() / first;
+    }
+
+    /** Half of an imbalance crosses sixty routers within 6 s; along the ring alone most of it is still there. */
+    @Test
+    void supplyCrossesTheTierInAFewSteps() {
+        assertThat(leftAfter(60, ON, 6 * SECOND)).isLessThan(0.5);
+        assertThat(leftAfter(60, OFF, 6 * SECOND)).isGreaterThan(0.75);
+    }
+
+    @Test
+    void whatItCostsFitsTheBudgetForControl() {
+        SupplyWorld world = new SupplyWorld(128, 1, Ways.USUAL, ON);
+        IntStream.range(0, world.size()).forEach(i -> world.demand(i, 10));
+        world.startAll();
+        world.run(3 * SECOND);
+        world.clearTally();
+        world.run(5 * SECOND);
+        // Twelve links twice a second and two ring neighbours up to four times, a half of the messages each.
+        assertThat(world.tally().datagrams / 5.0 / world.size()).isLessThan(12 * 2 + 2 * 4 + 4);
+        assertThat(world.tally().bytes / 5.0 / world.size()).isLessThan(5_000);
+    }
+
+    @Test
+    void aPartnerLostInTheMiddleOfTransfersLosesAndMintsNothing() {
+        SupplyWorld world = new SupplyWorld(12, 2, Ways.USUAL, ON);
+        IntStream.range(0, 12).forEach(i -> world.demand(i, i == 0 ? 240 : 10));
+        world.startAll();
+        run(world, 2 * SECOND); // transfers are under way on all links of the first
+        world.kill(4);
+        run(world, SECOND);
+        world.kill(8);
+        run(world, 5 * SECOND);
+        world.start(4);
+        world.start(8);
+        run(world, 3 * SECOND);
+        endsWhole(world);
+    }
+
+    /** It has given most of its supply away, and comes back where it hears only its heir: it uses what is left and no more. */
+    @Test
+    void aRestartBehindACutUsesNothingThatItGaveAway() {
+        SupplyWorld world = uneven(12, Ways.USUAL);
+        double left = world.holding(4).own();
+        assertThat(left).isLessThan(0.8 / 12);
+        cutAllBut(world, 4, 5, true);
+        world.kill(4);
+        run(world, 300 * MILLI);
+        world.start(4);
+        run(world, 3 * SECOND);
+        assertThat(world.holding(4).joined()).isTrue();
+        cutAllBut(world, 4, 5, false);
+        run(world, 5 * SECOND);
+        endsWhole(world);
+    }
+
+    /** The same where it hears nobody at all: it uses nothing, as it knows nothing. */
+    @Test
+    void aRestartThatHearsNobodyUsesNothingForAMinute() {
+        SupplyWorld world = uneven(12, Ways.USUAL);
+        cutAllBut(world, 4, 4, true);
+        world.kill(4);
+        run(world, 300 * MILLI);
+        world.start(4);
+        run(world, 50 * SECOND);
+        assertThat(world.holding(4).usable()).isLessThan(EXACT);
+        cutAllBut(world, 4, 4, false);
+        run(world, 5 * SECOND);
+        assertThat(world.holding(4).usable()).isPositive();
+        endsWhole(world);
+    }
+
+    private static void cutAllBut(SupplyWorld world, int one, int but, boolean on) {
+        for (int other = 0; other < world.size(); other++) {
+            if (other != one && other != but) {
+                world.net().cut(one, other, on);
+                world.net().cut(other, one, on);
+            }
+        }
+    }
+
+    @Test
+    void twoHalvesForAMinuteKeepTheirBooks() {
+        SupplyWorld world = uneven(12, Ways.USUAL);
+        world.net().halve(5, 12, true);
+        run(world, 60 * SECOND);
+        world.net().halve(5, 12, false);
+        run(world, 5 * SECOND);
+        endsWhole(world);
+    }
+
+    @Test
+    void aWholeRegionIsBackAfterAnHour() {
+        SupplyWorld world = uneven(8, Ways.USUAL);
+        IntStream.range(0, 8).forEach(i -> world.demand(i, 0));
+        IntStream.range(3, 8).forEach(world::kill);
+        run(world, 3_600 * SECOND);
+        IntStream.range(3, 8).forEach(world::start);
+        run(world, 12 * SECOND);
+        endsWhole(world);
+    }
+
+    @Test
+    void allStartAgainWithNothing() {
+        SupplyWorld world = uneven(12, Ways.USUAL);
+        IntStream.range(0, 12).forEach(world::kill);
+        run(world, SECOND);
+        world.startAll();
+        run(world, 5 * SECOND);
+        assertThat(world.owned()).isGreaterThan(1 - ON_ITS_WAY);
+        endsWhole(world);
+    }
+
+    @Test
+    void lostDoubledAndSwappedMessagesCountOnce() {
+        SupplyWorld world = uneven(12, new Ways(0.3, 0.5, 0.3, MILLI, 60 * MILLI));
+        world.kill(3);
+        run(world, 2 * SECOND);
+        world.start(3);
+        run(world, 10 * SECOND);
+        world.net().ways(Ways.USUAL);
+        endsWhole(world);
+    }
+
+    /** Old routers pass over what they are asked; ring neighbours of both builds go on as before. */
+    @Test
+    void oldAndNewBuildsStandSideBySide() {
+        SupplyWorld world = new SupplyWorld(12, 3, Ways.USUAL, ON);
+        IntStream.range(0, 6).forEach(i -> world.make(2 * i, OFF));
+        IntStream.range(0, 12).forEach(i -> world.demand(i, i == 0 ? 240 : 10));
+        world.startAll();
+        run(world, 20 * SECOND);
+        assertThat(world.owned()).isGreaterThan(1 - ON_ITS_WAY);
+        // All pairs beside one another on the ring, and of links those of two new routers: six at a distance of 2, three at 4 and 8.
+        assertThat(world.books().pairs()).isEqualTo(12 + 6 + 6);
+        // All are of the new build in the end, one after the other.
+        for (int i = 0; i < 12; i += 2) {
+            world.kill(i);
+            world.make(i, ON);
+            world.start(i);
+            run(world, 2 * SECOND);
+        }
+        run(world, 10 * SECOND);
+        endsWhole(world);
+    }
+}
