--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -266,7 +266,8 @@
             if (now - neighbour.askedAt() < (doubt ? Timing.INTERVAL / 5 : pause)) {
                 continue;
             }
-            if (neighbour.vanished(SILENCE, now)) {
+            // Guards against a router that nobody hears after its start, and that takes what it guesses others to have.
+            if (!earlier.isWaiting() && neighbour.vanished(SILENCE, now)) {
                 neighbour.inherit();
             }
             neighbour.asked(now);
--- a/src/main/java/slateseam/simulate/tier/SupplyBooks.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyBooks.java
@@ -13,6 +13,10 @@
     private static final int FROM_AT = 2;
     private static final int FLOW_AT = 22;
 
+    private static final int STARTING = 4;
+    private static final int OWN_AT = 26;
+    private static final double WHOLE = 1 << 30;
+
     /** What one router last told another: in which life, whether it holds the pair's ledger, and what has moved by that. */
     record Entry(int life, boolean known, int flow) {
     }
@@ -27,6 +31,12 @@
         }
     }
 
+    /** The part of the budget that a message says its sender owns by its books; null if it says none. */
+    static Double own(byte[] bytes) {
+        boolean says = bytes.length >= OWN_AT + Integer.BYTES && bytes[0] == VERSION && (bytes[1] & (KNOWN | STARTING)) == KNOWN;
+        return says ? ByteBuffer.wrap(bytes).getInt(OWN_AT) / WHOLE : null;
+    }
+
     private static long pair(int from, int to) {
         return (long) from << 32 | to;
     }
--- a/src/main/java/slateseam/simulate/tier/SupplyDay.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyDay.java
@@ -28,8 +28,6 @@
     private static final double EXACT = 1e-6;
     /** Of the budget: what may be on its way where demand still varies by chance. */
     private static final double ON_ITS_WAY = 0.12;
-    /** What is told of a life is as old as the last message: so much may have moved between that and its end. */
-    private static final double TOLD_LATE = 0.05;
     /** Of a budget of 2^30: the last of what evens out, which gets smaller with each exchange, may be on its way. */
     private static final int MOST_DIFFERENCE = 1 << 17;
     private static final double MOST_DEMAND = 60;
@@ -39,8 +37,6 @@
     private final SupplyWorld world;
     private final int routers;
     private final Set<Integer> busy = new HashSet<>();
-    /** While somebody may have restarted behind a cut: the books of the last life are known from what it told. */
-    private long restartedUntil;
     private boolean halved;
     private Broken broken;
     private String log = "";
@@ -81,11 +77,10 @@
         }
     }
 
-    /** After each step: the routers own no more than there is together. */
+    /** After each step: the routers own no more than there is, but for what moved after a life told its heir for the last time. */
     private void look() {
         double owned = world.owned();
-        double most = 1 + (world.now() < restartedUntil ? TOLD_LATE : EXACT);
-        if (owned > most) {
+        if (owned > 1 + EXACT + world.toldTooMuch()) {
             breaks("MINTED", String.format(Locale.ROOT, "all own %.6f of the budget together", owned));
         }
     }
@@ -153,10 +148,7 @@
     }
 
     private void restart(int one, long lasts) {
-        befall(one, lasts, () -> world.kill(one), () -> {
-            world.start(one);
-            restartedUntil = Math.max(restartedUntil, world.now() + MOST_LASTS + CALM);
-        });
+        befall(one, lasts, () -> world.kill(one), () -> world.start(one));
     }
 
     /** Some that are beside one another go at once and come back together. */
--- a/src/main/java/slateseam/simulate/tier/SupplyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyWorld.java
@@ -75,6 +75,10 @@
         boolean paused;
         /** What it owned when it was killed. */
         double lastOwned;
+        /** What it told its heir last that it owns. */
+        double toldHeir;
+        /** By how much that was more than it owned at its end: its last moves were not told any more. */
+        double toldTooMuch;
         double rate;
         long arrivals;
         final Deque<Runnable> inbox = new ArrayDeque<>();
@@ -175,6 +179,7 @@
         Node node = nodes[index];
         boolean counts = node.brain != null && node.brain.holding().joined();
         node.lastOwned = counts ? node.brain.holding().own() : node.lastOwned;
+        node.toldTooMuch = Math.max(0, node.toldHeir - node.lastOwned);
         node.brain = null;
         node.life++;
     }
@@ -214,6 +219,11 @@
         return owned;
     }
 
+    /** By how much heirs were told more than routers owned at the end of their last lives, in parts of the whole budget. */
+    public double toldTooMuch() {
+        return Arrays.stream(nodes).mapToDouble(node -> node.toldTooMuch).sum();
+    }
+
     /** What all may use together, in parts of the whole budget. */
     public double used() {
         return Arrays.stream(nodes).filter(node -> node.brain != null)
@@ -308,6 +318,10 @@
         tally.bytes += tell.payload().length + HEADER_BYTES;
         books.told(from.index, tell.to(), tell.payload());
         Node to = nodes[tell.to()];
+        Double own = SupplyBooks.own(tell.payload());
+        if (own != null && tell.to() == (from.index + 1) % nodes.length) {
+            from.toldHeir = own;
+        }
         net.post(from.index, tell.to(), () -> {
             if (to.brain != null) {
                 happen(to, to.life, new PeerMessage(from.index, tell.payload()));
