--- a/src/main/java/slateseam/simulate/tier/SupplyBooks.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyBooks.java
@@ -37,6 +37,12 @@
         return says ? ByteBuffer.wrap(bytes).getInt(OWN_AT) / WHOLE : null;
     }
 
+    /** What the ledger of a pair said, as one end told the other, in parts of the budget; 0 if that end does not hold it. */
+    double ledger(int from, int to) {
+        Entry entry = last.get(pair(from, to));
+        return entry == null || !entry.known() ? 0 : Math.abs(entry.flow()) / WHOLE;
+    }
+
     private static long pair(int from, int to) {
         return (long) from << 32 | to;
     }
--- a/src/main/java/slateseam/simulate/tier/SupplyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyWorld.java
@@ -49,6 +49,8 @@
     private static final long AIM = 500 * MILLI;
     private static final long DEADLINE = SECOND;
     private static final int MOST_INBOX = 2_000;
+    /** After that a debt that nobody remembered has been noticed, as all are heard again, and paid back. */
+    private static final long REPAID = 15 * SECOND;
     /** Of a datagram, beside its payload. */
     private static final int HEADER_BYTES = 28;
 
@@ -88,7 +90,12 @@
         }
     }
 
+    /** Ledgers that went with both of their ends, and until when what they said may be used twice. */
+    private record Lost(long until, double amount) {
+    }
+
     private final TierNet net;
+    private final List<Lost> lost = new ArrayList<>();
     private final SplittableRandom random;
     private final Node[] nodes;
     private final Tally tally = new Tally();
@@ -179,11 +186,28 @@
         Node node = nodes[index];
         boolean counts = node.brain != null && node.brain.holding().joined();
         node.lastOwned = counts ? node.brain.holding().own() : node.lastOwned;
+        loseLedgers(index);
         node.toldTooMuch = Math.max(0, node.toldHeir - node.lastOwned);
         node.brain = null;
         node.life++;
     }
 
+    /** Those go for good whose other end is down too, or has not had them back since its start. */
+    private void loseLedgers(int index) {
+        double amount = 0;
+        for (Node other : nodes) {
+            if (other.brain == null || books.ledger(other.index, index) == 0) {
+                amount += books.ledger(index, other.index);
+            }
+        }
+        lost.add(new Lost(net.now() + REPAID, amount));
+    }
+
+    /** What ledgers said lately that went with both of their ends, in parts of the whole budget: so much is repaid late. */
+    public double lostLedgers() {
+        return lost.stream().filter(one -> one.until > net.now()).mapToDouble(Lost::amount).sum();
+    }
+
     /** Whether it runs. */
     public boolean isUp(int index) {
         return nodes[index].brain != null;
