--- a/benchmarks/Churn.java
+++ b/benchmarks/Churn.java
@@ -28,8 +28,14 @@
     private static final int SAMPLES = 8;
     private static final int MOST_SECONDS = 300;
     private static final int ASKS = 4;
-    private static final String[] ENDS = {"*4\r\n$9\r\nCACHE", "*1\r\n$-7\r\n", "GET / HTTP/1.1\r\n\r\n",
-        "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$4\r\nc=no\r\n", "*999999999\r\n", "\0\0\0\0"};
+    private static final String[] ENDS = {
+        "*4\r\n$9\r\nCACHE",
+        "*1\r\n$-7\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$4\r\nc=no\r\n",
+        "*999999999\r\n",
+        "\0\0\0\0"
+    };
 
     private final InetSocketAddress router;
     private final long end;
@@ -55,15 +61,21 @@
                 for (int k = 0; k < ASKS; k++) {
                     String id = number + "-" + i + "-" + k;
                     String tenant = random.nextInt(3) > 0 ? "acme" : "new-" + id;
-                    socket.getOutputStream().write(command("CACHE.GET", "key-" + id, "id-" + id,
-                            "c=read,t=" + tenant + ",d=" + (50 + random.nextInt(1_000))));
+                    socket.getOutputStream()
+                            .write(command(
+                                    "CACHE.GET",
+                                    "key-" + id,
+                                    "id-" + id,
+                                    "c=read,t=" + tenant + ",d=" + (50 + random.nextInt(1_000))));
                     byte[] got = new byte[256];
                     int length = socket.getInputStream().read(got);
                     String answer = length < 0 ? "" : new String(got, 0, length, StandardCharsets.ISO_8859_1);
-                    (answer.startsWith("$") ? served : answer.startsWith("-BUSY") ? unavailable : other).incrementAndGet();
+                    (answer.startsWith("$") ? served : answer.startsWith("-BUSY") ? unavailable : other)
+                            .incrementAndGet();
                 }
                 if (random.nextInt(5) == 0) {
-                    socket.getOutputStream().write(ENDS[random.nextInt(ENDS.length)].getBytes(StandardCharsets.ISO_8859_1));
+                    socket.getOutputStream()
+                            .write(ENDS[random.nextInt(ENDS.length)].getBytes(StandardCharsets.ISO_8859_1));
                 }
             } catch (IOException e) {
                 other.incrementAndGet();
@@ -138,7 +150,8 @@
         if (!host.isLoopbackAddress()) {
             throw new IllegalArgumentException("loopback addresses only");
         }
-        Churn churn = new Churn(new InetSocketAddress(host, Integer.parseInt(address[1])),
+        Churn churn = new Churn(
+                new InetSocketAddress(host, Integer.parseInt(address[1])),
                 System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds));
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < AGENTS; i++) {
@@ -154,13 +167,25 @@
             TimeUnit.MILLISECONDS.sleep(1_000L * seconds / SAMPLES);
             long[] look = look(args[1], folder);
             looks.add(look);
-            System.out.printf(Locale.ROOT, "| %d | %d | %d | %d | %d | %d | %d |%n", seconds * i / SAMPLES, look[0], look[1],
-                    look[2], look[3], look[4], churn.served.get() + churn.unavailable.get());
+            System.out.printf(
+                    Locale.ROOT,
+                    "| %d | %d | %d | %d | %d | %d | %d |%n",
+                    seconds * i / SAMPLES,
+                    look[0],
+                    look[1],
+                    look[2],
+                    look[3],
+                    look[4],
+                    churn.served.get() + churn.unavailable.get());
         }
         for (Thread thread : threads) {
             thread.join();
         }
-        System.out.printf(Locale.ROOT, "served %d, unavailable %d, else %d%n", churn.served.get(), churn.unavailable.get(),
+        System.out.printf(
+                Locale.ROOT,
+                "served %d, unavailable %d, else %d%n",
+                churn.served.get(),
+                churn.unavailable.get(),
                 churn.other.get());
         boolean rises = false;
         for (int what = 0; what < 4; what++) {
--- a/benchmarks/ClosedLoop.java
+++ b/benchmarks/ClosedLoop.java
@@ -27,15 +27,20 @@
     private static final int MOST_KEYS = 1000;
     /** Of the whole run; each answer's time is kept until the end. */
     private static final int MOST_ANSWERS = 6_000_000;
+
     private static final int ANSWER_MILLIS = 5_000;
     private static final int PAUSE_MILLIS = 10;
     private static final double TICKS_A_SECOND = 100;
 
-    private enum Kind { HIT, MISS, UNAVAILABLE, ERROR }
-
-    private record Answer(Kind kind, String text) {
+    private enum Kind {
+        HIT,
+        MISS,
+        UNAVAILABLE,
+        ERROR
     }
 
+    private record Answer(Kind kind, String text) {}
+
     private static InetSocketAddress address;
     private static int agents = 4;
     private static int seconds = 5;
@@ -161,14 +166,21 @@
             filled += agent.answers;
         }
         Arrays.sort(nanos);
-        System.out.printf("%s agents=%d pipeline=%d: %.0f requests/s, %.0f hits/s; ", direct ? "direct" : "router",
-                agents, pipelined, answers / elapsed, kinds[0] / elapsed);
-        System.out.printf("hits=%d misses=%d unavailable=%d errors=%d failures=%d wrong=%d; ", kinds[0], kinds[1],
-                kinds[2], kinds[3], failures, wrong);
-        System.out.printf("us p50=%.0f p90=%.0f p99=%.0f max=%.0f", part(nanos, 0.5), part(nanos, 0.9),
-                part(nanos, 0.99), part(nanos, 1));
-        System.out.println(process == 0 ? "" : String.format("; cpu %.1f us a hit, %.0f%% of a core",
-                cpu * 1e6 / Math.max(1, kinds[0]), 100 * cpu / elapsed));
+        System.out.printf(
+                "%s agents=%d pipeline=%d: %.0f requests/s, %.0f hits/s; ",
+                direct ? "direct" : "router", agents, pipelined, answers / elapsed, kinds[0] / elapsed);
+        System.out.printf(
+                "hits=%d misses=%d unavailable=%d errors=%d failures=%d wrong=%d; ",
+                kinds[0], kinds[1], kinds[2], kinds[3], failures, wrong);
+        System.out.printf(
+                "us p50=%.0f p90=%.0f p99=%.0f max=%.0f",
+                part(nanos, 0.5), part(nanos, 0.9), part(nanos, 0.99), part(nanos, 1));
+        System.out.println(
+                process == 0
+                        ? ""
+                        : String.format(
+                                "; cpu %.1f us a hit, %.0f%% of a core",
+                                cpu * 1e6 / Math.max(1, kinds[0]), 100 * cpu / elapsed));
     }
 
     /** The time in microseconds within which this part of the answers came. */
@@ -258,7 +270,8 @@
         void ask(String key, String id) {
             String facts = "c=read,t=acme,d=1500";
             out.writeBytes(("*4\r\n$9\r\nCACHE.GET\r\n$" + key.length() + "\r\n" + key + "\r\n$" + id.length() + "\r\n"
-                    + id + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                            + id + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
         }
 
         void flush() throws IOException {
@@ -294,7 +307,7 @@
 
         private String line() throws IOException {
             StringBuilder line = new StringBuilder();
-            for (int c; (c = in.read()) != '\n';) {
+            for (int c; (c = in.read()) != '\n'; ) {
                 if (c < 0) {
                     throw new EOFException();
                 }
--- a/benchmarks/MembershipWays.java
+++ b/benchmarks/MembershipWays.java
@@ -24,18 +24,17 @@
 
         boolean dead(int me, int other);
 
-        default void woke(int me) {
-        }
+        default void woke(int me) {}
     }
 
-    private record Event(long at, long order, Runnable action) {
-    }
+    private record Event(long at, long order, Runnable action) {}
 
     /** Members, ways between them, and the faults. */
     static final class World {
         final int n;
         final SplittableRandom random;
-        final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        final PriorityQueue<Event> events =
+                new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
         final boolean[] down;
         final boolean[] paused;
         final Set<Long> cuts = new HashSet<>();
@@ -184,11 +183,9 @@
 
     /** SWIM with suspicion: random probes, three helpers, refutation by the suspect alone, piggybacked claims. */
     static final class Swim implements Way {
-        private record Claim(int about, int incarnation, int state) {
-        }
+        private record Claim(int about, int incarnation, int state) {}
 
-        private record Message(String kind, int about, int by, List<Claim> claims) {
-        }
+        private record Message(String kind, int about, int by, List<Claim> claims) {}
 
         final World w;
         final int[][] incarnation;
@@ -223,7 +220,10 @@
 
         private List<Claim> claims(int me) {
             List<Claim> taken = new ArrayList<>();
-            news.get(me).entrySet().stream().sorted(Map.Entry.comparingByValue()).limit(6).forEach(e -> taken.add(e.getKey()));
+            news.get(me).entrySet().stream()
+                    .sorted(Map.Entry.comparingByValue())
+                    .limit(6)
+                    .forEach(e -> taken.add(e.getKey()));
             int most = 3 * (32 - Integer.numberOfLeadingZeros(w.n));
             taken.forEach(claim -> news.get(me).compute(claim, (c, told) -> told + 1 >= most ? null : told + 1));
             return taken;
@@ -364,7 +364,10 @@
             }
             for (int i = 0; i < w.n; i++) {
                 for (int k = 0; k < K; k++) {
-                    if (watchers[i][k] == me && i != me && w.now - last[me][i] > 5 * PERIOD && !gone.get(me).contains(i)) {
+                    if (watchers[i][k] == me
+                            && i != me
+                            && w.now - last[me][i] > 5 * PERIOD
+                            && !gone.get(me).contains(i)) {
                         all(me, new int[] {i, k}); // again each period, as it may be lost
                     }
                 }
@@ -393,7 +396,9 @@
         public void heard(int me, int from, Object message) {
             if (message instanceof int[] alert) {
                 if (!gone.get(me).contains(alert[0])) {
-                    alerts.get(me).computeIfAbsent(alert[0], x -> new HashSet<>()).add(alert[1]);
+                    alerts.get(me)
+                            .computeIfAbsent(alert[0], x -> new HashSet<>())
+                            .add(alert[1]);
                 }
             } else if (message instanceof Set) {
                 Set<Integer> change = (Set<Integer>) message;
@@ -443,10 +448,12 @@
     public static void main(String[] args) {
         int n = args.length > 0 ? Integer.parseInt(args[0]) : 100;
         int seeds = args.length > 1 ? Integer.parseInt(args[1]) : 10;
-        System.out.println("| way | datagrams a member and second | half know a death: median s | 99% know: median / most s | wrong deaths a member and hour at 20% lost"
-                + " | the same, a tenth paused | one way cut: believe a death | nothing reaches one: whom it believes dead | 40 of 100 apart: dead in the smaller part's view |");
+        System.out.println(
+                "| way | datagrams a member and second | half know a death: median s | 99% know: median / most s | wrong deaths a member and hour at 20% lost"
+                        + " | the same, a tenth paused | one way cut: believe a death | nothing reaches one: whom it believes dead | 40 of 100 apart: dead in the smaller part's view |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-        for (String name : List.of("heartbeats to all", "phi over ring heartbeats", "SWIM with suspicion", "Rapid's watchers and votes")) {
+        for (String name : List.of(
+                "heartbeats to all", "phi over ring heartbeats", "SWIM with suspicion", "Rapid's watchers and votes")) {
             long before = 0;
             List<Long> half = new ArrayList<>();
             List<Long> nearly = new ArrayList<>();
@@ -469,9 +476,19 @@
             }
             half.sort(null);
             nearly.sort(null);
-            System.out.printf(Locale.ROOT, "| %s | %.0f | %s | %s / %s | %s | %s | %s | %s | %s |%n", name, rate, seconds(half.get(seeds / 2)),
-                    seconds(nearly.get(seeds / 2)), seconds(nearly.get(seeds - 1)), wrong(name, n, seeds, 0.2, 0), wrong(name, n, seeds, 0, 0.1),
-                    cut(name, n), deaf(name, n), apart(name, n));
+            System.out.printf(
+                    Locale.ROOT,
+                    "| %s | %.0f | %s | %s / %s | %s | %s | %s | %s | %s |%n",
+                    name,
+                    rate,
+                    seconds(half.get(seeds / 2)),
+                    seconds(nearly.get(seeds / 2)),
+                    seconds(nearly.get(seeds - 1)),
+                    wrong(name, n, seeds, 0.2, 0),
+                    wrong(name, n, seeds, 0, 0.1),
+                    cut(name, n),
+                    deaf(name, n),
+                    apart(name, n));
         }
     }
 
--- a/examples/ToyFarm.java
+++ b/examples/ToyFarm.java
@@ -40,22 +40,23 @@
     private static void listen(int port, Speaker speaker) throws IOException {
         ServerSocket server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         new Thread(() -> {
-            while (true) {
-                try {
-                    Socket socket = server.accept();
-                    new Thread(() -> speak(socket, speaker)).start();
-                } catch (IOException e) {
-                    System.err.println(e);
-                }
-            }
-        }).start();
+                    while (true) {
+                        try {
+                            Socket socket = server.accept();
+                            new Thread(() -> speak(socket, speaker)).start();
+                        } catch (IOException e) {
+                            System.err.println(e);
+                        }
+                    }
+                })
+                .start();
     }
 
     private static void speak(Socket socket, Speaker speaker) {
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (String answer; (answer = speaker.answer(in)) != null;) {
+            for (String answer; (answer = speaker.answer(in)) != null; ) {
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
             }
         } catch (IOException e) {
@@ -138,7 +139,7 @@
     /** Passes the headers and returns the body's length. */
     private static int headers(InputStream in) throws IOException {
         int length = 0;
-        for (String line; (line = line(in)) != null && !line.isEmpty();) {
+        for (String line; (line = line(in)) != null && !line.isEmpty(); ) {
             if (line.toLowerCase().startsWith("content-length:")) {
                 length = Integer.parseInt(line.substring(15).trim());
             }
@@ -148,7 +149,7 @@
 
     private static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
-        for (int c; (c = in.read()) != '\n';) {
+        for (int c; (c = in.read()) != '\n'; ) {
             if (c < 0) {
                 return null;
             }
--- a/src/main/java/slateseam/Main.java
+++ b/src/main/java/slateseam/Main.java
@@ -39,6 +39,7 @@
     private static final int USAGE = 2;
     /** Before a router takes user agents; what it costs a restart, and spares the first seconds. */
     private static final long WARM_NANOS = 250_000_000L;
+
     private static final String HELP = """
             usage: java -jar slateseam.jar COMMAND [--config FILE] [--features FILE]
               serve         runs one router until it gets SIGTERM; SIGHUP makes it read its configuration again
@@ -56,8 +57,7 @@
             --config FILE is a router's configuration (serve, check-config, farm show); without it NODE_CONFIG names the
             file; --features FILE turns features on (the same commands); without it all are off""";
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the named command and exits: 0 in order, 1 if it failed, 2 if it was called or configured wrongly. */
     public static void main(String[] args) {
@@ -179,8 +179,9 @@
         }
     }
 
-    private static void serve(NodeConfig config, Features features, Path file, Path settings, Console console,
-            CountDownLatch ended) throws IOException {
+    private static void serve(
+            NodeConfig config, Features features, Path file, Path settings, Console console, CountDownLatch ended)
+            throws IOException {
         Clock clock = Clock.system();
         Log log = new Log(config.name(), clock, console);
         String folder = System.getenv("TMPDIR");
@@ -194,8 +195,10 @@
         }
         // Guards against the virtual machine's own answer to SIGHUP, which is to end.
         if (Signal.handle(new Signal("HUP"), signal -> router.reload(file, settings)) == SignalHandler.SIG_IGN) {
-            // The virtual machine keeps to what its starter chose and installs nothing: said, lest it be found out by a stale farm.
-            log.line("signal-ignored", "signal=HUP since=start lost=new-settings start-by=\"env --default-signal=HUP\"");
+            // The virtual machine keeps to what its starter chose and installs nothing: said, lest it be found out by a
+            // stale farm.
+            log.line(
+                    "signal-ignored", "signal=HUP since=start lost=new-settings start-by=\"env --default-signal=HUP\"");
         }
         if (features.hotList() != null) {
             // Before 'serving', so that whoever has read that may signal: unhandled, SIGUSR1 ends the process.
--- a/src/main/java/slateseam/decision/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -17,6 +17,7 @@
     double rate;
     /** What is asked for. */
     final Tally demand = new Tally();
+
     private double tokens;
 
     Account(double rate, int units) {
--- a/src/main/java/slateseam/decision/AdmissionControl.java
+++ b/src/main/java/slateseam/decision/AdmissionControl.java
@@ -6,6 +6,7 @@
 final class AdmissionControl {
     /** Admits all work; at 1 all within its share and nothing beyond. */
     private static final double ALL = 2;
+
     private static final double ALL_WITHIN_SHARE = 1;
     private static final double LEAST_ADMITTED = 0.3;
     /** Of what is admitted, in an interval with overload. */
@@ -18,6 +19,7 @@
     private static final double COLLAPSE = 0.3;
     /** Of the counts, kept over the end of an interval. */
     private static final double KEPT = 0.5;
+
     private final SplittableRandom random;
     private double tried;
     private double bad;
--- a/src/main/java/slateseam/decision/Cluster.java
+++ b/src/main/java/slateseam/decision/Cluster.java
@@ -15,6 +15,7 @@
     static final double MOST_EJECTED = 0.5;
     /** Hashes that are tried for a key. */
     private static final int SALTS = 128;
+
     private static final long SALT_STEP = 0x9e3779b97f4a7c15L;
     final TreeMap<Long, UpstreamServer> servers = new TreeMap<>();
     final FarmHealth health = new FarmHealth();
@@ -55,17 +56,23 @@
         event.members().forEach(this::update);
         boolean aside = context.settings().mode() == CacheMode.ASIDE;
         origin = servers.values().stream()
-                .filter(server -> aside && server.isOrigin() && server.ready()).findFirst().orElse(null);
+                .filter(server -> aside && server.isOrigin() && server.ready())
+                .findFirst()
+                .orElse(null);
         // Guards against a map that grows with every member that was ever replaced.
         servers.values().removeIf(server -> server.member.isGone() && server.outstanding == 0);
         List<UpstreamServer> caches = servers.values().stream()
-                .filter(server -> !server.isOrigin() && !server.member.isGone()).toList();
+                .filter(server -> !server.isOrigin() && !server.member.isGone())
+                .toList();
         slots.place(caches);
-        List<UpstreamServer> ready = caches.stream().filter(UpstreamServer::ready).toList();
+        List<UpstreamServer> ready =
+                caches.stream().filter(UpstreamServer::ready).toList();
         readyCaches = ready.size();
         health.ready(ready);
         topRating = caches.stream()
-                .mapToDouble(server -> server.ready() ? server.member.rating() : 0).max().orElse(1);
+                .mapToDouble(server -> server.ready() ? server.member.rating() : 0)
+                .max()
+                .orElse(1);
     }
 
     private void removeUnlisted(List<Member> members) {
@@ -109,7 +116,9 @@
     }
 
     private boolean takes(UpstreamServer server, long hash, UpstreamServer not) {
-        return server != null && server != not && server.usable()
+        return server != null
+                && server != not
+                && server.usable()
                 && slowStart.admits(server, hash, topRating, readyCaches);
     }
 
--- a/src/main/java/slateseam/decision/DecisionContext.java
+++ b/src/main/java/slateseam/decision/DecisionContext.java
@@ -13,6 +13,7 @@
 final class DecisionContext {
     /** Drawn from by all concerns, so that the same seed and events give the same actions. */
     final SplittableRandom random;
+
     private final long salt;
     private Settings settings;
     private long shortestAim;
@@ -34,7 +35,10 @@
     /** What comes from now on comes with these; requests keep what they came with. */
     void retune(Settings changed) {
         settings = changed;
-        shortestAim = changed.classes().stream().mapToLong(RequestClass::aimNanos).min().orElse(Timing.SECOND);
+        shortestAim = changed.classes().stream()
+                .mapToLong(RequestClass::aimNanos)
+                .min()
+                .orElse(Timing.SECOND);
     }
 
     Settings settings() {
--- a/src/main/java/slateseam/decision/DiscoverySubscription.java
+++ b/src/main/java/slateseam/decision/DiscoverySubscription.java
@@ -9,6 +9,7 @@
     static final int TIMER_TAG = 2;
     /** Doublings of the time between two calls, after calls that failed. */
     private static final int MOST_DOUBLINGS = 2;
+
     private final DecisionContext context;
     private int failedCalls;
 
--- a/src/main/java/slateseam/decision/EarlierSupply.java
+++ b/src/main/java/slateseam/decision/EarlierSupply.java
@@ -30,6 +30,7 @@
     private final List<Account> accounts;
     /** What the books said before this life moved anything: the even share and what known ledgers said when they came back. */
     private final int[] base;
+
     private final int[] before;
     private State state = State.SETTLED;
     private long startedAt;
--- a/src/main/java/slateseam/decision/FarmHealth.java
+++ b/src/main/java/slateseam/decision/FarmHealth.java
@@ -16,7 +16,9 @@
 
     /** The part of the caches that have failed since a time; 0 where there is none. */
     double failedPart(long since) {
-        return part(caches.stream().filter(h -> h.failedAt != 0 && h.failedAt >= since).count());
+        return part(caches.stream()
+                .filter(h -> h.failedAt != 0 && h.failedAt >= since)
+                .count());
     }
 
     /** The part that has so many failures in a row that it is left alone, or is to be tried first. */
@@ -26,7 +28,9 @@
 
     /** The part that first answered this router, since its own last start, before a time. */
     double provenPart(long before) {
-        return part(caches.stream().filter(h -> h.provenAt != 0 && h.provenAt < before).count());
+        return part(caches.stream()
+                .filter(h -> h.provenAt != 0 && h.provenAt < before)
+                .count());
     }
 
     /**
--- a/src/main/java/slateseam/decision/FetchTimes.java
+++ b/src/main/java/slateseam/decision/FetchTimes.java
@@ -9,6 +9,7 @@
     private static final double CALM = 1.5;
     /** By a part of the aim: what is slower by less harms nobody. */
     private static final double RISE = 0.15;
+
     private static final double LOST_PART = 0.2;
     private static final double WEIGHT = 0.1;
     private static final double QUICKER = 0.05;
@@ -19,6 +20,7 @@
     private static final int FEW = 10;
     /** Fetches that count alike in the usual time. */
     private static final int ALIKE = 30;
+
     private int known;
     private double recent;
     private double usual;
--- a/src/main/java/slateseam/decision/Health.java
+++ b/src/main/java/slateseam/decision/Health.java
@@ -16,6 +16,7 @@
     long provenAt;
     /** When the first attempt went out since then. */
     long firstSentAt;
+
     long failedAt;
     long ejectedAt;
     long ejectedUntil;
@@ -23,6 +24,7 @@
     long ejection;
     /** When the first attempt went out since something last came back; 0 while nothing is owed. */
     private long unansweredSince;
+
     private long sentAt;
     private long shrunkAt;
 
--- a/src/main/java/slateseam/decision/HotKeys.java
+++ b/src/main/java/slateseam/decision/HotKeys.java
@@ -10,6 +10,7 @@
     private static final double HOT_MISSES = 0.25;
     /** Of the counts an interval, so that they span some 20 s. */
     private static final double FADE = 0.987;
+
     final KeyCounts counts = new KeyCounts();
     private final DecisionContext context;
 
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -16,6 +16,7 @@
     final RequestClass type;
     /** How often it may be tried in all. */
     final int most;
+
     final long arrivedAt;
     final long giveUpAt;
     final boolean overShare;
@@ -23,11 +24,13 @@
     boolean open;
     /** Whether it has been let wait for room at a cache. */
     boolean waited;
+
     boolean mayHaveRun;
     /** Whether an attempt has come to a member. */
     boolean reached;
     /** When it is looked at: whether anything was done for it yet; at {@link #giveUpAt} at the latest. */
     long dueAt;
+
     boolean done;
     long wakeAt;
     /** Misses of the same key that wait for this one's fetch; null unless it leads one. */
--- a/src/main/java/slateseam/decision/JumpHash.java
+++ b/src/main/java/slateseam/decision/JumpHash.java
@@ -4,14 +4,13 @@
 final class JumpHash {
     private static final long MULTIPLIER = 2862933555777941757L;
 
-    private JumpHash() {
-    }
+    private JumpHash() {}
 
     /** The bucket of a key among so many. */
     static int bucket(long key, int buckets) {
         long state = key;
         int bucket = -1;
-        for (long next = 0; next < buckets;) {
+        for (long next = 0; next < buckets; ) {
             bucket = (int) next;
             state = state * MULTIPLIER + 1;
             next = (long) ((bucket + 1) * (0x1p31 / ((state >>> 33) + 1)));
--- a/src/main/java/slateseam/decision/KeyCounts.java
+++ b/src/main/java/slateseam/decision/KeyCounts.java
@@ -106,8 +106,10 @@
             told.put(ALL, all);
         }
         Comparator<Map.Entry<Long, Double>> most = Map.Entry.comparingByValue(Comparator.reverseOrder());
-        reads.entrySet().stream().filter(e -> e.getValue() >= 1)
-                .sorted(most.thenComparing(Map.Entry::getKey)).limit(Math.max(0, entries - 1))
+        reads.entrySet().stream()
+                .filter(e -> e.getValue() >= 1)
+                .sorted(most.thenComparing(Map.Entry::getKey))
+                .limit(Math.max(0, entries - 1))
                 .forEach(e -> told.put(e.getKey(), e.getValue()));
         return told;
     }
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -46,14 +46,17 @@
     final boolean ring;
     /** Whether the other inherits this router's supply. */
     final boolean heir;
+
     private final List<Account> accounts;
     /** Whether this end holds the ledger; one that has just started does not. */
     private boolean known;
+
     private boolean answered;
     private boolean mayMove;
     private boolean told;
     /** Whether what it told last is what its books said, and not what a life that has just started makes of them. */
     private boolean toldByBooks;
+
     private int life;
     private int sent;
     private int heard;
@@ -66,6 +69,7 @@
     private long pause = SECOND / 2;
     /** All that went from the lower to the higher: as this end tells it; as the other end was last seen to have it. */
     private final int[] flow;
+
     private final int[] settled;
     private int[] theirFlow;
     private int[] theirUnits;
@@ -107,11 +111,21 @@
     }
 
     /** What the next message is to say of the ledger and of messages. */
-    SupplyMessage message(boolean ask, boolean starting, int me, double rate,
-            Map<Long, Double> popular) {
-        return new SupplyMessage(ask, known, starting, me, life, ++sent, heard, rate, flow.clone(),
-                accounts.stream().mapToInt(Account::own).toArray(), accounts.stream().mapToInt(Account::held).toArray(),
-                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(), popular);
+    SupplyMessage message(boolean ask, boolean starting, int me, double rate, Map<Long, Double> popular) {
+        return new SupplyMessage(
+                ask,
+                known,
+                starting,
+                me,
+                life,
+                ++sent,
+                heard,
+                rate,
+                flow.clone(),
+                accounts.stream().mapToInt(Account::own).toArray(),
+                accounts.stream().mapToInt(Account::held).toArray(),
+                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(),
+                popular);
     }
 
     /** Takes a message to this life; false, and nothing is changed, if it is doubled, overtaken or of an earlier life. */
@@ -271,7 +285,10 @@
      * router does not know it. Only the heir does: what it has passed on meanwhile is in no other's figure.
      */
     SupplyReminder reminder() {
-        return buddy && toldByBooks && known ? new SupplyReminder(life, IntStream.range(0, flow.length).map(this::theirs).toArray()) : null;
+        return buddy && toldByBooks && known
+                ? new SupplyReminder(
+                        life, IntStream.range(0, flow.length).map(this::theirs).toArray())
+                : null;
     }
 
     private void giveBack(boolean anew) {
--- a/src/main/java/slateseam/decision/OriginRate.java
+++ b/src/main/java/slateseam/decision/OriginRate.java
@@ -11,14 +11,17 @@
     private static final double MOST_GROWTH = 1.5;
     /** Of R in an interval, for each second since the last cut. */
     private static final double GROWTH = 0.016;
+
     private static final double LEAST_GROWTH_SECONDS = 2.5;
     /** Of R after overload, on what the origin was just seen to deliver. */
     private static final double CUT = 0.85;
     /** Of the fetches, given up: from there on caches would run empty. */
     private static final double FUTILE = 0.25;
+
     private static final double FUTILE_WEIGHT = 0.05;
     /** Of the last interval's deliveries: small counts are noisy. */
     private static final double DELIVERED_WEIGHT = 0.4;
+
     private static final long LONG_AGO = -3600 * Timing.SECOND;
     final FetchTimes fetchTimes = new FetchTimes();
     private final Tally delivered = new Tally();
@@ -27,6 +30,7 @@
     private final int evenShare;
     /** Whether R has held back a fetch in this interval. */
     private boolean bound;
+
     private boolean calm = true;
     private long cutAt = LONG_AGO;
     private double futile;
--- a/src/main/java/slateseam/decision/OutlierDetection.java
+++ b/src/main/java/slateseam/decision/OutlierDetection.java
@@ -15,6 +15,7 @@
     private static final int LOST_WORK = 2;
     /** Of the aim; what takes longer narrows the window. */
     private static final double SLOW_ANSWER = 0.6;
+
     private static final double WINDOW_CUT = 0.75;
     private static final double LEAST_WINDOW = 0.1;
     /** By the first ejection; it doubles three times. */
@@ -22,8 +23,9 @@
     /** For which idle connections are closed, after a refusal. */
     private static final long CROWDED = 20 * Timing.SECOND;
     /** No sign of life; we end these ourselves. */
-    private static final Set<Outcome> NOTHING_BACK = EnumSet.of(Outcome.CONNECT_FAILED, Outcome.UNSENT,
-            Outcome.MOOT, Outcome.TIMEOUT, Outcome.CANCELLED);
+    private static final Set<Outcome> NOTHING_BACK =
+            EnumSet.of(Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT, Outcome.TIMEOUT, Outcome.CANCELLED);
+
     private final DecisionContext context;
     private final TrafficStats traffic;
     private final Cluster cluster;
@@ -31,8 +33,13 @@
     private final OriginRate originRate;
     private final AdmissionControl admission;
 
-    OutlierDetection(DecisionContext context, TrafficStats traffic, Cluster cluster, HotKeys hotKeys,
-            OriginRate originRate, AdmissionControl admission) {
+    OutlierDetection(
+            DecisionContext context,
+            TrafficStats traffic,
+            Cluster cluster,
+            HotKeys hotKeys,
+            OriginRate originRate,
+            AdmissionControl admission) {
         this.context = context;
         this.traffic = traffic;
         this.cluster = cluster;
@@ -172,8 +179,8 @@
         long firstEjection = UpstreamServer.firstEjection(context);
         boolean common = cluster.strained();
         if (common) {
-            cluster.health.forgive(now - firstEjection, UpstreamServer.HICCUP, UpstreamServer.FAILURES,
-                    cluster.fairWindow(), now);
+            cluster.health.forgive(
+                    now - firstEjection, UpstreamServer.HICCUP, UpstreamServer.FAILURES, cluster.fairWindow(), now);
         }
         server.failures += weight;
         // Guards against counting one mishap many times: nothing is sent while it is ejected.
--- a/src/main/java/slateseam/decision/RequestTable.java
+++ b/src/main/java/slateseam/decision/RequestTable.java
@@ -13,6 +13,7 @@
     private final Map<Long, Job> jobs = new HashMap<>();
     /** Open requests alone. */
     private final TreeSet<Job> byDueTime = new TreeSet<>(Job.order(job -> job.dueAt));
+
     private final PriorityQueue<Job> delayed = Job.queue(job -> job.wakeAt);
     /** Waiting for supply: work within shares first, then the latest, as it has time left for its aim. */
     private final PriorityQueue<Job> awaitingSupply =
--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -17,6 +17,7 @@
     private static final double ETA = 0.25;
     /** The first R, fetches a second for each router; then learned. */
     private static final double START_RATE = 40;
+
     private static final double BURST_SECONDS = 0.25;
     /** A tenant's burst, by the origin's. */
     private static final double TENANT_BURST = 6;
@@ -26,6 +27,7 @@
     private static final double RATE_WEIGHT = 0.25;
     /** Requests that bear the cost of one exchange. */
     private static final double REQUESTS_AN_EXCHANGE = 5;
+
     private static final long START = 2 * Timing.SECOND;
     private final DecisionContext context;
     private final TrafficStats traffic;
@@ -36,11 +38,13 @@
     private final List<Account> accounts = new ArrayList<>();
     /** Those beside it on the ring, and the partners of its links. */
     private final List<Neighbour> neighbours = new ArrayList<>();
+
     private final SupplyLinks links;
     private final Set<Integer> partners;
     private final EarlierSupply earlier;
     /** Whether it uses its supply: not before its buddy has heard that it is there. */
     private boolean joined;
+
     private boolean resting;
     private int life;
     private int busyIntervals;
@@ -58,7 +62,8 @@
         origin = new Account(START_RATE * routers, evenShare);
         originRate = new OriginRate(context, origin, evenShare);
         accounts.add(origin);
-        context.settings().tenants().stream().limit(SupplyMessage.MOST_ACCOUNTS - 1)
+        context.settings().tenants().stream()
+                .limit(SupplyMessage.MOST_ACCOUNTS - 1)
                 .forEach(tenant -> accounts.add(new Account(tenant.quotaPerSecond(), evenShare)));
         boolean peers = context.settings().limits().peers();
         partners = peers ? links.partners(context.settings().me(), routers) : Set.of();
@@ -286,7 +291,9 @@
     boolean exceedsShare(int tenant) {
         int index = tenant + 1;
         Account account = index < accounts.size() ? accounts.get(index) : null;
-        return account != null && !account.ask() && account.held() > evenShare / 16
+        return account != null
+                && !account.ask()
+                && account.held() > evenShare / 16
                 && context.now() - startedAt > START;
     }
 }
--- a/src/main/java/slateseam/decision/SlotTable.java
+++ b/src/main/java/slateseam/decision/SlotTable.java
@@ -11,6 +11,7 @@
     private static final int LEAST_SLOTS = 128;
     /** Slots of a server, at least four of them to each. */
     private static final int SLOTS_A_SERVER = 8;
+
     private UpstreamServer[] slots = new UpstreamServer[LEAST_SLOTS];
 
     /** Takes another list in place of the one before. */
--- a/src/main/java/slateseam/decision/SlowStart.java
+++ b/src/main/java/slateseam/decision/SlowStart.java
@@ -4,6 +4,7 @@
 final class SlowStart {
     /** Of the stated multiple of its capacity: the load that a cold server may get from all routers. */
     private static final double COLD_PART = 0.5;
+
     private final DecisionContext context;
     private final TrafficStats traffic;
 
@@ -23,8 +24,8 @@
             return true;
         }
         var rules = context.settings().rules();
-        double rate = traffic.arrivals.perSecond() * warmth * COLD_PART
-                * rules.overloadFactor() / Math.max(1, readyCaches);
+        double rate =
+                traffic.arrivals.perSecond() * warmth * COLD_PART * rules.overloadFactor() / Math.max(1, readyCaches);
         return server.coldBucket.take(rate, rules.fallNanos(), context.now());
     }
 
--- a/src/main/java/slateseam/decision/SupplyLinks.java
+++ b/src/main/java/slateseam/decision/SupplyLinks.java
@@ -19,6 +19,7 @@
     private static final int SHORTEST = 2;
     /** A partner that has not answered in this life, as its links are off or it is away, is asked so much less often. */
     private static final int UNANSWERED = 8;
+
     private static final double RATE_WEIGHT = 0.5;
 
     /** The partners of a router, without its ring neighbours. The relation is symmetric. */
--- a/src/main/java/slateseam/decision/SupplyMessage.java
+++ b/src/main/java/slateseam/decision/SupplyMessage.java
@@ -22,8 +22,20 @@
  * @param demand for each account, the sender's demand a second
  * @param popular the sender's reads lately of its most popular keys, and of all keys under 0
  */
-record SupplyMessage(boolean ask, boolean known, boolean starting, int from, int to, int sequence, int heard,
-        double rate, int[] flow, int[] units, int[] held, double[] demand, Map<Long, Double> popular) {
+record SupplyMessage(
+        boolean ask,
+        boolean known,
+        boolean starting,
+        int from,
+        int to,
+        int sequence,
+        int heard,
+        double rate,
+        int[] flow,
+        int[] units,
+        int[] held,
+        double[] demand,
+        Map<Long, Double> popular) {
     private static final byte VERSION = 3;
     private static final int ASK = 1;
     private static final int KNOWN = 2;
@@ -44,10 +56,15 @@
     }
 
     byte[] encode() {
-        ByteBuffer b = ByteBuffer.allocate(
-                HEADER_BYTES + ACCOUNT_BYTES * flow.length + KEY_BYTES * popular.size());
+        ByteBuffer b = ByteBuffer.allocate(HEADER_BYTES + ACCOUNT_BYTES * flow.length + KEY_BYTES * popular.size());
         int flags = (ask ? ASK : 0) | (known ? KNOWN : 0) | (starting ? STARTING : 0) | flow.length << FLAG_BITS;
-        b.put(VERSION).put((byte) flags).putInt(from).putInt(to).putInt(sequence).putInt(heard).putFloat((float) rate);
+        b.put(VERSION)
+                .put((byte) flags)
+                .putInt(from)
+                .putInt(to)
+                .putInt(sequence)
+                .putInt(heard)
+                .putFloat((float) rate);
         for (int a = 0; a < flow.length; a++) {
             b.putInt(flow[a]).putInt(units[a]).putInt(held[a]).putFloat((float) demand[a]);
         }
@@ -63,9 +80,20 @@
         }
         ByteBuffer b = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
         int flags = b.get();
-        SupplyMessage m = new SupplyMessage((flags & ASK) != 0, (flags & KNOWN) != 0, (flags & STARTING) != 0,
-                b.getInt(), b.getInt(), b.getInt(), b.getInt(), b.getFloat(), new int[accounts], new int[accounts],
-                new int[accounts], new double[accounts], new LinkedHashMap<>());
+        SupplyMessage m = new SupplyMessage(
+                (flags & ASK) != 0,
+                (flags & KNOWN) != 0,
+                (flags & STARTING) != 0,
+                b.getInt(),
+                b.getInt(),
+                b.getInt(),
+                b.getInt(),
+                b.getFloat(),
+                new int[accounts],
+                new int[accounts],
+                new int[accounts],
+                new double[accounts],
+                new LinkedHashMap<>());
         boolean sound = m.from != 0 && m.rate > 0 && m.rate <= MOST_RATE;
         for (int a = 0; a < accounts; a++) {
             m.flow[a] = b.getInt();
--- a/src/main/java/slateseam/decision/Tally.java
+++ b/src/main/java/slateseam/decision/Tally.java
@@ -6,6 +6,7 @@
     private static final int MOST = 1000;
     /** Intervals after which it is no longer that of a start, or of one process beside another. */
     private static final int SETTLED = 4;
+
     private double recent;
     private double perSecond = 1;
     private int intervals;
--- a/src/main/java/slateseam/decision/Timing.java
+++ b/src/main/java/slateseam/decision/Timing.java
@@ -7,10 +7,10 @@
     static final long TICK = SECOND / 100;
     /** Over which demand is measured and limits are learned, and for which peers are awaited: some round trips. */
     static final long INTERVAL = SECOND / 4;
+
     static final double INTERVAL_SECONDS = (double) INTERVAL / SECOND;
     /** What the last interval's demand weighs: small counts are noisy. */
     static final double DEMAND_WEIGHT = 0.25;
 
-    private Timing() {
-    }
+    private Timing() {}
 }
--- a/src/main/java/slateseam/decision/TrafficStats.java
+++ b/src/main/java/slateseam/decision/TrafficStats.java
@@ -5,6 +5,7 @@
     private static final double ANSWER_WEIGHT = 0.05;
     /** Requests that clients sent. */
     final Tally arrivals = new Tally();
+
     private double answerTime;
 
     /** A cache server has answered a request after this time. */
--- a/src/main/java/slateseam/decision/UpstreamServer.java
+++ b/src/main/java/slateseam/decision/UpstreamServer.java
@@ -12,11 +12,13 @@
     static final long HICCUP = Timing.SECOND / 2;
     /** The first ejection, by the shortest aim. */
     private static final long EJECTION_AIMS = 2;
+
     Member member;
     /** Until when idle connections are closed, since it refused one. */
     long crowdedUntil;
     /** What this router may send while the server's cache is cold. */
     final ColdBucket coldBucket;
+
     private final DecisionContext context;
 
     UpstreamServer(Member member, DecisionContext context) {
--- a/src/main/java/slateseam/rehearse/Rehearsal.java
+++ b/src/main/java/slateseam/rehearse/Rehearsal.java
@@ -33,8 +33,7 @@
     private final Path folder = Files.createTempDirectory("slateseam");
 
     /** Creates it. */
-    public Rehearsal() throws IOException {
-    }
+    public Rehearsal() throws IOException {}
 
     /** Plays it once, with the features of a settings file; null for none. */
     public void play(Path features, java.io.PrintStream err) throws IOException, InvalidConfigException {
@@ -48,7 +47,13 @@
             Console console = new Console("rehearsal", err);
             Handover handover = new Handover(folder);
             Features on = features == null ? Features.OFF : Features.read(features, config);
-            Router router = new Router(config, on, Router.Place.system(on, handover), clock, new Log("rehearsal", clock, console), console);
+            Router router = new Router(
+                    config,
+                    on,
+                    Router.Place.system(on, handover),
+                    clock,
+                    new Log("rehearsal", clock, console),
+                    console);
             while (!router.listens()) {
                 router.loop().round(Clock.MILLI);
             }
@@ -94,8 +99,8 @@
             command(socket, "CACHE.SET", "long", "w", "c=once,t=acme,d=900", "v".repeat(200_000));
             command(socket, "CACHE.GET", "key", "u", "c=unknown,d=900");
         }
-        for (String call : List.of("GET /healthcheck", "GET /stats", "GET /nothing", "POST /healthcheck/fail",
-                "POST /healthcheck/ok")) {
+        for (String call : List.of(
+                "GET /healthcheck", "GET /stats", "GET /nothing", "POST /healthcheck/fail", "POST /healthcheck/ok")) {
             call(control, call);
         }
         reload.run();
@@ -105,7 +110,11 @@
     private static void command(Socket socket, String... words) throws IOException {
         StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
         for (String word : words) {
-            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            command.append('$')
+                    .append(word.length())
+                    .append("\r\n")
+                    .append(word)
+                    .append("\r\n");
         }
         socket.getOutputStream().write(command.toString().getBytes(StandardCharsets.ISO_8859_1));
         String line = line(socket.getInputStream());
@@ -157,7 +166,7 @@
     }
 
     private void discovery(Socket socket) throws IOException {
-        for (int seq = 42;; seq++) {
+        for (int seq = 42; ; seq++) {
             head(socket.getInputStream());
             body(socket, "200 OK", "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[]}");
             if (seq > 44) {
@@ -176,9 +185,13 @@
                 in.skipNBytes(2);
                 key = i == 1 ? new String(item, StandardCharsets.ISO_8859_1) : key;
             }
-            String answer = key == null ? "+OK\r\n" : key.startsWith("hit") ? "*2\r\n$5\r\nvalue\r\n$3\r\nhit\r\n"
-                    : key.equals("long") ? "*2\r\n$200000\r\n" + "v".repeat(200_000) + "\r\n$3\r\nhit\r\n"
-                    : key.equals("spoilt") ? "*1\r\n:7\r\n" : "*2\r\n$-1\r\n$4\r\nmiss\r\n";
+            String answer = key == null
+                    ? "+OK\r\n"
+                    : key.startsWith("hit")
+                            ? "*2\r\n$5\r\nvalue\r\n$3\r\nhit\r\n"
+                            : key.equals("long")
+                                    ? "*2\r\n$200000\r\n" + "v".repeat(200_000) + "\r\n$3\r\nhit\r\n"
+                                    : key.equals("spoilt") ? "*1\r\n:7\r\n" : "*2\r\n$-1\r\n$4\r\nmiss\r\n";
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
         }
     }
@@ -196,13 +209,14 @@
     }
 
     private static void body(Socket socket, String status, String body) throws IOException {
-        socket.getOutputStream().write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                .getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream()
+                .write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.ISO_8859_1));
     }
 
     private static List<String> head(InputStream in) throws IOException {
         List<String> head = new ArrayList<>();
-        for (String line; !(line = line(in)).isEmpty();) {
+        for (String line; !(line = line(in)).isEmpty(); ) {
             head.add(line);
         }
         return head;
@@ -210,7 +224,7 @@
 
     private static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
-        for (int c; (c = in.read()) != '\n';) {
+        for (int c; (c = in.read()) != '\n'; ) {
             if (c < 0) {
                 throw new IOException("the connection ended");
             }
--- a/src/main/java/slateseam/router/Memory.java
+++ b/src/main/java/slateseam/router/Memory.java
@@ -25,6 +25,7 @@
     private final KubernetesFarm kubernetes;
     /** Null while another one is opened. */
     private Snapshots snapshots;
+
     private boolean offers;
 
     /** Opens the snapshots of a router; the source is what the farm is told by. */
@@ -38,8 +39,14 @@
     }
 
     private Snapshots open(String source) {
-        return new Snapshots(new SnapshotSettings(settings.folder(), router, source, settings.everyNanos(),
-                settings.oldestNanos(), SnapshotSettings.USUAL_BYTES),
+        return new Snapshots(
+                new SnapshotSettings(
+                        settings.folder(),
+                        router,
+                        source,
+                        settings.everyNanos(),
+                        settings.oldestNanos(),
+                        SnapshotSettings.USUAL_BYTES),
                 line -> loop.handOver(() -> loop.log().line("snapshot", line)));
     }
 
@@ -55,7 +62,9 @@
             kubernetes.restore(slices.remembered());
             return kubernetes.known();
         }
-        if (found.finding() == Finding.GOOD && found.content() instanceof Content.Discovery told && kubernetes == null
+        if (found.finding() == Finding.GOOD
+                && found.content() instanceof Content.Discovery told
+                && kubernetes == null
                 && told.list().optLong("seq") > other) {
             return farm.take(told.list(), true);
         }
@@ -73,8 +82,11 @@
     private void offer() {
         offers = false;
         if (snapshots != null) {
-            snapshots.offer(kubernetes == null ? new Content.Discovery(farm.list())
-                    : new Content.Slices(kubernetes.remembered()), loop.now());
+            snapshots.offer(
+                    kubernetes == null
+                            ? new Content.Discovery(farm.list())
+                            : new Content.Slices(kubernetes.remembered()),
+                    loop.now());
         }
     }
 
--- a/src/main/java/slateseam/router/Part.java
+++ b/src/main/java/slateseam/router/Part.java
@@ -14,36 +14,28 @@
  */
 interface Part {
     /** All parts are there: it begins. */
-    default void begin() throws IOException {
-    }
+    default void begin() throws IOException {}
 
     /** Datagrams between routers come and go by these; null once another process speaks for this router. */
-    default void talk(Peers peers) {
-    }
+    default void talk(Peers peers) {}
 
     /** New settings are in force. */
-    default void retune(NodeConfig changed) {
-    }
+    default void retune(NodeConfig changed) {}
 
     /** A planned end has begun: whoever calls is turned away. */
-    default void close() throws IOException {
-    }
+    default void close() throws IOException {}
 
     /** The last that is heard of this router. */
-    default void stop() {
-    }
+    default void stop() {}
 
     /** Adds what it counts to the figures. */
-    default void count(Counts counts) {
-    }
+    default void count(Counts counts) {}
 
     /** Adds what is asked of it at the second address. */
-    default void answer(Control calls) {
-    }
+    default void answer(Control calls) {}
 
     /** Operators have asked the process to show what it holds. */
-    default void show() {
-    }
+    default void show() {}
 
     /** Who is told of requests that end; null for nobody. */
     default RequestObserver observer() {
--- a/src/main/java/slateseam/router/Parts.java
+++ b/src/main/java/slateseam/router/Parts.java
@@ -37,9 +37,20 @@
 /** The parts of one router that its settings turn on, in the order in which they are told of things. */
 final class Parts {
     /** What a part may use of the router that it belongs to; names and console are null where no feature is on. */
-    record Base(NodeConfig config, Features features, Loop loop, Core core, Passes passes, Farm farm, RespFront front,
-            Lifecycle lifecycle, ServiceCounts served, Names names, Console console, boolean several, Consumer<NodeConfig> adopt) {
-    }
+    record Base(
+            NodeConfig config,
+            Features features,
+            Loop loop,
+            Core core,
+            Passes passes,
+            Farm farm,
+            RespFront front,
+            Lifecycle lifecycle,
+            ServiceCounts served,
+            Names names,
+            Console console,
+            boolean several,
+            Consumer<NodeConfig> adopt) {}
 
     private final List<Part> all = new ArrayList<>();
     /** Null where nobody calls. */
@@ -62,12 +73,22 @@
         add(features.tap() == null ? null : tap(base));
         add(control == null ? null : calls(control));
         add(farm(told));
-        Tier tier = features.tier() == null ? null : new Tier(features.tier(), base.config(), base.loop(), base.core()::happened);
+        Tier tier = features.tier() == null
+                ? null
+                : new Tier(features.tier(), base.config(), base.loop(), base.core()::happened);
         add(tier == null ? null : tier(tier));
-        policy = features.policy() == null ? null : new SharedPolicy(features.policy(), base.config(), base.loop(), tier, () -> {
-            long[][] tally = base.served().tally();
-            return new PolicyPort.Tally(tally[0], tally[1], tally[2][0]);
-        }, base.adopt());
+        policy = features.policy() == null
+                ? null
+                : new SharedPolicy(
+                        features.policy(),
+                        base.config(),
+                        base.loop(),
+                        tier,
+                        () -> {
+                            long[][] tally = base.served().tally();
+                            return new PolicyPort.Tally(tally[0], tally[1], tally[2][0]);
+                        },
+                        base.adopt());
         add(policy == null ? null : policy(policy, base));
         add(upgrade == null ? null : handover(upgrade));
         for (Part part : all) {
@@ -82,7 +103,8 @@
 
     /** Descriptors that they hold at the most, beside connections that count as user agents'. */
     static int descriptors(NodeConfig config, Features features, Handover handover) {
-        return features.descriptors() + (config.control() == null ? 0 : Control.DESCRIPTORS)
+        return features.descriptors()
+                + (config.control() == null ? 0 : Control.DESCRIPTORS)
                 + (handover == null ? 0 : Handover.DESCRIPTORS);
     }
 
@@ -129,8 +151,14 @@
 
     private static Part tap(Base base) throws IOException {
         Features features = base.features();
-        Tap tap = new Tap(features.tap(), base.loop(), Features.beside(base.config().listen(), features.tap().port()), base.several(),
-                base.names(), base.console(), base.config().seed());
+        Tap tap = new Tap(
+                features.tap(),
+                base.loop(),
+                Features.beside(base.config().listen(), features.tap().port()),
+                base.several(),
+                base.names(),
+                base.console(),
+                base.config().seed());
         return new Part() {
             @Override
             public RequestObserver observer() {
@@ -171,7 +199,8 @@
         return new Part() {
             @Override
             public void talk(Peers peers) {
-                tier.talk(peers); // null: the other process speaks for this router, as it is one member, in its next life
+                tier.talk(
+                        peers); // null: the other process speaks for this router, as it is one member, in its next life
             }
 
             @Override
@@ -207,8 +236,10 @@
 
             @Override
             public void answer(Control calls) {
-                calls.on("GET", "/policy", () -> Reply.json(policy.json().toString())).on("POST", "/policy/begin", () -> said(policy.begin()))
-                        .on("POST", "/policy/propose", () -> said(policy.propose())).on("POST", "/policy/undo", () -> said(policy.undo()));
+                calls.on("GET", "/policy", () -> Reply.json(policy.json().toString()))
+                        .on("POST", "/policy/begin", () -> said(policy.begin()))
+                        .on("POST", "/policy/propose", () -> said(policy.propose()))
+                        .on("POST", "/policy/undo", () -> said(policy.undo()));
             }
         };
     }
@@ -234,8 +265,13 @@
     private static Control control(Base base) throws IOException {
         Loop loop = base.loop();
         Lifecycle lifecycle = base.lifecycle();
-        return new Control(loop, base.config().control()).on("GET", "/healthcheck", () -> lifecycle.takesUserAgents()
-                        ? Reply.yes("takes user agents") : Reply.no("takes no user agents: " + lifecycle.state()))
+        return new Control(loop, base.config().control())
+                .on(
+                        "GET",
+                        "/healthcheck",
+                        () -> lifecycle.takesUserAgents()
+                                ? Reply.yes("takes user agents")
+                                : Reply.no("takes no user agents: " + lifecycle.state()))
                 .on("GET", "/stats", () -> Reply.json(base.served().json()))
                 .on("POST", "/healthcheck/fail", () -> {
                     boolean drained = lifecycle.drain();
@@ -253,13 +289,21 @@
         Loop loop = base.loop();
         RespFront front = base.front();
         UserAgentRoom room = front.room();
-        Counts counts = new Counts().gauge("conns", front::connections).gauge("servers_ready", base.farm()::readyServers)
+        Counts counts = new Counts()
+                .gauge("conns", front::connections)
+                .gauge("servers_ready", base.farm()::readyServers)
                 .gauge("loop_stall_ms", () -> (int) Math.min(Integer.MAX_VALUE, loop.takeStall() / Clock.MILLI))
-                .gauge("conns_idle", room::idle).gauge("conns_ending", room::ending)
-                .total("conns_opened", room.figures()::opened).total("conns_reused", room.figures()::reused)
+                .gauge("conns_idle", room::idle)
+                .gauge("conns_ending", room::ending)
+                .total("conns_opened", room.figures()::opened)
+                .total("conns_reused", room.figures()::reused)
                 .total("conns_crossed", room.figures()::crossed);
         for (Cause cause : Cause.values()) {
-            counts.total("conns_ended", "why", cause.word(), () -> room.figures().ended().get(cause));
+            counts.total(
+                    "conns_ended",
+                    "why",
+                    cause.word(),
+                    () -> room.figures().ended().get(cause));
         }
         return counts;
     }
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -60,9 +60,11 @@
     private final ServiceCounts served = new ServiceCounts();
     /** The program's own listener first, then those of features; none while it does not take user agents yet. */
     private final List<Acceptor> acceptors = new ArrayList<>();
+
     private final NodeConfig config;
     /** The file in use: the last that was taken. */
     private NodeConfig used;
+
     private final Versions versions;
     private final Core core;
     private final Passes passes;
@@ -70,6 +72,7 @@
     private final int shared;
     /** Null where no other process of this router ever runs. */
     private final Upgrade upgrade;
+
     private Peers peers;
     private List<Listener> listeners = new ArrayList<>();
     private final ToldFarm told;
@@ -95,7 +98,11 @@
         }
 
         private static Place on(SelectorProvider network, Features features, Handover handover) {
-            return new Place(network, Runtime.getRuntime().maxMemory(), features.kubernetes() == null ? null : new Errands(), handover);
+            return new Place(
+                    network,
+                    Runtime.getRuntime().maxMemory(),
+                    features.kubernetes() == null ? null : new Errands(),
+                    handover);
         }
     }
 
@@ -109,7 +116,8 @@
      *
      * @param console null only where all features are off
      */
-    public Router(NodeConfig config, Features features, Place place, Clock clock, Log log, Console console) throws IOException {
+    public Router(NodeConfig config, Features features, Place place, Clock clock, Log log, Console console)
+            throws IOException {
         Handover handover = place.handover();
         this.config = config;
         this.used = config;
@@ -121,8 +129,16 @@
         longestNanos = config.settings().longestAnswerNanos();
         versions = new Versions(config.settings());
         core = new Core(loop, versions, config.seed(), config.mostHeld(), features.supplyLinks());
-        passes = new Passes(loop, farm, core, limits.connectTimeoutNanos(), new Bounds(shared - userAgents,
-                config.idleNanos(), Math.min(features.serverStreams(), limits.streamsPerConnection())), served::dispatched);
+        passes = new Passes(
+                loop,
+                farm,
+                core,
+                limits.connectTimeoutNanos(),
+                new Bounds(
+                        shared - userAgents,
+                        config.idleNanos(),
+                        Math.min(features.serverStreams(), limits.streamsPerConnection())),
+                served::dispatched);
         told = new ToldFarm(loop, config, features, farm, handover, place.aside(), changed -> {
             passes.farmChanged();
             core.happened(changed);
@@ -134,8 +150,23 @@
         front = new RespFront(loop, lifecycle, longestNanos, userAgents, config.sockets() / HELD_PART);
         boolean several = handover != null;
         upgrade = several ? new Upgrade(loop, handover, this::takeOver, this::share) : null;
-        parts = new Parts(new Parts.Base(config, features, loop, core, passes, farm, front, lifecycle, served, names, console, several, this::adopt),
-                told, upgrade);
+        parts = new Parts(
+                new Parts.Base(
+                        config,
+                        features,
+                        loop,
+                        core,
+                        passes,
+                        farm,
+                        front,
+                        lifecycle,
+                        served,
+                        names,
+                        console,
+                        several,
+                        this::adopt),
+                told,
+                upgrade);
         core.start(passes, peers, told);
         if (peers != null) {
             parts.talk(peers);
@@ -153,10 +184,15 @@
         Requests requests = new Requests(core, versions, config.mostHeld());
         listeners.add(new Listener(config.listen(), front.gate(new Commands(requests, lifecycle)), several));
         if (features.multiGet() != null) {
-            MultiGet dialect = new MultiGet(loop, requests, lifecycle, features.multiGet().mostKeys(), limits.maxRetryAfterNanos(),
+            MultiGet dialect = new MultiGet(
+                    loop,
+                    requests,
+                    lifecycle,
+                    features.multiGet().mostKeys(),
+                    limits.maxRetryAfterNanos(),
                     loop.heapBytes() / 10); // somewhat less than may wait unread in the front
-            listeners.add(new Listener(Features.beside(config.listen(), features.multiGet().port()), front.gate(dialect),
-                    several));
+            listeners.add(new Listener(
+                    Features.beside(config.listen(), features.multiGet().port()), front.gate(dialect), several));
         }
         served.name(versions.names());
         served.gauge("concurrent", core::open).gauge("targets", farm::servers).gauge("targets_disabled", core::avoided);
@@ -176,8 +212,7 @@
         parts.observers().forEach(core::observe);
     }
 
-    private record Listener(InetSocketAddress at, Acceptor.Gate gate, boolean several) {
-    }
+    private record Listener(InetSocketAddress at, Acceptor.Gate gate, boolean several) {}
 
     /** User agents keep more of them: a request of theirs takes one each, and so do those that only come to stay. */
     private static int userAgents(int descriptors) {
@@ -215,7 +250,8 @@
     }
 
     private Peers openPeers() throws IOException {
-        return config.peerListen() == null ? null
+        return config.peerListen() == null
+                ? null
                 : new Peers(loop, config.peerListen(), config.peers(), config.peersAll(), core::happened);
     }
 
@@ -290,7 +326,10 @@
             try {
                 NodeConfig changed = used.reread(file);
                 boolean follows = settings != null && told.followsKubernetes();
-                takeOver(changed, parts.over(changed), follows ? Features.read(settings, changed).kubernetes() : null);
+                takeOver(
+                        changed,
+                        parts.over(changed),
+                        follows ? Features.read(settings, changed).kubernetes() : null);
             } catch (InvalidConfigException e) {
                 served.reloaded(false);
                 loop.log().line("reload-failed", "the configuration in use stays: " + e.getMessage());
@@ -324,8 +363,15 @@
         served.reloaded(true);
         used = changed;
         adopt(by);
-        loop.log().line("reloaded", told.moveTo(changed, settings) + "; classes " + String.join(", ",
-                changed.settings().classes().stream().map(RequestClass::name).toList()));
+        loop.log()
+                .line(
+                        "reloaded",
+                        told.moveTo(changed, settings) + "; classes "
+                                + String.join(
+                                        ", ",
+                                        changed.settings().classes().stream()
+                                                .map(RequestClass::name)
+                                                .toList()));
     }
 
     /** Shows the keys that are asked for most, if that is on; may be called from any thread. */
--- a/src/main/java/slateseam/router/ToldFarm.java
+++ b/src/main/java/slateseam/router/ToldFarm.java
@@ -29,10 +29,12 @@
     private final Watch watch;
     /** Null where discovery does. */
     private final KubernetesFarm kubernetes;
+
     private KubernetesSettings settings;
     private boolean wasHanded;
     /** Null where no other process of this router ever runs. */
     private final Handover handover;
+
     private final Loop loop;
     /** Null where nothing is remembered. */
     private final Memory memory;
@@ -42,7 +44,13 @@
      *
      * @param aside does what would hold up the loop; null where nothing does
      */
-    ToldFarm(Loop loop, NodeConfig config, Features features, Farm farm, Handover handover, Executor aside,
+    ToldFarm(
+            Loop loop,
+            NodeConfig config,
+            Features features,
+            Farm farm,
+            Handover handover,
+            Executor aside,
             Consumer<MembersChanged> listener) {
         this.config = config;
         this.loop = loop;
@@ -61,19 +69,23 @@
             kubernetes = new KubernetesFarm(loop, aside, settings, farm, config.seed() ^ SEED, listener);
             kubernetes.onChange(this::remember);
         }
-        memory = features.snapshot() == null ? null
+        memory = features.snapshot() == null
+                ? null
                 : new Memory(loop, features.snapshot(), config.name(), source(), farm, kubernetes);
     }
 
     /** What the farm is told by, so that what is remembered of another is not used. */
     private String source() {
-        return settings == null ? "discovery" : "kubernetes " + settings.api().authority() + " " + settings.namespace()
-                + " " + settings.selector() + " " + settings.port();
+        return settings == null
+                ? "discovery"
+                : "kubernetes " + settings.api().authority() + " " + settings.namespace() + " " + settings.selector()
+                        + " " + settings.port();
     }
 
     /** The farm as it was before the start: by the snapshot, or else as the configuration has it. */
     MembersChanged known() throws MalformedException {
-        MembersChanged kept = memory == null ? null : memory.known(config.known().optLong("seq"));
+        MembersChanged kept =
+                memory == null ? null : memory.known(config.known().optLong("seq"));
         if (kept != null) {
             return kept;
         }
@@ -155,7 +167,8 @@
         if (changedSettings == null) {
             return "the API stays at " + settings.api() + ": to do without it takes a restart";
         }
-        boolean elsewhere = !changedSettings.api().authority().equals(settings.api().authority());
+        boolean elsewhere =
+                !changedSettings.api().authority().equals(settings.api().authority());
         kubernetes.moveTo(changedSettings);
         settings = settings.at(changedSettings.api());
         if (elsewhere && memory != null) {
--- a/src/main/java/slateseam/router/Upgrade.java
+++ b/src/main/java/slateseam/router/Upgrade.java
@@ -13,6 +13,7 @@
 final class Upgrade {
     /** The heir's waiting requests wait for this; an otherwise idle router looks seldom. */
     private static final long HEIR_NANOS = 10 * Clock.MILLI;
+
     private static final long SERVING_NANOS = 200 * Clock.MILLI;
 
     private final Loop loop;
@@ -63,7 +64,7 @@
                         succession.handed();
                     }
                 }
-                case RETIRED -> { }
+                case RETIRED -> {}
             }
             if (succession.role() != before) {
                 loop.log().line("upgrade", "from " + before + " to " + succession.role());
--- a/src/main/java/slateseam/router/config/KubernetesSettings.java
+++ b/src/main/java/slateseam/router/config/KubernetesSettings.java
@@ -25,8 +25,16 @@
  * @param watchSeconds for how long a watch is asked for, 5 to 3600
  * @param page how many slices a page of a list may have, 1 to 1000
  */
-public record KubernetesSettings(Api api, String namespace, String selector, String port, Origin origin,
-        Reading reading, Guard guard, int watchSeconds, int page) {
+public record KubernetesSettings(
+        Api api,
+        String namespace,
+        String selector,
+        String port,
+        Origin origin,
+        Reading reading,
+        Guard guard,
+        int watchSeconds,
+        int page) {
     private static final Pattern LABEL = Pattern.compile("[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?");
     private static final Pattern SELECTOR = Pattern.compile("[ -~]{1,1024}");
     private static final Pattern LOOPBACK = Pattern.compile("127\\.[0-9.]+|::1|localhost");
@@ -61,8 +69,7 @@
     }
 
     /** The origin: a second service's name, or one address; both null for none. */
-    public record Origin(String service, InetSocketAddress address) {
-    }
+    public record Origin(String service, InetSocketAddress address) {}
 
     /**
      * How servers are described.
@@ -71,15 +78,18 @@
      * @param nodes sites by beginnings of nodes' names
      * @param kind a label or annotation of slices; null for none, as for the next two
      */
-    public record Reading(Map<String, String> zones, Map<String, String> nodes, String kind, String weight,
-            String start, boolean preferIpv6) {
-    }
+    public record Reading(
+            Map<String, String> zones,
+            Map<String, String> nodes,
+            String kind,
+            String weight,
+            String start,
+            boolean preferIpv6) {}
 
     /**
      * How many of the ready servers may leave at once, over 0 and at most 1, and for how long more of them are kept.
      */
-    public record Guard(double share, long nanos) {
-    }
+    public record Guard(double share, long nanos) {}
 
     /** The same with another API. */
     public KubernetesSettings at(Api other) {
@@ -96,11 +106,15 @@
         Path ca = file.path("kubernetes_ca");
         Path token = file.path("kubernetes_token");
         Origin origin = new Origin(label(file, "kubernetes_origin_service"), file.address("kubernetes_origin"));
-        Reading reading = new Reading(sites(file, "kubernetes_zones", config), sites(file, "kubernetes_nodes", config),
-                file.text("kubernetes_kind_label"), file.text("kubernetes_weight_annotation"),
+        Reading reading = new Reading(
+                sites(file, "kubernetes_zones", config),
+                sites(file, "kubernetes_nodes", config),
+                file.text("kubernetes_kind_label"),
+                file.text("kubernetes_weight_annotation"),
                 file.text("kubernetes_start_annotation"),
                 file.word("kubernetes_family", "ipv4", "ipv6").equals("ipv6"));
-        Guard guard = new Guard(file.number("kubernetes_guard_percent", 1, 100, 40) / 100.0,
+        Guard guard = new Guard(
+                file.number("kubernetes_guard_percent", 1, 100, 40) / 100.0,
                 file.number("kubernetes_guard_ms", 0, 600_000, 10_000) * Clock.MILLI);
         int watch = file.number("kubernetes_watch_s", 5, 3_600, 30);
         int page = file.number("kubernetes_page", 1, 1_000, 50);
@@ -113,16 +127,24 @@
         refuseBoth(file, "kubernetes_service", "kubernetes_selector");
         require(file, service == null ? selector : service, "kubernetes_service or kubernetes_selector");
         refuseBoth(file, "kubernetes_origin_service", "kubernetes_origin");
-        boolean aside = config.settings().mode() == CacheMode.ASIDE && config.settings().originKind() >= 0;
+        boolean aside =
+                config.settings().mode() == CacheMode.ASIDE && config.settings().originKind() >= 0;
         if (aside && origin.service() == null) {
             require(file, origin.address(), "kubernetes_origin_service or kubernetes_origin");
         }
         if (service != null && service.equals(origin.service())) {
-            throw file.fault("kubernetes_origin_service",
-                    "kubernetes_origin_service is kubernetes_service: " + service);
+            throw file.fault(
+                    "kubernetes_origin_service", "kubernetes_origin_service is kubernetes_service: " + service);
         }
-        return new KubernetesSettings(api(file, url, ca, token), namespace,
-                service == null ? selector : selector(service, origin.service()), port, origin, reading, guard, watch,
+        return new KubernetesSettings(
+                api(file, url, ca, token),
+                namespace,
+                service == null ? selector : selector(service, origin.service()),
+                port,
+                origin,
+                reading,
+                guard,
+                watch,
                 page);
     }
 
@@ -138,9 +160,16 @@
             throw file.fault(API, API + " is " + url + ", no URL");
         }
         boolean tls = "https".equals(uri.getScheme());
-        boolean rest = uri.getUserInfo() != null || uri.getQuery() != null || uri.getFragment() != null
-                || uri.getPath() != null && !uri.getPath().isEmpty() && !uri.getPath().equals("/");
-        if (!tls && !"http".equals(uri.getScheme()) || uri.getHost() == null || rest || uri.getPort() == 0
+        boolean rest = uri.getUserInfo() != null
+                || uri.getQuery() != null
+                || uri.getFragment() != null
+                || uri.getPath() != null
+                        && !uri.getPath().isEmpty()
+                        && !uri.getPath().equals("/");
+        if (!tls && !"http".equals(uri.getScheme())
+                || uri.getHost() == null
+                || rest
+                || uri.getPort() == 0
                 || uri.getPort() > NodeConfig.PORT_LIMIT) {
             throw file.fault(API, API + " is " + url + ", not https://HOST:PORT");
         }
@@ -178,8 +207,10 @@
                 throw file.fault(name, name + " is no list of NAME=SITE with each name once: " + pair);
             }
             if (!config.zones().contains(words[1].strip())) {
-                throw file.fault(name, name + " names the site " + words[1].strip() + ", but the configuration's are "
-                        + String.join(", ", config.zones()));
+                throw file.fault(
+                        name,
+                        name + " names the site " + words[1].strip() + ", but the configuration's are "
+                                + String.join(", ", config.zones()));
             }
         }
         return sites;
--- a/src/main/java/slateseam/router/config/NodeConfig.java
+++ b/src/main/java/slateseam/router/config/NodeConfig.java
@@ -41,13 +41,27 @@
  * @param whole the file as it was read
  * @param control where those who operate it call; null where nobody does
  */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, JSONObject known,
-        List<String> zones, List<String> kinds, long idleNanos, int mostHeld, Settings settings, JSONObject whole,
+public record NodeConfig(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        JSONObject known,
+        List<String> zones,
+        List<String> kinds,
+        long idleNanos,
+        int mostHeld,
+        Settings settings,
+        JSONObject whole,
         InetSocketAddress control) {
     private static final int MOST_HELD = 4096;
     /** For the program itself, and the connections without which it would be of no use. */
     static final int LEAST_SOCKETS = 64;
+
     static final int PORT_LIMIT = 65_535;
 
     /** The configuration cannot be used; the message is one plain line. */
@@ -65,7 +79,8 @@
         try {
             return parse(Files.readString(file));
         } catch (IOException e) {
-            throw new InvalidConfigException("cannot read " + file + ": " + e.getClass().getSimpleName());
+            throw new InvalidConfigException(
+                    "cannot read " + file + ": " + e.getClass().getSimpleName());
         }
     }
 
@@ -86,17 +101,26 @@
             }
             boolean talks = settings.limits().peers() && json.has("peer_listen");
             if (talks && peers.size() != settings.routers()) {
-                throw new InvalidConfigException("peers lists " + peers.size() + " addresses, but there are "
-                        + settings.routers() + " routers");
+                throw new InvalidConfigException(
+                        "peers lists " + peers.size() + " addresses, but there are " + settings.routers() + " routers");
             }
             JSONObject limits = told.getJSONObject("limits");
-            return new NodeConfig(json.getString("name"), address("listen", json.getString("listen")),
-                    address("discovery", json.getString("discovery")), seed(json.getString("seed")), sockets,
-                    talks ? address("peer_listen", json.getString("peer_listen")) : null, List.copyOf(peers),
+            return new NodeConfig(
+                    json.getString("name"),
+                    address("listen", json.getString("listen")),
+                    address("discovery", json.getString("discovery")),
+                    seed(json.getString("seed")),
+                    sockets,
+                    talks ? address("peer_listen", json.getString("peer_listen")) : null,
+                    List.copyOf(peers),
                     json.has("peers_all") ? address("peers_all", json.getString("peers_all")) : null,
-                    json.getJSONObject("known"), strings(told.optJSONArray("zones")),
-                    strings(told.optJSONArray("kinds")), limits.optLong("conn_idle_ns", 60_000_000_000L),
-                    Math.min(MOST_HELD, limits.optInt("most_held", MOST_HELD)), settings, json,
+                    json.getJSONObject("known"),
+                    strings(told.optJSONArray("zones")),
+                    strings(told.optJSONArray("kinds")),
+                    limits.optLong("conn_idle_ns", 60_000_000_000L),
+                    Math.min(MOST_HELD, limits.optInt("most_held", MOST_HELD)),
+                    settings,
+                    json,
                     json.has("control") ? address("control", json.getString("control")) : null);
         } catch (JSONException | InvalidSettingException e) {
             throw new InvalidConfigException(e.getMessage());
@@ -116,7 +140,8 @@
             throw new InvalidConfigException("settings.profiles is empty");
         }
         if (settings.limits().attempts() < 1) {
-            throw new InvalidConfigException("settings.limits.try_limit is " + settings.limits().attempts() + ", under 1");
+            throw new InvalidConfigException(
+                    "settings.limits.try_limit is " + settings.limits().attempts() + ", under 1");
         }
         Set<String> names = new HashSet<>();
         for (RequestClass type : settings.classes()) {
@@ -138,8 +163,23 @@
         if (control != null || named == null || named.isEmpty()) {
             return this;
         }
-        return new NodeConfig(name, listen, discovery, seed, sockets, peerListen, peers, peersAll, known, zones, kinds,
-                idleNanos, mostHeld, settings, whole, address("NODE_CONTROL", named));
+        return new NodeConfig(
+                name,
+                listen,
+                discovery,
+                seed,
+                sockets,
+                peerListen,
+                peers,
+                peersAll,
+                known,
+                zones,
+                kinds,
+                idleNanos,
+                mostHeld,
+                settings,
+                whole,
+                address("NODE_CONTROL", named));
     }
 
     private static long seed(String hex) throws InvalidConfigException {
@@ -165,14 +205,17 @@
             String host = uri.getHost();
             boolean literal = host != null && host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]");
             return literal && uri.getPort() >= 0 && uri.getPort() <= PORT_LIMIT
-                    ? new InetSocketAddress(host, uri.getPort()) : null;
+                    ? new InetSocketAddress(host, uri.getPort())
+                    : null;
         } catch (URISyntaxException e) {
             return null;
         }
     }
 
     private static List<String> strings(JSONArray array) {
-        return array == null ? List.of() : array.toList().stream().map(String::valueOf).toList();
+        return array == null
+                ? List.of()
+                : array.toList().stream().map(String::valueOf).toList();
     }
 
     /** Brings nested settings into the paths and values in which the simulator's wire writes them. */
--- a/src/main/java/slateseam/router/config/PolicyDocument.java
+++ b/src/main/java/slateseam/router/config/PolicyDocument.java
@@ -10,10 +10,10 @@
 public final class PolicyDocument {
     /** A document may have. */
     public static final int MOST_BYTES = 64 * 1024;
+
     private static final Set<String> PARTS = Set.of("profiles", "limits", "rules", "over_share_worth");
 
-    private PolicyDocument() {
-    }
+    private PolicyDocument() {}
 
     /** What a router is to run by, where its own file is this one; the fault names the place. */
     public static NodeConfig over(NodeConfig own, byte[] document) throws InvalidConfigException {
--- a/src/main/java/slateseam/router/config/Reread.java
+++ b/src/main/java/slateseam/router/config/Reread.java
@@ -10,8 +10,7 @@
  * and can be read all the same as what it lacks has a default: what the one in use has must be there, as the same type.
  */
 final class Reread {
-    private Reread() {
-    }
+    private Reread() {}
 
     static void check(JSONObject used, JSONObject changed) throws InvalidConfigException {
         for (String part : new String[] {"settings", "limits"}) {
@@ -66,7 +65,10 @@
     }
 
     private static String kind(Object value) {
-        return value instanceof Number ? "number" : value instanceof Boolean ? "true or false"
-                : value instanceof String ? "text" : value instanceof JSONArray ? "list" : "object";
+        return value instanceof Number
+                ? "number"
+                : value instanceof Boolean
+                        ? "true or false"
+                        : value instanceof String ? "text" : value instanceof JSONArray ? "list" : "object";
     }
 }
--- a/src/main/java/slateseam/router/config/SettingsFile.java
+++ b/src/main/java/slateseam/router/config/SettingsFile.java
@@ -40,7 +40,8 @@
                 take(lines[i].replaceFirst("(^|\\s)#.*", "").strip(), i + 1);
             }
         } catch (IOException e) {
-            throw new InvalidConfigException("cannot read " + file + ": " + e.getClass().getSimpleName());
+            throw new InvalidConfigException(
+                    "cannot read " + file + ": " + e.getClass().getSimpleName());
         }
     }
 
--- a/src/main/java/slateseam/router/config/SettingsParser.java
+++ b/src/main/java/slateseam/router/config/SettingsParser.java
@@ -65,12 +65,20 @@
         if (routers < 1 || me < 0 || me >= routers) {
             throw new InvalidSettingException("setting me=" + me + " lies outside replicas_of_me=" + routers);
         }
-        return new Settings(me, routers, integer("az", "0"), number("tick_ns", "1000000"),
+        return new Settings(
+                me,
+                routers,
+                integer("az", "0"),
+                number("tick_ns", "1000000"),
                 choice("discovery", "push", List.of("push", "ask")).equals("ask"),
                 CacheMode.valueOf(choice("family_info.mode", "through", List.of("aside", "through"))
                         .toUpperCase(Locale.ROOT)),
-                integer("family_info.origin_kind", "-1"), real("over_share_worth", "1"), classes(), tenants(),
-                limits(), rules());
+                integer("family_info.origin_kind", "-1"),
+                real("over_share_worth", "1"),
+                classes(),
+                tenants(),
+                limits(),
+                rules());
     }
 
     private List<RequestClass> classes() {
@@ -79,14 +87,18 @@
         for (int i = 0; i < count; i++) {
             String at = "profiles." + i + ".";
             long deadline = number(at + "deadline_ns", null);
-            classes.add(new RequestClass(values.getOrDefault(at + "name", ""),
-                    number(at + "objective_ns", Long.toString(deadline)), deadline, real(at + "value", "1"),
+            classes.add(new RequestClass(
+                    values.getOrDefault(at + "name", ""),
+                    number(at + "objective_ns", Long.toString(deadline)),
+                    deadline,
+                    real(at + "value", "1"),
                     real(at + "late_share", "0"),
                     Effect.valueOf(choice(at + "effect", null, List.of("pure", "token", "side_effect"))
                             .toUpperCase(Locale.ROOT)),
                     Group.valueOf(choice(at + "group", "cell", List.of("all", "zone", "cell"))
                             .toUpperCase(Locale.ROOT)),
-                    number(at + "window_ns", "0"), flag(at + "stream", "false")));
+                    number(at + "window_ns", "0"),
+                    flag(at + "stream", "false")));
         }
         return classes;
     }
@@ -96,23 +108,33 @@
         int count = count("accounts.count", "0");
         for (int i = 0; i < count; i++) {
             String at = "accounts." + i + ".";
-            tenants.add(new Tenant(values.getOrDefault(at + "name", ""), real(at + "quota_per_s", null),
-                    real(at + "fraction", "0")));
+            tenants.add(new Tenant(
+                    values.getOrDefault(at + "name", ""), real(at + "quota_per_s", null), real(at + "fraction", "0")));
         }
         return tenants;
     }
 
     private Limits limits() {
-        return new Limits(integer("limits.try_limit", null), flag("limits.may_duplicate", "false"),
-                flag("limits.cancel", "false"), flag("limits.probes", "false"), flag("limits.peers", "false"),
-                flag("limits.retry_after", "false"), number("limits.max_retry_after_ns", "0"),
-                number("limits.connect_timeout_ns", "250000000"), integer("limits.streams_per_conn", "1"));
+        return new Limits(
+                integer("limits.try_limit", null),
+                flag("limits.may_duplicate", "false"),
+                flag("limits.cancel", "false"),
+                flag("limits.probes", "false"),
+                flag("limits.peers", "false"),
+                flag("limits.retry_after", "false"),
+                number("limits.max_retry_after_ns", "0"),
+                number("limits.connect_timeout_ns", "250000000"),
+                integer("limits.streams_per_conn", "1"));
     }
 
     private Rules rules() {
-        return new Rules(number("rules.drain_grace_ns", null), number("rules.ask_within_ns", "10000000000"),
-                real("rules.start_capacity", "1"), number("rules.cold_ns", "0"),
-                real("rules.overload_factor", "3"), number("rules.fall_ns", "2000000000"),
+        return new Rules(
+                number("rules.drain_grace_ns", null),
+                number("rules.ask_within_ns", "10000000000"),
+                real("rules.start_capacity", "1"),
+                number("rules.cold_ns", "0"),
+                real("rules.overload_factor", "3"),
+                number("rules.fall_ns", "2000000000"),
                 number("rules.answer_slack_ns", "0"));
     }
 
--- a/src/main/java/slateseam/router/connections/servers/Bounds.java
+++ b/src/main/java/slateseam/router/connections/servers/Bounds.java
@@ -8,5 +8,4 @@
  * @param streams uses that may be out on one connection at once; with 1 each has one of its own, and a further connection
  *     is opened for each that waits
  */
-public record Bounds(int mostConnections, long idleNanos, int streams) {
-}
+public record Bounds(int mostConnections, long idleNanos, int streams) {}
--- a/src/main/java/slateseam/router/connections/servers/Figures.java
+++ b/src/main/java/slateseam/router/connections/servers/Figures.java
@@ -15,6 +15,13 @@
  * @param comingUp of these, those that have not brought an answer yet
  * @param waiting uses that wait for a connection now
  */
-public record Figures(long opened, long cameUp, long reused, long shared, long checked, Map<Closing, Long> closed,
-        int open, int comingUp, int waiting) {
-}
+public record Figures(
+        long opened,
+        long cameUp,
+        long reused,
+        long shared,
+        long checked,
+        Map<Closing, Long> closed,
+        int open,
+        int comingUp,
+        int waiting) {}
--- a/src/main/java/slateseam/router/connections/servers/Learned.java
+++ b/src/main/java/slateseam/router/connections/servers/Learned.java
@@ -5,6 +5,7 @@
     private static final double WEIGHT = 0.1;
     /** Taken before anything is known. */
     private static final double FIRST_ANSWER = 10e6;
+
     private static final double FIRST_PRICE = 20e6;
     /** A connection costs descriptors and work even where the handshake takes no time. */
     private static final double LEAST_PRICE = 100e3;
--- a/src/main/java/slateseam/router/connections/servers/Link.java
+++ b/src/main/java/slateseam/router/connections/servers/Link.java
@@ -6,12 +6,17 @@
 /** A connection to a server, as the module sees it. */
 public final class Link {
     /** How far it has come. */
-    enum State { COMING_UP, OPEN, CLOSED }
+    enum State {
+        COMING_UP,
+        OPEN,
+        CLOSED
+    }
 
     final Pool pool;
     final long openedAt;
     /** The uses that are out on it, in the order in which they are to be answered. */
     final Deque<Use> uses = new ArrayDeque<>();
+
     State state = State.COMING_UP;
     long upAt;
     long answers;
@@ -77,7 +82,10 @@
 
     /** Whether others may be written behind what is out on it. */
     boolean isShareable(int most) {
-        return state == State.OPEN && !checking && !uses.isEmpty() && uses.size() < most
+        return state == State.OPEN
+                && !checking
+                && !uses.isEmpty()
+                && uses.size() < most
                 && uses.stream().allMatch(use -> use.shares);
     }
 }
--- a/src/main/java/slateseam/router/connections/servers/Noise.java
+++ b/src/main/java/slateseam/router/connections/servers/Noise.java
@@ -11,6 +11,7 @@
     static final long MOST_REST = 50_000_000L;
     /** What a connection carries so soon after an answer may meet bytes that belong to that answer. */
     static final long SOON = 10_000_000L;
+
     private static final long FIRST_MEMORY = 30_000_000_000L;
     private static final int MOST_DOUBLINGS = 5;
 
--- a/src/main/java/slateseam/router/connections/servers/Opening.java
+++ b/src/main/java/slateseam/router/connections/servers/Opening.java
@@ -4,12 +4,15 @@
 final class Opening {
     /** Handshakes at one server: several at once cost those of other routers, and the work that goes on there. */
     private static final int FIRST_YOUNG = 8;
+
     private static final int MOST_YOUNG = 16;
     /** Where each use needs a connection of its own, waiting for an answer costs more than handshakes do. */
     private static final int UNSHARED_YOUNG = 32;
+
     private static final int LEAST_YOUNG = 2;
     /** A first answer within so many of its usual times tells that the server can bear another handshake beside it. */
     private static final double QUICK = 1.5;
+
     private static final double SLOW = 2.5;
     /** Waiting is forgotten by half in that time: about as long as a connection may stand idle for its price. */
     private static final double HALF_NANOS = 2e9;
--- a/src/main/java/slateseam/router/connections/servers/Order.java
+++ b/src/main/java/slateseam/router/connections/servers/Order.java
@@ -3,8 +3,7 @@
 /** What the network code is to do. Orders are carried out one by one, in the order in which they were given. */
 public sealed interface Order {
     /** Begin to connect; {@link ServerConnections#up} or {@link ServerConnections#failed} is to follow. */
-    record Open(Link link) implements Order {
-    }
+    record Open(Link link) implements Order {}
 
     /** Write a use to a connection, behind whatever is out on it. */
     record Carry(Link link, Use use) implements Order {
@@ -15,16 +14,13 @@
     }
 
     /** Close a connection from this side, with all that is out on it. */
-    record Close(Link link) implements Order {
-    }
+    record Close(Link link) implements Order {}
 
     /** A use is over without an answer. */
-    record Ended(Use use, Why why) implements Order {
-    }
+    record Ended(Use use, Why why) implements Order {}
 
     /** Call {@link ServerConnections#wake} at that time; an earlier call does no harm. */
-    record Wake(Pool pool, long at) implements Order {
-    }
+    record Wake(Pool pool, long at) implements Order {}
 
     /** Why a use is over without an answer. */
     enum Why {
--- a/src/main/java/slateseam/router/connections/servers/Pool.java
+++ b/src/main/java/slateseam/router/connections/servers/Pool.java
@@ -17,6 +17,7 @@
     static final long SPARE_NANOS = 10_000_000_000L;
     /** Nothing is put behind a use that has been out for that long, or for so many usual times. */
     private static final long LEAST_STUCK = 50_000_000L;
+
     private static final int STUCK = 4;
     /** A use that was carried so soon after its connection came up has paid for the handshake. */
     private static final long AT_ONCE = 1_000_000L;
@@ -32,6 +33,7 @@
     final Noise noise = new Noise();
     /** Connections that broke with something out on them. */
     final Noise breaks = new Noise();
+
     final Opening opening;
     final List<Link> links = new ArrayList<>();
     private final boolean shares;
@@ -64,7 +66,7 @@
 
     /** Gives connections to those who wait, and opens more where that is worth it. */
     void serve(long now) {
-        for (Iterator<Use> i = waiting.iterator(); i.hasNext();) {
+        for (Iterator<Use> i = waiting.iterator(); i.hasNext(); ) {
             Use use = i.next();
             Order.Why why = !ready ? Order.Why.SERVER_GONE : use.endsAt - now < LEAST_NANOS ? Order.Why.LATE : null;
             Link link = why == null ? choose(now, use) : null;
@@ -105,8 +107,7 @@
                     continue;
                 }
                 rested = rested == null || link.freeSince > rested.freeSince ? link : rested;
-            } else if (use.shares && mayShare(now, link)
-                    && (shared == null || link.uses.size() < shared.uses.size())) {
+            } else if (use.shares && mayShare(now, link) && (shared == null || link.uses.size() < shared.uses.size())) {
                 shared = link;
             }
         }
@@ -171,7 +172,8 @@
             coming += link.state == Link.State.COMING_UP ? 1 : 0;
         }
         int unplanned = waiting.size() - coming * mostShared(now);
-        boolean spare = isPatient() && unplanned <= 0 && links.stream().noneMatch(link -> link.isFree() || link.isYoung());
+        boolean spare =
+                isPatient() && unplanned <= 0 && links.stream().noneMatch(link -> link.isFree() || link.isYoung());
         if (spare && mayOpen(now) && opening.isPaid(now, PART * learned.price())) {
             open(now);
         }
@@ -409,7 +411,10 @@
 
     /** The server is crowded. One connection is kept, as a new one would cost it more than that. */
     void spare(long now) {
-        List<Link> free = links.stream().filter(Link::isFree).sorted(Comparator.comparingLong(l -> l.freeSince)).toList();
+        List<Link> free = links.stream()
+                .filter(Link::isFree)
+                .sorted(Comparator.comparingLong(l -> l.freeSince))
+                .toList();
         int closed = links.size() > free.size() ? free.size() : free.size() - 1;
         free.stream().limit(Math.max(0, closed)).forEach(link -> lose(now, link, Closing.SERVER_GONE, true));
     }
--- a/src/main/java/slateseam/router/connections/servers/ServerConnections.java
+++ b/src/main/java/slateseam/router/connections/servers/ServerConnections.java
@@ -22,6 +22,7 @@
 public final class ServerConnections {
     /** Of the time for which servers keep an idle connection: closed before that, lest a use meets the close. */
     private static final double IDLE_PART = 0.8;
+
     private static final int LEAST_COMING = 4;
     /** Of all connections, those that may be without a first answer where uses can stand behind others meanwhile. */
     private static final int YOUNG_PART = 4;
@@ -29,16 +30,19 @@
     final Bounds bounds;
     /** Connections that there may be now. */
     private int most;
+
     final long keepNanos;
     final Learned learned = new Learned(null);
     /** Heard of more than one server: then the others are like them. */
     final Noise noise = new Noise();
+
     final Noise breaks = new Noise();
     private final int mostYoung;
     private final List<Pool> pools = new ArrayList<>();
     private final Queue<Order> orders = new ArrayDeque<>();
     /** Pools to be served again, once fewer connections come up elsewhere. */
     private final Set<Pool> held = new LinkedHashSet<>();
+
     private final Map<Closing, Long> closed = new EnumMap<>(Closing.class);
     private Pool lastNoisy;
     private Pool lastBroken;
@@ -188,7 +192,7 @@
     /** There may be so many connections from now on; those beyond that go as they are idle. */
     public void bound(long now, int mostConnections) {
         most = mostConnections;
-        for (int before = open + 1; open > most && open < before;) {
+        for (int before = open + 1; open > most && open < before; ) {
             before = open;
             makeRoom(now);
         }
@@ -201,7 +205,15 @@
 
     /** What it has counted. */
     public Figures figures() {
-        return new Figures(opened, cameUp, reused, shared, checked, Map.copyOf(closed), open, young,
+        return new Figures(
+                opened,
+                cameUp,
+                reused,
+                shared,
+                checked,
+                Map.copyOf(closed),
+                open,
+                young,
                 pools.stream().mapToInt(Pool::waiting).sum());
     }
 
@@ -227,7 +239,9 @@
     /** Guards against one server's idle connections starving another: of the server that has most, the longest idle. */
     boolean makeRoom(long now) {
         if (open >= most) {
-            pools.stream().flatMap(pool -> pool.links.stream()).filter(Link::isFree)
+            pools.stream()
+                    .flatMap(pool -> pool.links.stream())
+                    .filter(Link::isFree)
                     .min(Comparator.<Link>comparingInt(link -> -link.pool.links.size())
                             .thenComparingLong(link -> link.freeSince))
                     .ifPresent(link -> {
--- a/src/main/java/slateseam/router/connections/servers/Use.java
+++ b/src/main/java/slateseam/router/connections/servers/Use.java
@@ -3,7 +3,13 @@
 /** One use of a connection: an attempt of a request, or a probe, from when it asks for a connection until it is over. */
 public class Use {
     /** How far it has come. */
-    enum State { NEW, WAITING, CARRIED, GIVEN_UP, OVER }
+    enum State {
+        NEW,
+        WAITING,
+        CARRIED,
+        GIVEN_UP,
+        OVER
+    }
 
     final Pool pool;
     final long endsAt;
@@ -17,6 +23,7 @@
     boolean behind;
     /** Given up for good: its answer may come in vain, as nothing is sent in its place. */
     boolean last;
+
     private boolean begun;
     private boolean written;
 
--- a/src/main/java/slateseam/router/connections/useragents/Rate.java
+++ b/src/main/java/slateseam/router/connections/useragents/Rate.java
@@ -23,7 +23,8 @@
     private void roll(long now) {
         long windows = (now - windowStart) / WINDOW_NANOS;
         if (windows > 0) {
-            perSecond = Math.max(count * WINDOWS_A_SECOND, perSecond * KEPT) * Math.pow(KEPT, Math.min(100, windows - 1));
+            perSecond =
+                    Math.max(count * WINDOWS_A_SECOND, perSecond * KEPT) * Math.pow(KEPT, Math.min(100, windows - 1));
             count = 0;
             windowStart += windows * WINDOW_NANOS;
         }
--- a/src/main/java/slateseam/router/connections/useragents/Returns.java
+++ b/src/main/java/slateseam/router/connections/useragents/Returns.java
@@ -9,6 +9,7 @@
 final class Returns {
     /** Stretches: up to 1 ms, then each twice as long; the last begins at 16 s, and nobody is kept for so long. */
     static final int STRETCHES = 16;
+
     private static final long FIRST_NANOS = 1_000_000L;
     private static final double SECOND = 1e9;
     /** Sights are halved when so many lie in the first stretch. */
--- a/src/main/java/slateseam/router/connections/useragents/UserAgentRoom.java
+++ b/src/main/java/slateseam/router/connections/useragents/UserAgentRoom.java
@@ -29,10 +29,12 @@
     private static final long LEAST_ENDING_NANOS = 50 * MILLI;
     /** New connections that may come before user agents have seen what was ended. */
     private static final double LEFT_FREE_SECONDS = 0.05;
+
     private static final int LEAST_FREE_PART = 16;
     private static final int MOST_FREE_PART = 4;
     /** The last part of the table is for places that hold less than half of it. */
     private static final int SPARED_PART = 8;
+
     private static final long SEEN_NANOS = 10_000 * MILLI;
 
     private int table;
@@ -42,11 +44,13 @@
     private final UserAgentFigures figures = new UserAgentFigures();
     /** Those that can go, the one that has been so for longest first, by group and kind. */
     private final Map<Group, Map<Integer, LinkedHashSet<Kept>>> spare = new LinkedHashMap<>();
+
     private final LinkedHashSet<Kept> half = new LinkedHashSet<>();
     private final LinkedHashSet<Kept> ending = new LinkedHashSet<>();
     private final Map<Object, Integer> byAddress = new LinkedHashMap<>();
     /** When connections of more than one address were last open. */
     private long othersSeen = Long.MIN_VALUE / 2;
+
     private int spares;
     private int open;
 
@@ -247,11 +251,12 @@
             case SILENT, IDLE -> {
                 spares++;
                 spare.computeIfAbsent(kept.group, g -> new LinkedHashMap<>())
-                        .computeIfAbsent(kept.kind, k -> new LinkedHashSet<>()).add(kept);
+                        .computeIfAbsent(kept.kind, k -> new LinkedHashSet<>())
+                        .add(kept);
             }
             case HALF -> half.add(kept);
             case ENDING -> ending.add(kept);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -271,7 +276,7 @@
             }
             case HALF -> half.remove(kept);
             case ENDING -> ending.remove(kept);
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/slateseam/router/connections/useragents/Worth.java
+++ b/src/main/java/slateseam/router/connections/useragents/Worth.java
@@ -10,6 +10,7 @@
     static final int ONCE = 1;
     /** It came back after the first stretch; further kinds follow for longer ones. */
     static final int AGAIN = 2;
+
     static final int KINDS = AGAIN + Returns.STRETCHES;
     private static final double GUESSED_SIGHTS = 2;
 
--- a/src/main/java/slateseam/router/control/Call.java
+++ b/src/main/java/slateseam/router/control/Call.java
@@ -12,6 +12,7 @@
 record Call(String method, String path, int fault) {
     /** Of a whole head. */
     static final int MOST_BYTES = 4 * 1024;
+
     private static final Pattern REQUEST = Pattern.compile("([A-Z]{1,16}) (/[!-~]*) HTTP/1\\.[01]");
     private static final Pattern HEADER = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[ -~\\t\\x80-\\xff]*");
     private static final int BAD_REQUEST = 400;
--- a/src/main/java/slateseam/router/control/Reply.java
+++ b/src/main/java/slateseam/router/control/Reply.java
@@ -45,9 +45,13 @@
 
     ByteBuffer bytes() {
         byte[] content = body.getBytes(StandardCharsets.UTF_8);
-        byte[] head = ("HTTP/1.1 " + status + " " + reason(status) + "\r\nContent-Type: " + type + "\r\nContent-Length: "
-                + content.length + (allow == null ? "" : "\r\nAllow: " + allow) + "\r\nConnection: close\r\n\r\n")
+        byte[] head = ("HTTP/1.1 " + status + " " + reason(status) + "\r\nContent-Type: " + type
+                        + "\r\nContent-Length: " + content.length + (allow == null ? "" : "\r\nAllow: " + allow)
+                        + "\r\nConnection: close\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
-        return ByteBuffer.allocate(head.length + content.length).put(head).put(content).flip();
+        return ByteBuffer.allocate(head.length + content.length)
+                .put(head)
+                .put(content)
+                .flip();
     }
 }
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -100,6 +100,7 @@
     private final Queue<Supplier<Event>> happenings = new ArrayDeque<>();
     /** That answer the event being handled. */
     private final List<Action> actions = new ArrayList<>();
+
     private final Consumer<Action> collect = actions::add;
     private final List<RequestObserver> observers = new ArrayList<>();
     private BooleanSupplier mayServe = () -> true;
@@ -108,6 +109,7 @@
     private long answersBy = Long.MAX_VALUE;
     /** Of values to be written, so that they cannot fill the heap. */
     private final long mostHeldBytes;
+
     private long heldBytes;
     private Passes passes;
     private Peers peers;
@@ -189,7 +191,9 @@
         long ttl = Math.min(request.ttlNanos(), answersBy - now);
         boolean ended = answersBy <= now;
         if (!mayServe.getAsBoolean() || slots.isFull() || ended || heldBytes + request.valueBytes() > mostHeldBytes) {
-            front.answer(exchange, new Answer.Unavailable(request.version().settings().limits().maxRetryAfterNanos()));
+            front.answer(
+                    exchange,
+                    new Answer.Unavailable(request.version().settings().limits().maxRetryAfterNanos()));
             tell(request, Ending.UNAVAILABLE, 0);
             return -1;
         }
@@ -199,8 +203,15 @@
         heldBytes += request.valueBytes();
         versions.begun(request.requestClass());
         slot.overdue = loop.after(ttl + request.version().settings().rules().answerSlackNanos(), slot);
-        happened(new RequestArrived(ticket, Hash.of(request.key()), request.tenant(), request.type(),
-                request.isWrite(), request.repeated(), 0, ttl));
+        happened(new RequestArrived(
+                ticket,
+                Hash.of(request.key()),
+                request.tenant(),
+                request.type(),
+                request.isWrite(),
+                request.repeated(),
+                0,
+                ttl));
         return ticket;
     }
 
@@ -214,7 +225,13 @@
     }
 
     @Override
-    public void passEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching, Answer served,
+    public void passEnded(
+            long ticket,
+            int attempt,
+            long server,
+            Outcome outcome,
+            boolean fetching,
+            Answer served,
             long durationNanos) {
         if (outcome == Outcome.OK) {
             if (served instanceof Answer.Streamed streamed && slots.get(ticket) == null) {
@@ -230,8 +247,8 @@
     }
 
     /** Made when it is handled: whether the request has its answer by then is a part of it. */
-    private AttemptEnded attemptEnded(long ticket, int attempt, long server, Outcome outcome, boolean fetching,
-            long durationNanos) {
+    private AttemptEnded attemptEnded(
+            long ticket, int attempt, long server, Outcome outcome, boolean fetching, long durationNanos) {
         return new AttemptEnded(ticket, server, attempt, outcome, fetching, slots.get(ticket) == null, durationNanos);
     }
 
--- a/src/main/java/slateseam/router/counts/ServiceCounts.java
+++ b/src/main/java/slateseam/router/counts/ServiceCounts.java
@@ -28,11 +28,11 @@
         }
     }
 
-    private record Gauge(String name, IntSupplier now) {
-    }
+    private record Gauge(String name, IntSupplier now) {}
 
     /** By slot. */
     private final List<OfClass> classes = new ArrayList<>();
+
     private final Map<String, OfClass> all = new LinkedHashMap<>();
     private final List<Gauge> gauges = new ArrayList<>();
     private long dispatches;
@@ -46,7 +46,7 @@
             classes.add(all.computeIfAbsent(name, OfClass::new));
         }
         // Guards the memory against ever new names: of those that are dropped, the first ones go.
-        for (Iterator<OfClass> i = all.values().iterator(); all.size() > MOST_NAMES && i.hasNext();) {
+        for (Iterator<OfClass> i = all.values().iterator(); all.size() > MOST_NAMES && i.hasNext(); ) {
             if (!classes.contains(i.next())) {
                 i.remove();
             }
@@ -77,7 +77,7 @@
             case HIT, MISS, WRITTEN -> counts.success++;
             case UNAVAILABLE -> counts.overload++;
             case FAILED, TIMEOUT -> counts.error++;
-            case LEFT -> { } // nobody has seen how it ended
+            case LEFT -> {} // nobody has seen how it ended
         }
     }
 
@@ -97,11 +97,18 @@
     public String json() {
         JSONObject replies = new JSONObject();
         for (OfClass c : all.values()) {
-            replies.put(c.name, new JSONObject().put("success", c.success).put("overload", c.overload)
-                    .put("error", c.error));
+            replies.put(
+                    c.name,
+                    new JSONObject()
+                            .put("success", c.success)
+                            .put("overload", c.overload)
+                            .put("error", c.error));
         }
-        JSONObject figures = new JSONObject().put("replies", replies).put("dispatches", dispatches)
-                .put("reload_success", reloaded).put("reload_failure", notReloaded);
+        JSONObject figures = new JSONObject()
+                .put("replies", replies)
+                .put("dispatches", dispatches)
+                .put("reload_success", reloaded)
+                .put("reload_failure", notReloaded);
         gauges.forEach(gauge -> figures.put(gauge.name, gauge.now.getAsInt()));
         return figures.toString();
     }
--- a/src/main/java/slateseam/router/farm/Farm.java
+++ b/src/main/java/slateseam/router/farm/Farm.java
@@ -58,12 +58,15 @@
 
     /** How many application servers want new requests; the origin is none. */
     public int readyServers() {
-        return (int) entries.values().stream().filter(entry -> entry.isReady() && !entry.isOrigin()).count();
+        return (int) entries.values().stream()
+                .filter(entry -> entry.isReady() && !entry.isOrigin())
+                .count();
     }
 
     /** How many application servers are listed, those included that drain. */
     public int servers() {
-        return (int) entries.values().stream().filter(entry -> !entry.isOrigin()).count();
+        return (int)
+                entries.values().stream().filter(entry -> !entry.isOrigin()).count();
     }
 
     /** The version of what discovery told last. */
@@ -132,8 +135,15 @@
      * @param rating its weight, over 0
      * @param upSinceNanos its start, Unix nanoseconds; 0 is long ago
      */
-    public Entry entry(String name, InetSocketAddress address, String zone, String kind, MemberState state,
-            double rating, long upSinceNanos, boolean isOrigin) {
+    public Entry entry(
+            String name,
+            InetSocketAddress address,
+            String zone,
+            String kind,
+            MemberState state,
+            double rating,
+            long upSinceNanos,
+            boolean isOrigin) {
         int number = number(kinds, kind);
         // Guards against an application server that a label makes the origin, and the other way round.
         int taken = isOrigin ? originKind : number == originKind ? kinds.size() : number;
@@ -147,11 +157,15 @@
         for (Entry entry : entries.values()) {
             Member member = entry.member;
             String host = entry.address.getAddress().getHostAddress();
-            hosts.put(new JSONObject().put("host", entry.host)
+            hosts.put(new JSONObject()
+                    .put("host", entry.host)
                     .put("dial", (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + entry.address.getPort())
-                    .put("site", name(zones, member.zone())).put("class", name(kinds, member.kind()))
-                    .put("block", member.cell()).put("health", entry.isReady() ? "ready" : "draining")
-                    .put("share", member.rating()).put("born_ms", member.upSinceNanos() / Clock.MILLI));
+                    .put("site", name(zones, member.zone()))
+                    .put("class", name(kinds, member.kind()))
+                    .put("block", member.cell())
+                    .put("health", entry.isReady() ? "ready" : "draining")
+                    .put("share", member.rating())
+                    .put("born_ms", member.upSinceNanos() / Clock.MILLI));
         }
         return new JSONObject().put("whole", true).put("seq", version).put("hosts", hosts);
     }
@@ -175,8 +189,14 @@
             throw new MalformedException("an absurd share or start of " + host);
         }
         int kind = number(kinds, json.optString("class"));
-        Member member = new Member(id(host), number(zones, json.optString("site")), kind, json.optInt("block"),
-                state, share, born * Clock.MILLI);
+        Member member = new Member(
+                id(host),
+                number(zones, json.optString("site")),
+                kind,
+                json.optInt("block"),
+                state,
+                share,
+                born * Clock.MILLI);
         return new Entry(host, address, member, originKind >= 0 && kind == originKind);
     }
 
--- a/src/main/java/slateseam/router/farm/Watch.java
+++ b/src/main/java/slateseam/router/farm/Watch.java
@@ -27,6 +27,7 @@
 public final class Watch implements FarmSource {
     /** So long after discovery had it a change counts as told, though a call has failed. */
     static final long TOLD_MILLIS = 6_000;
+
     private static final long WAIT_MILLIS = 2_500;
     /** Beyond its wait an answer is late: the connection may be dead, so a new one is tried. */
     private static final long LATE_MILLIS = 500;
@@ -34,6 +35,7 @@
     private static final long AT_ONCE_MILLIS = 1_000;
     /** For the first call of all, for which a router that starts waits: an agent that is there answers at once. */
     private static final long FIRST_MILLIS = 500;
+
     private static final long RETRY_MILLIS = 50;
     /** So many lists in a row that are older than the one held show that discovery counts anew. */
     private static final int OLDER = 3;
@@ -70,6 +72,7 @@
     private boolean begun;
     /** Is called when the first call has ended, however it did; null from then on. */
     private Runnable firstEnded;
+
     private boolean listed;
     /** Lists in a row that were older than the one held. */
     private int older;
--- a/src/main/java/slateseam/router/figures/Batches.java
+++ b/src/main/java/slateseam/router/figures/Batches.java
@@ -71,6 +71,5 @@
     abstract boolean write(byte[] lines, Runnable failed);
 
     /** Releases what is held. */
-    void close() {
-    }
+    void close() {}
 }
--- a/src/main/java/slateseam/router/figures/Counts.java
+++ b/src/main/java/slateseam/router/figures/Counts.java
@@ -8,8 +8,7 @@
 
 /** Gauges and totals that other stages keep; they are asked at each flush, and of a total what it grew by is told. */
 public final class Counts {
-    private record Gauge(String name, IntSupplier now) {
-    }
+    private record Gauge(String name, IntSupplier now) {}
 
     private static final class Total {
         final String name;
@@ -54,7 +53,8 @@
         for (Total total : totals) {
             long grown = total.now.getAsLong() - total.told;
             if (grown > 0) {
-                to.accept(format.counter(total.name, total.tag == null ? "" : format.tag(total.tag, total.value), grown));
+                to.accept(
+                        format.counter(total.name, total.tag == null ? "" : format.tag(total.tag, total.value), grown));
             }
         }
     }
--- a/src/main/java/slateseam/router/figures/Figures.java
+++ b/src/main/java/slateseam/router/figures/Figures.java
@@ -25,6 +25,7 @@
     private static final int AT_ONCE = 64;
     /** Until the next ones are written, so that they have room there. */
     private static final long PAUSE_NANOS = 10 * Clock.MILLI;
+
     private static final Ending[] ENDINGS = Ending.values();
 
     private final Loop loop;
@@ -35,9 +36,11 @@
     private final List<Batches> destinations = new ArrayList<>();
     /** By class, tenant and ending, in one number, in the order in which they are written. */
     private TreeMap<Integer, Cell> cells = new TreeMap<>();
+
     private final int mostCells;
     /** Of a flush, what is not written yet. */
     private TreeMap<Integer, Cell> unwritten = new TreeMap<>();
+
     private boolean over;
 
     /** Begins; the counts are asked at each flush. */
@@ -48,7 +51,8 @@
         this.counts = counts;
         this.format = settings.influx() ? Format.INFLUX : Format.STATSD;
         this.flushNanos = settings.flushNanos();
-        this.mostCells = (int) Math.min(Integer.MAX_VALUE, Math.max(LEAST_CELLS, loop.heapBytes() / HEAP_PART / CELL_BYTES));
+        this.mostCells =
+                (int) Math.min(Integer.MAX_VALUE, Math.max(LEAST_CELLS, loop.heapBytes() / HEAP_PART / CELL_BYTES));
         if (settings.file() != null) {
             destinations.add(new FiguresFile(console, settings.file()));
         }
@@ -129,8 +133,10 @@
 
     private void write(Batches to, int number, Cell cell) {
         int place = number / ENDINGS.length;
-        String tags = format.tags(names.classes().get(place / names.tenants().size()),
-                names.tenants().get(place % names.tenants().size()), ENDINGS[number % ENDINGS.length].word());
+        String tags = format.tags(
+                names.classes().get(place / names.tenants().size()),
+                names.tenants().get(place % names.tenants().size()),
+                ENDINGS[number % ENDINGS.length].word());
         to.add(format.counter("req", tags, cell.count()));
         format.timer("latency_ms", tags, cell, to::add);
     }
--- a/src/main/java/slateseam/router/files/FileLocks.java
+++ b/src/main/java/slateseam/router/files/FileLocks.java
@@ -9,8 +9,7 @@
 
 /** Locks of files, which the system gives up with the process, however it ends. */
 public final class FileLocks {
-    private FileLocks() {
-    }
+    private FileLocks() {}
 
     /** A channel whose lock is held until it is closed or the process ends; null if someone else holds it. */
     public static FileChannel take(Path file) throws IOException {
--- a/src/main/java/slateseam/router/handover/Handover.java
+++ b/src/main/java/slateseam/router/handover/Handover.java
@@ -21,6 +21,7 @@
 public final class Handover {
     /** What is held at most: two locks, and a file that is read or written. */
     public static final int DESCRIPTORS = 3;
+
     private static final byte[] MAGIC = {'S', 'L', 'H', 'A', 'N', 'D', '1', '\n'};
     private static final int HEAD = MAGIC.length + 2 * Integer.BYTES;
     /** Over what any list takes that discovery may tell, written in the router's own form. */
@@ -33,6 +34,7 @@
     private final boolean another;
     /** By which the one before names whom it hands over to. */
     private final String token = UUID.randomUUID().toString();
+
     private FileChannel servingLock;
     private FileChannel heirLock;
 
@@ -131,9 +133,9 @@
 
     private static void write(Path file, byte[] bytes) throws IOException {
         Path next = file.resolveSibling(file.getFileName() + ".next");
-        try (FileChannel out = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            for (ByteBuffer frame = frame(bytes); frame.hasRemaining();) {
+        try (FileChannel out = FileChannel.open(
+                next, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            for (ByteBuffer frame = frame(bytes); frame.hasRemaining(); ) {
                 out.write(frame);
             }
         }
@@ -141,7 +143,11 @@
     }
 
     private static ByteBuffer frame(byte[] bytes) {
-        return ByteBuffer.allocate(HEAD + bytes.length).put(MAGIC).putInt(bytes.length).putInt(checksum(bytes)).put(bytes)
+        return ByteBuffer.allocate(HEAD + bytes.length)
+                .put(MAGIC)
+                .putInt(bytes.length)
+                .putInt(checksum(bytes))
+                .put(bytes)
                 .flip();
     }
 
--- a/src/main/java/slateseam/router/hot/HotList.java
+++ b/src/main/java/slateseam/router/hot/HotList.java
@@ -13,8 +13,7 @@
     private static final double SECOND = 1_000_000_000;
 
     /** What a window that is over has left. */
-    private record Past(List<SpaceSaving.Count> top, double mostError) {
-    }
+    private record Past(List<SpaceSaving.Count> top, double mostError) {}
 
     private final Loop loop;
     private final Names names;
--- a/src/main/java/slateseam/router/hot/SpaceSaving.java
+++ b/src/main/java/slateseam/router/hot/SpaceSaving.java
@@ -16,8 +16,7 @@
     private static final int HASH_BYTES = 8;
 
     /** The count of a tenant's key. */
-    record Count(int tenant, byte[] key, long count) {
-    }
+    record Count(int tenant, byte[] key, long count) {}
 
     private static final class Counter {
         int tenant;
--- a/src/main/java/slateseam/router/kubernetes/Access.java
+++ b/src/main/java/slateseam/router/kubernetes/Access.java
@@ -28,8 +28,7 @@
      * @param trust null where the API is reached without TLS
      * @param token null where none is shown
      */
-    record Ready(InetSocketAddress address, Trust trust, String token) {
-    }
+    record Ready(InetSocketAddress address, Trust trust, String token) {}
 
     /** What tells that a file was replaced or written. */
     private record Stamp(FileTime time, long size, Object key) {
@@ -99,8 +98,8 @@
         tokenStamp = null;
         try {
             if (stamp.size > MOST_TOKEN_BYTES) {
-                throw new RefusedException("the token in " + api.token() + " is longer than " + MOST_TOKEN_BYTES
-                        + " bytes");
+                throw new RefusedException(
+                        "the token in " + api.token() + " is longer than " + MOST_TOKEN_BYTES + " bytes");
             }
             token = new String(Files.readAllBytes(api.token()), StandardCharsets.ISO_8859_1).strip();
         } catch (IOException e) {
@@ -122,7 +121,9 @@
     }
 
     private static RefusedException unreadable(Path file, IOException e) {
-        return e instanceof RefusedException refused ? refused : new RefusedException(e instanceof NoSuchFileException
-                ? "there is no file " + file : file + " cannot be read: " + e);
+        return e instanceof RefusedException refused
+                ? refused
+                : new RefusedException(
+                        e instanceof NoSuchFileException ? "there is no file " + file : file + " cannot be read: " + e);
     }
 }
--- a/src/main/java/slateseam/router/kubernetes/ApiCall.java
+++ b/src/main/java/slateseam/router/kubernetes/ApiCall.java
@@ -41,6 +41,7 @@
     private final Access.Ready access;
     /** Null without TLS. */
     private final TlsTransport tls;
+
     private final Listener listener;
     private boolean up;
     private HttpHead head;
@@ -56,16 +57,18 @@
     }
 
     /** Begins to connect. */
-    static ApiCall connect(Loop loop, Api api, Access.Ready access, Executor aside,
-            Listener listener) throws IOException {
-        TlsTransport tls = access.trust() == null ? null
-                : access.trust().connect(loop, aside, api.host(), api.port());
+    static ApiCall connect(Loop loop, Api api, Access.Ready access, Executor aside, Listener listener)
+            throws IOException {
+        TlsTransport tls = access.trust() == null ? null : access.trust().connect(loop, aside, api.host(), api.port());
         return new ApiCall(loop, api, access, tls, listener);
     }
 
     /** Whether a request can go out on it, as things stand now. */
     boolean isReusable(Access.Ready now) {
-        return reusable && !isClosed() && now.trust() == access.trust() && now.address().equals(access.address());
+        return reusable
+                && !isClosed()
+                && now.trust() == access.trust()
+                && now.address().equals(access.address());
     }
 
     /** Asks; the answer before must be over. */
--- a/src/main/java/slateseam/router/kubernetes/Body.java
+++ b/src/main/java/slateseam/router/kubernetes/Body.java
@@ -10,9 +10,16 @@
 final class Body {
     /** Of all lines of a trailer. */
     private static final int TRAILER_BYTES = 8 * 1024;
+
     private static final int MOST_DIGITS = 15;
 
-    private enum Part { LINE, DATA, LINE_END, TRAILER, OVER }
+    private enum Part {
+        LINE,
+        DATA,
+        LINE_END,
+        TRAILER,
+        OVER
+    }
 
     private final boolean chunked;
     private final StringBuilder line = new StringBuilder();
--- a/src/main/java/slateseam/router/kubernetes/Events.java
+++ b/src/main/java/slateseam/router/kubernetes/Events.java
@@ -25,7 +25,12 @@
      * @param told runs after each event that was taken in
      * @param ended takes the status with which the API ended the watch; nothing is read behind it
      */
-    Events(Loop loop, SliceReader reader, Membership membership, Remarks remarks, Runnable told,
+    Events(
+            Loop loop,
+            SliceReader reader,
+            Membership membership,
+            Remarks remarks,
+            Runnable told,
             Consumer<JSONObject> ended) {
         this.loop = loop;
         this.reader = reader;
--- a/src/main/java/slateseam/router/kubernetes/Follower.java
+++ b/src/main/java/slateseam/router/kubernetes/Follower.java
@@ -27,6 +27,7 @@
     private static final long SLACK_NANOS = 5_000 * Clock.MILLI;
     /** One that ends sooner, and said nothing, is trouble: else it would be begun anew again and again. */
     private static final long SHORTEST_WATCH_NANOS = 250 * Clock.MILLI;
+
     private static final int FAULT_BYTES = 4 * 1024;
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
@@ -45,6 +46,7 @@
     private final Membership membership;
     /** Runs when the membership was told something. */
     private final Runnable told;
+
     private final BackOff backOff;
     private final Remarks remarks;
     private KubernetesSettings settings;
@@ -53,16 +55,19 @@
     private boolean begun;
     /** Counts the rounds of asking, so that what a former one sent aside is passed over. */
     private long asking;
+
     private Access.Ready ready;
     private ApiCall call;
     /** When the next try begins, or else when what is waited for is late. */
     private Deadline next;
     /** The list that is read; null while there is a watch, or nothing. */
     private Listing listing;
+
     private boolean listAnew;
     private JsonStream stream;
     /** The answer that is no list and no watch. */
     private HttpHead fault;
+
     private final StringBuilder faultText = new StringBuilder();
     private boolean watches;
     private long watchBegan;
@@ -71,8 +76,14 @@
     private boolean troubled = true;
     private long bytes;
 
-    Follower(Loop loop, Executor aside, KubernetesSettings settings, Membership membership, BackOff backOff,
-            Remarks remarks, Runnable told) {
+    Follower(
+            Loop loop,
+            Executor aside,
+            KubernetesSettings settings,
+            Membership membership,
+            BackOff backOff,
+            Remarks remarks,
+            Runnable told) {
         this.loop = loop;
         this.aside = aside;
         this.settings = settings;
@@ -208,8 +219,15 @@
             watches = true;
             watchTold = false;
             watchBegan = loop.now();
-            stream = new JsonStream(false, new Events(loop, reader, membership, remarks, this::eventTold,
-                    status -> status(status.optInt("code"), status.optString("message"), 0)));
+            stream = new JsonStream(
+                    false,
+                    new Events(
+                            loop,
+                            reader,
+                            membership,
+                            remarks,
+                            this::eventTold,
+                            status -> status(status.optInt("code"), status.optString("message"), 0)));
             lateWatch();
             follows();
             told.run();
@@ -320,8 +338,10 @@
             listAnew = true;
             boolean first = backOff.failures() == 0;
             backOff.failed();
-            remarks.say("kubernetes-gone", "what changed since version " + membership.version()
-                    + " is not told any more, so the whole list is read: " + why);
+            remarks.say(
+                    "kubernetes-gone",
+                    "what changed since version " + membership.version()
+                            + " is not told any more, so the whole list is read: " + why);
             if (first) {
                 startOver();
             } else {
@@ -340,8 +360,14 @@
             // A watch from a version that this API has not come to yet, as its store was restored, will never be
             // answered.
             listAnew |= (code == BAD_REQUEST || code == TIMED_OUT) && backOff.failures() > 0;
-            trouble(code == FORBIDDEN ? "kubernetes-forbidden" : code == TOO_MANY ? "kubernetes-busy"
-                    : code >= FIRST_SERVER_FAULT ? "kubernetes-failed" : "kubernetes-refused", why, askedNanos);
+            trouble(
+                    code == FORBIDDEN
+                            ? "kubernetes-forbidden"
+                            : code == TOO_MANY
+                                    ? "kubernetes-busy"
+                                    : code >= FIRST_SERVER_FAULT ? "kubernetes-failed" : "kubernetes-refused",
+                    why,
+                    askedNanos);
         }
     }
 
--- a/src/main/java/slateseam/router/kubernetes/JsonStream.java
+++ b/src/main/java/slateseam/router/kubernetes/JsonStream.java
@@ -15,6 +15,7 @@
 final class JsonStream {
     /** An object of the API's own bounds (1,000 endpoints) takes a good half of it. */
     static final int LONGEST_OBJECT = 1024 * 1024;
+
     private static final int LONGEST_TEXT = 8 * 1024;
     private static final int DEEPEST = 60;
     private static final int SHOWN = 512;
@@ -35,13 +36,16 @@
     private final Taker taker;
     /** Whether the objects are the elements of the list {@code items} of one object, which is read as well. */
     private final boolean list;
+
     private final KeptText object = new KeptText(LONGEST_OBJECT);
     /** What surrounds the elements. */
     private final KeptText around = new KeptText(LONGEST_OBJECT);
+
     private KeptText sink;
     private int depth;
     /** A bit for each level: whether it is an object, else it is an array. */
     private long objects;
+
     private boolean inText;
     private boolean escaped;
     private int hexLeft;
@@ -52,6 +56,7 @@
     private boolean inItems;
     /** At which depth something is left out; 0 for nothing. */
     private int unused;
+
     private boolean whole;
 
     /**
--- a/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
+++ b/src/main/java/slateseam/router/kubernetes/KubernetesFarm.java
@@ -31,7 +31,8 @@
     private final Remarks remarks;
     /** Whether the farm has had a list from here; until then it is what the router had before. */
     private boolean listed;
-    private Runnable changed = () -> { };
+
+    private Runnable changed = () -> {};
     private Deadline change;
     private Deadline look;
     private long lookedAt;
@@ -42,15 +43,20 @@
      * @param aside does what would hold up the loop
      * @param seed for the waits between tries
      */
-    public KubernetesFarm(Loop loop, Executor aside, KubernetesSettings settings, Farm farm, long seed,
+    public KubernetesFarm(
+            Loop loop,
+            Executor aside,
+            KubernetesSettings settings,
+            Farm farm,
+            long seed,
             Consumer<MembersChanged> listener) {
         this.loop = loop;
         this.farm = farm;
         this.listener = listener;
         membership = new Membership(Memberships.settings(settings));
         remarks = new Remarks(loop);
-        follower = new Follower(loop, aside, settings, membership, new BackOff(new SplittableRandom(seed)), remarks,
-                this::told);
+        follower = new Follower(
+                loop, aside, settings, membership, new BackOff(new SplittableRandom(seed)), remarks, this::told);
     }
 
     /**
@@ -112,7 +118,8 @@
         for (Note note : membership.notes()) {
             remarks.say(note.kind(), note.text());
         }
-        MembersChanged members = listed ? Memberships.changes(farm, changes)
+        MembersChanged members = listed
+                ? Memberships.changes(farm, changes)
                 : Memberships.whole(farm, membership.servers(loop.now()), ListKind.FULL);
         listed = true;
         if (members != null) {
@@ -129,7 +136,8 @@
         change = at == Long.MAX_VALUE ? null : loop.after(Math.max(Clock.MILLI, at - loop.now()), this::told);
         loop.cancel(look);
         long lookAt = membership.nextLook();
-        look = lookAt == Long.MAX_VALUE ? null
+        look = lookAt == Long.MAX_VALUE
+                ? null
                 : loop.after(Math.max(lookAt, lookedAt + LEAST_LOOK_NANOS) - loop.now(), this::look);
     }
 
--- a/src/main/java/slateseam/router/kubernetes/Listing.java
+++ b/src/main/java/slateseam/router/kubernetes/Listing.java
@@ -11,6 +11,7 @@
 final class Listing implements JsonStream.Taker {
     /** Twice what membership takes in. */
     private static final int MOST_SLICES = 2_000;
+
     private static final int MOST_ENDPOINTS = 20_000;
     private static final int MOST_PAGES = 1_000;
 
--- a/src/main/java/slateseam/router/kubernetes/Memberships.java
+++ b/src/main/java/slateseam/router/kubernetes/Memberships.java
@@ -19,19 +19,25 @@
 
 /** Between the operators' settings, the membership of slices and the farm. */
 final class Memberships {
-    private Memberships() {
-    }
+    private Memberships() {}
 
     static MembershipSettings settings(KubernetesSettings settings) {
         InetSocketAddress fixed = settings.origin().address();
-        Origin origin = fixed == null ? new Origin(settings.origin().service(), null, 0)
+        Origin origin = fixed == null
+                ? new Origin(settings.origin().service(), null, 0)
                 : new Origin(null, fixed.getAddress().getHostAddress(), fixed.getPort());
         MembershipSettings usual = MembershipSettings.USUAL;
         KubernetesSettings.Reading reading = settings.reading();
-        return new MembershipSettings(origin, reading.preferIpv6(), usual.comparable(),
+        return new MembershipSettings(
+                origin,
+                reading.preferIpv6(),
+                usual.comparable(),
                 new Places(reading.zones(), reading.nodes()),
                 new Keys(reading.kind(), reading.weight(), reading.start()),
-                new Guard(settings.guard().share(), settings.guard().nanos(), usual.guard().moveNanos()),
+                new Guard(
+                        settings.guard().share(),
+                        settings.guard().nanos(),
+                        usual.guard().moveNanos()),
                 usual.bounds());
     }
 
@@ -47,7 +53,8 @@
         if (changes.changed().isEmpty() && changes.gone().isEmpty()) {
             return null;
         }
-        List<Entry> entries = new ArrayList<>(changes.changed().size() + changes.gone().size());
+        List<Entry> entries =
+                new ArrayList<>(changes.changed().size() + changes.gone().size());
         changes.changed().forEach(server -> add(farm, server, state(server), entries));
         changes.gone().forEach(server -> add(farm, server, MemberState.GONE, entries));
         return farm.take(entries, ListKind.DELTA);
@@ -61,8 +68,15 @@
         // Guards against an address that only a snapshot from elsewhere can hold; what comes from the API was checked.
         if (SliceReader.isLiteral(server.address(), server.address().indexOf(':') >= 0)) {
             InetSocketAddress address = new InetSocketAddress(server.address(), server.port());
-            entries.add(farm.entry(server.name(), address, server.zone(), server.kind(), state, server.weight(),
-                    server.bornAtNanos(), server.origin()));
+            entries.add(farm.entry(
+                    server.name(),
+                    address,
+                    server.zone(),
+                    server.kind(),
+                    state,
+                    server.weight(),
+                    server.bornAtNanos(),
+                    server.origin()));
         }
     }
 }
--- a/src/main/java/slateseam/router/kubernetes/Remarks.java
+++ b/src/main/java/slateseam/router/kubernetes/Remarks.java
@@ -10,8 +10,7 @@
 final class Remarks {
     private static final long AGAIN_NANOS = 60_000 * Clock.MILLI;
 
-    private record Said(String text, long at) {
-    }
+    private record Said(String text, long at) {}
 
     private final Loop loop;
     private final Log log;
--- a/src/main/java/slateseam/router/kubernetes/SavedList.java
+++ b/src/main/java/slateseam/router/kubernetes/SavedList.java
@@ -19,8 +19,7 @@
 public final class SavedList {
     private static final int STEP = 64 * 1024;
 
-    private SavedList() {
-    }
+    private SavedList() {}
 
     /**
      * What a router with these settings would know from it alone. The file is taken for what the API would answer: what
@@ -33,7 +32,7 @@
         List<String> left = new ArrayList<>();
         Listing listing = new Listing(new SliceReader(settings.port()), (kind, text) -> left.add(text));
         try (InputStream in = Files.newInputStream(file)) {
-            for (byte[] part; (part = in.readNBytes(STEP)).length > 0;) {
+            for (byte[] part; (part = in.readNBytes(STEP)).length > 0; ) {
                 listing.page().take(ByteBuffer.wrap(part));
             }
         }
--- a/src/main/java/slateseam/router/kubernetes/SliceReader.java
+++ b/src/main/java/slateseam/router/kubernetes/SliceReader.java
@@ -20,6 +20,7 @@
     private static final int MOST_ENDPOINTS = 4_096;
     /** The API's own bounds. */
     private static final int MOST_PORTS = 1_024;
+
     private static final int LONGEST_NAME = 253;
     private static final Pattern VERSION = Pattern.compile("[0-9]{1,18}");
     private static final Pattern IPV4 = Pattern.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}");
@@ -68,8 +69,14 @@
             if (!ipv6 && !type.equals("IPv4")) {
                 throw new MalformedException("slice " + name + " has addresses of type " + type);
             }
-            return new Slice(name, uid, version, ipv6, port(json.optJSONArray("ports")),
-                    endpoints(json.optJSONArray("endpoints"), name, ipv6), texts(metadata.optJSONObject("labels")),
+            return new Slice(
+                    name,
+                    uid,
+                    version,
+                    ipv6,
+                    port(json.optJSONArray("ports")),
+                    endpoints(json.optJSONArray("endpoints"), name, ipv6),
+                    texts(metadata.optJSONObject("labels")),
                     texts(metadata.optJSONObject("annotations")));
         } catch (JSONException e) {
             throw new MalformedException(e.getMessage());
@@ -106,9 +113,16 @@
         }
         JSONObject conditions = json.optJSONObject("conditions", new JSONObject());
         JSONObject target = json.optJSONObject("targetRef", new JSONObject());
-        return new Endpoint(addresses.subList(0, Math.min(1, addresses.size())), condition(conditions, "ready"),
-                condition(conditions, "serving"), condition(conditions, "terminating"), text(json, "zone"),
-                text(json, "nodeName"), zones(json.optJSONObject("hints")), text(target, "uid"), text(target, "name"));
+        return new Endpoint(
+                addresses.subList(0, Math.min(1, addresses.size())),
+                condition(conditions, "ready"),
+                condition(conditions, "serving"),
+                condition(conditions, "terminating"),
+                text(json, "zone"),
+                text(json, "nodeName"),
+                zones(json.optJSONObject("hints")),
+                text(target, "uid"),
+                text(target, "name"));
     }
 
     /** Guards the loop: what is no literal address would be looked up as a name. */
@@ -117,7 +131,8 @@
             return IPV4.matcher(address).matches();
         }
         try {
-            return address.indexOf(':') >= 0 && IPV6.matcher(address).matches()
+            return address.indexOf(':') >= 0
+                    && IPV6.matcher(address).matches()
                     && InetAddress.getByName("[" + address + "]") != null;
         } catch (UnknownHostException e) {
             return false;
--- a/src/main/java/slateseam/router/kubernetes/Targets.java
+++ b/src/main/java/slateseam/router/kubernetes/Targets.java
@@ -6,8 +6,7 @@
 
 /** What is asked of the API. */
 final class Targets {
-    private Targets() {
-    }
+    private Targets() {}
 
     private static String slices(KubernetesSettings settings) {
         return "/apis/discovery.k8s.io/v1/namespaces/" + settings.namespace() + "/endpointslices?labelSelector="
--- a/src/main/java/slateseam/router/membership/Absent.java
+++ b/src/main/java/slateseam/router/membership/Absent.java
@@ -94,10 +94,15 @@
         if (!losses.isShrunk(now)) {
             return;
         }
-        List<Tracked> kept = moving.all().stream().filter(s -> s.origin == origin && s.told.ready()).toList();
+        List<Tracked> kept = moving.all().stream()
+                .filter(s -> s.origin == origin && s.told.ready())
+                .toList();
         if (!kept.isEmpty() && guarded.size() == 0) {
-            notes.add("farm-shrunk", kept.size() + " of " + losses.before() + " ready " + what + " are listed no more; "
-                    + "they count for another " + settings.nanos() / 1_000_000 + " ms unless they are told to drain");
+            notes.add(
+                    "farm-shrunk",
+                    kept.size() + " of " + losses.before() + " ready " + what + " are listed no more; "
+                            + "they count for another " + settings.nanos() / 1_000_000
+                            + " ms unless they are told to drain");
         }
         for (Tracked server : kept) {
             moving.remove(server);
--- a/src/main/java/slateseam/router/membership/Deletions.java
+++ b/src/main/java/slateseam/router/membership/Deletions.java
@@ -36,7 +36,8 @@
     /** Whether a view is from before a deletion that is remembered. */
     boolean covers(Slice slice) {
         Deleted deleted = byName.get(slice.name());
-        return deleted != null && (slice.version() <= deleted.version() || slice.uid().equals(deleted.uid()));
+        return deleted != null
+                && (slice.version() <= deleted.version() || slice.uid().equals(deleted.uid()));
     }
 
     /** A slice of that name is there again. */
--- a/src/main/java/slateseam/router/membership/Describer.java
+++ b/src/main/java/slateseam/router/membership/Describer.java
@@ -21,7 +21,8 @@
      */
     Server describe(Tracked server, boolean ready, long now) {
         Server settled = describeNow(server, ready);
-        if (server.told == null || isIpv6(settled) == settings.preferIpv6()
+        if (server.told == null
+                || isIpv6(settled) == settings.preferIpv6()
                 || isIpv6(server.told) != settings.preferIpv6()) {
             changingFamily.remove(server);
             return settled;
@@ -29,8 +30,17 @@
         if (!changingFamily.contains(server)) {
             changingFamily.put(server, now + settings.guard().moveNanos());
         }
-        return new Server(settled.name(), server.told.address(), server.told.port(), ready, settled.zone(),
-                settled.kind(), settled.weight(), settled.bornAtNanos(), settled.origin(), settled.pod(),
+        return new Server(
+                settled.name(),
+                server.told.address(),
+                server.told.port(),
+                ready,
+                settled.zone(),
+                settled.kind(),
+                settled.weight(),
+                settled.bornAtNanos(),
+                settled.origin(),
+                settled.pod(),
                 settled.node());
     }
 
@@ -39,15 +49,33 @@
         View best = server.best(settings.preferIpv6());
         Part part = best.part();
         Endpoint endpoint = best.endpoint();
-        return new Server(server.name, endpoint.addresses().get(0), part.slice().port(), ready, places.site(endpoint),
-                part.kind(), part.weight(), part.start() >= 0 ? part.start() : server.bornAt, server.origin,
+        return new Server(
+                server.name,
+                endpoint.addresses().get(0),
+                part.slice().port(),
+                ready,
+                places.site(endpoint),
+                part.kind(),
+                part.weight(),
+                part.start() >= 0 ? part.start() : server.bornAt,
+                server.origin,
                 endpoint.targetName() == null ? "" : endpoint.targetName(),
                 endpoint.nodeName() == null ? "" : endpoint.nodeName());
     }
 
     static Server draining(Server s) {
-        return new Server(s.name(), s.address(), s.port(), false, s.zone(), s.kind(), s.weight(), s.bornAtNanos(),
-                s.origin(), s.pod(), s.node());
+        return new Server(
+                s.name(),
+                s.address(),
+                s.port(),
+                false,
+                s.zone(),
+                s.kind(),
+                s.weight(),
+                s.bornAtNanos(),
+                s.origin(),
+                s.pod(),
+                s.node());
     }
 
     private static boolean isIpv6(Server server) {
--- a/src/main/java/slateseam/router/membership/Endpoint.java
+++ b/src/main/java/slateseam/router/membership/Endpoint.java
@@ -29,8 +29,16 @@
  * @param targetUid the uid of the pod behind it: its identity
  * @param targetName the name of the pod behind it, for those who read
  */
-public record Endpoint(List<String> addresses, Boolean ready, Boolean serving, Boolean terminating, String zone,
-        String nodeName, List<String> hintZones, String targetUid, String targetName) {
+public record Endpoint(
+        List<String> addresses,
+        Boolean ready,
+        Boolean serving,
+        Boolean terminating,
+        String zone,
+        String nodeName,
+        List<String> hintZones,
+        String targetUid,
+        String targetName) {
     /** Copies what could change, so that an endpoint never does. */
     public Endpoint {
         addresses = List.copyOf(addresses);
--- a/src/main/java/slateseam/router/membership/Left.java
+++ b/src/main/java/slateseam/router/membership/Left.java
@@ -26,8 +26,14 @@
     void drained(String name, boolean origin, long version, long now) {
         Known known = byName.get(name);
         if (known == null || known.drainedAt() < version) {
-            add(new Known(name, origin, known == null ? now : known.bornAtNanos(), known != null && known.seenReady(),
-                    version, null, false));
+            add(new Known(
+                    name,
+                    origin,
+                    known == null ? now : known.bornAtNanos(),
+                    known != null && known.seenReady(),
+                    version,
+                    null,
+                    false));
         }
     }
 
--- a/src/main/java/slateseam/router/membership/Membership.java
+++ b/src/main/java/slateseam/router/membership/Membership.java
@@ -17,8 +17,7 @@
  */
 public final class Membership {
     /** What changed since it was asked last: servers that are new or other than they were, and those that left. */
-    public record Changes(List<Server> changed, List<Server> gone) {
-    }
+    public record Changes(List<Server> changed, List<Server> gone) {}
 
     private final MembershipSettings settings;
     private final Trim trim;
@@ -31,6 +30,7 @@
     private boolean begun;
     /** Whether a slice found no room since the last list. */
     private boolean refused;
+
     private boolean wantsLook;
 
     /** Creates a membership that knows nothing but a fixed origin. */
@@ -48,7 +48,8 @@
         boolean whole = standing != Position.Standing.BEHIND;
         long at = Position.number(collectionVersion);
         if (standing == Position.Standing.ANEW || whole && settings.comparable()) {
-            // It knows better than a list before it that told of less by mistake; what is older is held off by the floor.
+            // It knows better than a list before it that told of less by mistake; what is older is held off by the
+            // floor.
             deletions.clear();
         }
         if (!whole) {
@@ -224,8 +225,12 @@
 
     /** All that must be remembered over a restart. */
     public Remembered remembered() {
-        return new Remembered(position.text(), position.floor(), parts.values().stream().map(Part::slice).toList(),
-                deletions.all(), table.remembered());
+        return new Remembered(
+                position.text(),
+                position.floor(),
+                parts.values().stream().map(Part::slice).toList(),
+                deletions.all(),
+                table.remembered());
     }
 
     /** Goes on from what was remembered; to be called before anything is told. */
--- a/src/main/java/slateseam/router/membership/MembershipSettings.java
+++ b/src/main/java/slateseam/router/membership/MembershipSettings.java
@@ -14,11 +14,16 @@
  * @param guard against lists that shrink too fast
  * @param bounds of what is kept
  */
-public record MembershipSettings(Origin origin, boolean preferIpv6, boolean comparable, Places places, Keys keys,
-        Guard guard, Bounds bounds) {
+public record MembershipSettings(
+        Origin origin, boolean preferIpv6, boolean comparable, Places places, Keys keys, Guard guard, Bounds bounds) {
     /** No origin, IPv4, Kubernetes' versions, zones as they are, no labels, the usual guard and bounds. */
-    public static final MembershipSettings USUAL = new MembershipSettings(Origin.NONE, false, true,
-            new Places(Map.of(), Map.of()), new Keys(null, null, null), new Guard(0.4, 10_000_000_000L, 200_000_000L),
+    public static final MembershipSettings USUAL = new MembershipSettings(
+            Origin.NONE,
+            false,
+            true,
+            new Places(Map.of(), Map.of()),
+            new Keys(null, null, null),
+            new Guard(0.4, 10_000_000_000L, 200_000_000L),
             new Bounds(1_000, 10_000, 1_024, 256));
 
     /**
@@ -67,8 +72,7 @@
      * @param moveNanos for how long one that is listed no more still counts, as it may be on its way to another slice;
      *     to be well under the 500 ms in which a server must be left alone
      */
-    public record Guard(double share, long nanos, long moveNanos) {
-    }
+    public record Guard(double share, long nanos, long moveNanos) {}
 
     /**
      * The most that is kept.
@@ -78,6 +82,5 @@
      * @param deleted slices that were deleted, and as many times eight servers that left; the oldest is forgotten
      * @param textBytes of a name, label or annotation; a longer one counts as unset
      */
-    public record Bounds(int slices, int servers, int deleted, int textBytes) {
-    }
+    public record Bounds(int slices, int servers, int deleted, int textBytes) {}
 }
--- a/src/main/java/slateseam/router/membership/Note.java
+++ b/src/main/java/slateseam/router/membership/Note.java
@@ -6,5 +6,4 @@
  * @param kind of the line, from a fixed set
  * @param text one line
  */
-public record Note(String kind, String text) {
-}
+public record Note(String kind, String text) {}
--- a/src/main/java/slateseam/router/membership/Part.java
+++ b/src/main/java/slateseam/router/membership/Part.java
@@ -82,8 +82,8 @@
                 return Math.min(Long.parseLong(text), Long.MAX_VALUE / NANOS_A_MILLI) * NANOS_A_MILLI;
             }
             Instant start = Instant.parse(text);
-            return Math.max(-1, Math.addExact(Math.multiplyExact(start.getEpochSecond(), NANOS_A_SECOND),
-                    start.getNano()));
+            return Math.max(
+                    -1, Math.addExact(Math.multiplyExact(start.getEpochSecond(), NANOS_A_SECOND), start.getNano()));
         } catch (DateTimeParseException | ArithmeticException e) {
             return -1;
         }
--- a/src/main/java/slateseam/router/membership/Places.java
+++ b/src/main/java/slateseam/router/membership/Places.java
@@ -11,15 +11,17 @@
 
     Places(MembershipSettings.Places settings) {
         zones = settings.zones();
-        nodes = settings.nodes().entrySet().stream().sorted(Comparator
-                .comparing((Map.Entry<String, String> node) -> -node.getKey().length())
-                .thenComparing(Map.Entry::getKey))
+        nodes = settings.nodes().entrySet().stream()
+                .sorted(Comparator.comparing((Map.Entry<String, String> node) ->
+                                -node.getKey().length())
+                        .thenComparing(Map.Entry::getKey))
                 .toList();
     }
 
     /** The site of an endpoint by its zone, else by the one zone that is to use it, else by its node; or empty. */
     String site(Endpoint endpoint) {
-        String zone = endpoint.zone() == null && endpoint.hintZones().size() == 1 ? endpoint.hintZones().get(0)
+        String zone = endpoint.zone() == null && endpoint.hintZones().size() == 1
+                ? endpoint.hintZones().get(0)
                 : endpoint.zone();
         if (zone != null) {
             return zones.getOrDefault(zone, zone);
--- a/src/main/java/slateseam/router/membership/Position.java
+++ b/src/main/java/slateseam/router/membership/Position.java
@@ -23,6 +23,7 @@
     private String text;
     /** No slice that is not known and no newer than this is taken in. */
     private long floor = -1;
+
     private long behindSince = Long.MAX_VALUE;
     private boolean moved;
 
--- a/src/main/java/slateseam/router/membership/Remembered.java
+++ b/src/main/java/slateseam/router/membership/Remembered.java
@@ -12,8 +12,7 @@
  * @param deleted the slices that there were, the oldest deletion first
  * @param servers what cannot be told from the slices, by server
  */
-public record Remembered(String version, long floor, List<Slice> slices, List<Deleted> deleted,
-        List<Known> servers) {
+public record Remembered(String version, long floor, List<Slice> slices, List<Deleted> deleted, List<Known> servers) {
     /** Copies the lists. */
     public Remembered {
         slices = List.copyOf(slices);
@@ -22,8 +21,7 @@
     }
 
     /** A slice that was deleted: no view of that name up to this version, and none of that uid, is taken in again. */
-    public record Deleted(String name, String uid, long version) {
-    }
+    public record Deleted(String name, String uid, long version) {}
 
     /**
      * What is known of a server beside the slices.
@@ -36,7 +34,12 @@
      * @param held what it was when it was last in a slice, if it is in none now but still counts; null if it does not
      * @param guarded whether it still counts because too many left at once
      */
-    public record Known(String name, boolean origin, long bornAtNanos, boolean seenReady, long drainedAt, Server held,
-            boolean guarded) {
-    }
+    public record Known(
+            String name,
+            boolean origin,
+            long bornAtNanos,
+            boolean seenReady,
+            long drainedAt,
+            Server held,
+            boolean guarded) {}
 }
--- a/src/main/java/slateseam/router/membership/Server.java
+++ b/src/main/java/slateseam/router/membership/Server.java
@@ -16,6 +16,15 @@
  * @param pod the name of its pod, for those who read; empty if nothing tells it
  * @param node the name of its node, for those who read; empty if nothing tells it
  */
-public record Server(String name, String address, int port, boolean ready, String zone, String kind, double weight,
-        long bornAtNanos, boolean origin, String pod, String node) {
-}
+public record Server(
+        String name,
+        String address,
+        int port,
+        boolean ready,
+        String zone,
+        String kind,
+        double weight,
+        long bornAtNanos,
+        boolean origin,
+        String pod,
+        String node) {}
--- a/src/main/java/slateseam/router/membership/Slice.java
+++ b/src/main/java/slateseam/router/membership/Slice.java
@@ -17,8 +17,15 @@
  * @param labels may be empty
  * @param annotations may be empty
  */
-public record Slice(String name, String uid, long version, boolean ipv6, Integer port, List<Endpoint> endpoints,
-        Map<String, String> labels, Map<String, String> annotations) {
+public record Slice(
+        String name,
+        String uid,
+        long version,
+        boolean ipv6,
+        Integer port,
+        List<Endpoint> endpoints,
+        Map<String, String> labels,
+        Map<String, String> annotations) {
     /** Copies what could change, so that a slice never does. */
     public Slice {
         endpoints = List.copyOf(endpoints);
--- a/src/main/java/slateseam/router/membership/Table.java
+++ b/src/main/java/slateseam/router/membership/Table.java
@@ -13,6 +13,7 @@
 final class Table {
     /** Few servers are in two slices at once, and soon in one. */
     private static final int VIEWS_A_SERVER = 4;
+
     private static final int LEFT_A_SLICE = 8;
     private static final String ORIGIN = "origin/";
 
@@ -25,6 +26,7 @@
     private final Absent absent;
     /** Those that only older views say are ready, until a list settles it. */
     private final Waits<Tracked> inDoubt;
+
     private final Set<Tracked> touched = new LinkedHashSet<>();
     private int views;
     private boolean full;
@@ -60,7 +62,8 @@
             if (!part.hasPort()) {
                 continue;
             }
-            if (server.views.isEmpty() || views < VIEWS_A_SERVER * settings.bounds().servers()) {
+            if (server.views.isEmpty()
+                    || views < VIEWS_A_SERVER * settings.bounds().servers()) {
                 server.views.add(new View(part, endpoint));
                 part.members.add(server);
                 views++;
@@ -196,12 +199,12 @@
 
     /** Does what is due by time alone; whether there is room again for what found none. */
     boolean tick(long now) {
-        for (Tracked server; (server = absent.poll(now)) != null;) {
+        for (Tracked server; (server = absent.poll(now)) != null; ) {
             left.add(known(server, null, false));
             servers.remove(server.name);
             roster.remove(server.name);
         }
-        for (Tracked server; (server = describer.poll(now)) != null;) {
+        for (Tracked server; (server = describer.poll(now)) != null; ) {
             tell(server, describer.describeNow(server, server.told.ready()));
         }
         boolean room = full && servers.size() < settings.bounds().servers();
@@ -254,7 +257,8 @@
 
     private void restoreHeld(Known known, long now) {
         String own = known.origin() ? known.name().substring(ORIGIN.length()) : known.name();
-        Tracked server = new Tracked(known.name(), known.origin(), own.equals(known.held().address()));
+        Tracked server = new Tracked(
+                known.name(), known.origin(), own.equals(known.held().address()));
         server.bornAt = known.bornAtNanos();
         server.seenReady = known.seenReady();
         server.drainedAt = known.drainedAt();
--- a/src/main/java/slateseam/router/membership/Tracked.java
+++ b/src/main/java/slateseam/router/membership/Tracked.java
@@ -20,6 +20,7 @@
     final List<View> views = new ArrayList<>(1);
     /** Its start if no annotation tells it; 0 is long ago. */
     long bornAt;
+
     boolean seenReady;
     /** The version of the newest view in which it drained; -1 if none. */
     long drainedAt = -1;
--- a/src/main/java/slateseam/router/membership/Trim.java
+++ b/src/main/java/slateseam/router/membership/Trim.java
@@ -11,6 +11,7 @@
 final class Trim {
     /** Of the longest literal address, with a zone. */
     private static final int ADDRESS_LENGTH = 64;
+
     private static final int MOST_SHARED = 1_024;
 
     private final List<String> keys = new ArrayList<>(List.of(Keys.SERVICE));
@@ -20,7 +21,9 @@
 
     Trim(MembershipSettings settings) {
         most = settings.bounds().textBytes();
-        for (String key : new String[] {settings.keys().kind(), settings.keys().weight(), settings.keys().start()}) {
+        for (String key : new String[] {
+            settings.keys().kind(), settings.keys().weight(), settings.keys().start()
+        }) {
             if (key != null) {
                 keys.add(key);
             }
@@ -34,22 +37,41 @@
                 endpoints.add(endpoint(endpoint));
             }
         }
-        return new Slice(slice.name(), slice.uid(), slice.version(), slice.ipv6(), slice.port(), endpoints,
-                named(slice.labels()), named(slice.annotations()));
+        return new Slice(
+                slice.name(),
+                slice.uid(),
+                slice.version(),
+                slice.ipv6(),
+                slice.port(),
+                endpoints,
+                named(slice.labels()),
+                named(slice.annotations()));
     }
 
     /** Guards against endpoints that have no address, or no identity that can be kept. */
     private boolean isUsable(Endpoint endpoint) {
-        return !endpoint.addresses().isEmpty() && endpoint.addresses().get(0).length() <= ADDRESS_LENGTH
+        return !endpoint.addresses().isEmpty()
+                && endpoint.addresses().get(0).length() <= ADDRESS_LENGTH
                 && !endpoint.addresses().get(0).isEmpty()
                 && (endpoint.targetUid() == null || fits(endpoint.targetUid()));
     }
 
     private Endpoint endpoint(Endpoint e) {
-        List<String> hint = e.zone() == null && e.hintZones().size() == 1 && fits(e.hintZones().get(0))
-                ? List.of(share(e.hintZones().get(0))) : List.of();
-        return new Endpoint(List.of(e.addresses().get(0)), e.ready(), e.serving(), e.terminating(),
-                share(text(e.zone())), share(text(e.nodeName())), hint, e.targetUid(), text(e.targetName()));
+        List<String> hint = e.zone() == null
+                        && e.hintZones().size() == 1
+                        && fits(e.hintZones().get(0))
+                ? List.of(share(e.hintZones().get(0)))
+                : List.of();
+        return new Endpoint(
+                List.of(e.addresses().get(0)),
+                e.ready(),
+                e.serving(),
+                e.terminating(),
+                share(text(e.zone())),
+                share(text(e.nodeName())),
+                hint,
+                e.targetUid(),
+                text(e.targetName()));
     }
 
     private Map<String, String> named(Map<String, String> all) {
@@ -68,8 +90,8 @@
     }
 
     private boolean fits(String text) {
-        return text.length() <= most && (text.length() * 3 <= most
-                || text.getBytes(StandardCharsets.UTF_8).length <= most);
+        return text.length() <= most
+                && (text.length() * 3 <= most || text.getBytes(StandardCharsets.UTF_8).length <= most);
     }
 
     private String share(String text) {
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -32,7 +32,8 @@
      * Creates the dialect for batches of at most so many reads. Of values that wait for the rest of their answer, all
      * batches hold so many bytes; one for which there is no room is to be asked for later.
      */
-    public MultiGet(Loop loop, Requests requests, Lifecycle lifecycle, int mostKeys, long retryAfterNanos, long mostHeldBytes) {
+    public MultiGet(
+            Loop loop, Requests requests, Lifecycle lifecycle, int mostKeys, long retryAfterNanos, long mostHeldBytes) {
         this.loop = loop;
         this.requests = requests;
         this.lifecycle = lifecycle;
@@ -66,7 +67,10 @@
             }
             String name = Commands.name(command);
             if (!name.equals("SLATE.MGET")) {
-                finish(name.startsWith("CACHE.") ? Replies.line("-ERR only behind SLATE.MGET") : Replies.other(name, lifecycle.answersPing()));
+                finish(
+                        name.startsWith("CACHE.")
+                                ? Replies.line("-ERR only behind SLATE.MGET")
+                                : Replies.other(name, lifecycle.answersPing()));
                 return;
             }
             expected = number(command);
@@ -128,8 +132,8 @@
             }
             boolean whole = elements.stream().allMatch(e -> e.served);
             List<ByteBuffer> all = new ArrayList<>();
-            all.add(ByteBuffer.wrap(Bytes.of("*" + (expected + 1) + "\r\n"
-                    + (whole ? "$5\r\nwhole\r\n" : "$7\r\npartial\r\n"))));
+            all.add(ByteBuffer.wrap(
+                    Bytes.of("*" + (expected + 1) + "\r\n" + (whole ? "$5\r\nwhole\r\n" : "$7\r\npartial\r\n"))));
             elements.forEach(e -> all.addAll(List.of(e.answer)));
             finish(all.toArray(new ByteBuffer[0]));
         }
@@ -147,7 +151,8 @@
         }
 
         void ask(List<ByteBuffer> command) {
-            ByteBuffer[] error = Commands.name(command).equals("CACHE.GET") ? requests.take(command, false, this)
+            ByteBuffer[] error = Commands.name(command).equals("CACHE.GET")
+                    ? requests.take(command, false, this)
                     : Replies.line("-ERR not a CACHE.GET");
             if (error != null) {
                 settle(error);
--- a/src/main/java/slateseam/router/net/Bytes.java
+++ b/src/main/java/slateseam/router/net/Bytes.java
@@ -8,8 +8,7 @@
     private static final int MOST_DIGITS = 9;
     private static final int DELETE = 0x7f;
 
-    private Bytes() {
-    }
+    private Bytes() {}
 
     /** A whole number of one to nine decimal digits, with no sign; -1 if the text is none. */
     public static int number(String text) {
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -15,18 +15,21 @@
     public static final int VALUE_LIMIT = 4 * 1024 * 1024;
     /** Longer ones stream. */
     public static final int LONG_VALUE = 64 * 1024;
+
     private static final int INPUT_LIMIT = VALUE_LIMIT + 8 * 1024;
     private static final int FIRST_INPUT = 4 * 1024;
     /** Larger buffers are counted, so that many long values, or beginnings of commands, at once cannot fill the heap. */
     private static final int UNCOUNTED = 16 * 1024;
     /** Of one read: the system's copies lie outside the heap, where there is little room. */
     private static final int CHUNK = 128 * 1024;
+
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
     private final Loop loop;
     private final SocketChannel channel;
     /** Null where the channel's bytes pass as they are. */
     private final Transport transport;
+
     private final SelectionKey key;
     private final Deque<ByteBuffer> unwritten = new ArrayDeque<>();
     private ByteBuffer input = NOTHING;
@@ -36,6 +39,7 @@
     private final int ahead;
     /** Whether what comes is thrown away. */
     private boolean ignoring;
+
     private boolean lingering;
     private boolean closed;
     /** Of what was to be written. */
@@ -89,8 +93,7 @@
     }
 
     /** The connection is up. */
-    protected void connected() {
-    }
+    protected void connected() {}
 
     /**
      * Bytes have come. Takes whole messages from the buffer and leaves the rest.
@@ -106,19 +109,16 @@
      * The other side has ended its sending in order, behind bytes that {@link #received} has left; {@link #broken} follows. A
      * reset is no such end.
      */
-    protected void ended(ByteBuffer left) throws MalformedException {
-    }
+    protected void ended(ByteBuffer left) throws MalformedException {}
 
     /** The other side has closed the connection, or it broke, or it never came up; it is closed now. */
     protected abstract void broken();
 
     /** Bytes came after {@link #linger} and were thrown away. */
-    protected void discarded() {
-    }
+    protected void discarded() {}
 
     /** All that was to be written has been. */
-    protected void written() {
-    }
+    protected void written() {}
 
     /** Whether all that was to be written has been handed to the system. */
     protected final boolean isFlushed() {
--- a/src/main/java/slateseam/router/net/Console.java
+++ b/src/main/java/slateseam/router/net/Console.java
@@ -21,6 +21,7 @@
     private static final int MOST_BULK_BYTES = 48 * 1024;
     /** What an entry takes beside its text. */
     private static final int ENTRY_BYTES = 64;
+
     private static final int STACK_BYTES = 256 * 1024;
     /** For what is left at the end; an exit does not wait longer for a reader that has stopped. */
     private static final long END_MILLIS = 250;
@@ -78,7 +79,7 @@
         closed = true;
         notifyAll();
         try {
-            for (long left; queuedBytes > 0 && (left = end - System.nanoTime()) > 0;) {
+            for (long left; queuedBytes > 0 && (left = end - System.nanoTime()) > 0; ) {
                 wait(Clock.millisUp(left));
             }
         } catch (InterruptedException e) {
@@ -106,8 +107,9 @@
 
     private synchronized void written(Entry entry) {
         queuedBytes -= entry.bytes();
-        if (droppedLines > 0 && offerLine(name + ": lines-dropped: " + droppedLines
-                + " lines did not fit while standard error was not read")) {
+        if (droppedLines > 0
+                && offerLine(name + ": lines-dropped: " + droppedLines
+                        + " lines did not fit while standard error was not read")) {
             droppedLines = 0;
         }
         notifyAll();
@@ -115,7 +117,7 @@
 
     private void writeAll() {
         try {
-            for (Entry entry; (entry = next()) != null;) {
+            for (Entry entry; (entry = next()) != null; ) {
                 try {
                     write(entry);
                 } catch (IOException e) {
@@ -136,8 +138,8 @@
             err.flush();
             return;
         }
-        try (FileChannel file = FileChannel.open(entry.file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.APPEND)) {
+        try (FileChannel file = FileChannel.open(
+                entry.file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND)) {
             long end = file.size();
             ByteBuffer left = ByteBuffer.wrap(entry.text);
             try {
--- a/src/main/java/slateseam/router/net/Deadlines.java
+++ b/src/main/java/slateseam/router/net/Deadlines.java
@@ -32,8 +32,7 @@
     private int size;
     private long numbers;
 
-    Deadlines() {
-    }
+    Deadlines() {}
 
     Deadline set(long at, Runnable action) {
         if (size == heap.length) {
--- a/src/main/java/slateseam/router/net/Errands.java
+++ b/src/main/java/slateseam/router/net/Errands.java
@@ -18,8 +18,8 @@
 
     /** Creates them without a thread; it is begun by the first errand. */
     public Errands() {
-        thread = new ThreadPoolExecutor(1, 1, KEPT_SECONDS, TimeUnit.SECONDS, new ArrayBlockingQueue<>(MOST_WAITING),
-                action -> {
+        thread = new ThreadPoolExecutor(
+                1, 1, KEPT_SECONDS, TimeUnit.SECONDS, new ArrayBlockingQueue<>(MOST_WAITING), action -> {
                     Thread thread = new Thread(action, "errands");
                     // Guards the end of the program against a file system that does not answer.
                     thread.setDaemon(true);
--- a/src/main/java/slateseam/router/net/Hash.java
+++ b/src/main/java/slateseam/router/net/Hash.java
@@ -5,8 +5,7 @@
     private static final long OFFSET = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Hash() {
-    }
+    private Hash() {}
 
     /** FNV-1a with its bits mixed. */
     public static long of(byte[] bytes) {
--- a/src/main/java/slateseam/router/net/HttpHead.java
+++ b/src/main/java/slateseam/router/net/HttpHead.java
@@ -15,6 +15,7 @@
 public record HttpHead(int status, Map<String, String> headers) {
     /** Of a head's line or a chunk's; room for a load report that nobody here can read. */
     public static final int LONGEST_LINE = 4096;
+
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
     static final int MOST_HEADERS = 1_024;
     private static final int OK = 200;
@@ -31,12 +32,14 @@
             return null;
         }
         String[] words = Bytes.text(first).split(" ", 3);
-        if (words.length < 2 || !words[0].startsWith("HTTP/1.") || !STATUS.matcher(words[1]).matches()) {
+        if (words.length < 2
+                || !words[0].startsWith("HTTP/1.")
+                || !STATUS.matcher(words[1]).matches()) {
             throw new MalformedException("not an HTTP/1.1 status line");
         }
         Map<String, String> headers = new HashMap<>();
         int lines = 0; // not the map's size: a head that never ends may repeat one name
-        for (ByteBuffer line; (line = Resp.line(in, LONGEST_LINE)) == null || line.hasRemaining();) {
+        for (ByteBuffer line; (line = Resp.line(in, LONGEST_LINE)) == null || line.hasRemaining(); ) {
             if (line == null) {
                 return null;
             }
--- a/src/main/java/slateseam/router/net/HttpReply.java
+++ b/src/main/java/slateseam/router/net/HttpReply.java
@@ -126,12 +126,18 @@
     private static int chunkLength(ByteBuffer in) throws MalformedException {
         int length = 0;
         int end = in.position();
-        for (int digit; end < in.limit() && length <= Connection.VALUE_LIMIT
-                && (digit = Character.digit(in.get(end), HEXADECIMAL)) >= 0; end++) {
+        for (int digit;
+                end < in.limit()
+                        && length <= Connection.VALUE_LIMIT
+                        && (digit = Character.digit(in.get(end), HEXADECIMAL)) >= 0;
+                end++) {
             length = HEXADECIMAL * length + digit;
         }
-        boolean plain = end > in.position() && length <= Connection.VALUE_LIMIT && end + 1 < in.limit()
-                && in.get(end) == '\r' && in.get(end + 1) == '\n';
+        boolean plain = end > in.position()
+                && length <= Connection.VALUE_LIMIT
+                && end + 1 < in.limit()
+                && in.get(end) == '\r'
+                && in.get(end + 1) == '\n';
         if (plain) {
             in.position(end + LINE_END);
             return length;
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -37,11 +37,13 @@
     private final Queue<Runnable> next = new ArrayDeque<>();
     /** Kept: making one for each round costs more than the round does. */
     private final Consumer<SelectionKey> dispatch = this::dispatch;
+
     private long reserved;
     private long now;
     private boolean stopped;
     /** When the present round had waited for long enough; 0 while it waits. */
     private long woken;
+
     private long longestStall;
     private boolean late;
 
@@ -193,13 +195,13 @@
             woken = now;
         }
         longestStall = Math.max(longestStall, woken - begins - Math.max(0, wait));
-        for (Runnable action; (action = handedOver.poll()) != null;) {
+        for (Runnable action; (action = handedOver.poll()) != null; ) {
             guarded(action);
         }
         for (int i = 0; i < steps; i++) {
             guarded(next.remove());
         }
-        for (Runnable action; (action = deadlines.due(now)) != null;) {
+        for (Runnable action; (action = deadlines.due(now)) != null; ) {
             guarded(action);
         }
     }
--- a/src/main/java/slateseam/router/net/Resp.java
+++ b/src/main/java/slateseam/router/net/Resp.java
@@ -12,6 +12,7 @@
     private static final int MOST_ITEMS = 1_024;
     /** Room for the items of an usual array; of others it grows with what has come, and not with what a length tells. */
     private static final int USUAL_ITEMS = 8;
+
     private static final int DEEPEST = 3;
     private static final int LONGEST_LINE = 1024;
 
@@ -34,8 +35,7 @@
         }
     }
 
-    private Resp() {
-    }
+    private Resp() {}
 
     /**
      * Reads a command, an array of bulk strings, and moves the buffer past it.
--- a/src/main/java/slateseam/router/net/Slots.java
+++ b/src/main/java/slateseam/router/net/Slots.java
@@ -21,6 +21,7 @@
     private int[] generations = new int[FIRST];
     /** The numbers of those that can be used again, in the order in which they became free. */
     private int[] free = new int[FIRST];
+
     private int freeCount;
 
     /** Creates a table of at most so many slots. */
--- a/src/main/java/slateseam/router/pass/ApplicationServer.java
+++ b/src/main/java/slateseam/router/pass/ApplicationServer.java
@@ -14,7 +14,6 @@
     static ApplicationServer of(Farm.Entry entry, ServerConnections connections) {
         ServerProtocol protocol = entry.isOrigin() ? new HttpOrigin(entry.host()) : new RespServer();
         boolean inOrder = protocol.fence() != null;
-        return new ApplicationServer(entry.member().id(), entry.address(), protocol,
-                connections.add(inOrder, inOrder));
+        return new ApplicationServer(entry.member().id(), entry.address(), protocol, connections.add(inOrder, inOrder));
     }
 }
--- a/src/main/java/slateseam/router/pass/HttpOrigin.java
+++ b/src/main/java/slateseam/router/pass/HttpOrigin.java
@@ -21,8 +21,11 @@
     @Override
     public ByteBuffer[] command(Request request, long waitMillis) {
         StringBuilder head = head(request.isWrite() ? "PUT" : "GET", "/" + text(request.key()));
-        head.append("X-Correlation-Id: ").append(text(request.id())).append("\r\nX-Facts: ")
-                .append(text(Facts.withTimeLeft(request.facts(), waitMillis))).append("\r\n");
+        head.append("X-Correlation-Id: ")
+                .append(text(request.id()))
+                .append("\r\nX-Facts: ")
+                .append(text(Facts.withTimeLeft(request.facts(), waitMillis)))
+                .append("\r\n");
         if (!request.isWrite()) {
             return new ByteBuffer[] {bytes(head.append("\r\n"))};
         }
@@ -46,7 +49,11 @@
     }
 
     private StringBuilder head(String method, String path) {
-        return new StringBuilder(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ").append(host)
+        return new StringBuilder(method)
+                .append(' ')
+                .append(path)
+                .append(" HTTP/1.1\r\nHost: ")
+                .append(host)
                 .append("\r\n");
     }
 
@@ -79,7 +86,8 @@
     public Begun begun(ByteBuffer in) throws MalformedException {
         int start = in.position();
         HttpHead head = HttpHead.read(in);
-        int length = head == null || head.status() != 200 || head.isChunked() || head.length() == null ? -1
+        int length = head == null || head.status() != 200 || head.isChunked() || head.length() == null
+                ? -1
                 : Bytes.number(head.length());
         if (length <= Connection.LONG_VALUE || length > Connection.VALUE_LIMIT) {
             in.position(start);
--- a/src/main/java/slateseam/router/pass/Pass.java
+++ b/src/main/java/slateseam/router/pass/Pass.java
@@ -8,14 +8,17 @@
 final class Pass extends Use {
     /** The ticket of the request, or of nothing for a probe. */
     final long ticket;
+
     final int attempt;
     /** Null for a probe. */
     final Request request;
+
     final ApplicationServer server;
     final long begunAt;
     final long endsAt;
     /** When its last byte must have been handed to the system. */
     final long writtenBy;
+
     Deadline timeout;
     /** When it is given up unless it is written by then; null where it has all its time for that. */
     Deadline unwritten;
@@ -24,7 +27,14 @@
     /** Its outcome was told. */
     boolean isTold;
 
-    Pass(long ticket, int attempt, Request request, ApplicationServer server, long begunAt, long endsAt, long writtenBy) {
+    Pass(
+            long ticket,
+            int attempt,
+            Request request,
+            ApplicationServer server,
+            long begunAt,
+            long endsAt,
+            long writtenBy) {
         // What may not run twice stands alone, so that no other's mishap makes its outcome unknown.
         super(server.pool(), Math.min(endsAt, writtenBy), request != null && !request.isWrite());
         this.ticket = ticket;
--- a/src/main/java/slateseam/router/pass/Passes.java
+++ b/src/main/java/slateseam/router/pass/Passes.java
@@ -32,6 +32,7 @@
     private final Map<Long, Pass> byTicket = new HashMap<>();
     /** Given up, but perhaps still out on a connection that others share; of requests that may be sent again. */
     private final Map<Long, Pass> left = new HashMap<>();
+
     private final Runnable whenWritten;
     private boolean obeying;
 
@@ -41,8 +42,7 @@
      * @param connectNanos for which a connection may be coming up
      * @param whenWritten is called for each attempt whose last byte was handed to the system
      */
-    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, Bounds bounds,
-            Runnable whenWritten) {
+    public Passes(Loop loop, Farm farm, PassListener listener, long connectNanos, Bounds bounds, Runnable whenWritten) {
         this.loop = loop;
         this.farm = farm;
         this.listener = listener;
@@ -176,7 +176,7 @@
         }
         obeying = true;
         try {
-            for (Order order; (order = connections.next()) != null;) {
+            for (Order order; (order = connections.next()) != null; ) {
                 obey(order);
             }
         } finally {
@@ -218,7 +218,10 @@
     }
 
     private void open(Link link) {
-        ApplicationServer server = servers.values().stream().filter(s -> s.pool() == link.pool()).findAny().orElse(null);
+        ApplicationServer server = servers.values().stream()
+                .filter(s -> s.pool() == link.pool())
+                .findAny()
+                .orElse(null);
         try {
             if (server != null) {
                 byLink.put(link, new ServerConnection(loop, this, server, link, connectNanos));
@@ -261,8 +264,8 @@
             return;
         }
         byTicket.remove(pass.ticket, pass);
-        listener.passEnded(pass.ticket, pass.attempt, pass.server.id(), reply.outcome(), reply.fetching(),
-                served, duration);
+        listener.passEnded(
+                pass.ticket, pass.attempt, pass.server.id(), reply.outcome(), reply.fetching(), served, duration);
     }
 
     /** The server as the farm lists it now; one that moved to another address begins anew. */
--- a/src/main/java/slateseam/router/pass/RespServer.java
+++ b/src/main/java/slateseam/router/pass/RespServer.java
@@ -20,6 +20,7 @@
     private static final Pattern ERROR = Pattern.compile("[A-Z]{2,}( .*)?");
     /** The value, and how it went. */
     private static final int NEEDED_ITEMS = 2;
+
     private static final byte[] LINE_END = Bytes.of("\r\n");
     /** The bytes round an item: a dollar, up to ten digits, two ends of lines. */
     private static final int MOST_ROUND_ITEM = 15;
@@ -27,8 +28,12 @@
     @Override
     public ByteBuffer[] command(Request request, long waitMillis) {
         byte[] facts = Facts.withTimeLeft(request.facts(), waitMillis);
-        ByteBuffer head = ByteBuffer.allocate(GET.length + request.key().length + request.id().length + facts.length
-                + (request.isWrite() ? 4 : 3) * MOST_ROUND_ITEM).put(request.isWrite() ? SET : GET);
+        ByteBuffer head = ByteBuffer.allocate(GET.length
+                        + request.key().length
+                        + request.id().length
+                        + facts.length
+                        + (request.isWrite() ? 4 : 3) * MOST_ROUND_ITEM)
+                .put(request.isWrite() ? SET : GET);
         item(head, request.key());
         item(head, request.id());
         item(head, facts);
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -25,6 +25,7 @@
 
     /** Of a long value: it is passed on in pieces, and given up when nothing more comes for so long. */
     private static final int PIECE = 16 * 1024;
+
     private static final long STALLED_NANOS = 4_000 * Clock.MILLI;
     /** Of an answer, to compare it with the one before; what is the same so far is checked. */
     private static final int COMPARED = 256;
@@ -39,10 +40,12 @@
     private boolean reading;
     /** Answers that are held until a fence is answered, in order; null if none is out. */
     private List<ServerProtocol.Reply> held;
+
     private long lastBytes;
     private byte[] lastKey;
     /** Until when it may stay as it is: connecting, or with a part of an answer. */
     private Deadline limit;
+
     private boolean partial;
     /** The long value that comes just now; null where none does. */
     private LongValue coming;
@@ -103,7 +106,10 @@
     protected void received(ByteBuffer in) throws MalformedException {
         reading = true;
         try {
-            while (!isClosed() && link.isOpen() && (coming == null ? takeOne(in) : coming.take(in)) && in.hasRemaining()) {
+            while (!isClosed()
+                    && link.isOpen()
+                    && (coming == null ? takeOne(in) : coming.take(in))
+                    && in.hasRemaining()) {
                 // Goes on with the next answer.
             }
         } finally {
@@ -208,7 +214,8 @@
     private void awaitRest(boolean begun) {
         if (begun && !partial) {
             loop().cancel(limit);
-            limit = loop().after(REST_NANOS, () -> malformed(new MalformedException("the rest of an answer did not come")));
+            limit = loop().after(
+                            REST_NANOS, () -> malformed(new MalformedException("the rest of an answer did not come")));
         } else if (!begun && partial) {
             loop().cancel(limit);
         }
--- a/src/main/java/slateseam/router/pass/ServerProtocol.java
+++ b/src/main/java/slateseam/router/pass/ServerProtocol.java
@@ -50,8 +50,7 @@
      * @param length of the value, which lies next in the buffer
      * @param items of the answer that come behind the value and its end
      */
-    record Begun(int length, int items, boolean reusable) {
-    }
+    record Begun(int length, int items, boolean reusable) {}
 
     /** Reads the beginning of an answer with a long value; null, with the buffer as it was, for any other. */
     Begun begun(ByteBuffer in) throws MalformedException;
--- a/src/main/java/slateseam/router/peer/Peers.java
+++ b/src/main/java/slateseam/router/peer/Peers.java
@@ -25,6 +25,7 @@
     private final List<InetSocketAddress> peers;
     /** The number of the router at an address. */
     private final Map<SocketAddress, Integer> numbers = new HashMap<>();
+
     private final InetSocketAddress all;
     private final Consumer<PeerMessage> listener;
     private final DatagramChannel channel;
@@ -32,8 +33,13 @@
     private final ByteBuffer input = ByteBuffer.allocate(MOST_BYTES + 1);
 
     /** Listens for the other routers' messages. */
-    public Peers(Loop loop, InetSocketAddress listen, List<InetSocketAddress> peers, InetSocketAddress all,
-            Consumer<PeerMessage> listener) throws IOException {
+    public Peers(
+            Loop loop,
+            InetSocketAddress listen,
+            List<InetSocketAddress> peers,
+            InetSocketAddress all,
+            Consumer<PeerMessage> listener)
+            throws IOException {
         this.loop = loop;
         this.peers = peers;
         for (int i = 0; i < peers.size(); i++) {
--- a/src/main/java/slateseam/router/request/Facts.java
+++ b/src/main/java/slateseam/router/request/Facts.java
@@ -4,8 +4,7 @@
 
 /** The list of names and values that a request carries: {@code c=read,t=acme,d=480}. */
 public final class Facts {
-    private Facts() {
-    }
+    private Facts() {}
 
     /** The value of a name; null if the list lacks it. */
     public static String value(byte[] facts, char name) {
--- a/src/main/java/slateseam/router/request/Intake.java
+++ b/src/main/java/slateseam/router/request/Intake.java
@@ -1,6 +1,5 @@
 package slateseam.router.request;
 
-
 /** What the ways in need of the core. */
 public interface Intake {
     /** Takes a request and returns its ticket; -1 if it was answered at once, for want of room. */
--- a/src/main/java/slateseam/router/request/Names.java
+++ b/src/main/java/slateseam/router/request/Names.java
@@ -21,17 +21,18 @@
 
     /** The names of a router's settings; those of classes as they are when they are asked for. */
     public static Names of(Settings settings, List<String> classes) {
-        return new Names(new AbstractList<>() {
-            @Override
-            public String get(int slot) {
-                return word(classes.get(slot));
-            }
+        return new Names(
+                new AbstractList<>() {
+                    @Override
+                    public String get(int slot) {
+                        return word(classes.get(slot));
+                    }
 
-            @Override
-            public int size() {
-                return classes.size();
-            }
-        },
+                    @Override
+                    public int size() {
+                        return classes.size();
+                    }
+                },
                 Stream.concat(settings.tenants().stream().map(Tenant::name).map(Names::word), Stream.of("other"))
                         .toList());
     }
--- a/src/main/java/slateseam/router/request/Request.java
+++ b/src/main/java/slateseam/router/request/Request.java
@@ -14,8 +14,17 @@
  * @param ttlNanos how long the user agent waits, from when it sent it
  * @param streams whether a long value may be answered while it comes
  */
-public record Request(byte[] key, byte[] id, byte[] facts, byte[] value, Version version, int type,
-        int tenant, boolean repeated, long ttlNanos, boolean streams) {
+public record Request(
+        byte[] key,
+        byte[] id,
+        byte[] facts,
+        byte[] value,
+        Version version,
+        int type,
+        int tenant,
+        boolean repeated,
+        long ttlNanos,
+        boolean streams) {
     /** The slot of its class, by which it is counted. */
     public int requestClass() {
         return version.slots().get(type);
--- a/src/main/java/slateseam/router/request/Versions.java
+++ b/src/main/java/slateseam/router/request/Versions.java
@@ -37,8 +37,18 @@
      */
     public Version adopt(Settings changed) {
         Settings was = current.settings();
-        Settings now = new Settings(was.me(), was.routers(), was.zone(), was.tickNanos(), was.askedDiscovery(), was.mode(),
-                was.originKind(), changed.overShareWorth(), changed.classes(), was.tenants(), changed.limits(),
+        Settings now = new Settings(
+                was.me(),
+                was.routers(),
+                was.zone(),
+                was.tickNanos(),
+                was.askedDiscovery(),
+                was.mode(),
+                was.originKind(),
+                changed.overShareWorth(),
+                changed.classes(),
+                was.tenants(),
+                changed.limits(),
                 changed.rules());
         current = new Version(now, slots(now));
         return current;
@@ -55,7 +65,8 @@
     }
 
     private List<Integer> slots(Settings settings) {
-        List<String> wanted = settings.classes().stream().map(RequestClass::name).toList();
+        List<String> wanted =
+                settings.classes().stream().map(RequestClass::name).toList();
         List<Integer> slots = new ArrayList<>();
         for (String name : wanted) {
             int slot = names.indexOf(name);
--- a/src/main/java/slateseam/router/snapshot/Bodies.java
+++ b/src/main/java/slateseam/router/snapshot/Bodies.java
@@ -12,8 +12,7 @@
     private static final byte DISCOVERY = 1;
     private static final byte SLICES = 2;
 
-    private Bodies() {
-    }
+    private Bodies() {}
 
     static byte kind(Content content) {
         return content instanceof Content.Discovery ? DISCOVERY : SLICES;
--- a/src/main/java/slateseam/router/snapshot/Disk.java
+++ b/src/main/java/slateseam/router/snapshot/Disk.java
@@ -34,8 +34,8 @@
 
     /** Writes a file anew, so that it is on the disk when this returns. */
     void write(Path file, ByteBuffer bytes) throws IOException {
-        try (FileChannel out = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel out = FileChannel.open(
+                file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             while (bytes.hasRemaining()) {
                 out.write(bytes);
             }
--- a/src/main/java/slateseam/router/snapshot/Found.java
+++ b/src/main/java/slateseam/router/snapshot/Found.java
@@ -8,5 +8,4 @@
  * @param writtenAtNanos when what it holds was known, Unix nanoseconds; 0 unless it is good
  * @param text one line for the operators' log
  */
-public record Found(Finding finding, Content content, long writtenAtNanos, String text) {
-}
+public record Found(Finding finding, Content content, long writtenAtNanos, String text) {}
