--- a/src/main/java/slateseam/router/snapshot/Frame.java
+++ b/src/main/java/slateseam/router/snapshot/Frame.java
@@ -16,6 +16,7 @@
     private static final int FIXED = LENGTH_AT + Integer.BYTES + Long.BYTES + 1 + 2 * Short.BYTES + 2 * Integer.BYTES;
     /** Clocks may be corrected a little between two starts. */
     private static final long MOST_AHEAD = 60_000_000_000L;
+
     private static final int MOST_TEXT = 4_096;
 
     /** What a frame came to: its body if it is good, else what is wrong. */
@@ -25,15 +26,21 @@
         }
     }
 
-    private Frame() {
-    }
+    private Frame() {}
 
     static ByteBuffer write(SnapshotSettings settings, byte kind, byte[] body, long writtenAt) {
         byte[] router = text(settings.router());
         byte[] source = text(settings.source());
         ByteBuffer out = ByteBuffer.allocate(FIXED + router.length + source.length + body.length);
-        out.put(MAGIC).putShort(FORMAT).putInt(out.capacity()).putLong(writtenAt).put(kind);
-        out.putShort((short) router.length).put(router).putShort((short) source.length).put(source);
+        out.put(MAGIC)
+                .putShort(FORMAT)
+                .putInt(out.capacity())
+                .putLong(writtenAt)
+                .put(kind);
+        out.putShort((short) router.length)
+                .put(router)
+                .putShort((short) source.length)
+                .put(source);
         out.putInt(body.length).put(body);
         out.putInt(checksum(out.array(), out.position()));
         return out.flip();
--- a/src/main/java/slateseam/router/snapshot/SlicesJson.java
+++ b/src/main/java/slateseam/router/snapshot/SlicesJson.java
@@ -17,8 +17,7 @@
 
 /** What a membership remembers, as JSON. Endpoints are arrays, as there are many. */
 final class SlicesJson {
-    private SlicesJson() {
-    }
+    private SlicesJson() {}
 
     static void write(Remembered r, Appendable to) {
         JSONWriter out = new JSONWriter(to);
@@ -31,8 +30,13 @@
         }
         out.endArray().key("servers").array();
         for (Known k : r.servers()) {
-            out.array().value(k.name()).value(k.origin()).value(k.bornAtNanos()).value(k.seenReady())
-                    .value(k.drainedAt()).value(k.guarded());
+            out.array()
+                    .value(k.name())
+                    .value(k.origin())
+                    .value(k.bornAtNanos())
+                    .value(k.seenReady())
+                    .value(k.drainedAt())
+                    .value(k.guarded());
             if (k.held() != null) {
                 write(k.held(), out);
             }
@@ -42,23 +46,57 @@
     }
 
     private static void write(Slice slice, JSONWriter out) {
-        out.object().key("name").value(slice.name()).key("uid").value(slice.uid()).key("version").value(slice.version())
-                .key("ipv6").value(slice.ipv6()).key("port").value(slice.port()).key("labels").value(slice.labels())
-                .key("annotations").value(slice.annotations()).key("endpoints").array();
+        out.object()
+                .key("name")
+                .value(slice.name())
+                .key("uid")
+                .value(slice.uid())
+                .key("version")
+                .value(slice.version())
+                .key("ipv6")
+                .value(slice.ipv6())
+                .key("port")
+                .value(slice.port())
+                .key("labels")
+                .value(slice.labels())
+                .key("annotations")
+                .value(slice.annotations())
+                .key("endpoints")
+                .array();
         for (Endpoint e : slice.endpoints()) {
-            out.array().value(e.addresses()).value(e.ready()).value(e.serving()).value(e.terminating()).value(e.zone())
-                    .value(e.nodeName()).value(e.hintZones()).value(e.targetUid()).value(e.targetName()).endArray();
+            out.array()
+                    .value(e.addresses())
+                    .value(e.ready())
+                    .value(e.serving())
+                    .value(e.terminating())
+                    .value(e.zone())
+                    .value(e.nodeName())
+                    .value(e.hintZones())
+                    .value(e.targetUid())
+                    .value(e.targetName())
+                    .endArray();
         }
         out.endArray().endObject();
     }
 
     private static void write(Server s, JSONWriter out) {
-        out.array().value(s.address()).value(s.port()).value(s.ready()).value(s.zone()).value(s.kind())
-                .value(s.weight()).value(s.bornAtNanos()).value(s.pod()).value(s.node()).endArray();
+        out.array()
+                .value(s.address())
+                .value(s.port())
+                .value(s.ready())
+                .value(s.zone())
+                .value(s.kind())
+                .value(s.weight())
+                .value(s.bornAtNanos())
+                .value(s.pod())
+                .value(s.node())
+                .endArray();
     }
 
     static Remembered read(JSONObject json) {
-        return new Remembered(json.isNull("version") ? null : json.getString("version"), json.getLong("floor"),
+        return new Remembered(
+                json.isNull("version") ? null : json.getString("version"),
+                json.getLong("floor"),
                 all(json.getJSONArray("slices"), slice -> slice((JSONObject) slice)),
                 all(json.getJSONArray("deleted"), d -> deleted((JSONArray) d)),
                 all(json.getJSONArray("servers"), k -> known((JSONArray) k)));
@@ -75,15 +113,28 @@
     }
 
     private static Slice slice(JSONObject json) {
-        return new Slice(json.getString("name"), json.getString("uid"), json.getLong("version"),
-                json.getBoolean("ipv6"), json.isNull("port") ? null : (Integer) json.getInt("port"),
-                all(json.getJSONArray("endpoints"), e -> endpoint((JSONArray) e)), texts(json.getJSONObject("labels")),
+        return new Slice(
+                json.getString("name"),
+                json.getString("uid"),
+                json.getLong("version"),
+                json.getBoolean("ipv6"),
+                json.isNull("port") ? null : (Integer) json.getInt("port"),
+                all(json.getJSONArray("endpoints"), e -> endpoint((JSONArray) e)),
+                texts(json.getJSONObject("labels")),
                 texts(json.getJSONObject("annotations")));
     }
 
     private static Endpoint endpoint(JSONArray a) {
-        return new Endpoint(all(a.getJSONArray(0), String.class::cast), truth(a, 1), truth(a, 2), truth(a, 3),
-                text(a, 4), text(a, 5), all(a.getJSONArray(6), String.class::cast), text(a, 7), text(a, 8));
+        return new Endpoint(
+                all(a.getJSONArray(0), String.class::cast),
+                truth(a, 1),
+                truth(a, 2),
+                truth(a, 3),
+                text(a, 4),
+                text(a, 5),
+                all(a.getJSONArray(6), String.class::cast),
+                text(a, 7),
+                text(a, 8));
     }
 
     private static Deleted deleted(JSONArray a) {
@@ -94,8 +145,20 @@
         String name = a.getString(0);
         boolean origin = a.getBoolean(1);
         JSONArray h = a.optJSONArray(6);
-        Server held = h == null ? null : new Server(name, h.getString(0), h.getInt(1), h.getBoolean(2), h.getString(3),
-                h.getString(4), h.getDouble(5), h.getLong(6), origin, h.getString(7), h.getString(8));
+        Server held = h == null
+                ? null
+                : new Server(
+                        name,
+                        h.getString(0),
+                        h.getInt(1),
+                        h.getBoolean(2),
+                        h.getString(3),
+                        h.getString(4),
+                        h.getDouble(5),
+                        h.getLong(6),
+                        origin,
+                        h.getString(7),
+                        h.getString(8));
         return new Known(name, origin, a.getLong(2), a.getBoolean(3), a.getLong(4), held, a.getBoolean(5));
     }
 
--- a/src/main/java/slateseam/router/snapshot/SnapshotSettings.java
+++ b/src/main/java/slateseam/router/snapshot/SnapshotSettings.java
@@ -13,8 +13,8 @@
  * @param oldestNanos the most that a snapshot's age may be when it is read
  * @param mostBytes the most that a file may hold, at least 1,024
  */
-public record SnapshotSettings(Path folder, String router, String source, long everyNanos, long oldestNanos,
-        int mostBytes) {
+public record SnapshotSettings(
+        Path folder, String router, String source, long everyNanos, long oldestNanos, int mostBytes) {
     /** Room for some 10,000 servers, with some to spare. */
     public static final int USUAL_BYTES = 8 * 1024 * 1024;
 }
--- a/src/main/java/slateseam/router/snapshot/Snapshots.java
+++ b/src/main/java/slateseam/router/snapshot/Snapshots.java
@@ -12,14 +12,14 @@
     private static final long NANOS_A_MILLI = 1_000_000L;
     private static final int STACK_BYTES = 256 * 1024;
 
-    private record Offer(Content content, long knownAt) {
-    }
+    private record Offer(Content content, long knownAt) {}
 
     private final SnapshotSettings settings;
     private final Store store;
     private final Consumer<String> lines;
     /** The last trouble that was told, so that each is told once. */
     private Finding told = Finding.GOOD;
+
     private Offer waiting;
     private long notBefore = Long.MIN_VALUE;
     private Thread thread;
@@ -89,7 +89,7 @@
 
     private void run() {
         try {
-            for (boolean more = true; more;) {
+            for (boolean more = true; more; ) {
                 long wait = step(System.nanoTime());
                 more = await(wait);
             }
@@ -137,7 +137,9 @@
             return;
         }
         told = finding;
-        lines.accept(finding == Finding.GOOD ? store.line(finding, "written again")
-                : "runs without: " + (text.isEmpty() ? store.line(finding, "") : text));
+        lines.accept(
+                finding == Finding.GOOD
+                        ? store.line(finding, "written again")
+                        : "runs without: " + (text.isEmpty() ? store.line(finding, "") : text));
     }
 }
--- a/src/main/java/slateseam/router/snapshot/Store.java
+++ b/src/main/java/slateseam/router/snapshot/Store.java
@@ -33,12 +33,17 @@
     static String fileName(String router) {
         StringBuilder name = new StringBuilder();
         for (byte b : router.getBytes(StandardCharsets.UTF_8)) {
-            boolean plain = b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '-' || b == '_'
+            boolean plain = b >= 'a' && b <= 'z'
+                    || b >= 'A' && b <= 'Z'
+                    || b >= '0' && b <= '9'
+                    || b == '-'
+                    || b == '_'
                     || b == '.' && name.length() > 0;
             name.append(plain ? String.valueOf((char) b) : String.format("%%%02X", b & 0xff));
         }
         // Two long names may come to one file; the router's name within it still tells them apart.
-        return name.length() <= LONGEST_NAME ? name.toString()
+        return name.length() <= LONGEST_NAME
+                ? name.toString()
                 : name.substring(0, LONGEST_NAME) + "-" + Integer.toHexString(router.hashCode());
     }
 
@@ -73,7 +78,10 @@
             if (read.finding() != Finding.GOOD) {
                 return bad(read.finding(), read.detail());
             }
-            return new Found(Finding.GOOD, Bodies.read(read.kind(), read.body()), read.writtenAt(),
+            return new Found(
+                    Finding.GOOD,
+                    Bodies.read(read.kind(), read.body()),
+                    read.writtenAt(),
                     line(Finding.GOOD, read.detail()));
         } catch (NoSuchFileException e) {
             return bad(Finding.NONE, "");
--- a/src/main/java/slateseam/router/tap/Tap.java
+++ b/src/main/java/slateseam/router/tap/Tap.java
@@ -39,11 +39,19 @@
     private final SplittableRandom random;
     /** Those that watch, and as many again that are being turned away. */
     private final Slots<Watcher> watchers;
+
     private final Acceptor acceptor;
 
     /** Listens at an address, which another process of this router may share; what it writes itself goes to {@code out}. */
-    public Tap(Features.Tap settings, Loop loop, InetSocketAddress listen, boolean shared, Names names, Lines out,
-            long seed) throws IOException {
+    public Tap(
+            Features.Tap settings,
+            Loop loop,
+            InetSocketAddress listen,
+            boolean shared,
+            Names names,
+            Lines out,
+            long seed)
+            throws IOException {
         this.loop = loop;
         this.names = names;
         this.out = out;
@@ -98,9 +106,13 @@
         byte[] line = null;
         for (Watcher watcher : watchers.all()) {
             if (watcher.wants(tenant, requestClass)) {
-                line = line != null ? line : (loop.now() / Clock.MILLI + " t=" + names.tenants().get(tenant) + " c="
-                        + names.classes().get(requestClass) + " key=" + Names.key(key) + " out=" + ending.word()
-                        + " ms=" + nanos / Clock.MILLI + "\n").getBytes(StandardCharsets.UTF_8);
+                line = line != null
+                        ? line
+                        : (loop.now() / Clock.MILLI + " t=" + names.tenants().get(tenant) + " c="
+                                        + names.classes().get(requestClass) + " key=" + Names.key(key) + " out="
+                                        + ending.word()
+                                        + " ms=" + nanos / Clock.MILLI + "\n")
+                                .getBytes(StandardCharsets.UTF_8);
                 watcher.show(line);
             }
         }
@@ -112,6 +124,7 @@
         private final long ticket;
         /** Until its filter has come, or until it goes. */
         private Deadline limit;
+
         private Filter filter;
         private boolean refused;
         private boolean sending;
@@ -142,7 +155,8 @@
                 return;
             }
             filter = whole && end - in.position() <= LONGEST_FILTER
-                    ? Filter.parse(text(in.slice(in.position(), end - in.position())), names) : null;
+                    ? Filter.parse(text(in.slice(in.position(), end - in.position())), names)
+                    : null;
             if (filter == null) {
                 refuse("-ERR filter");
             } else {
@@ -163,7 +177,8 @@
         }
 
         boolean wants(int tenant, int requestClass) {
-            return filter != null && filter.wants(tenant, requestClass)
+            return filter != null
+                    && filter.wants(tenant, requestClass)
                     && (filter.sample() == 1 || random.nextDouble() < filter.sample());
         }
 
--- a/src/main/java/slateseam/router/tier/SharedPolicy.java
+++ b/src/main/java/slateseam/router/tier/SharedPolicy.java
@@ -43,6 +43,7 @@
     private NodeConfig own;
     /** Null while another process speaks for this router. */
     private Policy policy;
+
     private Peers peers;
     private byte[] document = new byte[0];
     private Version asked;
@@ -53,7 +54,13 @@
      * @param tally what was asked and served since the start
      * @param adopt puts settings in force
      */
-    public SharedPolicy(Features.Policy settings, NodeConfig config, Loop loop, Tier tier, Supplier<Tally> tally, Consumer<NodeConfig> adopt) {
+    public SharedPolicy(
+            Features.Policy settings,
+            NodeConfig config,
+            Loop loop,
+            Tier tier,
+            Supplier<Tally> tally,
+            Consumer<NodeConfig> adopt) {
         this.settings = settings;
         this.config = config;
         this.own = config;
@@ -70,9 +77,20 @@
         if (by == null) {
             return;
         }
-        PolicySettings usual = PolicySettings.usual(config.settings().me(), config.settings().routers(), settings.voters());
-        policy = new Policy(new PolicySettings(usual.me(), usual.routers(), usual.voters(), settings.leaseNanos(), usual.pollNanos(), usual.raft()),
-                null, loop.now(), new SplittableRandom(config.seed() ^ SEED ^ loop.now()), this);
+        PolicySettings usual =
+                PolicySettings.usual(config.settings().me(), config.settings().routers(), settings.voters());
+        policy = new Policy(
+                new PolicySettings(
+                        usual.me(),
+                        usual.routers(),
+                        usual.voters(),
+                        settings.leaseNanos(),
+                        usual.pollNanos(),
+                        usual.raft()),
+                null,
+                loop.now(),
+                new SplittableRandom(config.seed() ^ SEED ^ loop.now()),
+                this);
         for (byte first : Policy.firstBytes()) {
             by.divert(first, this::heard);
         }
@@ -145,9 +163,16 @@
             NodeConfig merged = PolicyDocument.over(own, bytes);
             document = bytes;
             adopt.accept(merged);
-            loop.log().line("policy-holds", "version=" + version.number() + " name=" + version.name() + " bytes=" + bytes.length);
+            loop.log()
+                    .line(
+                            "policy-holds",
+                            "version=" + version.number() + " name=" + version.name() + " bytes=" + bytes.length);
         } catch (InvalidConfigException e) {
-            loop.log().line("policy-cannot", "version=" + version.number() + " fault=\"" + e.getMessage() + "\""); // it was checked just before
+            loop.log()
+                    .line(
+                            "policy-cannot",
+                            "version=" + version.number() + " fault=\"" + e.getMessage()
+                                    + "\""); // it was checked just before
         }
     }
 
@@ -188,14 +213,20 @@
             byte[] bytes = told.getString("document").getBytes(StandardCharsets.UTF_8);
             int watch = told.optInt("watch_s", 30);
             int points = told.optInt("points", 10);
-            if (!name.matches("[A-Za-z0-9._-]{1," + Version.MOST_NAME + "}") || watch < 0 || watch > 3_600 || points < 1 || points > 100) {
-                return settings.proposal() + ": a name of 1 to " + Version.MOST_NAME + " letters, digits, . _ -, watch_s 0 to 3600, points 1 to 100";
+            if (!name.matches("[A-Za-z0-9._-]{1," + Version.MOST_NAME + "}")
+                    || watch < 0
+                    || watch > 3_600
+                    || points < 1
+                    || points > 100) {
+                return settings.proposal() + ": a name of 1 to " + Version.MOST_NAME
+                        + " letters, digits, . _ -, watch_s 0 to 3600, points 1 to 100";
             }
             String wrong = check(bytes);
             if (wrong != null) {
                 return wrong;
             }
-            asked = policy.propose(name, bytes, told.optBoolean("all", true), told.optBoolean("stale", false), watch, points);
+            asked = policy.propose(
+                    name, bytes, told.optBoolean("all", true), told.optBoolean("stale", false), watch, points);
             return null;
         } catch (IOException | JSONException e) {
             return settings.proposal() + ": " + e.getMessage();
@@ -214,41 +245,81 @@
 
     /** Adds its figures. */
     public void count(Counts counts) {
-        counts.gauge("policy_version", () -> policy == null || policy.held() == null ? 0 : policy.held().number())
-                .gauge("policy_newest", () -> policy == null || policy.versions().newest() == null ? 0 : policy.versions().newest().number())
+        counts.gauge(
+                        "policy_version",
+                        () -> policy == null || policy.held() == null
+                                ? 0
+                                : policy.held().number())
+                .gauge(
+                        "policy_newest",
+                        () -> policy == null || policy.versions().newest() == null
+                                ? 0
+                                : policy.versions().newest().number())
                 .gauge("policy_age_ms", () -> (int) Math.min(Integer.MAX_VALUE, age() / Clock.MILLI))
                 .gauge("policy_serves", () -> mayServe() ? 1 : 0)
                 .gauge("policy_stale", () -> policy != null && policy.isStale(loop.now()) ? 1 : 0)
                 .gauge("policy_leads", () -> policy != null && policy.raft().role() == Raft.Role.LEADER ? 1 : 0)
-                .gauge("policy_term", () -> policy == null ? 0 : (int) policy.raft().term());
+                .gauge(
+                        "policy_term",
+                        () -> policy == null ? 0 : (int) policy.raft().term());
     }
 
     /** All that is known, for operators. */
     public JSONObject json() {
-        JSONObject all = new JSONObject().put("name", config.name()).put("number", config.settings().me()).put("talks", policy != null)
-                .put("proposal", settings.proposal() == null ? JSONObject.NULL : settings.proposal().toAbsolutePath().toString());
+        JSONObject all = new JSONObject()
+                .put("name", config.name())
+                .put("number", config.settings().me())
+                .put("talks", policy != null)
+                .put(
+                        "proposal",
+                        settings.proposal() == null
+                                ? JSONObject.NULL
+                                : settings.proposal().toAbsolutePath().toString());
         if (policy == null) {
             return all;
         }
         JSONArray versions = new JSONArray();
         for (Version one : policy.versions().all()) {
-            versions.put(new JSONObject().put("version", one.number()).put("name", one.name()).put("state", one.state().word())
-                    .put("cause", one.cause()).put("bytes", one.length()).put("all", one.all()).put("stale", one.stale())
-                    .put("watch_s", one.watchSeconds()).put("points", one.boundPoints()).put("proposer", one.proposer())
-                    .put("at_ms", one.atMillis()).put("undoes", one.undoes()));
+            versions.put(new JSONObject()
+                    .put("version", one.number())
+                    .put("name", one.name())
+                    .put("state", one.state().word())
+                    .put("cause", one.cause())
+                    .put("bytes", one.length())
+                    .put("all", one.all())
+                    .put("stale", one.stale())
+                    .put("watch_s", one.watchSeconds())
+                    .put("points", one.boundPoints())
+                    .put("proposer", one.proposer())
+                    .put("at_ms", one.atMillis())
+                    .put("undoes", one.undoes()));
         }
         Raft raft = policy.raft();
         Version held = policy.held();
         String outcome = asked == null ? null : policy.outcome(asked);
         Version open = policy.versions().open();
-        return all.put("group", Long.toHexString(policy.group())).put("role", raft.role().name().toLowerCase(Locale.ROOT)).put("term", raft.term())
+        return all.put("group", Long.toHexString(policy.group()))
+                .put("role", raft.role().name().toLowerCase(Locale.ROOT))
+                .put("term", raft.term())
                 .put("leader", raft.leader() == null ? -1 : raft.leader().router())
-                .put("seats", new JSONArray(raft.seats().stream().map(Seat::toString).toList()))
-                .put("version", held == null ? 0 : held.number()).put("version_name", held == null ? "own file" : held.name())
-                .put("newest", policy.versions().newest() == null ? 0 : policy.versions().newest().number())
-                .put("open", open == null ? JSONObject.NULL : open.name()).put("verdicts", policy.verdicts())
-                .put("age_ms", age() < 0 ? -1 : age() / Clock.MILLI).put("holds_in_ms", Math.min(Integer.MAX_VALUE, policy.holdsIn(loop.now()) / Clock.MILLI))
-                .put("serves", mayServe()).put("stale", policy.isStale(loop.now())).put("asked", asked == null ? JSONObject.NULL : asked.name())
-                .put("outcome", outcome == null ? JSONObject.NULL : outcome).put("versions", versions);
+                .put(
+                        "seats",
+                        new JSONArray(raft.seats().stream().map(Seat::toString).toList()))
+                .put("version", held == null ? 0 : held.number())
+                .put("version_name", held == null ? "own file" : held.name())
+                .put(
+                        "newest",
+                        policy.versions().newest() == null
+                                ? 0
+                                : policy.versions().newest().number())
+                .put("open", open == null ? JSONObject.NULL : open.name())
+                .put("verdicts", policy.verdicts())
+                .put("age_ms", age() < 0 ? -1 : age() / Clock.MILLI)
+                .put("holds_in_ms", Math.min(Integer.MAX_VALUE, policy.holdsIn(loop.now()) / Clock.MILLI))
+                .put("serves", mayServe())
+                .put("stale", policy.isStale(loop.now()))
+                .put("asked", asked == null ? JSONObject.NULL : asked.name())
+                .put("outcome", outcome == null ? JSONObject.NULL : outcome)
+                .put("versions", versions);
     }
 }
--- a/src/main/java/slateseam/router/tier/Tier.java
+++ b/src/main/java/slateseam/router/tier/Tier.java
@@ -47,6 +47,7 @@
     private Trust trust = Trust.FULL;
     /** Null while another process of this router speaks for it. */
     private Peers peers;
+
     private Members members;
     private boolean changed;
     private String lastChange = "none";
@@ -70,22 +71,36 @@
         if (by == null) {
             return;
         }
-        MembersSettings own = MembersSettings.usual(settings.name(), config.name(), config.settings().me(), config.peers());
-        members = new Members(new MembersSettings(own.tier(), own.name(), own.number(), own.peers(), settings.periodNanos(),
-                settings.watchers(), 6 * settings.periodNanos(), own.recentNanos(), settings.forgetNanos(), own.most(),
-                settings.toldPlaces()), loop.now(), new SplittableRandom(config.seed() ^ SEED), new Sink() {
-            @Override
-            public void send(InetSocketAddress to, byte[] datagram) {
-                if (peers != null) {
-                    peers.send(to, datagram);
-                }
-            }
+        MembersSettings own = MembersSettings.usual(
+                settings.name(), config.name(), config.settings().me(), config.peers());
+        members = new Members(
+                new MembersSettings(
+                        own.tier(),
+                        own.name(),
+                        own.number(),
+                        own.peers(),
+                        settings.periodNanos(),
+                        settings.watchers(),
+                        6 * settings.periodNanos(),
+                        own.recentNanos(),
+                        settings.forgetNanos(),
+                        own.most(),
+                        settings.toldPlaces()),
+                loop.now(),
+                new SplittableRandom(config.seed() ^ SEED),
+                new Sink() {
+                    @Override
+                    public void send(InetSocketAddress to, byte[] datagram) {
+                        if (peers != null) {
+                            peers.send(to, datagram);
+                        }
+                    }
 
-            @Override
-            public void changed(Change change) {
-                Tier.this.changed(change);
-            }
-        });
+                    @Override
+                    public void changed(Change change) {
+                        Tier.this.changed(change);
+                    }
+                });
         by.divert(Members.firstByte(), (from, datagram) -> {
             if (members != null) {
                 members.heard(loop.now(), from, datagram);
@@ -106,11 +121,18 @@
     private void changed(Change change) {
         changed = true;
         if (change.kind() == Change.Kind.FAILED) {
-            detectNanos = members.view().stream().filter(one -> one.name().equals(change.member()) && one.heardNanos() != 0)
-                    .mapToLong(one -> loop.now() - one.heardNanos()).findFirst().orElse(detectNanos);
+            detectNanos = members.view().stream()
+                    .filter(one -> one.name().equals(change.member()) && one.heardNanos() != 0)
+                    .mapToLong(one -> loop.now() - one.heardNanos())
+                    .findFirst()
+                    .orElse(detectNanos);
         }
-        lastChange = change.kind().word() + " name=" + change.member() + " number=" + change.number() + " " + change.why();
-        loop.log().line(change.kind().word(), lastChange.substring(change.kind().word().length() + 1));
+        lastChange =
+                change.kind().word() + " name=" + change.member() + " number=" + change.number() + " " + change.why();
+        loop.log()
+                .line(
+                        change.kind().word(),
+                        lastChange.substring(change.kind().word().length() + 1));
     }
 
     /** Tells the decision module what its ring needs to know. */
@@ -129,7 +151,10 @@
         Map<Integer, Sight> seen = new HashMap<>();
         for (MemberView member : members.view()) {
             // Of several by one number the one that is there.
-            seen.merge(member.number(), member.state().isGone() ? Sight.GONE : Sight.THERE, (one, other) -> one == Sight.THERE ? one : other);
+            seen.merge(
+                    member.number(),
+                    member.state().isGone() ? Sight.GONE : Sight.THERE,
+                    (one, other) -> one == Sight.THERE ? one : other);
         }
         int me = config.settings().me();
         for (int peer : new int[] {(me + 1) % routers, (me + routers - 1) % routers}) {
@@ -145,7 +170,9 @@
     public Set<Integer> present() {
         Set<Integer> present = new HashSet<>(Set.of(config.settings().me()));
         if (members != null) {
-            members.view().stream().filter(one -> !one.state().isGone() && one.number() >= 0).forEach(one -> present.add(one.number()));
+            members.view().stream()
+                    .filter(one -> !one.state().isGone() && one.number() >= 0)
+                    .forEach(one -> present.add(one.number()));
         }
         return present;
     }
@@ -164,17 +191,27 @@
     }
 
     private int count(State state) {
-        return members == null ? 0 : (int) members.view().stream().filter(one -> one.state() == state).count();
+        return members == null
+                ? 0
+                : (int) members.view().stream()
+                        .filter(one -> one.state() == state)
+                        .count();
     }
 
     /** Adds its figures. */
     public void count(Counts counts) {
-        counts.gauge("tier_alive", () -> members == null ? 0 : 1 + count(State.ALIVE)).gauge("tier_suspect", () -> count(State.SUSPECT))
+        counts.gauge("tier_alive", () -> members == null ? 0 : 1 + count(State.ALIVE))
+                .gauge("tier_suspect", () -> count(State.SUSPECT))
                 .gauge("tier_failed", () -> count(State.FAILED))
                 .gauge("tier_detect_ms", () -> (int) Math.min(Integer.MAX_VALUE, detectNanos / Clock.MILLI))
                 .gauge("tier_doubt", () -> members == null || members.doubt() == Doubt.NONE ? 0 : 1)
-                .gauge("tier_not_heard", () -> members == null ? 0 : (int) members.view().stream()
-                        .filter(one -> one.state() == State.ALIVE && members.isSilent(one.name())).count());
+                .gauge(
+                        "tier_not_heard",
+                        () -> members == null
+                                ? 0
+                                : (int) members.view().stream()
+                                        .filter(one -> one.state() == State.ALIVE && members.isSilent(one.name()))
+                                        .count());
         for (Traffic traffic : Traffic.values()) {
             counts.total("tier_" + traffic.word(), () -> members == null ? 0 : members.count(traffic));
         }
@@ -187,21 +224,40 @@
         }
         JSONArray all = new JSONArray();
         for (MemberView one : members.view()) {
-            all.put(new JSONObject().put("name", one.name()).put("number", one.number()).put("place", String.valueOf(one.place()))
-                    .put("state", one.state().word()).put("reach", one.reach().word()).put("life", one.life())
-                    .put("incarnation", one.incarnation()).put("since_ms", one.sinceNanos() / Clock.MILLI).put("by", one.by())
-                    .put("heard_ms_ago", one.reach() == Reach.NOT_HEARD || one.heardNanos() == 0 ? -1
-                            : (loop.now() - one.heardNanos()) / Clock.MILLI)
+            all.put(new JSONObject()
+                    .put("name", one.name())
+                    .put("number", one.number())
+                    .put("place", String.valueOf(one.place()))
+                    .put("state", one.state().word())
+                    .put("reach", one.reach().word())
+                    .put("life", one.life())
+                    .put("incarnation", one.incarnation())
+                    .put("since_ms", one.sinceNanos() / Clock.MILLI)
+                    .put("by", one.by())
+                    .put(
+                            "heard_ms_ago",
+                            one.reach() == Reach.NOT_HEARD || one.heardNanos() == 0
+                                    ? -1
+                                    : (loop.now() - one.heardNanos()) / Clock.MILLI)
                     .put("silent_here", members.isSilent(one.name())));
         }
         JSONObject traffic = new JSONObject();
         for (Traffic one : Traffic.values()) {
             traffic.put(one.word(), members.count(one));
         }
-        return new JSONObject().put("name", config.name()).put("number", config.settings().me()).put("talks", true)
-                .put("life", members.life()).put("doubt", members.doubt().word()).put("trust", trust.name().toLowerCase(java.util.Locale.ROOT))
-                .put("view", Integer.toHexString(members.digest())).put("twice", members.isTwice()).put("present", members.present())
-                .put("members", all).put("last_change", lastChange).put("traffic", traffic)
+        return new JSONObject()
+                .put("name", config.name())
+                .put("number", config.settings().me())
+                .put("talks", true)
+                .put("life", members.life())
+                .put("doubt", members.doubt().word())
+                .put("trust", trust.name().toLowerCase(java.util.Locale.ROOT))
+                .put("view", Integer.toHexString(members.digest()))
+                .put("twice", members.isTwice())
+                .put("present", members.present())
+                .put("members", all)
+                .put("last_change", lastChange)
+                .put("traffic", traffic)
                 .put("not_heard", new JSONArray(silent()));
     }
 
--- a/src/main/java/slateseam/router/tls/Reasons.java
+++ b/src/main/java/slateseam/router/tls/Reasons.java
@@ -12,8 +12,7 @@
 final class Reasons {
     private static final int MOST_CAUSES = 16;
 
-    private Reasons() {
-    }
+    private Reasons() {}
 
     static String of(IOException refused) {
         if (refused instanceof RefusedException) {
@@ -33,7 +32,8 @@
             }
             if (cause instanceof CertificateException) {
                 // What has no deeper cause comes from the check of names.
-                certificate = cause.getCause() == null ? "its certificate is of another name: " + cause.getMessage()
+                certificate = cause.getCause() == null
+                        ? "its certificate is of another name: " + cause.getMessage()
                         : "its certificate was refused: " + cause.getMessage();
             }
         }
--- a/src/main/java/slateseam/router/tls/Rooms.java
+++ b/src/main/java/slateseam/router/tls/Rooms.java
@@ -39,6 +39,8 @@
 
     /** A copy of what a buffer still holds, to be kept. */
     static ByteBuffer kept(ByteBuffer rest) {
-        return rest.hasRemaining() ? ByteBuffer.allocate(rest.remaining()).put(rest).flip() : NOTHING;
+        return rest.hasRemaining()
+                ? ByteBuffer.allocate(rest.remaining()).put(rest).flip()
+                : NOTHING;
     }
 }
--- a/src/main/java/slateseam/router/tls/TlsTransport.java
+++ b/src/main/java/slateseam/router/tls/TlsTransport.java
@@ -21,6 +21,7 @@
 public final class TlsTransport implements Transport {
     /** Guards the loop against a flood of records that hold nothing. */
     private static final int RECORDS_A_LOOK = 16;
+
     private static final int FIRST_RECORD_TYPE = 20;
     private static final int LAST_RECORD_TYPE = 24;
 
@@ -32,12 +33,14 @@
     private Runnable goOn;
     /** Came, and is no whole record yet, or was not looked at yet. */
     private ByteBuffer sealedIn = Rooms.NOTHING;
+
     private ByteBuffer clear = Rooms.NOTHING;
     private ByteBuffer sealedOut = Rooms.NOTHING;
     private boolean running;
     private boolean open;
     /** Whether what came was found to hold no whole record. */
     private boolean starved;
+
     private boolean ended;
     private boolean endsSending;
     private String trouble;
@@ -95,7 +98,7 @@
         try {
             aside.execute(() -> {
                 try {
-                    for (Runnable task; (task = engine.getDelegatedTask()) != null;) {
+                    for (Runnable task; (task = engine.getDelegatedTask()) != null; ) {
                         task.run();
                     }
                 } finally {
@@ -194,8 +197,10 @@
                 int come = channel.read(in);
                 in.flip();
                 if (come < 0) {
-                    throw new RefusedException(open ? "it was cut off without the end that TLS tells"
-                            : "it closed the connection within the handshake");
+                    throw new RefusedException(
+                            open
+                                    ? "it was cut off without the end that TLS tells"
+                                    : "it closed the connection within the handshake");
                 }
                 if (come == 0) {
                     return false;
--- a/src/main/java/slateseam/router/tls/Trust.java
+++ b/src/main/java/slateseam/router/tls/Trust.java
@@ -26,6 +26,7 @@
     private static final int MOST_CERTIFICATES = 1024;
     /** Guards against certificates that are over, or whose authority is not asked any more, by way of old sessions. */
     private static final int SESSION_SECONDS = 600;
+
     private static final String[] PROTOCOLS = {"TLSv1.3", "TLSv1.2"};
 
     private final SSLContext context;
@@ -63,8 +64,8 @@
         try {
             Collection<? extends Certificate> all = factory.generateCertificates(new ByteArrayInputStream(pem));
             if (all.isEmpty() || all.size() > MOST_CERTIFICATES) {
-                throw new RefusedException("the file of authorities " + file + " holds " + all.size()
-                        + " certificates");
+                throw new RefusedException(
+                        "the file of authorities " + file + " holds " + all.size() + " certificates");
             }
             return all;
         } catch (CertificateException e) {
--- a/src/main/java/slateseam/router/useragent/Acceptor.java
+++ b/src/main/java/slateseam/router/useragent/Acceptor.java
@@ -27,8 +27,7 @@
         void accept(SocketChannel channel) throws IOException;
 
         /** Calls back when there may be room again. */
-        default void onRoom(Runnable action) {
-        }
+        default void onRoom(Runnable action) {}
     }
 
     private final Loop loop;
@@ -39,6 +38,7 @@
     private SocketChannel reservation;
     /** Null until it has begun. */
     private ServerSocketChannel channel;
+
     private SelectionKey key;
     private boolean closed;
     /** The end of the pause; null where there is none. */
@@ -56,7 +56,8 @@
         this.shared = shared;
         this.reservation = loop.provider().openSocketChannel();
         try {
-            // As listeners have it: without this the port cannot be had while connections of a process before are not forgotten.
+            // As listeners have it: without this the port cannot be had while connections of a process before are not
+            // forgotten.
             reservation.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             if (shared) {
                 reservation.setOption(StandardSocketOptions.SO_REUSEPORT, true);
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -54,7 +54,8 @@
         public void take(List<ByteBuffer> command) {
             String name = name(command);
             boolean write = name.equals("CACHE.SET");
-            ByteBuffer[] atOnce = write || name.equals("CACHE.GET") ? requests.take(command, write, asked)
+            ByteBuffer[] atOnce = write || name.equals("CACHE.GET")
+                    ? requests.take(command, write, asked)
                     : Replies.other(name, lifecycle.answersPing());
             if (atOnce != null) {
                 finish(atOnce);
--- a/src/main/java/slateseam/router/useragent/Exchange.java
+++ b/src/main/java/slateseam/router/useragent/Exchange.java
@@ -19,7 +19,7 @@
 
     /** One that has its answer and takes no command. */
     static Exchange answered(ByteBuffer... bytes) {
-        Exchange exchange = new Exchange(() -> { }) {
+        Exchange exchange = new Exchange(() -> {}) {
             @Override
             public void take(List<ByteBuffer> command) {
                 throw new IllegalStateException("it is answered");
@@ -52,12 +52,10 @@
     }
 
     /** The user agent has left: nothing is owed any more. */
-    public void withdraw() {
-    }
+    public void withdraw() {}
 
     /** The answer was handed to the connection. */
-    public void handedOver() {
-    }
+    public void handedOver() {}
 
     /** Brings the answer. */
     protected final void finish(ByteBuffer... bytes) {
--- a/src/main/java/slateseam/router/useragent/Replies.java
+++ b/src/main/java/slateseam/router/useragent/Replies.java
@@ -10,10 +10,10 @@
     private static final byte[] LINE_END = Bytes.of("\r\n");
     /** A dollar, up to ten digits, two ends of lines. */
     private static final int MOST_ROUND_VALUE = 15;
+
     private static final int MOST_COPIED = 4 * 1024;
 
-    private Replies() {
-    }
+    private Replies() {}
 
     /** The buffers of a request's answer. */
     public static ByteBuffer[] of(Answer answer) {
@@ -29,7 +29,9 @@
 
     /** What comes before a value of so many bytes; {@link #end} comes behind it. */
     static ByteBuffer head(int length) {
-        return Bytes.putNumber(ByteBuffer.allocate(MOST_ROUND_VALUE).put((byte) '$'), length).put(LINE_END).flip();
+        return Bytes.putNumber(ByteBuffer.allocate(MOST_ROUND_VALUE).put((byte) '$'), length)
+                .put(LINE_END)
+                .flip();
     }
 
     /** What comes behind a value. */
@@ -42,7 +44,8 @@
         boolean copied = value.length <= MOST_COPIED;
         ByteBuffer head = ByteBuffer.allocate(MOST_ROUND_VALUE + (copied ? value.length : 0));
         Bytes.putNumber(head.put((byte) '$'), value.length).put(LINE_END);
-        return copied ? new ByteBuffer[] {head.put(value).put(LINE_END).flip()}
+        return copied
+                ? new ByteBuffer[] {head.put(value).put(LINE_END).flip()}
                 : new ByteBuffer[] {head.flip(), ByteBuffer.wrap(value), ByteBuffer.wrap(LINE_END)};
     }
 
@@ -53,10 +56,11 @@
 
     /** The answer to a command that is no request. */
     public static ByteBuffer[] other(String command, boolean answersPing) {
-        return line(switch (command) {
-            case "PING" -> answersPing ? "+PONG" : "-ERR user agents are sent away";
-            case "CLIENT", "SELECT" -> "+OK";
-            default -> "-ERR unknown command";
-        });
+        return line(
+                switch (command) {
+                    case "PING" -> answersPing ? "+PONG" : "-ERR user agents are sent away";
+                    case "CLIENT", "SELECT" -> "+OK";
+                    default -> "-ERR unknown command";
+                });
     }
 }
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -10,8 +10,8 @@
 import slateseam.router.net.Slots;
 import slateseam.router.request.Answer;
 import slateseam.router.request.Ending;
-import slateseam.router.request.Front;
 import slateseam.router.request.Facts;
+import slateseam.router.request.Front;
 import slateseam.router.request.Intake;
 import slateseam.router.request.Request;
 import slateseam.router.request.Version;
@@ -61,7 +61,9 @@
     public Requests(Intake core, Versions versions, int mostHeld) {
         this.core = core;
         this.versions = versions;
-        this.tenants = versions.current().settings().tenants().stream().map(Tenant::name).toList();
+        this.tenants = versions.current().settings().tenants().stream()
+                .map(Tenant::name)
+                .toList();
         this.open = new Slots<>(mostHeld + 1); // the one more is being turned away
     }
 
@@ -92,8 +94,17 @@
         asked.waitNanos = waitMillis * Clock.MILLI;
         asked.tenant = tenant < 0 ? tenants.size() : tenant;
         long ttl = Math.min(asked.waitNanos, version.type(type).deadlineNanos());
-        Request request = new Request(key, id, facts, write ? Bytes.copy(command.get(4)) : null, version, type,
-                asked.tenant, "1".equals(Facts.value(facts, 'r')), ttl, asked.streams());
+        Request request = new Request(
+                key,
+                id,
+                facts,
+                write ? Bytes.copy(command.get(4)) : null,
+                version,
+                type,
+                asked.tenant,
+                "1".equals(Facts.value(facts, 'r')),
+                ttl,
+                asked.streams());
         asked.number = open.add(asked);
         asked.id = openId;
         openIds.add(openId);
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -32,6 +32,7 @@
     private int most;
     /** Of the longest class: an answer that is not read by then is of no use to anyone. */
     private long readNanos;
+
     private final List<Runnable> whenClosed = new ArrayList<>();
     private final Lifecycle lifecycle;
     private Deadline look;
@@ -160,7 +161,7 @@
 
     /** Ends what the room has no place for, and looks again as long as there is too much. */
     private void keepWithinRoom() {
-        for (Kept kept; !isClosing() && (kept = room.surplus(loop.now())) != null;) {
+        for (Kept kept; !isClosing() && (kept = room.surplus(loop.now())) != null; ) {
             agent(kept).giveWay();
         }
         long next = isClosing() ? Long.MAX_VALUE : room.lookAgain(loop.now());
@@ -187,8 +188,10 @@
 
     /** Closes those that have not read for longest while there is too much that nobody reads. */
     void boundUnread() {
-        List<UserAgent> unread = userAgents.all().stream().filter(UserAgent::isUnread)
-                .sorted(Comparator.comparingLong(UserAgent::since)).toList();
+        List<UserAgent> unread = userAgents.all().stream()
+                .filter(UserAgent::isUnread)
+                .sorted(Comparator.comparingLong(UserAgent::since))
+                .toList();
         long bytes = unread.stream().mapToLong(UserAgent::unwrittenBytes).sum();
         for (UserAgent u : unread) {
             if (bytes <= loop.heapBytes() / UNREAD_PART) {
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -21,6 +21,7 @@
 final class UserAgent extends Connection implements Incoming.Taker {
     /** Of a value that streams: no more is asked for while so much is not handed to the system. */
     private static final int MOST_UNWRITTEN = 64 * 1024;
+
     private static final int MOST_COMMANDS = 16;
     /** Of what comes behind commands that wait, so that the end of its user agent is seen: then nothing is begun any more. */
     private static final int AHEAD = 256 * 1024;
@@ -33,8 +34,12 @@
 
     /** What a connection waits for; each has its deadline. */
     private enum State {
-        FIRST_COMMAND(Phase.SILENT), REST_OF_COMMAND(Phase.HALF), ANSWER(Phase.BUSY), READER(Phase.BUSY),
-        NEXT_COMMAND(Phase.IDLE), END(Phase.ENDING);
+        FIRST_COMMAND(Phase.SILENT),
+        REST_OF_COMMAND(Phase.HALF),
+        ANSWER(Phase.BUSY),
+        READER(Phase.BUSY),
+        NEXT_COMMAND(Phase.IDLE),
+        END(Phase.ENDING);
 
         private final Phase phase;
 
@@ -48,11 +53,13 @@
     private final Deque<Exchange> inOrder = new ArrayDeque<>();
     /** How many commands the exchanges have taken. */
     private int begun;
+
     private long ticket;
     private Kept kept;
     private boolean last;
     /** Whether a part of a command has come and the rest has not. */
     private boolean half;
+
     private State state;
     private long since;
     private Deadline limit;
@@ -121,9 +128,14 @@
         }
         boolean first = state == State.FIRST_COMMAND; // it stays so until a whole command has come
         boolean answered = inOrder.isEmpty();
-        enter(!isFlushed() ? State.READER : !answered && inOrder.peek().isWhole() ? State.ANSWER
-                : answered && first ? State.FIRST_COMMAND : half || !answered ? State.REST_OF_COMMAND
-                : State.NEXT_COMMAND);
+        enter(
+                !isFlushed()
+                        ? State.READER
+                        : !answered && inOrder.peek().isWhole()
+                                ? State.ANSWER
+                                : answered && first
+                                        ? State.FIRST_COMMAND
+                                        : half || !answered ? State.REST_OF_COMMAND : State.NEXT_COMMAND);
     }
 
     private void enter(State next) {
@@ -271,7 +283,8 @@
     public void bytes(ByteBuffer bytes) {
         ByteBuffer kept = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         write(kept);
-        // Guards against one that stops reading within a long answer: it has a deadline too, and counts against the bound.
+        // Guards against one that stops reading within a long answer: it has a deadline too, and counts against the
+        // bound.
         settle();
         if (state == State.READER) {
             front.boundUnread();
--- a/src/main/java/slateseam/router/warmup/WarmUp.java
+++ b/src/main/java/slateseam/router/warmup/WarmUp.java
@@ -73,19 +73,22 @@
     public WarmUp(Settings settings) {
         this.settings = settings;
         brain = new Brain(settings, 1);
-        requests = new Requests(new Intake() {
-            @Override
-            public long arrived(Request request, Front front, long number) {
-                asked = request;
-                exchange = number;
-                return number;
-            }
+        requests = new Requests(
+                new Intake() {
+                    @Override
+                    public long arrived(Request request, Front front, long number) {
+                        asked = request;
+                        exchange = number;
+                        return number;
+                    }
 
-            @Override
-            public void withdrawn(long ticket, Ending why) {
-                asked = null;
-            }
-        }, new Versions(settings), HELD);
+                    @Override
+                    public void withdrawn(long ticket, Ending why) {
+                        asked = null;
+                    }
+                },
+                new Versions(settings),
+                HELD);
         commands = new Commands(requests, new Lifecycle());
         for (int i = 0; i < SERVERS; i++) {
             pools.add(connections.add(true, true));
@@ -130,9 +133,10 @@
         String facts = "c=" + settings.classes().get(0).name() + ",t=acme,d=480";
         String key = "key" + number % 100;
         String id = "id" + number;
-        List<ByteBuffer> command = Resp.command(ByteBuffer.wrap(Bytes.of("*4\r\n$9\r\nCACHE.GET\r\n$" + key.length() + "\r\n"
-                + key + "\r\n$" + id.length() + "\r\n" + id + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n")));
-        Exchange open = commands.exchange(() -> { });
+        List<ByteBuffer> command =
+                Resp.command(ByteBuffer.wrap(Bytes.of("*4\r\n$9\r\nCACHE.GET\r\n$" + key.length() + "\r\n" + key
+                        + "\r\n$" + id.length() + "\r\n" + id + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n")));
+        Exchange open = commands.exchange(() -> {});
         asked = null;
         open.take(command);
         if (asked == null) {
@@ -140,8 +144,10 @@
         }
         Facts.withTimeLeft(asked.facts(), number);
         Resp.reply(ByteBuffer.wrap(Bytes.of("*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n")), 2);
-        HttpReply.read(ByteBuffer.wrap(Bytes.of("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Backend-Load: x=1\r\n\r\nvalue")));
-        on(new RequestArrived(number, Hash.of(asked.key()), asked.tenant(), asked.type(), false, false, 0, asked.ttlNanos()));
+        HttpReply.read(
+                ByteBuffer.wrap(Bytes.of("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Backend-Load: x=1\r\n\r\nvalue")));
+        on(new RequestArrived(
+                number, Hash.of(asked.key()), asked.tenant(), asked.type(), false, false, 0, asked.ttlNanos()));
         for (int attempt = 0; attempt < settings.limits().attempts(); attempt++) {
             Send send = null;
             for (Action action : actions) {
@@ -166,7 +172,7 @@
     /** One use of a connection to a server, which is opened if there is none. */
     private void carry(Pool pool) {
         connections.ask(now, new OneUse(pool, now + 1_000 * STEP));
-        for (Order order; (order = connections.next()) != null;) {
+        for (Order order; (order = connections.next()) != null; ) {
             if (order instanceof Order.Open open) {
                 connections.up(now, open.link());
             } else if (order instanceof Order.Carry carried) {
--- a/src/main/java/slateseam/show/Check.java
+++ b/src/main/java/slateseam/show/Check.java
@@ -9,8 +9,7 @@
 
 /** Looks at what a settings file names outside itself: a router would start without it, and say so in its log. */
 public final class Check {
-    private Check() {
-    }
+    private Check() {}
 
     /** @throws InvalidConfigException if something cannot be used as it is; the message says what */
     public static void files(Features features) throws InvalidConfigException {
--- a/src/main/java/slateseam/show/FarmShow.java
+++ b/src/main/java/slateseam/show/FarmShow.java
@@ -52,7 +52,8 @@
      */
     public void show(Path from, boolean json, PrintStream out) throws IOException {
         List<Shown> servers = features.kubernetes() == null ? discovered() : slices(features.kubernetes(), from);
-        servers.sort(Comparator.comparing(Shown::origin).thenComparing(Shown::name).thenComparing(Shown::address));
+        servers.sort(
+                Comparator.comparing(Shown::origin).thenComparing(Shown::name).thenComparing(Shown::address));
         if (json) {
             out.println(Shown.json(servers).toString(2));
         } else {
@@ -69,7 +70,7 @@
                 throw new IOException(from + ": " + e.getMessage());
             }
         }
-        KubernetesFarm source = new KubernetesFarm(loop, new Errands(), settings, farm(), config.seed(), change -> { });
+        KubernetesFarm source = new KubernetesFarm(loop, new Errands(), settings, farm(), config.seed(), change -> {});
         source.begin();
         await(() -> source.version() != null, "the API at " + settings.api());
         return shown(source.servers(), source.remembered());
@@ -98,9 +99,17 @@
         List<Shown> shown = new ArrayList<>();
         for (Farm.Entry entry : farm.entries()) {
             String address = entry.address().toString();
-            shown.add(new Shown(entry.host(), entry.host(), address.substring(address.indexOf('/') + 1),
-                    entry.isReady(), "", name(config.zones(), entry.member().zone()),
-                    name(config.kinds(), entry.member().kind()), entry.member().rating(), since(entry.member().upSinceNanos()), entry.isOrigin()));
+            shown.add(new Shown(
+                    entry.host(),
+                    entry.host(),
+                    address.substring(address.indexOf('/') + 1),
+                    entry.isReady(),
+                    "",
+                    name(config.zones(), entry.member().zone()),
+                    name(config.kinds(), entry.member().kind()),
+                    entry.member().rating(),
+                    since(entry.member().upSinceNanos()),
+                    entry.isOrigin()));
         }
         return shown;
     }
@@ -117,8 +126,16 @@
         List<Shown> shown = new ArrayList<>();
         for (Server s : servers) {
             String host = s.address().indexOf(':') < 0 ? s.address() : "[" + s.address() + "]";
-            shown.add(new Shown(s.pod().isEmpty() ? s.name() : s.pod(), s.name(), host + ":" + s.port(), s.ready(),
-                    s.ready() ? "" : why(s, remembered), s.zone(), s.kind(), s.weight(), since(s.bornAtNanos()),
+            shown.add(new Shown(
+                    s.pod().isEmpty() ? s.name() : s.pod(),
+                    s.name(),
+                    host + ":" + s.port(),
+                    s.ready(),
+                    s.ready() ? "" : why(s, remembered),
+                    s.zone(),
+                    s.kind(),
+                    s.weight(),
+                    since(s.bornAtNanos()),
                     s.origin()));
         }
         return shown;
@@ -130,7 +147,8 @@
         for (Slice slice : remembered.slices()) {
             for (Endpoint endpoint : slice.endpoints()) {
                 if (endpoint.addresses().contains(server.address()) && !endpoint.takesNew()) {
-                    why = Boolean.TRUE.equals(endpoint.terminating()) ? "terminating"
+                    why = Boolean.TRUE.equals(endpoint.terminating())
+                            ? "terminating"
                             : Boolean.FALSE.equals(endpoint.ready()) ? "not ready" : "not serving";
                 }
             }
--- a/src/main/java/slateseam/show/PolicyCommand.java
+++ b/src/main/java/slateseam/show/PolicyCommand.java
@@ -30,9 +30,11 @@
     private static final int DONE = 0;
     /** It was aborted or turned down, or a router could not be asked. */
     private static final int REFUSED = 1;
+
     private static final int USAGE = 2;
     /** The way broke before it was known what became of it: ask again with the same name. */
     private static final int UNKNOWN = 3;
+
     private static final int MOST_MILLIS = 2_000;
     private static final int LOOK_MILLIS = 200;
     private static final String FORM = """
@@ -104,7 +106,8 @@
         try {
             return Files.readAllBytes(file);
         } catch (IOException e) {
-            throw new InvalidConfigException("cannot read " + file + ": " + e.getClass().getSimpleName());
+            throw new InvalidConfigException(
+                    "cannot read " + file + ": " + e.getClass().getSimpleName());
         }
     }
 
@@ -149,12 +152,17 @@
             throw new ParseException("propose wants --name, by which it can be asked for again");
         }
         int wait = number("wait", 0, 3_600);
-        JSONObject proposal = new JSONObject().put("name", name).put("document", new String(document(file), StandardCharsets.UTF_8))
-                .put("all", !line.hasOption("serving")).put("stale", line.hasOption("stale")).put("watch_s", number("watch", 30, 3_600))
+        JSONObject proposal = new JSONObject()
+                .put("name", name)
+                .put("document", new String(document(file), StandardCharsets.UTF_8))
+                .put("all", !line.hasOption("serving"))
+                .put("stale", line.hasOption("stale"))
+                .put("watch_s", number("watch", 30, 3_600))
                 .put("points", number("points", 10, 100));
         String place = status(at()).optString("proposal", "");
         if (place.isEmpty()) {
-            throw new IOException(at() + " has no policy_proposal in its settings file: it does not know where proposals lie");
+            throw new IOException(
+                    at() + " has no policy_proposal in its settings file: it does not know where proposals lie");
         }
         Path next = Files.writeString(Path.of(place + ".next"), proposal.toString());
         Files.move(next, Path.of(place), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
@@ -185,7 +193,8 @@
                 sleep();
             }
         } while (known.startsWith("unknown") && System.nanoTime() < until);
-        out.println(name + ": " + known + (waitSeconds == 0 && known.equals("unknown") ? " yet; policy history tells" : ""));
+        out.println(name + ": " + known
+                + (waitSeconds == 0 && known.equals("unknown") ? " yet; policy history tells" : ""));
         boolean refused = known.startsWith("rejected") || known.equals("aborted");
         return waitSeconds == 0 && !refused ? DONE : known.startsWith("unknown") ? UNKNOWN : refused ? REFUSED : DONE;
     }
@@ -214,13 +223,34 @@
             out.println(all.toString(2));
             return status;
         }
-        out.printf(Locale.ROOT, "%-20s %7s %-16s %6s %-7s %-6s %8s %9s %-14s %s%n", "router", "version", "name", "newest", "serves", "stale", "age ms",
-                "holds in", "role", "open: verdicts");
+        out.printf(
+                Locale.ROOT,
+                "%-20s %7s %-16s %6s %-7s %-6s %8s %9s %-14s %s%n",
+                "router",
+                "version",
+                "name",
+                "newest",
+                "serves",
+                "stale",
+                "age ms",
+                "holds in",
+                "role",
+                "open: verdicts");
         for (Object each : all) {
             JSONObject one = (JSONObject) each;
-            out.printf(Locale.ROOT, "%-20s %7d %-16s %6d %-7s %-6s %8d %9d %-14s %s%n", one.optString("name"), one.optInt("version"),
-                    one.optString("version_name"), one.optInt("newest"), one.optBoolean("serves"), one.optBoolean("stale"), one.optLong("age_ms", -1),
-                    one.optLong("holds_in_ms"), one.optString("role"), one.isNull("open") ? "-" : one.optString("open") + ": " + one.optString("verdicts"));
+            out.printf(
+                    Locale.ROOT,
+                    "%-20s %7d %-16s %6d %-7s %-6s %8d %9d %-14s %s%n",
+                    one.optString("name"),
+                    one.optInt("version"),
+                    one.optString("version_name"),
+                    one.optInt("newest"),
+                    one.optBoolean("serves"),
+                    one.optBoolean("stale"),
+                    one.optLong("age_ms", -1),
+                    one.optLong("holds_in_ms"),
+                    one.optString("role"),
+                    one.isNull("open") ? "-" : one.optString("open") + ": " + one.optString("verdicts"));
         }
         return status;
     }
@@ -231,11 +261,19 @@
             out.println(versions == null ? "[]" : versions.toString(2));
             return DONE;
         }
-        out.printf(Locale.ROOT, "%7s %-32s %-9s %8s %9s %s%n", "version", "name", "state", "bytes", "at router", "cause");
+        out.printf(
+                Locale.ROOT, "%7s %-32s %-9s %8s %9s %s%n", "version", "name", "state", "bytes", "at router", "cause");
         for (int i = 0; versions != null && i < versions.length(); i++) {
             JSONObject one = versions.getJSONObject(i);
-            out.printf(Locale.ROOT, "%7d %-32s %-9s %8d %9d %s%n", one.getInt("version"), one.getString("name"), one.getString("state"),
-                    one.getInt("bytes"), one.getInt("proposer"), one.getString("cause"));
+            out.printf(
+                    Locale.ROOT,
+                    "%7d %-32s %-9s %8d %9d %s%n",
+                    one.getInt("version"),
+                    one.getString("name"),
+                    one.getString("state"),
+                    one.getInt("bytes"),
+                    one.getInt("proposer"),
+                    one.getString("cause"));
         }
         return DONE;
     }
@@ -245,7 +283,8 @@
     }
 
     private static String ask(String place, String method, String path) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + place + path).toURL().openConnection();
+        HttpURLConnection call =
+                (HttpURLConnection) URI.create("http://" + place + path).toURL().openConnection();
         call.setRequestMethod(method);
         call.setConnectTimeout(MOST_MILLIS);
         call.setReadTimeout(MOST_MILLIS);
@@ -253,7 +292,10 @@
         try (InputStream in = status == HttpURLConnection.HTTP_OK ? call.getInputStream() : call.getErrorStream()) {
             String text = in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8).strip();
             if (status != HttpURLConnection.HTTP_OK) {
-                throw new IOException(status == HttpURLConnection.HTTP_NOT_FOUND ? "its settings file does not turn the policy on" : text);
+                throw new IOException(
+                        status == HttpURLConnection.HTTP_NOT_FOUND
+                                ? "its settings file does not turn the policy on"
+                                : text);
             }
             return text;
         }
--- a/src/main/java/slateseam/show/Shown.java
+++ b/src/main/java/slateseam/show/Shown.java
@@ -16,13 +16,27 @@
  * @param why why it drains; empty if it is ready
  * @param since its start; null for long ago
  */
-record Shown(String name, String identity, String address, boolean ready, String why, String zone, String kind,
-        double weight, Instant since, boolean origin) {
+record Shown(
+        String name,
+        String identity,
+        String address,
+        boolean ready,
+        String why,
+        String zone,
+        String kind,
+        double weight,
+        Instant since,
+        boolean origin) {
     private static final List<String> HEADS = List.of("NAME", "ADDRESS", "STATE", "ZONE", "KIND", "WEIGHT", "SINCE");
 
     private List<String> cells() {
         String state = (ready ? "ready" : "draining") + (why.isEmpty() ? "" : " (" + why + ")");
-        return List.of(name, address, state, dash(zone), origin ? "origin" : dash(kind),
+        return List.of(
+                name,
+                address,
+                state,
+                dash(zone),
+                origin ? "origin" : dash(kind),
                 String.format(Locale.ROOT, "%.4g", weight).replaceAll("\\.?0+$", ""),
                 since == null ? "long ago" : since.toString());
     }
@@ -56,9 +70,16 @@
     static JSONArray json(List<Shown> servers) {
         JSONArray all = new JSONArray();
         for (Shown s : servers) {
-            all.put(new JSONObject().put("name", s.name).put("identity", s.identity).put("address", s.address)
-                    .put("state", s.ready ? "ready" : "draining").put("why", s.why).put("zone", s.zone)
-                    .put("kind", s.kind).put("weight", s.weight).put("origin", s.origin)
+            all.put(new JSONObject()
+                    .put("name", s.name)
+                    .put("identity", s.identity)
+                    .put("address", s.address)
+                    .put("state", s.ready ? "ready" : "draining")
+                    .put("why", s.why)
+                    .put("zone", s.zone)
+                    .put("kind", s.kind)
+                    .put("weight", s.weight)
+                    .put("origin", s.origin)
                     .put("since", s.since == null ? JSONObject.NULL : s.since.toString()));
         }
         return all;
--- a/src/main/java/slateseam/show/TierShow.java
+++ b/src/main/java/slateseam/show/TierShow.java
@@ -30,8 +30,7 @@
     private static final int MOST_MILLIS = 2_000;
     private static final String FORM = "tier show [--config FILE | --at HOST:PORT ...] [--json]";
 
-    private TierShow() {
-    }
+    private TierShow() {}
 
     /** Shows it: 0, 1 if a router could not be asked, 2 for bad use. */
     public static int run(String[] args, PrintStream out, PrintStream err) {
@@ -55,7 +54,10 @@
                     status = FAILED;
                 }
             }
-            out.println(line.hasOption("json") ? new JSONArray(views).toString(2) : String.join("\n", text(views, System.currentTimeMillis())));
+            out.println(
+                    line.hasOption("json")
+                            ? new JSONArray(views).toString(2)
+                            : String.join("\n", text(views, System.currentTimeMillis())));
             return status;
         } catch (ParseException | InvalidConfigException e) {
             err.println("slateseam: tier: " + e.getMessage());
@@ -73,11 +75,13 @@
         if (config.control() == null) {
             throw new ParseException(file + " names no second address (control) to ask at");
         }
-        return config.control().getAddress().getHostAddress() + ":" + config.control().getPort();
+        return config.control().getAddress().getHostAddress() + ":"
+                + config.control().getPort();
     }
 
     private static JSONObject ask(String place) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + place + "/tier").toURL().openConnection();
+        HttpURLConnection call = (HttpURLConnection)
+                URI.create("http://" + place + "/tier").toURL().openConnection();
         call.setConnectTimeout(MOST_MILLIS);
         call.setReadTimeout(MOST_MILLIS);
         if (call.getResponseCode() != HttpURLConnection.HTTP_OK) {
@@ -92,18 +96,41 @@
     static List<String> text(List<JSONObject> views, long nowMillis) {
         List<String> lines = new ArrayList<>();
         for (JSONObject view : views) {
-            lines.add(String.format(Locale.ROOT, "%s: %d present, doubt %s, trust %s, view %s, life %d%s", view.optString("name"),
-                    view.optInt("present"), view.optString("doubt", "-"), view.optString("trust", "-"), view.optString("view", "-"),
-                    view.optLong("life"), view.optBoolean("twice") ? ", ANOTHER PROCESS GOES BY THIS NAME" : ""));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%s: %d present, doubt %s, trust %s, view %s, life %d%s",
+                    view.optString("name"),
+                    view.optInt("present"),
+                    view.optString("doubt", "-"),
+                    view.optString("trust", "-"),
+                    view.optString("view", "-"),
+                    view.optLong("life"),
+                    view.optBoolean("twice") ? ", ANOTHER PROCESS GOES BY THIS NAME" : ""));
             lines.add("last change: " + view.optString("last_change", "none"));
-            lines.add(String.format(Locale.ROOT, "  %-24s %6s %-8s %-10s %11s %12s %9s  %s", "member", "number", "state", "reach", "incarnation",
-                    "since s ago", "heard ms", "said by"));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "  %-24s %6s %-8s %-10s %11s %12s %9s  %s",
+                    "member",
+                    "number",
+                    "state",
+                    "reach",
+                    "incarnation",
+                    "since s ago",
+                    "heard ms",
+                    "said by"));
             JSONArray members = view.optJSONArray("members");
             for (int i = 0; members != null && i < members.length(); i++) {
                 JSONObject one = members.getJSONObject(i);
-                lines.add(String.format(Locale.ROOT, "  %-24s %6d %-8s %-10s %11d %12.1f %9s  %s", one.getString("name"), one.getInt("number"),
-                        one.getString("state"), one.getString("reach"), one.getInt("incarnation"),
-                        (nowMillis - one.getLong("since_ms")) / 1e3, one.getLong("heard_ms_ago") < 0 ? "-" : one.getLong("heard_ms_ago"),
+                lines.add(String.format(
+                        Locale.ROOT,
+                        "  %-24s %6d %-8s %-10s %11d %12.1f %9s  %s",
+                        one.getString("name"),
+                        one.getInt("number"),
+                        one.getString("state"),
+                        one.getString("reach"),
+                        one.getInt("incarnation"),
+                        (nowMillis - one.getLong("since_ms")) / 1e3,
+                        one.getLong("heard_ms_ago") < 0 ? "-" : one.getLong("heard_ms_ago"),
                         one.getString("by")));
             }
         }
@@ -130,8 +157,10 @@
         }
         lines.add(head.toString());
         for (JSONObject view : views) {
-            StringBuilder row = new StringBuilder(String.format(Locale.ROOT, "  %-24s", (columns.indexOf(view.optString("name")) + 1) + " "
-                    + view.optString("name")));
+            StringBuilder row = new StringBuilder(String.format(
+                    Locale.ROOT,
+                    "  %-24s",
+                    (columns.indexOf(view.optString("name")) + 1) + " " + view.optString("name")));
             columns.forEach(name -> row.append("   ").append(cell(view, name)));
             lines.add(row.toString());
         }
@@ -150,7 +179,10 @@
                     case "suspect" -> 'S';
                     case "failed" -> 'F';
                     case "left" -> 'L';
-                    default -> one.getString("reach").equals("direct") ? 'd' : one.getString("reach").equals("by-others") ? 'o' : '-';
+                    default ->
+                        one.getString("reach").equals("direct")
+                                ? 'd'
+                                : one.getString("reach").equals("by-others") ? 'o' : '-';
                 };
             }
         }
--- a/src/main/java/slateseam/simulate/Cues.java
+++ b/src/main/java/slateseam/simulate/Cues.java
@@ -29,7 +29,9 @@
             return List.of();
         }
         List<Fault.Cued> come = waiting.stream()
-                .filter(cued -> cued.cue().router().equals(router) && cued.cue().word().equals(parts[1])).toList();
+                .filter(cued ->
+                        cued.cue().router().equals(router) && cued.cue().word().equals(parts[1]))
+                .toList();
         waiting.removeAll(come);
         return come.stream().map(cued -> cued.come(at)).toList();
     }
--- a/src/main/java/slateseam/simulate/FaultPlayer.java
+++ b/src/main/java/slateseam/simulate/FaultPlayer.java
@@ -26,7 +26,12 @@
     private final Consumer<String> trace;
     private final Cues cues;
 
-    FaultPlayer(VirtualNetwork net, Day day, Fleet fleet, Map<String, RouterProcess> routers, Crowd crowd,
+    FaultPlayer(
+            VirtualNetwork net,
+            Day day,
+            Fleet fleet,
+            Map<String, RouterProcess> routers,
+            Crowd crowd,
             Checker checker,
             Consumer<String> trace) {
         this.net = net;
@@ -103,10 +108,11 @@
             case RELOAD -> targets.forEach(this::reload);
             case DATAGRAM_LOSS -> net.loseDatagrams(fault.size());
             case PAUSE -> targets.forEach(router -> pause(router, true));
-            case STARVE -> targets.forEach(router -> {
-                checker.standsStill(router, true);
-                starve(router, fault);
-            });
+            case STARVE ->
+                targets.forEach(router -> {
+                    checker.standsStill(router, true);
+                    starve(router, fault);
+                });
             case ONE_WAY -> targets.forEach(pair -> net.mute(from(pair), to(pair), true));
             case STALL -> targets.forEach(pair -> net.stall(from(pair), to(pair), true));
             case DATAGRAM_LATE -> net.delayDatagrams((long) fault.size());
@@ -114,8 +120,10 @@
             case DATAGRAM_SWAP -> net.swapDatagrams(fault.size());
             case CLOCK_AHEAD -> targets.forEach(router -> routers.get(router).clockAhead((long) fault.size()));
             case CLOCK_BEHIND -> targets.forEach(router -> routers.get(router).clockAhead(-(long) fault.size()));
-            case SURGE -> { } // drawn into the rate of the user agents
-            default -> throw new IllegalStateException("the virtual clock plays no " + fault.kind().word());
+            case SURGE -> {} // drawn into the rate of the user agents
+            default ->
+                throw new IllegalStateException(
+                        "the virtual clock plays no " + fault.kind().word());
         }
     }
 
@@ -141,8 +149,9 @@
             case DATAGRAM_LATE -> net.delayDatagrams(0);
             case DATAGRAM_DOUBLE -> net.doubleDatagrams(0);
             case DATAGRAM_SWAP -> net.swapDatagrams(0);
-            case CLOCK_AHEAD, CLOCK_BEHIND -> targets.forEach(router -> routers.get(router).clockAhead(0));
-            default -> { } // over at once, or by itself
+            case CLOCK_AHEAD, CLOCK_BEHIND ->
+                targets.forEach(router -> routers.get(router).clockAhead(0));
+            default -> {} // over at once, or by itself
         }
     }
 
@@ -159,7 +168,10 @@
     private void reload(String router) {
         RouterProcess process = routers.get(router);
         if (!process.hasMoved()) {
-            Day.Router place = day.routers().stream().filter(r -> r.name().equals(router)).findFirst().orElseThrow();
+            Day.Router place = day.routers().stream()
+                    .filter(r -> r.name().equals(router))
+                    .findFirst()
+                    .orElseThrow();
             DiscoveryAgent agent = fleet.agent(router);
             agent.move(place.discovery(true));
         }
--- a/src/main/java/slateseam/simulate/Fleet.java
+++ b/src/main/java/slateseam/simulate/Fleet.java
@@ -72,10 +72,18 @@
         this.whenStarts = whenStarts;
         this.dials = dials;
         Archive archive = new Archive(day.values(), day.streams().number("archive"));
-        long window = day.classes().stream().mapToLong(ClassFigures::windowNanos).max().orElse(0);
+        long window = day.classes().stream()
+                .mapToLong(ClassFigures::windowNanos)
+                .max()
+                .orElse(0);
         shared = new Shared(archive, new Copies(archive), new Receipts(net, window));
-        origin = new Origin(Day.Origin.NAME, day.origin().listen(), day.origin().figures(), world,
-                day.streams().of("origin"), shared);
+        origin = new Origin(
+                Day.Origin.NAME,
+                day.origin().listen(),
+                day.origin().figures(),
+                world,
+                day.streams().of("origin"),
+                shared);
         List<Listing> begin = new ArrayList<>();
         for (Day.Server place : day.servers()) {
             Member member = new Member(place);
@@ -83,13 +91,26 @@
             put(member, 0);
             begin.add(member.listing);
         }
-        begin.add(new Listing(Day.Origin.NAME, day.origin().listen(), site(day.origin().site()), "origin", 0,
-                Listing.Health.READY, 1, 0));
+        begin.add(new Listing(
+                Day.Origin.NAME,
+                day.origin().listen(),
+                site(day.origin().site()),
+                "origin",
+                0,
+                Listing.Health.READY,
+                1,
+                0));
         for (Day.Router router : day.routers()) {
-            agents.put(router.name(), new DiscoveryAgent(router.discovery(false),
-                    new DiscoveryFigures(router.agentSpreadNanos(), 1_500 * MILLI, false), world,
-                    day.streams().of(router.agentName()),
-                    begin.stream().map(listing -> seenBy(router.name(), listing)).toList()));
+            agents.put(
+                    router.name(),
+                    new DiscoveryAgent(
+                            router.discovery(false),
+                            new DiscoveryFigures(router.agentSpreadNanos(), 1_500 * MILLI, false),
+                            world,
+                            day.streams().of(router.agentName()),
+                            begin.stream()
+                                    .map(listing -> seenBy(router.name(), listing))
+                                    .toList()));
         }
     }
 
@@ -104,7 +125,8 @@
         for (Day.Server place : day.servers()) {
             ApplicationServer server = server(place.name());
             byHost.put(server.name(), server);
-            room.put(server.name(), (int) (place.filled() * place.figures().keeping().entries()));
+            room.put(server.name(), (int)
+                    (place.filled() * place.figures().keeping().entries()));
         }
         Day.Router first = day.routers().get(0);
         try {
@@ -134,10 +156,23 @@
         Day.Server place = member.place;
         String host = day.host(place, replacement);
         member.replacement = replacement;
-        member.model = new ApplicationServer(host, place.listen(), place.figures(), day.work(), world,
-                day.streams().of(place.name() + " " + replacement), shared);
-        member.listing = new Listing(host, place.listen(), site(place.site()), place.kind(), place.block(),
-                Listing.Health.READY, place.told(), 0);
+        member.model = new ApplicationServer(
+                host,
+                place.listen(),
+                place.figures(),
+                day.work(),
+                world,
+                day.streams().of(place.name() + " " + replacement),
+                shared);
+        member.listing = new Listing(
+                host,
+                place.listen(),
+                site(place.site()),
+                place.kind(),
+                place.block(),
+                Listing.Health.READY,
+                place.told(),
+                0);
     }
 
     /** What the servers together and the origin counted. */
@@ -145,7 +180,11 @@
         Map<String, Long> all = new TreeMap<>();
         for (Tally tally : Tally.values()) {
             all.put("origin " + tally, origin.tallies().of(tally));
-            all.put("servers " + tally, members.values().stream().mapToLong(m -> m.model.tallies().of(tally)).sum());
+            all.put(
+                    "servers " + tally,
+                    members.values().stream()
+                            .mapToLong(m -> m.model.tallies().of(tally))
+                            .sum());
         }
         all.values().removeIf(count -> count == 0);
         return all;
@@ -269,7 +308,14 @@
     public void spoil(String name, double share) {
         Spoil.Kind[] kinds = Spoil.Kind.values();
         Spoil.Kind kind = kinds[(int) (day.streams().share("spoil " + name) * kinds.length)];
-        members.get(name).model.spoil(share == 0 ? null : new Spoil(kind, share,
-                day.streams().share("spoil behind " + name) < 0.5 ? 0 : SPOILT_BEHIND_NANOS));
+        members.get(name)
+                .model
+                .spoil(
+                        share == 0
+                                ? null
+                                : new Spoil(
+                                        kind,
+                                        share,
+                                        day.streams().share("spoil behind " + name) < 0.5 ? 0 : SPOILT_BEHIND_NANOS));
     }
 }
--- a/src/main/java/slateseam/simulate/Homes.java
+++ b/src/main/java/slateseam/simulate/Homes.java
@@ -56,8 +56,10 @@
                     if (!entry.isOrigin()) {
                         found.accept(key, entry.host());
                     }
-                    brain.handle(now, new AttemptEnded(number, send.member(), 0, Outcome.OK, false, true, 1_000_000L),
-                            ended -> { });
+                    brain.handle(
+                            now,
+                            new AttemptEnded(number, send.member(), 0, Outcome.OK, false, true, 1_000_000L),
+                            ended -> {});
                     break;
                 }
             }
--- a/src/main/java/slateseam/simulate/Least.java
+++ b/src/main/java/slateseam/simulate/Least.java
@@ -6,8 +6,7 @@
 
 /** Finds a small part of a list that still does what the whole does, by leaving out ever smaller stretches of it. */
 final class Least {
-    private Least() {
-    }
+    private Least() {}
 
     /**
      * Returns a part from which no single item can be left out, or the smallest found before the predicate gave up.
@@ -20,7 +19,7 @@
         int stretch = Math.max(1, (whole.size() + 1) / 2);
         while (!least.isEmpty()) {
             boolean smaller = false;
-            for (int from = 0; from < least.size();) {
+            for (int from = 0; from < least.size(); ) {
                 List<T> rest = new ArrayList<>(least.subList(0, from));
                 rest.addAll(least.subList(Math.min(least.size(), from + stretch), least.size()));
                 if (holds.test(rest)) {
--- a/src/main/java/slateseam/simulate/Phases.java
+++ b/src/main/java/slateseam/simulate/Phases.java
@@ -16,6 +16,7 @@
     private static final long SECOND = 1_000_000_000L;
     /** Parts of the served share by which a second may be under the calm ones and still be like them. */
     private static final double LIKE_CALM = 0.03;
+
     private static final int CALM_SECONDS = 3;
 
     /** One phase; times are nanoseconds since the beginning. */
@@ -114,6 +115,7 @@
     private final List<Phase> phases = new ArrayList<>();
     /** By second of the first try: asked, and served. */
     private final List<long[]> seconds = new ArrayList<>();
+
     private final List<Fault> faults;
     private long unasked;
     private long fetchesBefore;
@@ -122,7 +124,8 @@
     /** Cuts a day into phases; the beginning is Unix time in nanoseconds. */
     public Phases(long begin, long duration, List<Fault> faults) {
         this.begin = begin;
-        this.faults = new ArrayList<>(faults.stream().filter(fault -> !(fault instanceof Fault.Cued)).toList());
+        this.faults = new ArrayList<>(
+                faults.stream().filter(fault -> !(fault instanceof Fault.Cued)).toList());
         faults = this.faults;
         TreeSet<Long> bounds = new TreeSet<>(List.of(0L, duration));
         faults.forEach(fault -> {
@@ -132,9 +135,16 @@
         List<Long> all = List.copyOf(bounds);
         for (int i = 0; i + 1 < all.size(); i++) {
             long from = all.get(i);
-            phases.add(new Phase(from, all.get(i + 1), String.join(", ", faults.stream()
-                    .filter(fault -> fault.at() <= from && from < Math.max(fault.until(), fault.at() + 1))
-                    .map(Phases::text).toList())));
+            phases.add(new Phase(
+                    from,
+                    all.get(i + 1),
+                    String.join(
+                            ", ",
+                            faults.stream()
+                                    .filter(fault ->
+                                            fault.at() <= from && from < Math.max(fault.until(), fault.at() + 1))
+                                    .map(Phases::text)
+                                    .toList())));
         }
     }
 
--- a/src/main/java/slateseam/simulate/Play.java
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -29,6 +29,7 @@
     static final long BEGIN = 1_800_000_000_000_000_000L;
     /** After the last request and the longest deadline, for what is still under way. */
     private static final long TAIL_NANOS = 1_000_000_000L;
+
     private static final String USERS = "at the routers";
     private static final long SECOND = 1_000_000_000L;
     private static final String FRONT = "10.5.0.1";
@@ -43,6 +44,7 @@
     private final Arrived arrived;
     /** Null where nobody asks for them. */
     private final Phases phases;
+
     private final SupplyWatch supplyWatch;
     private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
     private final Map<String, Long> logged = new TreeMap<>();
@@ -60,15 +62,20 @@
 
     /** The same with phases that are told what user agents got, what the origin gave and how supply was used. */
     Play(Day day, Consumer<String> lines, Phases phases) {
-        List<Fault> lacking = day.timeline().faults().stream().filter(fault -> !fault.kind().isVirtual()).toList();
+        List<Fault> lacking = day.timeline().faults().stream()
+                .filter(fault -> !fault.kind().isVirtual())
+                .toList();
         if (!lacking.isEmpty()) {
-            throw new IllegalArgumentException("the virtual clock cannot play " + lacking.get(0).kind().word()
-                    + "; a trial on processes can");
+            throw new IllegalArgumentException(
+                    "the virtual clock cannot play " + lacking.get(0).kind().word() + "; a trial on processes can");
         }
         this.day = day;
         net = new VirtualNetwork(conditions(day), day.streams()::of, BEGIN);
-        checker = new Checker(figures(day), "origin",
-                day.routers().stream().map(Day.Router::peerListen).toList(), net::now);
+        checker = new Checker(
+                figures(day),
+                "origin",
+                day.routers().stream().map(Day.Router::peerListen).toList(),
+                net::now);
         trace = lines == null ? null : new Trace(net, lines);
         net.observe(checker);
         if (trace != null) {
@@ -90,23 +97,43 @@
         Conditions.Streams streams = usual.streams();
         Conditions.Datagrams datagrams = usual.datagrams();
         return usual.with(new Conditions.Delays(0, 0, 0, 0, usual.delays().local(), network.jitter()))
-                .with(new Conditions.Streams(network.windowBytes(), network.windowBytes(), network.split(),
-                        streams.gap(), streams.shortRead(), streams.shortWrite(), streams.connectLost(),
+                .with(new Conditions.Streams(
+                        network.windowBytes(),
+                        network.windowBytes(),
+                        network.split(),
+                        streams.gap(),
+                        streams.shortRead(),
+                        streams.shortWrite(),
+                        streams.connectLost(),
                         streams.resetDestroys()))
-                .with(new Conditions.Datagrams(network.datagramLeastNanos(), network.datagramMostNanos(),
-                        network.lost(), datagrams.swapped(), network.doubled()));
+                .with(new Conditions.Datagrams(
+                        network.datagramLeastNanos(),
+                        network.datagramMostNanos(),
+                        network.lost(),
+                        datagrams.swapped(),
+                        network.doubled()));
     }
 
     private static Figures figures(Day day) {
         Day.RouterRules rules = day.routerRules();
-        return new Figures(day.classes().stream().map(one -> new Figures.ClassFigures(one.name(),
-                switch (one.effect()) {
-            case REPEATABLE -> Figures.Repeats.HARMLESS;
-            case KEYED -> Figures.Repeats.KEYED;
-            case ONCE -> Figures.Repeats.FORBIDDEN;
-        }, one.deadlineNanos(), one.effect() == ClassFigures.Effect.KEYED ? one.windowNanos() : 0)).toList(),
-                rules.tries(), rules.answerSlackNanos(), rules.drainGraceNanos(), rules.overloadNanos(),
-                rules.descriptors(), rules.memoryBytes() / 2);
+        return new Figures(
+                day.classes().stream()
+                        .map(one -> new Figures.ClassFigures(
+                                one.name(),
+                                switch (one.effect()) {
+                                    case REPEATABLE -> Figures.Repeats.HARMLESS;
+                                    case KEYED -> Figures.Repeats.KEYED;
+                                    case ONCE -> Figures.Repeats.FORBIDDEN;
+                                },
+                                one.deadlineNanos(),
+                                one.effect() == ClassFigures.Effect.KEYED ? one.windowNanos() : 0))
+                        .toList(),
+                rules.tries(),
+                rules.answerSlackNanos(),
+                rules.drainGraceNanos(),
+                rules.overloadNanos(),
+                rules.descriptors(),
+                rules.memoryBytes() / 2);
     }
 
     /** Adds the machines and the ways between them. */
@@ -132,14 +159,24 @@
         fleet.start();
         fleet.prefill(configs, BEGIN);
         for (Day.Router place : day.routers()) {
-            RouterProcess router = new RouterProcess(net, day, place, configs, checker, this::logged,
-                    fleet.list(place.name()));
+            RouterProcess router =
+                    new RouterProcess(net, day, place, configs, checker, this::logged, fleet.list(place.name()));
             routers.put(place.name(), router);
             router.start();
         }
-        Surroundings around = new Surroundings(net, net, arrived, day.classes(), day.tenants(), day.habits(),
+        Surroundings around = new Surroundings(
+                net,
+                net,
+                arrived,
+                day.classes(),
+                day.tenants(),
+                day.habits(),
                 day.rate(),
-                new Popularity(day.popularity()), day.values(), asks(), BEGIN, day.durationNanos());
+                new Popularity(day.popularity()),
+                day.values(),
+                asks(),
+                BEGIN,
+                day.durationNanos());
         long end = BEGIN + day.durationNanos() + day.longestDeadlineNanos() + TAIL_NANOS;
         Crowd crowd = new Crowd(around, day.userAgents(), entry(end), day.streams()::of);
         crowd.start();
@@ -163,20 +200,37 @@
         if (phases != null) {
             phases.origin(phases.at(end), fleet.origin().tallies());
         }
-        return new Result(day, BEGIN, net.now() - BEGIN, ledger.value(), net.happenings(), checker.breaches(),
-                checker.counts(), service, supplyWatch.summary(), new TreeMap<>(logged), fleet.tallies(),
+        return new Result(
+                day,
+                BEGIN,
+                net.now() - BEGIN,
+                ledger.value(),
+                net.happenings(),
+                checker.breaches(),
+                checker.counts(),
+                service,
+                supplyWatch.summary(),
+                new TreeMap<>(logged),
+                fleet.tallies(),
                 arrived.kept());
     }
 
     /** At the end of a phase. */
     private void countOriginAt(long since) {
-        net.at(BEGIN + since, () -> phases.origin(phases.at(BEGIN + since - 1), fleet.origin().tallies()));
+        net.at(
+                BEGIN + since,
+                () -> phases.origin(phases.at(BEGIN + since - 1), fleet.origin().tallies()));
     }
 
     private void samplePhases(long end) {
         if (!checker.supplies().last().isEmpty()) {
-            phases.at(net.now()).supply(checker.supplies().used(),
-                    checker.supplies().last().values().stream().mapToDouble(Supplies.Supply::held).max().orElse(0));
+            phases.at(net.now())
+                    .supply(
+                            checker.supplies().used(),
+                            checker.supplies().last().values().stream()
+                                    .mapToDouble(Supplies.Supply::held)
+                                    .max()
+                                    .orElse(0));
         }
         if (net.now() < BEGIN + day.durationNanos()) {
             net.at(net.now() + SECOND / 4, () -> samplePhases(end));
@@ -198,14 +252,21 @@
             return null;
         }
         net.machine(FRONT, USERS);
-        Front front = new Front(net, net, FRONT, day.routers().stream().map(Day.Router::listen).toList(),
-                day.habits().noticeNanos(), end);
+        Front front = new Front(
+                net,
+                net,
+                FRONT,
+                day.routers().stream().map(Day.Router::listen).toList(),
+                day.habits().noticeNanos(),
+                end);
         front.start();
         return front;
     }
 
     private Surroundings.Asks asks() {
-        return day.scenario().kept() == null ? Surroundings.Asks.ALL : day.scenario().kept()::keeps;
+        return day.scenario().kept() == null
+                ? Surroundings.Asks.ALL
+                : day.scenario().kept()::keeps;
     }
 
     private void logged(String router, String line) {
--- a/src/main/java/slateseam/simulate/Result.java
+++ b/src/main/java/slateseam/simulate/Result.java
@@ -24,9 +24,19 @@
  * @param tallies what servers and origin counted, by {@code servers} or {@code origin} and the count's name
  * @param asked which requests were asked
  */
-record Result(Day day, long begin, long nanos, long hash, long happenings, List<Breach> breaches,
-        Map<Rule, Long> counts, Service service, SupplyWatch.Summary supplies, Map<String, Long> logged,
-        Map<String, Long> tallies, Kept asked) {
+record Result(
+        Day day,
+        long begin,
+        long nanos,
+        long hash,
+        long happenings,
+        List<Breach> breaches,
+        Map<Rule, Long> counts,
+        Service service,
+        SupplyWatch.Summary supplies,
+        Map<String, Long> logged,
+        Map<String, Long> tallies,
+        Kept asked) {
     /** Whether no rule was broken. */
     boolean isSound() {
         return breaches.isEmpty();
--- a/src/main/java/slateseam/simulate/RouterProcess.java
+++ b/src/main/java/slateseam/simulate/RouterProcess.java
@@ -25,6 +25,7 @@
     private static final double HEAP_PART = 0.5;
     /** After a planned end is announced, the program is killed no sooner than the longest deadline and this. */
     private static final long KILL_NANOS = 700_000_000L;
+
     private static final long LEAST_DEADLINE_NANOS = 3_000_000_000L;
 
     private static final long TIER_PERIOD_NANOS = 200_000_000L;
@@ -46,8 +47,14 @@
     /** By how much its clock is to be ahead from its next start on. */
     private long ahead;
 
-    RouterProcess(VirtualNetwork net, Day day, Day.Router place, RouterConfig configs, Checker checker,
-            BiConsumer<String, String> log, JSONObject known) {
+    RouterProcess(
+            VirtualNetwork net,
+            Day day,
+            Day.Router place,
+            RouterConfig configs,
+            Checker checker,
+            BiConsumer<String, String> log,
+            JSONObject known) {
         this.net = net;
         this.day = day;
         this.place = place;
@@ -76,16 +83,25 @@
         if (isUp()) {
             return;
         }
-        checker.routerStarts(new Place(place.name(), place.address(), place.listen(),
-                day.routerRules().messages() ? place.peerListen() : null,
-                List.of(place.discovery(false), place.discovery(true))), known);
+        checker.routerStarts(
+                new Place(
+                        place.name(),
+                        place.address(),
+                        place.listen(),
+                        day.routerRules().messages() ? place.peerListen() : null,
+                        List.of(place.discovery(false), place.discovery(true))),
+                known);
         process = net.provider(place.address());
         long off = ahead;
         Clock clock = () -> net.now() + off;
         try {
-            Router started = new Router(config(), features(),
-                    new Router.Place(process, (long) (day.routerRules().memoryBytes() * HEAP_PART), null, null), clock,
-                    new Log(place.name(), clock, line -> log.accept(place.name(), line)), null);
+            Router started = new Router(
+                    config(),
+                    features(),
+                    new Router.Place(process, (long) (day.routerRules().memoryBytes() * HEAP_PART), null, null),
+                    clock,
+                    new Log(place.name(), clock, line -> log.accept(place.name(), line)),
+                    null);
             router = started;
             VirtualProvider own = process;
             process.drive(new Program() {
@@ -110,8 +126,16 @@
     private Features features() {
         Day.RouterRules rules = day.routerRules();
         Features.Tier tier = rules.hasTier()
-                ? new Features.Tier("slateseam", TIER_PERIOD_NANOS, 8, TIER_FORGET_NANOS, true, rules.tier().equals("keep")) : null;
-        SupplyLinks links = rules.supplyLinks() && rules.messages() ? new SupplyLinks(true, LINKS_PAUSE_NANOS) : SupplyLinks.OFF;
+                ? new Features.Tier(
+                        "slateseam",
+                        TIER_PERIOD_NANOS,
+                        8,
+                        TIER_FORGET_NANOS,
+                        true,
+                        rules.tier().equals("keep"))
+                : null;
+        SupplyLinks links =
+                rules.supplyLinks() && rules.messages() ? new SupplyLinks(true, LINKS_PAUSE_NANOS) : SupplyLinks.OFF;
         return new Features(null, null, null, null, null, null, tier, null, 1, links);
     }
 
--- a/src/main/java/slateseam/simulate/SeedRuns.java
+++ b/src/main/java/slateseam/simulate/SeedRuns.java
@@ -14,8 +14,7 @@
     /** Seeds begun for each thread, at most, before the first of them is handed on. */
     private static final int AHEAD = 8;
 
-    private SeedRuns() {
-    }
+    private SeedRuns() {}
 
     /**
      * Plays the seeds from {@code first} to {@code last}.
--- a/src/main/java/slateseam/simulate/Shrinker.java
+++ b/src/main/java/slateseam/simulate/Shrinker.java
@@ -26,8 +26,7 @@
     /** No scenario file may have a shorter day. */
     private static final long LEAST_NANOS = 100 * MILLI;
 
-    private record Arrival(String userAgent, int number) {
-    }
+    private record Arrival(String userAgent, int number) {}
 
     private final Rule rule;
     private final Consumer<String> progress;
@@ -89,7 +88,10 @@
     }
 
     private Breach breach() {
-        return result.breaches().stream().filter(breach -> breach.rule() == rule).findFirst().orElseThrow();
+        return result.breaches().stream()
+                .filter(breach -> breach.rule() == rule)
+                .findFirst()
+                .orElseThrow();
     }
 
     /** Nothing that is asked after the breach can have led to it. */
@@ -109,7 +111,8 @@
             Scenario now = smallest;
             Fault fault = now.script().get(at);
             if (fault.targets().size() > 1) {
-                Least.of(fault.targets(),
+                Least.of(
+                        fault.targets(),
                         targets -> !targets.isEmpty() && breaks(now.withScript(with(now, at, targets))));
             }
         }
@@ -134,14 +137,17 @@
             out.removeAll(new HashSet<>(left));
             return breaks(before.without(new TreeSet<>(out)));
         });
-        told(result.day().routers().size() + " routers, " + result.day().servers().size() + " servers, "
+        told(result.day().routers().size() + " routers, "
+                + result.day().servers().size() + " servers, "
                 + result.day().userAgents().size() + " user agents");
     }
 
     private void requests() {
         List<Arrival> all = new ArrayList<>();
-        result.asked().numbers().forEach((userAgent, numbers) ->
-                numbers.stream().forEach(number -> all.add(new Arrival(userAgent, number))));
+        result.asked()
+                .numbers()
+                .forEach((userAgent, numbers) ->
+                        numbers.stream().forEach(number -> all.add(new Arrival(userAgent, number))));
         Scenario before = smallest;
         Least.of(all, left -> breaks(before.withKept(kept(left))));
         told(result.asked().size() + " requests");
@@ -149,7 +155,8 @@
 
     private static Kept kept(List<Arrival> arrivals) {
         Map<String, BitSet> numbers = new TreeMap<>();
-        arrivals.forEach(one -> numbers.computeIfAbsent(one.userAgent, name -> new BitSet()).set(one.number));
+        arrivals.forEach(one ->
+                numbers.computeIfAbsent(one.userAgent, name -> new BitSet()).set(one.number));
         return new Kept(numbers);
     }
 
--- a/src/main/java/slateseam/simulate/SimulateCommand.java
+++ b/src/main/java/slateseam/simulate/SimulateCommand.java
@@ -197,15 +197,22 @@
         if (!line.getArgList().isEmpty()) {
             throw new ParseException("unexpected " + line.getArgList().get(0));
         }
-        String[] seeds = line.getOptionValue("seeds", scenario.seed().map(seed -> seed + ".." + seed).orElse(""))
+        String[] seeds = line.getOptionValue(
+                        "seeds", scenario.seed().map(seed -> seed + ".." + seed).orElse(""))
                 .split("\\.\\.", -1);
         if (seeds.length != 2) {
             throw new ParseException("--seeds wants A..B, the first and the last seed");
         }
         long first = number("--seeds", seeds[0], 0, Long.MAX_VALUE - 1);
         long last = number("--seeds", seeds[1], first, Long.MAX_VALUE - 1);
-        int threads = (int) number("--threads", line.getOptionValue("threads",
-                Integer.toString(Math.min(MOST_THREADS, Runtime.getRuntime().availableProcessors()))), 1, MOST_THREADS);
+        int threads = (int) number(
+                "--threads",
+                line.getOptionValue(
+                        "threads",
+                        Integer.toString(
+                                Math.min(MOST_THREADS, Runtime.getRuntime().availableProcessors()))),
+                1,
+                MOST_THREADS);
         Summary summary = new Summary();
         JSONArray json = line.hasOption("json") ? new JSONArray() : null;
         boolean terminal = System.console() != null;
@@ -300,15 +307,17 @@
             return 0;
         }
         out.println(broken(result));
-        Shrinker shrinker = new Shrinker(result, MOST_PLAYS, System.console() == null ? text -> { } : err::println);
+        Shrinker shrinker = new Shrinker(result, MOST_PLAYS, System.console() == null ? text -> {} : err::println);
         Scenario smallest = shrinker.shrink();
         Path file = Path.of(line.getOptionValue("out", "seed-" + seed + ".scenario"));
         Files.writeString(file, smallest.toString());
         Result last = shrinker.result();
         out.println(shown(last, last.breaches().get(0)));
-        out.println(file + ": " + last.day().routers().size() + " routers, " + last.day().servers().size()
+        out.println(file + ": " + last.day().routers().size() + " routers, "
+                + last.day().servers().size()
                 + " servers, "
-                + last.asked().size() + " requests, " + last.day().timeline().faults().size() + " faults, "
+                + last.asked().size() + " requests, "
+                + last.day().timeline().faults().size() + " faults, "
                 + last.day().durationNanos() / 1_000_000 + " ms; play it with: simulate run --scenario " + file);
         return BROKEN;
     }
--- a/src/main/java/slateseam/simulate/Summary.java
+++ b/src/main/java/slateseam/simulate/Summary.java
@@ -41,11 +41,21 @@
     }
 
     String text(double seconds, int threads) {
-        return String.format(Locale.ROOT,
+        return String.format(
+                Locale.ROOT,
                 "%d seeds, %d broke a rule%s; service %.3f on the mean, %.3f at the least (seed %d); "
-                + "%.0f virtual seconds and %d happenings in %.1f s on %d threads, "
-                + "%.1f virtual seconds a second and thread",
-                seeds, unsound, broken.isEmpty() ? "" : " " + broken, service / seeds, worst, worstSeed, virtualSeconds,
-                happenings, seconds, threads, virtualSeconds / seconds / threads);
+                        + "%.0f virtual seconds and %d happenings in %.1f s on %d threads, "
+                        + "%.1f virtual seconds a second and thread",
+                seeds,
+                unsound,
+                broken.isEmpty() ? "" : " " + broken,
+                service / seeds,
+                worst,
+                worstSeed,
+                virtualSeconds,
+                happenings,
+                seconds,
+                threads,
+                virtualSeconds / seconds / threads);
     }
 }
--- a/src/main/java/slateseam/simulate/SupplyWatch.java
+++ b/src/main/java/slateseam/simulate/SupplyWatch.java
@@ -11,6 +11,7 @@
     private static final long EVERY_NANOS = 250_000_000L;
     /** Sums are kept in thousandths of the budget. */
     private static final int THOUSANDTHS = 1000;
+
     private static final int DIGITS = 3;
 
     /**
@@ -23,8 +24,8 @@
      * @param fetchesLast what the routers could fetch together at the last sample, a second
      * @param imbalance at each sample the part of the budget that lies where the demand does not, 0 to 1
      */
-    record Summary(long samples, double least, double median, double most, double fetchesLast, List<Double> imbalance) {
-    }
+    record Summary(
+            long samples, double least, double median, double most, double fetchesLast, List<Double> imbalance) {}
 
     private final Clockwork clock;
     private final Supplies supplies;
@@ -55,8 +56,12 @@
     }
 
     Summary summary() {
-        return new Summary(sums.getTotalCount(), (double) sums.getMinValue() / THOUSANDTHS,
-                (double) sums.getValueAtPercentile(50) / THOUSANDTHS, (double) sums.getMaxValue() / THOUSANDTHS,
-                fetches, List.copyOf(imbalance));
+        return new Summary(
+                sums.getTotalCount(),
+                (double) sums.getMinValue() / THOUSANDTHS,
+                (double) sums.getValueAtPercentile(50) / THOUSANDTHS,
+                (double) sums.getMaxValue() / THOUSANDTHS,
+                fetches,
+                List.copyOf(imbalance));
     }
 }
--- a/src/main/java/slateseam/simulate/Trace.java
+++ b/src/main/java/slateseam/simulate/Trace.java
@@ -80,8 +80,14 @@
         StringBuilder text = new StringBuilder().append(bytes.length).append(" \"");
         for (int i = 0; i < Math.min(bytes.length, MOST_SHOWN); i++) {
             char c = (char) (bytes[i] & 0xff);
-            text.append(c == '\r' ? "\\r" : c == '\n' ? "\\n" : c >= ' ' && c < 0x7f ? String.valueOf(c)
-                    : String.format(Locale.ROOT, "\\x%02x", (int) c));
+            text.append(
+                    c == '\r'
+                            ? "\\r"
+                            : c == '\n'
+                                    ? "\\n"
+                                    : c >= ' ' && c < 0x7f
+                                            ? String.valueOf(c)
+                                            : String.format(Locale.ROOT, "\\x%02x", (int) c));
         }
         return text.append(bytes.length > MOST_SHOWN ? "\"..." : "\"").toString();
     }
--- a/src/main/java/slateseam/simulate/VirtualTrial.java
+++ b/src/main/java/slateseam/simulate/VirtualTrial.java
@@ -14,7 +14,8 @@
 public record VirtualTrial(Phases phases, long begin, List<Breach> breaches) {
     /** Plays a day on the calling thread. */
     public static VirtualTrial play(Day day) {
-        Phases phases = new Phases(Play.BEGIN, day.durationNanos(), day.timeline().faults());
+        Phases phases =
+                new Phases(Play.BEGIN, day.durationNanos(), day.timeline().faults());
         Result result = new Play(day, null, phases).play();
         return new VirtualTrial(phases, result.begin(), result.breaches());
     }
--- a/src/main/java/slateseam/simulate/check/Asked.java
+++ b/src/main/java/slateseam/simulate/check/Asked.java
@@ -24,16 +24,19 @@
     final long writtenAt;
     /** The place in the user agent's stream behind its last byte. */
     final long end;
+
     final long bytes;
     final UserWire wire;
     final List<Attempt> attempts = new ArrayList<>(2);
     State state = State.OPEN;
     /** Whether the router has taken its last byte from its system. */
     boolean read;
+
     long readAt;
     long endedAt;
     /** When its user agent went away, where the router will hear of that at once; 0 if it did not. */
     long leftAt;
+
     long heldBytes;
     /** Whether its lateness was reported. */
     boolean late;
@@ -42,7 +45,13 @@
     /** How many attempts came to servers whole. */
     int came;
 
-    Asked(Passed asked, Figures.ClassFigures figures, long waitNanos, long writtenAt, long end, long bytes,
+    Asked(
+            Passed asked,
+            Figures.ClassFigures figures,
+            long waitNanos,
+            long writtenAt,
+            long end,
+            long bytes,
             UserWire wire) {
         this.id = asked.id();
         this.asked = asked;
--- a/src/main/java/slateseam/simulate/check/Attempt.java
+++ b/src/main/java/slateseam/simulate/check/Attempt.java
@@ -12,11 +12,13 @@
 
     /** Null for a probe, and for a request that nobody asked. */
     final Asked asked;
+
     final PassWire wire;
     /** When its last byte was taken by the router's system. */
     final long wholeAt;
     /** The place in the router's stream behind its last byte. */
     final long end;
+
     Outcome outcome = Outcome.MAYBE;
     boolean answered;
 
--- a/src/main/java/slateseam/simulate/check/Breach.java
+++ b/src/main/java/slateseam/simulate/check/Breach.java
@@ -9,5 +9,4 @@
  * @param request the request's id; empty where it concerns none
  * @param text what was seen, on one line
  */
-public record Breach(Rule rule, long nanos, String router, String request, String text) {
-}
+public record Breach(Rule rule, long nanos, String router, String request, String text) {}
--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -25,11 +25,9 @@
     private static final long TOLD_NANOS = 6_000_000_000L;
 
     /** A user agent's connection that is not up yet. */
-    private record Connecting(String listen, String machine) {
-    }
+    private record Connecting(String listen, String machine) {}
 
-    private record Watched(long at, long number, Asked asked) {
-    }
+    private record Watched(long at, long number, Asked asked) {}
 
     private final Figures figures;
     private final String originClass;
@@ -38,6 +36,7 @@
     private final ColdStarts coldStarts;
     /** All addresses to which datagrams may go. */
     private final Set<String> peers;
+
     private final Map<String, RouterState> byListen = new HashMap<>();
     private final Map<String, RouterState> byMachine = new HashMap<>();
     private final Map<String, RouterState> byName = new HashMap<>();
@@ -50,6 +49,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Watched::at).thenComparingLong(Watched::number));
     /** Addresses from which what came to a router made no sense, and routers whose user agents sent such. */
     private final Set<String> garbled = new HashSet<>();
+
     private final Logged logged;
     private final Disturbances disturbances = new Disturbances();
     private long numbers;
@@ -86,8 +86,10 @@
      */
     public void agentHas(String name, JSONObject list) {
         RouterState router = byName.get(name);
-        boolean heard = !router.dead && router.place.agents().stream()
-                .allMatch(agent -> isUndisturbed(machine(agent), router.place.machine(), report.now() - TOLD_NANOS));
+        boolean heard = !router.dead
+                && router.place.agents().stream()
+                        .allMatch(agent ->
+                                isUndisturbed(machine(agent), router.place.machine(), report.now() - TOLD_NANOS));
         router.told.untold(list, heard, report.now(), TOLD_NANOS);
     }
 
@@ -107,10 +109,11 @@
     /** A router that was told to end had not ended in its time and is killed: what it still held is lost. */
     public void routerKilledLate(String name) {
         RouterState router = byName.get(name);
-        router.asked.values().stream().filter(asked -> asked.isOpen() && asked.read)
+        router.asked.values().stream()
+                .filter(asked -> asked.isOpen() && asked.read)
                 .sorted(Comparator.comparingLong((Asked a) -> a.writtenAt).thenComparing(a -> a.id))
-                .forEach(asked -> report.breach(Rule.LOST, router, asked.id,
-                        "it was killed at the end of a planned end"));
+                .forEach(asked ->
+                        report.breach(Rule.LOST, router, asked.id, "it was killed at the end of a planned end"));
         routerKilled(name);
     }
 
@@ -155,8 +158,8 @@
     public void descriptors(String name, int count) {
         RouterState router = byName.get(name);
         if (count > figures.descriptors() && router.descriptors <= figures.descriptors()) {
-            report.breach(Rule.DESCRIPTORS, router, "", "it holds " + count + " descriptors of "
-                    + figures.descriptors());
+            report.breach(
+                    Rule.DESCRIPTORS, router, "", "it holds " + count + " descriptors of " + figures.descriptors());
         }
         router.descriptors = count;
     }
@@ -172,7 +175,9 @@
             long due = asked.wire.due(asked);
             if (due >= now) {
                 watch(asked, due);
-            } else if (now <= asked.wire.router.standsUntil || asked.wire.isUnread() || !asked.read && !asked.wire.isUndisturbed(asked.writtenAt)) {
+            } else if (now <= asked.wire.router.standsUntil
+                    || asked.wire.isUnread()
+                    || !asked.read && !asked.wire.isUndisturbed(asked.writtenAt)) {
                 watch(asked, now + AGAIN_NANOS);
             } else {
                 judge.late(asked, "no answer");
--- a/src/main/java/slateseam/simulate/check/ColdStarts.java
+++ b/src/main/java/slateseam/simulate/check/ColdStarts.java
@@ -9,10 +9,10 @@
 final class ColdStarts {
     /** The part of the work that must come from routers that were told, for a fall to be their doing. */
     private static final double MOST = 2.0 / 3;
+
     private static final int MOST_KEPT = 4096;
 
-    private record Sent(long nanos, boolean told) {
-    }
+    private record Sent(long nanos, boolean told) {}
 
     private static final class Start {
         final long nanos;
@@ -62,8 +62,10 @@
                 told += sent.told ? 1 : 0;
             }
         }
-        return all > 0 && told >= MOST * all ? told + " of " + all + " requests in the last " + fallNanos / 1_000_000
-                + " ms came from routers that had been told of its start "
-                + (now - start.nanos) / 1_000_000 + " ms before" : null;
+        return all > 0 && told >= MOST * all
+                ? told + " of " + all + " requests in the last " + fallNanos / 1_000_000
+                        + " ms came from routers that had been told of its start "
+                        + (now - start.nanos) / 1_000_000 + " ms before"
+                : null;
     }
 }
--- a/src/main/java/slateseam/simulate/check/DiscoveryWire.java
+++ b/src/main/java/slateseam/simulate/check/DiscoveryWire.java
@@ -9,10 +9,12 @@
     final RouterState router;
     /** The agent's. */
     private final String machine;
+
     private final Checker checker;
     private final Report report;
     /** Written by the agent while the way was cut, and not come yet. */
     private final Pieces underway = new Pieces();
+
     private final Pieces in = new Pieces();
     private long written;
     private long come;
@@ -52,7 +54,7 @@
         }
         in.add(bytes, report.now());
         try {
-            for (Http reply; (reply = Http.read(in)) != null;) {
+            for (Http reply; (reply = Http.read(in)) != null; ) {
                 if (reply.status() == 200) {
                     JSONObject list = new JSONObject(new String(reply.body(), StandardCharsets.UTF_8));
                     router.told.take(list, list.getBoolean("whole"), report.now());
--- a/src/main/java/slateseam/simulate/check/Figures.java
+++ b/src/main/java/slateseam/simulate/check/Figures.java
@@ -13,8 +13,14 @@
  * @param descriptors the most descriptors of a router
  * @param heldBytes the most bytes that a router may hold
  */
-public record Figures(List<ClassFigures> classes, int attempts, long slackNanos, long graceNanos, long fallNanos,
-        int descriptors, long heldBytes) {
+public record Figures(
+        List<ClassFigures> classes,
+        int attempts,
+        long slackNanos,
+        long graceNanos,
+        long fallNanos,
+        int descriptors,
+        long heldBytes) {
     /** By how much each time limit is longer on sockets. */
     public static final long SOCKETS_NANOS = 50_000_000L;
 
@@ -36,8 +42,7 @@
     /**
      * A class of requests; the window counts from the first send that may have run, and only where repeats are keyed.
      */
-    public record ClassFigures(String name, Repeats repeats, long deadlineNanos, long windowNanos) {
-    }
+    public record ClassFigures(String name, Repeats repeats, long deadlineNanos, long windowNanos) {}
 
     ClassFigures named(String name) {
         for (ClassFigures figures : classes) {
--- a/src/main/java/slateseam/simulate/check/Http.java
+++ b/src/main/java/slateseam/simulate/check/Http.java
@@ -37,7 +37,8 @@
             }
             String value = lines[i].substring(colon + 1).trim();
             String before = headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), value);
-            if (before != null && !before.equals(value)
+            if (before != null
+                    && !before.equals(value)
                     && lines[i].toLowerCase(Locale.ROOT).startsWith("content-length")) {
                 throw new Garbled("two lengths");
             }
--- a/src/main/java/slateseam/simulate/check/Judge.java
+++ b/src/main/java/slateseam/simulate/check/Judge.java
@@ -41,9 +41,14 @@
     /** The answer of a request is overdue. */
     void late(Asked asked, String what) {
         asked.late = true;
-        report.breach(Rule.LATE, asked.wire.router, asked.id, what + " " + (report.now() - asked.writtenAt) / 1_000_000
-                + " ms after the request, which had " + asked.waitNanos / 1_000_000 + " ms"
-                + (asked.read ? "" : "; it was never read") + (asked.wire.router.ending ? "; in a planned end" : ""));
+        report.breach(
+                Rule.LATE,
+                asked.wire.router,
+                asked.id,
+                what + " " + (report.now() - asked.writtenAt) / 1_000_000
+                        + " ms after the request, which had " + asked.waitNanos / 1_000_000 + " ms"
+                        + (asked.read ? "" : "; it was never read")
+                        + (asked.wire.router.ending ? "; in a planned end" : ""));
     }
 
     /** An attempt was written whole. */
@@ -53,22 +58,33 @@
         coldStarts.sent(router, dial, report.now());
         long closed = router.told.closedFor(dial, firstAt);
         if (closed > figures.graceNanos() + Figures.SOCKETS_NANOS) {
-            report.breach(Rule.DRAIN, router, id, "sent to " + dial + " " + closed / 1_000_000
-                    + " ms after the router was told that it drains or is gone");
+            report.breach(
+                    Rule.DRAIN,
+                    router,
+                    id,
+                    "sent to " + dial + " " + closed / 1_000_000
+                            + " ms after the router was told that it drains or is gone");
         }
         Asked asked = attempt.asked;
         if (asked == null) {
-            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial
-                    + ", but the router never took such a request");
+            report.breach(
+                    Rule.AFTER_ANSWER, router, id, "sent to " + dial + ", but the router never took such a request");
             return;
         }
         if (asked.state == Asked.State.ANSWERED) {
-            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + " "
-                    + (report.now() - asked.endedAt) / 1_000 + " us after the final answer");
+            report.breach(
+                    Rule.AFTER_ANSWER,
+                    router,
+                    id,
+                    "sent to " + dial + " " + (report.now() - asked.endedAt) / 1_000 + " us after the final answer");
         }
         if (asked.leftAt != 0 && firstAt - asked.leftAt > LEFT_NANOS && asked.wire.isUndisturbed(asked.leftAt)) {
-            report.breach(Rule.AFTER_ANSWER, router, id, "sent to " + dial + " " + (firstAt - asked.leftAt) / 1_000_000
-                    + " ms after its user agent had left");
+            report.breach(
+                    Rule.AFTER_ANSWER,
+                    router,
+                    id,
+                    "sent to " + dial + " " + (firstAt - asked.leftAt) / 1_000_000
+                            + " ms after its user agent had left");
         }
         if (!passed.isSame(asked.asked)) {
             report.breach(Rule.CHANGED, router, id, "sent to " + dial + " as " + passed + ", came as " + asked.asked);
@@ -81,9 +97,13 @@
         long firstThatMayHaveRun = Long.MAX_VALUE;
         for (Attempt earlier : asked.attempts) {
             if (earlier.isOut()) {
-                report.breach(Rule.TWO_AT_ONCE, router, asked.id, "sent to " + attempt.wire.dial + " while "
-                        + earlier.wire.dial + " has had it for " + (report.now() - earlier.wholeAt) / 1_000_000
-                        + " ms");
+                report.breach(
+                        Rule.TWO_AT_ONCE,
+                        router,
+                        asked.id,
+                        "sent to " + attempt.wire.dial + " while "
+                                + earlier.wire.dial + " has had it for " + (report.now() - earlier.wholeAt) / 1_000_000
+                                + " ms");
             }
             if (earlier.outcome == Attempt.Outcome.MAYBE) {
                 firstThatMayHaveRun = Math.min(firstThatMayHaveRun, earlier.wholeAt);
@@ -99,8 +119,12 @@
             case FORBIDDEN -> false;
         };
         if (!permitted) {
-            report.breach(Rule.RESEND, router, asked.id, "a " + asked.figures.name() + " was sent again to "
-                    + attempt.wire.dial + " " + since / 1_000_000 + " ms after a first time that may have run");
+            report.breach(
+                    Rule.RESEND,
+                    router,
+                    asked.id,
+                    "a " + asked.figures.name() + " was sent again to " + attempt.wire.dial + " " + since / 1_000_000
+                            + " ms after a first time that may have run");
         }
     }
 
@@ -115,17 +139,27 @@
     /** The whole final answer of an open request was written. */
     void finalAnswer(Asked asked, Resp answer) {
         RouterState router = asked.wire.router;
-        if (report.now() > asked.wire.due(asked) && !asked.late && !asked.wire.isUnread()
+        if (report.now() > asked.wire.due(asked)
+                && !asked.late
+                && !asked.wire.isUnread()
                 && report.now() > router.standsUntil) {
             late(asked, "the answer came");
         }
-        byte[] value = answer.type() == '$' ? answer.bytes() : answer.type() == '*' && !answer.items().isEmpty()
-                ? answer.items().get(0).bytes() : null;
+        byte[] value = answer.type() == '$'
+                ? answer.bytes()
+                : answer.type() == '*' && !answer.items().isEmpty()
+                        ? answer.items().get(0).bytes()
+                        : null;
         if (value != null) {
             List<byte[]> whole = made.getOrDefault(asked.id, List.of());
             if (whole.stream().noneMatch(one -> Arrays.equals(one, value))) {
-                report.breach(Rule.FOREIGN, router, asked.id, "served with " + value.length + " bytes, while "
-                        + (whole.isEmpty() ? "no server made any" : "servers made others") + " for this request");
+                report.breach(
+                        Rule.FOREIGN,
+                        router,
+                        asked.id,
+                        "served with " + value.length + " bytes, while "
+                                + (whole.isEmpty() ? "no server made any" : "servers made others")
+                                + " for this request");
             }
         } else if (answer.type() == '-' && answer.text().startsWith("BUSY")) {
             refused(router, asked);
@@ -136,9 +170,14 @@
     private void refused(RouterState router, Asked asked) {
         for (Attempt earlier : asked.attempts) {
             if (asked.figures.repeats() == Figures.Repeats.FORBIDDEN && earlier.outcome == Attempt.Outcome.MAYBE) {
-                report.breach(Rule.REFUSAL, router, asked.id, "an unavailable answer to a " + asked.figures.name()
-                        + " that was sent to " + earlier.wire.dial + " " + (report.now() - earlier.wholeAt) / 1_000_000
-                        + " ms before and may have run");
+                report.breach(
+                        Rule.REFUSAL,
+                        router,
+                        asked.id,
+                        "an unavailable answer to a " + asked.figures.name()
+                                + " that was sent to " + earlier.wire.dial + " "
+                                + (report.now() - earlier.wholeAt) / 1_000_000
+                                + " ms before and may have run");
                 return;
             }
         }
--- a/src/main/java/slateseam/simulate/check/PassWire.java
+++ b/src/main/java/slateseam/simulate/check/PassWire.java
@@ -56,8 +56,8 @@
             }
         } catch (Garbled e) {
             garbledOut = true;
-            report.breach(Rule.SYNTAX, router, "", "what was written to " + dial + " cannot be read: "
-                    + e.getMessage());
+            report.breach(
+                    Rule.SYNTAX, router, "", "what was written to " + dial + " cannot be read: " + e.getMessage());
         }
     }
 
@@ -76,8 +76,13 @@
         if (words.size() != size) {
             throw new Garbled(name + " with " + words.size() + " words");
         }
-        return !name.startsWith("CACHE.") ? Passed.PROBE : new Passed(words.get(2), words.get(1), words.get(3),
-                size == 5 ? value.items().get(4).bytes() : null);
+        return !name.startsWith("CACHE.")
+                ? Passed.PROBE
+                : new Passed(
+                        words.get(2),
+                        words.get(1),
+                        words.get(3),
+                        size == 5 ? value.items().get(4).bytes() : null);
     }
 
     private Passed httpRequest() throws Garbled {
@@ -96,7 +101,10 @@
         if (id == null) {
             throw new Garbled("a request without its id");
         }
-        return new Passed(id, words[1].substring(1), request.headers().getOrDefault("x-facts", ""),
+        return new Passed(
+                id,
+                words[1].substring(1),
+                request.headers().getOrDefault("x-facts", ""),
                 words[0].equals("PUT") ? request.body() : null);
     }
 
@@ -142,13 +150,16 @@
         if (value.type() == '-' && value.text().startsWith("SYNTAX")) {
             report.breach(Rule.SYNTAX, router, headId(), dial + " answered -" + value.text());
         }
-        boolean array = value.type() == '*' && !value.items().isEmpty() && value.items().get(0).type() == '$';
+        boolean array = value.type() == '*'
+                && !value.items().isEmpty()
+                && value.items().get(0).type() == '$';
         boolean probe = !unanswered.isEmpty() && unanswered.peek().asked == null;
         if (!array && value.type() != '-' && !probe) {
             spoilt();
         }
         byte[] bytes = array ? value.items().get(0).bytes() : null;
-        boolean never = array && bytes == null || value.type() == '-' && value.text().startsWith("BUSY");
+        boolean never =
+                array && bytes == null || value.type() == '-' && value.text().startsWith("BUSY");
         answeredBy(never ? Attempt.Outcome.NEVER : Attempt.Outcome.MAYBE, bytes == null ? 0 : bytes.length);
         return true;
     }
@@ -166,7 +177,8 @@
         if (status == 0 || chunked == reply.headers().containsKey("content-length") && (chunked || status == 200)) {
             spoilt();
         }
-        boolean never = (status == 503 || status == 504) && "1".equals(reply.headers().get("x-unprocessed"));
+        boolean never =
+                (status == 503 || status == 504) && "1".equals(reply.headers().get("x-unprocessed"));
         answeredBy(never ? Attempt.Outcome.NEVER : Attempt.Outcome.MAYBE, status == 200 ? reply.body().length : 0);
         return true;
     }
--- a/src/main/java/slateseam/simulate/check/Passed.java
+++ b/src/main/java/slateseam/simulate/check/Passed.java
@@ -20,12 +20,14 @@
 
     /** Whether it is the same request, with nothing changed but how long somebody waits. */
     boolean isSame(Passed other) {
-        return key.equals(other.key) && Arrays.equals(value, other.value)
+        return key.equals(other.key)
+                && Arrays.equals(value, other.value)
                 && (facts.equals(other.facts) || timeless(facts).equals(timeless(other.facts)));
     }
 
     private static String timeless(String facts) {
-        return Arrays.stream(facts.split(",")).filter(fact -> !fact.startsWith("d="))
+        return Arrays.stream(facts.split(","))
+                .filter(fact -> !fact.startsWith("d="))
                 .collect(Collectors.joining(","));
     }
 }
--- a/src/main/java/slateseam/simulate/check/Pieces.java
+++ b/src/main/java/slateseam/simulate/check/Pieces.java
@@ -13,20 +13,21 @@
     private static final int FIRST = 256;
     private static final byte[] NONE = {};
 
-    private record Mark(long end, long nanos) {
-    }
+    private record Mark(long end, long nanos) {}
 
     private byte[] bytes = NONE;
     private int start;
     private int end;
     /** Of all that were ever taken off. */
     private long consumed;
+
     private final Deque<Mark> marks = new ArrayDeque<>();
 
     void add(byte[] more, long now) {
         if (end + more.length > bytes.length) {
             byte[] room = end - start + more.length > bytes.length
-                    ? new byte[Math.max(FIRST, Math.max(2 * bytes.length, end - start + more.length))] : bytes;
+                    ? new byte[Math.max(FIRST, Math.max(2 * bytes.length, end - start + more.length))]
+                    : bytes;
             System.arraycopy(bytes, start, room, 0, end - start);
             bytes = room;
             end -= start;
--- a/src/main/java/slateseam/simulate/check/RouterState.java
+++ b/src/main/java/slateseam/simulate/check/RouterState.java
@@ -11,6 +11,7 @@
     final Map<String, Asked> asked = new HashMap<>();
     /** Bytes of requests that are open, and of what came from servers and was not yet passed on. */
     long heldBytes;
+
     int descriptors;
     /** Whether it has held too many bytes already. */
     boolean overfull;
--- a/src/main/java/slateseam/simulate/check/Supplies.java
+++ b/src/main/java/slateseam/simulate/check/Supplies.java
@@ -23,8 +23,7 @@
      * @param rate the whole budget as it has learned it, fetches a second
      * @param demand its demand, fetches a second
      */
-    public record Supply(long nanos, double part, double held, double rate, double demand) {
-    }
+    public record Supply(long nanos, double part, double held, double rate, double demand) {}
 
     private final Map<String, Supply> last = new TreeMap<>();
 
@@ -32,8 +31,14 @@
     public void told(String router, byte[] bytes, long now) {
         if (bytes.length >= HEADER_BYTES + ACCOUNT_BYTES && bytes[0] == VERSION && bytes[1] >> FLAG_BITS >= 1) {
             ByteBuffer b = ByteBuffer.wrap(bytes);
-            last.put(router, new Supply(now, b.getInt(HEADER_BYTES + 4) / WHOLE, b.getInt(HEADER_BYTES + 8) / WHOLE,
-                    b.getFloat(RATE_AT), b.getFloat(HEADER_BYTES + 12)));
+            last.put(
+                    router,
+                    new Supply(
+                            now,
+                            b.getInt(HEADER_BYTES + 4) / WHOLE,
+                            b.getInt(HEADER_BYTES + 8) / WHOLE,
+                            b.getFloat(RATE_AT),
+                            b.getFloat(HEADER_BYTES + 12)));
         }
     }
 
@@ -61,12 +66,18 @@
     public double imbalance() {
         double demand = last.values().stream().mapToDouble(Supply::demand).sum();
         double sum = sum();
-        return demand <= 0 || sum <= 0 ? 0
-                : last.values().stream().mapToDouble(s -> Math.abs(s.part / sum - s.demand / demand)).sum() / 2;
+        return demand <= 0 || sum <= 0
+                ? 0
+                : last.values().stream()
+                                .mapToDouble(s -> Math.abs(s.part / sum - s.demand / demand))
+                                .sum()
+                        / 2;
     }
 
     /** What the routers may fetch together, a second. */
     public double fetches() {
-        return last.values().stream().mapToDouble(s -> Math.max(0, s.part) * s.rate).sum();
+        return last.values().stream()
+                .mapToDouble(s -> Math.max(0, s.part) * s.rate)
+                .sum();
     }
 }
--- a/src/main/java/slateseam/simulate/check/Told.java
+++ b/src/main/java/slateseam/simulate/check/Told.java
@@ -10,14 +10,14 @@
 /** The list of servers as one router was told it. */
 final class Told {
     /** What was told of one host. */
-    private record Host(String dial, boolean ready, long bornMillis, boolean origin) {
-    }
+    private record Host(String dial, boolean ready, long bornMillis, boolean origin) {}
 
     private static final class Dial {
         /** How many ready hosts are told to be there. */
         int ready;
         /** Since when there is none. */
         long closedAt;
+
         boolean origin;
         /** The last host that was told to be ready here. */
         String host;
@@ -51,8 +51,16 @@
         for (int i = 0; i < entries.length(); i++) {
             JSONObject e = entries.getJSONObject(i);
             String health = e.getString("health");
-            put(e.getString("host"), health.equals("gone") ? null : new Host(e.getString("dial"),
-                    health.equals("ready"), e.optLong("born_ms"), e.optString("class").equals(originClass)), now);
+            put(
+                    e.getString("host"),
+                    health.equals("gone")
+                            ? null
+                            : new Host(
+                                    e.getString("dial"),
+                                    health.equals("ready"),
+                                    e.optLong("born_ms"),
+                                    e.optString("class").equals(originClass)),
+                    now);
         }
     }
 
--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -10,15 +10,16 @@
     private static final long UNREAD_NANOS = 500_000_000L;
     /** A router reads so much ahead of what it has begun, and so sees an end behind that. */
     private static final long SEEN_BYTES = 256 * 1024;
+
     private static final String PROTOCOL_ERROR = "ERR protocol error";
 
     /** A whole command; the request is null if it is none, or one that the router must turn down. */
-    private record Command(Asked asked, long end) {
-    }
+    private record Command(Asked asked, long end) {}
 
     final RouterState router;
     /** The user agent's. */
     private final String machine;
+
     private final Checker checker;
     private final Report report;
     private final Pieces in = new Pieces();
@@ -32,6 +33,7 @@
     private long undeliveredSince;
     /** The user agent's bytes make no sense from some place on, or the router said so where it may. */
     private boolean garbled;
+
     private boolean over;
 
     UserWire(RouterState router, String machine, Checker checker, Report report) {
@@ -79,13 +81,24 @@
         String type = fact(facts, 'c');
         Figures.ClassFigures figures = type == null ? null : checker.figures().named(type);
         String wait = fact(facts, 'd');
-        if (figures == null || wait == null || !wait.matches("[0-9]{1,9}") || !visible(words.get(1))
-                || !visible(words.get(2)) || !visible(facts)) {
+        if (figures == null
+                || wait == null
+                || !wait.matches("[0-9]{1,9}")
+                || !visible(words.get(1))
+                || !visible(words.get(2))
+                || !visible(facts)) {
             return null;
         }
-        Passed passed = new Passed(words.get(2), words.get(1), facts, write ? value.items().get(4).bytes() : null);
-        return new Asked(passed, figures, Math.min(Long.parseLong(wait) * 1_000_000L, figures.deadlineNanos()),
-                report.now(), in.consumed(), bytes, this);
+        Passed passed = new Passed(
+                words.get(2), words.get(1), facts, write ? value.items().get(4).bytes() : null);
+        return new Asked(
+                passed,
+                figures,
+                Math.min(Long.parseLong(wait) * 1_000_000L, figures.deadlineNanos()),
+                report.now(),
+                in.consumed(),
+                bytes,
+                this);
     }
 
     private static boolean visible(String text) {
@@ -117,7 +130,9 @@
     /** When the answer of a request must be there, as things stand; not known while others are ahead of it. */
     long due(Asked asked) {
         long base = asked.read && !isUndisturbed(asked.writtenAt) ? asked.readAt : Math.max(asked.writtenAt, upAt);
-        return Math.max(base, lastAnswerAt) + asked.waitNanos + checker.figures().slackNanos()
+        return Math.max(base, lastAnswerAt)
+                + asked.waitNanos
+                + checker.figures().slackNanos()
                 + Figures.SOCKETS_NANOS;
     }
 
@@ -157,7 +172,7 @@
         }
         out.add(bytes, report.now());
         try {
-            for (Resp value; (value = Resp.read(out)) != null;) {
+            for (Resp value; (value = Resp.read(out)) != null; ) {
                 answer(value);
             }
         } catch (Garbled e) {
@@ -184,7 +199,10 @@
         }
         Asked asked = command.asked;
         if (protocolError) {
-            report.breach(Rule.MISREAD, router, asked == null ? "" : asked.id,
+            report.breach(
+                    Rule.MISREAD,
+                    router,
+                    asked == null ? "" : asked.id,
                     "a sound command was answered -" + value.text());
         }
         if (command.end > readTo) {
@@ -246,9 +264,13 @@
             for (Command command : pending) {
                 // One that the router had not read is asked again by its user agent: the close crossed it.
                 if (command.asked != null && command.asked.isOpen() && command.asked.read) {
-                    report.breach(Rule.LOST, router, command.asked.id, "the router ended the connection "
-                            + (report.now() - command.asked.writtenAt) / 1_000_000 + " ms after the request, "
-                            + (router.ending ? "in a planned end, " : "") + "with no whole answer");
+                    report.breach(
+                            Rule.LOST,
+                            router,
+                            command.asked.id,
+                            "the router ended the connection "
+                                    + (report.now() - command.asked.writtenAt) / 1_000_000 + " ms after the request, "
+                                    + (router.ending ? "in a planned end, " : "") + "with no whole answer");
                 }
             }
         }
--- a/src/main/java/slateseam/simulate/network/Addresses.java
+++ b/src/main/java/slateseam/simulate/network/Addresses.java
@@ -4,8 +4,7 @@
 final class Addresses {
     private static final int LAST_PORT = 65_535;
 
-    private Addresses() {
-    }
+    private Addresses() {}
 
     /** The IP, with or without a port behind it. */
     static String ip(String address) {
--- a/src/main/java/slateseam/simulate/network/Conditions.java
+++ b/src/main/java/slateseam/simulate/network/Conditions.java
@@ -28,12 +28,18 @@
      * @param local inside a machine
      * @param jitter the most by which a piece comes later, as a part of the delay
      */
-    public record Delays(long leastBetween, long mostBetween, long leastInside, long mostInside, long local,
-            double jitter) {
+    public record Delays(
+            long leastBetween, long mostBetween, long leastInside, long mostInside, long local, double jitter) {
         /** Checks the ranges. */
         public Delays {
-            check(leastBetween >= 0 && leastBetween <= mostBetween && leastInside >= 0 && leastInside <= mostInside
-                    && local >= 0 && jitter >= 0, "a range of delays is empty or negative");
+            check(
+                    leastBetween >= 0
+                            && leastBetween <= mostBetween
+                            && leastInside >= 0
+                            && leastInside <= mostInside
+                            && local >= 0
+                            && jitter >= 0,
+                    "a range of delays is empty or negative");
         }
     }
 
@@ -50,13 +56,25 @@
      * @param resetDestroys the chance that a reset destroys what is on its way and what has not been read; else the
      *     other side can still read it before it sees the reset
      */
-    public record Streams(int sendBuffer, int window, double split, long gap, double shortRead, double shortWrite,
-            double connectLost, double resetDestroys) {
+    public record Streams(
+            int sendBuffer,
+            int window,
+            double split,
+            long gap,
+            double shortRead,
+            double shortWrite,
+            double connectLost,
+            double resetDestroys) {
         /** Checks the ranges. */
         public Streams {
             check(sendBuffer >= 1 && window >= 1 && gap >= 0, "a size or time is too small");
-            check(isChance(split) && isChance(shortRead) && isChance(shortWrite) && isChance(connectLost)
-                    && isChance(resetDestroys), "a chance lies outside 0..1");
+            check(
+                    isChance(split)
+                            && isChance(shortRead)
+                            && isChance(shortWrite)
+                            && isChance(connectLost)
+                            && isChance(resetDestroys),
+                    "a chance lies outside 0..1");
         }
     }
 
@@ -79,9 +97,11 @@
 
     /** Delays as between data centres, and every trouble that a healthy network makes, more often than it does. */
     public static Conditions usual() {
-        return new Conditions(new Delays(10 * MILLI, 20 * MILLI, 100 * MICRO, 500 * MICRO, 30 * MICRO, 0.1),
+        return new Conditions(
+                new Delays(10 * MILLI, 20 * MILLI, 100 * MICRO, 500 * MICRO, 30 * MICRO, 0.1),
                 new Streams(256 * 1024, 256 * 1024, 0.1, 2 * MILLI, 0.02, 0.02, 0.0005, 0.5),
-                new Datagrams(3 * MILLI, 37 * MILLI, 0.01, 0.05, 0.01), 10 * MICRO);
+                new Datagrams(3 * MILLI, 37 * MILLI, 0.01, 0.05, 0.01),
+                10 * MICRO);
     }
 
     /** The usual delays, and no trouble at all. */
--- a/src/main/java/slateseam/simulate/network/Digest.java
+++ b/src/main/java/slateseam/simulate/network/Digest.java
@@ -8,6 +8,7 @@
 final class Digest {
     /** The kinds of happenings. */
     static final int UP = 1;
+
     static final int ACCEPTED = 2;
     static final int DATA = 3;
     static final int END = 4;
--- a/src/main/java/slateseam/simulate/network/End.java
+++ b/src/main/java/slateseam/simulate/network/End.java
@@ -7,7 +7,11 @@
 
 /** One side of a connection, as that side's system knows it. */
 final class End {
-    private enum State { CONNECTING, UP, GONE }
+    private enum State {
+        CONNECTING,
+        UP,
+        GONE
+    }
 
     private final VirtualNetwork net;
     private final long number;
@@ -20,6 +24,7 @@
     private final Listener listener;
     /** Null while it waits in the back-log, and after its close. */
     private Owner owner;
+
     private State state = State.CONNECTING;
     private boolean ended;
     private boolean closed;
@@ -31,7 +36,12 @@
     private String failure;
 
     /** The side that connects. */
-    End(VirtualNetwork net, long number, Machine machine, InetSocketAddress local, InetSocketAddress remote,
+    End(
+            VirtualNetwork net,
+            long number,
+            Machine machine,
+            InetSocketAddress local,
+            InetSocketAddress remote,
             Owner owner) {
         this.net = net;
         this.number = number;
--- a/src/main/java/slateseam/simulate/network/Flow.java
+++ b/src/main/java/slateseam/simulate/network/Flow.java
@@ -11,6 +11,7 @@
 final class Flow {
     /** Above what one packet carries, so that long values cost few happenings. */
     private static final int MOST_PIECE = 64 * 1024;
+
     private static final int FEW = 4;
     /** A sender that tries again after a silence waits for longer the longer that took, but not for ever. */
     private static final long MOST_RESUME = 2_000_000_000L;
@@ -21,10 +22,12 @@
     private final int buffer;
     /** Null until the other side exists. */
     private End to;
+
     private final ArrayDeque<Segment> queued = new ArrayDeque<>(FEW);
     private final ArrayDeque<Segment> input = new ArrayDeque<>(FEW);
     /** What reached a closed path, and all behind it. */
     private final ArrayDeque<Segment> stalled = new ArrayDeque<>(0);
+
     private long stalledSince;
     private long written;
     private long sent;
@@ -32,6 +35,7 @@
     private long taken;
     /** What the sender's system knows of the two above. */
     private long knownArrived;
+
     private long knownTaken;
     private boolean telling;
     private boolean tellHeld;
@@ -140,7 +144,7 @@
         Machine machine = from.machine();
         Conditions.Streams streams = net.conditions().streams();
         long gap = 0;
-        for (int left = length; left > 0;) {
+        for (int left = length; left > 0; ) {
             int piece = Math.min(left, MOST_PIECE);
             if (machine.draws(streams.split())) {
                 piece = machine.part(piece);
@@ -299,7 +303,7 @@
     /** Takes so many bytes, which must have come, into an array. */
     byte[] take(int length) {
         byte[] bytes = new byte[length];
-        for (int at = 0; at < length;) {
+        for (int at = 0; at < length; ) {
             Segment first = input.peek();
             int part = Math.min(length - at, first.length());
             System.arraycopy(first.bytes, first.from, bytes, at, part);
--- a/src/main/java/slateseam/simulate/network/Handshake.java
+++ b/src/main/java/slateseam/simulate/network/Handshake.java
@@ -5,12 +5,18 @@
     private static final long FIRST_WAIT = 1_000_000_000L;
     private static final int MOST_TRIES = 7;
 
-    private enum Step { SEND, ARRIVED, ANSWERED, REFUSED }
+    private enum Step {
+        SEND,
+        ARRIVED,
+        ANSWERED,
+        REFUSED
+    }
 
     private final VirtualNetwork net;
     private final End client;
     /** Null if there is no such machine. */
     private final Machine target;
+
     private final int port;
     private Step next = Step.SEND;
     private End server;
--- a/src/main/java/slateseam/simulate/network/Listener.java
+++ b/src/main/java/slateseam/simulate/network/Listener.java
@@ -13,9 +13,11 @@
     private final Consumer<End> taker;
     /** Told that one waits. */
     private final Runnable waiting;
+
     private final Queue<End> queue = new ArrayDeque<>();
     /** Handshakes that have a place in the back-log already. */
     private int pending;
+
     private boolean closed;
 
     Listener(Machine machine, int port, int backlog, Consumer<End> taker, Runnable waiting) {
--- a/src/main/java/slateseam/simulate/network/Machine.java
+++ b/src/main/java/slateseam/simulate/network/Machine.java
@@ -25,10 +25,12 @@
     final Set<End> ends = new LinkedHashSet<>();
     /** Those that have neither ended nor been killed. */
     final Set<VirtualProvider> processes = new LinkedHashSet<>();
+
     final Map<Integer, Listener> listeners = new TreeMap<>();
     final Map<Integer, VirtualDatagramChannel> datagrams = new TreeMap<>();
     /** When the last datagram that was sent to a machine arrives, by that machine's number. */
     final Map<Integer, Long> lastArrivals = new HashMap<>();
+
     boolean silent;
     private final BitSet taken = new BitSet();
     private int nextPort = FIRST_EPHEMERAL;
--- a/src/main/java/slateseam/simulate/network/PartyWire.java
+++ b/src/main/java/slateseam/simulate/network/PartyWire.java
@@ -72,7 +72,7 @@
 
     @Override
     public void inputChanged() {
-        for (byte[] bytes; !paused && !over && (bytes = end.take()) != null;) {
+        for (byte[] bytes; !paused && !over && (bytes = end.take()) != null; ) {
             party.received(this, bytes);
         }
         if (!paused && !over && !endTold && end.isAtEnd()) {
--- a/src/main/java/slateseam/simulate/network/Paths.java
+++ b/src/main/java/slateseam/simulate/network/Paths.java
@@ -18,6 +18,7 @@
     private final Set<Long> cut = new HashSet<>();
     /** Datagrams alone, in one direction. */
     private final Set<Long> mute = new HashSet<>();
+
     private final Map<Long, Long> extra = new HashMap<>();
 
     Paths(Conditions.Delays delays, Function<String, UniformRandomProvider> sources) {
--- a/src/main/java/slateseam/simulate/network/Post.java
+++ b/src/main/java/slateseam/simulate/network/Post.java
@@ -15,6 +15,7 @@
     private final Map<String, List<String>> groups = new HashMap<>();
     /** What ways hold that are stalled, by way. */
     private final Map<Long, List<Runnable>> held = new HashMap<>();
+
     private double lostBeside;
     private double doubledBeside;
     private double swappedBeside;
@@ -73,7 +74,10 @@
 
     private void send(Machine from, InetSocketAddress sender, Machine to, String ip, int port, byte[] bytes) {
         Conditions.Datagrams fate = net.conditions().datagrams();
-        boolean lost = to == null || from.draws(fate.lost()) || from.draws(lostBeside) || net.paths().isClosed(from, to)
+        boolean lost = to == null
+                || from.draws(fate.lost())
+                || from.draws(lostBeside)
+                || net.paths().isClosed(from, to)
                 || net.paths().isMute(from, to);
         for (Observer o : net.observers()) {
             o.datagram(from.ip, ip + ":" + port, bytes, lost);
@@ -88,8 +92,11 @@
 
     private void carry(Machine from, InetSocketAddress sender, Machine to, int port, byte[] bytes) {
         Conditions.Datagrams fate = net.conditions().datagrams();
-        long arrival = net.now() + fate.leastDelay() + from.upTo(fate.mostDelay() - fate.leastDelay())
-                + net.paths().extra(from, to) + lateBeside;
+        long arrival = net.now()
+                + fate.leastDelay()
+                + from.upTo(fate.mostDelay() - fate.leastDelay())
+                + net.paths().extra(from, to)
+                + lateBeside;
         long before = from.lastArrivals.getOrDefault(to.number, 0L);
         if (!from.draws(fate.swapped())) {
             arrival = Math.max(arrival, before);
--- a/src/main/java/slateseam/simulate/network/Segment.java
+++ b/src/main/java/slateseam/simulate/network/Segment.java
@@ -5,7 +5,12 @@
 /** What goes one way on a connection at once: a part of an array, the connection's opening, its end or a reset. */
 final class Segment implements Runnable {
     /** What it carries. */
-    enum Kind { OPEN, DATA, END, RESET }
+    enum Kind {
+        OPEN,
+        DATA,
+        END,
+        RESET
+    }
 
     final Flow flow;
     final Kind kind;
--- a/src/main/java/slateseam/simulate/network/VirtualDatagramChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualDatagramChannel.java
@@ -24,8 +24,7 @@
     private static final int LONGEST = 65_507;
     private static final int MOST_UNREAD = 212_992;
 
-    private record Letter(InetSocketAddress sender, byte[] bytes) {
-    }
+    private record Letter(InetSocketAddress sender, byte[] bytes) {}
 
     private final VirtualProvider process;
     private final Readiness readiness = new Readiness();
--- a/src/main/java/slateseam/simulate/network/VirtualNetwork.java
+++ b/src/main/java/slateseam/simulate/network/VirtualNetwork.java
@@ -28,6 +28,7 @@
     private final Map<String, Machine> machines = new HashMap<>();
     /** Those that wait for a path to open, in the order in which they met it closed. */
     private final Set<Flow> stalled = new LinkedHashSet<>();
+
     private Observer[] observers = new Observer[0];
     private long now;
     private long wires;
@@ -129,8 +130,13 @@
     @Override
     public Wire connect(String from, String to, Party party) {
         PartyWire wire = new PartyWire(this);
-        End end = connect(known(Addresses.ip(from)), machines.get(Addresses.ip(to)), Addresses.ip(to),
-                Addresses.port(to), null, wire);
+        End end = connect(
+                known(Addresses.ip(from)),
+                machines.get(Addresses.ip(to)),
+                Addresses.ip(to),
+                Addresses.port(to),
+                null,
+                wire);
         if (end == null) {
             throw new IllegalStateException("no port is free at " + from);
         }
@@ -160,18 +166,23 @@
         if (machine.listeners.containsKey(port)) {
             throw new IllegalStateException("somebody listens at " + address);
         }
-        new Listener(machine, port, Integer.MAX_VALUE, end -> {
-            PartyWire wire = new PartyWire(this);
-            wire.join(end, null);
-            Party party = listener.apply(wire);
-            if (party == null) {
-                end.reset();
-                return;
-            }
-            wire.join(end, party);
-            end.ownedBy(wire);
-            party.opened(wire);
-        }, null);
+        new Listener(
+                machine,
+                port,
+                Integer.MAX_VALUE,
+                end -> {
+                    PartyWire wire = new PartyWire(this);
+                    wire.join(end, null);
+                    Party party = listener.apply(wire);
+                    if (party == null) {
+                        end.reset();
+                        return;
+                    }
+                    wire.join(end, party);
+                    end.ownedBy(wire);
+                    party.opened(wire);
+                },
+                null);
     }
 
     @Override
@@ -298,7 +309,8 @@
 
     /** The machine of an address, which may be the sender's own; null if there is none. */
     Machine find(Machine from, InetSocketAddress address) {
-        return address.getAddress().isLoopbackAddress() || address.getAddress().isAnyLocalAddress() ? from
+        return address.getAddress().isLoopbackAddress() || address.getAddress().isAnyLocalAddress()
+                ? from
                 : machines.get(address.getAddress().getHostAddress());
     }
 
--- a/src/main/java/slateseam/simulate/network/VirtualProvider.java
+++ b/src/main/java/slateseam/simulate/network/VirtualProvider.java
@@ -23,12 +23,14 @@
     private final Machine machine;
     /** In the order in which they were opened. */
     private final Set<VirtualChannel> channels = new LinkedHashSet<>();
+
     private int mostOpen;
     private final Runnable whenWoken = this::round;
     private final Runnable whenDue = this::timer;
     private VirtualSelector selector;
     /** Null until it is driven, and once it has ended. */
     private Program program;
+
     private boolean paused;
     private boolean scheduled;
     private boolean running;
--- a/src/main/java/slateseam/simulate/network/VirtualSelector.java
+++ b/src/main/java/slateseam/simulate/network/VirtualSelector.java
@@ -23,6 +23,7 @@
     private final Set<SelectionKey> keys = new LinkedHashSet<>();
     /** Keys that may be ready, in the order in which they became so. */
     private List<VirtualKey> listed = new ArrayList<>();
+
     private List<VirtualKey> spare = new ArrayList<>();
     private long registered;
     private boolean woken;
--- a/src/main/java/slateseam/simulate/network/VirtualServerSocketChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualServerSocketChannel.java
@@ -50,7 +50,11 @@
             throw new BindException("Address already in use");
         }
         local = new InetSocketAddress(machine.address, port);
-        listener = new Listener(machine, port, backlog > 0 ? backlog : USUAL_BACKLOG, null,
+        listener = new Listener(
+                machine,
+                port,
+                backlog > 0 ? backlog : USUAL_BACKLOG,
+                null,
                 () -> readiness.set(SelectionKey.OP_ACCEPT, true));
         return this;
     }
--- a/src/main/java/slateseam/simulate/scenario/Complaints.java
+++ b/src/main/java/slateseam/simulate/scenario/Complaints.java
@@ -9,8 +9,7 @@
     private static final int MOST = 200;
     private static final int LONGEST = 400;
 
-    private record Complaint(int line, String text) {
-    }
+    private record Complaint(int line, String text) {}
 
     private final String file;
     private final List<Complaint> all = new ArrayList<>();
@@ -31,8 +30,10 @@
 
     void throwIfAny() throws InvalidScenarioException {
         if (!all.isEmpty()) {
-            List<String> lines = new ArrayList<>(all.stream().sorted(Comparator.comparingInt(Complaint::line))
-                    .map(c -> file + ":" + c.line + ": " + c.text).toList());
+            List<String> lines = new ArrayList<>(all.stream()
+                    .sorted(Comparator.comparingInt(Complaint::line))
+                    .map(c -> file + ":" + c.line + ": " + c.text)
+                    .toList());
             if (more > 0) {
                 lines.add(file + ":" + all.get(MOST - 1).line + ": there are " + more + " further faults");
             }
--- a/src/main/java/slateseam/simulate/scenario/Day.java
+++ b/src/main/java/slateseam/simulate/scenario/Day.java
@@ -41,10 +41,26 @@
  * @param rude how many rude user agents of each kind come with a fault of that kind
  * @param timeline the faults; none befalls a machine that is left out
  */
-public record Day(Scenario scenario, Streams streams, long durationNanos, Network network, List<Router> routers,
-        RouterRules routerRules, List<Server> servers, Origin origin, Discovery discovery, WorkFigures work,
-        ValueFigures values, List<ClassFigures> classes, List<TenantFigures> tenants, List<UserAgentFigures> userAgents,
-        Habits habits, RateFigures rate, PopularityFigures popularity, Map<RudeKind, Integer> rude, Timeline timeline) {
+public record Day(
+        Scenario scenario,
+        Streams streams,
+        long durationNanos,
+        Network network,
+        List<Router> routers,
+        RouterRules routerRules,
+        List<Server> servers,
+        Origin origin,
+        Discovery discovery,
+        WorkFigures work,
+        ValueFigures values,
+        List<ClassFigures> classes,
+        List<TenantFigures> tenants,
+        List<UserAgentFigures> userAgents,
+        Habits habits,
+        RateFigures rate,
+        PopularityFigures popularity,
+        Map<RudeKind, Integer> rude,
+        Timeline timeline) {
     /** The port of discovery's agents until it moves, and that from then on. */
     public static final int AGENT_PORT = 8500;
     /** The port to which discovery's agents move. */
@@ -65,10 +81,18 @@
      * @param lost the part of datagrams that never arrives
      * @param doubled the part of datagrams that arrives twice
      */
-    public record Network(List<String> sites, long[][] ways, long toRouterNanos, double jitter, double split,
-            int windowBytes, int backlog, long datagramLeastNanos, long datagramMostNanos, double lost,
-            double doubled) {
-    }
+    public record Network(
+            List<String> sites,
+            long[][] ways,
+            long toRouterNanos,
+            double jitter,
+            double split,
+            int windowBytes,
+            int backlog,
+            long datagramLeastNanos,
+            long datagramMostNanos,
+            double lost,
+            double doubled) {}
 
     /**
      * A router.
@@ -81,8 +105,8 @@
      * @param startNanos from a start until it takes connections
      * @param agentSpreadNanos by how much later its agent has each change
      */
-    public record Router(String name, int number, String address, int site, String agent, long startNanos,
-            long agentSpreadNanos) {
+    public record Router(
+            String name, int number, String address, int site, String agent, long startNanos, long agentSpreadNanos) {
         /** Where user agents connect. */
         public String listen() {
             return address + ":6379";
@@ -132,11 +156,31 @@
      * @param answerSlackNanos by how much a final answer may come behind the deadline
      * @param overShareWorth worth of what a tenant asks beyond its share, as a part
      */
-    public record RouterRules(int descriptors, long memoryBytes, int held, long tickNanos, int tries,
-            boolean secondCopies, boolean cancel, boolean probes, boolean messages, String tier, boolean supplyLinks, boolean comeBack,
-            long longestComeBackNanos, long connectNanos, int commands, long idleNanos, boolean asked,
-            long drainGraceNanos, double coldFrom, long coldNanos, double overload, long overloadNanos,
-            long answerSlackNanos, double overShareWorth) {
+    public record RouterRules(
+            int descriptors,
+            long memoryBytes,
+            int held,
+            long tickNanos,
+            int tries,
+            boolean secondCopies,
+            boolean cancel,
+            boolean probes,
+            boolean messages,
+            String tier,
+            boolean supplyLinks,
+            boolean comeBack,
+            long longestComeBackNanos,
+            long connectNanos,
+            int commands,
+            long idleNanos,
+            boolean asked,
+            long drainGraceNanos,
+            double coldFrom,
+            long coldNanos,
+            double overload,
+            long overloadNanos,
+            long answerSlackNanos,
+            double overShareWorth) {
         /** Whether routers know their tier in common. */
         public boolean hasTier() {
             return messages && !tier.equals("off");
@@ -155,7 +199,14 @@
      * @param filled the part of its entries that is kept when the day begins
      * @param figures what it can do
      */
-    public record Server(String name, String kind, String address, int site, int block, double told, double filled,
+    public record Server(
+            String name,
+            String kind,
+            String address,
+            int site,
+            int block,
+            double told,
+            double filled,
             ServerFigures figures) {
         /** Where it takes connections. */
         public String listen() {
@@ -188,8 +239,7 @@
      * @param startNanos until a process that started is listed as ready
      * @param periodNanos changes are handed on at this distance
      */
-    public record Discovery(long endNanos, long silenceNanos, long startNanos, long periodNanos) {
-    }
+    public record Discovery(long endNanos, long silenceNanos, long startNanos, long periodNanos) {}
 
     /** Copies the lists. */
     public Day {
@@ -219,11 +269,18 @@
         if (machine.equals(Origin.NAME)) {
             return origin.address;
         }
-        return Stream.of(routers.stream().filter(r -> r.name.equals(machine)).map(Router::address),
-                routers.stream().filter(r -> r.agentName().equals(machine)).map(Router::agent),
-                servers.stream().filter(s -> s.name.equals(machine)).map(Server::address),
-                userAgents.stream().filter(u -> u.name().equals(machine)).map(UserAgentFigures::address))
-                .flatMap(found -> found).findFirst().orElse(null);
+        return Stream.of(
+                        routers.stream().filter(r -> r.name.equals(machine)).map(Router::address),
+                        routers.stream()
+                                .filter(r -> r.agentName().equals(machine))
+                                .map(Router::agent),
+                        servers.stream().filter(s -> s.name.equals(machine)).map(Server::address),
+                        userAgents.stream()
+                                .filter(u -> u.name().equals(machine))
+                                .map(UserAgentFigures::address))
+                .flatMap(found -> found)
+                .findFirst()
+                .orElse(null);
     }
 
     /** The longest that any user agent waits for a request. */
--- a/src/main/java/slateseam/simulate/scenario/DayDraw.java
+++ b/src/main/java/slateseam/simulate/scenario/DayDraw.java
@@ -59,13 +59,34 @@
         List<Server> servers = servers();
         List<UserAgentFigures> userAgents = userAgents(routers);
         FaultDraw faultDraw = new FaultDraw(scenario, streams, duration);
-        Timeline timeline = faultDraw.timeline(faults, routers.stream().map(Router::name).toList(),
-                servers.stream().map(Server::name).toList(), userAgents);
+        Timeline timeline = faultDraw.timeline(
+                faults,
+                routers.stream().map(Router::name).toList(),
+                servers.stream().map(Server::name).toList(),
+                userAgents);
         RouterRules rules = rules();
-        return new Day(scenario, streams, duration, network(), present(routers), rules, servers.stream()
-                .filter(server -> !without.contains(server.name())).toList(), origin(), discovery(), work(), values(),
-                classes(), tenants(), userAgents.stream().filter(this::isThere).toList(), habits(),
-                rate(timeline), popularity(), rude(), timeline);
+        return new Day(
+                scenario,
+                streams,
+                duration,
+                network(),
+                present(routers),
+                rules,
+                servers.stream()
+                        .filter(server -> !without.contains(server.name()))
+                        .toList(),
+                origin(),
+                discovery(),
+                work(),
+                values(),
+                classes(),
+                tenants(),
+                userAgents.stream().filter(this::isThere).toList(),
+                habits(),
+                rate(timeline),
+                popularity(),
+                rude(),
+                timeline);
     }
 
     /** Routers are numbered among those that are there. */
@@ -73,7 +94,13 @@
         List<Router> there = new ArrayList<>();
         for (Router r : all) {
             if (!without.contains(r.name())) {
-                there.add(new Router(r.name(), there.size(), r.address(), r.site(), r.agent(), r.startNanos(),
+                there.add(new Router(
+                        r.name(),
+                        there.size(),
+                        r.address(),
+                        r.site(),
+                        r.agent(),
+                        r.startNanos(),
                         r.agentSpreadNanos()));
             }
         }
@@ -81,9 +108,11 @@
     }
 
     private boolean isThere(UserAgentFigures userAgent) {
-        return !without.contains(userAgent.name()) && (userAgent.router() == null
-                || without.stream().noneMatch(out -> out.startsWith("router-")
-                && userAgent.router().equals(address(ROUTERS_NET, number(out) - 1) + ":6379")));
+        return !without.contains(userAgent.name())
+                && (userAgent.router() == null
+                        || without.stream()
+                                .noneMatch(out -> out.startsWith("router-")
+                                        && userAgent.router().equals(address(ROUTERS_NET, number(out) - 1) + ":6379")));
     }
 
     private static int number(String machine) {
@@ -113,9 +142,18 @@
         }
         Drawn network = drawn("network");
         Value.Range delay = network.range("datagram-delay");
-        return new Network(sites, ways, at.nanos("to-router"), at.figure("jitter"), network.figure("split"),
-                (int) network.figure("window"), network.count("backlog"), Math.round(delay.least()),
-                Math.round(delay.most()), network.figure("datagrams-lost"), network.figure("datagrams-doubled"));
+        return new Network(
+                sites,
+                ways,
+                at.nanos("to-router"),
+                at.figure("jitter"),
+                network.figure("split"),
+                (int) network.figure("window"),
+                network.count("backlog"),
+                Math.round(delay.least()),
+                Math.round(delay.most()),
+                network.figure("datagrams-lost"),
+                network.figure("datagrams-doubled"));
     }
 
     private List<Router> routers() {
@@ -125,19 +163,44 @@
         int number = common.count("number");
         for (int i = 0; i < number; i++) {
             String name = "router-" + (i + 1);
-            routers.add(new Router(name, i, address(ROUTERS_NET, i), i % sites.size(), address(AGENTS_NET, i),
-                    common.as(name).nanos("start"), discovery.as(name).nanos("spread")));
+            routers.add(new Router(
+                    name,
+                    i,
+                    address(ROUTERS_NET, i),
+                    i % sites.size(),
+                    address(AGENTS_NET, i),
+                    common.as(name).nanos("start"),
+                    discovery.as(name).nanos("spread")));
         }
         return routers;
     }
 
     private RouterRules rules() {
         Drawn r = drawn("routers");
-        return new RouterRules(r.count("descriptors"), (long) r.figure("memory"), r.count("held"), r.nanos("tick"),
-                r.count("tries"), r.yes("second-copies"), r.yes("cancel"), r.yes("probes"), r.yes("messages"), r.word("tier"),
-                r.word("supply-links").equals("on"), r.yes("come-back"), r.nanos("longest-come-back"), r.nanos("connect-within"), r.count("commands"),
-                r.nanos("idle"), r.word("discovery").equals("ask"), r.nanos("drain-grace"), r.figure("cold-from"),
-                r.nanos("cold"), r.figure("overload"), r.nanos("overload-for"), r.nanos("answer-slack"),
+        return new RouterRules(
+                r.count("descriptors"),
+                (long) r.figure("memory"),
+                r.count("held"),
+                r.nanos("tick"),
+                r.count("tries"),
+                r.yes("second-copies"),
+                r.yes("cancel"),
+                r.yes("probes"),
+                r.yes("messages"),
+                r.word("tier"),
+                r.word("supply-links").equals("on"),
+                r.yes("come-back"),
+                r.nanos("longest-come-back"),
+                r.nanos("connect-within"),
+                r.count("commands"),
+                r.nanos("idle"),
+                r.word("discovery").equals("ask"),
+                r.nanos("drain-grace"),
+                r.figure("cold-from"),
+                r.nanos("cold"),
+                r.figure("overload"),
+                r.nanos("overload-for"),
+                r.nanos("answer-slack"),
                 r.figure("over-share-worth"));
     }
 
@@ -154,8 +217,15 @@
                 Drawn own = kind.as(name);
                 ServerFigures figures = figures(kind, own, rules);
                 double told = Math.round(figures.capacity() * own.figure("told-size") * 100) / 100.0;
-                servers.add(new Server(name, section.name(), address(net, i), site,
-                        1 + site + sites.size() * (i / sites.size() / CELL), told, own.figure("filled"), figures));
+                servers.add(new Server(
+                        name,
+                        section.name(),
+                        address(net, i),
+                        site,
+                        1 + site + sites.size() * (i / sites.size() / CELL),
+                        told,
+                        own.figure("filled"),
+                        figures));
             }
             net++;
         }
@@ -165,43 +235,77 @@
     /** What differs between machines of a kind is speed and warming; the rest is the same for all of them on a day. */
     private static ServerFigures figures(Drawn kind, Drawn own, RouterRules rules) {
         int cores = kind.count("cores");
-        return new ServerFigures(cores, own.figure("speed"), kind.has("slots") ? kind.count("slots") : cores,
-                kind.count("room"), new ServerFigures.Crowding(kind.figure("crowded-from"), kind.figure("crowded")),
-                new ServerFigures.Cold(own.figure("cold-from"), own.nanos("cold"), rules.overload(),
-                        rules.overloadNanos()),
-                new ServerFigures.Connections(kind.count("connections"), switch (kind.word("beyond")) {
-                    case "reset" -> ServerFigures.Beyond.RESET;
-                    case "busy" -> ServerFigures.Beyond.BUSY;
-                    default -> ServerFigures.Beyond.REFUSED;
-                }, kind.seconds("connection-work"), kind.nanos("connection-delay"), rules.idleNanos(), rules.commands(),
+        return new ServerFigures(
+                cores,
+                own.figure("speed"),
+                kind.has("slots") ? kind.count("slots") : cores,
+                kind.count("room"),
+                new ServerFigures.Crowding(kind.figure("crowded-from"), kind.figure("crowded")),
+                new ServerFigures.Cold(
+                        own.figure("cold-from"), own.nanos("cold"), rules.overload(), rules.overloadNanos()),
+                new ServerFigures.Connections(
+                        kind.count("connections"),
+                        switch (kind.word("beyond")) {
+                            case "reset" -> ServerFigures.Beyond.RESET;
+                            case "busy" -> ServerFigures.Beyond.BUSY;
+                            default -> ServerFigures.Beyond.REFUSED;
+                        },
+                        kind.seconds("connection-work"),
+                        kind.nanos("connection-delay"),
+                        rules.idleNanos(),
+                        rules.commands(),
                         kind.figure("full-tax")),
-                new ServerFigures.Keeping((long) kind.figure("memory"), kind.count("entries"), kind.nanos("life"),
-                        kind.yes("tells-pending"), kind.nanos("fetch"), kind.figure("miss-work")),
+                new ServerFigures.Keeping(
+                        (long) kind.figure("memory"),
+                        kind.count("entries"),
+                        kind.nanos("life"),
+                        kind.yes("tells-pending"),
+                        kind.nanos("fetch"),
+                        kind.figure("miss-work")),
                 new ServerFigures.Probing(rules.probes(), kind.seconds("probe-work"), false),
-                kind.word("cancelled").equals("stops"), true, false, kind.figure("errors"));
+                kind.word("cancelled").equals("stops"),
+                true,
+                false,
+                kind.figure("errors"));
     }
 
     private Origin origin() {
         Drawn o = drawn("origin");
         int site = (int) (streams.share("origin site") * sites.size());
-        return new Origin(address(ORIGIN_NET, 0), site, new OriginFigures(o.count("places"), o.seconds("time"),
-                o.figure("sigma"), o.figure("writes"), o.count("queue"), o.nanos("queue-for"), o.figure("crowded"),
-                o.word("unwaited").equals("goes-on"), o.count("connections"), rules().idleNanos(), o.figure("errors"),
-                o.word("body").equals("chunks"), o.count("interim"), o.yes("reports")));
+        return new Origin(
+                address(ORIGIN_NET, 0),
+                site,
+                new OriginFigures(
+                        o.count("places"),
+                        o.seconds("time"),
+                        o.figure("sigma"),
+                        o.figure("writes"),
+                        o.count("queue"),
+                        o.nanos("queue-for"),
+                        o.figure("crowded"),
+                        o.word("unwaited").equals("goes-on"),
+                        o.count("connections"),
+                        rules().idleNanos(),
+                        o.figure("errors"),
+                        o.word("body").equals("chunks"),
+                        o.count("interim"),
+                        o.yes("reports")));
     }
 
     private Discovery discovery() {
         Drawn d = drawn("discovery");
-        return new Discovery(d.nanos("notice-end"), d.nanos("notice-silence"), d.nanos("notice-start"),
-                d.nanos("period"));
+        return new Discovery(
+                d.nanos("notice-end"), d.nanos("notice-silence"), d.nanos("notice-start"), d.nanos("period"));
     }
 
     private WorkFigures work() {
-        return new WorkFigures(scenario.all("class").stream().map(section -> {
-            Drawn c = drawn(section);
-            return new WorkFigures.OfClass(section.name(), c.seconds("work"), c.figure("work-spread"),
-                    c.figure("work-noise"));
-        }).toList());
+        return new WorkFigures(scenario.all("class").stream()
+                .map(section -> {
+                    Drawn c = drawn(section);
+                    return new WorkFigures.OfClass(
+                            section.name(), c.seconds("work"), c.figure("work-spread"), c.figure("work-noise"));
+                })
+                .toList());
     }
 
     private ValueFigures values() {
@@ -210,27 +314,40 @@
     }
 
     private List<ClassFigures> classes() {
-        return scenario.all("class").stream().map(section -> {
-            Drawn c = drawn(section);
-            ClassFigures.Effect effect = switch (c.word("effect")) {
-                case "repeatable" -> ClassFigures.Effect.REPEATABLE;
-                case "keyed" -> ClassFigures.Effect.KEYED;
-                default -> ClassFigures.Effect.ONCE;
-            };
-            boolean write = c.has("command") ? c.word("command").equals("set")
-                    : effect != ClassFigures.Effect.REPEATABLE;
-            return new ClassFigures(section.name(), c.figure("share"), write, effect, c.word("group"),
-                    c.has("window") ? c.nanos("window") : 0, c.nanos("aim"), c.nanos("deadline"), c.figure("worth"),
-                    c.figure("late-worth"));
-        }).toList();
+        return scenario.all("class").stream()
+                .map(section -> {
+                    Drawn c = drawn(section);
+                    ClassFigures.Effect effect = switch (c.word("effect")) {
+                        case "repeatable" -> ClassFigures.Effect.REPEATABLE;
+                        case "keyed" -> ClassFigures.Effect.KEYED;
+                        default -> ClassFigures.Effect.ONCE;
+                    };
+                    boolean write = c.has("command")
+                            ? c.word("command").equals("set")
+                            : effect != ClassFigures.Effect.REPEATABLE;
+                    return new ClassFigures(
+                            section.name(),
+                            c.figure("share"),
+                            write,
+                            effect,
+                            c.word("group"),
+                            c.has("window") ? c.nanos("window") : 0,
+                            c.nanos("aim"),
+                            c.nanos("deadline"),
+                            c.figure("worth"),
+                            c.figure("late-worth"));
+                })
+                .toList();
     }
 
     private List<TenantFigures> tenants() {
-        return scenario.all("tenant").stream().map(section -> {
-            Drawn t = drawn(section);
-            double share = t.figure("share");
-            return new TenantFigures(section.name(), share, share * t.figure("use"), t.figure("limit"));
-        }).toList();
+        return scenario.all("tenant").stream()
+                .map(section -> {
+                    Drawn t = drawn(section);
+                    double share = t.figure("share");
+                    return new TenantFigures(section.name(), share, share * t.figure("use"), t.figure("limit"));
+                })
+                .toList();
     }
 
     private List<UserAgentFigures> userAgents(List<Router> routers) {
@@ -247,8 +364,11 @@
         List<UserAgentFigures> userAgents = new ArrayList<>();
         parts.forEach((name, part) -> {
             int number = userAgents.size();
-            userAgents.add(new UserAgentFigures(name, address(USERS_NET, number),
-                    beside ? routers.get(number / each).listen() : null, rate * part / all,
+            userAgents.add(new UserAgentFigures(
+                    name,
+                    address(USERS_NET, number),
+                    beside ? routers.get(number / each).listen() : null,
+                    rate * part / all,
                     common.as(name).happens("heeding")));
         });
         return userAgents;
@@ -262,26 +382,40 @@
 
     private Habits habits() {
         Drawn u = drawn("user-agents");
-        return new Habits(switch (u.word("connections")) {
-            case "once" -> Habits.Connections.ONCE;
-            case "left-open" -> Habits.Connections.LEFT_OPEN;
-            default -> Habits.Connections.REUSED;
-        }, u.count("most-connections"), u.figure("patience"), u.word("given-up").equals("wait"), u.nanos("grace"),
-                u.count("retries"), u.word("retry").equals("at-once"), u.nanos("wait"), rules().longestComeBackNanos(),
-                u.yes("marks"), u.figure("leaving"), u.nanos("notice"));
+        return new Habits(
+                switch (u.word("connections")) {
+                    case "once" -> Habits.Connections.ONCE;
+                    case "left-open" -> Habits.Connections.LEFT_OPEN;
+                    default -> Habits.Connections.REUSED;
+                },
+                u.count("most-connections"),
+                u.figure("patience"),
+                u.word("given-up").equals("wait"),
+                u.nanos("grace"),
+                u.count("retries"),
+                u.word("retry").equals("at-once"),
+                u.nanos("wait"),
+                rules().longestComeBackNanos(),
+                u.yes("marks"),
+                u.figure("leaving"),
+                u.nanos("notice"));
     }
 
     private RateFigures rate(Timeline timeline) {
         Drawn u = drawn("user-agents");
-        return new RateFigures(u.figure("swing"), u.nanos("swing-every"), streams.share("swing phase"),
+        return new RateFigures(
+                u.figure("swing"),
+                u.nanos("swing-every"),
+                streams.share("swing phase"),
                 timeline.of(FaultKind.SURGE).stream()
-                        .map(fault -> new RateFigures.Surge(fault.at(), fault.until(), fault.size())).toList());
+                        .map(fault -> new RateFigures.Surge(fault.at(), fault.until(), fault.size()))
+                        .toList());
     }
 
     private PopularityFigures popularity() {
         Drawn u = drawn("user-agents");
-        return new PopularityFigures(u.count("keys"), u.figure("exponent"), u.figure("offset"), u.figure("drift"),
-                streams.number("keys"));
+        return new PopularityFigures(
+                u.count("keys"), u.figure("exponent"), u.figure("offset"), u.figure("drift"), streams.number("keys"));
     }
 
     private Map<RudeKind, Integer> rude() {
--- a/src/main/java/slateseam/simulate/scenario/Drawn.java
+++ b/src/main/java/slateseam/simulate/scenario/Drawn.java
@@ -49,7 +49,8 @@
     double figure(String word) {
         Value.Range range = range(word);
         double share = streams.share(actor + " " + word);
-        return range.unit() == Unit.COUNT ? range.low() + Math.floor(share * (range.high() - range.low() + 1))
+        return range.unit() == Unit.COUNT
+                ? range.low() + Math.floor(share * (range.high() - range.low() + 1))
                 : range.least() + share * (range.most() - range.least());
     }
 
@@ -79,5 +80,4 @@
     boolean happens(String word) {
         return streams.share(actor + " whether " + word) < figure(word);
     }
-
 }
--- a/src/main/java/slateseam/simulate/scenario/Fault.java
+++ b/src/main/java/slateseam/simulate/scenario/Fault.java
@@ -69,8 +69,7 @@
     }
 
     /** What a fault waits for: that a router's log says a line of this word. */
-    record Cue(String router, String word) {
-    }
+    record Cue(String router, String word) {}
 
     /** Happens, or begins, each day at most once, when its cue comes; its times count from then. */
     record Cued(Cue cue, Fault fault) implements Fault {
@@ -139,7 +138,9 @@
     }
 
     private static String size(FaultKind kind, double size) {
-        Unit unit = kind.size() == Unit.Measure.TIME ? Unit.MILLIS : Unit.of(kind.size()).get(0);
+        Unit unit = kind.size() == Unit.Measure.TIME
+                ? Unit.MILLIS
+                : Unit.of(kind.size()).get(0);
         // Rounded, so that 0.07 of something is shown as 7 %, not with the error of a binary fraction.
         String number = String.format(Locale.ROOT, "%.9f", size / unit.scale());
         String plain = new BigDecimal(number).stripTrailingZeros().toPlainString();
