--- a/src/main/java/slateseam/simulate/scenario/FaultDraw.java
+++ b/src/main/java/slateseam/simulate/scenario/FaultDraw.java
@@ -16,10 +16,16 @@
  */
 final class FaultDraw {
     /** Faults that put a machine out of use: two of them do not meet on one machine. */
-    private static final Set<FaultKind> DOWN = EnumSet.of(FaultKind.CRASH, FaultKind.ROUTER_KILL, FaultKind.DRAIN,
-            FaultKind.REPLACE, FaultKind.SILENCE, FaultKind.RESTART);
+    private static final Set<FaultKind> DOWN = EnumSet.of(
+            FaultKind.CRASH,
+            FaultKind.ROUTER_KILL,
+            FaultKind.DRAIN,
+            FaultKind.REPLACE,
+            FaultKind.SILENCE,
+            FaultKind.RESTART);
     /** By which a router that was told to end has ended and started again. */
     private static final long RESTART_NANOS = 7_000_000_000L;
+
     private static final long MILLI = 1_000_000L;
 
     private final Scenario scenario;
@@ -33,12 +39,13 @@
         this.duration = duration;
     }
 
-    Timeline timeline(FaultChoice choice, List<String> routers, List<String> servers,
-            List<UserAgentFigures> userAgents) {
+    Timeline timeline(
+            FaultChoice choice, List<String> routers, List<String> servers, List<UserAgentFigures> userAgents) {
         drawn.addAll(scenario.script());
         for (FaultKind kind : kinds(choice)) {
             Section section = scenario.named(Schema.FAULT, kind.word())
-                    .or(() -> Scenarios.usual().named(Schema.FAULT, kind.word())).orElseThrow();
+                    .or(() -> Scenarios.usual().named(Schema.FAULT, kind.word()))
+                    .orElseThrow();
             int times = new Drawn(section, streams, "fault " + kind.word()).count("times");
             for (int i = 1; i <= times; i++) {
                 String actor = "fault " + kind.word() + " " + i;
@@ -50,7 +57,8 @@
         Set<String> without = scenario.without();
         for (Fault fault : drawn) {
             List<String> targets = fault.targets().stream()
-                    .filter(target -> Arrays.stream(target.split("~")).noneMatch(without::contains)).toList();
+                    .filter(target -> Arrays.stream(target.split("~")).noneMatch(without::contains))
+                    .toList();
             if (!targets.isEmpty() || fault.kind().targets() == FaultKind.Targets.NONE) {
                 there.add(fault.with(targets));
             }
@@ -60,40 +68,62 @@
 
     private List<FaultKind> kinds(FaultChoice choice) {
         if (choice.only() != null) {
-            return Arrays.stream(FaultKind.values()).filter(choice.only()::contains).toList();
+            return Arrays.stream(FaultKind.values())
+                    .filter(choice.only()::contains)
+                    .toList();
         }
-        List<FaultKind> written = scenario.all(Schema.FAULT).stream().map(s -> FaultKind.find(s.name())).toList();
+        List<FaultKind> written = scenario.all(Schema.FAULT).stream()
+                .map(s -> FaultKind.find(s.name()))
+                .toList();
         if (written.isEmpty()) {
             return written;
         }
         int together = new Drawn(scenario.one("faults"), streams, "faults").count("together");
-        return written.stream().sorted(Comparator.comparingLong(kind -> streams.number("faults " + kind.word())))
-                .limit(together).sorted().toList();
+        return written.stream()
+                .sorted(Comparator.comparingLong(kind -> streams.number("faults " + kind.word())))
+                .limit(together)
+                .sorted()
+                .toList();
     }
 
-    private void draw(FaultKind kind, Drawn figures, String actor, List<String> routers, List<String> servers,
+    private void draw(
+            FaultKind kind,
+            Drawn figures,
+            String actor,
+            List<String> routers,
+            List<String> servers,
             List<UserAgentFigures> userAgents) {
         long at = Math.round(figures.figure("at") * duration / MILLI) * MILLI;
         long lasts = kind.lasts() ? Math.max(1, Math.round(figures.figure("for") / MILLI)) * MILLI : 0;
-        double size = kind.size() == null ? 0 : kind.size() == Unit.Measure.TIME
-                ? Math.round(figures.figure("size") / MILLI) * (double) MILLI
-                : Math.round(figures.figure("size") * 1e4) / 1e4;
+        double size = kind.size() == null
+                ? 0
+                : kind.size() == Unit.Measure.TIME
+                        ? Math.round(figures.figure("size") / MILLI) * (double) MILLI
+                        : Math.round(figures.figure("size") * 1e4) / 1e4;
         List<String> targets = List.of();
         if (kind.targets() != FaultKind.Targets.NONE) {
             List<String> all = switch (kind.targets()) {
                 case SERVERS -> servers;
                 case ROUTERS -> routers;
-                case MACHINES -> Stream.concat(servers.stream(), routers.stream()).toList();
+                case MACHINES ->
+                    Stream.concat(servers.stream(), routers.stream()).toList();
                 case PAIRS -> pairs(routers, servers, userAgents);
-                case ROUTER_PAIRS -> routers.stream().flatMap(from -> routers.stream().filter(to -> !to.equals(from))
-                        .map(to -> from + "~" + to)).toList();
+                case ROUTER_PAIRS ->
+                    routers.stream()
+                            .flatMap(from -> routers.stream()
+                                    .filter(to -> !to.equals(from))
+                                    .map(to -> from + "~" + to))
+                            .toList();
                 default -> Arrays.stream(RudeKind.values()).map(RudeKind::word).toList();
             };
             int number = Math.max(1, (int) (figures.figure("share") * all.size() + 1e-9));
             long until = kind == FaultKind.RESTART ? at + RESTART_NANOS + (long) size * number : at + lasts;
-            targets = all.stream().filter(target -> !DOWN.contains(kind) || !isDown(target, at, until))
-                    .sorted(Comparator.comparingLong(target -> streams.number(actor + " " + target))).limit(number)
-                    .sorted(Comparator.comparingInt(all::indexOf)).toList();
+            targets = all.stream()
+                    .filter(target -> !DOWN.contains(kind) || !isDown(target, at, until))
+                    .sorted(Comparator.comparingLong(target -> streams.number(actor + " " + target)))
+                    .limit(number)
+                    .sorted(Comparator.comparingInt(all::indexOf))
+                    .toList();
             if (targets.isEmpty()) {
                 return;
             }
@@ -102,13 +132,19 @@
     }
 
     private boolean isDown(String machine, long from, long until) {
-        return drawn.stream().anyMatch(fault -> DOWN.contains(fault.kind()) && fault.targets().contains(machine)
-                && fault.at() <= until && from <= end(fault));
+        return drawn.stream()
+                .anyMatch(fault -> DOWN.contains(fault.kind())
+                        && fault.targets().contains(machine)
+                        && fault.at() <= until
+                        && from <= end(fault));
     }
 
     private static long end(Fault fault) {
         return fault.kind() == FaultKind.RESTART
-                ? fault.at() + RESTART_NANOS + (long) fault.size() * fault.targets().size() : fault.until();
+                ? fault.at()
+                        + RESTART_NANOS
+                        + (long) fault.size() * fault.targets().size()
+                : fault.until();
     }
 
     /** All pairs between which something passes. */
--- a/src/main/java/slateseam/simulate/scenario/FaultKind.java
+++ b/src/main/java/slateseam/simulate/scenario/FaultKind.java
@@ -190,6 +190,9 @@
 
     /** The kind of this word; null if there is none. */
     public static FaultKind find(String word) {
-        return Arrays.stream(values()).filter(kind -> kind.word.equals(word)).findFirst().orElse(null);
+        return Arrays.stream(values())
+                .filter(kind -> kind.word.equals(word))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/slateseam/simulate/scenario/Name.java
+++ b/src/main/java/slateseam/simulate/scenario/Name.java
@@ -14,10 +14,22 @@
  * @param words the words that may stand there; empty for other forms
  * @param meaning one line for the operators' page
  */
-record Name(String word, Form form, Unit.Measure measure, double least, double most, String usual, List<String> words,
+record Name(
+        String word,
+        Form form,
+        Unit.Measure measure,
+        double least,
+        double most,
+        String usual,
+        List<String> words,
         String meaning) {
     /** The forms of values. */
-    enum Form { FIGURE, FIXED, CHOICE, NAMES }
+    enum Form {
+        FIGURE,
+        FIXED,
+        CHOICE,
+        NAMES
+    }
 
     private static final double NANOS = 1e9;
 
@@ -68,9 +80,11 @@
 
     /** The limits as a message writes them. */
     String limits() {
-        Unit unit = measure == Unit.Measure.TIME ? most < 1e9 ? Unit.MILLIS : Unit.SECONDS
-                : measure != Unit.Measure.SIZE ? Unit.of(measure).get(0)
-                : least >= Unit.MEBIBYTES.scale() ? Unit.MEBIBYTES : Unit.KIBIBYTES;
+        Unit unit = measure == Unit.Measure.TIME
+                ? most < 1e9 ? Unit.MILLIS : Unit.SECONDS
+                : measure != Unit.Measure.SIZE
+                        ? Unit.of(measure).get(0)
+                        : least >= Unit.MEBIBYTES.scale() ? Unit.MEBIBYTES : Unit.KIBIBYTES;
         return new Value.Range(round(least / unit.scale()), round(most / unit.scale()), unit).toString();
     }
 
--- a/src/main/java/slateseam/simulate/scenario/Nearest.java
+++ b/src/main/java/slateseam/simulate/scenario/Nearest.java
@@ -7,8 +7,7 @@
     private static final int LONGEST = 40;
     private static final int SHORTEST = 3;
 
-    private Nearest() {
-    }
+    private Nearest() {}
 
     /** A few words that name the nearest known word, or all of them where none is near. */
     static String hint(String word, Collection<String> known) {
@@ -22,7 +21,8 @@
                 nearest = candidate;
             }
         }
-        return nearest != null ? "; did you mean " + nearest + "?"
+        return nearest != null
+                ? "; did you mean " + nearest + "?"
                 : known.isEmpty() ? "" : "; there are " + String.join(", ", known);
     }
 
@@ -37,8 +37,8 @@
             row[0] = i;
             for (int j = 1; j <= to.length(); j++) {
                 int above = row[j];
-                row[j] = Math.min(Math.min(row[j], row[j - 1]) + 1,
-                        diagonal + (from.charAt(i - 1) == to.charAt(j - 1) ? 0 : 1));
+                row[j] = Math.min(
+                        Math.min(row[j], row[j - 1]) + 1, diagonal + (from.charAt(i - 1) == to.charAt(j - 1) ? 0 : 1));
                 diagonal = above;
             }
         }
--- a/src/main/java/slateseam/simulate/scenario/Scenario.java
+++ b/src/main/java/slateseam/simulate/scenario/Scenario.java
@@ -34,13 +34,17 @@
 
     /** The one section of a type; empty of values where the file has none. */
     public Section one(String type) {
-        return sections.stream().filter(section -> section.type().equals(type)).findFirst()
+        return sections.stream()
+                .filter(section -> section.type().equals(type))
+                .findFirst()
                 .orElseGet(() -> new Section(type, "", Map.of()));
     }
 
     /** The section of a type and a name, if there is one. */
     public Optional<Section> named(String type, String name) {
-        return sections.stream().filter(s -> s.type().equals(type) && s.name().equals(name)).findFirst();
+        return sections.stream()
+                .filter(s -> s.type().equals(type) && s.name().equals(name))
+                .findFirst();
     }
 
     /** The seed that the scenario plays whatever seed is asked for, if it has one. */
@@ -67,13 +71,16 @@
         List<Fault> left = new ArrayList<>();
         for (Fault fault : script) {
             List<String> targets = fault.targets().stream()
-                    .filter(target -> Arrays.stream(target.split("~")).noneMatch(out::contains)).toList();
+                    .filter(target -> Arrays.stream(target.split("~")).noneMatch(out::contains))
+                    .toList();
             if (!targets.isEmpty() || fault.targets().isEmpty()) {
                 left.add(fault.with(targets));
             }
         }
-        return out.isEmpty() ? this : changed(DAY, "",
-                day -> day.with("without", new Value.Names(List.copyOf(out)))).withScript(left);
+        return out.isEmpty()
+                ? this
+                : changed(DAY, "", day -> day.with("without", new Value.Names(List.copyOf(out))))
+                        .withScript(left);
     }
 
     /** The same with a day of another length, in nanoseconds; it is written in milliseconds, rounded up. */
@@ -94,8 +101,12 @@
 
     /** The same in which no fault is drawn: only the script is played. */
     public Scenario withoutDrawnFaults() {
-        return new Scenario(sections.stream().filter(s -> !s.type().equals("fault") && !s.type().equals("faults"))
-                .toList(), script, kept);
+        return new Scenario(
+                sections.stream()
+                        .filter(s -> !s.type().equals("fault") && !s.type().equals("faults"))
+                        .toList(),
+                script,
+                kept);
     }
 
     /** The same with one value set. */
@@ -114,8 +125,12 @@
     }
 
     private Scenario changed(String type, String name, UnaryOperator<Section> change) {
-        return new Scenario(sections.stream()
-                .map(s -> s.type().equals(type) && s.name().equals(name) ? change.apply(s) : s).toList(), script, kept);
+        return new Scenario(
+                sections.stream()
+                        .map(s -> s.type().equals(type) && s.name().equals(name) ? change.apply(s) : s)
+                        .toList(),
+                script,
+                kept);
     }
 
     /** The text of a file from which the same scenario is read again. */
--- a/src/main/java/slateseam/simulate/scenario/ScenarioChecker.java
+++ b/src/main/java/slateseam/simulate/scenario/ScenarioChecker.java
@@ -22,7 +22,11 @@
     private final Map<String, Integer> kept;
     private final int lastLine;
 
-    ScenarioChecker(Complaints complaints, List<Open> sections, List<Scripted> script, Map<String, Integer> kept,
+    ScenarioChecker(
+            Complaints complaints,
+            List<Open> sections,
+            List<Scripted> script,
+            Map<String, Integer> kept,
             int lastLine) {
         this.complaints = complaints;
         this.sections = sections;
@@ -33,13 +37,18 @@
 
     void check() {
         for (Schema.Type type : Schema.all()) {
-            long there = sections.stream().filter(open -> open.type.type().equals(type.type())).count();
+            long there = sections.stream()
+                    .filter(open -> open.type.type().equals(type.type()))
+                    .count();
             if (there == 0 && (type.often() == Often.ONCE || type.often() == Often.NAMED)) {
-                complaints.add(lastLine, "there is no section [" + type.type()
-                        + (type.often() == Often.NAMED ? " NAME]" : "]") + ", " + type.meaning());
+                complaints.add(
+                        lastLine,
+                        "there is no section [" + type.type() + (type.often() == Often.NAMED ? " NAME]" : "]") + ", "
+                                + type.meaning());
             } else if (there > type.most() && type.often() == Often.NAMED) {
-                complaints.add(lastLine, "there are " + there + " sections [" + type.type() + "]; " + type.most()
-                        + " are the most");
+                complaints.add(
+                        lastLine,
+                        "there are " + there + " sections [" + type.type() + "]; " + type.most() + " are the most");
             }
         }
         sections.forEach(this::complete);
@@ -51,9 +60,13 @@
     private void complete(Open section) {
         for (Name name : section.type.names()) {
             if (name.usual() == null && !section.lines.containsKey(name.word())) {
-                complaints.add(section.line, section.section().heading() + " lacks " + name.word() + ", "
-                        + name.meaning() + (name.form() == Name.Form.FIGURE ? " (" + name.limits() + ")"
-                        : name.words().isEmpty() ? "" : " (" + String.join(", ", name.words()) + ")"));
+                complaints.add(
+                        section.line,
+                        section.section().heading() + " lacks " + name.word() + ", "
+                                + name.meaning()
+                                + (name.form() == Name.Form.FIGURE
+                                        ? " (" + name.limits() + ")"
+                                        : name.words().isEmpty() ? "" : " (" + String.join(", ", name.words()) + ")"));
             }
         }
     }
@@ -61,35 +74,40 @@
     private void fitting(Open section) {
         switch (section.type.type()) {
             case "sites" -> {
-                if (section.values.get("names") instanceof Value.Names names && names.names().size() > MOST_SITES) {
-                    complaints.add(section.line("names"),
-                            "there are " + names.names().size() + " sites; 16 are the most");
+                if (section.values.get("names") instanceof Value.Names names
+                        && names.names().size() > MOST_SITES) {
+                    complaints.add(
+                            section.line("names"), "there are " + names.names().size() + " sites; 16 are the most");
                 }
             }
             case "class" -> requestClass(section);
             case "servers" -> {
                 if (TAKEN.contains(section.name)) {
-                    complaints.add(section.line, "servers cannot be named " + section.name
-                            + ", as other machines are; name the kind of machine, as in [servers big]");
+                    complaints.add(
+                            section.line,
+                            "servers cannot be named " + section.name
+                                    + ", as other machines are; name the kind of machine, as in [servers big]");
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
     private void requestClass(Open section) {
         if (section.values.get("aim") instanceof Value.Range aim
-                && section.values.get("deadline") instanceof Value.Range deadline && aim.most() > deadline.least()) {
-            complaints.add(section.line("aim"),
-                    "aim is " + aim + ", which may be later than the deadline, " + deadline);
+                && section.values.get("deadline") instanceof Value.Range deadline
+                && aim.most() > deadline.least()) {
+            complaints.add(
+                    section.line("aim"), "aim is " + aim + ", which may be later than the deadline, " + deadline);
         }
         if (section.values.get("effect") instanceof Value.Choice effect) {
             boolean keyed = effect.words().contains("keyed");
             if (effect.words().size() > 1) {
                 complaints.add(section.line("effect"), "effect is " + effect + ": it must be one word");
             } else if (keyed && !section.lines.containsKey("window")) {
-                complaints.add(section.line, section.section().heading()
-                        + " lacks window, for how long repeats are dropped, as in 4 s");
+                complaints.add(
+                        section.line,
+                        section.section().heading() + " lacks window, for how long repeats are dropped, as in 4 s");
             } else if (!keyed && section.lines.containsKey("window")) {
                 complaints.add(section.line("window"), "window is for keyed classes, but effect is " + effect);
             }
@@ -97,9 +115,12 @@
     }
 
     private void classShares() {
-        List<Open> classes = sections.stream().filter(open -> open.type.type().equals("class")).toList();
-        if (!classes.isEmpty() && classes.stream()
-                .allMatch(open -> open.values.get("share") instanceof Value.Range share && share.low() <= 0)) {
+        List<Open> classes = sections.stream()
+                .filter(open -> open.type.type().equals("class"))
+                .toList();
+        if (!classes.isEmpty()
+                && classes.stream()
+                        .allMatch(open -> open.values.get("share") instanceof Value.Range share && share.low() <= 0)) {
             complaints.add(classes.get(0).line("share"), "the shares of all classes may be 0; one must be over 0 %");
         }
     }
@@ -127,8 +148,10 @@
         if (unsure) {
             return; // that is told already, and whether a machine exists cannot be
         }
-        Value.Range each = sections.stream().filter(open -> open.type.type().equals("user-agents"))
-                .map(open -> (Value.Range) Drawn.value(open.section(), "beside-each")).findFirst()
+        Value.Range each = sections.stream()
+                .filter(open -> open.type.type().equals("user-agents"))
+                .map(open -> (Value.Range) Drawn.value(open.section(), "beside-each"))
+                .findFirst()
                 .orElse(new Value.Range(1, 1, Unit.COUNT));
         numbers.put("user", new Value.Range(routers.low() * each.low(), routers.high() * each.high(), Unit.COUNT));
         kept.forEach((name, line) -> exists(line, name, Set.of("user"), numbers));
@@ -137,16 +160,22 @@
                 names.names().forEach(name -> exists(section.line("without"), name, numbers.keySet(), numbers));
             }
         }
-        Value.Range duration = sections.stream().filter(open -> open.type.type().equals("day"))
-                .map(open -> number(open, "duration")).filter(Objects::nonNull).findFirst().orElse(null);
+        Value.Range duration = sections.stream()
+                .filter(open -> open.type.type().equals("day"))
+                .map(open -> number(open, "duration"))
+                .filter(Objects::nonNull)
+                .findFirst()
+                .orElse(null);
         script.forEach(scripted -> scripted(scripted, duration, numbers));
     }
 
     private void scripted(Scripted scripted, Value.Range duration, Map<String, Value.Range> numbers) {
         Fault fault = scripted.fault();
         if (duration != null && fault.at() > duration.least()) {
-            complaints.add(scripted.line(), fault.kind().word() + " begins at " + fault.at() / 1e9
-                    + " s, but the day may end at " + duration.least() / 1e9 + " s");
+            complaints.add(
+                    scripted.line(),
+                    fault.kind().word() + " begins at " + fault.at() / 1e9 + " s, but the day may end at "
+                            + duration.least() / 1e9 + " s");
         }
         if (fault instanceof Fault.Cued cued) {
             exists(scripted.line(), cued.cue().router(), Set.of("router"), numbers);
@@ -176,16 +205,26 @@
             return;
         }
         if (dash < 0 || !kinds.contains(kind) || !numbers.containsKey(kind)) {
-            complaints.add(line, "there is no machine " + machine + " for that; there are " + kinds.stream().sorted()
-                    .map(k -> k.equals("origin") ? k : k + "-1 to " + k + "-" + (int) numbers.get(k).low()).toList());
+            complaints.add(
+                    line,
+                    "there is no machine " + machine + " for that; there are "
+                            + kinds.stream()
+                                    .sorted()
+                                    .map(k -> k.equals("origin")
+                                            ? k
+                                            : k + "-1 to " + k + "-"
+                                                    + (int) numbers.get(k).low())
+                                    .toList());
             return;
         }
         String digits = machine.substring(dash + 1);
         int number = digits.matches("[1-9][0-9]{0,6}") ? Integer.parseInt(digits) : -1;
         Value.Range there = numbers.get(kind);
         if (number < 1 || number > there.low()) {
-            complaints.add(line, "there is no machine " + machine + (number >= 1 && number <= there.high()
-                    ? " on each day" : "") + "; the number is " + there + ", counted from " + kind + "-1");
+            complaints.add(
+                    line,
+                    "there is no machine " + machine + (number >= 1 && number <= there.high() ? " on each day" : "")
+                            + "; the number is " + there + ", counted from " + kind + "-1");
         }
     }
 }
--- a/src/main/java/slateseam/simulate/scenario/ScenarioReader.java
+++ b/src/main/java/slateseam/simulate/scenario/ScenarioReader.java
@@ -47,11 +47,16 @@
     }
 
     /** A scripted fault and where it stands. */
-    record Scripted(Fault fault, int line) {
-    }
+    record Scripted(Fault fault, int line) {}
 
     /** What a heading begins. */
-    private enum Part { NONE, UNKNOWN, FIGURES, SCRIPT, REQUESTS }
+    private enum Part {
+        NONE,
+        UNKNOWN,
+        FIGURES,
+        SCRIPT,
+        REQUESTS
+    }
 
     private final Complaints complaints;
     private final List<Open> sections = new ArrayList<>();
@@ -67,7 +72,8 @@
     }
 
     Scenario read(String text) throws InvalidScenarioException {
-        List<String> lines = (text.startsWith("\ufeff") ? text.substring(1) : text).lines().toList();
+        List<String> lines =
+                (text.startsWith("\ufeff") ? text.substring(1) : text).lines().toList();
         int statements = 0;
         for (String written : lines) {
             line++;
@@ -86,14 +92,19 @@
             }
         }
         if (statements == 0) {
-            complaints.add(1, "the file is empty; it needs at least " + Schema.all().stream()
-                    .filter(t -> t.often() == Often.ONCE || t.often() == Often.NAMED)
-                    .map(t -> "[" + t.type() + (t.often() == Often.NAMED ? " NAME]" : "]")).toList());
+            complaints.add(
+                    1,
+                    "the file is empty; it needs at least "
+                            + Schema.all().stream()
+                                    .filter(t -> t.often() == Often.ONCE || t.often() == Often.NAMED)
+                                    .map(t -> "[" + t.type() + (t.often() == Often.NAMED ? " NAME]" : "]"))
+                                    .toList());
             complaints.throwIfAny();
         }
         new ScenarioChecker(complaints, sections, script, keptLines, Math.max(1, Math.min(line, MOST_LINES))).check();
         complaints.throwIfAny();
-        return new Scenario(sections.stream().map(Open::section).toList(),
+        return new Scenario(
+                sections.stream().map(Open::section).toList(),
                 script.stream().map(Scripted::fault).toList(),
                 headings.containsKey(Schema.REQUESTS) ? new Kept(kept) : null);
     }
@@ -115,7 +126,7 @@
             case FIGURES -> value(statement);
             case SCRIPT -> scripted(statement);
             case REQUESTS -> requests(statement);
-            case UNKNOWN -> { }
+            case UNKNOWN -> {}
         }
     }
 
@@ -133,8 +144,11 @@
         if (!Schema.words().contains(word)) {
             complaint("there is no section [" + word + "]" + Nearest.hint(word, Schema.words()));
         } else if (named == name.isEmpty()) {
-            complaint(named ? "[" + word + "] needs a name, as in [" + word + (type.often() == Often.FAULTS ? " crash]"
-                    : " first]") : "[" + word + "] takes no name, but " + name + " stands there");
+            complaint(
+                    named
+                            ? "[" + word + "] needs a name, as in [" + word
+                                    + (type.often() == Often.FAULTS ? " crash]" : " first]")
+                            : "[" + word + "] takes no name, but " + name + " stands there");
         } else if (type != null && type.often() == Often.FAULTS && FaultKind.find(name) == null) {
             complaint("there is no fault " + name + Nearest.hint(name, FaultKind.words()));
         } else if (named && !ValueParser.WORD.matcher(name).matches()) {
@@ -148,8 +162,8 @@
                 part = word.equals(Schema.SCRIPT) ? Part.SCRIPT : Part.REQUESTS;
             } else {
                 part = Part.FIGURES;
-                sections.add(new Open(type.often() == Often.FAULTS ? Schema.of(FaultKind.find(name)) : type, name,
-                        line));
+                sections.add(
+                        new Open(type.often() == Often.FAULTS ? Schema.of(FaultKind.find(name)) : type, name, line));
             }
         }
     }
@@ -176,8 +190,8 @@
         try {
             Value value = ValueParser.parse(name, words[1]);
             if (value instanceof Value.Names more) {
-                List<String> all = new ArrayList<>(section.values.get(word) instanceof Value.Names first
-                        ? first.names() : List.of());
+                List<String> all = new ArrayList<>(
+                        section.values.get(word) instanceof Value.Names first ? first.names() : List.of());
                 for (String one : more.names()) {
                     if (all.contains(one)) {
                         complaint(word + " has " + one + " twice");
--- a/src/main/java/slateseam/simulate/scenario/ScenarioWriter.java
+++ b/src/main/java/slateseam/simulate/scenario/ScenarioWriter.java
@@ -8,8 +8,7 @@
 public final class ScenarioWriter {
     private static final int LINE = 100;
 
-    private ScenarioWriter() {
-    }
+    private ScenarioWriter() {}
 
     /** The file's text. */
     public static String write(Scenario scenario) {
@@ -44,7 +43,7 @@
 
     private static void numbers(StringBuilder text, String userAgent, BitSet numbers) {
         List<String> runs = new ArrayList<>();
-        for (int from = numbers.nextSetBit(0); from >= 0;) {
+        for (int from = numbers.nextSetBit(0); from >= 0; ) {
             int to = numbers.nextClearBit(from) - 1;
             runs.add(from == to ? Integer.toString(from) : from + ".." + to);
             from = numbers.nextSetBit(to + 1);
--- a/src/main/java/slateseam/simulate/scenario/Scenarios.java
+++ b/src/main/java/slateseam/simulate/scenario/Scenarios.java
@@ -17,8 +17,7 @@
     /** The scenario that is played where no file is named. */
     public static final String USUAL = "usual.scenario";
 
-    private Scenarios() {
-    }
+    private Scenarios() {}
 
     /**
      * Reads a file.
@@ -31,8 +30,8 @@
         } catch (NoSuchFileException e) {
             throw new InvalidScenarioException(List.of(file + ":1: there is no such file"));
         } catch (IOException e) {
-            throw new InvalidScenarioException(List.of(file + ":1: the file cannot be read ("
-                    + e.getClass().getSimpleName() + ")"));
+            throw new InvalidScenarioException(List.of(
+                    file + ":1: the file cannot be read (" + e.getClass().getSimpleName() + ")"));
         }
     }
 
@@ -65,8 +64,10 @@
             for (int i = 0; i < in.position(); i++) {
                 line += bytes[i] == '\n' ? 1 : 0;
             }
-            complaints.add(line, "the file is no UTF-8 from here on (byte 0x"
-                    + Integer.toHexString(bytes[in.position()] & 0xff) + "); save it as UTF-8");
+            complaints.add(
+                    line,
+                    "the file is no UTF-8 from here on (byte 0x" + Integer.toHexString(bytes[in.position()] & 0xff)
+                            + "); save it as UTF-8");
         }
         complaints.throwIfAny();
         return new ScenarioReader(complaints).read(text.flip().toString());
--- a/src/main/java/slateseam/simulate/scenario/ScriptParser.java
+++ b/src/main/java/slateseam/simulate/scenario/ScriptParser.java
@@ -76,8 +76,8 @@
                 lasts = nanos("for");
                 timed = true;
             } else {
-                throw new FaultyValueException(words.get(at) + " does not belong there; a line of the script is "
-                        + FORM);
+                throw new FaultyValueException(
+                        words.get(at) + " does not belong there; a line of the script is " + FORM);
             }
         }
         if (kind.size() != null && !sized) {
@@ -90,7 +90,9 @@
     }
 
     private static String example(FaultKind kind) {
-        return kind.size() == Measure.FACTOR ? "4.5" : kind.size() == Measure.SIZE ? "64 KiB" : kind.size() == Measure.SHARE ? "35 %" : "800 ms";
+        return kind.size() == Measure.FACTOR
+                ? "4.5"
+                : kind.size() == Measure.SIZE ? "64 KiB" : kind.size() == Measure.SHARE ? "35 %" : "800 ms";
     }
 
     private boolean next(String word) {
@@ -133,19 +135,27 @@
 
     private List<String> targets(FaultKind kind) throws FaultyValueException {
         List<String> targets = new ArrayList<>();
-        while (at < words.size() && !words.get(at).equals("size") && !words.get(at).equals("for")) {
+        while (at < words.size()
+                && !words.get(at).equals("size")
+                && !words.get(at).equals("for")) {
             String target = words.get(at++);
             if (targets.contains(target)) {
                 throw new FaultyValueException(kind.word() + " names " + target + " twice");
             }
             if (kind.targets() == Targets.RUDE && RudeKind.find(target) == null) {
                 throw new FaultyValueException("there is no rude user agent " + target
-                        + Nearest.hint(target, Arrays.stream(RudeKind.values()).map(RudeKind::word).toList()));
+                        + Nearest.hint(
+                                target,
+                                Arrays.stream(RudeKind.values())
+                                        .map(RudeKind::word)
+                                        .toList()));
             }
             boolean routers = kind.targets() == Targets.ROUTER_PAIRS;
             if ((routers || kind.targets() == Targets.PAIRS) && target.split("~", -1).length != 2) {
-                throw new FaultyValueException(target + (routers ? " is no pair of routers, as in router-1~router-2"
-                        : " is no pair of machines, as in router-1~origin"));
+                throw new FaultyValueException(target
+                        + (routers
+                                ? " is no pair of routers, as in router-1~router-2"
+                                : " is no pair of machines, as in router-1~origin"));
             }
             targets.add(target);
         }
--- a/src/main/java/slateseam/simulate/scenario/Timeline.java
+++ b/src/main/java/slateseam/simulate/scenario/Timeline.java
@@ -12,7 +12,8 @@
  * @param faults in order
  */
 public record Timeline(List<Fault> faults) {
-    private static final Comparator<Fault> ORDER = Comparator.comparingLong(Fault::at).thenComparing(Fault::kind);
+    private static final Comparator<Fault> ORDER =
+            Comparator.comparingLong(Fault::at).thenComparing(Fault::kind);
 
     /** Sorts and copies the list. */
     public Timeline {
--- a/src/main/java/slateseam/simulate/scenario/Unit.java
+++ b/src/main/java/slateseam/simulate/scenario/Unit.java
@@ -30,7 +30,14 @@
     MEBIBYTES("MiB", Measure.SIZE, 1024 * 1024);
 
     /** What a figure measures; its basic unit is nanoseconds, a part of one, so many a second, or bytes. */
-    public enum Measure { COUNT, FACTOR, TIME, SHARE, RATE, SIZE }
+    public enum Measure {
+        COUNT,
+        FACTOR,
+        TIME,
+        SHARE,
+        RATE,
+        SIZE
+    }
 
     private final String word;
     private final Measure measure;
@@ -69,6 +76,9 @@
 
     /** The unit of this word for a measure; null if there is none. */
     static Unit find(String word, Measure measure) {
-        return of(measure).stream().filter(unit -> unit.word.equals(word)).findFirst().orElse(null);
+        return of(measure).stream()
+                .filter(unit -> unit.word.equals(word))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/slateseam/simulate/scenario/ValueParser.java
+++ b/src/main/java/slateseam/simulate/scenario/ValueParser.java
@@ -21,12 +21,12 @@
 
     /** What names of sites, classes, tenants and machines may look like: they stand in addresses, facts and JSON. */
     static final Pattern WORD = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,39}");
+
     private static final String NUMBER = "(-?[0-9]{1,18}(?:\\.[0-9]{1,18})?)";
     private static final Pattern FIGURE = Pattern.compile(NUMBER + "(?:\\.\\." + NUMBER + ")?\\s*([^\\s.0-9]\\S*)?");
     private static final Pattern UNIT_TWICE = Pattern.compile(NUMBER + "\\s*[a-zA-Z%/]+\\s*\\.\\..*");
 
-    private ValueParser() {
-    }
+    private ValueParser() {}
 
     static Value parse(Name name, String text) throws FaultyValueException {
         return switch (name.form()) {
@@ -40,8 +40,8 @@
         List<String> names = Arrays.asList(text.split("\\s+"));
         for (String word : names) {
             if (!WORD.matcher(word).matches()) {
-                throw new FaultyValueException(name.word() + " has " + word
-                        + ", no name of letters, digits, '_', '.' and '-', 40 at most");
+                throw new FaultyValueException(
+                        name.word() + " has " + word + ", no name of letters, digits, '_', '.' and '-', 40 at most");
             }
         }
         return new Value.Names(names);
@@ -76,10 +76,11 @@
     static Value.Range range(String word, Measure measure, String text) throws FaultyValueException {
         Matcher matcher = FIGURE.matcher(text);
         if (!matcher.matches()) {
-            throw new FaultyValueException(word + " is " + text + ": " + (UNIT_TWICE.matcher(text).matches()
-                    ? "the unit stands once, behind the range, as in 10..20 " + example(measure)
-                    : "it must be a figure or a range, as in " + ("5 " + example(measure)).strip() + " or "
-                            + ("5..8 " + example(measure)).strip()));
+            throw new FaultyValueException(word + " is " + text + ": "
+                    + (UNIT_TWICE.matcher(text).matches()
+                            ? "the unit stands once, behind the range, as in 10..20 " + example(measure)
+                            : "it must be a figure or a range, as in " + ("5 " + example(measure)).strip() + " or "
+                                    + ("5..8 " + example(measure)).strip()));
         }
         Unit unit = unit(word, measure, text, matcher.group(3) == null ? "" : matcher.group(3));
         double low = Double.parseDouble(matcher.group(1));
@@ -98,10 +99,13 @@
         Unit unit = Unit.find(written, measure);
         if (unit == null) {
             boolean needed = measure != Measure.COUNT && measure != Measure.FACTOR;
-            throw new FaultyValueException(word + " is " + text + ": " + (!needed
-                    ? "it takes no unit, but " + written + " stands behind it" : written.isEmpty()
-                    ? "it needs a unit (" + Unit.words(measure) + "), as in " + text + " " + example(measure)
-                    : "there is no unit " + written + " for it; there are " + Unit.words(measure)));
+            throw new FaultyValueException(word + " is " + text + ": "
+                    + (!needed
+                            ? "it takes no unit, but " + written + " stands behind it"
+                            : written.isEmpty()
+                                    ? "it needs a unit (" + Unit.words(measure) + "), as in " + text + " "
+                                            + example(measure)
+                                    : "there is no unit " + written + " for it; there are " + Unit.words(measure)));
         }
         return unit;
     }
@@ -116,6 +120,8 @@
     }
 
     private static String example(Measure measure) {
-        return measure == Measure.TIME ? "ms" : measure == Measure.SIZE ? "KiB" : Unit.of(measure).get(0).word();
+        return measure == Measure.TIME
+                ? "ms"
+                : measure == Measure.SIZE ? "KiB" : Unit.of(measure).get(0).word();
     }
 }
--- a/src/main/java/slateseam/simulate/tier/AgreementDay.java
+++ b/src/main/java/slateseam/simulate/tier/AgreementDay.java
@@ -18,6 +18,7 @@
     private static final long MOST_LASTS = 6 * SECOND;
     /** After the last fault, until all have the same and may go on. */
     private static final long SETTLED = 20 * SECOND;
+
     private static final int KEPT = 24;
 
     private final AgreementWorld world;
@@ -25,9 +26,11 @@
     private final int voters;
     /** Whose memory, or process, is not to be relied on now. */
     private final Set<Integer> weak = new HashSet<>();
+
     private int commands;
     /** Faults of ways and processes that last now. */
     private int troubles;
+
     private long quietUntil;
     private String log = "";
 
@@ -39,7 +42,7 @@
 
     /** Plays it; null if all held. */
     Broken play() {
-        world.net().run(4 * SECOND, () -> { });
+        world.net().run(4 * SECOND, () -> {});
         if (world.broken() == null && !world.isWhole()) {
             return new Broken("BEGIN", world.look());
         }
@@ -47,9 +50,9 @@
         propose(end);
         while (world.net().now() < end && world.broken() == null) {
             fault();
-            world.net().run(SECOND / 2 + random.nextLong(3 * SECOND), () -> { });
+            world.net().run(SECOND / 2 + random.nextLong(3 * SECOND), () -> {});
         }
-        world.net().run(MOST_LASTS + SETTLED, () -> { });
+        world.net().run(MOST_LASTS + SETTLED, () -> {});
         if (world.broken() != null) {
             return new Broken(world.broken().rule(), world.broken().text() + log);
         }
@@ -58,7 +61,7 @@
         }
         String last = "last";
         world.propose(last);
-        world.net().run(SECOND, () -> { });
+        world.net().run(SECOND, () -> {});
         return world.times(last) == null ? new Broken("NO_PROGRESS", world.look() + log) : null;
     }
 
@@ -70,7 +73,8 @@
     }
 
     private void say(String fault) {
-        log += String.format(java.util.Locale.ROOT, " [%.1f %s]", (world.net().now() - MembersWorld.BEGIN) / 1e9, fault);
+        log += String.format(
+                java.util.Locale.ROOT, " [%.1f %s]", (world.net().now() - MembersWorld.BEGIN) / 1e9, fault);
     }
 
     /** One that is neither down nor with a weak memory, if a majority of such is left without it; -1 for none. */
@@ -97,13 +101,19 @@
                     troubles--;
                 });
             }
-            case 1 -> lasting("cut " + any + ">" + other, lasts, on -> world.net().cut(any, other, on));
+            case 1 ->
+                lasting("cut " + any + ">" + other, lasts, on -> world.net().cut(any, other, on));
             case 2 -> lasting("mute " + any, lasts, on -> world.net().mute(any, world.size(), on));
             case 3 -> lasting("deaf " + any, lasts, on -> world.net().deaf(any, world.size(), on));
             case 4 -> lasting("halve", lasts, on -> world.net().halve(1 + any % (world.size() - 1), world.size(), on));
-            case 5 -> lasting("loss", lasts, on -> world.net().ways(on ? new Ways(0.3, 0.1, 0.3, MILLI, 30 * MILLI) : Ways.USUAL));
-            case 6 -> lasting("stall " + any + ">" + other, lasts, on -> world.net().stall(any, other, on));
-            case 7 -> restart(victim(), lasts, "", () -> { });
+            case 5 ->
+                lasting(
+                        "loss",
+                        lasts,
+                        on -> world.net().ways(on ? new Ways(0.3, 0.1, 0.3, MILLI, 30 * MILLI) : Ways.USUAL));
+            case 6 ->
+                lasting("stall " + any + ">" + other, lasts, on -> world.net().stall(any, other, on));
+            case 7 -> restart(victim(), lasts, "", () -> {});
             case 8 -> {
                 int victim = victim();
                 restart(victim, lasts, "emptied", () -> world.memory(victim).empty());
@@ -134,7 +144,10 @@
             case 11 -> {
                 int victim = victim();
                 if (victim >= 0) {
-                    lasting("slow force " + victim, lasts, on -> world.memory(victim).forceNanos = on ? 5 * SECOND : 2 * MILLI);
+                    lasting(
+                            "slow force " + victim,
+                            lasts,
+                            on -> world.memory(victim).forceNanos = on ? 5 * SECOND : 2 * MILLI);
                 }
             }
             case 12 -> all(lasts);
--- a/src/main/java/slateseam/simulate/tier/AgreementWorld.java
+++ b/src/main/java/slateseam/simulate/tier/AgreementWorld.java
@@ -113,7 +113,10 @@
 
         @Override
         public byte[] offer(byte[] state) {
-            byte[] hash = ByteBuffer.allocate(16).putInt(Arrays.hashCode(state)).putInt(state.length).array();
+            byte[] hash = ByteBuffer.allocate(16)
+                    .putInt(Arrays.hashCode(state))
+                    .putInt(state.length)
+                    .array();
             contents.put(ByteBuffer.wrap(hash), state);
             return hash;
         }
@@ -144,9 +147,11 @@
     private final Map<ByteBuffer, byte[]> contents = new HashMap<>();
     /** What all have applied, in order. */
     private final List<String> all = new ArrayList<>();
+
     private final Map<Long, Integer> leaders = new TreeMap<>();
     /** When each command was first applied anywhere. */
     private final Map<String, Long> committed = new HashMap<>();
+
     private final Map<String, Long> proposed = new HashMap<>();
     private final TreeSet<Integer> wanted = new TreeSet<>();
     private long memories;
@@ -170,20 +175,28 @@
     }
 
     private static String text(Entry entry) {
-        return entry.kind().name().charAt(0) + "" + entry.term() + ":" + (entry.kind() == Entry.Kind.COMMAND
-                ? new String(entry.body(), java.nio.charset.StandardCharsets.US_ASCII) : Arrays.hashCode(entry.body()));
+        return entry.kind().name().charAt(0) + "" + entry.term() + ":"
+                + (entry.kind() == Entry.Kind.COMMAND
+                        ? new String(entry.body(), java.nio.charset.StandardCharsets.US_ASCII)
+                        : Arrays.hashCode(entry.body()));
     }
 
     private void broken(String rule, String text) {
         if (broken == null) {
-            broken = new MembersDay.Broken(rule, String.format(java.util.Locale.ROOT, "at %.3f s: %s", (net.now() - MembersWorld.BEGIN) / 1e9, text));
+            broken = new MembersDay.Broken(
+                    rule,
+                    String.format(
+                            java.util.Locale.ROOT, "at %.3f s: %s", (net.now() - MembersWorld.BEGIN) / 1e9, text));
         }
     }
 
     private void applied(Node by, int length) {
         String last = by.log.get(length - 1);
         if (all.size() >= length && !all.get(length - 1).equals(last)) {
-            broken("APPLIED_OTHER", "router " + by.index + " has entry " + length + " as " + last + ", another as " + all.get(length - 1));
+            broken(
+                    "APPLIED_OTHER",
+                    "router " + by.index + " has entry " + length + " as " + last + ", another as "
+                            + all.get(length - 1));
         } else if (all.size() < length) {
             all.add(last);
         }
@@ -215,7 +228,9 @@
     /** Whoever leads changes who votes, by what it has been told of memories. */
     private void admit() {
         Map<Integer, Long> told = new TreeMap<>();
-        nodes.stream().filter(node -> node.raft != null).forEach(node -> told.put(node.index, node.raft.self().memory()));
+        nodes.stream()
+                .filter(node -> node.raft != null)
+                .forEach(node -> told.put(node.index, node.raft.self().memory()));
         net.after(TOLD, () -> {
             for (Node node : nodes) {
                 if (node.raft != null && !node.paused) {
@@ -297,22 +312,37 @@
 
     /** Whether all that are wanted are up, vote, and have applied the same. */
     boolean isWhole() {
-        return wanted.stream().allMatch(i -> nodes.get(i).raft != null && nodes.get(i).log.size() == all.size()
-                && nodes.get(i).raft.seats().stream().map(Seat::router).toList().containsAll(wanted)
-                && nodes.get(i).raft.seats().contains(nodes.get(i).raft.self()) && nodes.get(i).raft.seats().size() == wanted.size());
+        return wanted.stream()
+                .allMatch(i -> nodes.get(i).raft != null
+                        && nodes.get(i).log.size() == all.size()
+                        && nodes.get(i).raft.seats().stream()
+                                .map(Seat::router)
+                                .toList()
+                                .containsAll(wanted)
+                        && nodes.get(i).raft.seats().contains(nodes.get(i).raft.self())
+                        && nodes.get(i).raft.seats().size() == wanted.size());
     }
 
     /** Whether it votes with the memory that it has. */
     boolean isSeated(int index) {
         Raft raft = nodes.get(index).raft;
         // A leader alone may have written it down and lost it again.
-        return raft != null && raft.role() != Raft.Role.UNSURE
-                && 2 * nodes.stream().filter(node -> node.raft != null && node.raft.seats().contains(raft.self())).count() > wanted.size();
+        return raft != null
+                && raft.role() != Raft.Role.UNSURE
+                && 2
+                                * nodes.stream()
+                                        .filter(node -> node.raft != null
+                                                && node.raft.seats().contains(raft.self()))
+                                        .count()
+                        > wanted.size();
     }
 
     int leader() {
-        return nodes.stream().filter(node -> node.raft != null && !node.paused && node.raft.role() == Raft.Role.LEADER)
-                .max(java.util.Comparator.comparingLong(node -> node.raft.term())).map(node -> node.index).orElse(-1);
+        return nodes.stream()
+                .filter(node -> node.raft != null && !node.paused && node.raft.role() == Raft.Role.LEADER)
+                .max(java.util.Comparator.comparingLong(node -> node.raft.term()))
+                .map(node -> node.index)
+                .orElse(-1);
     }
 
     long sent() {
@@ -333,8 +363,13 @@
 
     String look() {
         StringBuilder text = new StringBuilder();
-        nodes.forEach(node -> text.append(node.index).append(node.raft == null ? " down" : " " + node.raft.role() + " term " + node.raft.term()
-                + " seats " + node.raft.seats() + " applied " + node.log.size()).append("; "));
+        nodes.forEach(node -> text.append(node.index)
+                .append(
+                        node.raft == null
+                                ? " down"
+                                : " " + node.raft.role() + " term " + node.raft.term() + " seats " + node.raft.seats()
+                                        + " applied " + node.log.size())
+                .append("; "));
         return text.toString();
     }
 }
--- a/src/main/java/slateseam/simulate/tier/MembersCommand.java
+++ b/src/main/java/slateseam/simulate/tier/MembersCommand.java
@@ -10,8 +10,7 @@
     /** Member-hours that are played for a figure of wrong accusations, at least. */
     private static final double HOURS = 100;
 
-    private MembersCommand() {
-    }
+    private MembersCommand() {}
 
     /** Plays all figures for each of these numbers of members. */
     public static void run(int[] members, long from, long to, double hours, PrintStream out) {
@@ -33,10 +32,17 @@
         for (int n : members) {
             long minutes = Math.max(1, Math.round(60 * most / n / (to - from + 1)));
             for (double loss : new double[] {0, 0.2, 0.4}) {
-                row.accept(String.format(Locale.ROOT, "| %d | %.0f%% lost | %s |", n, 100 * loss,
+                row.accept(String.format(
+                        Locale.ROOT,
+                        "| %d | %.0f%% lost | %s |",
+                        n,
+                        100 * loss,
                         new MembersFigures(n, from, to).wrong(Ways.USUAL.losing(loss), 0, minutes)));
             }
-            row.accept(String.format(Locale.ROOT, "| %d | a tenth paused | %s |", n,
+            row.accept(String.format(
+                    Locale.ROOT,
+                    "| %d | a tenth paused | %s |",
+                    n,
                     new MembersFigures(n, from, to).wrong(Ways.USUAL, 0.1, minutes)));
         }
     }
--- a/src/main/java/slateseam/simulate/tier/MembersDay.java
+++ b/src/main/java/slateseam/simulate/tier/MembersDay.java
@@ -26,6 +26,7 @@
     private static final long SETTLED = 15 * SECOND;
     /** After a fault what it caused may still be told of. */
     private static final long AFTER = 4 * SECOND;
+
     private static final long MOST_LASTS = 8 * SECOND;
     /** A second, of one member: far above what faults bring about, far below a storm. */
     private static final int MOST_DATAGRAMS = 150;
@@ -33,19 +34,20 @@
     private static final int ALL_WATCH = 9;
     /** What was suspected before may still be declared failed. */
     private static final long APART = 2 * SECOND;
+
     private static final int MOST_TURNS = 12;
     private static final long KNOWN_LEFT = 2 * SECOND;
     private static final long KNOWS_ITSELF_UNHEARD = 6 * SECOND;
 
     /** The first thing that must not be; null if nothing was. */
-    record Broken(String rule, String text) {
-    }
+    record Broken(String rule, String text) {}
 
     private final MembersWorld world;
     private final SplittableRandom random;
     private final int members;
     /** Whom a fault troubles, until when; for ever while it lasts. */
     private final Map<Integer, Long> troubled = new HashMap<>();
+
     private final Map<Integer, Integer> blocked = new HashMap<>();
     private final Map<Integer, Long> startedAt = new HashMap<>();
     private final Set<Integer> busy = new HashSet<>();
@@ -56,6 +58,7 @@
     private int looked;
     /** The first of the fewer; 0 while nobody is apart. */
     private int fewer;
+
     private long apartSince;
     private long lossyUntil;
     private Broken broken;
@@ -98,7 +101,10 @@
 
     private void breaks(String rule, String text) {
         if (broken == null) {
-            broken = new Broken(rule, text + " at=" + (world.now() - MembersWorld.BEGIN) / MILLI + "ms members=" + members + " faults:" + log);
+            broken = new Broken(
+                    rule,
+                    text + " at=" + (world.now() - MembersWorld.BEGIN) / MILLI + "ms members=" + members + " faults:"
+                            + log);
         }
     }
 
@@ -112,26 +118,39 @@
         log += " " + (world.now() - MembersWorld.BEGIN) / MILLI + ":" + kind + "/" + one + "/" + lasts / MILLI;
         int number = ++faults;
         switch (kind) {
-            case 0, 1 -> befall(one, lasts, () -> world.pause(one, true), () -> {
-                boolean alone = world.members(one).present() == 1;
-                world.pause(one, false);
-                if (lasts > 500 * MILLI && !alone && world.members(one).doubt() == Doubt.NONE) {
-                    breaks("PAUSE", "one that stood still for " + lasts / MILLI + " ms does not doubt itself");
-                }
-            });
-            case 2, 3 -> befall(one, lasts, () -> world.kill(one), () -> {
-                world.clock(one, random.nextInt(3) == 0 ? -random.nextLong(3_600 * SECOND) : 0);
-                startedAt.put(one, world.now());
-                // Some stay where the list has them, or nobody could find anybody.
-                world.start(one, MembersWorld.name(one), one % 2 == 1 && random.nextInt(3) == 0 ? 7_001 : 7_000);
-            });
+            case 0, 1 ->
+                befall(one, lasts, () -> world.pause(one, true), () -> {
+                    boolean alone = world.members(one).present() == 1;
+                    world.pause(one, false);
+                    if (lasts > 500 * MILLI && !alone && world.members(one).doubt() == Doubt.NONE) {
+                        breaks("PAUSE", "one that stood still for " + lasts / MILLI + " ms does not doubt itself");
+                    }
+                });
+            case 2, 3 ->
+                befall(one, lasts, () -> world.kill(one), () -> {
+                    world.clock(one, random.nextInt(3) == 0 ? -random.nextLong(3_600 * SECOND) : 0);
+                    startedAt.put(one, world.now());
+                    // Some stay where the list has them, or nobody could find anybody.
+                    world.start(one, MembersWorld.name(one), one % 2 == 1 && random.nextInt(3) == 0 ? 7_001 : 7_000);
+                });
             case 4 -> {
-                String leaves = " " + MembersWorld.name(one) + " " + world.members(one).life();
+                String leaves =
+                        " " + MembersWorld.name(one) + " " + world.members(one).life();
                 // Unless it had only just started, so that not all knew it.
                 boolean known = startedAt.getOrDefault(one, 0L) + KNOWN_LEFT < world.now();
-                world.after(KNOWN_LEFT, () -> IntStream.range(0, members).filter(i -> known && i != one && world.members(i) != null && !isTroubled(i)
-                        && !busy.contains(i) && !left.contains(i + " " + world.process(i) + leaves) && !wasLossy()).forEach(i -> breaks("END",
-                        "router " + (i + 1) + " does not know that" + leaves + " said that it ends")));
+                world.after(
+                        KNOWN_LEFT,
+                        () -> IntStream.range(0, members)
+                                .filter(i -> known
+                                        && i != one
+                                        && world.members(i) != null
+                                        && !isTroubled(i)
+                                        && !busy.contains(i)
+                                        && !left.contains(i + " " + world.process(i) + leaves)
+                                        && !wasLossy())
+                                .forEach(i -> breaks(
+                                        "END",
+                                        "router " + (i + 1) + " does not know that" + leaves + " said that it ends")));
                 befall(one, lasts, () -> world.leave(one), () -> {
                     world.clock(one, 0);
                     world.start(one);
@@ -144,19 +163,23 @@
                 world.cut(one, other, true);
                 world.after(lasts, () -> world.cut(one, other, false));
             }
-            case 6 -> befall(one, lasts, () -> world.mute(one, true), () -> {
-                if (lasts > KNOWS_ITSELF_UNHEARD && members > 3 && faults == number && world.members(one).doubt() == Doubt.NONE) {
-                    breaks("UNHEARD", "one that nobody hears for " + lasts / MILLI + " ms does not doubt itself");
-                }
-                world.mute(one, false);
-            });
+            case 6 ->
+                befall(one, lasts, () -> world.mute(one, true), () -> {
+                    if (lasts > KNOWS_ITSELF_UNHEARD
+                            && members > 3
+                            && faults == number
+                            && world.members(one).doubt() == Doubt.NONE) {
+                        breaks("UNHEARD", "one that nobody hears for " + lasts / MILLI + " ms does not doubt itself");
+                    }
+                    world.mute(one, false);
+                });
             case 7 -> befall(one, lasts, () -> world.deaf(one, true), () -> world.deaf(one, false));
             case 8 -> {
                 int apart = 1 + random.nextInt(members / 2);
                 fewer = apart;
                 apartSince = world.now();
                 world.halve(apart, true);
-                IntStream.range(0, members).forEach(i -> befall(i, lasts, () -> { }, () -> { }));
+                IntStream.range(0, members).forEach(i -> befall(i, lasts, () -> {}, () -> {}));
                 world.after(lasts, () -> {
                     fewer = 0;
                     world.halve(apart, false);
@@ -224,7 +247,11 @@
             if (world.members(seen.by()) != null && world.members(seen.by()).doubt() != Doubt.NONE) {
                 breaks("DOUBT", seen + ": it declares one failed while it doubts itself");
             }
-            if (fewer > 0 && world.now() - apartSince > APART && seen.by() < fewer && of >= fewer && world.members(of) != null
+            if (fewer > 0
+                    && world.now() - apartSince > APART
+                    && seen.by() < fewer
+                    && of >= fewer
+                    && world.members(of) != null
                     && (members <= ALL_WATCH ? 2 : 3) * fewer <= members) {
                 breaks("MINORITY", seen + ": one of the fewer declares one failed that is there");
             }
@@ -232,8 +259,13 @@
                 breaks("WRONG_DEATH", seen + ": it is there and no fault troubles it");
             }
         }
-        if (seen.change().kind() == Kind.SUSPECTED && decides && world.members(of) != null && !isTroubled(of) && !isTroubled(seen.by())
-                && !wasLossy() && busy.isEmpty()) {
+        if (seen.change().kind() == Kind.SUSPECTED
+                && decides
+                && world.members(of) != null
+                && !isTroubled(of)
+                && !isTroubled(seen.by())
+                && !wasLossy()
+                && busy.isEmpty()) {
             breaks("CUT", seen + ": others hear it, and can say so");
         }
         if (seen.change().kind() == Kind.SUSPECTED && decides && isPausedJustNow(seen.by())) {
@@ -248,7 +280,9 @@
             if (seen.change().kind() == Kind.LEFT) {
                 left.add(pair + " " + life);
             }
-            if (seen.change().kind() != Kind.LEFT && seen.change().kind() != Kind.FORGOTTEN && left.contains(pair + " " + life)) {
+            if (seen.change().kind() != Kind.LEFT
+                    && seen.change().kind() != Kind.FORGOTTEN
+                    && left.contains(pair + " " + life)) {
                 breaks("LEFT_BACK", seen + ": it had said that it ends");
             }
             if (seen.change().kind() == Kind.RETURNED && turns.merge(pair + " " + life, 1, Integer::sum) > MOST_TURNS) {
@@ -266,11 +300,16 @@
         IntStream.range(0, members).filter(i -> world.members(i) != null).forEach(up::add);
         double seconds = (world.now() - MembersWorld.BEGIN) / 1e9;
         for (int i : up) {
-            if (world.members(i).digest() != world.members(up.get(0)).digest() || world.members(i).present() != up.size()) {
-                breaks("ONE_VIEW", "router " + (i + 1) + " sees " + world.members(i).view());
+            if (world.members(i).digest() != world.members(up.get(0)).digest()
+                    || world.members(i).present() != up.size()) {
+                breaks(
+                        "ONE_VIEW",
+                        "router " + (i + 1) + " sees " + world.members(i).view());
             }
             if (world.members(i).doubt() != Doubt.NONE) {
-                breaks("STILL_DOUBTS", "router " + (i + 1) + " doubts=" + world.members(i).doubt());
+                breaks(
+                        "STILL_DOUBTS",
+                        "router " + (i + 1) + " doubts=" + world.members(i).doubt());
             }
             for (MemberView view : world.members(i).view()) {
                 if (view.state() == State.SUSPECT) {
@@ -278,7 +317,9 @@
                 }
             }
             if (world.members(i).count(Traffic.SENT) > seconds * MOST_DATAGRAMS) {
-                breaks("LOAD", "router " + (i + 1) + " has sent " + world.members(i).count(Traffic.SENT));
+                breaks(
+                        "LOAD",
+                        "router " + (i + 1) + " has sent " + world.members(i).count(Traffic.SENT));
             }
         }
     }
--- a/src/main/java/slateseam/simulate/tier/MembersFigures.java
+++ b/src/main/java/slateseam/simulate/tier/MembersFigures.java
@@ -53,8 +53,11 @@
                 world.kill(dead);
                 world.run(8 * SECOND);
                 long[] known = world.seen().subList(before, world.seen().size()).stream()
-                        .filter(one -> one.change().kind() == Kind.FAILED && one.change().member().equals(MembersWorld.name(dead)))
-                        .mapToLong(one -> one.at() - death).sorted().toArray();
+                        .filter(one -> one.change().kind() == Kind.FAILED
+                                && one.change().member().equals(MembersWorld.name(dead)))
+                        .mapToLong(one -> one.at() - death)
+                        .sorted()
+                        .toArray();
                 int others = members - 1;
                 record(histograms.get(0), known, (others + 1) / 2);
                 record(histograms.get(1), known, (int) Math.ceil(0.99 * others));
@@ -65,7 +68,11 @@
         });
         List<String> cells = new ArrayList<>();
         for (Histogram one : histograms) {
-            cells.add(String.format(Locale.ROOT, "%.2f / %.2f", one.getValueAtPercentile(50) / 1e3, one.getValueAtPercentile(99) / 1e3));
+            cells.add(String.format(
+                    Locale.ROOT,
+                    "%.2f / %.2f",
+                    one.getValueAtPercentile(50) / 1e3,
+                    one.getValueAtPercentile(99) / 1e3));
         }
         return String.join(" | ", cells);
     }
@@ -105,7 +112,9 @@
                 world.run(SECOND);
                 for (Seen one : world.seen()) {
                     suspicions += one.change().kind() == Kind.SUSPECTED
-                            && one.change().why().contains(" by=" + MembersWorld.name(one.by()) + " ") ? 1 : 0;
+                                    && one.change().why().contains(" by=" + MembersWorld.name(one.by()) + " ")
+                            ? 1
+                            : 0;
                     failures += one.change().kind() == Kind.FAILED ? 1 : 0;
                 }
                 world.seen().clear();
@@ -116,7 +125,8 @@
             }
         });
         double hours = members * (to - from + 1) * minutes / 60.0;
-        return String.format(Locale.ROOT, "%.4f | %.4f (of %.0f member-hours)", sums[0] / hours, sums[1] / hours, hours);
+        return String.format(
+                Locale.ROOT, "%.4f | %.4f (of %.0f member-hours)", sums[0] / hours, sums[1] / hours, hours);
     }
 
     /** Datagrams and bytes that a member sends, a second, and processor time a datagram and as a part of a core. */
@@ -129,34 +139,45 @@
         datagrams = (datagrams + sum(world, Traffic.SENT)) / members / 20;
         bytes = (bytes + sum(world, Traffic.SENT_BYTES)) / members / 20;
         double nanos = world.nanosADatagram();
-        return String.format(Locale.ROOT, "%.1f | %.0f | %.1f us | %.3f%%", datagrams, bytes, nanos / 1e3, nanos * datagrams / 1e7);
+        return String.format(
+                Locale.ROOT, "%.1f | %.0f | %.1f us | %.3f%%", datagrams, bytes, nanos / 1e3, nanos * datagrams / 1e7);
     }
 
     private double sum(MembersWorld world, Traffic what) {
-        return IntStream.range(0, members).mapToLong(i -> world.members(i).count(what)).sum();
+        return IntStream.range(0, members)
+                .mapToLong(i -> world.members(i).count(what))
+                .sum();
     }
 
     /** Seconds from the end of a cut of 20 s between two parts until all have one view and none doubts; the median and the most. */
     String healed() {
-        long[] times = LongStream.rangeClosed(from, to).parallel().map(seed -> {
-            MembersWorld world = world(seed, Ways.USUAL);
-            int fewer = Math.max(1, members * 2 / 5);
-            world.halve(fewer, true);
-            world.run(20 * SECOND);
-            world.halve(fewer, false);
-            long healed = world.now();
-            while (world.now() - healed < 60 * SECOND && !isOne(world)) {
-                world.run(50 * MILLI);
-            }
-            return isOne(world) ? (world.now() - healed) / MILLI : 60_000;
-        }).sorted().toArray();
+        long[] times = LongStream.rangeClosed(from, to)
+                .parallel()
+                .map(seed -> {
+                    MembersWorld world = world(seed, Ways.USUAL);
+                    int fewer = Math.max(1, members * 2 / 5);
+                    world.halve(fewer, true);
+                    world.run(20 * SECOND);
+                    world.halve(fewer, false);
+                    long healed = world.now();
+                    while (world.now() - healed < 60 * SECOND && !isOne(world)) {
+                        world.run(50 * MILLI);
+                    }
+                    return isOne(world) ? (world.now() - healed) / MILLI : 60_000;
+                })
+                .sorted()
+                .toArray();
         return String.format(Locale.ROOT, "%.2f / %.2f", times[times.length / 2] / 1e3, times[times.length - 1] / 1e3);
     }
 
     /** Whether all that are up see all that are up, alike. */
     static boolean isOne(MembersWorld world) {
-        int[] up = IntStream.range(0, world.size()).filter(i -> world.members(i) != null).toArray();
+        int[] up = IntStream.range(0, world.size())
+                .filter(i -> world.members(i) != null)
+                .toArray();
         int digest = world.members(up[0]).digest();
-        return Arrays.stream(up).allMatch(i -> world.members(i).digest() == digest && world.members(i).present() == up.length);
+        return Arrays.stream(up)
+                .allMatch(i ->
+                        world.members(i).digest() == digest && world.members(i).present() == up.length);
     }
 }
--- a/src/main/java/slateseam/simulate/tier/MembersWorld.java
+++ b/src/main/java/slateseam/simulate/tier/MembersWorld.java
@@ -20,6 +20,7 @@
 public final class MembersWorld {
     /** When it begins, in Unix time. */
     public static final long BEGIN = 1_800_000_000_000_000_000L;
+
     private static final long MILLI = 1_000_000L;
     private static final long TICK = 50 * MILLI;
     private static final int PORT = 7_000;
@@ -37,8 +38,7 @@
     }
 
     /** A change of somebody's view. */
-    public record Seen(long at, int by, Change change) {
-    }
+    public record Seen(long at, int by, Change change) {}
 
     /** A process, through its lives. */
     private final class Node {
@@ -83,7 +83,8 @@
 
     private static InetSocketAddress place(int index, int port) {
         try {
-            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, (byte) (index >> 16), (byte) (index >> 8), (byte) index}),
+            return new InetSocketAddress(
+                    InetAddress.getByAddress(new byte[] {10, (byte) (index >> 16), (byte) (index >> 8), (byte) index}),
                     port);
         } catch (UnknownHostException e) {
             throw new IllegalStateException(e);
@@ -135,20 +136,23 @@
         int life = ++node.life;
         node.paused = false;
         node.inbox.clear();
-        node.members = new Members(settings.apply(MembersSettings.usual("tier", name, index, listed)), net.now() + node.ahead,
-                random.split(), new Sink() {
-            @Override
-            public void send(InetSocketAddress to, byte[] datagram) {
-                if (node.life == life) {
-                    post(node, to, datagram);
-                }
-            }
-
-            @Override
-            public void changed(Change change) {
-                seen.add(new Seen(net.now(), index, change));
-            }
-        });
+        node.members = new Members(
+                settings.apply(MembersSettings.usual("tier", name, index, listed)),
+                net.now() + node.ahead,
+                random.split(),
+                new Sink() {
+                    @Override
+                    public void send(InetSocketAddress to, byte[] datagram) {
+                        if (node.life == life) {
+                            post(node, to, datagram);
+                        }
+                    }
+
+                    @Override
+                    public void changed(Change change) {
+                        seen.add(new Seen(net.now(), index, change));
+                    }
+                });
         tick(node, life, random.nextLong(TICK));
     }
 
@@ -282,12 +286,14 @@
 
     /** Processor time in the modules, a datagram that was taken. */
     public double nanosADatagram() {
-        return nodes.stream().mapToLong(node -> node.nanos).sum() / (double) Math.max(1, nodes.stream().mapToLong(n -> n.datagrams).sum());
+        return nodes.stream().mapToLong(node -> node.nanos).sum()
+                / (double)
+                        Math.max(1, nodes.stream().mapToLong(n -> n.datagrams).sum());
     }
 
     /** Lets time pass. */
     public void run(long nanos) {
-        net.run(nanos, () -> { });
+        net.run(nanos, () -> {});
     }
 
     /** The same with a look after each step. */
--- a/src/main/java/slateseam/simulate/tier/PolicyDay.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyDay.java
@@ -56,18 +56,22 @@
         if (world.broken() == null && (!"last".equals(world.held(0)) || !world.isWhole())) {
             return new Broken("NO_PROGRESS", world.policy(0).outcome(last) + " " + world.look() + log);
         }
-        return world.broken() == null ? null : new Broken(world.broken().rule(), world.broken().text() + log);
+        return world.broken() == null
+                ? null
+                : new Broken(world.broken().rule(), world.broken().text() + log);
     }
 
     private void run(long nanos) {
-        world.net().run(nanos, () -> { });
+        world.net().run(nanos, () -> {});
     }
 
     private void propose(long end) {
         int at = random.nextInt(world.size());
         int number = changes++;
         boolean bad = random.nextInt(4) == 0;
-        String document = bad ? PolicyWorld.REFUSED_BY + random.nextInt(world.size()) + ";" : "document " + number + " " + "x".repeat(random.nextInt(3_000));
+        String document = bad
+                ? PolicyWorld.REFUSED_BY + random.nextInt(world.size()) + ";"
+                : "document " + number + " " + "x".repeat(random.nextInt(3_000));
         switch (random.nextInt(8)) {
             case 0 -> {
                 say("undo at " + at);
@@ -98,26 +102,37 @@
         long lasts = 100 * MILLI + random.nextLong(MOST_LASTS);
         switch (random.nextInt(11)) {
             case 0, 1 -> lasting("pause " + any, lasts, on -> world.pause(any, on));
-            case 2 -> lasting("cut " + any + ">" + other, lasts, on -> world.net().cut(any, other, on));
-            case 3 -> lasting("mute " + any, lasts, on -> {
-                world.net().mute(any, world.size(), on);
-                world.apart(any, on);
-            });
-            case 4 -> lasting("deaf " + any, lasts, on -> {
-                world.net().deaf(any, world.size(), on);
-                world.doubts(any, on);
-            });
+            case 2 ->
+                lasting("cut " + any + ">" + other, lasts, on -> world.net().cut(any, other, on));
+            case 3 ->
+                lasting("mute " + any, lasts, on -> {
+                    world.net().mute(any, world.size(), on);
+                    world.apart(any, on);
+                });
+            case 4 ->
+                lasting("deaf " + any, lasts, on -> {
+                    world.net().deaf(any, world.size(), on);
+                    world.doubts(any, on);
+                });
             case 5 -> {
                 int first = 1 + random.nextInt(world.size() - 1);
                 lasting("halve " + first, lasts, on -> halve(first, on));
             }
-            case 6 -> lasting("loss", lasts, on -> world.net().ways(on ? new Ways(0.3, 0.1, 0.3, MILLI, 30 * MILLI) : Ways.USUAL));
-            case 7 -> lasting("stall " + any + ">" + other, lasts, on -> world.net().stall(any, other, on));
+            case 6 ->
+                lasting(
+                        "loss",
+                        lasts,
+                        on -> world.net().ways(on ? new Ways(0.3, 0.1, 0.3, MILLI, 30 * MILLI) : Ways.USUAL));
+            case 7 ->
+                lasting("stall " + any + ">" + other, lasts, on -> world.net().stall(any, other, on));
             case 8 -> kill(any, lasts, false);
             case 9 -> kill(any, lasts, true);
             default -> {
                 if (any < voters) {
-                    lasting("slow force " + any, lasts, on -> world.memory(any).forceNanos = on ? 5 * SECOND : 2 * MILLI);
+                    lasting(
+                            "slow force " + any,
+                            lasts,
+                            on -> world.memory(any).forceNanos = on ? 5 * SECOND : 2 * MILLI);
                 }
             }
         }
@@ -161,11 +176,17 @@
     private void strong(int victim) {
         List<Integer> known = new ArrayList<>();
         for (int i = 0; i < world.size(); i++) {
-            if (world.isUp(i) && world.isUp(victim) && world.policy(i).raft().seats().contains(world.policy(victim).raft().self())) {
+            if (world.isUp(i)
+                    && world.isUp(victim)
+                    && world.policy(i)
+                            .raft()
+                            .seats()
+                            .contains(world.policy(victim).raft().self())) {
                 known.add(i);
             }
         }
-        if (2 * known.size() > voters && !world.policy(victim).raft().role().name().equals("UNSURE")) {
+        if (2 * known.size() > voters
+                && !world.policy(victim).raft().role().name().equals("UNSURE")) {
             weak.remove(victim);
         } else {
             world.net().after(SECOND, () -> strong(victim));
--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -31,6 +31,7 @@
     private static final long SAMPLE = 10 * MILLI;
     /** Until others know that one is not there. */
     private static final long KNOWN = 2_300 * MILLI;
+
     private static final int MOST_INBOX = 2_000;
     /** A document that only this router refuses begins so, its number behind it. */
     static final String REFUSED_BY = "refused by ";
@@ -46,6 +47,7 @@
         boolean paused;
         /** Since when others cannot know that it is there; 0 if they can. */
         long apartSince;
+
         long backSince;
         boolean doubts;
         String document = "";
@@ -145,8 +147,7 @@
     }
 
     /** What was decided of a version, and when that was first known anywhere. */
-    record Decided(boolean committed, long at) {
-    }
+    record Decided(boolean committed, long at) {}
 
     private final TierNet net;
     private final SplittableRandom random;
@@ -203,7 +204,8 @@
         node.heldNumber = 0;
         node.apartSince = 0;
         node.backSince = net.now();
-        node.policy = new Policy(PolicySettings.usual(index, nodes.size(), voters), node.memory.read(), net.now(), random.split(), node);
+        node.policy = new Policy(
+                PolicySettings.usual(index, nodes.size(), voters), node.memory.read(), net.now(), random.split(), node);
         tick(node, node.life, random.nextLong(TICK));
     }
 
@@ -268,7 +270,9 @@
         Node node = nodes.get(index);
         node.doubts = on;
         node.backSince = net.now();
-        node.apartSince = on ? node.apartSince == 0 ? net.now() : node.apartSince : node.policy == null || node.paused ? node.apartSince : 0;
+        node.apartSince = on
+                ? node.apartSince == 0 ? net.now() : node.apartSince
+                : node.policy == null || node.paused ? node.apartSince : 0;
     }
 
     void doubts(int index, boolean on) {
@@ -279,7 +283,8 @@
     /** Proposes something at a router; null if it is down. */
     Version propose(int index, String name, String document, boolean all, int watchSeconds) {
         Node node = nodes.get(index);
-        return node.policy == null || node.paused ? null
+        return node.policy == null || node.paused
+                ? null
                 : node.policy.propose(name, document.getBytes(StandardCharsets.UTF_8), all, false, watchSeconds, 10);
     }
 
@@ -295,8 +300,14 @@
 
     /** Who leads; -1 for nobody. */
     int leader() {
-        return nodes.stream().filter(node -> node.policy != null && !node.paused && node.policy.raft().role() == Raft.Role.LEADER)
-                .max(java.util.Comparator.comparingLong(node -> node.policy.raft().term())).map(node -> node.index).orElse(-1);
+        return nodes.stream()
+                .filter(node -> node.policy != null
+                        && !node.paused
+                        && node.policy.raft().role() == Raft.Role.LEADER)
+                .max(java.util.Comparator.comparingLong(
+                        node -> node.policy.raft().term()))
+                .map(node -> node.index)
+                .orElse(-1);
     }
 
     private void sample() {
@@ -331,18 +342,39 @@
                 broken("SPLIT", "version " + version.number() + " is committed and aborted");
             }
             String document = new String(contents(node, version), StandardCharsets.UTF_8);
-            if (committed && version.all() && document.startsWith(REFUSED_BY) && known.at == net.now() && !mayBePassedOver(document)) {
+            if (committed
+                    && version.all()
+                    && document.startsWith(REFUSED_BY)
+                    && known.at == net.now()
+                    && !mayBePassedOver(document)) {
                 broken("REFUSED", "version " + version.number() + " is committed: " + document);
             }
             if (committed && version.number() > node.heldNumber && node.isServing() && net.now() - known.at > bound) {
-                broken("LATE", String.format(Locale.ROOT, "router %d serves by version %d, %.3f s after version %d was committed", node.index,
-                        node.heldNumber, (net.now() - known.at) / 1e9, version.number()));
+                broken(
+                        "LATE",
+                        String.format(
+                                Locale.ROOT,
+                                "router %d serves by version %d, %.3f s after version %d was committed",
+                                node.index,
+                                node.heldNumber,
+                                (net.now() - known.at) / 1e9,
+                                version.number()));
             }
         }
         for (Map.Entry<Integer, Decided> one : decided.entrySet()) {
-            if (one.getValue().committed && one.getKey() > node.heldNumber && net.now() - one.getValue().at > bound && node.isServing()) {
-                broken("LATE", String.format(Locale.ROOT, "router %d serves by version %d, %.3f s after version %d was committed", node.index,
-                        node.heldNumber, (net.now() - one.getValue().at) / 1e9, one.getKey()));
+            if (one.getValue().committed
+                    && one.getKey() > node.heldNumber
+                    && net.now() - one.getValue().at > bound
+                    && node.isServing()) {
+                broken(
+                        "LATE",
+                        String.format(
+                                Locale.ROOT,
+                                "router %d serves by version %d, %.3f s after version %d was committed",
+                                node.index,
+                                node.heldNumber,
+                                (net.now() - one.getValue().at) / 1e9,
+                                one.getKey()));
             }
         }
         Decided holds = decided.get(node.heldNumber);
@@ -354,7 +386,11 @@
     /** Whether the one that refuses it was away at some time in which it could have said so. */
     private boolean mayBePassedOver(String document) {
         Node node = nodes.get(Integer.parseInt(document.substring(REFUSED_BY.length(), document.indexOf(';'))));
-        return node.policy == null || node.paused || node.apartSince != 0 || node.doubts || net.now() - node.backSince < 10 * SECOND;
+        return node.policy == null
+                || node.paused
+                || node.apartSince != 0
+                || node.doubts
+                || net.now() - node.backSince < 10 * SECOND;
     }
 
     private static byte[] contents(Node node, Version version) {
@@ -364,7 +400,11 @@
 
     /** Whether all are up, serve, and by the same newest version. */
     boolean isWhole() {
-        int newest = decided.entrySet().stream().filter(one -> one.getValue().committed).mapToInt(Map.Entry::getKey).max().orElse(0);
+        int newest = decided.entrySet().stream()
+                .filter(one -> one.getValue().committed)
+                .mapToInt(Map.Entry::getKey)
+                .max()
+                .orElse(0);
         return nodes.stream().allMatch(node -> node.isServing() && node.heldNumber == newest);
     }
 
@@ -420,16 +460,34 @@
 
     private String seats() {
         StringBuilder text = new StringBuilder();
-        nodes.stream().filter(node -> node.policy != null && voters.contains(node.index)).forEach(node -> text.append(node.policy.raft().self())
-                .append(" of ").append(node.policy.raft().seats()).append(" term ").append(node.policy.raft().term()).append("; "));
+        nodes.stream()
+                .filter(node -> node.policy != null && voters.contains(node.index))
+                .forEach(node -> text.append(node.policy.raft().self())
+                        .append(" of ")
+                        .append(node.policy.raft().seats())
+                        .append(" term ")
+                        .append(node.policy.raft().term())
+                        .append("; "));
         return text.toString();
     }
 
     String look() {
         StringBuilder text = new StringBuilder();
-        nodes.forEach(node -> text.append(node.index).append(node.policy == null ? " down" : " holds " + node.heldNumber
-                + (node.isServing() ? " serves " : " refuses ") + node.policy.raft().role() + " age " + node.policy.age(net.now()) / MILLI
-                + " newest " + (node.policy.versions().newest() == null ? 0 : node.policy.versions().newest().number())).append("; "));
+        nodes.forEach(node -> text.append(node.index)
+                .append(
+                        node.policy == null
+                                ? " down"
+                                : " holds " + node.heldNumber
+                                        + (node.isServing() ? " serves " : " refuses ")
+                                        + node.policy.raft().role() + " age " + node.policy.age(net.now()) / MILLI
+                                        + " newest "
+                                        + (node.policy.versions().newest() == null
+                                                ? 0
+                                                : node.policy
+                                                        .versions()
+                                                        .newest()
+                                                        .number()))
+                .append("; "));
         return text + "seats " + seats();
     }
 }
--- a/src/main/java/slateseam/simulate/tier/SupplyBooks.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyBooks.java
@@ -18,8 +18,7 @@
     private static final double WHOLE = 1 << 30;
 
     /** What one router last told another: in which life, whether it holds the pair's ledger, and what has moved by that. */
-    record Entry(int life, boolean known, int flow) {
-    }
+    record Entry(int life, boolean known, int flow) {}
 
     private final Map<Long, Entry> last = new HashMap<>();
 
@@ -33,7 +32,9 @@
 
     /** The part of the budget that a message says its sender owns by its books; null if it says none. */
     static Double own(byte[] bytes) {
-        boolean says = bytes.length >= OWN_AT + Integer.BYTES && bytes[0] == VERSION && (bytes[1] & (KNOWN | STARTING)) == KNOWN;
+        boolean says = bytes.length >= OWN_AT + Integer.BYTES
+                && bytes[0] == VERSION
+                && (bytes[1] & (KNOWN | STARTING)) == KNOWN;
         return says ? ByteBuffer.wrap(bytes).getInt(OWN_AT) / WHOLE : null;
     }
 
@@ -54,7 +55,9 @@
             int from = (int) (pair >> 32);
             int to = pair.intValue();
             Entry other = last.get(pair(to, from));
-            if (from < to && other != null && (!entry.known() || !other.known() || Math.abs(entry.flow() - other.flow()) > most)) {
+            if (from < to
+                    && other != null
+                    && (!entry.known() || !other.known() || Math.abs(entry.flow() - other.flow()) > most)) {
                 found.add(from + " to " + to + ": " + entry + " and " + other);
             }
         });
@@ -63,6 +66,9 @@
 
     /** How many pairs of routers have told each other. */
     long pairs() {
-        return last.keySet().stream().filter(pair -> last.containsKey(pair(pair.intValue(), (int) (pair >> 32)))).count() / 2;
+        return last.keySet().stream()
+                        .filter(pair -> last.containsKey(pair(pair.intValue(), (int) (pair >> 32))))
+                        .count()
+                / 2;
     }
 }
--- a/src/main/java/slateseam/simulate/tier/SupplyDay.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyDay.java
@@ -17,12 +17,14 @@
     private static final long SECOND = 1_000 * MILLI;
     /** Fewer have ring neighbours alone. */
     private static final int LEAST_ROUTERS = 4;
+
     private static final int MORE_ROUTERS = 14;
     private static final long DRAWN = 16 * SECOND;
     private static final long MOST_LASTS = 5 * SECOND;
     private static final long CALM = 4 * SECOND;
     /** Until all have been heard and what is on its way has arrived, while demand stays. */
     private static final long QUIET = 15 * SECOND;
+
     private static final long PAUSE = SECOND / 2;
     /** Of the budget: rounding, and nothing else. */
     private static final double EXACT = 1e-6;
@@ -30,6 +32,7 @@
     private static final double ON_ITS_WAY = 0.12;
     /** Of a budget of 2^30: the last of what evens out, which gets smaller with each exchange, may be on its way. */
     private static final int MOST_DIFFERENCE = 1 << 17;
+
     private static final double MOST_DEMAND = 60;
     private static final double LEAST_LOSS = 0.05;
 
@@ -72,8 +75,15 @@
 
     private void breaks(String rule, String text) {
         if (broken == null) {
-            broken = new Broken(rule, String.format(Locale.ROOT, "%s at=%dms routers=%d faults:%s", text,
-                    (world.now() - MembersWorld.BEGIN) / MILLI, routers, log));
+            broken = new Broken(
+                    rule,
+                    String.format(
+                            Locale.ROOT,
+                            "%s at=%dms routers=%d faults:%s",
+                            text,
+                            (world.now() - MembersWorld.BEGIN) / MILLI,
+                            routers,
+                            log));
         }
     }
 
@@ -128,8 +138,11 @@
             }
             case 6 -> halve(lasts);
             case 7 -> {
-                world.net().ways(random.nextBoolean() ? Ways.USUAL.losing(LEAST_LOSS + random.nextDouble(0.4))
-                        : new Ways(LEAST_LOSS, 0.5, 0.3, MILLI, 60 * MILLI));
+                world.net()
+                        .ways(
+                                random.nextBoolean()
+                                        ? Ways.USUAL.losing(LEAST_LOSS + random.nextDouble(0.4))
+                                        : new Ways(LEAST_LOSS, 0.5, 0.3, MILLI, 60 * MILLI));
                 world.net().after(lasts, () -> world.net().ways(Ways.USUAL));
             }
             case 8 -> {
@@ -157,7 +170,10 @@
     /** Some that are beside one another go at once and come back together. */
     private void region(int first, long lasts) {
         int many = 1 + random.nextInt(Math.max(1, routers / 3));
-        IntStream.range(0, many).map(i -> (first + i) % routers).filter(i -> !busy.contains(i)).forEach(i -> restart(i, lasts));
+        IntStream.range(0, many)
+                .map(i -> (first + i) % routers)
+                .filter(i -> !busy.contains(i))
+                .forEach(i -> restart(i, lasts));
     }
 
     private void halve(long lasts) {
--- a/src/main/java/slateseam/simulate/tier/SupplyFigures.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyFigures.java
@@ -18,13 +18,14 @@
     private static final double HOT_PART = 0.1;
     private static final double HOT_DEMAND = 0.5;
 
-    private SupplyFigures() {
-    }
+    private SupplyFigures() {}
 
     /** Prints a row for each number of routers. */
     public static void run(int[] routers, long seed, double loss, Maker maker, Consumer<String> rows) {
-        rows.accept("| routers | imbalance | left after " + Arrays.toString(LOOKS) + " s | half after s | tenth after s | turned away 0-10, 10-20, 20-40 s"
-                + " | origin used, last 20 s | learned budget by what the origin can do | datagrams/s | bytes/s | total, least and most | us of a core a router and s |");
+        rows.accept(
+                "| routers | imbalance | left after " + Arrays.toString(LOOKS)
+                        + " s | half after s | tenth after s | turned away 0-10, 10-20, 20-40 s"
+                        + " | origin used, last 20 s | learned budget by what the origin can do | datagrams/s | bytes/s | total, least and most | us of a core a router and s |");
         for (int n : routers) {
             rows.accept(row(n, seed, loss, maker));
         }
@@ -49,8 +50,22 @@
             course.second(second);
         }
         double cpu = (System.nanoTime() - began) / 1e3 / n / LOOKS[LOOKS.length - 1];
-        return String.format(Locale.ROOT, "| %d | %.2f | %s | %s | %s | %s | %.2f | %.2f | %.1f | %.0f | %.3f, %.3f | %.0f |", n, first, course.left,
-                course.half(), course.tenth(), course.refused, course.originUsed, world.learned(), course.datagrams / n, course.bytes / n, course.least, course.most, cpu);
+        return String.format(
+                Locale.ROOT,
+                "| %d | %.2f | %s | %s | %s | %s | %.2f | %.2f | %.1f | %.0f | %.3f, %.3f | %.0f |",
+                n,
+                first,
+                course.left,
+                course.half(),
+                course.tenth(),
+                course.refused,
+                course.originUsed,
+                world.learned(),
+                course.datagrams / n,
+                course.bytes / n,
+                course.least,
+                course.most,
+                cpu);
     }
 
     /** What is seen second by second. */
@@ -94,10 +109,12 @@
             datagrams += (double) world.tally().datagrams / last;
             bytes += (double) world.tally().bytes / last;
             if (Arrays.stream(LOOKS).anyMatch(look -> look == second)) {
-                left.append(String.format(Locale.ROOT, "%s%.0f%%", left.length() == 0 ? "" : ", ", 100 * world.imbalance() / first));
+                left.append(String.format(
+                        Locale.ROOT, "%s%.0f%%", left.length() == 0 ? "" : ", ", 100 * world.imbalance() / first));
             }
             if (second == 10 || second == 20 || second == last) {
-                refused.append(String.format(Locale.ROOT, "%s%.1f%%", refused.length() == 0 ? "" : ", ", 100.0 * turned / asked));
+                refused.append(String.format(
+                        Locale.ROOT, "%s%.1f%%", refused.length() == 0 ? "" : ", ", 100.0 * turned / asked));
                 originUsed = served / (SupplyWorld.CAPACITY * world.size() * (second == last ? last - 20 : 10));
                 asked = 0;
                 turned = 0;
--- a/src/main/java/slateseam/simulate/tier/SupplyOrigin.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyOrigin.java
@@ -11,8 +11,7 @@
     private static final long LONGEST_QUEUE = 400 * MILLI;
 
     /** How a fetch ends, and after how long. */
-    record Answer(boolean served, long nanos) {
-    }
+    record Answer(boolean served, long nanos) {}
 
     private final long each;
     private final SplittableRandom random;
--- a/src/main/java/slateseam/simulate/tier/SupplyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/SupplyWorld.java
@@ -15,6 +15,7 @@
 import slateseam.decision.Api.Event;
 import slateseam.decision.Api.Fail;
 import slateseam.decision.Api.Group;
+import slateseam.decision.Api.Holding;
 import slateseam.decision.Api.ListKind;
 import slateseam.decision.Api.Member;
 import slateseam.decision.Api.MemberState;
@@ -30,7 +31,6 @@
 import slateseam.decision.Api.TellPeer;
 import slateseam.decision.Api.TimerFired;
 import slateseam.decision.Brain;
-import slateseam.decision.Api.Holding;
 import slateseam.simulate.tier.MembersWorld.Ways;
 
 /**
@@ -81,6 +81,7 @@
         double toldHeir;
         /** By how much that was more than it owned at its end: its last moves were not told any more. */
         double toldTooMuch;
+
         double rate;
         long arrivals;
         final Deque<Runnable> inbox = new ArrayDeque<>();
@@ -91,8 +92,7 @@
     }
 
     /** Ledgers that went with both of their ends, and until when what they said may be used twice. */
-    private record Lost(long until, double amount) {
-    }
+    private record Lost(long until, double amount) {}
 
     private final TierNet net;
     private final List<Lost> lost = new ArrayList<>();
@@ -116,9 +116,19 @@
     }
 
     static Settings settings(int me, int routers) {
-        List<Api.RequestClass> classes = List.of(
-                new Api.RequestClass("put", AIM, DEADLINE, 1, 0.5, Effect.TOKEN, Group.ALL, DEADLINE, false));
-        return new Settings(me, routers, 0, TICK, false, CacheMode.ASIDE, 1, 0.1, classes, List.of(),
+        List<Api.RequestClass> classes =
+                List.of(new Api.RequestClass("put", AIM, DEADLINE, 1, 0.5, Effect.TOKEN, Group.ALL, DEADLINE, false));
+        return new Settings(
+                me,
+                routers,
+                0,
+                TICK,
+                false,
+                CacheMode.ASIDE,
+                1,
+                0.1,
+                classes,
+                List.of(),
                 new Api.Limits(4, false, true, true, true, true, AIM, 100 * MILLI, 32),
                 new Api.Rules(AIM, 10 * SECOND, 0.3, 8 * SECOND, 3, 2 * SECOND, 8 * MILLI));
     }
@@ -172,8 +182,13 @@
         node.inbox.clear();
         node.brain = node.maker.make(settings(index, nodes.length), random.nextLong());
         handle(node, new Started());
-        handle(node, new MembersChanged(ListKind.FULL, List.of(
-                new Member(ORIGIN, 0, 1, 0, MemberState.READY, 1, 0), new Member(CACHE, 0, 0, 0, MemberState.READY, 1, 0))));
+        handle(
+                node,
+                new MembersChanged(
+                        ListKind.FULL,
+                        List.of(
+                                new Member(ORIGIN, 0, 1, 0, MemberState.READY, 1, 0),
+                                new Member(CACHE, 0, 0, 0, MemberState.READY, 1, 0))));
     }
 
     /** Starts all of them. */
@@ -205,7 +220,10 @@
 
     /** What ledgers said lately that went with both of their ends, in parts of the whole budget: so much is repaid late. */
     public double lostLedgers() {
-        return lost.stream().filter(one -> one.until > net.now()).mapToDouble(Lost::amount).sum();
+        return lost.stream()
+                .filter(one -> one.until > net.now())
+                .mapToDouble(Lost::amount)
+                .sum();
     }
 
     /** Whether it runs. */
@@ -250,21 +268,32 @@
 
     /** What all may use together, in parts of the whole budget. */
     public double used() {
-        return Arrays.stream(nodes).filter(node -> node.brain != null)
-                .mapToDouble(node -> Math.max(0, node.brain.holding().usable())).sum();
+        return Arrays.stream(nodes)
+                .filter(node -> node.brain != null)
+                .mapToDouble(node -> Math.max(0, node.brain.holding().usable()))
+                .sum();
     }
 
     /** The part of the budget that would have to move for each router's part to be that of its requests, 0 to 1. */
     public double imbalance() {
         double demand = Arrays.stream(nodes).mapToDouble(node -> node.rate).sum();
         double used = used();
-        return Arrays.stream(nodes).mapToDouble(node -> Math.abs(node.rate / demand
-                - (node.brain == null ? 0 : Math.max(0, node.brain.holding().usable()) / used))).sum() / 2;
+        return Arrays.stream(nodes)
+                        .mapToDouble(node -> Math.abs(node.rate / demand
+                                - (node.brain == null
+                                        ? 0
+                                        : Math.max(0, node.brain.holding().usable()) / used)))
+                        .sum()
+                / 2;
     }
 
     /** The budget as routers have learned it, in the mean, by what the origin can do. */
     public double learned() {
-        return Arrays.stream(nodes).filter(node -> node.brain != null).mapToDouble(node -> node.brain.holding().rate()).average().orElse(0)
+        return Arrays.stream(nodes)
+                        .filter(node -> node.brain != null)
+                        .mapToDouble(node -> node.brain.holding().rate())
+                        .average()
+                        .orElse(0)
                 / (CAPACITY * nodes.length);
     }
 
@@ -275,7 +304,7 @@
 
     /** Lets time pass. */
     public void run(long nanos) {
-        net.run(nanos, () -> { });
+        net.run(nanos, () -> {});
     }
 
     /** The same with a look after each step. */
@@ -357,6 +386,9 @@
         SupplyOrigin.Answer answer = origin.fetch(net.now());
         Outcome outcome = answer.served() ? Outcome.OK : Outcome.FULL;
         tally.served += answer.served() ? 1 : 0;
-        later(node, answer.nanos(), new AttemptEnded(send.request(), send.member(), 0, outcome, false, answer.served(), answer.nanos()));
+        later(
+                node,
+                answer.nanos(),
+                new AttemptEnded(send.request(), send.member(), 0, outcome, false, answer.served(), answer.nanos()));
     }
 }
--- a/src/main/java/slateseam/simulate/tier/TierDays.java
+++ b/src/main/java/slateseam/simulate/tier/TierDays.java
@@ -7,8 +7,7 @@
 
 /** Plays days of faults of many seeds, as many at once as there are cores. */
 public final class TierDays {
-    private TierDays() {
-    }
+    private TierDays() {}
 
     /** The members' days: a line for each seed that breaks a rule; how many did. */
     public static long play(long from, long to, Consumer<String> lines) {
--- a/src/main/java/slateseam/simulate/tier/TierNet.java
+++ b/src/main/java/slateseam/simulate/tier/TierNet.java
@@ -12,14 +12,14 @@
 final class TierNet {
     private static final long MILLI = 1_000_000L;
 
-    private record Event(long at, long order, Runnable action) {
-    }
+    private record Event(long at, long order, Runnable action) {}
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-            : Long.compare(a.order, b.order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final SplittableRandom random;
     /** How many faults cut a way. */
     private final Map<Long, Integer> cuts = new HashMap<>();
+
     private final Map<Long, List<Runnable>> stalled = new HashMap<>();
     private Ways ways;
     private long now = MembersWorld.BEGIN;
@@ -50,7 +50,8 @@
             return;
         }
         for (int copies = ways.doubled() > 0 && random.nextDouble() < ways.doubled() ? 2 : 1; copies > 0; copies--) {
-            long delay = ways.leastNanos() + random.nextLong(ways.mostNanos() - ways.leastNanos() + 1)
+            long delay = ways.leastNanos()
+                    + random.nextLong(ways.mostNanos() - ways.leastNanos() + 1)
                     + (ways.swapped() > 0 && random.nextDouble() < ways.swapped() ? random.nextLong(250 * MILLI) : 0);
             after(delay, () -> arrive(from, to, arrives));
         }
--- a/src/main/java/slateseam/standin/Answers.java
+++ b/src/main/java/slateseam/standin/Answers.java
@@ -6,8 +6,7 @@
 final class Answers {
     private static final int CHUNK = 1_000;
 
-    private Answers() {
-    }
+    private Answers() {}
 
     static byte[] text(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
--- a/src/main/java/slateseam/standin/ApplicationServer.java
+++ b/src/main/java/slateseam/standin/ApplicationServer.java
@@ -12,6 +12,7 @@
 public final class ApplicationServer extends Station {
     /** Fetches that are told to be out; beyond them the oldest counts as out no more. */
     private static final int MOST_FETCHES = 65_536;
+
     private static final long MILLI = 1_000_000;
 
     private final String name;
@@ -24,6 +25,7 @@
     private final long salt;
     /** Until when a fetch of each key counts as out, the oldest first. */
     private final Map<String, Long> fetches = new LinkedHashMap<>();
+
     private Store store;
     private Warmth warmth;
     private ColdLoad coldLoad;
@@ -40,11 +42,25 @@
      * @param address where it takes connections once it is up
      * @param random its own source
      */
-    public ApplicationServer(String name, String address, ServerFigures figures, WorkFigures work, World world,
-            UniformRandomProvider random, Shared shared) {
-        super(world.clock(), world.net(), random, address, figures.connections().most(),
-                figures.connections().beyond() == ServerFigures.Beyond.BUSY ? figures.connections().most() : 0,
-                figures.connections().beyond() == ServerFigures.Beyond.REFUSED, figures.connections().idleNanos());
+    public ApplicationServer(
+            String name,
+            String address,
+            ServerFigures figures,
+            WorkFigures work,
+            World world,
+            UniformRandomProvider random,
+            Shared shared) {
+        super(
+                world.clock(),
+                world.net(),
+                random,
+                address,
+                figures.connections().most(),
+                figures.connections().beyond() == ServerFigures.Beyond.BUSY
+                        ? figures.connections().most()
+                        : 0,
+                figures.connections().beyond() == ServerFigures.Beyond.REFUSED,
+                figures.connections().idleNanos());
         this.name = name;
         this.figures = figures;
         this.work = work;
@@ -68,8 +84,14 @@
         fetches.clear();
         warmth = new Warmth(born, figures.cold().share(), cold ? figures.cold().warmNanos() : 0);
         coldLoad = new ColdLoad(figures.cold());
-        workshop = new Workshop(clock, warmth, figures.cores(), figures.speed(), figures.slots(),
-                figures.waitingRoom(), figures.crowding());
+        workshop = new Workshop(
+                clock,
+                warmth,
+                figures.cores(),
+                figures.speed(),
+                figures.slots(),
+                figures.waitingRoom(),
+                figures.crowding());
         workshop.slow(slowness);
         openUp();
     }
@@ -172,7 +194,8 @@
 
     @Override
     void counted(int open) {
-        workshop.tax(figures.connections().tax() * Math.min(1, open / (double) figures.connections().most()));
+        workshop.tax(figures.connections().tax()
+                * Math.min(1, open / (double) figures.connections().most()));
     }
 
     /** Does a new connection's work, then lets its first request wait, then goes on. */
@@ -193,7 +216,8 @@
     /** The work of a request that is at its full length, in core seconds at speed 1. */
     double work(String className, String id, long draws) {
         WorkFigures.OfClass of = work.of(className);
-        return of.meanSeconds() * Draws.factor(of.spread(), Draws.normal(Draws.hash(salt, id)))
+        return of.meanSeconds()
+                * Draws.factor(of.spread(), Draws.normal(Draws.hash(salt, id)))
                 * (of.noise() == 0 ? 1 : Draws.factor(of.noise(), Draws.normal(draws)));
     }
 
@@ -206,7 +230,9 @@
         if (!warmth.isCold(clock.now())) {
             return true;
         }
-        double sent = request.isServedHere() ? request.fullWork : request.fullWork * figures.keeping().missShare();
+        double sent = request.isServedHere()
+                ? request.fullWork
+                : request.fullWork * figures.keeping().missShare();
         double capacity = capacity();
         witness.load(name, sent, capacity);
         if (coldLoad.isTooMuch(clock.now(), sent, capacity)) {
--- a/src/main/java/slateseam/standin/Archive.java
+++ b/src/main/java/slateseam/standin/Archive.java
@@ -11,7 +11,8 @@
  */
 public final class Archive {
     private static final byte[] FILLER = ("\r\n$3\r\nh\u00e9\r\n*2\r\n$-1\r\n-BUSY 7\r\n:1\r\n"
-            + "HTTP/1.1 200 OK\r\n\r\n\u20ac").getBytes(StandardCharsets.UTF_8);
+                    + "HTTP/1.1 200 OK\r\n\r\n\u20ac")
+            .getBytes(StandardCharsets.UTF_8);
     private static final int PLACES = 4;
 
     private final ValueFigures figures;
@@ -44,8 +45,7 @@
 
     /** The size of a key's values in bytes; those that must name more are longer. */
     public int size(String key) {
-        double size = figures.medianBytes()
-                * StrictMath.exp(figures.sigma() * Draws.normal(Draws.hash(salt, key)));
+        double size = figures.medianBytes() * StrictMath.exp(figures.sigma() * Draws.normal(Draws.hash(salt, key)));
         return (int) Math.max(1, Math.min(figures.mostBytes(), size));
     }
 
--- a/src/main/java/slateseam/standin/ColdLoad.java
+++ b/src/main/java/slateseam/standin/ColdLoad.java
@@ -7,8 +7,7 @@
 final class ColdLoad {
     private static final double SECOND = 1e9;
 
-    private record Sent(long time, double work) {
-    }
+    private record Sent(long time, double work) {}
 
     private final ServerFigures.Cold figures;
     private final Deque<Sent> sent = new ArrayDeque<>();
@@ -25,7 +24,6 @@
         while (sent.peek().time < now - figures.fallNanos()) {
             sum -= sent.poll().work;
         }
-        return figures.fallMultiple() > 0
-                && sum > figures.fallMultiple() * capacity * (figures.fallNanos() / SECOND);
+        return figures.fallMultiple() > 0 && sum > figures.fallMultiple() * capacity * (figures.fallNanos() / SECOND);
     }
 }
--- a/src/main/java/slateseam/standin/Copies.java
+++ b/src/main/java/slateseam/standin/Copies.java
@@ -14,8 +14,7 @@
     private static final int MOST_IDS = 65_536;
     private static final int STORED_AT = 2;
 
-    private record Missed(ApplicationServer server, int start) {
-    }
+    private record Missed(ApplicationServer server, int start) {}
 
     private final Archive archive;
     private final List<ApplicationServer> servers = new ArrayList<>();
--- a/src/main/java/slateseam/standin/DiscoveryAgent.java
+++ b/src/main/java/slateseam/standin/DiscoveryAgent.java
@@ -24,14 +24,15 @@
     private final Map<String, Long> heard = new HashMap<>();
     /** What was heard of while the list is frozen, the last of each host. */
     private final Map<String, Listing> held = new LinkedHashMap<>();
+
     private long lateNanos;
     private boolean frozen;
     private boolean silent;
     private int moves;
 
     /** Makes an agent that takes connections at an address from now on, with what stands in the list. */
-    public DiscoveryAgent(String address, DiscoveryFigures figures, World world, UniformRandomProvider random,
-            List<Listing> begin) {
+    public DiscoveryAgent(
+            String address, DiscoveryFigures figures, World world, UniformRandomProvider random, List<Listing> begin) {
         super(world.clock(), world.net(), random, address, MOST_CONNECTIONS, 0, true, Long.MAX_VALUE);
         this.figures = figures;
         begin.forEach(list::change);
--- a/src/main/java/slateseam/standin/Draws.java
+++ b/src/main/java/slateseam/standin/Draws.java
@@ -9,8 +9,7 @@
 final class Draws {
     private static final double UNIT = 0x1.0p-53;
 
-    private Draws() {
-    }
+    private Draws() {}
 
     /** Whether something of this chance happens; draws nothing for what cannot happen. */
     static boolean chance(UniformRandomProvider random, double chance) {
--- a/src/main/java/slateseam/standin/Exchange.java
+++ b/src/main/java/slateseam/standin/Exchange.java
@@ -7,9 +7,11 @@
 public class Exchange {
     /** The connection. */
     protected final Link link;
+
     private final boolean last;
     /** What is told and not yet at its turn; the link's bound on what is not taken holds for what is. */
     private final Deque<byte[]> parts = new ArrayDeque<>(2);
+
     private boolean answered;
 
     /** A request that is the last on its connection, or not. */
@@ -49,6 +51,5 @@
     }
 
     /** The connection has gone: nobody waits for the answer. */
-    protected void withdrawn() {
-    }
+    protected void withdrawn() {}
 }
--- a/src/main/java/slateseam/standin/FarmList.java
+++ b/src/main/java/slateseam/standin/FarmList.java
@@ -23,6 +23,7 @@
 
     /** The one that changed last comes last. */
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+
     private long version;
     private long floor;
     private int gone;
@@ -43,7 +44,7 @@
         Entry entry = new Entry(listing, version);
         entries.put(listing.host(), entry);
         gone += entry.isGone() ? 1 : 0;
-        for (Iterator<Entry> oldest = entries.values().iterator(); gone > MOST_GONE;) {
+        for (Iterator<Entry> oldest = entries.values().iterator(); gone > MOST_GONE; ) {
             Entry one = oldest.next();
             if (one.isGone()) {
                 oldest.remove();
@@ -88,6 +89,10 @@
     }
 
     private String text(boolean whole, JSONArray hosts) {
-        return new JSONObject().put("seq", version).put("whole", whole).put("hosts", hosts).toString();
+        return new JSONObject()
+                .put("seq", version)
+                .put("whole", whole)
+                .put("hosts", hosts)
+                .toString();
     }
 }
--- a/src/main/java/slateseam/standin/Link.java
+++ b/src/main/java/slateseam/standin/Link.java
@@ -14,12 +14,18 @@
     /** Bytes of requests that may not begin yet; beyond it no more are taken until some were answered. */
     private static final int MOST_UNREAD = 65_536;
 
-    private enum State { COMING, OPEN, ENDED, GONE }
+    private enum State {
+        COMING,
+        OPEN,
+        ENDED,
+        GONE
+    }
 
     final Station station;
     final Wire wire;
     /** What came and is not read yet. */
     protected final Inbox inbox = new Inbox();
+
     private final int atOnce;
     private final Deque<Exchange> open = new ArrayDeque<>();
     private State state = State.COMING;
@@ -50,8 +56,7 @@
     }
 
     /** The connection is up and has its place. */
-    void admitted() {
-    }
+    void admitted() {}
 
     @Override
     public final void opened(Wire same) {
@@ -117,8 +122,8 @@
     /** Writes the answers, and parts of them, that are at their turn. */
     final void flush() {
         boolean wrote = false;
-        for (Exchange first; state == State.OPEN && (first = open.peek()) != null && first.hasMore();) {
-            for (byte[] part; state == State.OPEN && (part = first.nextPart()) != null;) {
+        for (Exchange first; state == State.OPEN && (first = open.peek()) != null && first.hasMore(); ) {
+            for (byte[] part; state == State.OPEN && (part = first.nextPart()) != null; ) {
                 send(part);
                 wrote = true;
             }
@@ -190,7 +195,7 @@
 
     private void leave() {
         station.left(this);
-        for (Exchange exchange; (exchange = open.poll()) != null;) {
+        for (Exchange exchange; (exchange = open.poll()) != null; ) {
             exchange.withdrawn();
         }
     }
--- a/src/main/java/slateseam/standin/Listing.java
+++ b/src/main/java/slateseam/standin/Listing.java
@@ -14,8 +14,8 @@
  * @param share of the usual traffic that it is meant for
  * @param bornMillis its last start, in Unix time in milliseconds; 0 for long ago
  */
-public record Listing(String host, String dial, String site, String kind, int block, Health health, double share,
-        long bornMillis) {
+public record Listing(
+        String host, String dial, String site, String kind, int block, Health health, double share, long bornMillis) {
 
     /** What a server wants. */
     public enum Health {
@@ -54,7 +54,14 @@
     }
 
     JSONObject json() {
-        return new JSONObject().put("host", host).put("dial", dial).put("site", site).put("class", kind)
-                .put("block", block).put("health", health.word()).put("share", share).put("born_ms", bornMillis);
+        return new JSONObject()
+                .put("host", host)
+                .put("dial", dial)
+                .put("site", site)
+                .put("class", kind)
+                .put("block", block)
+                .put("health", health.word())
+                .put("share", share)
+                .put("born_ms", bornMillis);
     }
 }
--- a/src/main/java/slateseam/standin/Origin.java
+++ b/src/main/java/slateseam/standin/Origin.java
@@ -24,7 +24,12 @@
      * @param address where it takes connections once it is up
      * @param random its own source
      */
-    public Origin(String name, String address, OriginFigures figures, World world, UniformRandomProvider random,
+    public Origin(
+            String name,
+            String address,
+            OriginFigures figures,
+            World world,
+            UniformRandomProvider random,
             Shared shared) {
         super(world.clock(), world.net(), random, address, figures.connections(), 0, true, figures.idleNanos());
         this.name = name;
@@ -39,8 +44,14 @@
         if (isUp()) {
             throw new IllegalStateException(name + " is up");
         }
-        workshop = new Workshop(clock, new Warmth(clock.now(), 1, 0), figures.places(), 1, figures.places(),
-                figures.queue(), new ServerFigures.Crowding(1, figures.crowding()));
+        workshop = new Workshop(
+                clock,
+                new Warmth(clock.now(), 1, 0),
+                figures.places(),
+                1,
+                figures.places(),
+                figures.queue(),
+                new ServerFigures.Crowding(1, figures.crowding()));
         workshop.slow(slowness);
         openUp();
     }
--- a/src/main/java/slateseam/standin/OriginFigures.java
+++ b/src/main/java/slateseam/standin/OriginFigures.java
@@ -19,9 +19,21 @@
  * @param interim interim answers (1xx) ahead of each final one, 0 to 16
  * @param reports whether answers carry a load report
  */
-public record OriginFigures(int places, double meanSeconds, double sigma, double writeMultiple, int queue,
-        long queueNanos, double crowding, boolean goesOn, int connections, long idleNanos, double errorShare,
-        boolean chunked, int interim, boolean reports) {
+public record OriginFigures(
+        int places,
+        double meanSeconds,
+        double sigma,
+        double writeMultiple,
+        int queue,
+        long queueNanos,
+        double crowding,
+        boolean goesOn,
+        int connections,
+        long idleNanos,
+        double errorShare,
+        boolean chunked,
+        int interim,
+        boolean reports) {
 
     /** Checks the figures. */
     public OriginFigures {
@@ -45,7 +57,7 @@
 
     /** Some 80 reads a second: a third of all. */
     public static OriginFigures usual() {
-        return new OriginFigures(6, 0.075, 0.6, 1.5, 400, 1_500_000_000L, 0.1, true, 400, 60_000_000_000L, 0.001, false,
-                0, false);
+        return new OriginFigures(
+                6, 0.075, 0.6, 1.5, 400, 1_500_000_000L, 0.1, true, 400, 60_000_000_000L, 0.001, false, 0, false);
     }
 }
--- a/src/main/java/slateseam/standin/OriginLink.java
+++ b/src/main/java/slateseam/standin/OriginLink.java
@@ -30,8 +30,14 @@
         if (id == null || facts == null || write && !request.headers().containsKey("content-length")) {
             throw new UnreadableException("a header lacks");
         }
-        return new OriginRequest(origin, this, visible(request.path().substring(1)), visible(id),
-                RequestFacts.of(visible(facts)), write, request.closes());
+        return new OriginRequest(
+                origin,
+                this,
+                visible(request.path().substring(1)),
+                visible(id),
+                RequestFacts.of(visible(facts)),
+                write,
+                request.closes());
     }
 
     private static String visible(String text) throws UnreadableException {
@@ -40,9 +46,14 @@
 
     private Exchange probe(String path, boolean closes) {
         origin.tallies.add(Tally.PROBED);
-        return new Simple(this, closes, path.equals("/-/healthy") ? Answers.http(200, "", "ok\n")
-                : path.equals("/-/load") ? Answers.http(200, "", origin.report() + "\n")
-                : Answers.http(404, "", "no such probe\n"));
+        return new Simple(
+                this,
+                closes,
+                path.equals("/-/healthy")
+                        ? Answers.http(200, "", "ok\n")
+                        : path.equals("/-/load")
+                                ? Answers.http(200, "", origin.report() + "\n")
+                                : Answers.http(404, "", "no such probe\n"));
     }
 
     @Override
--- a/src/main/java/slateseam/standin/OriginRequest.java
+++ b/src/main/java/slateseam/standin/OriginRequest.java
@@ -6,7 +6,12 @@
     private static final String NEVER_RAN = "X-Unprocessed: 1\r\n";
 
     /** What came of it, known when its work begins. */
-    private enum Course { READ, WRITE, REPEAT, FAILS_BEFORE }
+    private enum Course {
+        READ,
+        WRITE,
+        REPEAT,
+        FAILS_BEFORE
+    }
 
     private final Origin origin;
     private final String key;
@@ -120,8 +125,12 @@
         if (course == Course.READ) {
             origin.shared().copies().answered(id, key, version);
         }
-        byte[] answer = origin.spoiler().http(spoilt, value, origin.figures().reports() ? origin.report() : null,
-                origin.figures().chunked());
+        byte[] answer = origin.spoiler()
+                .http(
+                        spoilt,
+                        value,
+                        origin.figures().reports() ? origin.report() : null,
+                        origin.figures().chunked());
         origin.spoiler().answer(this, spoilt, withInterim(answer));
     }
 
--- a/src/main/java/slateseam/standin/Party.java
+++ b/src/main/java/slateseam/standin/Party.java
@@ -3,7 +3,7 @@
 /** What a party does with a connection of its own. */
 public interface Party {
     /** The connection is up. */
-    default void opened(Wire wire) { }
+    default void opened(Wire wire) {}
     /** Bytes came; they are not changed afterwards. */
     void received(Wire wire, byte[] bytes);
     /** The other side has ended its sending; this side may still write. */
--- a/src/main/java/slateseam/standin/Range.java
+++ b/src/main/java/slateseam/standin/Range.java
@@ -4,13 +4,12 @@
 final class Range {
     private static final long HOUR_NANOS = 3_600_000_000_000L;
 
-    private Range() {
-    }
+    private Range() {}
 
     static void check(String name, double value, double least, double most) {
         if (!(value >= least && value <= most)) {
-            throw new IllegalArgumentException(name + " is " + text(value) + ", not from " + text(least) + " to "
-                    + text(most));
+            throw new IllegalArgumentException(
+                    name + " is " + text(value) + ", not from " + text(least) + " to " + text(most));
         }
     }
 
@@ -25,7 +24,8 @@
     }
 
     private static String text(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+        return value == Math.rint(value) && Math.abs(value) < 1e15
+                ? Long.toString((long) value)
                 : Double.toString(value);
     }
 }
--- a/src/main/java/slateseam/standin/RequestFacts.java
+++ b/src/main/java/slateseam/standin/RequestFacts.java
@@ -31,7 +31,7 @@
                     case 'c' -> className = value;
                     case 'd' -> wait = millis(value);
                     case 'k' -> idempotencyKey = value;
-                    default -> { }
+                    default -> {}
                 }
             }
         }
--- a/src/main/java/slateseam/standin/ServerFigures.java
+++ b/src/main/java/slateseam/standin/ServerFigures.java
@@ -18,9 +18,20 @@
  * @param carriesWrites whether it carries out writes itself; else they are answered as misses, and go to the origin
  * @param errorShare the share of requests that end in -ERR after their work, 0 to 1
  */
-public record ServerFigures(int cores, double speed, int slots, int waitingRoom, Crowding crowding, Cold cold,
-        Connections connections, Keeping keeping, Probing probing, boolean stopsCancelled, boolean dropsOverdue,
-        boolean carriesWrites, double errorShare) {
+public record ServerFigures(
+        int cores,
+        double speed,
+        int slots,
+        int waitingRoom,
+        Crowding crowding,
+        Cold cold,
+        Connections connections,
+        Keeping keeping,
+        Probing probing,
+        boolean stopsCancelled,
+        boolean dropsOverdue,
+        boolean carriesWrites,
+        double errorShare) {
 
     /** What becomes of a connection beyond the cap. */
     public enum Beyond {
@@ -78,8 +89,8 @@
      * @param requests begun at once on one, 1 to 4,096; further ones stay unread
      * @param tax the part of the capacity that a full table of connections takes, 0 to 0.9
      */
-    public record Connections(int most, Beyond beyond, double openSeconds, long firstNanos, long idleNanos,
-            int requests, double tax) {
+    public record Connections(
+            int most, Beyond beyond, double openSeconds, long firstNanos, long idleNanos, int requests, double tax) {
         /** Checks the figures. */
         public Connections {
             Range.check("most connections", most, 1, 65_536);
@@ -101,8 +112,8 @@
      * @param fetchNanos after so long a fetch that nobody stored counts as out no more
      * @param missShare the part of a read's work that a miss costs, 0 to 1
      */
-    public record Keeping(long bytes, int entries, long lifeNanos, boolean tellsPending, long fetchNanos,
-            double missShare) {
+    public record Keeping(
+            long bytes, int entries, long lifeNanos, boolean tellsPending, long fetchNanos, double missShare) {
         /** Checks the figures. */
         public Keeping {
             Range.check("bytes kept", bytes, 0, 1L << 34);
@@ -153,10 +164,19 @@
 
     private static ServerFigures usual(int cores, double speed, int waitingRoom, int connections, int entries) {
         long milli = 1_000_000;
-        return new ServerFigures(cores, speed, cores, waitingRoom, new Crowding(3, 0.05),
+        return new ServerFigures(
+                cores,
+                speed,
+                cores,
+                waitingRoom,
+                new Crowding(3, 0.05),
                 new Cold(0.4, 6_000 * milli, 3, 2_000 * milli),
                 new Connections(connections, Beyond.REFUSED, 0.015, 2 * milli, 60_000 * milli, 100, 0.2),
                 new Keeping(4L << 20, entries, 0, true, 600 * milli, 0.5),
-                new Probing(true, 0.0001, false), true, true, false, 0.0005);
+                new Probing(true, 0.0001, false),
+                true,
+                true,
+                false,
+                0.0005);
     }
 }
--- a/src/main/java/slateseam/standin/ServerLink.java
+++ b/src/main/java/slateseam/standin/ServerLink.java
@@ -10,6 +10,7 @@
     private final CommandReader reader = new CommandReader(inbox);
     /** What came whole while the connection was still being set up. */
     private final List<Runnable> early = new ArrayList<>();
+
     private boolean ready;
     private boolean surplus;
 
@@ -58,8 +59,14 @@
             if (command.size() != (write ? 5 : 4)) {
                 throw new UnreadableException("too few or too many parts");
             }
-            return new ServerRequest(server, this, surplus, RequestFacts.visible(command.get(1)),
-                    RequestFacts.visible(command.get(2)), RequestFacts.of(RequestFacts.visible(command.get(3))), write);
+            return new ServerRequest(
+                    server,
+                    this,
+                    surplus,
+                    RequestFacts.visible(command.get(1)),
+                    RequestFacts.visible(command.get(2)),
+                    RequestFacts.of(RequestFacts.visible(command.get(3))),
+                    write);
         } catch (UnreadableException e) {
             server.tallies.add(Tally.UNREADABLE);
             return new Simple(this, surplus, Answers.line("-SYNTAX " + e.getMessage()));
@@ -75,7 +82,8 @@
 
     private Exchange probe(byte[] reply) {
         server.tallies.add(Tally.PROBED);
-        return server.figures().probing().allowed() ? new ServerProbe(server, this, surplus, reply)
+        return server.figures().probing().allowed()
+                ? new ServerProbe(server, this, surplus, reply)
                 : new Simple(this, surplus, reply);
     }
 
--- a/src/main/java/slateseam/standin/ServerProbe.java
+++ b/src/main/java/slateseam/standin/ServerProbe.java
@@ -5,6 +5,7 @@
     private final ApplicationServer server;
     /** Null for the load report as it is then. */
     private final byte[] reply;
+
     private final Workshop.Job job = new Workshop.Job() {
         @Override
         double begin() {
--- a/src/main/java/slateseam/standin/ServerRequest.java
+++ b/src/main/java/slateseam/standin/ServerRequest.java
@@ -5,7 +5,13 @@
     private static final long MILLI = 1_000_000;
 
     /** What came of it, known when its work begins. */
-    private enum Course { HIT, MISS, PENDING, WRITE, REPEAT }
+    private enum Course {
+        HIT,
+        MISS,
+        PENDING,
+        WRITE,
+        REPEAT
+    }
 
     final double fullWork;
     private final ApplicationServer server;
@@ -29,7 +35,13 @@
         }
     };
 
-    ServerRequest(ApplicationServer server, Link link, boolean last, String key, String id, RequestFacts facts,
+    ServerRequest(
+            ApplicationServer server,
+            Link link,
+            boolean last,
+            String key,
+            String id,
+            RequestFacts facts,
             boolean write) {
         super(link, last);
         this.server = server;
@@ -119,8 +131,13 @@
         switch (course) {
             case HIT -> give(Tally.HIT, server.shared().archive().value(key, version, id), "hit");
             case WRITE -> give(null, server.shared().archive().receipt(key, version, id), null);
-            case REPEAT -> give(Tally.REPEAT, server.shared().archive()
-                    .receipt(key, server.shared().archive().version(key), id), null);
+            case REPEAT ->
+                give(
+                        Tally.REPEAT,
+                        server.shared()
+                                .archive()
+                                .receipt(key, server.shared().archive().version(key), id),
+                        null);
             case MISS, PENDING -> {
                 boolean pending = course == Course.PENDING;
                 server.tallies.add(pending ? Tally.PENDING : Tally.MISS);
--- a/src/main/java/slateseam/standin/Shared.java
+++ b/src/main/java/slateseam/standin/Shared.java
@@ -7,5 +7,4 @@
  * @param copies brings values to servers and voids them
  * @param receipts keys of keyed writes
  */
-public record Shared(Archive archive, Copies copies, Receipts receipts) {
-}
+public record Shared(Archive archive, Copies copies, Receipts receipts) {}
--- a/src/main/java/slateseam/standin/Spoiler.java
+++ b/src/main/java/slateseam/standin/Spoiler.java
@@ -54,10 +54,13 @@
         } else if (kind == Spoil.Kind.ENDLESS_LINE) {
             return Answers.text("+" + "and so on ".repeat(400));
         }
-        String last = kind == Spoil.Kind.UNREADABLE_REPORT ? "!!\u0001\u00ff" : report == null ? "$-1"
-                : "$" + report.length() + "\r\n" + report;
+        String last = kind == Spoil.Kind.UNREADABLE_REPORT
+                ? "!!\u0001\u00ff"
+                : report == null ? "$-1" : "$" + report.length() + "\r\n" + report;
         String second = how == null ? "$-1" : "$" + how.length() + "\r\n" + how;
-        return Answers.join(Answers.text("*3\r\n$" + length(kind, value.length) + "\r\n"), value,
+        return Answers.join(
+                Answers.text("*3\r\n$" + length(kind, value.length) + "\r\n"),
+                value,
                 Answers.text("\r\n" + second + "\r\n" + last + "\r\n"));
     }
 
@@ -68,16 +71,21 @@
         }
         StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
         if (kind == Spoil.Kind.ENDLESS_LINE) {
-            return Answers.text(head.append("X-Filler: ").append("and so on ".repeat(1_000)).toString());
+            return Answers.text(
+                    head.append("X-Filler: ").append("and so on ".repeat(1_000)).toString());
         }
         if (kind == Spoil.Kind.UNREADABLE_REPORT) {
-            head.append("X-Backend-Load: ;;=\u0001\u00ff,").append("0".repeat(3_000)).append("\r\n");
+            head.append("X-Backend-Load: ;;=\u0001\u00ff,")
+                    .append("0".repeat(3_000))
+                    .append("\r\n");
         } else if (report != null) {
             head.append("X-Backend-Load: ").append(report).append("\r\n");
         }
         boolean asked = kind == null || kind.isGood();
         if (chunked && asked) {
-            return Answers.join(Answers.text(head.append("Transfer-Encoding: chunked\r\n\r\n").toString()),
+            return Answers.join(
+                    Answers.text(
+                            head.append("Transfer-Encoding: chunked\r\n\r\n").toString()),
                     Answers.chunks(value));
         }
         if (kind == Spoil.Kind.SHORT_LENGTH) {
--- a/src/main/java/slateseam/standin/Station.java
+++ b/src/main/java/slateseam/standin/Station.java
@@ -16,6 +16,7 @@
     protected final Clockwork clock;
     /** Its own source of random numbers; null where it draws none. */
     protected final UniformRandomProvider random;
+
     final Tallies tallies = new Tallies();
     final long idleNanos;
     private final Net net;
@@ -26,13 +27,21 @@
     private final long salt;
     /** How often each of the last ids was asked. */
     private final Map<String, Integer> asked = new LinkedHashMap<>();
+
     private String address;
     private boolean up;
     private boolean listening;
 
     /** Takes {@code most} connections; beyond them it refuses, or takes surplus ones up to a second bound. */
-    protected Station(Clockwork clock, Net net, UniformRandomProvider random, String address, int most, int surplus,
-            boolean refuses, long idleNanos) {
+    protected Station(
+            Clockwork clock,
+            Net net,
+            UniformRandomProvider random,
+            String address,
+            int most,
+            int surplus,
+            boolean refuses,
+            long idleNanos) {
         this.clock = clock;
         this.net = net;
         this.random = random;
@@ -60,8 +69,7 @@
     }
 
     /** The number of connections has changed. */
-    void counted(int open) {
-    }
+    void counted(int open) {}
 
     /** Where it takes connections. */
     public final String address() {
--- a/src/main/java/slateseam/standin/Store.java
+++ b/src/main/java/slateseam/standin/Store.java
@@ -6,8 +6,7 @@
 
 /** What one application server keeps; what was used or stored longest ago goes first. */
 final class Store {
-    private record Copy(long version, int bytes, long ends) {
-    }
+    private record Copy(long version, int bytes, long ends) {}
 
     private final Clockwork clock;
     private final ServerFigures.Keeping figures;
@@ -43,7 +42,7 @@
         copies.put(key, new Copy(version, size, life == 0 ? Long.MAX_VALUE : clock.now() + life));
         bytes += size;
         for (Iterator<Copy> eldest = copies.values().iterator();
-                bytes > figures.bytes() || copies.size() > figures.entries();) {
+                bytes > figures.bytes() || copies.size() > figures.entries(); ) {
             bytes -= eldest.next().bytes;
             eldest.remove();
         }
--- a/src/main/java/slateseam/standin/Tallies.java
+++ b/src/main/java/slateseam/standin/Tallies.java
@@ -4,8 +4,7 @@
 public final class Tallies {
     private final long[] counts = new long[Tally.values().length];
 
-    Tallies() {
-    }
+    Tallies() {}
 
     void add(Tally tally) {
         counts[tally.ordinal()]++;
--- a/src/main/java/slateseam/standin/Warmth.java
+++ b/src/main/java/slateseam/standin/Warmth.java
@@ -45,7 +45,8 @@
             double now = at(from);
             double left = seconds - (from - start) / SECOND;
             double whole = left * (now + 1) / 2;
-            length = amount >= whole ? left + amount - whole
+            length = amount >= whole
+                    ? left + amount - whole
                     : 2 * amount / (now + Math.sqrt(now * now + 2 * slope() * amount));
         }
         return from + Math.max(1, (long) Math.ceil(length * SECOND));
--- a/src/main/java/slateseam/standin/WorkFigures.java
+++ b/src/main/java/slateseam/standin/WorkFigures.java
@@ -40,7 +40,9 @@
 
     /** Reads of 65 ms, and two kinds of writes that cost more. */
     public static WorkFigures usual() {
-        return new WorkFigures(List.of(new OfClass("read", 0.065, 0.9, 0.2), new OfClass("keyed-write", 0.09, 0.9, 0.2),
+        return new WorkFigures(List.of(
+                new OfClass("read", 0.065, 0.9, 0.2),
+                new OfClass("keyed-write", 0.09, 0.9, 0.2),
                 new OfClass("once-write", 0.12, 0.9, 0.2)));
     }
 
--- a/src/main/java/slateseam/standin/Workshop.java
+++ b/src/main/java/slateseam/standin/Workshop.java
@@ -15,7 +15,12 @@
 
     /** Something to do. */
     abstract static class Job {
-        private enum State { NEW, WAITING, IN_WORK, OVER }
+        private enum State {
+            NEW,
+            WAITING,
+            IN_WORK,
+            OVER
+        }
 
         private State state = State.NEW;
         private boolean beside;
@@ -52,13 +57,20 @@
     private double tax;
     /** Work that a job in a slot has got since the beginning, and when that was reckoned. */
     private double got;
+
     private long reckoned;
     private long orders;
     private long armed = Long.MAX_VALUE;
     private long arming;
     private boolean closed;
 
-    Workshop(Clockwork clock, Warmth warmth, int cores, double speed, int slots, int room,
+    Workshop(
+            Clockwork clock,
+            Warmth warmth,
+            int cores,
+            double speed,
+            int slots,
+            int room,
             ServerFigures.Crowding crowding) {
         this.clock = clock;
         this.warmth = warmth;
@@ -181,8 +193,7 @@
 
     private void arm() {
         Job next = working.peek();
-        long due = next == null ? Long.MAX_VALUE
-                : warmth.reaches(reckoned, Math.max(0, next.finish - got) / pace());
+        long due = next == null ? Long.MAX_VALUE : warmth.reaches(reckoned, Math.max(0, next.finish - got) / pace());
         if (due == armed) {
             return;
         }
@@ -200,7 +211,7 @@
 
     private void finish() {
         reckon();
-        for (Job job; !closed && (job = working.peek()) != null && job.finish <= got + ROUNDING;) {
+        for (Job job; !closed && (job = working.peek()) != null && job.finish <= got + ROUNDING; ) {
             working.poll();
             leave(job);
             job.state = Job.State.OVER;
--- a/src/main/java/slateseam/standin/World.java
+++ b/src/main/java/slateseam/standin/World.java
@@ -7,5 +7,4 @@
  * @param net where connections come from
  * @param witness is told what they do with requests
  */
-public record World(Clockwork clock, Net net, Witness witness) {
-}
+public record World(Clockwork clock, Net net, Witness witness) {}
--- a/src/main/java/slateseam/standin/kubernetes/ApiCommands.java
+++ b/src/main/java/slateseam/standin/kubernetes/ApiCommands.java
@@ -8,8 +8,7 @@
 final class ApiCommands {
     private static final int MILLION = 1_000_000;
 
-    private ApiCommands() {
-    }
+    private ApiCommands() {}
 
     /** Reads a line whose first word was read; null if it is none of these. */
     static Command read(String verb, Words words) {
@@ -72,12 +71,12 @@
                 yield server -> server.late(nanos);
             }
             case "garbage" -> {
-                Garbage what = Garbage.valueOf(words.next("garbage", "text", "json", "event", "chunk")
-                        .toUpperCase(Locale.ROOT));
+                Garbage what = Garbage.valueOf(
+                        words.next("garbage", "text", "json", "event", "chunk").toUpperCase(Locale.ROOT));
                 yield server -> server.garble(what);
             }
             case "await" -> new Await((int) words.namedNumber("watches", 1, 1, 1_000));
-            case "end" -> server -> { };
+            case "end" -> server -> {};
             default -> null;
         };
     }
@@ -94,8 +93,8 @@
         String what = words.next("what is cut", "watch", "list", "all");
         boolean byReset = words.namedOneOf("by", "end", "end", "reset").equals("reset");
         if (what.equals("watch")) {
-            Cut where = Cut.valueOf(words.namedOneOf("at", "object", "object", "head", "letter")
-                    .toUpperCase(Locale.ROOT));
+            Cut where = Cut.valueOf(
+                    words.namedOneOf("at", "object", "object", "head", "letter").toUpperCase(Locale.ROOT));
             return server -> server.cutWatches(where, byReset);
         }
         long after = words.namedNumber("after", 0, 0, 100 * MILLION);
--- a/src/main/java/slateseam/standin/kubernetes/ApiFigures.java
+++ b/src/main/java/slateseam/standin/kubernetes/ApiFigures.java
@@ -9,8 +9,8 @@
  * @param goneAsAnswer whether a watch from before the compaction is answered with status 410, and not with an event
  * @param mostConnections that are taken; more are refused
  */
-public record ApiFigures(long watchNanos, long bookmarkNanos, int chunkBytes, boolean goneAsAnswer,
-        int mostConnections) {
+public record ApiFigures(
+        long watchNanos, long bookmarkNanos, int chunkBytes, boolean goneAsAnswer, int mostConnections) {
     private static final long MILLI = 1_000_000;
     private static final long HOUR = 3_600_000 * MILLI;
 
--- a/src/main/java/slateseam/standin/kubernetes/ApiLink.java
+++ b/src/main/java/slateseam/standin/kubernetes/ApiLink.java
@@ -46,13 +46,14 @@
 
     @Override
     protected byte[] unreadable() {
-        return Http.whole(400, "Connection: close\r\n", Status.badRequest("not a request").json(), 1 << 20);
+        return Http.whole(
+                400, "Connection: close\r\n", Status.badRequest("not a request").json(), 1 << 20);
     }
 
     /** Sends nothing from now on, though it stays open, or sends all that was held back. */
     void stall(boolean stop) {
         stalled = stop;
-        for (byte[] bytes; !stalled && (bytes = held.poll()) != null;) {
+        for (byte[] bytes; !stalled && (bytes = held.poll()) != null; ) {
             heldBytes -= bytes.length;
             send(bytes);
         }
--- a/src/main/java/slateseam/standin/kubernetes/ApiServer.java
+++ b/src/main/java/slateseam/standin/kubernetes/ApiServer.java
@@ -22,6 +22,7 @@
     private final Set<String> tokens = new LinkedHashSet<>();
     /** What came while it is silent. */
     private final List<ApiCall> waiting = new ArrayList<>();
+
     private int chunkBytes;
     private boolean forbids;
     private boolean goneAsAnswer;
@@ -132,12 +133,15 @@
 
     private Status refused(ApiCall call, String namespace, String verb) {
         String authorization = call.request.headers().getOrDefault("authorization", "");
-        if (!tokens.isEmpty() && !authorization.isEmpty()
+        if (!tokens.isEmpty()
+                && !authorization.isEmpty()
                 && !(authorization.startsWith("Bearer ") && tokens.contains(authorization.substring(7)))) {
             return Status.UNAUTHORIZED;
         }
         // Who shows no token is nobody, who may not do anything where tokens are asked for.
-        if (forbids || !tokens.isEmpty() && authorization.isEmpty() || !call.request.method().equals("GET")) {
+        if (forbids
+                || !tokens.isEmpty() && authorization.isEmpty()
+                || !call.request.method().equals("GET")) {
             return Status.forbidden(call.request.method().equals("GET") ? verb : "change", namespace);
         }
         return null;
@@ -165,8 +169,10 @@
         }
         String fields = name.isEmpty() ? call.query.text("fieldSelector") : "metadata.name=" + name;
         boolean ours = namespace.isEmpty() || namespace.equals(cluster.namespace());
-        Selector selector = new Selector(call.query.text("labelSelector"),
-                ours ? fields : "metadata.namespace=" + namespace, cluster.namespace());
+        Selector selector = new Selector(
+                call.query.text("labelSelector"),
+                ours ? fields : "metadata.namespace=" + namespace,
+                cluster.namespace());
         long since = call.query.number("resourceVersion");
         long seconds = call.query.number("timeoutSeconds");
         boolean gone = since > 0 && !store.knows(since);
--- a/src/main/java/slateseam/standin/kubernetes/Cluster.java
+++ b/src/main/java/slateseam/standin/kubernetes/Cluster.java
@@ -129,6 +129,7 @@
 
     /** A new one; the same in each run. */
     String uid() {
-        return UUID.nameUUIDFromBytes((namespace + '/' + uids++).getBytes(StandardCharsets.UTF_8)).toString();
+        return UUID.nameUUIDFromBytes((namespace + '/' + uids++).getBytes(StandardCharsets.UTF_8))
+                .toString();
     }
 }
--- a/src/main/java/slateseam/standin/kubernetes/ClusterCommands.java
+++ b/src/main/java/slateseam/standin/kubernetes/ClusterCommands.java
@@ -13,8 +13,7 @@
     private static final int MOST_PODS = 20_000;
     private static final long SECOND = 1_000_000_000;
 
-    private ClusterCommands() {
-    }
+    private ClusterCommands() {}
 
     /** Reads a line whose first word was read; null if it is none of these. */
     static Command read(String verb, Words words) {
@@ -41,9 +40,14 @@
         words.namedPairs("port").forEach((port, number) -> ports.add(new Service.Port(port, portNumber(number))));
         List<String> families = Arrays.asList(words.namedOneOf("families", "ipv4", "ipv4", "ipv6", "ipv4,ipv6")
                 .split(","));
-        Service service = new Service(name, ports, families.contains("ipv4"), families.contains("ipv6"),
+        Service service = new Service(
+                name,
+                ports,
+                families.contains("ipv4"),
+                families.contains("ipv6"),
                 (int) words.namedNumber("per-slice", 100, 1, 1_000),
-                words.namedOneOf("hints", "no", "yes", "no").equals("yes"), words.namedPairs("label"),
+                words.namedOneOf("hints", "no", "yes", "no").equals("yes"),
+                words.namedPairs("label"),
                 words.namedPairs("annotation"));
         return on(cluster -> cluster.service(service));
     }
@@ -65,20 +69,37 @@
             int before = cluster.pods().size();
             for (int i = 0; i < count; i++) {
                 int place = before + i + 1;
-                cluster.add(service, new Pod(prefix + '-' + (i + 1), "",
-                        "10.7." + place / 250 + '.' + (1 + place % 250), "fd00:7::" + Integer.toHexString(place),
-                        "node-" + (1 + i % nodes), zones[i % zones.length], true, true, false));
+                cluster.add(
+                        service,
+                        new Pod(
+                                prefix + '-' + (i + 1),
+                                "",
+                                "10.7." + place / 250 + '.' + (1 + place % 250),
+                                "fd00:7::" + Integer.toHexString(place),
+                                "node-" + (1 + i % nodes),
+                                zones[i % zones.length],
+                                true,
+                                true,
+                                false));
             }
         });
     }
 
     private static Command pod(String name, Words words) {
-        return switch (words.next("what becomes of the pod", "add", "ready", "unready", "terminating", "gone",
-                "restart", "set")) {
+        return switch (words.next(
+                "what becomes of the pod", "add", "ready", "unready", "terminating", "gone", "restart", "set")) {
             case "add" -> {
                 String service = words.named("service");
-                Pod pod = new Pod(name, "", words.named("ipv4", null), words.named("ipv6", null),
-                        words.named("node", "node-1"), words.named("zone", "zone-a"), true, true, false);
+                Pod pod = new Pod(
+                        name,
+                        "",
+                        words.named("ipv4", null),
+                        words.named("ipv6", null),
+                        words.named("node", "node-1"),
+                        words.named("zone", "zone-a"),
+                        true,
+                        true,
+                        false);
                 if (pod.ipv4() == null && pod.ipv6() == null) {
                     throw new IllegalArgumentException("ipv4= and ipv6= lack");
                 }
@@ -112,8 +133,17 @@
         if (place.length != 2 || !place[1].matches("[1-9][0-9]{0,4}")) {
             throw new IllegalArgumentException("a slice is named by its service and number, such as caches/2");
         }
-        String what = words.next("what becomes of the slice", "take", "copy", "drop", "split", "recreate", "lag",
-                "label", "annotate", "pad");
+        String what = words.next(
+                "what becomes of the slice",
+                "take",
+                "copy",
+                "drop",
+                "split",
+                "recreate",
+                "lag",
+                "label",
+                "annotate",
+                "pad");
         BiConsumer<Packing, Integer> action = switch (what) {
             case "take" -> {
                 String pod = words.next("pod");
@@ -159,7 +189,8 @@
     }
 
     private static boolean deletedFirst(Words words) {
-        return words.namedOneOf("order", "add-first", "add-first", "delete-first").equals("delete-first");
+        return words.namedOneOf("order", "add-first", "add-first", "delete-first")
+                .equals("delete-first");
     }
 
     private static Command repack(Words words) {
@@ -186,8 +217,11 @@
                 String name = pods.get((int) (i % pods.size())).name();
                 clock.at(clock.now() + i * SECOND / rate, () -> {
                     if (cluster.has(name)) {
-                        cluster.change(name, pod -> Boolean.TRUE.equals(pod.ready())
-                                ? pod.conditions(false, false, pod.terminating()) : pod.conditions(true, true, false));
+                        cluster.change(
+                                name,
+                                pod -> Boolean.TRUE.equals(pod.ready())
+                                        ? pod.conditions(false, false, pod.terminating())
+                                        : pod.conditions(true, true, false));
                     }
                 });
             }
--- a/src/main/java/slateseam/standin/kubernetes/Feed.java
+++ b/src/main/java/slateseam/standin/kubernetes/Feed.java
@@ -16,6 +16,7 @@
     private final Set<Watch> watches = new LinkedHashSet<>();
     /** Versions of changes that watches were not told of yet. */
     private final TreeSet<Long> untold = new TreeSet<>();
+
     private long lateNanos;
     private long lastDue = Long.MIN_VALUE;
     private int duplicates;
--- a/src/main/java/slateseam/standin/kubernetes/Http.java
+++ b/src/main/java/slateseam/standin/kubernetes/Http.java
@@ -8,8 +8,7 @@
     static final byte[] END = ascii("0\r\n\r\n");
     private static final int LONGEST_WITH_LENGTH = 2_048;
 
-    private Http() {
-    }
+    private Http() {}
 
     static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
--- a/src/main/java/slateseam/standin/kubernetes/Lister.java
+++ b/src/main/java/slateseam/standin/kubernetes/Lister.java
@@ -14,15 +14,23 @@
 
     private record Place(long version, String after) {
         String token() {
-            String json = new JSONStringer().object().key("v").value(TOKEN).key("rv").value(version).key("start")
-                    .value(after + '\0').endObject().toString();
+            String json = new JSONStringer()
+                    .object()
+                    .key("v")
+                    .value(TOKEN)
+                    .key("rv")
+                    .value(version)
+                    .key("start")
+                    .value(after + '\0')
+                    .endObject()
+                    .toString();
             return Base64.getUrlEncoder().withoutPadding().encodeToString(json.getBytes(StandardCharsets.UTF_8));
         }
 
         static Place of(String token) {
             try {
-                JSONObject json = new JSONObject(new String(Base64.getUrlDecoder().decode(token),
-                        StandardCharsets.UTF_8));
+                JSONObject json =
+                        new JSONObject(new String(Base64.getUrlDecoder().decode(token), StandardCharsets.UTF_8));
                 String start = json.getString("start");
                 return new Place(json.getLong("rv"), start.substring(0, start.length() - 1));
             } catch (IllegalArgumentException | IndexOutOfBoundsException | JSONException e) {
@@ -67,13 +75,16 @@
         // An old server answers "any version" from its cache, whole.
         long limit = asked == 0 ? 0 : Math.max(0, query.number("limit"));
         Place place = query.has("continue") ? Place.of(query.text("continue")) : null;
-        long version = place != null && place.version >= 0 ? place.version
+        long version = place != null && place.version >= 0
+                ? place.version
                 : asked > 0 && (match.equals("Exact") || match.isEmpty() && limit > 0) ? asked : store.version();
         if (version > store.version() || asked > store.version()) {
             call.tell(Status.tooLarge(Math.max(version, asked), store.version()));
         } else if (!store.knows(version)) {
-            call.tell(place == null ? Status.tooOld(version, store.version())
-                    : Status.staleToken(new Place(-1, place.after).token()));
+            call.tell(
+                    place == null
+                            ? Status.tooOld(version, store.version())
+                            : Status.staleToken(new Place(-1, place.after).token()));
         } else {
             call.tell(text(namespace, selector, version, limit, place));
         }
@@ -97,18 +108,22 @@
         if (!match.isEmpty() && !match.equals("Exact") && !match.equals("NotOlderThan")) {
             return Status.invalid("resourceVersionMatch: Unsupported value: \"" + match + '"');
         }
-        return match.equals("Exact") && asked == 0 ? Status.invalid("resourceVersionMatch: Forbidden: "
-                + "resourceVersionMatch \"exact\" is forbidden for resourceVersion \"0\"") : null;
+        return match.equals("Exact") && asked == 0
+                ? Status.invalid("resourceVersionMatch: Forbidden: "
+                        + "resourceVersionMatch \"exact\" is forbidden for resourceVersion \"0\"")
+                : null;
     }
 
     private String text(String namespace, Selector selector, long version, long limit, Place place) {
         boolean ours = !blank && (namespace.isEmpty() || namespace.equals(cluster.namespace()));
         List<Stored> rest = new ArrayList<>(ours ? store.at(version) : List.of());
-        rest.removeIf(slice -> !selector.matches(slice)
-                || place != null && slice.name().compareTo(place.after) <= 0);
+        rest.removeIf(slice ->
+                !selector.matches(slice) || place != null && slice.name().compareTo(place.after) <= 0);
         List<Stored> page = limit > 0 && limit < rest.size() ? rest.subList(0, (int) limit) : rest;
         StringBuilder text = new StringBuilder("{\"kind\":\"EndpointSliceList\",\"apiVersion\":\"discovery.k8s.io/v1\","
-                + "\"metadata\":{\"resourceVersion\":\"").append(version).append('"');
+                        + "\"metadata\":{\"resourceVersion\":\"")
+                .append(version)
+                .append('"');
         if (page.size() < rest.size()) {
             String token = new Place(version, page.get(page.size() - 1).name()).token();
             text.append(",\"continue\":\"").append(token).append('"');
--- a/src/main/java/slateseam/standin/kubernetes/Packing.java
+++ b/src/main/java/slateseam/standin/kubernetes/Packing.java
@@ -35,8 +35,10 @@
     void add(String pod) {
         for (boolean v6 : new boolean[] {false, true}) {
             if (has(v6) && cluster.pod(pod).address(v6) != null) {
-                Slice slice = slices.stream().filter(one -> one.v6 == v6 && one.pods.size() < service.perSlice())
-                        .findFirst().orElseGet(() -> make(v6));
+                Slice slice = slices.stream()
+                        .filter(one -> one.v6 == v6 && one.pods.size() < service.perSlice())
+                        .findFirst()
+                        .orElseGet(() -> make(v6));
                 slice.pods.add(pod);
                 publish(slice);
             }
@@ -61,7 +63,8 @@
 
     /** Publishes a slice that lost pods, or deletes it. */
     private void settle(Slice slice) {
-        if (slice.pods.isEmpty() && slices.stream().filter(one -> one.v6 == slice.v6).count() > 1) {
+        if (slice.pods.isEmpty()
+                && slices.stream().filter(one -> one.v6 == slice.v6).count() > 1) {
             delete(slice);
         } else {
             publish(slice);
@@ -71,7 +74,9 @@
     /** Moves a pod into another slice; with a time between, in nanoseconds, both are published so far apart. */
     public void move(String pod, int to, boolean deletedFirst, long apartNanos) {
         Slice target = slice(to);
-        Slice source = slices.stream().filter(one -> one.v6 == target.v6 && one.pods.contains(pod)).findFirst()
+        Slice source = slices.stream()
+                .filter(one -> one.v6 == target.v6 && one.pods.contains(pod))
+                .findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("no slice of this family holds " + pod));
         if (source == target) {
             throw new IllegalArgumentException(pod + " is in slice " + to + " already");
@@ -121,8 +126,12 @@
         List<Slice> old = new ArrayList<>(slices);
         List<Slice> made = new ArrayList<>();
         for (boolean v6 : new boolean[] {false, true}) {
-            List<String> names = old.stream().filter(one -> one.v6 == v6).flatMap(one -> one.pods.stream()).distinct()
-                    .sorted().toList();
+            List<String> names = old.stream()
+                    .filter(one -> one.v6 == v6)
+                    .flatMap(one -> one.pods.stream())
+                    .distinct()
+                    .sorted()
+                    .toList();
             for (int i = 0; has(v6) && i < Math.max(1, names.size()); i += perSlice) {
                 Slice slice = make(v6);
                 slice.pods.addAll(names.subList(i, Math.min(names.size(), i + perSlice)));
@@ -206,8 +215,11 @@
     private Slice make(boolean v6) {
         // Five letters as the API makes them up, but the same in each run and never twice: the factor is prime to 27.
         String letters = Integer.toString((int) (names++ * 7_654_321L % NAME_SPACE), 27);
-        Slice slice = new Slice(service.name() + '-' + "0".repeat(Math.max(0, 5 - letters.length()))
-                + letters, cluster.uid(), v6, cluster.clock().now());
+        Slice slice = new Slice(
+                service.name() + '-' + "0".repeat(Math.max(0, 5 - letters.length())) + letters,
+                cluster.uid(),
+                v6,
+                cluster.clock().now());
         slices.add(slice);
         return slice;
     }
@@ -225,11 +237,10 @@
             return;
         }
         List<Pod> endpoints = new ArrayList<>();
-        for (Iterator<String> names = slice.pods.iterator(); !vanished && names.hasNext();) {
+        for (Iterator<String> names = slice.pods.iterator(); !vanished && names.hasNext(); ) {
             endpoints.add(cluster.pod(names.next()));
         }
-        cluster.store().put(slice.name,
-                version -> slice.stored(version, cluster.namespace(), service, uid, endpoints));
+        cluster.store().put(slice.name, version -> slice.stored(version, cluster.namespace(), service, uid, endpoints));
     }
 
     private void delete(Slice slice) {
--- a/src/main/java/slateseam/standin/kubernetes/Pod.java
+++ b/src/main/java/slateseam/standin/kubernetes/Pod.java
@@ -10,8 +10,16 @@
  * @param ipv4 its address, or null
  * @param ipv6 its address, or null
  */
-public record Pod(String name, String uid, String ipv4, String ipv6, String node, String zone, Boolean ready,
-        Boolean serving, Boolean terminating) {
+public record Pod(
+        String name,
+        String uid,
+        String ipv4,
+        String ipv6,
+        String node,
+        String zone,
+        Boolean ready,
+        Boolean serving,
+        Boolean terminating) {
 
     /** The same with other conditions, each true, false or null for one that is not told. */
     public Pod conditions(Boolean isReady, Boolean isServing, Boolean isTerminating) {
@@ -34,8 +42,16 @@
     }
 
     /** The same of parts, as a witness has read them. */
-    public static String line(String slice, List<String> addresses, String name, String uid, String node, String zone,
-            Boolean ready, Boolean serving, Boolean terminating) {
+    public static String line(
+            String slice,
+            List<String> addresses,
+            String name,
+            String uid,
+            String node,
+            String zone,
+            Boolean ready,
+            Boolean serving,
+            Boolean terminating) {
         return slice + ' ' + String.join("+", addresses) + ' ' + name + ' ' + uid + ' ' + node + ' ' + zone + " ready="
                 + ready + " serving=" + serving + " terminating=" + terminating;
     }
--- a/src/main/java/slateseam/standin/kubernetes/Rehearsal.java
+++ b/src/main/java/slateseam/standin/kubernetes/Rehearsal.java
@@ -10,16 +10,15 @@
 
 /** A clock that runs as fast as it can and a network on which nobody is, to try out a script. */
 final class Rehearsal implements Clockwork, Net {
-    private record Happening(long time, long order, Runnable action) {
-    }
+    private record Happening(long time, long order, Runnable action) {}
 
-    private final PriorityQueue<Happening> happenings = new PriorityQueue<>(
-            Comparator.comparingLong(Happening::time).thenComparingLong(Happening::order));
+    private final PriorityQueue<Happening> happenings =
+            new PriorityQueue<>(Comparator.comparingLong(Happening::time).thenComparingLong(Happening::order));
     private long now;
     private long orders;
 
     void run() {
-        for (Happening next; (next = happenings.poll()) != null;) {
+        for (Happening next; (next = happenings.poll()) != null; ) {
             now = next.time;
             next.action.run();
         }
--- a/src/main/java/slateseam/standin/kubernetes/Script.java
+++ b/src/main/java/slateseam/standin/kubernetes/Script.java
@@ -16,13 +16,11 @@
     /** How often a script that waits looks whether it may go on. */
     private static final long LOOK_NANOS = 1_000_000;
 
-    private record Step(int line, long time, Command command) {
-    }
+    private record Step(int line, long time, Command command) {}
 
     private final List<Step> steps = new ArrayList<>();
 
-    private Script() {
-    }
+    private Script() {}
 
     /** Reads a script and tries it out. */
     public static Script read(String text) throws InvalidScriptException {
@@ -64,7 +62,7 @@
 
     private void rehearse() throws InvalidScriptException {
         Rehearsal rehearsal = new Rehearsal();
-        World world = new World(rehearsal, rehearsal, new Witness() { });
+        World world = new World(rehearsal, rehearsal, new Witness() {});
         ApiServer server = new ApiServer("rehearsal", ApiFigures.USUAL, world, new Cluster("rehearsal", rehearsal, 1));
         int[] line = new int[1];
         for (Step step : steps) {
--- a/src/main/java/slateseam/standin/kubernetes/Selector.java
+++ b/src/main/java/slateseam/standin/kubernetes/Selector.java
@@ -63,7 +63,8 @@
         }
         Matcher exists = EXISTS.matcher(term);
         if (exists.matches()) {
-            return slice -> slice.labels().containsKey(exists.group(2)) == exists.group(1).isEmpty();
+            return slice -> slice.labels().containsKey(exists.group(2))
+                    == exists.group(1).isEmpty();
         }
         throw new IllegalArgumentException("unable to parse requirement: " + term);
     }
--- a/src/main/java/slateseam/standin/kubernetes/Service.java
+++ b/src/main/java/slateseam/standin/kubernetes/Service.java
@@ -14,12 +14,18 @@
  * @param labels passed on to its slices
  * @param annotations passed on to its slices
  */
-public record Service(String name, List<Port> ports, boolean ipv4, boolean ipv6, int perSlice, boolean hints,
-        Map<String, String> labels, Map<String, String> annotations) {
+public record Service(
+        String name,
+        List<Port> ports,
+        boolean ipv4,
+        boolean ipv6,
+        int perSlice,
+        boolean hints,
+        Map<String, String> labels,
+        Map<String, String> annotations) {
 
     /** A port of a service: its name, which may be empty, and its number. */
-    public record Port(String name, int number) {
-    }
+    public record Port(String name, int number) {}
 
     /** Checks the figures. */
     public Service {
--- a/src/main/java/slateseam/standin/kubernetes/Slice.java
+++ b/src/main/java/slateseam/standin/kubernetes/Slice.java
@@ -25,16 +25,17 @@
     final Map<String, String> labels = new TreeMap<>();
     /** Beside those of its service. */
     final Map<String, String> annotations = new TreeMap<>();
+
     String uid;
     long created;
     /** Until this time the controller does not get round to it. */
     long heldUntil;
+
     private int generation;
     /** What was told of each pod last; most stay as they were. */
     private final Map<String, Told> told = new HashMap<>();
 
-    private record Told(Pod pod, String toJSONString) implements JSONString {
-    }
+    private record Told(Pod pod, String toJSONString) implements JSONString {}
 
     Slice(String name, String uid, boolean v6, long created) {
         this.name = name;
@@ -51,17 +52,47 @@
         allLabels.putAll(labels);
         Map<String, String> allAnnotations = new TreeMap<>(service.annotations());
         allAnnotations.putAll(annotations);
-        JSONWriter json = new JSONStringer().object().key("metadata").object()
-                .key("name").value(name).key("namespace").value(namespace).key("uid").value(uid)
-                .key("resourceVersion").value(Long.toString(version)).key("generateName").value(service.name() + '-')
-                .key("generation").value(++generation).key("creationTimestamp").value(time())
-                .key("labels").value(allLabels);
+        JSONWriter json = new JSONStringer()
+                .object()
+                .key("metadata")
+                .object()
+                .key("name")
+                .value(name)
+                .key("namespace")
+                .value(namespace)
+                .key("uid")
+                .value(uid)
+                .key("resourceVersion")
+                .value(Long.toString(version))
+                .key("generateName")
+                .value(service.name() + '-')
+                .key("generation")
+                .value(++generation)
+                .key("creationTimestamp")
+                .value(time())
+                .key("labels")
+                .value(allLabels);
         if (!allAnnotations.isEmpty()) {
             json.key("annotations").value(allAnnotations);
         }
-        json.key("ownerReferences").array().object().key("apiVersion").value("v1").key("kind").value("Service")
-                .key("name").value(service.name()).key("uid").value(serviceUid).key("controller").value(true)
-                .key("blockOwnerDeletion").value(true).endObject().endArray().endObject();
+        json.key("ownerReferences")
+                .array()
+                .object()
+                .key("apiVersion")
+                .value("v1")
+                .key("kind")
+                .value("Service")
+                .key("name")
+                .value(service.name())
+                .key("uid")
+                .value(serviceUid)
+                .key("controller")
+                .value(true)
+                .key("blockOwnerDeletion")
+                .value(true)
+                .endObject()
+                .endArray()
+                .endObject();
         json.key("addressType").value(v6 ? "IPv6" : "IPv4").key("endpoints");
         if (endpoints.isEmpty()) {
             // A list of none is told as null.
@@ -79,8 +110,14 @@
             }
             json.endArray().key("ports").array();
             for (Service.Port port : service.ports()) {
-                json.object().key("name").value(port.name()).key("port").value(port.number())
-                        .key("protocol").value("TCP").endObject();
+                json.object()
+                        .key("name")
+                        .value(port.name())
+                        .key("port")
+                        .value(port.number())
+                        .key("protocol")
+                        .value("TCP")
+                        .endObject();
             }
             json.endArray();
         }
@@ -88,21 +125,52 @@
     }
 
     private String time() {
-        return Instant.ofEpochSecond(created / SECOND).truncatedTo(ChronoUnit.SECONDS).toString();
+        return Instant.ofEpochSecond(created / SECOND)
+                .truncatedTo(ChronoUnit.SECONDS)
+                .toString();
     }
 
     private String endpoint(String namespace, Pod pod, boolean hints) {
         JSONWriter json = new JSONStringer();
-        json.object().key("addresses").array().value(pod.address(v6)).endArray().key("conditions").object();
+        json.object()
+                .key("addresses")
+                .array()
+                .value(pod.address(v6))
+                .endArray()
+                .key("conditions")
+                .object();
         condition(json, "ready", pod.ready());
         condition(json, "serving", pod.serving());
         condition(json, "terminating", pod.terminating());
-        json.endObject().key("hostname").value(pod.name()).key("targetRef").object().key("kind").value("Pod")
-                .key("namespace").value(namespace).key("name").value(pod.name()).key("uid").value(pod.uid())
-                .endObject().key("nodeName").value(pod.node()).key("zone").value(pod.zone());
+        json.endObject()
+                .key("hostname")
+                .value(pod.name())
+                .key("targetRef")
+                .object()
+                .key("kind")
+                .value("Pod")
+                .key("namespace")
+                .value(namespace)
+                .key("name")
+                .value(pod.name())
+                .key("uid")
+                .value(pod.uid())
+                .endObject()
+                .key("nodeName")
+                .value(pod.node())
+                .key("zone")
+                .value(pod.zone());
         if (hints) {
-            json.key("hints").object().key("forZones").array().object().key("name").value(pod.zone()).endObject()
-                    .endArray().endObject();
+            json.key("hints")
+                    .object()
+                    .key("forZones")
+                    .array()
+                    .object()
+                    .key("name")
+                    .value(pod.zone())
+                    .endObject()
+                    .endArray()
+                    .endObject();
         }
         return json.endObject().toString();
     }
--- a/src/main/java/slateseam/standin/kubernetes/SliceStore.java
+++ b/src/main/java/slateseam/standin/kubernetes/SliceStore.java
@@ -19,7 +19,7 @@
     private final TreeMap<String, Stored> current = new TreeMap<>();
     private final Deque<Change> changes = new ArrayDeque<>();
     private final int mostChanges;
-    private Consumer<Change> listener = change -> { };
+    private Consumer<Change> listener = change -> {};
     private long version = FIRST;
     private long floor = FIRST;
 
@@ -82,7 +82,7 @@
     List<Stored> at(long then) {
         TreeMap<String, Stored> state = new TreeMap<>(current);
         Iterator<Change> back = changes.descendingIterator();
-        for (Change change; back.hasNext() && (change = back.next()).version() > then;) {
+        for (Change change; back.hasNext() && (change = back.next()).version() > then; ) {
             if (change.before() == null) {
                 state.remove(change.name());
             } else {
--- a/src/main/java/slateseam/standin/kubernetes/Status.java
+++ b/src/main/java/slateseam/standin/kubernetes/Status.java
@@ -31,9 +31,12 @@
     }
 
     static Status forbidden(String verb, String namespace) {
-        return of(403, "Forbidden", "endpointslices.discovery.k8s.io is forbidden: User \"system:serviceaccount:"
-                + namespace + ":slateseam\" cannot " + verb + " resource \"endpointslices\" in API group "
-                + "\"discovery.k8s.io\" in the namespace \"" + namespace + '"');
+        return of(
+                403,
+                "Forbidden",
+                "endpointslices.discovery.k8s.io is forbidden: User \"system:serviceaccount:"
+                        + namespace + ":slateseam\" cannot " + verb + " resource \"endpointslices\" in API group "
+                        + "\"discovery.k8s.io\" in the namespace \"" + namespace + '"');
     }
 
     static Status tooOld(long asked, long floor) {
@@ -45,8 +48,13 @@
     }
 
     static Status staleToken(String next) {
-        return new Status(410, "Expired", "The provided continue parameter is too old to display a consistent list "
-                + "result. You can start a new list without the continue parameter.", 0, next);
+        return new Status(
+                410,
+                "Expired",
+                "The provided continue parameter is too old to display a consistent list "
+                        + "result. You can start a new list without the continue parameter.",
+                0,
+                next);
     }
 
     /** One with a code that somebody asked for. */
@@ -66,14 +74,30 @@
     }
 
     String json() {
-        JSONWriter json = new JSONStringer().object().key("kind").value("Status").key("apiVersion").value("v1")
-                .key("metadata").object();
+        JSONWriter json = new JSONStringer()
+                .object()
+                .key("kind")
+                .value("Status")
+                .key("apiVersion")
+                .value("v1")
+                .key("metadata")
+                .object();
         if (next != null) {
             json.key("continue").value(next);
         }
-        json.endObject().key("status").value("Failure").key("message").value(message).key("reason").value(reason);
+        json.endObject()
+                .key("status")
+                .value("Failure")
+                .key("message")
+                .value(message)
+                .key("reason")
+                .value(reason);
         if (retryAfterSeconds > 0) {
-            json.key("details").object().key("retryAfterSeconds").value(retryAfterSeconds).endObject();
+            json.key("details")
+                    .object()
+                    .key("retryAfterSeconds")
+                    .value(retryAfterSeconds)
+                    .endObject();
         }
         return json.key("code").value(code).endObject().toString();
     }
--- a/src/main/java/slateseam/standin/kubernetes/Watch.java
+++ b/src/main/java/slateseam/standin/kubernetes/Watch.java
@@ -8,6 +8,7 @@
     private final boolean bookmarks;
     /** What it was told by its start; changes up to here are not told again. */
     private final long start;
+
     private Cut cut;
     private boolean cutResets;
 
--- a/src/main/java/slateseam/standin/kubernetes/Words.java
+++ b/src/main/java/slateseam/standin/kubernetes/Words.java
@@ -105,8 +105,8 @@
     /** Guards against words that are misspelt and so would do nothing. */
     void end() {
         if (!placed.isEmpty() || !named.isEmpty()) {
-            throw new IllegalArgumentException("too much: "
-                    + (placed.isEmpty() ? named.keySet().iterator().next() + '=' : placed.peek()));
+            throw new IllegalArgumentException(
+                    "too much: " + (placed.isEmpty() ? named.keySet().iterator().next() + '=' : placed.peek()));
         }
     }
 
@@ -119,22 +119,25 @@
 
     private static long number(String what, String digits, long least, long most) {
         if (!digits.matches("[0-9]{1,9}") || Long.parseLong(digits) < least || Long.parseLong(digits) > most) {
-            throw new IllegalArgumentException(what + " is " + digits + ", no whole number from " + least + " to "
-                    + most);
+            throw new IllegalArgumentException(
+                    what + " is " + digits + ", no whole number from " + least + " to " + most);
         }
         return Long.parseLong(digits);
     }
 
     private static long time(String what, String text) {
         Matcher matcher = TIME.matcher(text);
-        long nanos = !matcher.matches() ? -1 : Long.parseLong(matcher.group(1)) * switch (matcher.group(2)) {
-            case "us" -> 1_000L;
-            case "ms" -> 1_000_000L;
-            default -> 1_000_000_000L;
-        };
+        long nanos = !matcher.matches()
+                ? -1
+                : Long.parseLong(matcher.group(1))
+                        * switch (matcher.group(2)) {
+                            case "us" -> 1_000L;
+                            case "ms" -> 1_000_000L;
+                            default -> 1_000_000_000L;
+                        };
         if (nanos < 0 || nanos > LONGEST) {
-            throw new IllegalArgumentException(what + " is " + text
-                    + ", no time such as 250us, 40ms or 2s up to an hour");
+            throw new IllegalArgumentException(
+                    what + " is " + text + ", no time such as 250us, 40ms or 2s up to an hour");
         }
         return nanos;
     }
--- a/src/main/java/slateseam/standin/sockets/Connection.java
+++ b/src/main/java/slateseam/standin/sockets/Connection.java
@@ -31,6 +31,7 @@
     private boolean paused;
     /** What came before or while it was paused may lie in TLS, of which no readiness tells. */
     private boolean readsAnyway;
+
     private boolean resetting;
     private boolean closed;
 
@@ -113,7 +114,7 @@
 
     private void read() throws IOException {
         ByteBuffer room = net.room();
-        for (int got = 1; got > 0 && !closed && !resetting && !paused && !endReceived;) {
+        for (int got = 1; got > 0 && !closed && !resetting && !paused && !endReceived; ) {
             room.clear();
             got = bytes.read(room);
             if (got > 0) {
--- a/src/main/java/slateseam/standin/sockets/Place.java
+++ b/src/main/java/slateseam/standin/sockets/Place.java
@@ -18,6 +18,7 @@
     private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     /** Holds the port while nothing listens: bound, it makes the system refuse connections and give it to nobody. */
     private SocketChannel holder;
+
     private ServerSocketChannel server;
     private Function<Wire, Party> listener;
     private SSLContext tls;
--- a/src/main/java/slateseam/standin/sockets/SocketNet.java
+++ b/src/main/java/slateseam/standin/sockets/SocketNet.java
@@ -38,20 +38,20 @@
 public final class SocketNet implements Net, Clockwork, AutoCloseable {
     private static final int ROOM = 65_536;
 
-    private record Timer(long time, long order, Runnable action) {
-    }
+    private record Timer(long time, long order, Runnable action) {}
 
     private final Selector selector;
     private final Thread thread;
     private final int mostConnections;
     private final long startUnix = System.currentTimeMillis() * 1_000_000;
     private final long startTicks = System.nanoTime();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
-            Comparator.comparingLong(Timer::time).thenComparingLong(Timer::order));
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparingLong(Timer::time).thenComparingLong(Timer::order));
     private final Queue<Runnable> asked = new ConcurrentLinkedQueue<>();
     private final Map<String, Place> places = new LinkedHashMap<>();
     /** Held while the selector is woken or closed, by whichever thread. */
     private final Object waking = new Object();
+
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Set<Connection> touched = new LinkedHashSet<>();
     private final ByteBuffer room = ByteBuffer.allocate(ROOM);
@@ -227,10 +227,10 @@
                 connection.ready();
             }
         }
-        for (Runnable action; (action = asked.poll()) != null;) {
+        for (Runnable action; (action = asked.poll()) != null; ) {
             action.run();
         }
-        for (long now = now(); !timers.isEmpty() && timers.peek().time <= now;) {
+        for (long now = now(); !timers.isEmpty() && timers.peek().time <= now; ) {
             timers.poll().action.run();
         }
         while (!touched.isEmpty()) {
@@ -241,7 +241,7 @@
     }
 
     private void accept(Place place) throws IOException {
-        for (SocketChannel channel; (channel = place.accept()) != null;) {
+        for (SocketChannel channel; (channel = place.accept()) != null; ) {
             try {
                 take(place, channel);
             } catch (IOException e) {
@@ -287,7 +287,7 @@
             failure.compareAndSet(null, e);
         }
         // Whoever asked before still gets an answer.
-        for (Runnable action; (action = asked.poll()) != null;) {
+        for (Runnable action; (action = asked.poll()) != null; ) {
             action.run();
         }
     }
--- a/src/main/java/slateseam/standin/sockets/Tls.java
+++ b/src/main/java/slateseam/standin/sockets/Tls.java
@@ -21,6 +21,7 @@
     private ByteBuffer out;
     /** Bytes of the other party that its reader had no room for; ready to be read. */
     private ByteBuffer clear;
+
     private boolean up;
     private boolean endTold;
     private boolean ended;
@@ -30,7 +31,8 @@
         this.engine = engine;
         in = ByteBuffer.allocate(engine.getSession().getPacketBufferSize());
         out = ByteBuffer.allocate(4 * engine.getSession().getPacketBufferSize()).limit(0);
-        clear = ByteBuffer.allocate(2 * engine.getSession().getApplicationBufferSize()).limit(0);
+        clear = ByteBuffer.allocate(2 * engine.getSession().getApplicationBufferSize())
+                .limit(0);
         engine.beginHandshake();
     }
 
@@ -71,7 +73,7 @@
     }
 
     private void runTasks() {
-        for (Runnable task; (task = engine.getDelegatedTask()) != null;) {
+        for (Runnable task; (task = engine.getDelegatedTask()) != null; ) {
             task.run();
         }
     }
--- a/src/main/java/slateseam/standin/useragent/AnswerReader.java
+++ b/src/main/java/slateseam/standin/useragent/AnswerReader.java
@@ -15,12 +15,14 @@
     private static final long MILLI = 1_000_000L;
     /** Not whole yet. */
     private static final int SHORT = -1;
+
     private static final int UNREADABLE = -2;
 
     private byte[] buffer = NOTHING;
     private int size;
     /** As long as so many bytes are not there, the answer is not whole. */
     private int needed;
+
     private boolean lost;
 
     /**
@@ -70,7 +72,9 @@
                     return failed();
                 }
                 int from = line(line + 2);
-                return new Answer(Answer.Kind.SERVED, 0,
+                return new Answer(
+                        Answer.Kind.SERVED,
+                        0,
                         Arrays.copyOfRange(buffer, from + 2, from + 2 + (int) number(line + 2, from)));
             case '-':
                 String text = new String(buffer, 1, line - 1, StandardCharsets.ISO_8859_1);
@@ -78,8 +82,10 @@
                     return failed();
                 }
                 String digits = text.substring(4).strip();
-                return new Answer(Answer.Kind.UNAVAILABLE,
-                        digits.matches("[0-9]{1,9}") ? Long.parseLong(digits) * MILLI : 0, NOTHING);
+                return new Answer(
+                        Answer.Kind.UNAVAILABLE,
+                        digits.matches("[0-9]{1,9}") ? Long.parseLong(digits) * MILLI : 0,
+                        NOTHING);
             default:
                 return failed();
         }
--- a/src/main/java/slateseam/standin/useragent/Arrivals.java
+++ b/src/main/java/slateseam/standin/useragent/Arrivals.java
@@ -25,13 +25,22 @@
     }
 
     /** Those that a surge adds. */
-    Arrivals(UserAgentFigures figures, Surroundings at, UniformRandomProvider random, RateFigures.Surge surge,
+    Arrivals(
+            UserAgentFigures figures,
+            Surroundings at,
+            UniformRandomProvider random,
+            RateFigures.Surge surge,
             int firstNumber) {
         this(figures, at, random, figures.rate() * (surge.factor() - 1), firstNumber, surge);
     }
 
-    private Arrivals(UserAgentFigures figures, Surroundings at, UniformRandomProvider random, double rate,
-            int firstNumber, RateFigures.Surge surge) {
+    private Arrivals(
+            UserAgentFigures figures,
+            Surroundings at,
+            UniformRandomProvider random,
+            double rate,
+            int firstNumber,
+            RateFigures.Surge surge) {
         this.userAgent = figures.name();
         this.at = at;
         this.random = random;
--- a/src/main/java/slateseam/standin/useragent/Channel.java
+++ b/src/main/java/slateseam/standin/useragent/Channel.java
@@ -9,7 +9,14 @@
     /** For the other side to take the end, and for answers that come late. */
     private static final long LATE_NANOS = 5_000_000_000L;
 
-    private enum State { CONNECTING, FREE, BUSY, LATE, LEFT_OPEN, CLOSED }
+    private enum State {
+        CONNECTING,
+        FREE,
+        BUSY,
+        LATE,
+        LEFT_OPEN,
+        CLOSED
+    }
 
     private final UserAgent owner;
     private final String router;
--- a/src/main/java/slateseam/standin/useragent/ClassFigures.java
+++ b/src/main/java/slateseam/standin/useragent/ClassFigures.java
@@ -14,8 +14,17 @@
  * @param worth of one
  * @param lateWorth the part of the worth that an answer behind the aim still has, 0 to 1
  */
-public record ClassFigures(String name, double share, boolean write, Effect effect, String group, long windowNanos,
-        long aimNanos, long deadlineNanos, double worth, double lateWorth) {
+public record ClassFigures(
+        String name,
+        double share,
+        boolean write,
+        Effect effect,
+        String group,
+        long windowNanos,
+        long aimNanos,
+        long deadlineNanos,
+        double worth,
+        double lateWorth) {
     /** What a second run of a request does. */
     public enum Effect {
         /** No harm. */
--- a/src/main/java/slateseam/standin/useragent/Command.java
+++ b/src/main/java/slateseam/standin/useragent/Command.java
@@ -10,8 +10,7 @@
      */
     private static final byte[] TEXT = bytes("core \u00e4\u00f6 \u2192 log\r\n$12\r\n\ud83d\udccf -ERR *3\r\n");
 
-    private Command() {
-    }
+    private Command() {}
 
     static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/slateseam/standin/useragent/Crowd.java
+++ b/src/main/java/slateseam/standin/useragent/Crowd.java
@@ -20,7 +20,10 @@
      * @param entry deals connections out for the processes that have no router beside them
      * @param streams gives each actor its source of random numbers, by its name
      */
-    public Crowd(Surroundings at, List<UserAgentFigures> figures, Entry entry,
+    public Crowd(
+            Surroundings at,
+            List<UserAgentFigures> figures,
+            Entry entry,
             Function<String, UniformRandomProvider> streams) {
         this.at = at;
         this.entry = entry;
@@ -52,7 +55,11 @@
     /** The id of a request that is out at the router beside one process; null if there is none, or no such router. */
     private String openId(UserAgent beside) {
         String router = beside.figures().router();
-        return userAgents.stream().filter(one -> router != null && router.equals(one.figures().router()))
-                .map(UserAgent::openId).filter(Objects::nonNull).findFirst().orElse(null);
+        return userAgents.stream()
+                .filter(one -> router != null && router.equals(one.figures().router()))
+                .map(UserAgent::openId)
+                .filter(Objects::nonNull)
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/slateseam/standin/useragent/Habits.java
+++ b/src/main/java/slateseam/standin/useragent/Habits.java
@@ -17,9 +17,19 @@
  * @param leaving the part of the requests whose user agent leaves early, 0 to 1
  * @param noticeNanos until a front takes a silent router for down
  */
-public record Habits(Connections connections, int mostConnections, double patience, boolean waitsForLate,
-        long graceNanos, int retries, boolean retriesAtOnce, long waitNanos, long mostHeededNanos, boolean marks,
-        double leaving, long noticeNanos) {
+public record Habits(
+        Connections connections,
+        int mostConnections,
+        double patience,
+        boolean waitsForLate,
+        long graceNanos,
+        int retries,
+        boolean retriesAtOnce,
+        long waitNanos,
+        long mostHeededNanos,
+        boolean marks,
+        double leaving,
+        long noticeNanos) {
     /** What becomes of a connection after an answer. */
     public enum Connections {
         /** It carries further requests. */
--- a/src/main/java/slateseam/standin/useragent/Mix.java
+++ b/src/main/java/slateseam/standin/useragent/Mix.java
@@ -4,8 +4,7 @@
 final class Mix {
     private static final long STEP = 0x9e3779b97f4a7c15L;
 
-    private Mix() {
-    }
+    private Mix() {}
 
     /** Spreads the bits of a number over all of it. */
     static long of(long x) {
--- a/src/main/java/slateseam/standin/useragent/Outcomes.java
+++ b/src/main/java/slateseam/standin/useragent/Outcomes.java
@@ -21,26 +21,20 @@
     }
 
     /** A request was first asked. */
-    default void asked(Request request) {
-    }
+    default void asked(Request request) {}
 
     /** A try was written to a router; again is true if it is sent once more because a close had crossed it. */
-    default void tried(Request request, String id, String router, long at, boolean again) {
-    }
+    default void tried(Request request, String id, String router, long at, boolean again) {}
 
     /** A try was answered; one that had been given up may be, too. */
-    default void answered(Request request, String id, Answer answer, long at) {
-    }
+    default void answered(Request request, String id, Answer answer, long at) {}
 
     /** A request ended; its answer, if it was served, was told before. */
-    default void ended(Request request, Ending ending, long at) {
-    }
+    default void ended(Request request, Ending ending, long at) {}
 
     /** A rude user agent used this id of somebody else's open request, so that what comes with it proves nothing. */
-    default void borrowed(String id, String router, long at) {
-    }
+    default void borrowed(String id, String router, long at) {}
 
     /** Bytes came from a router that nobody had asked for. */
-    default void unasked(String userAgent, String router, long at) {
-    }
+    default void unasked(String userAgent, String router, long at) {}
 }
--- a/src/main/java/slateseam/standin/useragent/PopularityFigures.java
+++ b/src/main/java/slateseam/standin/useragent/PopularityFigures.java
@@ -9,5 +9,4 @@
  * @param drift the part of the ranks that goes to a new key each second, 0 to 1
  * @param salt makes the keys of one day others than those of the next
  */
-public record PopularityFigures(int keys, double exponent, double offset, double drift, long salt) {
-}
+public record PopularityFigures(int keys, double exponent, double offset, double drift, long salt) {}
--- a/src/main/java/slateseam/standin/useragent/RateFigures.java
+++ b/src/main/java/slateseam/standin/useragent/RateFigures.java
@@ -13,8 +13,7 @@
  */
 public record RateFigures(double swing, long periodNanos, double phase, List<Surge> surges) {
     /** A spell of more or fewer requests; times are nanoseconds since the beginning. */
-    public record Surge(long from, long until, double factor) {
-    }
+    public record Surge(long from, long until, double factor) {}
 
     /** Always the same. */
     public static final RateFigures STEADY = new RateFigures(0, 1, 0, List.of());
--- a/src/main/java/slateseam/standin/useragent/Request.java
+++ b/src/main/java/slateseam/standin/useragent/Request.java
@@ -11,8 +11,8 @@
  * @param seed from which all that is drawn for this request follows
  * @param asked when it was first asked, in Unix time in nanoseconds
  */
-public record Request(String userAgent, int number, ClassFigures kind, TenantFigures tenant, String key, long seed,
-        long asked) {
+public record Request(
+        String userAgent, int number, ClassFigures kind, TenantFigures tenant, String key, long seed, long asked) {
     private static final int TOKEN = 1;
     private static final int ID = 100;
 
