--- a/src/main/java/slateseam/standin/useragent/Rude.java
+++ b/src/main/java/slateseam/standin/useragent/Rude.java
@@ -31,8 +31,14 @@
      * @param openId the id of a request of somebody else's that is out; may give null
      * @param until Unix time in nanoseconds
      */
-    Rude(RudeKind kind, Surroundings at, UserAgentFigures beside, Entry entry, Supplier<String> openId,
-            UniformRandomProvider random, long until) {
+    Rude(
+            RudeKind kind,
+            Surroundings at,
+            UserAgentFigures beside,
+            Entry entry,
+            Supplier<String> openId,
+            UniformRandomProvider random,
+            long until) {
         this.kind = kind;
         this.at = at;
         this.beside = beside;
@@ -71,12 +77,16 @@
 
     /** The facts of a plain request of a class, with a deadline as it is given. */
     private String facts(String name, String deadline) {
-        String tenant = at.tenants().isEmpty() ? "" : ",t=" + at.tenants().get(0).name();
+        String tenant =
+                at.tenants().isEmpty() ? "" : ",t=" + at.tenants().get(0).name();
         return "c=" + name + tenant + (deadline == null ? "" : ",d=" + deadline);
     }
 
     private ClassFigures readable() {
-        return at.classes().stream().filter(one -> !one.write()).findFirst().orElse(at.classes().get(0));
+        return at.classes().stream()
+                .filter(one -> !one.write())
+                .findFirst()
+                .orElse(at.classes().get(0));
     }
 
     private byte[] plain() {
@@ -85,9 +95,17 @@
     }
 
     private byte[] badLength() {
-        String[] all = {"*-5\r\n", "*0\r\n", "*4\r\n$-7\r\n", "*4\r\n$99999999999\r\n", "*99999999\r\n",
-            "*4\r\n$9\r\nCACHE.GET\r\n$3\r\nabcdefgh\r\n$2\r\nid\r\n$4\r\nc=xy\r\n", "*4\r\n$seven\r\n",
-            "*4\r\n$9\r\nCACHE.GETxx", "GET / HTTP/1.1\r\n\r\n"};
+        String[] all = {
+            "*-5\r\n",
+            "*0\r\n",
+            "*4\r\n$-7\r\n",
+            "*4\r\n$99999999999\r\n",
+            "*99999999\r\n",
+            "*4\r\n$9\r\nCACHE.GET\r\n$3\r\nabcdefgh\r\n$2\r\nid\r\n$4\r\nc=xy\r\n",
+            "*4\r\n$seven\r\n",
+            "*4\r\n$9\r\nCACHE.GETxx",
+            "GET / HTTP/1.1\r\n\r\n"
+        };
         return Command.bytes(all[random.nextInt(all.length)]);
     }
 
@@ -111,8 +129,8 @@
             at.outcomes().borrowed(taken, router, clock.now());
         }
         ClassFigures one = readable();
-        return Command.get(key(), taken == null ? id() : taken,
-                facts(one.name(), Long.toString(one.deadlineNanos() / MILLI)));
+        return Command.get(
+                key(), taken == null ? id() : taken, facts(one.name(), Long.toString(one.deadlineNanos() / MILLI)));
     }
 
     private byte[] half() {
@@ -145,7 +163,7 @@
         @Override
         public void opened(Wire opened) {
             switch (kind) {
-                case SILENT -> { }
+                case SILENT -> {}
                 case ENDLESS_LINE -> {
                     wire.write(Command.bytes("*4\r\n$9\r\nCACHE.GET\r\n$"));
                     chunk();
--- a/src/main/java/slateseam/standin/useragent/RudeKind.java
+++ b/src/main/java/slateseam/standin/useragent/RudeKind.java
@@ -54,6 +54,9 @@
 
     /** The kind of this word; null if there is none. */
     public static RudeKind find(String word) {
-        return Arrays.stream(values()).filter(kind -> kind.word.equals(word)).findFirst().orElse(null);
+        return Arrays.stream(values())
+                .filter(kind -> kind.word.equals(word))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/slateseam/standin/useragent/Service.java
+++ b/src/main/java/slateseam/standin/useragent/Service.java
@@ -55,6 +55,7 @@
     private final Map<String, long[]> asked = new TreeMap<>();
     /** Requests that are over their tenant's share, until they end. */
     private final Set<Request> over = new HashSet<>();
+
     private long open;
     private long tries;
     private long resent;
@@ -116,7 +117,8 @@
         whole.add(worth, part);
         classes.computeIfAbsent(kind.name(), name -> new Tally()).add(worth, part);
         if (request.tenant() != null) {
-            tenants.computeIfAbsent(request.tenant().name(), name -> new Tally()).add(worth, part);
+            tenants.computeIfAbsent(request.tenant().name(), name -> new Tally())
+                    .add(worth, part);
         }
         int second = (int) Math.max(0, (request.asked() - begin) / SECOND);
         while (seconds.size() <= second) {
--- a/src/main/java/slateseam/standin/useragent/Surroundings.java
+++ b/src/main/java/slateseam/standin/useragent/Surroundings.java
@@ -21,9 +21,19 @@
  * @param begin of the day, in Unix time in nanoseconds
  * @param durationNanos for how long they ask
  */
-public record Surroundings(Net net, Clockwork clock, Outcomes outcomes, List<ClassFigures> classes,
-        List<TenantFigures> tenants, Habits habits, RateFigures rate, Popularity popularity, ValueFigures values,
-        Asks asks, long begin, long durationNanos) {
+public record Surroundings(
+        Net net,
+        Clockwork clock,
+        Outcomes outcomes,
+        List<ClassFigures> classes,
+        List<TenantFigures> tenants,
+        Habits habits,
+        RateFigures rate,
+        Popularity popularity,
+        ValueFigures values,
+        Asks asks,
+        long begin,
+        long durationNanos) {
     /** Chooses the arrivals that are asked. */
     @FunctionalInterface
     public interface Asks {
--- a/src/main/java/slateseam/standin/useragent/TenantFigures.java
+++ b/src/main/java/slateseam/standin/useragent/TenantFigures.java
@@ -8,5 +8,4 @@
  * @param asks its part of what is asked for; parts need not add up to 1
  * @param limit requests a second, over all routers, within its share
  */
-public record TenantFigures(String name, double fraction, double asks, double limit) {
-}
+public record TenantFigures(String name, double fraction, double asks, double limit) {}
--- a/src/main/java/slateseam/standin/useragent/UserAgent.java
+++ b/src/main/java/slateseam/standin/useragent/UserAgent.java
@@ -16,6 +16,7 @@
 public final class UserAgent {
     /** Numbers of a surge's arrivals begin at multiples of this. */
     private static final int SURGE_NUMBERS = 1_000_000;
+
     private static final int SIZE = 2;
     private static final int LEAVES = 3;
     private static final int LEAVES_WHEN = 4;
@@ -32,6 +33,7 @@
     private final Habits habits;
     /** Connections that are free, to whatever router they were dealt; the one that was used last is used first. */
     private final Deque<Channel> free = new ArrayDeque<>();
+
     private final Deque<Attempt> waiting = new ArrayDeque<>();
     private int open;
     /** The attempt that was written last. */
@@ -56,8 +58,12 @@
             number += SURGE_NUMBERS;
             if (surge.factor() > 1) {
                 long seed = Mix.of(salt, surge.from());
-                follow(new Arrivals(figures, at,
-                        RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {seed, Mix.of(seed)}), surge, number));
+                follow(new Arrivals(
+                        figures,
+                        at,
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {seed, Mix.of(seed)}),
+                        surge,
+                        number));
             }
         }
     }
@@ -109,6 +115,7 @@
         private int attempts;
         /** When a try of it was first written; 0 before. */
         private long written;
+
         private boolean over;
         private Attempt current;
 
@@ -154,8 +161,8 @@
                 wait = Math.min(comeBackNanos, habits.mostHeededNanos());
             }
             long next = now + wait;
-            boolean inWindow = kind.effect() != ClassFigures.Effect.KEYED || written == 0
-                    || next < written + kind.windowNanos();
+            boolean inWindow =
+                    kind.effect() != ClassFigures.Effect.KEYED || written == 0 || next < written + kind.windowNanos();
             if (may && inWindow && attempts <= habits.retries() && next < request.deadline()) {
                 clock.at(next, this::attempt);
             } else {
@@ -165,8 +172,8 @@
 
         private long ownWait() {
             int doublings = Math.min(MOST_DOUBLINGS, attempts - 1);
-            return (long) (habits.waitNanos() * (1 << doublings)
-                    * (1 + Mix.share(request.seed(), WAIT + attempts) / 2));
+            return (long)
+                    (habits.waitNanos() * (1 << doublings) * (1 + Mix.share(request.seed(), WAIT + attempts) / 2));
         }
     }
 
@@ -177,6 +184,7 @@
         final String id;
         /** When it is given up, as the router is told. */
         private final long end;
+
         private Channel channel;
         private boolean over;
         private boolean sent;
@@ -187,7 +195,8 @@
             this.asking = asking;
             this.number = number;
             this.id = asking.request.id(number);
-            this.end = Math.min(asking.request.deadline(),
+            this.end = Math.min(
+                    asking.request.deadline(),
                     clock.now() + (long) (asking.request.kind().deadlineNanos() * habits.patience()));
         }
 
@@ -243,7 +252,8 @@
                 facts.append(",r=1");
             }
             at.outcomes().tried(request, id, on.router(), now, again);
-            return kind.write() ? Command.set(request.key(), id, facts.toString(), value(request))
+            return kind.write()
+                    ? Command.set(request.key(), id, facts.toString(), value(request))
                     : Command.get(request.key(), id, facts.toString());
         }
 
--- a/src/main/java/slateseam/standin/useragent/UserAgentFigures.java
+++ b/src/main/java/slateseam/standin/useragent/UserAgentFigures.java
@@ -9,5 +9,4 @@
  * @param rate first tries a second, on the mean
  * @param heeds whether it comes back when an answer tells, and not sooner
  */
-public record UserAgentFigures(String name, String address, String router, double rate, boolean heeds) {
-}
+public record UserAgentFigures(String name, String address, String router, double rate, boolean heeds) {}
--- a/src/main/java/slateseam/tier/agreement/Admission.java
+++ b/src/main/java/slateseam/tier/agreement/Admission.java
@@ -9,8 +9,7 @@
 
 /** Which changes of who votes the leader makes, one at a time: those without their memory go, those that are wanted come. */
 public final class Admission {
-    private Admission() {
-    }
+    private Admission() {}
 
     /**
      * Looks whether a change is due; to be called now and then.
@@ -24,12 +23,19 @@
             return null;
         }
         List<Seat> seats = raft.seats();
-        List<Seat> coming = wanted.stream().filter(memories::containsKey).map(router -> new Seat(router, memories.get(router)))
-                .filter(seat -> !seats.contains(seat)).sorted().toList();
+        List<Seat> coming = wanted.stream()
+                .filter(memories::containsKey)
+                .map(router -> new Seat(router, memories.get(router)))
+                .filter(seat -> !seats.contains(seat))
+                .sorted()
+                .toList();
         raft.join(coming);
         // Guards against a late word of an old memory: the one that has the seat is heard.
-        String left = without(raft, seats.stream().filter(seat -> raft.isSilent(seat)
-                && memories.getOrDefault(seat.router(), seat.memory()) != seat.memory()));
+        String left = without(
+                raft,
+                seats.stream()
+                        .filter(seat -> raft.isSilent(seat)
+                                && memories.getOrDefault(seat.router(), seat.memory()) != seat.memory()));
         if (left != null) {
             return left;
         }
@@ -48,7 +54,9 @@
 
     /** The one that leads goes last: it has to see the others' changes through. */
     private static String without(Raft raft, Stream<Seat> going) {
-        Seat first = going.min(Comparator.comparing((Seat seat) -> seat.equals(raft.self())).thenComparing(Seat::compareTo)).orElse(null);
+        Seat first = going.min(Comparator.comparing((Seat seat) -> seat.equals(raft.self()))
+                        .thenComparing(Seat::compareTo))
+                .orElse(null);
         if (first == null || raft.seats().size() == 1) {
             return null;
         }
--- a/src/main/java/slateseam/tier/agreement/Entry.java
+++ b/src/main/java/slateseam/tier/agreement/Entry.java
@@ -10,6 +10,7 @@
 public record Entry(long term, Kind kind, byte[] body) {
     /** So that one goes into a datagram beside all else. */
     public static final int MOST_BODY = 150;
+
     static final int HEAD_BYTES = Long.BYTES + 2;
 
     /** What an entry is for. */
--- a/src/main/java/slateseam/tier/agreement/Leadership.java
+++ b/src/main/java/slateseam/tier/agreement/Leadership.java
@@ -22,6 +22,7 @@
         long matchRound;
         /** Whether it is being found out up to where it has the log: then one message at a time is under way. */
         boolean probing = true;
+
         long answeredRound;
         long answeredAt;
 
@@ -35,6 +36,7 @@
     private final Map<Seat, Progress> progress = new HashMap<>();
     /** When each of the last rounds was sent. */
     private final TreeMap<Long, Long> sent = new TreeMap<>();
+
     private List<Seat> joining = List.of();
     private long round;
     /** The first round after an entry of its own term was committed: before that it may not know what is. */
--- a/src/main/java/slateseam/tier/agreement/Raft.java
+++ b/src/main/java/slateseam/tier/agreement/Raft.java
@@ -47,11 +47,11 @@
     private static final int MOST_HELD = 256;
     /** Entries under way to one follower. */
     private static final int MOST_UNDER_WAY = 64;
+
     private static final int RECALL_PERIODS = 20;
 
     /** Waits for the disk. */
-    private record Held(long number, Seat to, Rpc message) {
-    }
+    private record Held(long number, Seat to, Rpc message) {}
 
     /** What was had from one who votes: its latest term, and up to where it said in that term that it has the log. */
     private record Seen(long term, long match) {
@@ -70,6 +70,7 @@
     private final Deque<Held> held = new ArrayDeque<>();
     /** Entries on their way to the disk: the number of the change, the entry. */
     private final Deque<long[]> writing = new ArrayDeque<>();
+
     private List<Seat> seats;
     private Role role;
     private Seat leader;
@@ -93,7 +94,8 @@
      * @param stable what it remembers; its seat at least
      * @param fromDisk whether that was read from a disk, which may have forgotten some
      */
-    public Raft(RaftSettings settings, Stable stable, boolean fromDisk, long now, RandomGenerator random, RaftPort port) {
+    public Raft(
+            RaftSettings settings, Stable stable, boolean fromDisk, long now, RandomGenerator random, RaftPort port) {
         this.settings = settings;
         this.stable = stable;
         this.now = now;
@@ -139,7 +141,10 @@
      * one has that may not stand, and that keeps it from voting for those who lack it.
      */
     private boolean isSeated() {
-        return seats.contains(self()) || stable.seatsAt() > commit && stable.seatsAsOf(Math.max(commit, stable.baseIndex())).contains(self());
+        return seats.contains(self())
+                || stable.seatsAt() > commit
+                        && stable.seatsAsOf(Math.max(commit, stable.baseIndex()))
+                                .contains(self());
     }
 
     private void patient(long from) {
@@ -281,7 +286,8 @@
         write(new Stable.Term(stable.term() + 1, self()));
         votes.clear();
         votes.add(self());
-        others().forEach(seat -> sendOnceLasting(seat, new RequestVote(head(seat), false, stable.lastIndex(), stable.lastTerm())));
+        others().forEach(seat ->
+                sendOnceLasting(seat, new RequestVote(head(seat), false, stable.lastIndex(), stable.lastTerm())));
         if (isMajority(votes)) {
             lead();
         }
@@ -326,8 +332,16 @@
             first = false;
             if (one.next <= stable.baseIndex()) {
                 byte[] state = stable.baseState();
-                port.send(to, new InstallSnapshot(head(to), stable.baseIndex(), stable.baseTerm(), leadership.round(), port.offer(state),
-                        state.length, stable.baseSeats()));
+                port.send(
+                        to,
+                        new InstallSnapshot(
+                                head(to),
+                                stable.baseIndex(),
+                                stable.baseTerm(),
+                                leadership.round(),
+                                port.offer(state),
+                                state.length,
+                                stable.baseSeats()));
                 return;
             }
             List<Entry> entries = new ArrayList<>();
@@ -336,7 +350,10 @@
                 room -= stable.entry(i).bytes();
                 entries.add(stable.entry(i));
             }
-            port.send(to, new AppendEntries(head(to), one.next - 1, stable.termAt(one.next - 1), commit, leadership.round(), entries));
+            port.send(
+                    to,
+                    new AppendEntries(
+                            head(to), one.next - 1, stable.termAt(one.next - 1), commit, leadership.round(), entries));
             one.next += one.probing ? 0 : entries.size();
         }
     }
@@ -379,7 +396,9 @@
     /** Guards against waiting for ever for those that vote no longer: the others go on, and can take this one in anew. */
     private void led(Rpc message) {
         boolean leads = message instanceof AppendEntries || message instanceof InstallSnapshot;
-        if (leads && message.head().term() >= stable.term() && now > recallUntil + RECALL_PERIODS * settings.periodNanos()) {
+        if (leads
+                && message.head().term() >= stable.term()
+                && now > recallUntil + RECALL_PERIODS * settings.periodNanos()) {
             lost("the others go on and those that it asks what they had from it are not there");
         }
     }
@@ -418,10 +437,20 @@
 
     private void asked(RequestVote r) {
         Seat from = r.head().from();
-        boolean hasAll = r.lastTerm() > stable.lastTerm() || r.lastTerm() == stable.lastTerm() && r.lastIndex() >= stable.lastIndex();
+        boolean hasAll = r.lastTerm() > stable.lastTerm()
+                || r.lastTerm() == stable.lastTerm() && r.lastIndex() >= stable.lastIndex();
         if (r.pre()) {
             boolean would = r.head().term() > stable.term() && !isLed() && hasAll;
-            sendOnceLasting(from, new Vote(new Head(stable.group(), self(), from, would ? r.head().term() : stable.term()), true, would));
+            sendOnceLasting(
+                    from,
+                    new Vote(
+                            new Head(
+                                    stable.group(),
+                                    self(),
+                                    from,
+                                    would ? r.head().term() : stable.term()),
+                            true,
+                            would));
             return;
         }
         if (r.head().term() > stable.term()) {
@@ -430,7 +459,9 @@
             }
             follow(r.head().term(), null);
         }
-        boolean granted = r.head().term() == stable.term() && hasAll && (stable.vote() == null || stable.vote().equals(from));
+        boolean granted = r.head().term() == stable.term()
+                && hasAll
+                && (stable.vote() == null || stable.vote().equals(from));
         if (granted && stable.vote() == null) {
             write(new Stable.Term(stable.term(), from));
         }
@@ -487,8 +518,8 @@
                 continue;
             }
             if (index <= commit) {
-                lost("entry " + index + " was committed here in term " + stable.termAt(index) + ", and the leader has it of term "
-                        + entry.term());
+                lost("entry " + index + " was committed here in term " + stable.termAt(index)
+                        + ", and the leader has it of term " + entry.term());
                 return;
             }
             if (index <= stable.lastIndex()) {
@@ -517,7 +548,10 @@
             role = isSeated() ? Role.FOLLOWER : Role.LEARNER;
         }
         boolean fits = has || state != null;
-        sendOnceLasting(from, new Appended(head(from), fits, fits ? r.index() : Math.min(r.index() - 1, stable.lastIndex()), r.round()));
+        sendOnceLasting(
+                from,
+                new Appended(
+                        head(from), fits, fits ? r.index() : Math.min(r.index() - 1, stable.lastIndex()), r.round()));
     }
 
     private void appended(Appended r) {
@@ -525,7 +559,9 @@
             follow(r.head().term(), null);
             return;
         }
-        Leadership.Progress one = role == Role.LEADER && r.head().term() == stable.term() ? leadership.find(r.head().from()) : null;
+        Leadership.Progress one = role == Role.LEADER && r.head().term() == stable.term()
+                ? leadership.find(r.head().from())
+                : null;
         if (one == null) {
             return;
         }
@@ -598,7 +634,11 @@
                 differ.add(seat);
             }
         });
-        if (role != Role.LEADER || !leadership.isReady() || stable.seatsAt() > commit || differ.size() != 1 || to.isEmpty()
+        if (role != Role.LEADER
+                || !leadership.isReady()
+                || stable.seatsAt() > commit
+                || differ.size() != 1
+                || to.isEmpty()
                 || to.size() > Seat.MOST) {
             return false;
         }
@@ -665,9 +705,16 @@
 
     /** All of it that decides what it does next but for times, to tell states apart where all are explored. */
     String fingerprint() {
-        StringBuilder text = new StringBuilder().append(role).append(stable.term()).append(stable.vote()).append(commit).append(votes);
+        StringBuilder text = new StringBuilder()
+                .append(role)
+                .append(stable.term())
+                .append(stable.vote())
+                .append(commit)
+                .append(votes);
         for (long i = stable.baseIndex() + 1; i <= stable.lastIndex(); i++) {
-            text.append(' ').append(stable.entry(i).term()).append(Arrays.toString(stable.entry(i).body()));
+            text.append(' ')
+                    .append(stable.entry(i).term())
+                    .append(Arrays.toString(stable.entry(i).body()));
         }
         if (leadership != null) {
             for (Seat seat : seats) {
--- a/src/main/java/slateseam/tier/agreement/Rpc.java
+++ b/src/main/java/slateseam/tier/agreement/Rpc.java
@@ -27,39 +27,33 @@
     int ENTRY_ROOM = MOST_BYTES - HEAD_BYTES - 4 * Long.BYTES - 1;
 
     /** Which group of voters it is of, who sent it, to whom, and in which term. */
-    record Head(long group, Seat from, Seat to, long term) {
-    }
+    record Head(long group, Seat from, Seat to, long term) {}
 
     /** What all have. */
     Head head();
 
     /** Asks for a vote, or whether one would be given. */
-    record RequestVote(Head head, boolean pre, long lastIndex, long lastTerm) implements Rpc {
-    }
+    record RequestVote(Head head, boolean pre, long lastIndex, long lastTerm) implements Rpc {}
 
     /** Gives it or not. */
-    record Vote(Head head, boolean pre, boolean granted) implements Rpc {
-    }
+    record Vote(Head head, boolean pre, boolean granted) implements Rpc {}
 
     /** Entries behind one that the receiver must have; none for a heartbeat. */
-    record AppendEntries(Head head, long previousIndex, long previousTerm, long commit, long round, List<Entry> entries) implements Rpc {
-    }
+    record AppendEntries(Head head, long previousIndex, long previousTerm, long commit, long round, List<Entry> entries)
+            implements Rpc {}
 
     /** Whether that fitted, and up to where the receiver has what the leader has, or may have. */
-    record Appended(Head head, boolean fitted, long match, long round) implements Rpc {
-    }
+    record Appended(Head head, boolean fitted, long match, long round) implements Rpc {}
 
     /** Entries up to this one are no longer there: what they came to is, by its hash. */
-    record InstallSnapshot(Head head, long index, long lastTerm, long round, byte[] hash, int length, List<Seat> seats) implements Rpc {
-    }
+    record InstallSnapshot(Head head, long index, long lastTerm, long round, byte[] hash, int length, List<Seat> seats)
+            implements Rpc {}
 
     /** One who read its memory from a disk asks what was had from it last. */
-    record Recall(Head head) implements Rpc {
-    }
+    record Recall(Head head) implements Rpc {}
 
     /** That: the latest term in which it said anything, and up to where it said that it had the log. */
-    record Recalled(Head head, long heardTerm, long match) implements Rpc {
-    }
+    record Recalled(Head head, long heardTerm, long match) implements Rpc {}
 
     /** As a datagram. */
     default byte[] encode() {
@@ -73,12 +67,21 @@
         } else if (this instanceof Vote r) {
             out.put((byte) (r.pre ? 1 : 0)).put((byte) (r.granted ? 1 : 0));
         } else if (this instanceof AppendEntries r) {
-            out.putLong(r.previousIndex).putLong(r.previousTerm).putLong(r.commit).putLong(r.round).put((byte) r.entries.size());
+            out.putLong(r.previousIndex)
+                    .putLong(r.previousTerm)
+                    .putLong(r.commit)
+                    .putLong(r.round)
+                    .put((byte) r.entries.size());
             r.entries.forEach(entry -> entry.put(out));
         } else if (this instanceof Appended r) {
             out.put((byte) (r.fitted ? 1 : 0)).putLong(r.match).putLong(r.round);
         } else if (this instanceof InstallSnapshot r) {
-            out.putLong(r.index).putLong(r.lastTerm).putLong(r.round).put((byte) r.hash.length).put(r.hash).putInt(r.length)
+            out.putLong(r.index)
+                    .putLong(r.lastTerm)
+                    .putLong(r.round)
+                    .put((byte) r.hash.length)
+                    .put(r.hash)
+                    .putInt(r.length)
                     .put((byte) r.seats.size());
             r.seats.forEach(seat -> seat.put(out));
         } else if (this instanceof Recalled r) {
@@ -90,8 +93,15 @@
     }
 
     private int kind() {
-        return this instanceof RequestVote ? 0 : this instanceof Vote ? 1 : this instanceof AppendEntries ? 2 : this instanceof Appended ? 3
-                : this instanceof InstallSnapshot ? 4 : this instanceof Recall ? 5 : 6;
+        return this instanceof RequestVote
+                ? 0
+                : this instanceof Vote
+                        ? 1
+                        : this instanceof AppendEntries
+                                ? 2
+                                : this instanceof Appended
+                                        ? 3
+                                        : this instanceof InstallSnapshot ? 4 : this instanceof Recall ? 5 : 6;
     }
 
     private static int checksum(byte[] bytes) {
@@ -102,7 +112,10 @@
 
     /** Reads a datagram; null for what is none of these, or is damaged. */
     static Rpc decode(byte[] bytes) {
-        if (bytes.length < HEAD_BYTES || bytes.length > MOST_BYTES || bytes[0] != MAGIC || bytes[1] != 1
+        if (bytes.length < HEAD_BYTES
+                || bytes.length > MOST_BYTES
+                || bytes[0] != MAGIC
+                || bytes[1] != 1
                 || ByteBuffer.wrap(bytes).getInt(4) != checksum(bytes)) {
             return null;
         }
@@ -137,7 +150,10 @@
                 default -> null;
             };
             return in.hasRemaining() ? null : rpc;
-        } catch (BufferUnderflowException | IndexOutOfBoundsException | NegativeArraySizeException | IllegalArgumentException e) {
+        } catch (BufferUnderflowException
+                | IndexOutOfBoundsException
+                | NegativeArraySizeException
+                | IllegalArgumentException e) {
             return null;
         }
     }
--- a/src/main/java/slateseam/tier/agreement/Seat.java
+++ b/src/main/java/slateseam/tier/agreement/Seat.java
@@ -32,7 +32,7 @@
 
     static List<Seat> all(byte[] bytes) {
         List<Seat> seats = new ArrayList<>();
-        for (ByteBuffer in = ByteBuffer.wrap(bytes); in.remaining() >= BYTES;) {
+        for (ByteBuffer in = ByteBuffer.wrap(bytes); in.remaining() >= BYTES; ) {
             seats.add(get(in));
         }
         return seats;
@@ -40,7 +40,9 @@
 
     @Override
     public int compareTo(Seat other) {
-        return Comparator.comparingInt(Seat::router).thenComparingLong(Seat::memory).compare(this, other);
+        return Comparator.comparingInt(Seat::router)
+                .thenComparingLong(Seat::memory)
+                .compare(this, other);
     }
 
     @Override
--- a/src/main/java/slateseam/tier/agreement/Stable.java
+++ b/src/main/java/slateseam/tier/agreement/Stable.java
@@ -6,28 +6,22 @@
 /** What one who votes must never forget: its seat, term and vote, and its log from a snapshot on. */
 public final class Stable {
     /** One change of it; whoever applies all in their order has the same. */
-    public sealed interface Change {
-    }
+    public sealed interface Change {}
 
     /** A memory begins, or comes into a group. */
-    public record Begin(long group, Seat seat) implements Change {
-    }
+    public record Begin(long group, Seat seat) implements Change {}
 
     /** A term, and for whom the vote in it is; null while it is for nobody. */
-    public record Term(long term, Seat vote) implements Change {
-    }
+    public record Term(long term, Seat vote) implements Change {}
 
     /** An entry at the end of the log. */
-    public record Append(long index, Entry entry) implements Change {
-    }
+    public record Append(long index, Entry entry) implements Change {}
 
     /** From this entry on the log is void. */
-    public record Cut(long index) implements Change {
-    }
+    public record Cut(long index) implements Change {}
 
     /** What all entries up to this one came to, in their place. */
-    public record Snapshot(long index, long term, List<Seat> seats, byte[] state) implements Change {
-    }
+    public record Snapshot(long index, long term, List<Seat> seats, byte[] state) implements Change {}
 
     private long group;
     private Seat seat;
@@ -56,7 +50,9 @@
             entries = new ArrayList<>(entries.subList(0, (int) (c.index - baseIndex - 1)));
         } else if (change instanceof Snapshot c) {
             boolean goesOn = c.index <= lastIndex() && c.index > baseIndex && termAt(c.index) == c.term;
-            entries = goesOn ? new ArrayList<>(entries.subList((int) (c.index - baseIndex), entries.size())) : new ArrayList<>();
+            entries = goesOn
+                    ? new ArrayList<>(entries.subList((int) (c.index - baseIndex), entries.size()))
+                    : new ArrayList<>();
             baseIndex = c.index;
             baseTerm = c.term;
             baseSeats = List.copyOf(c.seats);
@@ -107,7 +103,9 @@
 
     /** The term of an entry; -1 for one that is not there. */
     long termAt(long index) {
-        return index == baseIndex ? baseTerm : index > baseIndex && index <= lastIndex() ? entry(index).term() : -1;
+        return index == baseIndex
+                ? baseTerm
+                : index > baseIndex && index <= lastIndex() ? entry(index).term() : -1;
     }
 
     Entry entry(long index) {
--- a/src/main/java/slateseam/tier/members/Ids.java
+++ b/src/main/java/slateseam/tier/members/Ids.java
@@ -9,8 +9,7 @@
 final class Ids {
     private static final long ODD = 0x9e3779b97f4a7c15L;
 
-    private Ids() {
-    }
+    private Ids() {}
 
     /** Of a name; never 0. */
     static long of(String name) {
--- a/src/main/java/slateseam/tier/members/Member.java
+++ b/src/main/java/slateseam/tier/members/Member.java
@@ -11,8 +11,7 @@
     private static final long MOST_VOUCH = 16_000_000_000L;
 
     /** How a watcher heard it last, and until when that holds. */
-    record Heard(Ear ear, long until) {
-    }
+    record Heard(Ear ear, long until) {}
 
     final long id;
     String name;
@@ -20,6 +19,7 @@
     InetSocketAddress place;
     /** Where others say that it is. */
     InetSocketAddress toldPlace;
+
     long life;
     int incarnation;
     State state = State.ALIVE;
@@ -34,19 +34,24 @@
     int afresh;
     /** From when on its silence counts: nobody is accused before it could be heard. */
     long watchedSince;
+
     private double meanGap;
     private double deviation;
     /** Since when it is silent for this router, which watches it; 0 if it is not. */
     long silentSince;
+
     long toldAt;
     /** Until when another's word for it holds, for one that does not hear it; it holds longer each time. */
     long vouchedUntil;
+
     private int vouched;
     /** Until when it may answer a suspicion. */
     long suspectUntil;
+
     final Map<Long, Heard> ears = new HashMap<>();
     /** Another process of its name. */
     long otherLife;
+
     int otherSequence;
     int others;
     long twiceAt;
@@ -64,8 +69,9 @@
         if (aLife == life && (state == State.LEFT || aState == State.LEFT)) {
             return state != State.LEFT; // nobody can answer for one that said itself that it ends
         }
-        return aLife > life || aLife == life && (anIncarnation > incarnation
-                || anIncarnation == incarnation && aState.compareTo(state) > 0);
+        return aLife > life
+                || aLife == life
+                        && (anIncarnation > incarnation || anIncarnation == incarnation && aState.compareTo(state) > 0);
     }
 
     /** Begins another life. */
--- a/src/main/java/slateseam/tier/members/MemberView.java
+++ b/src/main/java/slateseam/tier/members/MemberView.java
@@ -12,6 +12,14 @@
  * @param by the name of who said so
  * @param heardNanos when its last message came here; 0 for never
  */
-public record MemberView(String name, int number, InetSocketAddress place, State state, Reach reach, long life, int incarnation,
-        long sinceNanos, String by, long heardNanos) {
-}
+public record MemberView(
+        String name,
+        int number,
+        InetSocketAddress place,
+        State state,
+        Reach reach,
+        long life,
+        int incarnation,
+        long sinceNanos,
+        String by,
+        long heardNanos) {}
--- a/src/main/java/slateseam/tier/members/Members.java
+++ b/src/main/java/slateseam/tier/members/Members.java
@@ -24,17 +24,20 @@
 public final class Members {
     /** More life than a day ahead of this router's clock is absurd, as is one who answered so many suspicions. */
     private static final long MOST_AHEAD_MILLIS = 86_400_000L;
+
     static final int MOST_INCARNATIONS = 1 << 30;
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
     /** After a new life was heard messages of the old one are late for so long, and later a second process's. */
     private static final long LATE_NANOS = 3 * SECOND;
+
     private static final int TWICE_MESSAGES = 5;
     static final long TWICE_AGAIN_NANOS = 60 * SECOND;
     private static final int COMPARE_PERIODS = 5;
     private static final int INTRODUCE_PERIODS = 10;
     /** Messages in a row whose digest differs until parts are compared. */
     private static final int DIFFERS = 3;
+
     private static final int MOST_WHO_A_PERIOD = 5;
     private static final int BESIDE = 2;
     private static final int FRESH = 2;
@@ -58,6 +61,7 @@
     private int probed;
     /** Whose digest was another for long. */
     private final Set<Long> differing = new LinkedHashSet<>();
+
     private Doubt told = Doubt.NONE;
 
     /**
@@ -88,7 +92,11 @@
             }
         });
         parts = new Parts(self, roster, random);
-        watch = new Watch(settings, self, roster, (to, verdict) -> send(to.place, Message.Kind.HEARTBEAT, false, accused(to, verdict), true));
+        watch = new Watch(
+                settings,
+                self,
+                roster,
+                (to, verdict) -> send(to.place, Message.Kind.HEARTBEAT, false, accused(to, verdict), true));
         doubt = new OwnDoubt(settings, self, roster, watch, now);
         own = new Own(settings, self, now, roster, doubt, sink);
     }
@@ -117,7 +125,8 @@
         watch.judge(now, is != Doubt.NONE);
         is = doubt.look(now);
         if (is != told) {
-            sink.changed(new Change(Kind.DOUBT, settings.name(), settings.number(), "doubt=" + is.word() + " before=" + told.word()));
+            sink.changed(new Change(
+                    Kind.DOUBT, settings.name(), settings.number(), "doubt=" + is.word() + " before=" + told.word()));
             told = is;
         }
     }
@@ -188,7 +197,9 @@
         for (Member member : roster.all()) {
             if (member.state.isGone()) {
                 places.put(member.place, List.of(roster.record(member))); // so that it knows
-                if (member.number >= 0 && member.number < settings.peers().size() && member.number != settings.number()) {
+                if (member.number >= 0
+                        && member.number < settings.peers().size()
+                        && member.number != settings.number()) {
                     places.put(settings.peers().get(member.number), List.of(roster.record(member)));
                 }
             }
@@ -219,7 +230,13 @@
         send(to, kind, introduces, records, news, false);
     }
 
-    private void send(InetSocketAddress to, Message.Kind kind, boolean introduces, List<Record> records, boolean news, boolean asks) {
+    private void send(
+            InetSocketAddress to,
+            Message.Kind kind,
+            boolean introduces,
+            List<Record> records,
+            boolean news,
+            boolean asks) {
         if (to == null) {
             return;
         }
@@ -229,11 +246,24 @@
         }
         all.addAll(records);
         if (news) {
-            int room = Message.MOST_BYTES - Message.HEADER_BYTES - all.stream().mapToInt(Record::bytes).sum();
+            int room = Message.MOST_BYTES
+                    - Message.HEADER_BYTES
+                    - all.stream().mapToInt(Record::bytes).sum();
             all.addAll(roster.news.take(room, roster.present()));
         }
-        byte[] bytes = new Message(kind, doubt.isThere(), asks, tier, self, own.life(), own.incarnation(), own.next(), roster.digest(),
-                (int) Math.round(255 * doubt.silentPart()), all).encode();
+        byte[] bytes = new Message(
+                        kind,
+                        doubt.isThere(),
+                        asks,
+                        tier,
+                        self,
+                        own.life(),
+                        own.incarnation(),
+                        own.next(),
+                        roster.digest(),
+                        (int) Math.round(255 * doubt.silentPart()),
+                        all)
+                .encode();
         count(Traffic.SENT, 1);
         count(Traffic.SENT_BYTES, bytes.length);
         sink.send(to, bytes);
@@ -274,7 +304,10 @@
     }
 
     private boolean isAbsurd(long aLife, int anIncarnation) {
-        return aLife <= 0 || aLife > now / MILLI + MOST_AHEAD_MILLIS || anIncarnation < 0 || anIncarnation > MOST_INCARNATIONS;
+        return aLife <= 0
+                || aLife > now / MILLI + MOST_AHEAD_MILLIS
+                || anIncarnation < 0
+                || anIncarnation > MOST_INCARNATIONS;
     }
 
     /** Who sent it; null for strangers. */
@@ -285,8 +318,13 @@
                 if (message.kind() == Message.Kind.LEAVE && known == null) {
                     return null;
                 }
-                return roster.introduced(new Introduction(said.id(), message.life(), message.incarnation(), said.number(), null,
-                        said.name()), said.id(), true, from, now);
+                return roster.introduced(
+                        new Introduction(
+                                said.id(), message.life(), message.incarnation(), said.number(), null, said.name()),
+                        said.id(),
+                        true,
+                        from,
+                        now);
             }
         }
         if (known == null) {
@@ -322,12 +360,22 @@
             sender.otherSequence = message.sequence();
             sender.others++;
         }
-        send(from, Message.Kind.HEARTBEAT, true, List.of(new Claim(sender.id, sender.life, sender.incarnation, sender.state, self)), false);
-        if (now - sender.since > LATE_NANOS && sender.others >= TWICE_MESSAGES
+        send(
+                from,
+                Message.Kind.HEARTBEAT,
+                true,
+                List.of(new Claim(sender.id, sender.life, sender.incarnation, sender.state, self)),
+                false);
+        if (now - sender.since > LATE_NANOS
+                && sender.others >= TWICE_MESSAGES
                 && (sender.twiceAt == 0 || now - sender.twiceAt > TWICE_AGAIN_NANOS)) {
             sender.twiceAt = now;
-            sink.changed(new Change(Kind.TWICE, roster.name(sender.id), sender.number, "life=" + sender.life + " place=" + sender.place
-                    + " other_life=" + sender.otherLife + " other_place=" + from));
+            sink.changed(new Change(
+                    Kind.TWICE,
+                    roster.name(sender.id),
+                    sender.number,
+                    "life=" + sender.life + " place=" + sender.place + " other_life=" + sender.otherLife
+                            + " other_place=" + from));
         }
     }
 
@@ -431,7 +479,13 @@
         if (claim.state() == State.FAILED && claim.life() == member.life && watch.heardNow(member, now)) {
             answerFor(member, claim.incarnation());
         } else {
-            roster.take(member, claim.life(), claim.incarnation(), claim.state(), claim.by() == self ? sender.id : claim.by(), now);
+            roster.take(
+                    member,
+                    claim.life(),
+                    claim.incarnation(),
+                    claim.state(),
+                    claim.by() == self ? sender.id : claim.by(),
+                    now);
         }
     }
 
@@ -451,7 +505,10 @@
             Claim claim = new Claim(self, own.life(), own.incarnation(), State.LEFT, self);
             Set<Long> to = roster.rings.watchers(self);
             for (Member member : roster.all()) {
-                if (to.contains(member.id) || member.state == State.ALIVE && to.size() < settings.watchers() + BESIDE && to.add(member.id)) {
+                if (to.contains(member.id)
+                        || member.state == State.ALIVE
+                                && to.size() < settings.watchers() + BESIDE
+                                && to.add(member.id)) {
                     send(member.place, Message.Kind.LEAVE, false, List.of(claim), false);
                     send(member.place, Message.Kind.LEAVE, false, List.of(claim), false);
                 }
@@ -485,10 +542,24 @@
         Map<String, MemberView> views = new TreeMap<>();
         for (Member member : roster.all()) {
             String name = roster.name(member.id);
-            Reach reach = member.state.isGone() ? Reach.NOT_HEARD : watch.hears(member, now) ? Reach.DIRECT
-                    : member.state == State.SUSPECT ? Reach.NOT_HEARD : Reach.BY_OTHERS;
-            views.put(name, new MemberView(name, member.number, member.place, member.state, reach, member.life, member.incarnation,
-                    member.since, roster.name(member.by), member.heardAt));
+            Reach reach = member.state.isGone()
+                    ? Reach.NOT_HEARD
+                    : watch.hears(member, now)
+                            ? Reach.DIRECT
+                            : member.state == State.SUSPECT ? Reach.NOT_HEARD : Reach.BY_OTHERS;
+            views.put(
+                    name,
+                    new MemberView(
+                            name,
+                            member.number,
+                            member.place,
+                            member.state,
+                            reach,
+                            member.life,
+                            member.incarnation,
+                            member.since,
+                            roster.name(member.by),
+                            member.heardAt));
         }
         return List.copyOf(views.values());
     }
--- a/src/main/java/slateseam/tier/members/MembersSettings.java
+++ b/src/main/java/slateseam/tier/members/MembersSettings.java
@@ -19,12 +19,23 @@
  * @param toldPlaces whether one that is not heard where the list has it is looked for where others say that it is; not where each
  *     router knows each other by an address of its own
  */
-public record MembersSettings(String tier, String name, int number, List<InetSocketAddress> peers, long periodNanos, int watchers,
-        long suspicionNanos, long recentNanos, long forgetNanos, int most, boolean toldPlaces) {
+public record MembersSettings(
+        String tier,
+        String name,
+        int number,
+        List<InetSocketAddress> peers,
+        long periodNanos,
+        int watchers,
+        long suspicionNanos,
+        long recentNanos,
+        long forgetNanos,
+        int most,
+        boolean toldPlaces) {
     /** Of a name, in bytes. */
     public static final int LONGEST_NAME = 64;
     /** As many members as one router ever keeps. */
     public static final int MOST = 1_024;
+
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
 
@@ -33,7 +44,8 @@
         peers = List.copyOf(peers);
         int bytes = name.getBytes(java.nio.charset.StandardCharsets.UTF_8).length;
         if (bytes == 0 || bytes > LONGEST_NAME) {
-            throw new IllegalArgumentException("a router's name must have 1 to " + LONGEST_NAME + " bytes, this one has " + bytes);
+            throw new IllegalArgumentException(
+                    "a router's name must have 1 to " + LONGEST_NAME + " bytes, this one has " + bytes);
         }
         if (periodNanos < 10 * MILLI || watchers < 1 || most < 1 || most > MOST || number < 0) {
             throw new IllegalArgumentException("a figure of the members' settings is out of its bounds");
@@ -42,6 +54,7 @@
 
     /** The usual figures. */
     public static MembersSettings usual(String tier, String name, int number, List<InetSocketAddress> peers) {
-        return new MembersSettings(tier, name, number, peers, 200 * MILLI, 8, 1_200 * MILLI, 60 * SECOND, 3_600 * SECOND, MOST, true);
+        return new MembersSettings(
+                tier, name, number, peers, 200 * MILLI, 8, 1_200 * MILLI, 60 * SECOND, 3_600 * SECOND, MOST, true);
     }
 }
--- a/src/main/java/slateseam/tier/members/Message.java
+++ b/src/main/java/slateseam/tier/members/Message.java
@@ -25,8 +25,18 @@
  * 41 records: kind, then its fields
  * </pre>
  */
-record Message(Kind kind, boolean doubts, boolean asks, int tier, long sender, long life, int incarnation, int sequence, int digest,
-        int silent, List<Record> records) {
+record Message(
+        Kind kind,
+        boolean doubts,
+        boolean asks,
+        int tier,
+        long sender,
+        long life,
+        int incarnation,
+        int sequence,
+        int digest,
+        int silent,
+        List<Record> records) {
     static final int MOST_BYTES = 256;
     static final byte MAGIC = (byte) 0xb7;
     private static final byte VERSION = 1;
@@ -64,17 +74,24 @@
 
         @Override
         public void put(ByteBuffer out) {
-            out.put((byte) 1).putLong(id).putLong(life).putInt(incarnation).put((byte) state.ordinal()).putLong(by);
+            out.put((byte) 1)
+                    .putLong(id)
+                    .putLong(life)
+                    .putInt(incarnation)
+                    .put((byte) state.ordinal())
+                    .putLong(by);
         }
     }
 
     /** Who a member is and where it listens; it is alive. */
-    record Introduction(long id, long life, int incarnation, int number, InetSocketAddress place, String name) implements Record {
+    record Introduction(long id, long life, int incarnation, int number, InetSocketAddress place, String name)
+            implements Record {
         private static final int FIXED = 1 + 8 + 8 + 4 + 2 + 1 + 2 + 1;
 
         @Override
         public int bytes() {
-            return FIXED + (place == null ? 0 : place.getAddress().getAddress().length)
+            return FIXED
+                    + (place == null ? 0 : place.getAddress().getAddress().length)
                     + name.getBytes(StandardCharsets.UTF_8).length;
         }
 
@@ -82,8 +99,16 @@
         public void put(ByteBuffer out) {
             byte[] ip = place == null ? new byte[0] : place.getAddress().getAddress();
             byte[] text = name.getBytes(StandardCharsets.UTF_8);
-            out.put((byte) 2).putLong(id).putLong(life).putInt(incarnation).putShort((short) number).put((byte) ip.length).put(ip)
-                    .putShort((short) (place == null ? 0 : place.getPort())).put((byte) text.length).put(text);
+            out.put((byte) 2)
+                    .putLong(id)
+                    .putLong(life)
+                    .putInt(incarnation)
+                    .putShort((short) number)
+                    .put((byte) ip.length)
+                    .put(ip)
+                    .putShort((short) (place == null ? 0 : place.getPort()))
+                    .put((byte) text.length)
+                    .put(text);
         }
     }
 
@@ -147,9 +172,19 @@
 
     byte[] encode() {
         int length = HEADER_BYTES + records.stream().mapToInt(Record::bytes).sum();
-        ByteBuffer out = ByteBuffer.allocate(length).put(MAGIC).put(VERSION).put((byte) kind.ordinal())
-                .put((byte) ((doubts ? DOUBTS : 0) | (asks ? ASKS : 0))).putInt(0).putInt(tier).putLong(sender).putLong(life)
-                .putInt(incarnation).putInt(sequence).putInt(digest).put((byte) silent);
+        ByteBuffer out = ByteBuffer.allocate(length)
+                .put(MAGIC)
+                .put(VERSION)
+                .put((byte) kind.ordinal())
+                .put((byte) ((doubts ? DOUBTS : 0) | (asks ? ASKS : 0)))
+                .putInt(0)
+                .putInt(tier)
+                .putLong(sender)
+                .putLong(life)
+                .putInt(incarnation)
+                .putInt(sequence)
+                .putInt(digest)
+                .put((byte) silent);
         records.forEach(record -> record.put(out));
         return out.putInt(4, checksum(out.array())).array();
     }
@@ -191,14 +226,25 @@
             while (in.hasRemaining()) {
                 records.add(read(in));
             }
-            return new Message(Kind.values()[kind], (flags & DOUBTS) != 0, (flags & ASKS) != 0, tier, sender, life, incarnation, sequence,
-                    digest, silent, records);
+            return new Message(
+                    Kind.values()[kind],
+                    (flags & DOUBTS) != 0,
+                    (flags & ASKS) != 0,
+                    tier,
+                    sender,
+                    life,
+                    incarnation,
+                    sequence,
+                    digest,
+                    silent,
+                    records);
         } catch (BufferUnderflowException | UnknownHostException | CharacterCodingException e) {
             throw new BadMessageException("records");
         }
     }
 
-    private static Record read(ByteBuffer in) throws BadMessageException, UnknownHostException, CharacterCodingException {
+    private static Record read(ByteBuffer in)
+            throws BadMessageException, UnknownHostException, CharacterCodingException {
         byte kind = in.get();
         switch (kind) {
             case 1 -> {
@@ -212,12 +258,22 @@
                 byte[] ip = bytes(in, in.get());
                 int port = in.getShort() & 0xffff;
                 byte[] name = bytes(in, in.get());
-                if (name.length == 0 || name.length > MembersSettings.LONGEST_NAME || ip.length != 0 && ip.length != 4 && ip.length != 16) {
+                if (name.length == 0
+                        || name.length > MembersSettings.LONGEST_NAME
+                        || ip.length != 0 && ip.length != 4 && ip.length != 16) {
                     throw new BadMessageException("introduction");
                 }
-                String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(name)).toString();
-                return new Introduction(id, life, incarnation, number,
-                        ip.length == 0 ? null : new InetSocketAddress(InetAddress.getByAddress(ip), port), text);
+                String text = StandardCharsets.UTF_8
+                        .newDecoder()
+                        .decode(ByteBuffer.wrap(name))
+                        .toString();
+                return new Introduction(
+                        id,
+                        life,
+                        incarnation,
+                        number,
+                        ip.length == 0 ? null : new InetSocketAddress(InetAddress.getByAddress(ip), port),
+                        text);
             }
             case 3 -> {
                 return new Verdict(in.getLong(), in.getLong(), in.getInt(), of(Ear.values(), in.get()));
--- a/src/main/java/slateseam/tier/members/News.java
+++ b/src/main/java/slateseam/tier/members/News.java
@@ -30,8 +30,9 @@
 
     private final Map<Long, Item> items = new HashMap<>();
     /** The same; kept in order, as sorting all for each datagram costs more than all else while many join. */
-    private final NavigableSet<Item> byTold = new TreeSet<>(Comparator.<Item>comparingInt(item -> item.told)
-            .thenComparing(item -> -item.order));
+    private final NavigableSet<Item> byTold =
+            new TreeSet<>(Comparator.<Item>comparingInt(item -> item.told).thenComparing(item -> -item.order));
+
     private long orders;
 
     /** Replaces what was to be told of a member. */
--- a/src/main/java/slateseam/tier/members/Own.java
+++ b/src/main/java/slateseam/tier/members/Own.java
@@ -22,6 +22,7 @@
     private int sequence;
     /** When it last answered a suspicion of itself. */
     private long answeredAt;
+
     private boolean raised;
     private boolean twice;
     private long twiceToldAt;
@@ -98,7 +99,8 @@
             twice = true;
             if (twiceToldAt == 0 || now - twiceToldAt > Members.TWICE_AGAIN_NANOS) {
                 twiceToldAt = now;
-                sink.changed(new Change(Kind.TWICE, settings.name(), settings.number(), "life=" + life + " other_life=" + ofLife));
+                sink.changed(new Change(
+                        Kind.TWICE, settings.name(), settings.number(), "life=" + life + " other_life=" + ofLife));
             }
         }
     }
--- a/src/main/java/slateseam/tier/members/OwnDoubt.java
+++ b/src/main/java/slateseam/tier/members/OwnDoubt.java
@@ -28,6 +28,7 @@
     private boolean unheard;
     /** Which part of the tier is silent: as it is here, evened out with what others say. */
     private double silentPart;
+
     private Doubt doubt = Doubt.STARTING;
 
     OwnDoubt(MembersSettings settings, long self, Roster roster, Watch watch, long now) {
@@ -95,7 +96,10 @@
         Set<Long> reached = new HashSet<>(open);
         for (Member member : roster.all()) {
             if (!member.state.isGone()) {
-                roster.rings.watchers(member.id).forEach(by -> subjects.computeIfAbsent(by, x -> new ArrayList<>()).add(member.id));
+                roster.rings
+                        .watchers(member.id)
+                        .forEach(by -> subjects.computeIfAbsent(by, x -> new ArrayList<>())
+                                .add(member.id));
                 if (!watch.isLate(member, now) && member.heardAt != 0 && reached.add(member.id)) {
                     open.add(member.id);
                 }
@@ -104,12 +108,16 @@
         while (!open.isEmpty()) {
             for (long id : subjects.getOrDefault(open.poll(), List.of())) {
                 Member member = roster.find(id);
-                if (member.state == State.ALIVE && !(watch.subjects().contains(member) && watch.isLate(member, now)) && reached.add(id)) {
+                if (member.state == State.ALIVE
+                        && !(watch.subjects().contains(member) && watch.isLate(member, now))
+                        && reached.add(id)) {
                     open.add(id);
                 }
             }
         }
-        return reached.stream().filter(id -> id == self || roster.find(id).state == State.ALIVE).count();
+        return reached.stream()
+                .filter(id -> id == self || roster.find(id).state == State.ALIVE)
+                .count();
     }
 
     /** Which part of the tier is silent, as far as one can tell here; 0 to 1. */
@@ -142,7 +150,9 @@
         evenOut(subjects == 0 ? 0 : (double) silent / subjects * (base - 1) / base, now);
         boolean minority = silentPart > LEAST_MINORITY || there * 2 <= base;
         boolean alone = !heardAny && settings.peers().size() > 1;
-        doubt = paused ? Doubt.PAUSED : unheard ? Doubt.UNHEARD : alone ? Doubt.STARTING : minority ? Doubt.MINORITY : Doubt.NONE;
+        doubt = paused
+                ? Doubt.PAUSED
+                : unheard ? Doubt.UNHEARD : alone ? Doubt.STARTING : minority ? Doubt.MINORITY : Doubt.NONE;
         return doubt;
     }
 }
--- a/src/main/java/slateseam/tier/members/Parts.java
+++ b/src/main/java/slateseam/tier/members/Parts.java
@@ -31,7 +31,9 @@
     }
 
     private boolean differs(Record record) {
-        return record instanceof PartDigest theirs && theirs.part() < Roster.PARTS && theirs.digest() != roster.digest(theirs.part());
+        return record instanceof PartDigest theirs
+                && theirs.part() < Roster.PARTS
+                && theirs.digest() != roster.digest(theirs.part());
     }
 
     /** Whether a part of another's view is not as it is here. */
@@ -47,7 +49,10 @@
             if (differs(record)) {
                 int part = ((PartDigest) record).part();
                 ownToo |= Roster.part(self) == part;
-                roster.all().stream().filter(member -> Roster.part(member.id) == part).map(roster::record).forEach(known::add);
+                roster.all().stream()
+                        .filter(member -> Roster.part(member.id) == part)
+                        .map(roster::record)
+                        .forEach(known::add);
             }
         }
         List<Record> all = new ArrayList<>(ownToo ? List.of(own) : List.of());
--- a/src/main/java/slateseam/tier/members/Roster.java
+++ b/src/main/java/slateseam/tier/members/Roster.java
@@ -20,8 +20,7 @@
     private static final int MOST_FORGOTTEN = 1_024;
 
     /** One that was forgotten: what it says of a life that was over is not believed. */
-    private record Tombstone(long life, int sequence) {
-    }
+    private record Tombstone(long life, int sequence) {}
 
     private final MembersSettings settings;
     private final long self;
@@ -59,7 +58,9 @@
     /** Its name, or its number if it has not said. */
     String name(long id) {
         Member member = members.get(id);
-        return id == self ? settings.name() : member != null && member.name != null ? member.name : Long.toHexString(id);
+        return id == self
+                ? settings.name()
+                : member != null && member.name != null ? member.name : Long.toHexString(id);
     }
 
     static int part(long id) {
@@ -115,7 +116,10 @@
         member = new Member(said.id());
         member.name = said.name();
         member.number = said.number();
-        InetSocketAddress listed = said.number() >= 0 && said.number() < settings.peers().size() ? settings.peers().get(said.number()) : null;
+        InetSocketAddress listed =
+                said.number() >= 0 && said.number() < settings.peers().size()
+                        ? settings.peers().get(said.number())
+                        : null;
         member.place = from != null ? from : listed != null ? listed : settings.toldPlaces() ? said.place() : null;
         member.lives(said.life(), said.incarnation(), now);
         member.since = now;
@@ -137,7 +141,8 @@
 
     /** What tells others of a member as it is now. */
     Record record(Member member) {
-        return member.state == State.ALIVE && member.name != null ? introduction(member)
+        return member.state == State.ALIVE && member.name != null
+                ? introduction(member)
                 : new Claim(member.id, member.life, member.incarnation, member.state, member.by);
     }
 
@@ -208,7 +213,8 @@
             members.remove(member.id);
             forgotten.put(member.id, new Tombstone(member.life, member.sequence));
             full = false;
-            sink.changed(new Change(Kind.FORGOTTEN, name(member.id), member.number, why(member) + " before=" + member.state.word()));
+            sink.changed(new Change(
+                    Kind.FORGOTTEN, name(member.id), member.number, why(member) + " before=" + member.state.word()));
         }
     }
 
@@ -220,7 +226,8 @@
     /** Who watches a member, without those that are suspects themselves and without {@code but}. */
     Set<Long> watchers(long id, long but) {
         Set<Long> watchers = rings.watchers(id);
-        watchers.removeIf(watcher -> watcher == but || members.containsKey(watcher) && members.get(watcher).state != State.ALIVE);
+        watchers.removeIf(
+                watcher -> watcher == but || members.containsKey(watcher) && members.get(watcher).state != State.ALIVE);
         return watchers;
     }
 }
--- a/src/main/java/slateseam/tier/members/Watch.java
+++ b/src/main/java/slateseam/tier/members/Watch.java
@@ -18,6 +18,7 @@
     private static final int UNANSWERED = 3;
     /** Periods for which a verdict holds; it is said again each period. */
     private static final int HOLDS = 3;
+
     private static final int LATE = 4;
 
     private final MembersSettings settings;
@@ -50,7 +51,8 @@
                 Member member = roster.find(id);
                 if (member != null) {
                     // Guards against one that is accused for the time in which nobody here listened for it.
-                    member.watchedSince = subjects.contains(member) ? member.watchedSince : Math.max(member.watchedSince, time);
+                    member.watchedSince =
+                            subjects.contains(member) ? member.watchedSince : Math.max(member.watchedSince, time);
                     found.add(member);
                 }
             }
@@ -88,14 +90,18 @@
             member.silentSince = member.silentSince == 0 ? now : member.silentSince;
             if (now - member.toldAt >= settings.periodNanos()) {
                 member.toldAt = now;
-                Verdict mine = new Verdict(member.id, member.life, member.incarnation, doubts ? Ear.UNSURE : Ear.SILENT);
+                Verdict mine =
+                        new Verdict(member.id, member.life, member.incarnation, doubts ? Ear.UNSURE : Ear.SILENT);
                 for (long other : roster.watchers(member.id, self)) {
                     tell.accept(roster.find(other), mine);
                 }
                 // Itself too: it may not know yet that it is watched from here, and answers.
                 tell.accept(member, mine);
             }
-            if (!doubts && member.state == State.ALIVE && now - member.silentSince >= settings.periodNanos() && isUnheard(member, now)) {
+            if (!doubts
+                    && member.state == State.ALIVE
+                    && now - member.silentSince >= settings.periodNanos()
+                    && isUnheard(member, now)) {
                 roster.take(member, member.life, member.incarnation, State.SUSPECT, self, now);
             }
         }
@@ -121,13 +127,16 @@
                 unsure += each.getValue().ear() == Ear.UNSURE ? 1 : 0;
             }
         }
-        return silent > (others.size() + 1 - unsure) / 2 || now - member.silentSince >= UNANSWERED * settings.periodNanos();
+        return silent > (others.size() + 1 - unsure) / 2
+                || now - member.silentSince >= UNANSWERED * settings.periodNanos();
     }
 
     /** Another router says whether it hears a member. */
     void said(Member by, Verdict verdict, long now) {
         Member member = roster.find(verdict.id());
-        if (member == null || verdict.life() != member.life || verdict.incarnation() < member.incarnation
+        if (member == null
+                || verdict.life() != member.life
+                || verdict.incarnation() < member.incarnation
                 || verdict.ear() != Ear.HEARS && verdict.incarnation() != member.incarnation) {
             return;
         }
--- a/src/main/java/slateseam/tier/policy/Command.java
+++ b/src/main/java/slateseam/tier/policy/Command.java
@@ -7,20 +7,16 @@
 /** What is written into the log about versions. */
 sealed interface Command {
     /** A version is proposed; its number is given by its place in the log. */
-    record Propose(Version version) implements Command {
-    }
+    record Propose(Version version) implements Command {}
 
     /** A version was decided on. */
-    record Decide(int number, boolean committed, String cause, byte[] before) implements Command {
-    }
+    record Decide(int number, boolean committed, String cause, byte[] before) implements Command {}
 
     /** A version is watched no longer. */
-    record Settle(int number) implements Command {
-    }
+    record Settle(int number) implements Command {}
 
     /** A proposal was turned down before it was one. */
-    record Reject(String name, byte[] hash, String cause) implements Command {
-    }
+    record Reject(String name, byte[] hash, String cause) implements Command {}
 
     default byte[] encode() {
         ByteBuffer out = ByteBuffer.allocate(2 * Entry.MOST_BODY);
--- a/src/main/java/slateseam/tier/policy/Contents.java
+++ b/src/main/java/slateseam/tier/policy/Contents.java
@@ -19,11 +19,13 @@
 final class Contents {
     /** Of one content. */
     static final int MOST_BYTES = 96 * 1024;
+
     static final int PART_BYTES = 192;
     private static final int MOST_WANTED = 4;
     private static final int MOST_KEPT = 24;
     /** Parts that were asked for and have not come. */
     private static final int MOST_UNDER_WAY = 32;
+
     private static final long AGAIN_NANOS = 120_000_000L;
 
     private static final class Wanted {
@@ -118,7 +120,8 @@
             }
         }
         if (!some.isEmpty()) {
-            send.accept(one.from, new Talk.Want(hash, some.stream().mapToInt(i -> i).toArray()));
+            send.accept(
+                    one.from, new Talk.Want(hash, some.stream().mapToInt(i -> i).toArray()));
         }
     }
 
@@ -133,7 +136,12 @@
         for (int part : want.parts()) {
             int at = part * PART_BYTES;
             if (bytes != null && part >= 0 && at < bytes.length) {
-                send.accept(from, new Talk.Part(want.hash(), part, Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + PART_BYTES))));
+                send.accept(
+                        from,
+                        new Talk.Part(
+                                want.hash(),
+                                part,
+                                Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + PART_BYTES))));
             }
         }
     }
@@ -143,7 +151,9 @@
         ByteBuffer key = ByteBuffer.wrap(part.hash());
         Wanted one = wanted.get(key);
         int at = part.index() * PART_BYTES;
-        if (one == null || part.index() < 0 || at >= one.bytes.length
+        if (one == null
+                || part.index() < 0
+                || at >= one.bytes.length
                 || part.bytes().length != Math.min(PART_BYTES, one.bytes.length - at)) {
             return false;
         }
--- a/src/main/java/slateseam/tier/policy/Policy.java
+++ b/src/main/java/slateseam/tier/policy/Policy.java
@@ -5,7 +5,6 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -27,14 +26,14 @@
     private static final long ADMIT_NANOS = 300 * MILLI;
     /** What one said of its memory before may be over. */
     private static final long MEMORY_NANOS = 2_000 * MILLI;
+
     private static final long ASK_NANOS = 300 * MILLI;
     private static final int MOST_UNANSWERED = 64;
     private static final long NEVER = Long.MIN_VALUE / 4;
     private static final long UNKNOWN = Long.MAX_VALUE;
 
     /** A newer state than is here, which is being got. */
-    private record Newer(Talk.Word word, long provenAt, long holdsAt) {
-    }
+    private record Newer(Talk.Word word, long provenAt, long holdsAt) {}
 
     private final PolicySettings settings;
     private final PolicyPort port;
@@ -48,6 +47,7 @@
     private final TreeMap<Integer, Long> polls = new TreeMap<>();
     /** Who said that it knows of no group. */
     private final Set<Integer> without = new HashSet<>();
+
     private final Map<Integer, Long> memories = new HashMap<>();
     private final Map<Integer, Long> memoriesAt = new HashMap<>();
     private Raft raft;
@@ -55,6 +55,7 @@
     private Versions replica = new Versions();
     /** By what others have told. */
     private Versions learned = new Versions();
+
     private Newer newer;
     private long group;
     private int leader = -1;
@@ -69,6 +70,7 @@
     private final TreeMap<Integer, Long> pending = new TreeMap<>();
     /** The newest that was committed, as far as is known here. */
     private int newest;
+
     private Version held;
     private long heldAt;
     private boolean serves;
@@ -201,7 +203,9 @@
         boolean leads = raft.role() == Raft.Role.LEADER;
         if (leads) {
             if (holdsAt() == UNKNOWN) {
-                pending.put(newest, now + settings.holdNanos()); // nobody tells a leader; by then it holds wherever it was known
+                pending.put(
+                        newest,
+                        now + settings.holdNanos()); // nobody tells a leader; by then it holds wherever it was known
             }
             proven();
             if (raft.provenAt() >= 0) {
@@ -245,12 +249,28 @@
         }
         tree.asked();
         Shares.Sum sum = shares.sum(now);
-        port.send(parent, new Talk.Poll(group, settings.me(), raft.self().memory(), sequence, current().revision(), verdicts.number(),
-                verdicts.bytes(), verdicts.refuser(), verdicts.why(), numbers(sum.asked), numbers(sum.served), (int) sum.refused).encode());
+        port.send(
+                parent,
+                new Talk.Poll(
+                                group,
+                                settings.me(),
+                                raft.self().memory(),
+                                sequence,
+                                current().revision(),
+                                verdicts.number(),
+                                verdicts.bytes(),
+                                verdicts.refuser(),
+                                verdicts.why(),
+                                numbers(sum.asked),
+                                numbers(sum.served),
+                                (int) sum.refused)
+                        .encode());
     }
 
     private static int[] numbers(long[] longs) {
-        return Arrays.stream(longs).mapToInt(n -> (int) Math.max(0, Math.min(Short.MAX_VALUE, n))).toArray();
+        return Arrays.stream(longs)
+                .mapToInt(n -> (int) Math.max(0, Math.min(Short.MAX_VALUE, n)))
+                .toArray();
     }
 
     private int leader() {
@@ -306,8 +326,23 @@
         long age = knownAt == NEVER ? -1 : Math.min(Integer.MAX_VALUE, (now - knownAt + MILLI - 1) / MILLI);
         long holdsIn = Math.min(Integer.MAX_VALUE, holdsIn(now) / MILLI);
         state();
-        port.send(from, new Talk.Word(group, settings.me(), poll.sequence(), current().revision(), stateHash, stateLength, (int) age,
-                (int) holdsIn, leader(), voting().stream().mapToInt(i -> i).limit(Seat.MOST).toArray()).encode());
+        port.send(
+                from,
+                new Talk.Word(
+                                group,
+                                settings.me(),
+                                poll.sequence(),
+                                current().revision(),
+                                stateHash,
+                                stateLength,
+                                (int) age,
+                                (int) holdsIn,
+                                leader(),
+                                voting().stream()
+                                        .mapToInt(i -> i)
+                                        .limit(Seat.MOST)
+                                        .toArray())
+                        .encode());
     }
 
     /** The state as others get it, worked out when it has changed. */
@@ -382,7 +417,9 @@
         if (now >= holdsAt()) {
             pending.headMap(newest).clear(); // what came before it is over
         }
-        while (!pending.isEmpty() && now >= pending.firstEntry().getValue() && hold(versions.find(pending.firstKey()))) {
+        while (!pending.isEmpty()
+                && now >= pending.firstEntry().getValue()
+                && hold(versions.find(pending.firstKey()))) {
             pending.pollFirstEntry();
         }
         knownBefore = knownAt;
@@ -436,8 +473,12 @@
 
     private void pin(Versions versions) {
         Set<ByteBuffer> some = new HashSet<>();
-        for (Version one : new Version[] {versions.open(), versions.newest(), held, versions.newest() == null ? null
-                : versions.before(versions.newest())}) {
+        for (Version one : new Version[] {
+            versions.open(),
+            versions.newest(),
+            held,
+            versions.newest() == null ? null : versions.before(versions.newest())
+        }) {
             if (one != null) {
                 some.add(ByteBuffer.wrap(one.hash()));
             }
@@ -486,7 +527,9 @@
         byte[] document = version == null ? null : document(version);
         String wrong = document == null ? "" : port.check(document);
         if (wrong != null) {
-            String told = version == null || document == null ? null : "version=" + version.number() + " fault=\"" + wrong + "\"";
+            String told = version == null || document == null
+                    ? null
+                    : "version=" + version.number() + " fault=\"" + wrong + "\"";
             if (told != null && !told.equals(cannot)) {
                 cannot = told; // it was away when it was decided, and can serve by none now
                 port.tell("policy-cannot", told);
@@ -508,7 +551,9 @@
             return true;
         }
         boolean known = knownAt != NEVER && nanos - knownAt <= settings.leaseNanos();
-        boolean holds = pending.isEmpty() || nanos < pending.firstEntry().getValue() && pending.firstEntry().getValue() != UNKNOWN;
+        boolean holds = pending.isEmpty()
+                || nanos < pending.firstEntry().getValue()
+                        && pending.firstEntry().getValue() != UNKNOWN;
         return known && holds;
     }
 
@@ -519,7 +564,10 @@
 
     /** Whether it serves by a version of which it cannot know whether it is the newest. */
     public boolean isStale(long nanos) {
-        return group != 0 && held != null && held.stale() && (knownAt == NEVER || nanos - knownAt > settings.leaseNanos());
+        return group != 0
+                && held != null
+                && held.stale()
+                && (knownAt == NEVER || nanos - knownAt > settings.leaseNanos());
     }
 
     /** Begins a group, in which the voters that are named are taken in one by one; why it cannot, or null. */
@@ -540,9 +588,23 @@
     }
 
     /** Proposes a document, until it is known what became of it; the version as it was asked for. */
-    public Version propose(String name, byte[] document, boolean all, boolean stale, int watchSeconds, int boundPoints) {
-        Version version = new Version(0, name, contents.put(document), document.length, all, stale, watchSeconds, boundPoints, settings.me(),
-                port.unixMillis(), 0, Version.State.PROPOSED, "", new byte[0]);
+    public Version propose(
+            String name, byte[] document, boolean all, boolean stale, int watchSeconds, int boundPoints) {
+        Version version = new Version(
+                0,
+                name,
+                contents.put(document),
+                document.length,
+                all,
+                stale,
+                watchSeconds,
+                boundPoints,
+                settings.me(),
+                port.unixMillis(),
+                0,
+                Version.State.PROPOSED,
+                "",
+                new byte[0]);
         ask(version);
         return version;
     }
@@ -581,7 +643,9 @@
     public String outcome(Version asked) {
         Version version = current().find(asked.name());
         if (version != null && version.isLike(asked.name(), asked.hash())) {
-            return version.state() == Version.State.PROPOSED ? null : version.state().word();
+            return version.state() == Version.State.PROPOSED
+                    ? null
+                    : version.state().word();
         }
         String rejected = current().rejected(asked.name(), asked.hash());
         return rejected == null ? null : "rejected: " + rejected;
@@ -624,12 +688,20 @@
 
     /** Who takes the open version and who does not, for people. */
     public String verdicts() {
-        return verdicts.number() == 0 ? "none" : verdicts.refuser() >= 0 ? "refused by " + verdicts.refuser() + ": " + verdicts.why()
-                : "accepted by " + new ArrayList<>(alive.stream().filter(verdicts::has).sorted().toList());
+        return verdicts.number() == 0
+                ? "none"
+                : verdicts.refuser() >= 0
+                        ? "refused by " + verdicts.refuser() + ": " + verdicts.why()
+                        : "accepted by "
+                                + new ArrayList<>(alive.stream()
+                                        .filter(verdicts::has)
+                                        .sorted()
+                                        .toList());
     }
 
     private String state(Version last) {
-        return "group=" + Long.toHexString(group) + " holds=" + (held == null ? 0 : held.number()) + " newest=" + (last == null ? 0 : last.number())
+        return "group=" + Long.toHexString(group) + " holds=" + (held == null ? 0 : held.number()) + " newest="
+                + (last == null ? 0 : last.number())
                 + " age_ms=" + (knownAt == NEVER ? -1 : (now - knownAt) / MILLI) + " leader=" + leader() + " role="
                 + raft.role().name().toLowerCase(java.util.Locale.ROOT);
     }
--- a/src/main/java/slateseam/tier/policy/PolicyPort.java
+++ b/src/main/java/slateseam/tier/policy/PolicyPort.java
@@ -29,6 +29,5 @@
     Tally tally();
 
     /** Counts since the start. */
-    record Tally(long[] asked, long[] served, long refused) {
-    }
+    record Tally(long[] asked, long[] served, long refused) {}
 }
--- a/src/main/java/slateseam/tier/policy/PolicySettings.java
+++ b/src/main/java/slateseam/tier/policy/PolicySettings.java
@@ -13,7 +13,8 @@
  * @param pollNanos between two questions to another router
  * @param raft the figures of the log
  */
-public record PolicySettings(int me, int routers, Set<Integer> voters, long leaseNanos, long pollNanos, RaftSettings raft) {
+public record PolicySettings(
+        int me, int routers, Set<Integer> voters, long leaseNanos, long pollNanos, RaftSettings raft) {
     private static final long MILLI = 1_000_000L;
 
     /** The usual figures. */
--- a/src/main/java/slateseam/tier/policy/Shares.java
+++ b/src/main/java/slateseam/tier/policy/Shares.java
@@ -14,8 +14,7 @@
     /** Fewer say nothing. */
     static final int LEAST_ASKED = 40;
 
-    private record Told(Talk.Poll poll, long at) {
-    }
+    private record Told(Talk.Poll poll, long at) {}
 
     /** Sums of a time. */
     static final class Sum {
--- a/src/main/java/slateseam/tier/policy/Steward.java
+++ b/src/main/java/slateseam/tier/policy/Steward.java
@@ -22,6 +22,7 @@
     private final Consumer<Command> log;
     /** When something was written that has not been applied yet, lest it be written again and again. */
     private final Map<String, Long> written = new HashMap<>();
+
     private int openNumber;
     private long openSince;
     private int watched;
@@ -32,7 +33,13 @@
      *
      * @param log where commands are proposed
      */
-    Steward(PolicySettings settings, Contents contents, Verdicts verdicts, Shares shares, PolicyPort port, Consumer<Command> log) {
+    Steward(
+            PolicySettings settings,
+            Contents contents,
+            Verdicts verdicts,
+            Shares shares,
+            PolicyPort port,
+            Consumer<Command> log) {
         this.settings = settings;
         this.contents = contents;
         this.verdicts = verdicts;
@@ -52,7 +59,8 @@
     void asked(Talk.Ask ask, Versions versions, long now) {
         Version version = ask.version();
         Version same = versions.find(version.name());
-        if (same != null && same.isLike(version.name(), version.hash()) || versions.rejected(version.name(), version.hash()) != null) {
+        if (same != null && same.isLike(version.name(), version.hash())
+                || versions.rejected(version.name(), version.hash()) != null) {
             return; // decided, or about to be: the state tells
         }
         Version open = versions.open();
@@ -76,7 +84,12 @@
         if (wrong != null) {
             cause = "router " + settings.me() + ": " + wrong;
         }
-        write("ask " + version.name(), cause == null ? new Command.Propose(version) : new Command.Reject(version.name(), version.hash(), cause), now);
+        write(
+                "ask " + version.name(),
+                cause == null
+                        ? new Command.Propose(version)
+                        : new Command.Reject(version.name(), version.hash(), cause),
+                now);
     }
 
     /**
@@ -88,7 +101,14 @@
      * @param holdsAt since when the newest version holds; in the far future while it does not
      * @param second whether a second of sums is over
      */
-    void look(Versions versions, Set<Integer> alive, Set<Integer> voting, boolean sure, long holdsAt, boolean second, long now) {
+    void look(
+            Versions versions,
+            Set<Integer> alive,
+            Set<Integer> voting,
+            boolean sure,
+            long holdsAt,
+            boolean second,
+            long now) {
         written.values().removeIf(at -> now - at > 10 * AGAIN_NANOS);
         Version open = versions.open();
         if (open != null) {
@@ -116,7 +136,13 @@
         } else if (now - openSince > settings.patienceNanos()) {
             List<Integer> silent = new ArrayList<>(alive);
             silent.removeIf(verdicts::has);
-            String who = "router " + String.join(", ", silent.stream().limit(MOST_SHOWN).map(String::valueOf).toList())
+            String who = "router "
+                    + String.join(
+                            ", ",
+                            silent.stream()
+                                    .limit(MOST_SHOWN)
+                                    .map(String::valueOf)
+                                    .toList())
                     + (silent.size() > MOST_SHOWN ? " and " + (silent.size() - MOST_SHOWN) + " more" : "");
             if (open.all() || !sure || !kept) {
                 decide(open, false, sure ? who + " did not answer in time" : "who is there could not be told", now);
@@ -127,8 +153,14 @@
     }
 
     private void decide(Version open, boolean committed, String cause, long now) {
-        write("decide " + open.number(), new Command.Decide(open.number(), committed, cause,
-                committed ? shares.recent().shares() : new byte[0]), now);
+        write(
+                "decide " + open.number(),
+                new Command.Decide(
+                        open.number(),
+                        committed,
+                        cause,
+                        committed ? shares.recent().shares() : new byte[0]),
+                now);
     }
 
     private void watch(Version newest, Versions versions, long holdsAt, boolean second, long now) {
@@ -145,8 +177,12 @@
         String fall = second && newest.undoes() == 0 ? fall(newest) : null;
         Version before = versions.before(newest);
         if (fall != null && versions.open() == null) {
-            port.tell("policy-fall", "version=" + newest.number() + " name=" + newest.name() + " fall=\"" + fall + "\"");
-            write("undo " + newest.number(), new Command.Propose(undo(newest, before, settings.me(), port.unixMillis(), fall)), now);
+            port.tell(
+                    "policy-fall", "version=" + newest.number() + " name=" + newest.name() + " fall=\"" + fall + "\"");
+            write(
+                    "undo " + newest.number(),
+                    new Command.Propose(undo(newest, before, settings.me(), port.unixMillis(), fall)),
+                    now);
         } else if (now >= holdsAt + newest.watchSeconds() * SECOND && fall == null) {
             write("settle " + newest.number(), new Command.Settle(newest.number()), now);
         }
@@ -155,8 +191,21 @@
     /** What brings back what was before a version. */
     static Version undo(Version version, Version before, int proposer, long unixMillis, String cause) {
         byte[] hash = before == null ? Contents.hash(new byte[0]) : before.hash();
-        return new Version(0, "undo-" + version.number(), hash, before == null ? 0 : before.length(), false,
-                before != null && before.stale(), 0, 0, proposer, unixMillis, version.number(), Version.State.PROPOSED, cause, new byte[0]);
+        return new Version(
+                0,
+                "undo-" + version.number(),
+                hash,
+                before == null ? 0 : before.length(),
+                false,
+                before != null && before.stale(),
+                0,
+                0,
+                proposer,
+                unixMillis,
+                version.number(),
+                Version.State.PROPOSED,
+                cause,
+                new byte[0]);
     }
 
     /** By what it fell too far against before; null if by nothing. */
@@ -173,7 +222,9 @@
             }
         }
         int more = 100 * ((is[Talk.CLASSES] & 0xff) - (was[Talk.CLASSES] & 0xff)) / 255;
-        return more > newest.boundPoints() ? "refused " + 100 * (is[Talk.CLASSES] & 0xff) / 255 + " after "
-                + 100 * (was[Talk.CLASSES] & 0xff) / 255 : null;
+        return more > newest.boundPoints()
+                ? "refused " + 100 * (is[Talk.CLASSES] & 0xff) / 255 + " after "
+                        + 100 * (was[Talk.CLASSES] & 0xff) / 255
+                : null;
     }
 }
--- a/src/main/java/slateseam/tier/policy/Talk.java
+++ b/src/main/java/slateseam/tier/policy/Talk.java
@@ -32,9 +32,20 @@
      * @param asked,served requests a second of each class at the asker and those that ask it
      * @param refused unavailable answers a second there
      */
-    record Poll(long group, int from, long memory, int sequence, long revision, int open, byte[] accepted, int refuser, String why,
-            int[] asked, int[] served, int refused) implements Talk {
-    }
+    record Poll(
+            long group,
+            int from,
+            long memory,
+            int sequence,
+            long revision,
+            int open,
+            byte[] accepted,
+            int refuser,
+            String why,
+            int[] asked,
+            int[] served,
+            int refused)
+            implements Talk {}
 
     /**
      * The answer: what the newest state is, how old that knowledge is at the most, and how long it is until the newest version holds.
@@ -42,28 +53,41 @@
      * @param leader the router that leads, as far as one knows; -1 for none
      * @param voters the routers that vote
      */
-    record Word(long group, int from, int sequence, long revision, byte[] hash, int length, int ageMillis, int holdsInMillis, int leader,
-            int[] voters) implements Talk {
-    }
+    record Word(
+            long group,
+            int from,
+            int sequence,
+            long revision,
+            byte[] hash,
+            int length,
+            int ageMillis,
+            int holdsInMillis,
+            int leader,
+            int[] voters)
+            implements Talk {}
 
     /** Parts of a content are asked for. */
-    record Want(byte[] hash, int[] parts) implements Talk {
-    }
+    record Want(byte[] hash, int[] parts) implements Talk {}
 
     /** One of them. */
-    record Part(byte[] hash, int index, byte[] bytes) implements Talk {
-    }
+    record Part(byte[] hash, int index, byte[] bytes) implements Talk {}
 
     /** A proposal on its way to the leader, who gets its document from whom it came. */
-    record Ask(int from, Version version) implements Talk {
-    }
+    record Ask(int from, Version version) implements Talk {}
 
     default byte[] encode() {
         ByteBuffer out = ByteBuffer.allocate(2 * MOST_BYTES);
-        int kind = this instanceof Poll ? 0 : this instanceof Word ? 1 : this instanceof Want ? 2 : this instanceof Part ? 3 : 4;
+        int kind = this instanceof Poll
+                ? 0
+                : this instanceof Word ? 1 : this instanceof Want ? 2 : this instanceof Part ? 3 : 4;
         out.put(MAGIC).put((byte) 1).put((byte) kind).put((byte) 0).putInt(0);
         if (this instanceof Poll t) {
-            out.putLong(t.group).putShort((short) t.from).putLong(t.memory).putInt(t.sequence).putLong(t.revision).putInt(t.open);
+            out.putLong(t.group)
+                    .putShort((short) t.from)
+                    .putLong(t.memory)
+                    .putInt(t.sequence)
+                    .putLong(t.revision)
+                    .putInt(t.open);
             for (int i = 0; i < CLASSES; i++) {
                 out.putShort(number(t.asked, i)).putShort(number(t.served, i));
             }
@@ -71,8 +95,16 @@
             out.put((byte) t.accepted.length).put(t.accepted).putShort((short) t.refuser);
             Version.put(out, t.why, Math.min(Version.MOST_CAUSE, MOST_BYTES - out.position() - 1));
         } else if (this instanceof Word t) {
-            out.putLong(t.group).putShort((short) t.from).putInt(t.sequence).putLong(t.revision).put(t.hash).putInt(t.length)
-                    .putInt(t.ageMillis).putInt(t.holdsInMillis).putShort((short) t.leader).put((byte) t.voters.length);
+            out.putLong(t.group)
+                    .putShort((short) t.from)
+                    .putInt(t.sequence)
+                    .putLong(t.revision)
+                    .put(t.hash)
+                    .putInt(t.length)
+                    .putInt(t.ageMillis)
+                    .putInt(t.holdsInMillis)
+                    .putShort((short) t.leader)
+                    .put((byte) t.voters.length);
             for (int voter : t.voters) {
                 out.putShort((short) voter);
             }
@@ -103,7 +135,10 @@
 
     /** Reads a datagram; null for what is none of these, or is damaged. */
     static Talk decode(byte[] bytes) {
-        if (bytes.length < 8 || bytes.length > MOST_BYTES || bytes[0] != MAGIC || bytes[1] != 1
+        if (bytes.length < 8
+                || bytes.length > MOST_BYTES
+                || bytes[0] != MAGIC
+                || bytes[1] != 1
                 || ByteBuffer.wrap(bytes).getInt(4) != checksum(bytes)) {
             return null;
         }
@@ -111,10 +146,21 @@
             ByteBuffer in = ByteBuffer.wrap(bytes).position(8);
             Talk talk = switch (bytes[2]) {
                 case 0 -> poll(in);
-                case 1 -> new Word(in.getLong(), in.getShort(), in.getInt(), in.getLong(), Version.bytes(in, Version.HASH_BYTES), in.getInt(),
-                        in.getInt(), in.getInt(), in.getShort(), numbers(in));
+                case 1 ->
+                    new Word(
+                            in.getLong(),
+                            in.getShort(),
+                            in.getInt(),
+                            in.getLong(),
+                            Version.bytes(in, Version.HASH_BYTES),
+                            in.getInt(),
+                            in.getInt(),
+                            in.getInt(),
+                            in.getShort(),
+                            numbers(in));
                 case 2 -> new Want(Version.bytes(in, Version.HASH_BYTES), numbers(in));
-                case 3 -> new Part(Version.bytes(in, Version.HASH_BYTES), in.getShort(), Version.bytes(in, in.get() & 0xff));
+                case 3 ->
+                    new Part(Version.bytes(in, Version.HASH_BYTES), in.getShort(), Version.bytes(in, in.get() & 0xff));
                 case 4 -> new Ask(in.getShort(), Version.get(in));
                 default -> null;
             };
@@ -139,7 +185,19 @@
         }
         int refused = in.getShort();
         byte[] accepted = Version.bytes(in, in.get() & 0xff);
-        return new Poll(group, from, memory, sequence, revision, open, accepted, in.getShort(), Version.text(in), asked, served, refused);
+        return new Poll(
+                group,
+                from,
+                memory,
+                sequence,
+                revision,
+                open,
+                accepted,
+                in.getShort(),
+                Version.text(in),
+                asked,
+                served,
+                refused);
     }
 
     private static int[] numbers(ByteBuffer in) {
--- a/src/main/java/slateseam/tier/policy/Tree.java
+++ b/src/main/java/slateseam/tier/policy/Tree.java
@@ -44,16 +44,21 @@
     int parent(int leader, Set<Integer> voting) {
         int me = settings.me();
         if (unanswered < UNANSWERED) {
-            if (leader >= 0 && leader != me && (voting.contains(me) || settings.voters().contains(me))) {
+            if (leader >= 0
+                    && leader != me
+                    && (voting.contains(me) || settings.voters().contains(me))) {
                 return leader;
             }
             List<Integer> above = new ArrayList<>(new TreeSet<>(voting));
             above.removeIf(router -> !alive.contains(router));
             List<Integer> below = new ArrayList<>(new TreeSet<>(alive));
-            below.removeIf(router -> voting.contains(router) || settings.voters().contains(router));
+            below.removeIf(
+                    router -> voting.contains(router) || settings.voters().contains(router));
             int rank = below.indexOf(me);
             if (rank >= 0 && !above.isEmpty()) {
-                return rank < BRANCHES * above.size() ? above.get(rank % above.size()) : below.get((rank - BRANCHES * above.size()) / BRANCHES);
+                return rank < BRANCHES * above.size()
+                        ? above.get(rank % above.size())
+                        : below.get((rank - BRANCHES * above.size()) / BRANCHES);
             }
         }
         List<Integer> others = new ArrayList<>();
--- a/src/main/java/slateseam/tier/policy/Version.java
+++ b/src/main/java/slateseam/tier/policy/Version.java
@@ -20,12 +20,26 @@
  * @param cause why it is in its state
  * @param before served shares of classes, and the refused share last, when it was committed; in 255ths
  */
-public record Version(int number, String name, byte[] hash, int length, boolean all, boolean stale, int watchSeconds, int boundPoints,
-        int proposer, long atMillis, int undoes, State state, String cause, byte[] before) {
+public record Version(
+        int number,
+        String name,
+        byte[] hash,
+        int length,
+        boolean all,
+        boolean stale,
+        int watchSeconds,
+        int boundPoints,
+        int proposer,
+        long atMillis,
+        int undoes,
+        State state,
+        String cause,
+        byte[] before) {
     /** Of a name, in bytes. */
     public static final int MOST_NAME = 32;
     /** Of a cause, in bytes. */
     static final int MOST_CAUSE = 90;
+
     static final int HASH_BYTES = 16;
 
     /** What has become of it. */
@@ -53,23 +67,71 @@
     }
 
     Version as(State later, String why) {
-        return new Version(number, name, hash, length, all, stale, watchSeconds, boundPoints, proposer, atMillis, undoes, later, why, before);
+        return new Version(
+                number,
+                name,
+                hash,
+                length,
+                all,
+                stale,
+                watchSeconds,
+                boundPoints,
+                proposer,
+                atMillis,
+                undoes,
+                later,
+                why,
+                before);
     }
 
     Version committed(byte[] shares) {
-        return new Version(number, name, hash, length, all, stale, watchSeconds, boundPoints, proposer, atMillis, undoes, State.COMMITTED, cause,
+        return new Version(
+                number,
+                name,
+                hash,
+                length,
+                all,
+                stale,
+                watchSeconds,
+                boundPoints,
+                proposer,
+                atMillis,
+                undoes,
+                State.COMMITTED,
+                cause,
                 shares);
     }
 
     Version numbered(int next) {
-        return new Version(next, name, hash, length, all, stale, watchSeconds, boundPoints, proposer, atMillis, undoes, state, cause, before);
+        return new Version(
+                next,
+                name,
+                hash,
+                length,
+                all,
+                stale,
+                watchSeconds,
+                boundPoints,
+                proposer,
+                atMillis,
+                undoes,
+                state,
+                cause,
+                before);
     }
 
     void put(ByteBuffer out) {
         out.putInt(number);
         put(out, name, MOST_NAME);
-        out.put(hash).putInt(length).put((byte) ((all ? 1 : 0) | (stale ? 2 : 0))).putShort((short) watchSeconds).putShort((short) boundPoints)
-                .putShort((short) proposer).putLong(atMillis).putInt(undoes).put((byte) state.ordinal());
+        out.put(hash)
+                .putInt(length)
+                .put((byte) ((all ? 1 : 0) | (stale ? 2 : 0)))
+                .putShort((short) watchSeconds)
+                .putShort((short) boundPoints)
+                .putShort((short) proposer)
+                .putLong(atMillis)
+                .putInt(undoes)
+                .put((byte) state.ordinal());
         put(out, cause, MOST_CAUSE);
         out.put((byte) before.length).put(before);
     }
@@ -80,8 +142,21 @@
         byte[] hash = bytes(in, HASH_BYTES);
         int length = in.getInt();
         int flags = in.get();
-        return new Version(number, name, hash, length, (flags & 1) != 0, (flags & 2) != 0, in.getShort(), in.getShort(), in.getShort(),
-                in.getLong(), in.getInt(), State.values()[in.get()], text(in), bytes(in, in.get()));
+        return new Version(
+                number,
+                name,
+                hash,
+                length,
+                (flags & 1) != 0,
+                (flags & 2) != 0,
+                in.getShort(),
+                in.getShort(),
+                in.getShort(),
+                in.getLong(),
+                in.getInt(),
+                State.values()[in.get()],
+                text(in),
+                bytes(in, in.get()));
     }
 
     static void put(ByteBuffer out, String text, int most) {
--- a/src/main/java/slateseam/tier/policy/Versions.java
+++ b/src/main/java/slateseam/tier/policy/Versions.java
@@ -12,15 +12,16 @@
 public final class Versions {
     /** As many are kept. */
     public static final int MOST = 200;
+
     private static final int MOST_REJECTED = 40;
     private static final byte FORMAT = 1;
 
     /** A proposal that was turned down, and why. */
-    private record Rejected(byte[] hash, String cause) {
-    }
+    private record Rejected(byte[] hash, String cause) {}
 
     /** How many commands were applied: whoever has more knows more. */
     private long revision;
+
     private final List<Version> all = new ArrayList<>();
     private final Map<String, Rejected> rejected = new LinkedHashMap<>();
 
@@ -105,9 +106,15 @@
         }
         Version open = open();
         if (same != null) {
-            reject(version.name(), version.hash(), "version " + same.number() + " was proposed by that name with another content");
+            reject(
+                    version.name(),
+                    version.hash(),
+                    "version " + same.number() + " was proposed by that name with another content");
         } else if (open != null) {
-            reject(version.name(), version.hash(), "beaten by " + open.name() + ", proposed at router " + open.proposer());
+            reject(
+                    version.name(),
+                    version.hash(),
+                    "beaten by " + open.name() + ", proposed at router " + open.proposer());
         } else {
             rejected.remove(version.name());
             all.add(version.numbered(all.isEmpty() ? 1 : all.get(all.size() - 1).number() + 1));
@@ -121,7 +128,11 @@
     private void decide(Version open, Command.Decide c) {
         all.set(all.size() - 1, c.committed() ? open.committed(c.before()) : open.as(Version.State.ABORTED, c.cause()));
         if (c.committed() && open.undoes() != 0) {
-            replace(open.undoes(), null, Version.State.UNDONE, "taken back by version " + open.number() + ": " + open.cause());
+            replace(
+                    open.undoes(),
+                    null,
+                    Version.State.UNDONE,
+                    "taken back by version " + open.number() + ": " + open.cause());
         }
     }
 
@@ -170,7 +181,8 @@
                 versions.all.add(Version.get(in));
             }
             for (int i = in.getShort(); i > 0; i--) {
-                versions.rejected.put(Version.text(in), new Rejected(Version.bytes(in, Version.HASH_BYTES), Version.text(in)));
+                versions.rejected.put(
+                        Version.text(in), new Rejected(Version.bytes(in, Version.HASH_BYTES), Version.text(in)));
             }
             return in.hasRemaining() ? null : versions;
         } catch (BufferUnderflowException | IndexOutOfBoundsException | NegativeArraySizeException e) {
--- a/src/main/java/slateseam/trial/DatagramLinks.java
+++ b/src/main/java/slateseam/trial/DatagramLinks.java
@@ -32,8 +32,7 @@
     private static final long MOST_OVERTAKEN = 250_000_000L;
 
     /** What becomes of datagrams that no fault troubles. */
-    record Conditions(long leastNanos, long mostNanos, double lost, double doubled) {
-    }
+    record Conditions(long leastNanos, long mostNanos, double lost, double doubled) {}
 
     /** Is told of each datagram as it is sent; by the links' thread. */
     @FunctionalInterface
@@ -41,8 +40,7 @@
         void sent(String from, String to, byte[] bytes, boolean lost);
     }
 
-    private record Delivery(long at, long order, Way way, byte[] bytes) {
-    }
+    private record Delivery(long at, long order, Way way, byte[] bytes) {}
 
     private static final class Way {
         final String from;
@@ -55,6 +53,7 @@
         Way back;
         /** How many faults of each kind trouble it now. */
         int muted;
+
         int stalled;
         final ArrayDeque<byte[]> held = new ArrayDeque<>();
         long lastArrival;
@@ -74,8 +73,8 @@
     private final Observer observer;
     private final Selector selector;
     private final Thread thread;
-    private final PriorityQueue<Delivery> due = new PriorityQueue<>(
-            Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::order));
+    private final PriorityQueue<Delivery> due =
+            new PriorityQueue<>(Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::order));
     private final Queue<Runnable> asked = new ConcurrentLinkedQueue<>();
     private final ByteBuffer room = ByteBuffer.allocate(LONGEST);
     private double lostBeside;
@@ -86,7 +85,8 @@
     private volatile boolean closing;
 
     /** Opens the ways between routers, named with the address where each listens for datagrams. */
-    DatagramLinks(Map<String, InetSocketAddress> routers, Conditions usual, UniformRandomProvider random, Observer observer)
+    DatagramLinks(
+            Map<String, InetSocketAddress> routers, Conditions usual, UniformRandomProvider random, Observer observer)
             throws IOException {
         this.usual = usual;
         this.random = random;
@@ -164,12 +164,12 @@
                     selector.select(wait);
                 }
                 // Before what has come is read: a fault holds from the moment at which it was asked for.
-                for (Runnable action; (action = asked.poll()) != null;) {
+                for (Runnable action; (action = asked.poll()) != null; ) {
                     action.run();
                 }
                 selector.selectedKeys().forEach(this::read);
                 selector.selectedKeys().clear();
-                for (long now = System.nanoTime(); !due.isEmpty() && due.peek().at <= now;) {
+                for (long now = System.nanoTime(); !due.isEmpty() && due.peek().at <= now; ) {
                     Delivery next = due.poll();
                     arrive(next.way, next.bytes);
                 }
@@ -196,8 +196,11 @@
     private void take(Way way, byte[] bytes) {
         boolean lost = way.muted > 0 || random.nextDouble() < usual.lost || random.nextDouble() < lostBeside;
         observer.sent(way.from, way.to, bytes, lost);
-        for (int copies = lost ? 0 : random.nextDouble() < usual.doubled || random.nextDouble() < doubledBeside ? 2 : 1; copies > 0; copies--) {
-            long delay = lateBeside + usual.leastNanos + (long) (random.nextDouble() * (usual.mostNanos - usual.leastNanos));
+        for (int copies = lost ? 0 : random.nextDouble() < usual.doubled || random.nextDouble() < doubledBeside ? 2 : 1;
+                copies > 0;
+                copies--) {
+            long delay =
+                    lateBeside + usual.leastNanos + (long) (random.nextDouble() * (usual.mostNanos - usual.leastNanos));
             way.lastArrival = Math.max(System.nanoTime() + delay, way.lastArrival);
             long overtaken = random.nextDouble() < swappedBeside ? (long) (random.nextDouble() * MOST_OVERTAKEN) : 0;
             due.add(new Delivery(way.lastArrival + overtaken, orders++, way, bytes));
--- a/src/main/java/slateseam/trial/Findings.java
+++ b/src/main/java/slateseam/trial/Findings.java
@@ -69,7 +69,10 @@
         Long told = drainsSince.get(server);
         long late = told == null ? 0 : now.getAsLong() - told;
         if (late > graceNanos + DRAIN_SLACK_NANOS && now.getAsLong() > excusedUntil) {
-            add("drain", server, String.format(Locale.ROOT, "a request came %.2f s after all routers were told", late / 1e9));
+            add(
+                    "drain",
+                    server,
+                    String.format(Locale.ROOT, "a request came %.2f s after all routers were told", late / 1e9));
         }
     }
 
--- a/src/main/java/slateseam/trial/Lasting.java
+++ b/src/main/java/slateseam/trial/Lasting.java
@@ -30,7 +30,12 @@
     private static final String MALFORMED = "what it holds cannot be read";
     private static final int LENGTH_AT = 10;
 
-    private enum State { NONE, WHOLE, DAMAGED, HIDDEN }
+    private enum State {
+        NONE,
+        WHOLE,
+        DAMAGED,
+        HIDDEN
+    }
 
     private final Path folder;
     private final Findings findings;
@@ -65,7 +70,8 @@
     /** What the virtual machine is told, so that the folder lies. */
     String options(String router, long seed) {
         return quoted("java.nio.file.spi.DefaultFileSystemProvider", LyingProvider.class.getName())
-                + quoted(LyingProvider.FOLDER, state(router)) + quoted(LyingProvider.LIES, control(router))
+                + quoted(LyingProvider.FOLDER, state(router))
+                + quoted(LyingProvider.LIES, control(router))
                 + quoted(LyingProvider.SEED, seed);
     }
 
@@ -84,7 +90,9 @@
             now.remove(lie);
         }
         StringBuilder text = new StringBuilder();
-        now.forEach(one -> text.append(one.word()).append(one == Lie.SLOW ? " " + slow.get(router) : "").append('\n'));
+        now.forEach(one -> text.append(one.word())
+                .append(one == Lie.SLOW ? " " + slow.get(router) : "")
+                .append('\n'));
         try {
             Path next = Files.writeString(control(router).resolveSibling("lies.next"), text);
             Files.move(next, control(router), StandardCopyOption.ATOMIC_MOVE);
@@ -119,8 +127,11 @@
     /** A router is about to start: what it will find. */
     void starts(String router) throws IOException {
         byte[] file = files(router).get(router + ".farm");
-        awaited.put(router, lies.getOrDefault(router, Set.of()).contains(Lie.GONE) ? State.HIDDEN
-                : file == null ? State.NONE : isWhole(file) ? State.WHOLE : State.DAMAGED);
+        awaited.put(
+                router,
+                lies.getOrDefault(router, Set.of()).contains(Lie.GONE)
+                        ? State.HIDDEN
+                        : file == null ? State.NONE : isWhole(file) ? State.WHOLE : State.DAMAGED);
     }
 
     private static boolean isWhole(byte[] file) {
@@ -131,7 +142,8 @@
         CRC32C sum = new CRC32C();
         sum.update(file, 0, end);
         ByteBuffer bytes = ByteBuffer.wrap(file);
-        return bytes.getInt(LENGTH_AT) == file.length && bytes.getInt(end) == (int) sum.getValue()
+        return bytes.getInt(LENGTH_AT) == file.length
+                && bytes.getInt(end) == (int) sum.getValue()
                 && new String(file, 0, 7, StandardCharsets.US_ASCII).equals("SLTFARM");
     }
 
@@ -149,7 +161,11 @@
             case HIDDEN -> !line.contains(IN_USE) || !lies.get(router).contains(Lie.GONE);
         };
         if (!right) {
-            findings.add("lasting", router, "its snapshot was " + state.name().toLowerCase(Locale.ROOT) + " at its start, and it said: " + line);
+            findings.add(
+                    "lasting",
+                    router,
+                    "its snapshot was " + state.name().toLowerCase(Locale.ROOT) + " at its start, and it said: "
+                            + line);
         }
     }
 }
--- a/src/main/java/slateseam/trial/Look.java
+++ b/src/main/java/slateseam/trial/Look.java
@@ -18,11 +18,21 @@
     private static final long TICK_NANOS = 20 * MILLI;
     private static final long SAMPLE_NANOS = 250 * MILLI;
     /** While one of these lasts a part of the budget may be used twice, or by nobody. */
-    private static final Set<FaultKind> UNHEARD = EnumSet.of(FaultKind.ROUTER_KILL, FaultKind.RESTART, FaultKind.PAUSE, FaultKind.STARVE,
-            FaultKind.ONE_WAY, FaultKind.STALL, FaultKind.DATAGRAM_LOSS, FaultKind.CUT, FaultKind.DATAGRAM_LATE);
+    private static final Set<FaultKind> UNHEARD = EnumSet.of(
+            FaultKind.ROUTER_KILL,
+            FaultKind.RESTART,
+            FaultKind.PAUSE,
+            FaultKind.STARVE,
+            FaultKind.ONE_WAY,
+            FaultKind.STALL,
+            FaultKind.DATAGRAM_LOSS,
+            FaultKind.CUT,
+            FaultKind.DATAGRAM_LATE);
+
     private static final long SETTLED_NANOS = 6 * SECOND;
     /** Of the budget; what is under way between two routers counts at neither or, for a moment, at both. */
     private static final double MOST_USED = 1.3;
+
     private static final int OVERSPENT_SAMPLES = 8;
 
     private final Day day;
@@ -33,9 +43,11 @@
     private final Supplies supplies = new Supplies();
     /** Whose figures were asked for and have not come; one that stands still is not asked again and again. */
     private final Set<String> asked = new HashSet<>();
+
     private final TierLook tier;
     /** Null where no policy is shared. */
     private final PolicyLook policy;
+
     private Phases phases;
     private long begin;
     private long lastTick;
@@ -110,20 +122,35 @@
     private void tick() {
         stoodStill = Math.max(stoodStill, net.now() - lastTick - TICK_NANOS);
         lastTick = net.now();
-        routers.all().stream().filter(RouterChild::hasCrashed).forEach(child -> findings.add("crash", child.name(),
-                "it ended with status " + child.status() + "; its log: " + routers.log(child.name())));
+        routers.all().stream()
+                .filter(RouterChild::hasCrashed)
+                .forEach(child -> findings.add(
+                        "crash",
+                        child.name(),
+                        "it ended with status " + child.status() + "; its log: " + routers.log(child.name())));
         again(TICK_NANOS, this::tick);
     }
 
     private void sample() {
         synchronized (supplies) {
             if (!supplies.last().isEmpty()) {
-                phases.at(net.now()).supply(supplies.used(),
-                        supplies.last().values().stream().mapToDouble(Supplies.Supply::held).max().orElse(0));
+                phases.at(net.now())
+                        .supply(
+                                supplies.used(),
+                                supplies.last().values().stream()
+                                        .mapToDouble(Supplies.Supply::held)
+                                        .max()
+                                        .orElse(0));
                 overspent = supplies.used() > MOST_USED && !isUnheard() ? overspent + 1 : 0;
                 if (overspent == OVERSPENT_SAMPLES) {
-                    findings.add("supply", "routers", String.format(Locale.ROOT, "they use %.2f of the budget together, and no fault"
-                            + " keeps them from hearing one another", supplies.used()));
+                    findings.add(
+                            "supply",
+                            "routers",
+                            String.format(
+                                    Locale.ROOT,
+                                    "they use %.2f of the budget together, and no fault"
+                                            + " keeps them from hearing one another",
+                                    supplies.used()));
                 }
             }
         }
@@ -133,9 +160,18 @@
     /** Whether a fault keeps routers from hearing one another, or did until lately. */
     private boolean isUnheard() {
         long since = net.now() - begin;
-        return phases.faults().stream().filter(fault -> UNHEARD.contains(fault.kind())).anyMatch(fault -> fault.at() <= since
-                && since <= fault.until() + (long) (fault.kind() == FaultKind.RESTART ? fault.size() * fault.targets().size() : 0)
-                + SETTLED_NANOS);
+        return phases.faults().stream()
+                .filter(fault -> UNHEARD.contains(fault.kind()))
+                .anyMatch(fault -> fault.at() <= since
+                        && since
+                                <= fault.until()
+                                        + (long)
+                                                (fault.kind() == FaultKind.RESTART
+                                                        ? fault.size()
+                                                                * fault.targets()
+                                                                        .size()
+                                                        : 0)
+                                        + SETTLED_NANOS);
     }
 
     private void askForFigures() {
@@ -143,9 +179,22 @@
             if (routers.child(router.name()).isAlive() && asked.add(router.name())) {
                 net.connect("rig", routers.control(router.name()), new StatsCall("/stats", figures -> {
                     asked.remove(router.name());
-                    history.say(router.name(), figures == null ? "figures=none" : String.join(" ", List.of("concurrent", "targets",
-                            "targets_disabled", "reload_success", "reload_failure", "dispatches").stream()
-                            .map(name -> name + "=" + figures.optLong(name)).toList()));
+                    history.say(
+                            router.name(),
+                            figures == null
+                                    ? "figures=none"
+                                    : String.join(
+                                            " ",
+                                            List.of(
+                                                            "concurrent",
+                                                            "targets",
+                                                            "targets_disabled",
+                                                            "reload_success",
+                                                            "reload_failure",
+                                                            "dispatches")
+                                                    .stream()
+                                                    .map(name -> name + "=" + figures.optLong(name))
+                                                    .toList()));
                 }));
             }
         }
--- a/src/main/java/slateseam/trial/PolicyLook.java
+++ b/src/main/java/slateseam/trial/PolicyLook.java
@@ -23,6 +23,7 @@
     private static final long LOOK_NANOS = 200 * MILLI;
     /** From the first word of a commit until nobody serves by what was before: the wait, an election and the hold anew, and the rig's own ways. */
     private static final long BOUND_NANOS = 8 * SECOND;
+
     private static final long SETTLED_NANOS = 10 * SECOND;
 
     private final Day day;
@@ -36,6 +37,7 @@
     private final Map<String, JSONObject> last = new TreeMap<>();
     /** Since when each has said that it serves nothing, and what it had served when that was over its last requests. */
     private final Map<String, Long> refusesSince = new HashMap<>();
+
     private final Map<String, Long> servedThen = new HashMap<>();
     private int changes;
     private boolean over;
@@ -62,18 +64,31 @@
     void does(FaultKind kind, String router) {
         if (kind == FaultKind.POLICY_CHANGE) {
             int number = ++changes;
-            JSONObject document = new JSONObject().put("settings", new JSONObject().put("limits", new JSONObject().put("try_limit", 2 + number % 2)));
+            JSONObject document = new JSONObject()
+                    .put("settings", new JSONObject().put("limits", new JSONObject().put("try_limit", 2 + number % 2)));
             Path place = proposal(routers.folder(), router);
             try {
-                Files.writeString(place.resolveSibling("proposal.next"), new JSONObject().put("name", "change-" + number)
-                        .put("document", document.toString()).put("watch_s", 1).put("points", 100).toString());
-                Files.move(place.resolveSibling("proposal.next"), place, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                Files.writeString(
+                        place.resolveSibling("proposal.next"),
+                        new JSONObject()
+                                .put("name", "change-" + number)
+                                .put("document", document.toString())
+                                .put("watch_s", 1)
+                                .put("points", 100)
+                                .toString());
+                Files.move(
+                        place.resolveSibling("proposal.next"),
+                        place,
+                        StandardCopyOption.ATOMIC_MOVE,
+                        StandardCopyOption.REPLACE_EXISTING);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
         }
-        String path = kind == FaultKind.POLICY_BEGIN ? "/policy/begin" : kind == FaultKind.POLICY_CHANGE ? "/policy/propose" : "/policy/undo";
-        net.connect("rig", routers.control(router), new StatsCall("POST", path, answer -> { }));
+        String path = kind == FaultKind.POLICY_BEGIN
+                ? "/policy/begin"
+                : kind == FaultKind.POLICY_CHANGE ? "/policy/propose" : "/policy/undo";
+        net.connect("rig", routers.control(router), new StatsCall("POST", path, answer -> {}));
     }
 
     void start() {
@@ -111,10 +126,16 @@
                 asked.remove(name + " stats");
                 if (figures != null && refusesSince.containsKey(name)) {
                     JSONObject replies = figures.getJSONObject("replies");
-                    long served = replies.keySet().stream().mapToLong(type -> replies.getJSONObject(type).getLong("success")).sum();
+                    long served = replies.keySet().stream()
+                            .mapToLong(type -> replies.getJSONObject(type).getLong("success"))
+                            .sum();
                     long before = servedThen.computeIfAbsent(name, n -> served);
                     if (served > before) {
-                        findings.add("policy-served", name, "it cannot know what holds and has served " + (served - before) + " requests all the same");
+                        findings.add(
+                                "policy-served",
+                                name,
+                                "it cannot know what holds and has served " + (served - before)
+                                        + " requests all the same");
                     }
                 }
             }));
@@ -123,8 +144,11 @@
 
     private void check(String name, JSONObject told) {
         refuses(name, told.optBoolean("serves"));
-        history.say(name, "policy=" + told.optInt("version") + " newest=" + told.optInt("newest") + " serves=" + told.optBoolean("serves") + " age_ms="
-                + told.optLong("age_ms") + " role=" + told.optString("role") + " open=" + told.opt("open"));
+        history.say(
+                name,
+                "policy=" + told.optInt("version") + " newest=" + told.optInt("newest") + " serves="
+                        + told.optBoolean("serves") + " age_ms=" + told.optLong("age_ms") + " role="
+                        + told.optString("role") + " open=" + told.opt("open"));
         JSONArray versions = told.getJSONArray("versions");
         for (int i = 0; i < versions.length(); i++) {
             JSONObject one = versions.getJSONObject(i);
@@ -134,7 +158,10 @@
                 String decided = state.equals("aborted") ? state : "committed";
                 String before = states.putIfAbsent(number, decided);
                 if (before != null && !before.equals(decided)) {
-                    findings.add("policy-split", name, "version " + number + " is " + decided + " here and " + before + " elsewhere");
+                    findings.add(
+                            "policy-split",
+                            name,
+                            "version " + number + " is " + decided + " here and " + before + " elsewhere");
                 }
                 if (decided.equals("committed")) {
                     committedAt.putIfAbsent(number, net.now());
@@ -144,8 +171,11 @@
         if (told.optBoolean("serves") && !told.optBoolean("stale")) {
             committedAt.forEach((number, at) -> {
                 if (number > told.optInt("version") && net.now() - at > BOUND_NANOS) {
-                    findings.add("policy-late", name, "it serves by version " + told.optInt("version") + " " + (net.now() - at) / SECOND
-                            + " s after version " + number + " was committed");
+                    findings.add(
+                            "policy-late",
+                            name,
+                            "it serves by version " + told.optInt("version") + " " + (net.now() - at) / SECOND
+                                    + " s after version " + number + " was committed");
                 }
             });
         }
@@ -154,15 +184,22 @@
     /** In the end all serve by the newest, if the last fault is over for long enough. */
     void atTheEnd(long since) {
         over = true;
-        long quiet = day.timeline().faults().stream().mapToLong(fault -> fault.until()).max().orElse(0);
+        long quiet = day.timeline().faults().stream()
+                .mapToLong(fault -> fault.until())
+                .max()
+                .orElse(0);
         if (since - quiet < SETTLED_NANOS) {
             return;
         }
-        int newest = committedAt.keySet().stream().mapToInt(number -> number).max().orElse(0);
+        int newest =
+                committedAt.keySet().stream().mapToInt(number -> number).max().orElse(0);
         last.forEach((name, told) -> {
             if (told.optInt("version") != newest || !told.optBoolean("serves")) {
-                findings.add("policy", name, "at the end it serves by version " + told.optInt("version") + " of " + newest + ", serves="
-                        + told.optBoolean("serves") + " age_ms=" + told.optLong("age_ms"));
+                findings.add(
+                        "policy",
+                        name,
+                        "at the end it serves by version " + told.optInt("version") + " of " + newest + ", serves="
+                                + told.optBoolean("serves") + " age_ms=" + told.optLong("age_ms"));
             }
         });
     }
--- a/src/main/java/slateseam/trial/RouterChild.java
+++ b/src/main/java/slateseam/trial/RouterChild.java
@@ -17,6 +17,7 @@
 final class RouterChild {
     /** Of what it says; beyond it nothing more is written, though all is read, so that it never stands still for that. */
     private static final long MOST_LOG_BYTES = 16L << 20;
+
     private static final int LONGEST_LINE = 4_096;
     /** Seconds, in which one that is starved runs for its part. */
     private static final double STARVED_TURN = 0.1;
@@ -36,7 +37,13 @@
      * @param log where its standard error goes, each line with the time since the trial's begin
      * @param said is told each line, on a thread of its own
      */
-    RouterChild(String name, String run, Path folder, Map<String, String> environment, Path log, BiConsumer<String, String> said)
+    RouterChild(
+            String name,
+            String run,
+            Path folder,
+            Map<String, String> environment,
+            Path log,
+            BiConsumer<String, String> said)
             throws IOException {
         this.name = name;
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", run);
@@ -50,10 +57,11 @@
     }
 
     private void read(Path log, BiConsumer<String, String> said) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
+        try (BufferedReader in =
+                        new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
                 OutputStream out = Files.newOutputStream(log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
             long written = Files.size(log);
-            for (String line; (line = in.readLine()) != null;) {
+            for (String line; (line = in.readLine()) != null; ) {
                 String kept = line.length() > LONGEST_LINE ? line.substring(0, LONGEST_LINE) : line;
                 serving |= kept.startsWith(name + ": serving: ");
                 byte[] bytes = (System.currentTimeMillis() + " " + kept + "\n").getBytes(StandardCharsets.UTF_8);
@@ -97,8 +105,11 @@
         }
         expected |= signal.equals("TERM") || signal.equals("KILL");
         try {
-            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid())
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start()
+                    .waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
@@ -110,10 +121,20 @@
     void starve(double part) {
         try {
             feed();
-            starver = new ProcessBuilder("sh", "-c", String.format(Locale.ROOT,
-                    "while kill -0 %d; do kill -STOP %d || exit; sleep %.3f; kill -CONT %d; sleep %.3f; done", ProcessHandle.current().pid(),
-                    process.pid(), STARVED_TURN * (1 - part), process.pid(), STARVED_TURN * part)).redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            starver = new ProcessBuilder(
+                            "sh",
+                            "-c",
+                            String.format(
+                                    Locale.ROOT,
+                                    "while kill -0 %d; do kill -STOP %d || exit; sleep %.3f; kill -CONT %d; sleep %.3f; done",
+                                    ProcessHandle.current().pid(),
+                                    process.pid(),
+                                    STARVED_TURN * (1 - part),
+                                    process.pid(),
+                                    STARVED_TURN * part))
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/slateseam/trial/Routers.java
+++ b/src/main/java/slateseam/trial/Routers.java
@@ -34,9 +34,11 @@
     private static final long LOOK_NANOS = 20 * MILLI;
     /** After SIGTERM the platform kills no sooner than the longest deadline, or 3 s, and this. */
     private static final long KILL_NANOS = 700 * MILLI;
+
     private static final long LEAST_DEADLINE_NANOS = 3_000 * MILLI;
     /** The platform waits so long for the yes of a process that is to take over. */
     private static final long HEIR_NANOS = 6_000 * MILLI;
+
     private static final int CONTROL_PORT = 7_900;
 
     private static final Pattern FEATURES = Pattern.compile("--features\\s+(\\S+)");
@@ -55,6 +57,7 @@
     private final Map<String, RouterChild> heirs = new LinkedHashMap<>();
     /** How often each was upgraded: each process has a second address of its own. */
     private final Map<String, Integer> upgrades = new HashMap<>();
+
     private final Set<String> moved = new HashSet<>();
     private final RouterConfig configs;
     private DatagramLinks links;
@@ -64,7 +67,8 @@
     private final Lasting lasting;
     /** By how much clocks are to be ahead from the next start on, in nanoseconds. */
     private final Map<String, Long> ahead = new HashMap<>();
-    private volatile BiConsumer<String, String> heard = (router, line) -> { };
+
+    private volatile BiConsumer<String, String> heard = (router, line) -> {};
     private boolean closing;
 
     /**
@@ -74,7 +78,14 @@
      * @param root the folder in which that line is run
      * @param folder for configurations and logs
      */
-    Routers(Day day, SocketNet net, UnaryOperator<String> run, Path root, Path folder, History history, Findings findings)
+    Routers(
+            Day day,
+            SocketNet net,
+            UnaryOperator<String> run,
+            Path root,
+            Path folder,
+            History history,
+            Findings findings)
             throws IOException {
         this.day = day;
         this.net = net;
@@ -84,8 +95,10 @@
         this.history = history;
         this.findings = findings;
         this.configs = new RouterConfig(day);
-        this.lasting = day.timeline().faults().stream().anyMatch(fault -> fault.kind().isOfDisks())
-                ? new Lasting(folder, findings) : null;
+        this.lasting =
+                day.timeline().faults().stream().anyMatch(fault -> fault.kind().isOfDisks())
+                        ? new Lasting(folder, findings)
+                        : null;
         for (Day.Router router : day.routers()) {
             listens.put(router.name(), free());
         }
@@ -125,8 +138,8 @@
             Path config = write(router);
             starts.merge(router, 1, Integer::sum);
             history.say("rig", "starts router=" + router);
-            Map<String, String> environment = new HashMap<>(Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", router,
-                    "TMPDIR", own.toString()));
+            Map<String, String> environment = new HashMap<>(
+                    Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", router, "TMPDIR", own.toString()));
             String line = run.apply(router);
             String options = "";
             if (lasting != null) {
@@ -134,9 +147,13 @@
                 lasting.starts(router);
             }
             boolean shares = PolicyLook.isIn(day);
-            String extra = (lasting == null ? "" : lasting.features(router)) + (day.routerRules().hasTier() || shares
-                    ? "tier on\ntier_places listed\ntier_in_doubt " + (shares ? "keep" : day.routerRules().tier()) + "\n" : "")
-                    + (day.routerRules().supplyLinks() ? "supply_links on\n" : "") + (shares ? "policy on\npolicy_proposal " + PolicyLook.proposal(folder, router) + "\n" : "");
+            String extra = (lasting == null ? "" : lasting.features(router))
+                    + (day.routerRules().hasTier() || shares
+                            ? "tier on\ntier_places listed\ntier_in_doubt "
+                                    + (shares ? "keep" : day.routerRules().tier()) + "\n"
+                            : "")
+                    + (day.routerRules().supplyLinks() ? "supply_links on\n" : "")
+                    + (shares ? "policy on\npolicy_proposal " + PolicyLook.proposal(folder, router) + "\n" : "");
             line = extra.isEmpty() ? line : withFeatures(router, line, extra);
             if (ahead.getOrDefault(router, 0L) != 0) {
                 options += " -D" + Clock.AHEAD_MILLIS + "=" + ahead.get(router) / MILLI;
@@ -154,11 +171,14 @@
     private String withFeatures(String router, String line, String extra) throws IOException {
         Matcher named = FEATURES.matcher(line);
         if (!named.find()) {
-            throw new IllegalStateException("the line that starts " + router + " names no --features, which this scenario needs");
+            throw new IllegalStateException(
+                    "the line that starts " + router + " names no --features, which this scenario needs");
         }
-        Path features = Files.writeString(folder.resolve(router).resolve("features"),
-                Files.readString(root.resolve(named.group(1))) + extra);
-        return new StringBuilder(line).replace(named.start(1), named.end(1), "'" + features + "'").toString();
+        Path features = Files.writeString(
+                folder.resolve(router).resolve("features"), Files.readString(root.resolve(named.group(1))) + extra);
+        return new StringBuilder(line)
+                .replace(named.start(1), named.end(1), "'" + features + "'")
+                .toString();
     }
 
     private void logged(String router, String line) {
@@ -192,12 +212,15 @@
     private Path write(String router) throws IOException {
         Day.Router place = place(router);
         boolean elsewhere = moved.contains(router);
-        JSONObject config = new JSONObject(configs.text(place, starts.getOrDefault(router, 0), elsewhere, fleet.list(router)));
-        config.put("listen", Ways.text(net.address(place.listen()))).put("discovery", ways.dial(router, place.discovery(elsewhere)))
+        JSONObject config =
+                new JSONObject(configs.text(place, starts.getOrDefault(router, 0), elsewhere, fleet.list(router)));
+        config.put("listen", Ways.text(net.address(place.listen())))
+                .put("discovery", ways.dial(router, place.discovery(elsewhere)))
                 .put("control", Ways.text(net.address(control(router))));
         if (config.has("peers")) {
             JSONArray peers = new JSONArray();
-            listens.forEach((name, address) -> peers.put(Ways.text(name.equals(router) ? address : links.address(router, name))));
+            listens.forEach((name, address) ->
+                    peers.put(Ways.text(name.equals(router) ? address : links.address(router, name))));
             config.put("peers", peers).put("peer_listen", Ways.text(listens.get(router)));
         }
         Path next = Files.writeString(folder.resolve(router + ".json.next"), config.toString(1));
@@ -205,7 +228,10 @@
     }
 
     private Day.Router place(String router) {
-        return day.routers().stream().filter(one -> one.name().equals(router)).findFirst().orElseThrow();
+        return day.routers().stream()
+                .filter(one -> one.name().equals(router))
+                .findFirst()
+                .orElseThrow();
     }
 
     /** The place of a router's second address: of the process that others mean, or once another starts of that one. */
--- a/src/main/java/slateseam/trial/StreamLinks.java
+++ b/src/main/java/slateseam/trial/StreamLinks.java
@@ -17,6 +17,7 @@
 final class StreamLinks {
     /** Not taken by the other side; beyond it nothing more is read. */
     private static final long MOST_UNSENT = 256 * 1024;
+
     private static final long LOOK_NANOS = 2_000_000L;
 
     private static final class Way {
@@ -26,11 +27,13 @@
         final String place;
         /** How many faults hold it now: in both directions, from the router, to it. */
         int held;
+
         int heldOut;
         int heldIn;
         int refused;
         /** Bytes a second that pass from the router, and to it; 0 for no bound. */
         double boundOut;
+
         double boundIn;
         final Set<Pipe> pipes = new LinkedHashSet<>();
 
@@ -153,6 +156,7 @@
         final Pipe pipe;
         /** Whether what comes here comes from the router. */
         final boolean out;
+
         Wire wire;
         Side other;
         private boolean full;
--- a/src/main/java/slateseam/trial/TierLook.java
+++ b/src/main/java/slateseam/trial/TierLook.java
@@ -19,6 +19,7 @@
     private static final long SETTLED_NANOS = 5 * SECOND;
     /** After a fault a router may still be taken for dead, or be told of as if it were. */
     private static final long AFTER_NANOS = 6 * SECOND;
+
     private static final long ASKED_WITHIN_NANOS = 3 * SECOND;
 
     private final Day day;
@@ -53,8 +54,10 @@
                     if (view != null) {
                         last.put(name, view);
                         lastAt.put(name, net.now());
-                        history.say(name, "tier=" + view.optString("view") + " doubt=" + view.optString("doubt") + " present="
-                                + view.optInt("present") + " not_heard=" + view.optJSONArray("not_heard"));
+                        history.say(
+                                name,
+                                "tier=" + view.optString("view") + " doubt=" + view.optString("doubt") + " present="
+                                        + view.optInt("present") + " not_heard=" + view.optJSONArray("not_heard"));
                         check(name, view, since);
                     }
                 }));
@@ -68,26 +71,42 @@
         for (int i = 0; members != null && i < members.length(); i++) {
             JSONObject one = members.getJSONObject(i);
             String name = one.getString("name");
-            if (one.getString("state").equals("failed") && routers.child(name) != null && routers.child(name).isAlive()
-                    && !isTroubled(name, since) && !isTroubled(by, since)) {
-                findings.add("wrong-death", name, by + " takes it for dead, though it runs and no fault has troubled it: " + one);
+            if (one.getString("state").equals("failed")
+                    && routers.child(name) != null
+                    && routers.child(name).isAlive()
+                    && !isTroubled(name, since)
+                    && !isTroubled(by, since)) {
+                findings.add(
+                        "wrong-death",
+                        name,
+                        by + " takes it for dead, though it runs and no fault has troubled it: " + one);
             }
         }
     }
 
     private boolean isTroubled(String router, long since) {
-        return phases.faults().stream().filter(fault -> fault.at() <= since && since <= fault.until() + after(fault))
-                .anyMatch(fault -> fault.targets().isEmpty() || fault.targets().stream().anyMatch(target -> target.equals(router)
-                        || target.startsWith(router + "~") || target.endsWith("~" + router)));
+        return phases.faults().stream()
+                .filter(fault -> fault.at() <= since && since <= fault.until() + after(fault))
+                .anyMatch(fault -> fault.targets().isEmpty()
+                        || fault.targets().stream()
+                                .anyMatch(target -> target.equals(router)
+                                        || target.startsWith(router + "~")
+                                        || target.endsWith("~" + router)));
     }
 
     private static long after(Fault fault) {
-        return AFTER_NANOS + (fault.kind().lasts() ? 0 : (long) fault.size() * fault.targets().size());
+        return AFTER_NANOS
+                + (fault.kind().lasts()
+                        ? 0
+                        : (long) fault.size() * fault.targets().size());
     }
 
     /** All that run must see the same, if the last fault was over long enough ago. */
     void atTheEnd() {
-        long over = phases.faults().stream().mapToLong(fault -> fault.until() + after(fault) - AFTER_NANOS).max().orElse(0);
+        long over = phases.faults().stream()
+                .mapToLong(fault -> fault.until() + after(fault) - AFTER_NANOS)
+                .max()
+                .orElse(0);
         if (over + SETTLED_NANOS > day.durationNanos()) {
             return;
         }
@@ -103,8 +122,12 @@
                 continue;
             }
             views.add(view.optString("view"));
-            if (!view.optString("doubt").equals("none") || view.optInt("present") != day.routers().size()) {
-                findings.add("tier", name, "its view at the end: doubt=" + view.optString("doubt") + " present=" + view.optInt("present"));
+            if (!view.optString("doubt").equals("none")
+                    || view.optInt("present") != day.routers().size()) {
+                findings.add(
+                        "tier",
+                        name,
+                        "its view at the end: doubt=" + view.optString("doubt") + " present=" + view.optInt("present"));
             }
         }
         if (views.size() > 1) {
--- a/src/main/java/slateseam/trial/TrialCommand.java
+++ b/src/main/java/slateseam/trial/TrialCommand.java
@@ -55,8 +55,7 @@
             --at ROUTER=LINE    starts that router by another line, such as one with a jar of another build; may be given again
             exit: 0 if all held, 1 if a rule broke or the trial was spoilt, 2 if the command or a file is wrong""";
 
-    private TrialCommand() {
-    }
+    private TrialCommand() {}
 
     /** Runs a sub-command: 0 if all held, 1 if something broke or could not be done, 2 for bad use. */
     public static int run(String[] args, PrintStream out, PrintStream err) {
@@ -70,7 +69,8 @@
                 options.addOption(Option.builder().longOpt("virtual").get());
                 options.addOption(Option.builder().longOpt("at").hasArg().get());
             }
-            CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, Math.min(1, args.length), args.length));
+            CommandLine line =
+                    new DefaultParser().parse(options, Arrays.copyOfRange(args, Math.min(1, args.length), args.length));
             switch (command) {
                 case "run" -> {
                     return play(line, out, err);
@@ -97,7 +97,10 @@
     /** The scripts that come with the program. */
     static List<String> names() throws IOException {
         try (InputStream in = TrialCommand.class.getResourceAsStream(SCRIPTS + "index")) {
-            return new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().filter(name -> !name.isBlank()).toList();
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(name -> !name.isBlank())
+                    .toList();
         }
     }
 
@@ -143,8 +146,10 @@
             throw new ParseException("one scenario is wanted: a file, or a name that `trial list` shows");
         }
         boolean virtual = line.hasOption("virtual");
-        Integer routers = line.hasOption("routers") ? (Integer) (int) SimulateCommand.number("--routers",
-                line.getOptionValue("routers"), 1, virtual ? MOST_VIRTUAL : MOST_ROUTERS) : null;
+        Integer routers = line.hasOption("routers")
+                ? (Integer) (int) SimulateCommand.number(
+                        "--routers", line.getOptionValue("routers"), 1, virtual ? MOST_VIRTUAL : MOST_ROUTERS)
+                : null;
         long seed = SimulateCommand.number("--seed", line.getOptionValue("seed", "1"), 0, Long.MAX_VALUE - 1);
         String tier = line.getOptionValue("tier");
         if (tier != null && !TIERS.contains(tier)) {
@@ -153,19 +158,29 @@
         Day day = day(line.getArgList().get(0), routers, seed, tier);
         if (virtual) {
             VirtualTrial played = VirtualTrial.play(day);
-            List<Findings.Finding> broken = played.breaches().stream().map(breach -> new Findings.Finding(
-                    (breach.nanos() - played.begin()) / 1e9, breach.rule().name().toLowerCase(Locale.ROOT), breach.router(),
-                    breach.text())).toList();
+            List<Findings.Finding> broken = played.breaches().stream()
+                    .map(breach -> new Findings.Finding(
+                            (breach.nanos() - played.begin()) / 1e9,
+                            breach.rule().name().toLowerCase(Locale.ROOT),
+                            breach.router(),
+                            breach.text()))
+                    .toList();
             return tell(new TrialResult(day, played.phases(), broken, 0, null), line, out);
         }
-        String run = line.hasOption("run") ? line.getOptionValue("run")
+        String run = line.hasOption("run")
+                ? line.getOptionValue("run")
                 : deployed(Path.of(line.getOptionValue("deploy", "deploy/balancer.toml")));
-        Path folder = line.hasOption("keep") ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
+        Path folder = line.hasOption("keep")
+                ? Files.createDirectories(Path.of(line.getOptionValue("keep")).toAbsolutePath())
                 : Files.createTempDirectory("slateseam-trial");
         boolean terminal = System.console() != null;
         AtomicBoolean keep = new AtomicBoolean(line.hasOption("keep"));
         Map<String, String> others = others(line, day);
-        TrialPlay play = new TrialPlay(day, router -> others.getOrDefault(router, run), Path.of("").toAbsolutePath(), folder,
+        TrialPlay play = new TrialPlay(
+                day,
+                router -> others.getOrDefault(router, run),
+                Path.of("").toAbsolutePath(),
+                folder,
                 text -> err.print(terminal ? "\r" + text + " " : ""));
         // Guards against processes, some of them stopped, that stay behind when the trial is interrupted.
         Thread hook = new Thread(() -> {
@@ -206,7 +221,8 @@
         for (String one : line.hasOption("at") ? line.getOptionValues("at") : new String[0]) {
             int sign = one.indexOf('=');
             String router = sign < 0 ? one : one.substring(0, sign);
-            if (sign < 0 || day.routers().stream().noneMatch(there -> there.name().equals(router))) {
+            if (sign < 0
+                    || day.routers().stream().noneMatch(there -> there.name().equals(router))) {
                 throw new ParseException("--at is " + one + ", no ROUTER=LINE of a router that is there");
             }
             others.put(router, one.substring(sign + 1));
@@ -217,7 +233,8 @@
     private static int tell(TrialResult result, CommandLine line, PrintStream out) throws IOException {
         out.println(result.text());
         if (line.hasOption("json")) {
-            Files.writeString(Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
+            Files.writeString(
+                    Path.of(line.getOptionValue("json")), result.json().toString(1) + "\n");
         }
         return result.findings().isEmpty() && !result.isSpoilt() ? 0 : BROKEN;
     }
@@ -227,7 +244,9 @@
         if (!Files.exists(file)) {
             throw new ParseException("there is no " + file + "; --deploy names another, --run a line");
         }
-        return Files.readAllLines(file).stream().filter(l -> l.matches("run\\s*=\\s*\".*\"\\s*(#.*)?")).findFirst()
+        return Files.readAllLines(file).stream()
+                .filter(l -> l.matches("run\\s*=\\s*\".*\"\\s*(#.*)?"))
+                .findFirst()
                 .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')))
                 .orElseThrow(() -> new ParseException(file + " has no line run = \"...\""));
     }
--- a/src/main/java/slateseam/trial/TrialFaults.java
+++ b/src/main/java/slateseam/trial/TrialFaults.java
@@ -18,8 +18,16 @@
     /** After a pause or a silent agent: for what a router has to catch up with. */
     private static final long CATCH_UP_NANOS = 3_000_000_000L;
     /** While one of these lasts a router may not know what others were told. */
-    private static final Set<FaultKind> UNTOLD = EnumSet.of(FaultKind.PAUSE, FaultKind.STARVE, FaultKind.LIST_LATE, FaultKind.LIST_FROZEN,
-            FaultKind.CUT, FaultKind.SILENCE, FaultKind.REFUSE, FaultKind.STREAM_STALL, FaultKind.NARROW);
+    private static final Set<FaultKind> UNTOLD = EnumSet.of(
+            FaultKind.PAUSE,
+            FaultKind.STARVE,
+            FaultKind.LIST_LATE,
+            FaultKind.LIST_FROZEN,
+            FaultKind.CUT,
+            FaultKind.SILENCE,
+            FaultKind.REFUSE,
+            FaultKind.STREAM_STALL,
+            FaultKind.NARROW);
 
     private final Day day;
     private final SocketNet net;
@@ -35,8 +43,18 @@
     private final Crowd crowd;
     private long begin;
 
-    TrialFaults(Day day, SocketNet net, Fleet fleet, Routers routers, DatagramLinks links, StreamLinks streams, Look look,
-            Findings findings, History history, Phases phases, Crowd crowd) {
+    TrialFaults(
+            Day day,
+            SocketNet net,
+            Fleet fleet,
+            Routers routers,
+            DatagramLinks links,
+            StreamLinks streams,
+            Look look,
+            Findings findings,
+            History history,
+            Phases phases,
+            Crowd crowd) {
         this.day = day;
         this.net = net;
         this.fleet = fleet;
@@ -54,7 +72,9 @@
     /** Sets all faults of the day. */
     void plan(long from) {
         begin = from;
-        day.timeline().faults().stream().filter(fault -> !(fault instanceof Fault.Cued)).forEach(this::plan);
+        day.timeline().faults().stream()
+                .filter(fault -> !(fault instanceof Fault.Cued))
+                .forEach(this::plan);
     }
 
     private void plan(Fault fault) {
@@ -87,17 +107,20 @@
 
     /** At the end of a phase. */
     void countOriginAt(long since) {
-        net.at(begin + since, () -> phases.origin(phases.at(begin + since - 1), fleet.origin().tallies()));
+        net.at(
+                begin + since,
+                () -> phases.origin(phases.at(begin + since - 1), fleet.origin().tallies()));
     }
 
     private void begin(Fault fault) {
         List<String> targets = fault.targets();
         switch (fault.kind()) {
             case CRASH, REPLACE -> targets.forEach(fleet::crash);
-            case ROUTER_KILL -> targets.forEach(router -> {
-                look.forget(router);
-                routers.child(router).signal("KILL");
-            });
+            case ROUTER_KILL ->
+                targets.forEach(router -> {
+                    look.forget(router);
+                    routers.child(router).signal("KILL");
+                });
             case ORIGIN_SLOW -> fleet.slowOrigin(fault.size(), true);
             case ORIGIN_ERRORS -> fleet.origin().trouble(fault.size());
             case VOID -> fleet.copies().voidShare(fault.size(), day.streams().number("void " + fault.at()));
@@ -105,10 +128,11 @@
             case LIST_LATE -> targets.forEach(router -> fleet.agent(router).late((long) fault.size()));
             case LIST_FROZEN -> targets.forEach(router -> fleet.agent(router).freeze(true));
             case SPOILT -> targets.forEach(server -> fleet.spoil(server, fault.size()));
-            case RUDE -> targets.forEach(word -> {
-                RudeKind kind = RudeKind.find(word);
-                crowd.rude(kind, (int) Math.ceil(day.rude().get(kind) * fault.size()), begin + fault.until());
-            });
+            case RUDE ->
+                targets.forEach(word -> {
+                    RudeKind kind = RudeKind.find(word);
+                    crowd.rude(kind, (int) Math.ceil(day.rude().get(kind) * fault.size()), begin + fault.until());
+                });
             case RESTART -> {
                 for (int i = 0; i < targets.size(); i++) {
                     String router = targets.get(i);
@@ -118,12 +142,14 @@
                     });
                 }
             }
-            case POLICY_BEGIN, POLICY_CHANGE, POLICY_UNDO -> targets.forEach(router -> look.policy().does(fault.kind(), router));
+            case POLICY_BEGIN, POLICY_CHANGE, POLICY_UNDO ->
+                targets.forEach(router -> look.policy().does(fault.kind(), router));
             case RELOAD -> targets.forEach(routers::reload);
-            case UPGRADE -> targets.forEach(router -> {
-                look.forget(router);
-                routers.upgrade(router);
-            });
+            case UPGRADE ->
+                targets.forEach(router -> {
+                    look.forget(router);
+                    routers.upgrade(router);
+                });
             case RESET -> targets.forEach(machine -> streams.reset(machine, null));
             case DATAGRAM_LOSS -> links.lose(fault.size());
             case DATAGRAM_LATE -> links.late((long) fault.size());
@@ -134,7 +160,7 @@
             case CLOCK_AHEAD -> targets.forEach(router -> routers.clockAhead(router, (long) fault.size()));
             case CLOCK_BEHIND -> targets.forEach(router -> routers.clockAhead(router, -(long) fault.size()));
             case DISK_EMPTY -> targets.forEach(routers::emptyDisk);
-            case SURGE -> { } // drawn into the rate of the user agents
+            case SURGE -> {} // drawn into the rate of the user agents
             default -> lasting(fault, true);
         }
         if (UNTOLD.contains(fault.kind())) {
@@ -161,7 +187,7 @@
             case STARVE -> targets.forEach(router -> routers.child(router).feed());
             case NARROW -> targets.forEach(pair -> streams.bound(first(pair), second(pair), 0));
             case CLOCK_AHEAD, CLOCK_BEHIND -> targets.forEach(router -> routers.clockAhead(router, 0));
-            case RUDE, SURGE -> { } // each ends by itself
+            case RUDE, SURGE -> {} // each ends by itself
             default -> lasting(fault, false);
         }
     }
@@ -181,7 +207,9 @@
                 case STREAM_STALL -> streams.stall(first(target), second(target), on);
                 case CUT -> cut(target, on);
                 case SILENCE -> silence(target, on);
-                default -> throw new IllegalStateException("no trial plays " + fault.kind().word());
+                default ->
+                    throw new IllegalStateException(
+                            "no trial plays " + fault.kind().word());
             }
         }
     }
@@ -219,7 +247,10 @@
     private void drain(String server) {
         String host = fleet.server(server).name();
         fleet.drain(server);
-        long longest = day.routers().stream().mapToLong(Day.Router::agentSpreadNanos).max().orElse(0);
+        long longest = day.routers().stream()
+                .mapToLong(Day.Router::agentSpreadNanos)
+                .max()
+                .orElse(0);
         findings.drains(host, net.now() + day.discovery().periodNanos() + longest);
     }
 }
--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -25,6 +25,7 @@
     private static final long START_NANOS = 60 * SECOND;
     /** The rig stood still: what the routers did meanwhile was judged by a clock that they did not have. */
     private static final long STOOD_STILL_NANOS = 500 * MILLI;
+
     private static final String FRONT = "10.5.0.1";
 
     private final Day day;
@@ -51,7 +52,8 @@
      * @param folder for configurations, logs and the history
      * @throws IllegalArgumentException if a trial cannot play this day
      */
-    TrialPlay(Day day, UnaryOperator<String> run, Path root, Path folder, Consumer<String> progress) throws IOException {
+    TrialPlay(Day day, UnaryOperator<String> run, Path root, Path folder, Consumer<String> progress)
+            throws IOException {
         Ways.check(day);
         this.day = day;
         this.folder = folder;
@@ -70,13 +72,23 @@
         Day.Network network = day.network();
         synchronized (this) {
             if (!closing) {
-                links = new DatagramLinks(routers.listens(), new DatagramLinks.Conditions(network.datagramLeastNanos(),
-                        network.datagramMostNanos(), network.lost(), network.doubled()), day.streams().of("links"),
+                links = new DatagramLinks(
+                        routers.listens(),
+                        new DatagramLinks.Conditions(
+                                network.datagramLeastNanos(),
+                                network.datagramMostNanos(),
+                                network.lost(),
+                                network.doubled()),
+                        day.streams().of("links"),
                         (from, to, bytes, lost) -> look.told(from, bytes));
             }
         }
         net.run(() -> {
-            fleet = new Fleet(day, new World(net, net, findings), host -> history.say("rig", "starts server=" + host), ways::dial);
+            fleet = new Fleet(
+                    day,
+                    new World(net, net, findings),
+                    host -> history.say("rig", "starts server=" + host),
+                    ways::dial);
             fleet.start();
             routers.startAll(links, ways, fleet);
         });
@@ -84,7 +96,8 @@
         net.run(this::begin);
         long end = begin + day.durationNanos() + day.longestDeadlineNanos() + SECOND;
         while (net.now() < end && !isClosing()) {
-            progress.accept(String.format(Locale.ROOT, "%.0f of %.0f s", (net.now() - begin) / 1e9, (end - begin) / 1e9));
+            progress.accept(
+                    String.format(Locale.ROOT, "%.0f of %.0f s", (net.now() - begin) / 1e9, (end - begin) / 1e9));
             Thread.sleep(Math.max(1, Math.min(1_000, (end - net.now()) / MILLI)));
         }
         net.run(() -> {
@@ -127,11 +140,26 @@
         findings.begins(begin);
         history.begins(begin);
         phases = new Phases(begin, day.durationNanos(), day.timeline().faults());
-        Crowd crowd = new Crowd(new Surroundings(net, net, phases, day.classes(), day.tenants(), day.habits(), day.rate(),
-                new Popularity(day.popularity()), day.values(), Surroundings.Asks.ALL, begin, day.durationNanos()),
-                day.userAgents(), entry(), day.streams()::of);
+        Crowd crowd = new Crowd(
+                new Surroundings(
+                        net,
+                        net,
+                        phases,
+                        day.classes(),
+                        day.tenants(),
+                        day.habits(),
+                        day.rate(),
+                        new Popularity(day.popularity()),
+                        day.values(),
+                        Surroundings.Asks.ALL,
+                        begin,
+                        day.durationNanos()),
+                day.userAgents(),
+                entry(),
+                day.streams()::of);
         crowd.start();
-        TrialFaults faults = new TrialFaults(day, net, fleet, routers, links, streams, look, findings, history, phases, crowd);
+        TrialFaults faults =
+                new TrialFaults(day, net, fleet, routers, links, streams, look, findings, history, phases, crowd);
         faults.plan(begin);
         phases.all().forEach(phase -> faults.countOriginAt(phase.until()));
         if (faults.waits()) {
@@ -145,8 +173,13 @@
         if (day.userAgents().stream().allMatch(figures -> figures.router() != null)) {
             return null;
         }
-        Front front = new Front(net, net, FRONT, day.routers().stream().map(Day.Router::listen).toList(),
-                day.habits().noticeNanos(), begin + day.durationNanos() + day.longestDeadlineNanos());
+        Front front = new Front(
+                net,
+                net,
+                FRONT,
+                day.routers().stream().map(Day.Router::listen).toList(),
+                day.habits().noticeNanos(),
+                begin + day.durationNanos() + day.longestDeadlineNanos());
         front.start();
         return front;
     }
@@ -158,7 +191,10 @@
 
     /** The ids of the processes that run now. */
     List<Long> running() {
-        return routers.all().stream().filter(RouterChild::isAlive).map(RouterChild::pid).toList();
+        return routers.all().stream()
+                .filter(RouterChild::isAlive)
+                .map(RouterChild::pid)
+                .toList();
     }
 
     /** Ends everything that was started, in whatever phase; may be called by any thread, and again. */
--- a/src/main/java/slateseam/trial/disk/Lie.java
+++ b/src/main/java/slateseam/trial/disk/Lie.java
@@ -35,6 +35,9 @@
 
     /** The lie of this word; null if there is none. */
     public static Lie find(String word) {
-        return Arrays.stream(values()).filter(lie -> lie.word().equals(word)).findFirst().orElse(null);
+        return Arrays.stream(values())
+                .filter(lie -> lie.word().equals(word))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/slateseam/trial/disk/LyingChannel.java
+++ b/src/main/java/slateseam/trial/disk/LyingChannel.java
@@ -20,6 +20,7 @@
     private final String name;
     /** Null for the folder itself. */
     private final LyingFolder.Node node;
+
     private final long slowNanos;
     private final Locks locks;
     private FileChannel locked;
--- a/src/main/java/slateseam/trial/disk/LyingFileSystem.java
+++ b/src/main/java/slateseam/trial/disk/LyingFileSystem.java
@@ -47,8 +47,10 @@
 
     @Override
     public Iterable<Path> getRootDirectories() {
-        return () -> java.util.stream.StreamSupport.stream(real.getRootDirectories().spliterator(), false)
-                .<Path>map(path -> new LyingPath(this, path)).iterator();
+        return () -> java.util.stream.StreamSupport.stream(
+                        real.getRootDirectories().spliterator(), false)
+                .<Path>map(path -> new LyingPath(this, path))
+                .iterator();
     }
 
     @Override
--- a/src/main/java/slateseam/trial/disk/LyingFolder.java
+++ b/src/main/java/slateseam/trial/disk/LyingFolder.java
@@ -39,9 +39,11 @@
     private final Map<String, Node> lasting = new HashMap<>();
     /** What the platter holds, and held before that. */
     private final Map<String, byte[]> written = new TreeMap<>();
+
     private final Map<String, byte[]> before = new HashMap<>();
     /** Forced while the disk was late. */
     private final Map<Node, byte[]> late = new LinkedHashMap<>();
+
     private boolean namesLate;
 
     /** A folder with what lies on the platter. */
@@ -138,7 +140,9 @@
         }
         if (bytes.length > 0 && (lies.contains(Lie.TORN) || lies.contains(Lie.SHORT))) {
             int kept = random.nextInt(bytes.length);
-            bytes = lies.contains(Lie.SHORT) ? Arrays.copyOf(bytes, kept) : Arrays.copyOf(Arrays.copyOf(bytes, kept), bytes.length);
+            bytes = lies.contains(Lie.SHORT)
+                    ? Arrays.copyOf(bytes, kept)
+                    : Arrays.copyOf(Arrays.copyOf(bytes, kept), bytes.length);
         }
         if (bytes.length > 0 && lies.contains(Lie.FLIP)) {
             bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(Byte.SIZE));
--- a/src/main/java/slateseam/trial/disk/LyingProvider.java
+++ b/src/main/java/slateseam/trial/disk/LyingProvider.java
@@ -44,6 +44,7 @@
     public static final String LIES = "slateseam.trial.lies";
     /** What is drawn. */
     public static final String SEED = "slateseam.trial.seed";
+
     private static final long LOOK_MILLIS = 10;
 
     private final FileSystemProvider real;
@@ -86,7 +87,10 @@
 
         @Override
         public void put(String name, byte[] bytes) throws IOException {
-            Files.move(Files.write(root.resolve(name + ".beside"), bytes), root.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+            Files.move(
+                    Files.write(root.resolve(name + ".beside"), bytes),
+                    root.resolve(name),
+                    StandardCopyOption.ATOMIC_MOVE);
         }
 
         @Override
@@ -165,16 +169,24 @@
         if (fresh && folder.has(name)) {
             throw new java.nio.file.FileAlreadyExistsException(name);
         }
-        LyingFolder.Node node = folder.open(name, write && (fresh || options.contains(StandardOpenOption.CREATE)), write,
+        LyingFolder.Node node = folder.open(
+                name,
+                write && (fresh || options.contains(StandardOpenOption.CREATE)),
+                write,
                 write && options.contains(StandardOpenOption.TRUNCATE_EXISTING));
-        LyingChannel channel = new LyingChannel(folder, name, node, slowNanos, () -> FileChannel.open(
-                root.resolve(name + ".locked"), StandardOpenOption.CREATE, StandardOpenOption.WRITE));
+        LyingChannel channel = new LyingChannel(
+                folder,
+                name,
+                node,
+                slowNanos,
+                () -> FileChannel.open(
+                        root.resolve(name + ".locked"), StandardOpenOption.CREATE, StandardOpenOption.WRITE));
         return options.contains(StandardOpenOption.APPEND) ? (LyingChannel) channel.position(channel.size()) : channel;
     }
 
     @Override
-    public SeekableByteChannel newByteChannel(Path path, Set<? extends OpenOption> options, FileAttribute<?>... attributes)
-            throws IOException {
+    public SeekableByteChannel newByteChannel(
+            Path path, Set<? extends OpenOption> options, FileAttribute<?>... attributes) throws IOException {
         String name = name(path);
         return name == null ? real.newByteChannel(LyingPath.real(path), options, attributes) : open(name, options);
     }
@@ -216,7 +228,8 @@
     }
 
     @Override
-    public DirectoryStream<Path> newDirectoryStream(Path path, DirectoryStream.Filter<? super Path> filter) throws IOException {
+    public DirectoryStream<Path> newDirectoryStream(Path path, DirectoryStream.Filter<? super Path> filter)
+            throws IOException {
         DirectoryStream<Path> stream = real.newDirectoryStream(LyingPath.real(path), one -> filter.accept(ours(one)));
         return new DirectoryStream<>() {
             @Override
@@ -293,7 +306,8 @@
     }
 
     @Override
-    public <A extends BasicFileAttributes> A readAttributes(Path path, Class<A> type, LinkOption... options) throws IOException {
+    public <A extends BasicFileAttributes> A readAttributes(Path path, Class<A> type, LinkOption... options)
+            throws IOException {
         return real.readAttributes(LyingPath.real(path), type, options);
     }
 
@@ -306,5 +320,4 @@
     public void setAttribute(Path path, String attribute, Object value, LinkOption... options) throws IOException {
         real.setAttribute(LyingPath.real(path), attribute, value, options);
     }
-
 }
--- a/src/main/java/slateseam/wire/Frames.java
+++ b/src/main/java/slateseam/wire/Frames.java
@@ -77,8 +77,7 @@
     private static final int HINT_BIT = 1;
     private static final int TEXT_LIMIT = 1000;
 
-    private Frames() {
-    }
+    private Frames() {}
 
     /** Reads whole frames from a stream. */
     static final class Reader {
@@ -129,8 +128,8 @@
             while (left > 0) {
                 byte[] chunk = in.readNBytes((int) Math.min(left, READ_CHUNK));
                 if (chunk.length == 0) {
-                    throw new MalformedFrameException("truncated frame at offset "
-                            + (HEADER_BYTES + length - left) + ", length says " + length);
+                    throw new MalformedFrameException(
+                            "truncated frame at offset " + (HEADER_BYTES + length - left) + ", length says " + length);
                 }
                 bytes.write(chunk);
                 left -= chunk.length;
@@ -233,8 +232,15 @@
             long ttl = u64();
             need(Float.BYTES);
             body.getFloat();
-            return new RequestArrived(request, key, tenant, requestClass, (marks & WRITE_BIT) != 0,
-                    (marks & REPEAT_BIT) != 0, (marks & HINT_BIT) != 0 ? hint : 0, ttl);
+            return new RequestArrived(
+                    request,
+                    key,
+                    tenant,
+                    requestClass,
+                    (marks & WRITE_BIT) != 0,
+                    (marks & REPEAT_BIT) != 0,
+                    (marks & HINT_BIT) != 0 ? hint : 0,
+                    ttl);
         }
 
         private Event attemptEnd() throws MalformedFrameException {
@@ -334,8 +340,8 @@
         }
 
         private MalformedFrameException malformed(String what) {
-            return new MalformedFrameException(what + " in record " + record + " at offset "
-                    + (HEADER_BYTES + recordStart));
+            return new MalformedFrameException(
+                    what + " in record " + record + " at offset " + (HEADER_BYTES + recordStart));
         }
     }
 
@@ -369,7 +375,9 @@
             } else if (action instanceof Cancel a) {
                 begin(21, 9).putLong(a.request()).put((byte) a.attempt());
             } else if (action instanceof TellPeer a) {
-                begin(24, 6 + a.payload().length).putInt(a.to()).putShort((short) a.payload().length)
+                begin(24, 6 + a.payload().length)
+                        .putInt(a.to())
+                        .putShort((short) a.payload().length)
                         .put(a.payload());
             } else if (action instanceof Probe a) {
                 begin(22, 4).putInt((int) a.member());
@@ -396,13 +404,17 @@
         }
 
         private void text(int code, String text) {
-            byte[] bytes = text.substring(0, Math.min(text.length(), TEXT_LIMIT)).getBytes(StandardCharsets.UTF_8);
-            begin(code, Short.BYTES + bytes.length).putShort((short) bytes.length).put(bytes);
+            byte[] bytes =
+                    text.substring(0, Math.min(text.length(), TEXT_LIMIT)).getBytes(StandardCharsets.UTF_8);
+            begin(code, Short.BYTES + bytes.length)
+                    .putShort((short) bytes.length)
+                    .put(bytes);
         }
 
         private ByteBuffer begin(int code, int size) {
             if (out.remaining() < size + 1) {
-                ByteBuffer larger = ByteBuffer.allocate(2 * out.capacity() + size).order(ByteOrder.LITTLE_ENDIAN);
+                ByteBuffer larger =
+                        ByteBuffer.allocate(2 * out.capacity() + size).order(ByteOrder.LITTLE_ENDIAN);
                 out = larger.put(out.flip());
             }
             records++;
--- a/src/main/java/slateseam/wire/WireHost.java
+++ b/src/main/java/slateseam/wire/WireHost.java
@@ -20,8 +20,7 @@
     private long now;
 
     /** Creates a host without instances. */
-    public WireHost() {
-    }
+    public WireHost() {}
 
     /**
      * Serves batches until the input ends on a frame boundary.
--- a/src/test/java/slateseam/Census.java
+++ b/src/test/java/slateseam/Census.java
@@ -32,7 +32,7 @@
     public static Map<String, Long> of(Object root, String... packages) {
         Census census = new Census(List.of(packages));
         census.reach(root);
-        for (Object next; (next = census.open.poll()) != null;) {
+        for (Object next; (next = census.open.poll()) != null; ) {
             census.look(next);
         }
         return census.entries;
@@ -92,7 +92,10 @@
     }
 
     private static long size(Object value) {
-        return value instanceof Collection<?> all ? all.size() : value instanceof Map<?, ?> map ? map.size()
-                : value != null && value.getClass().isArray() ? Array.getLength(value) : 0;
+        return value instanceof Collection<?> all
+                ? all.size()
+                : value instanceof Map<?, ?> map
+                        ? map.size()
+                        : value != null && value.getClass().isArray() ? Array.getLength(value) : 0;
     }
 }
--- a/src/test/java/slateseam/DescriptorsTest.java
+++ b/src/test/java/slateseam/DescriptorsTest.java
@@ -20,10 +20,12 @@
     private static final byte[] PING = RouterProcess.command("PING");
     /** Of the second in which it is watched; one that spins takes what the machine gives it. */
     private static final long MOST_MILLIS = 250;
+
     private static final int NOBODY = 1;
 
     @TempDir
     Path dir;
+
     private final List<Socket> open = new ArrayList<>();
 
     @AfterEach
@@ -44,7 +46,9 @@
         quiet.setSoTimeout(1_000);
         long before = router.processorMillis();
         try {
-            assertThat(quiet.getInputStream().read()).as("a connection that cannot be accepted").isNegative();
+            assertThat(quiet.getInputStream().read())
+                    .as("a connection that cannot be accepted")
+                    .isNegative();
         } catch (SocketTimeoutException e) {
             // Nothing came for a second, as was to be.
         }
@@ -59,7 +63,8 @@
 
     private RouterProcess start(Path planted, int sockets, int limit) throws IOException {
         Path jar = RouterProcess.jar(dir.resolve("slateseam.jar"), planted);
-        return RouterProcess.start(jar, dir, RouterProcess.config(NOBODY, NOBODY, NOBODY, sockets), "ulimit -n " + limit + "; ")
+        return RouterProcess.start(
+                        jar, dir, RouterProcess.config(NOBODY, NOBODY, NOBODY, sockets), "ulimit -n " + limit + "; ")
                 .awaitServing();
     }
 
@@ -82,8 +87,12 @@
 
     @Test
     void aLoopThatSpinsIsFound() throws Exception {
-        Path planted = Planted.write(dir.resolve("planted"), "listens on though it can take nothing", "router/useragent/Acceptor",
-                "        key.interestOps(0);\n", "");
+        Path planted = Planted.write(
+                dir.resolve("planted"),
+                "listens on though it can take nothing",
+                "router/useragent/Acceptor",
+                "        key.interestOps(0);\n",
+                "");
         try (RouterProcess router = start(planted, 1_024, 96)) {
             assertThat(millisOfASecond(router, "accept-failed")).isGreaterThan(MOST_MILLIS);
         }
--- a/src/test/java/slateseam/MainTest.java
+++ b/src/test/java/slateseam/MainTest.java
@@ -45,7 +45,8 @@
                 + "the program's own address" + System.lineSeparator();
         for (String command : new String[] {"serve", "check-config"}) {
             err.reset();
-            assertThat(run(command, "--config", "examples/config.json", "--features", file.toString())).isEqualTo(2);
+            assertThat(run(command, "--config", "examples/config.json", "--features", file.toString()))
+                    .isEqualTo(2);
             assertThat(err.toString()).isEqualTo(fault);
         }
         assertThat(run("benchlink", "--features", file.toString())).isEqualTo(2);
@@ -54,13 +55,18 @@
     @Test
     void theSettingsFilesThatComeWithTheProgramAreInOrder() {
         for (String file : new String[] {"deploy/slateseam.conf", "examples/slateseam.conf"}) {
-            assertThat(run("check-config", "--config", "examples/config.json", "--features", file)).isZero();
+            assertThat(run("check-config", "--config", "examples/config.json", "--features", file))
+                    .isZero();
         }
     }
 
     private static Path settings(Path dir, String... more) throws Exception {
-        List<String> lines = new ArrayList<>(List.of("kubernetes_namespace shop", "kubernetes_service caches",
-                "kubernetes_port resp", "kubernetes_origin 127.0.0.1:80", "kubernetes_zones z1=a"));
+        List<String> lines = new ArrayList<>(List.of(
+                "kubernetes_namespace shop",
+                "kubernetes_service caches",
+                "kubernetes_port resp",
+                "kubernetes_origin 127.0.0.1:80",
+                "kubernetes_zones z1=a"));
         lines.addAll(List.of(more));
         return Files.write(dir.resolve("s.conf"), lines);
     }
@@ -69,8 +75,12 @@
     void whatCannotWorkIsRefusedBeforeItIsStarted(@TempDir Path dir) throws Exception {
         Path ca = Files.writeString(dir.resolve("ca"), "no certificate");
         Path token = dir.resolve("token");
-        Path file = settings(dir, "kubernetes_api https://127.0.0.1", "kubernetes_ca " + ca,
-                "kubernetes_token " + token, "snapshot_folder " + ca);
+        Path file = settings(
+                dir,
+                "kubernetes_api https://127.0.0.1",
+                "kubernetes_ca " + ca,
+                "kubernetes_token " + token,
+                "snapshot_folder " + ca);
         String[] check = {"check-config", "--config", "examples/config.json", "--features", file.toString()};
         assertThat(run(check)).isEqualTo(2);
         assertThat(err.toString())
@@ -81,8 +91,11 @@
         assertThat(run(check)).isEqualTo(2);
         Files.writeString(ca, new Certificates("ours").pem());
         assertThat(run(check)).isEqualTo(2);
-        assertThat(err.toString()).contains("the token in " + token + " is empty",
-                "the file of authorities " + ca + " holds", "snapshot_folder " + ca + " is no folder");
+        assertThat(err.toString())
+                .contains(
+                        "the token in " + token + " is empty",
+                        "the file of authorities " + ca + " holds",
+                        "snapshot_folder " + ca + " is no folder");
         Files.writeString(file, Files.readString(file).replace("snapshot_folder " + ca, "snapshot_folder " + dir));
         assertThat(run(check)).isZero();
     }
@@ -96,13 +109,16 @@
                 {"addresses": ["fd00::2"], "conditions": {"ready": false, "terminating": true},
                 "targetRef": {"uid": "p2", "name": "pod-2"}}]}]}""");
         Path file = settings(dir, "kubernetes_api http://127.0.0.1:1");
-        String[] show = {"farm", "show", "--config", "examples/config.json", "--features", file.toString(), "--from",
-            list.toString()};
+        String[] show = {
+            "farm", "show", "--config", "examples/config.json", "--features", file.toString(), "--from", list.toString()
+        };
         assertThat(run(show)).isZero();
-        assertThat(out.toString().lines().map(line -> line.replaceAll(" +", " "))).containsExactly(
-                "NAME ADDRESS STATE ZONE KIND WEIGHT SINCE", "pod-1 [fd00::1]:6379 ready a - 1 long ago",
-                "pod-2 [fd00::2]:6379 draining (terminating) - - 1 long ago",
-                out.toString().lines().toList().get(3).replaceAll(" +", " "));
+        assertThat(out.toString().lines().map(line -> line.replaceAll(" +", " ")))
+                .containsExactly(
+                        "NAME ADDRESS STATE ZONE KIND WEIGHT SINCE",
+                        "pod-1 [fd00::1]:6379 ready a - 1 long ago",
+                        "pod-2 [fd00::2]:6379 draining (terminating) - - 1 long ago",
+                        out.toString().lines().toList().get(3).replaceAll(" +", " "));
         assertThat(out.toString()).contains("127.0.0.1:80");
         Files.writeString(list, "{\"kind\": \"PodList\", \"items\": []}");
         assertThat(run(show)).isEqualTo(1);
@@ -113,19 +129,30 @@
             out.reset();
             assertThat(run("farm", "show", "--config", "examples/config.json", "--features", file.toString(), "--json"))
                     .isZero();
-            assertThat(new JSONArray(out.toString()).getJSONObject(1).toMap()).containsEntry("name", "a-2")
-                    .containsEntry("state", "draining").containsEntry("why", "not ready");
+            assertThat(new JSONArray(out.toString()).getJSONObject(1).toMap())
+                    .containsEntry("name", "a-2")
+                    .containsEntry("state", "draining")
+                    .containsEntry("why", "not ready");
         }
         assertThat(run("farm", "hide", "--config", "examples/config.json")).isEqualTo(2);
-        assertThat(run("farm", "show", "--config", "examples/config.json", "--from", list.toString())).isEqualTo(2);
+        assertThat(run("farm", "show", "--config", "examples/config.json", "--from", list.toString()))
+                .isEqualTo(2);
     }
 
     /** The build keeps in an archive what this loads: each start would be slower without, and none would say why. */
     @Test
     void theRehearsalGoesThroughTheWholeService() {
         assertThat(run("rehearse", "--features", "deploy/slateseam.conf")).isZero();
-        assertThat(err.toString()).contains("serving: at ", "server-malformed", "drained: ", "resumed: ", "reloaded: ",
-                "c:read,t:acme,out:hit", "c:read,t:acme,out:miss", "c:put,t:acme,out:written")
+        assertThat(err.toString())
+                .contains(
+                        "serving: at ",
+                        "server-malformed",
+                        "drained: ",
+                        "resumed: ",
+                        "reloaded: ",
+                        "c:read,t:acme,out:hit",
+                        "c:read,t:acme,out:miss",
+                        "c:put,t:acme,out:written")
                 .doesNotContain("rehearse: ", "internal-error");
     }
 
--- a/src/test/java/slateseam/ManifestsTest.java
+++ b/src/test/java/slateseam/ManifestsTest.java
@@ -17,9 +17,10 @@
 /** The manifests must fit together, and give the router no more than it needs. */
 class ManifestsTest {
     private static final Path FOLDER = Path.of("deploy/kubernetes");
+
     private static Map<?, ?> manifest(String name) throws IOException {
-        return (Map<?, ?>) new Load(LoadSettings.builder().build()).loadFromString(
-                Files.readString(FOLDER.resolve(name + ".yaml")));
+        return (Map<?, ?>) new Load(LoadSettings.builder().build())
+                .loadFromString(Files.readString(FOLDER.resolve(name + ".yaml")));
     }
 
     /** What lies behind names and numbers of places. */
@@ -36,14 +37,27 @@
     void theRoleLetsReadEndpointSlicesAndNothingElse() throws IOException {
         Map<?, ?> role = manifest("role");
         assertThat(role.get("kind")).isEqualTo("Role");
-        assertThat(at(role, "rules")).isEqualTo(List.of(Map.of("apiGroups", List.of("discovery.k8s.io"),
-                "resources", List.of("endpointslices"), "verbs", List.of("get", "list", "watch"))));
+        assertThat(at(role, "rules"))
+                .isEqualTo(List.of(Map.of(
+                        "apiGroups",
+                        List.of("discovery.k8s.io"),
+                        "resources",
+                        List.of("endpointslices"),
+                        "verbs",
+                        List.of("get", "list", "watch"))));
         Map<?, ?> binding = manifest("role-binding");
-        assertThat(at(binding, "roleRef")).isEqualTo(Map.of("apiGroup", "rbac.authorization.k8s.io", "kind", "Role",
-                "name", at(role, "metadata", "name")));
+        assertThat(at(binding, "roleRef"))
+                .isEqualTo(Map.of(
+                        "apiGroup", "rbac.authorization.k8s.io", "kind", "Role", "name", at(role, "metadata", "name")));
         Map<?, ?> account = manifest("service-account");
-        assertThat(at(binding, "subjects")).isEqualTo(List.of(Map.of("kind", "ServiceAccount",
-                "name", at(account, "metadata", "name"), "namespace", at(account, "metadata", "namespace"))));
+        assertThat(at(binding, "subjects"))
+                .isEqualTo(List.of(Map.of(
+                        "kind",
+                        "ServiceAccount",
+                        "name",
+                        at(account, "metadata", "name"),
+                        "namespace",
+                        at(account, "metadata", "namespace"))));
         assertThat(at(manifest("sidecar"), "spec", "template", "spec", "serviceAccountName"))
                 .isEqualTo(at(account, "metadata", "name"));
     }
@@ -63,9 +77,14 @@
         Features features = Features.read(file, config);
         assertThat(features.kubernetes().namespace()).isEqualTo(at(map, "metadata", "namespace"));
 
-        assertThat(at(router, "volumeMounts")).isEqualTo(List.of(
-                Map.of("name", "files", "mountPath", "/etc/slateseam", "readOnly", true),
-                Map.of("name", "known", "mountPath", features.snapshot().folder().toString())));
+        assertThat(at(router, "volumeMounts"))
+                .isEqualTo(List.of(
+                        Map.of("name", "files", "mountPath", "/etc/slateseam", "readOnly", true),
+                        Map.of(
+                                "name",
+                                "known",
+                                "mountPath",
+                                features.snapshot().folder().toString())));
         assertThat(at(pod, "volumes", 0, "configMap", "name")).isEqualTo(at(map, "metadata", "name"));
         assertThat(at(router, "securityContext", "readOnlyRootFilesystem")).isEqualTo(true);
     }
--- a/src/test/java/slateseam/PackagesTest.java
+++ b/src/test/java/slateseam/PackagesTest.java
@@ -27,36 +27,55 @@
 
     @Test
     void theDecisionModuleKnowsNothingElse() {
-        noClasses().that().resideInAPackage("slateseam.decision..").should().dependOnClassesThat()
-                .resideInAnyPackage("slateseam.router..", "java.net..", "java.nio.channels..", "java.io..").check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("slateseam.decision..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("slateseam.router..", "java.net..", "java.nio.channels..", "java.io..")
+                .check(classes);
     }
 
     @Test
     void whatTheTierDecidesKnowsNothingElse() {
-        noClasses().that().resideInAPackage("slateseam.tier..").should().dependOnClassesThat()
-                .resideInAnyPackage("slateseam.router..", "slateseam.decision..", "java.nio.channels..", "java.io..", "java.time..")
+        noClasses()
+                .that()
+                .resideInAPackage("slateseam.tier..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "slateseam.router..", "slateseam.decision..", "java.nio.channels..", "java.io..", "java.time..")
                 .check(classes);
     }
 
     /** A router starts fast and small: whatever else the jar holds must not come along. */
     @Test
     void aRouterReachesNoToolsPackage() {
-        noClasses().that().resideInAPackage("slateseam.router..").should().dependOnClassesThat(
-                new DescribedPredicate<>("belong to a tool") {
+        noClasses()
+                .that()
+                .resideInAPackage("slateseam.router..")
+                .should()
+                .dependOnClassesThat(new DescribedPredicate<>("belong to a tool") {
                     @Override
                     public boolean test(JavaClass type) {
                         String name = type.getPackageName();
-                        return name.startsWith("slateseam") && !name.startsWith("slateseam.router")
-                                && !name.equals("slateseam.decision") && !name.startsWith("slateseam.tier");
+                        return name.startsWith("slateseam")
+                                && !name.startsWith("slateseam.router")
+                                && !name.equals("slateseam.decision")
+                                && !name.startsWith("slateseam.tier");
                     }
-                }).check(classes);
+                })
+                .check(classes);
     }
 
     @Test
     void everyPackageSaysWhatItIsFor() throws IOException {
         try (Stream<Path> files = Files.walk(SOURCES)) {
-            List<Path> silent = files.filter(file -> file.toString().endsWith(".java")).map(Path::getParent).distinct()
-                    .filter(folder -> !Files.exists(folder.resolve("package-info.java"))).toList();
+            List<Path> silent = files.filter(file -> file.toString().endsWith(".java"))
+                    .map(Path::getParent)
+                    .distinct()
+                    .filter(folder -> !Files.exists(folder.resolve("package-info.java")))
+                    .toList();
             assertThat(silent).isEmpty();
         }
     }
--- a/src/test/java/slateseam/RouterProcess.java
+++ b/src/test/java/slateseam/RouterProcess.java
@@ -28,6 +28,7 @@
     private static final String SERVING = ": serving: at ";
     /** The clock ticks of a second that the system counts processor time in. */
     private static final long TICKS = 100;
+
     private static final int USER_TIME = 11;
 
     private final Process process;
@@ -47,7 +48,8 @@
         manifest.getMainAttributes().put(Attributes.Name.MAIN_CLASS, "slateseam.Main");
         List<String> libraries = Stream.of(System.getProperty("java.class.path").split(":"))
                 .filter(path -> path.matches(".*/(json|commons-cli|commons-rng-[a-z-]+|HdrHistogram)-[0-9.]+\\.jar"))
-                .map(path -> Path.of(path).toUri().toString()).toList();
+                .map(path -> Path.of(path).toUri().toString())
+                .toList();
         manifest.getMainAttributes().put(Attributes.Name.CLASS_PATH, String.join(" ", libraries));
         Path classes = Path.of("target/classes");
         try (JarOutputStream jar = new JarOutputStream(Files.newOutputStream(file), manifest);
@@ -66,19 +68,30 @@
     /** Makes the archive of classes for a jar, as the deploy file's build does. */
     static Path archive(Path jar) throws IOException, InterruptedException {
         Path archive = Path.of(jar.toString().replace(".jar", ".jsa"));
-        String line = deployed(jar).replaceFirst("-XX:SharedArchiveFile=", "-XX:ArchiveClassesAtExit=").replace("-Xshare:auto", "")
+        String line = deployed(jar)
+                .replaceFirst("-XX:SharedArchiveFile=", "-XX:ArchiveClassesAtExit=")
+                .replace("-Xshare:auto", "")
                 .replace(" serve ", " rehearse ");
-        assertThat(new ProcessBuilder("sh", "-c", line).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor()).isZero();
+        assertThat(new ProcessBuilder("sh", "-c", line)
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .start()
+                        .waitFor())
+                .isZero();
         assertThat(archive).exists();
         return archive;
     }
 
     /** The deployed line that starts a router, with a jar and an archive beside it. */
     private static String deployed(Path jar) throws IOException {
-        String line = Files.readAllLines(DEPLOY).stream().filter(l -> l.startsWith(RUN)).findFirst().orElseThrow();
-        return line.substring(RUN.length(), line.lastIndexOf('"')).replace(" java ", " '" + JAVA + "' ")
-                .replace("target/slateseam.jar", "'" + jar + "'").replace("target/slateseam.jsa", jar.toString().replace(".jar", ".jsa"));
+        String line = Files.readAllLines(DEPLOY).stream()
+                .filter(l -> l.startsWith(RUN))
+                .findFirst()
+                .orElseThrow();
+        return line.substring(RUN.length(), line.lastIndexOf('"'))
+                .replace(" java ", " '" + JAVA + "' ")
+                .replace("target/slateseam.jar", "'" + jar + "'")
+                .replace("target/slateseam.jsa", jar.toString().replace(".jar", ".jsa"));
     }
 
     /**
@@ -88,16 +101,23 @@
      */
     static RouterProcess start(Path jar, Path folder, String config, String before) throws IOException {
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", before + deployed(jar));
-        builder.environment().put("NODE_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        builder.environment()
+                .put(
+                        "NODE_CONFIG",
+                        Files.writeString(folder.resolve("config.json"), config).toString());
         builder.environment().put("TMPDIR", folder.toString());
-        return new RouterProcess(builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start());
+        return new RouterProcess(
+                builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start());
     }
 
     /** The example's configuration, at free ports, with other addresses of its servers and of discovery. */
     static String config(int cache, int origin, int discovery, int sockets) throws IOException {
-        return Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
-                .replace("127.0.0.1:7001", "127.0.0.1:" + cache).replace("127.0.0.1:7000", "127.0.0.1:" + origin)
-                .replace("127.0.0.1:8500", "127.0.0.1:" + discovery).replaceFirst("\"sockets\": *\\d+", "\"sockets\": " + sockets);
+        return Files.readString(Path.of("examples/config.json"))
+                .replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
+                .replace("127.0.0.1:7001", "127.0.0.1:" + cache)
+                .replace("127.0.0.1:7000", "127.0.0.1:" + origin)
+                .replace("127.0.0.1:8500", "127.0.0.1:" + discovery)
+                .replaceFirst("\"sockets\": *\\d+", "\"sockets\": " + sockets);
     }
 
     /** Reads its log until a line has this. */
@@ -131,7 +151,11 @@
     static byte[] command(String... words) {
         StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
         for (String word : words) {
-            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            command.append('$')
+                    .append(word.length())
+                    .append("\r\n")
+                    .append(word)
+                    .append("\r\n");
         }
         return command.toString().getBytes(StandardCharsets.ISO_8859_1);
     }
@@ -146,7 +170,7 @@
     /** A line without its end; null at the end of the connection. */
     static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
-        for (int b; (b = in.read()) != '\n';) {
+        for (int b; (b = in.read()) != '\n'; ) {
             if (b < 0) {
                 return null;
             }
@@ -165,7 +189,10 @@
     /** The most memory that it has held so far, in MiB. */
     long mostResidentMib() throws IOException {
         return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
-                .filter(line -> line.startsWith("VmHWM:")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).sum() / 1024;
+                        .filter(line -> line.startsWith("VmHWM:"))
+                        .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                        .sum()
+                / 1024;
     }
 
     boolean isAlive() {
