--- a/src/test/java/slateseam/ServeTest.java
+++ b/src/test/java/slateseam/ServeTest.java
@@ -23,6 +23,7 @@
 class ServeTest {
     @TempDir
     Path dir;
+
     private Process process;
     private BufferedReader err;
     private Socket socket;
@@ -30,7 +31,8 @@
 
     /** Starts a router with an empty farm, so that each request gets its unavailable answer at once. */
     private void start(String... settings) throws IOException {
-        String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
+        String config = Files.readString(Path.of("examples/config.json"))
+                .replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
                 .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []");
         launch(config, settings);
         String serving = line("example: serving: at ");
@@ -39,11 +41,17 @@
     }
 
     private void launch(String config, String... settings) throws IOException {
-        launch(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:class+load:file=" + dir.resolve("loaded"), "-cp", System.getProperty("java.class.path"),
-                "slateseam.Main", "serve",
-                "--config", Files.writeString(dir.resolve("config.json"), config).toString(),
-                "--features", Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()));
+        launch(new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load:file=" + dir.resolve("loaded"),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "slateseam.Main",
+                "serve",
+                "--config",
+                Files.writeString(dir.resolve("config.json"), config).toString(),
+                "--features",
+                Files.write(dir.resolve("slateseam.conf"), List.of(settings)).toString()));
     }
 
     private void launch(ProcessBuilder builder) throws IOException {
@@ -53,11 +61,24 @@
 
     /** Starts the deployed line as somebody does who ignores SIGHUP, as nohup does; what runs is the classes under test. */
     private void launchIgnoringHangups(String line) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; "
-                + line.replace("-jar target/slateseam.jar", "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main"));
-        String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0");
-        builder.environment().put("NODE_CONFIG", Files.writeString(dir.resolve("config.json"), config).toString());
-        builder.environment().merge("PATH", Path.of(System.getProperty("java.home"), "bin").toString(), (old, java) -> java + ":" + old);
+        ProcessBuilder builder = new ProcessBuilder(
+                "sh",
+                "-c",
+                "trap '' HUP; "
+                        + line.replace(
+                                "-jar target/slateseam.jar",
+                                "-cp '" + System.getProperty("java.class.path") + "' slateseam.Main"));
+        String config =
+                Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0");
+        builder.environment()
+                .put(
+                        "NODE_CONFIG",
+                        Files.writeString(dir.resolve("config.json"), config).toString());
+        builder.environment()
+                .merge(
+                        "PATH",
+                        Path.of(System.getProperty("java.home"), "bin").toString(),
+                        (old, java) -> java + ":" + old);
         launch(builder);
     }
 
@@ -81,7 +102,11 @@
     private void ask(String... words) throws IOException {
         StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
         for (String word : words) {
-            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            command.append('$')
+                    .append(word.length())
+                    .append("\r\n")
+                    .append(word)
+                    .append("\r\n");
         }
         socket.getOutputStream().write(command.toString().getBytes(StandardCharsets.ISO_8859_1));
     }
@@ -92,7 +117,10 @@
     }
 
     private void signal(String name) throws Exception {
-        assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor()).isZero();
+        assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
+                        .start()
+                        .waitFor())
+                .isZero();
     }
 
     /** A router starts fast and small: what only the simulation needs must not come along. */
@@ -100,9 +128,15 @@
     void itLoadsNothingOfTheSimulation() throws Exception {
         start();
         String loaded = Files.readString(dir.resolve("loaded"));
-        assertThat(loaded).contains("slateseam.router.Router")
-                .doesNotContain("slateseam.simulate", "slateseam.standin", "slateseam.rehearse", "slateseam.trial",
-                "HdrHistogram", "commons.rng");
+        assertThat(loaded)
+                .contains("slateseam.router.Router")
+                .doesNotContain(
+                        "slateseam.simulate",
+                        "slateseam.standin",
+                        "slateseam.rehearse",
+                        "slateseam.trial",
+                        "HdrHistogram",
+                        "commons.rng");
     }
 
     /**
@@ -118,12 +152,18 @@
             try (ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 away = reserved.getLocalPort();
             }
-            String config = Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
-                    .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []").replaceFirst("\"sockets\": *\\d+", "\"sockets\": " + limit)
+            String config = Files.readString(Path.of("examples/config.json"))
+                    .replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
+                    .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []")
+                    .replaceFirst("\"sockets\": *\\d+", "\"sockets\": " + limit)
                     .replaceFirst("(\"discovery\": *\")127[^\"]*", "$1127.0.0.1:" + away);
             Path file = Files.writeString(dir.resolve("config.json"), config);
-            launch(new ProcessBuilder("sh", "-c", "ulimit -n " + limit + "; exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
-                    + "' -cp '" + System.getProperty("java.class.path") + "' slateseam.Main serve --config '" + file + "'"));
+            launch(new ProcessBuilder(
+                    "sh",
+                    "-c",
+                    "ulimit -n " + limit + "; exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                            + "' -cp '" + System.getProperty("java.class.path") + "' slateseam.Main serve --config '"
+                            + file + "'"));
             String serving = line("example: serving: at ");
             int port = Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1));
             for (int i = 0; i < 3 * limit; i++) {
@@ -132,10 +172,12 @@
             try (ServerSocket discovery = new ServerSocket(away, 1, InetAddress.getLoopbackAddress())) {
                 discovery.setSoTimeout(10_000);
                 Socket call = discovery.accept();
-                String list = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"c1\",\"dial\":\"127.0.0.1:" + cache.getLocalPort()
+                String list = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"c1\",\"dial\":\"127.0.0.1:"
+                        + cache.getLocalPort()
                         + "\",\"site\":\"here\",\"class\":\"box\",\"block\":0,\"health\":\"ready\",\"share\":1,\"born_ms\":0}]}";
-                call.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
-                        .getBytes(StandardCharsets.ISO_8859_1));
+                call.getOutputStream()
+                        .write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                                .getBytes(StandardCharsets.ISO_8859_1));
                 socket = new Socket("127.0.0.1", port);
                 socket.setSoTimeout(10_000);
                 ask("CACHE.GET", "key", "id", "c=read,t=acme,d=9000");
@@ -143,7 +185,8 @@
                 Socket pass = cache.accept();
                 assertThat(pass.getInputStream().read()).isEqualTo('*');
                 pass.getOutputStream().write("*1\r\n$5\r\nvalue\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                answers =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
                 assertThat(answers.readLine()).isEqualTo("$5");
             }
         } finally {
@@ -157,7 +200,8 @@
     void aPortThatSomebodyElseHoldsIsNamed() throws Exception {
         try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             String at = "127.0.0.1:" + held.getLocalPort();
-            String config = Files.readString(Path.of("examples/config.json")).replace("127.0.0.1:6379", at)
+            String config = Files.readString(Path.of("examples/config.json"))
+                    .replace("127.0.0.1:6379", at)
                     .replace("127.0.0.1:7946", "127.0.0.1:0");
             launch(config);
             assertThat(line("slateseam: serve: ")).startsWith("slateseam: serve: cannot listen at /" + at + ": ");
@@ -171,8 +215,11 @@
      */
     @Test
     void theDeployedLineTakesNewSettingsAlsoWhereItsStarterIgnoresHangups() throws Exception {
-        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = ")).findFirst()
-                .orElseThrow().replaceFirst("run = \"(.*)\"", "$1");
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .findFirst()
+                .orElseThrow()
+                .replaceFirst("run = \"(.*)\"", "$1");
         launchIgnoringHangups(line);
         line("example: serving: at ");
         signal("HUP");
@@ -193,7 +240,8 @@
         process.waitFor();
         return Files.readAllLines(dir.resolve("loaded")).stream()
                 .map(line -> line.replaceAll("^(\\[.*?])+ | source:.*", ""))
-                .filter(name -> name.matches("(slateseam|(java|javax|sun)\\.(net|security)\\.ssl)\\..*")).toList();
+                .filter(name -> name.matches("(slateseam|(java|javax|sun)\\.(net|security)\\.ssl)\\..*"))
+                .toList();
     }
 
     /** What is off costs neither memory nor time at the start. */
@@ -201,12 +249,21 @@
     void whatIsOffLoadsNoClass() throws Exception {
         start("hot_list on");
         get("k");
-        assertThat(loaded()).contains("slateseam.router.farm.Watch").noneMatch(name -> name.matches(
-                "slateseam\\.(router\\.(kubernetes|membership|snapshot|tls)|show)\\..*|.*\\.ssl\\..*|.*net\\.Errands"));
-        start("kubernetes_api http://127.0.0.1:1", "kubernetes_namespace n", "kubernetes_service s",
-                "kubernetes_port p", "kubernetes_origin 127.0.0.1:1", "snapshot_folder " + dir);
+        assertThat(loaded())
+                .contains("slateseam.router.farm.Watch")
+                .noneMatch(
+                        name -> name.matches(
+                                "slateseam\\.(router\\.(kubernetes|membership|snapshot|tls)|show)\\..*|.*\\.ssl\\..*|.*net\\.Errands"));
+        start(
+                "kubernetes_api http://127.0.0.1:1",
+                "kubernetes_namespace n",
+                "kubernetes_service s",
+                "kubernetes_port p",
+                "kubernetes_origin 127.0.0.1:1",
+                "snapshot_folder " + dir);
         line("example: kubernetes-unreachable: ");
-        assertThat(loaded()).contains("slateseam.router.kubernetes.Follower", "slateseam.router.snapshot.Store")
+        assertThat(loaded())
+                .contains("slateseam.router.kubernetes.Follower", "slateseam.router.snapshot.Store")
                 .noneMatch(name -> name.matches(".*\\.ssl\\..*|.*\\.TlsTransport"));
     }
 
@@ -225,7 +282,8 @@
         assertThat(shown.get(0)).startsWith("hot t=acme key=famous rate=");
         // 1000 requests, too high by 3000 / 512 at most; what the figures are cut off at changes with the time spent.
         String[] figures = shown.get(0).replaceAll("[^0-9. ]", "").trim().split(" +");
-        assertThat(Double.parseDouble(figures[0]) / Double.parseDouble(figures[1])).isBetween(80.0, 180.0);
+        assertThat(Double.parseDouble(figures[0]) / Double.parseDouble(figures[1]))
+                .isBetween(80.0, 180.0);
     }
 
     @Test
--- a/src/test/java/slateseam/UpgradeTest.java
+++ b/src/test/java/slateseam/UpgradeTest.java
@@ -31,10 +31,13 @@
 
     @TempDir
     Path dir;
+
     private final List<Process> processes = new ArrayList<>();
     /** Holds the port without listening, so that no other test gets it. */
-    private final SocketChannel port = SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEPORT, true)
+    private final SocketChannel port = SocketChannel.open()
+            .setOption(StandardSocketOptions.SO_REUSEPORT, true)
             .bind(new InetSocketAddress("127.0.0.1", 0));
+
     private final int listen = ((InetSocketAddress) port.getLocalAddress()).getPort();
 
     /** A listener of our own, which must not keep the second process from starting. */
@@ -56,12 +59,20 @@
                 control = free.getLocalPort();
             }
             String config = Files.readString(Path.of("examples/config.json"))
-                    .replace("127.0.0.1:6379", "127.0.0.1:" + listen).replace("127.0.0.1:7946", "127.0.0.1:0")
+                    .replace("127.0.0.1:6379", "127.0.0.1:" + listen)
+                    .replace("127.0.0.1:7946", "127.0.0.1:0")
                     .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []");
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-cp", System.getProperty("java.class.path"), "slateseam.Main", "serve", "--config",
-                    Files.writeString(dir.resolve("config.json"), config).toString(), "--features",
-                    Files.writeString(dir.resolve("slateseam.conf"), "tap_port " + tap + "\n").toString());
+            ProcessBuilder builder = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "slateseam.Main",
+                    "serve",
+                    "--config",
+                    Files.writeString(dir.resolve("config.json"), config).toString(),
+                    "--features",
+                    Files.writeString(dir.resolve("slateseam.conf"), "tap_port " + tap + "\n")
+                            .toString());
             builder.environment().put("TMPDIR", dir.toString());
             builder.environment().put("NODE_CONTROL", "127.0.0.1:" + control);
             process = builder.start();
@@ -78,7 +89,10 @@
         }
 
         void signal(String name) throws Exception {
-            assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor()).isZero();
+            assertThat(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
+                            .start()
+                            .waitFor())
+                    .isZero();
         }
 
         void saysYes() throws IOException {
--- a/src/test/java/slateseam/decision/BoundsTest.java
+++ b/src/test/java/slateseam/decision/BoundsTest.java
@@ -37,10 +37,12 @@
             w.pass(10 * MS);
             w.actions.clear();
         }
-        assertThat(size(w, "requests", "awaitingSupply")).as("two minutes of 100 requests a second that wait for 0.5 s")
+        assertThat(size(w, "requests", "awaitingSupply"))
+                .as("two minutes of 100 requests a second that wait for 0.5 s")
                 .isLessThan(200);
         w.pass(2_000 * MS);
-        assertThat(Census.of(SupplyTest.field(w.brain, "requests"), MODULE)).as("queues of requests, when all have their answer")
+        assertThat(Census.of(SupplyTest.field(w.brain, "requests"), MODULE))
+                .as("queues of requests, when all have their answer")
                 .isEmpty();
     }
 
@@ -69,7 +71,8 @@
             int flow = ((int[]) SupplyTest.field(n, "flow"))[0];
             passed += flow - before;
             before = flow;
-            assertThat(ring.total(0)).as("after turn " + turn + ", " + passed + " units went by")
+            assertThat(ring.total(0))
+                    .as("after turn " + turn + ", " + passed + " units went by")
                     .isBetween((long) (0.85 * Account.WHOLE), (long) Account.WHOLE);
         }
         assertThat(Math.abs(passed)).as("beyond what a number holds").isGreaterThan(1L << 31);
--- a/src/test/java/slateseam/decision/BrainTest.java
+++ b/src/test/java/slateseam/decision/BrainTest.java
@@ -236,8 +236,9 @@
         Map<Long, Long> homes = new HashMap<>();
         int moved = 0;
         for (long id = 10; id < 210; id++) {
-            w.on(new MembersChanged(ListKind.DELTA, List.of(World.member(id, MemberState.GONE, 0),
-                    World.member(id + 10, MemberState.READY, 0))));
+            w.on(new MembersChanged(
+                    ListKind.DELTA,
+                    List.of(World.member(id, MemberState.GONE, 0), World.member(id + 10, MemberState.READY, 0))));
             for (long key = 5000; key < 5100; key++) {
                 long home = w.homeOf(key);
                 assertTrue(home > id && home <= id + 10, "the home of a key is a cache that is there");
@@ -275,8 +276,23 @@
         for (int i = 0; i < 12; i++) {
             before.add(w.homeOf(77));
         }
-        w.on(new PeerMessage(1, new SupplyMessage(false, false, false, 5, 0, 1, 0, 9, new int[1], new int[1], new int[1],
-                new double[] {1}, Map.of(0L, 1000.0, 77L, 300.0)).encode()));
+        w.on(new PeerMessage(
+                1,
+                new SupplyMessage(
+                                false,
+                                false,
+                                false,
+                                5,
+                                0,
+                                1,
+                                0,
+                                9,
+                                new int[1],
+                                new int[1],
+                                new int[1],
+                                new double[] {1},
+                                Map.of(0L, 1000.0, 77L, 300.0))
+                        .encode()));
         for (int i = 0; i < 12; i++) {
             after.add(w.homeOf(77));
         }
@@ -667,10 +683,16 @@
     @Test
     void whereCachesFetchThemselvesTheCacheOfTheKeyGetsReadsAndWrites() {
         Settings a = World.settings(0, 1, false, List.of());
-        World w = new World(new Settings(0, 1, 0, MS, false, CacheMode.THROUGH, -1, 1, a.classes(), List.of(),
-                a.limits(), a.rules()), 6);
-        w.on(new MembersChanged(ListKind.FULL, List.of(World.member(10, MemberState.READY, 0),
-                World.member(11, MemberState.READY, 0), World.member(12, MemberState.READY, 0))));
+        World w = new World(
+                new Settings(
+                        0, 1, 0, MS, false, CacheMode.THROUGH, -1, 1, a.classes(), List.of(), a.limits(), a.rules()),
+                6);
+        w.on(new MembersChanged(
+                ListKind.FULL,
+                List.of(
+                        World.member(10, MemberState.READY, 0),
+                        World.member(11, MemberState.READY, 0),
+                        World.member(12, MemberState.READY, 0))));
         long home = w.homeOf(1234);
         long write = w.request(1234, 2);
         assertEquals(home, w.sent(write).member());
@@ -734,7 +756,17 @@
         Settings old = World.settings(0, 1, false, List.of());
         RequestClass pay = old.classes().get(2);
         Limits l = old.limits();
-        w.on(new Retuned(new Settings(0, 1, 0, MS, false, CacheMode.ASIDE, 1, 0.1, List.of(pay), List.of(),
+        w.on(new Retuned(new Settings(
+                0,
+                1,
+                0,
+                MS,
+                false,
+                CacheMode.ASIDE,
+                1,
+                0.1,
+                List.of(pay),
+                List.of(),
                 new Limits(1, false, true, true, true, true, l.maxRetryAfterNanos(), l.connectTimeoutNanos(), 32),
                 old.rules())));
         w.end(w.sent(before), Outcome.RESET, 0, MS);
--- a/src/test/java/slateseam/decision/ClientGoneTest.java
+++ b/src/test/java/slateseam/decision/ClientGoneTest.java
@@ -22,7 +22,9 @@
         meanwhile.run();
         w.pass(3_000 * MS);
         assertThat(w.sends(request)).isEqualTo(before);
-        assertThat(w.refused(request) || w.failed(request)).as("an answer nobody waits for").isFalse();
+        assertThat(w.refused(request) || w.failed(request))
+                .as("an answer nobody waits for")
+                .isFalse();
     }
 
     @Test
@@ -36,7 +38,7 @@
             }
         }
         assertThat(held).isNotEmpty();
-        nothingMoreIsSentFor(held.get(held.size() - 1), () -> { });
+        nothingMoreIsSentFor(held.get(held.size() - 1), () -> {});
     }
 
     @Test
@@ -54,7 +56,7 @@
         long request = w.request(5, 0);
         Send first = w.sent(request);
         w.on(new AttemptEnded(request, first.member(), 0, Outcome.MISS, true, false, MS));
-        nothingMoreIsSentFor(request, () -> { });
+        nothingMoreIsSentFor(request, () -> {});
     }
 
     @Test
@@ -76,6 +78,7 @@
     void betweenTwoAttempts() {
         long request = w.request(5, 0);
         Send first = w.sent(request);
-        nothingMoreIsSentFor(request, () -> w.on(new AttemptEnded(request, first.member(), 0, Outcome.RESET, false, true, MS)));
+        nothingMoreIsSentFor(
+                request, () -> w.on(new AttemptEnded(request, first.member(), 0, Outcome.RESET, false, true, MS)));
     }
 }
--- a/src/test/java/slateseam/decision/ColdBucketTest.java
+++ b/src/test/java/slateseam/decision/ColdBucketTest.java
@@ -15,6 +15,7 @@
     private static final long WINDOW = 2_000 * MS;
     /** Of the caches at full load: requests a second that a cache which has just started bears, and the multiple under which it falls. */
     private static final double BEARS = 6;
+
     private static final double MULTIPLE = 3;
     private static final int SEEDS = 300;
 
@@ -26,6 +27,7 @@
 
     /** Everybody asks as often as it can from the first moment, after a pause in which all tokens came, or as traffic is. */
     private static final Demand AT_ONCE = (random, now, share) -> true;
+
     private static final Demand AFTER_A_PAUSE = (random, now, share) -> now > 9_000 * MS;
     private static final Demand TRAFFIC = (random, now, share) -> random.nextDouble() < BEARS * share * 0.01;
 
--- a/src/test/java/slateseam/decision/EmbeddingExampleTest.java
+++ b/src/test/java/slateseam/decision/EmbeddingExampleTest.java
@@ -12,7 +12,15 @@
     @Test
     void aHostRouterEmbedsTheModule() {
         long ms = 1_000_000L;
-        Settings settings = new Settings(0, 1, 0, ms, false, CacheMode.ASIDE, 1, 0.05,
+        Settings settings = new Settings(
+                0,
+                1,
+                0,
+                ms,
+                false,
+                CacheMode.ASIDE,
+                1,
+                0.05,
                 List.of(new RequestClass("lookup", 500 * ms, 1000 * ms, 1, 0, Effect.PURE, Group.ALL, 0, false)),
                 List.of(),
                 new Limits(4, false, true, false, false, true, 500 * ms, 100 * ms, 32),
@@ -22,9 +30,14 @@
         long now = System.nanoTime();
 
         brain.handle(now, new Started(), actions::add);
-        brain.handle(now, new MembersChanged(ListKind.FULL, List.of(
-                new Member(7, 0, 0, 0, MemberState.READY, 1, 0),
-                new Member(9, 0, 1, 0, MemberState.READY, 1, 0))), actions::add);
+        brain.handle(
+                now,
+                new MembersChanged(
+                        ListKind.FULL,
+                        List.of(
+                                new Member(7, 0, 0, 0, MemberState.READY, 1, 0),
+                                new Member(9, 0, 1, 0, MemberState.READY, 1, 0))),
+                actions::add);
         actions.clear();
         brain.handle(now, new RequestArrived(1, 0xB0A7, 0, 0, false, false, 0, 1000 * ms), actions::add);
         assertEquals(new Send(1, 7, 400 * ms, Send.ANY_TIME), actions.get(0));
--- a/src/test/java/slateseam/decision/NoisyTenantTest.java
+++ b/src/test/java/slateseam/decision/NoisyTenantTest.java
@@ -31,14 +31,19 @@
     private static final int BAD = 600;
 
     /** What the other tenant does. */
-    enum Habit { NOTHING, KEYS_THAT_MISS, NEW_KEYS, WRITES, COMES_AGAIN_AT_ONCE }
+    enum Habit {
+        NOTHING,
+        KEYS_THAT_MISS,
+        NEW_KEYS,
+        WRITES,
+        COMES_AGAIN_AT_ONCE
+    }
 
     /** What was seen: of the good tenant's reads the part served, refused, its fetches; the other's fetches a second. */
-    record Seen(double served, double refused, double fetches, double otherFetches, double leastFill, double mostFill) {
-    }
+    record Seen(
+            double served, double refused, double fetches, double otherFetches, double leastFill, double mostFill) {}
 
-    private record Asked(int router, int tenant, long key, boolean write) {
-    }
+    private record Asked(int router, int tenant, long key, boolean write) {}
 
     private final Random random = new Random(7);
     private final World[] worlds = new World[ROUTERS];
@@ -52,8 +57,11 @@
 
     Seen play(Habit habit, boolean byOne) {
         for (int i = 0; i < ROUTERS; i++) {
-            worlds[i] = new World(World.settings(i, ROUTERS, false, List.of(new Tenant("good", 200, 0.8), new Tenant("bad", 40, 0.2))),
-                    i, now);
+            worlds[i] = new World(
+                    World.settings(
+                            i, ROUTERS, false, List.of(new Tenant("good", 200, 0.8), new Tenant("bad", 40, 0.2))),
+                    i,
+                    now);
             worlds[i].fleet(6);
         }
         int goodAsked = 0;
@@ -87,8 +95,13 @@
             }
         }
         double seconds = SECONDS - 10;
-        return new Seen((double) counts[0] / goodAsked, (double) counts[1] / goodAsked, counts[2] / seconds,
-                otherFetches[0] / (double) SECONDS, least, most);
+        return new Seen(
+                (double) counts[0] / goodAsked,
+                (double) counts[1] / goodAsked,
+                counts[2] / seconds,
+                otherFetches[0] / (double) SECONDS,
+                least,
+                most);
     }
 
     private void ask(int router, int tenant, long key, boolean write, boolean counted) {
@@ -99,7 +112,7 @@
 
     /** Carries out what the routers ask for, until they ask for nothing more. */
     private void settle(Habit habit, int[] otherFetches) {
-        for (boolean more = true; more;) {
+        for (boolean more = true; more; ) {
             more = false;
             for (int i = 0; i < ROUTERS; i++) {
                 List<Action> actions = List.copyOf(worlds[i].actions);
@@ -120,7 +133,8 @@
         } else if (action instanceof Send send) {
             Asked of = asked.get(send.request());
             boolean origin = send.member() == World.ORIGIN;
-            Outcome outcome = origin ? tokens >= 1 ? Outcome.OK : Outcome.FULL
+            Outcome outcome = origin
+                    ? tokens >= 1 ? Outcome.OK : Outcome.FULL
                     : stored.contains(of.key * 100 + send.member()) ? Outcome.OK : Outcome.MISS;
             if (origin && outcome == Outcome.OK) {
                 tokens--;
@@ -132,7 +146,13 @@
                 }
             }
             int attempt = (int) attempts.merge(send.request(), 1, Integer::sum) - 1;
-            worlds[router].on(new AttemptEnded(send.request(), send.member(), attempt, outcome, false, outcome == Outcome.OK,
+            worlds[router].on(new AttemptEnded(
+                    send.request(),
+                    send.member(),
+                    attempt,
+                    outcome,
+                    false,
+                    outcome == Outcome.OK,
                     origin ? 60 * MS : 5 * MS));
             counts[0] += outcome == Outcome.OK && of.tenant == 0 ? 1 : 0;
             return true;
@@ -150,7 +170,8 @@
     private final Map<Long, Integer> attempts = new HashMap<>();
 
     private static double lost(Habit habit, boolean byOne) {
-        return new NoisyTenantTest().play(Habit.NOTHING, false).served() - new NoisyTenantTest().play(habit, byOne).served();
+        return new NoisyTenantTest().play(Habit.NOTHING, false).served()
+                - new NoisyTenantTest().play(habit, byOne).served();
     }
 
     @ParameterizedTest
@@ -172,14 +193,23 @@
     }
 
     public static void main(String[] args) {
-        System.out.println("| the other tenant | enters by | good served | good refused | good fetches/s | other's fetches/s"
-                + " | parts of supply |\n| --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println(
+                "| the other tenant | enters by | good served | good refused | good fetches/s | other's fetches/s"
+                        + " | parts of supply |\n| --- | --- | --- | --- | --- | --- | --- |");
         for (Habit habit : Habit.values()) {
             for (boolean byOne : habit == Habit.NOTHING ? new boolean[] {false} : new boolean[] {false, true}) {
                 Seen seen = new NoisyTenantTest().play(habit, byOne);
-                System.out.printf(Locale.ROOT, "| %s | %s | %.3f | %.3f | %.1f | %.1f | %.2f..%.2f |%n",
-                        habit.name().toLowerCase(Locale.ROOT).replace('_', ' '), byOne ? "one" : "all", seen.served(),
-                        seen.refused(), seen.fetches(), seen.otherFetches(), seen.leastFill(), seen.mostFill());
+                System.out.printf(
+                        Locale.ROOT,
+                        "| %s | %s | %.3f | %.3f | %.1f | %.1f | %.2f..%.2f |%n",
+                        habit.name().toLowerCase(Locale.ROOT).replace('_', ' '),
+                        byOne ? "one" : "all",
+                        seen.served(),
+                        seen.refused(),
+                        seen.fetches(),
+                        seen.otherFetches(),
+                        seen.leastFill(),
+                        seen.mostFill());
             }
         }
     }
--- a/src/test/java/slateseam/decision/OriginRateTest.java
+++ b/src/test/java/slateseam/decision/OriginRateTest.java
@@ -13,8 +13,7 @@
     private static final long QUICK = 15 * MS;
     private static final long USUAL = 120 * MS;
 
-    private record Out(Send send, long due, Outcome outcome, long took) {
-    }
+    private record Out(Send send, long due, Outcome outcome, long took) {}
 
     private final World w = World.single();
     private final List<Out> out = new ArrayList<>();
@@ -28,7 +27,7 @@
     /** Writes come at this rate; each that goes out ends so, after so long, while the clock goes on. */
     private void pass(long nanos, int perSecond, Outcome outcome, long took) {
         double due = 0;
-        for (long end = w.now + nanos; w.now < end;) {
+        for (long end = w.now + nanos; w.now < end; ) {
             List<Action> actions = new ArrayList<>(w.pass(10 * MS));
             for (Out o : List.copyOf(out)) {
                 if (o.due() <= w.now) {
--- a/src/test/java/slateseam/decision/Ring.java
+++ b/src/test/java/slateseam/decision/Ring.java
@@ -9,8 +9,7 @@
 
 /** A ring of instances whose messages may be lost, doubled and overtaken; all chance comes from one seed. */
 final class Ring {
-    record Letter(int from, int to, byte[] payload, long due) {
-    }
+    record Letter(int from, int to, byte[] payload, long due) {}
 
     final World[] routers;
     final Random random;
@@ -23,11 +22,13 @@
     final boolean[] paused;
     /** Those whose messages get nowhere. */
     final boolean[] mute;
+
     final double repeat;
     double loss;
     long now = 1_000_000 * MS;
     /** The most that the routers held together at the end of a step, since it was last set. */
     long most;
+
     long least;
 
     Ring(int n, long seed, double loss, double repeat) {
@@ -44,8 +45,10 @@
     }
 
     void start(int i) {
-        World w = new World(World.settings(i, routers.length, false, List.of(new Tenant("t", 50, 1))),
-                random.nextLong(), now - behind[i]);
+        World w = new World(
+                World.settings(i, routers.length, false, List.of(new Tenant("t", 50, 1))),
+                random.nextLong(),
+                now - behind[i]);
         w.fleet(3);
         routers[i] = w;
         collect(i);
@@ -53,8 +56,10 @@
 
     /** A further process of a router, which is to take over and has not yet; it is talked to by nobody. */
     World heir(int i) {
-        World w = new World(World.settings(i, routers.length, false, List.of(new Tenant("t", 50, 1))),
-                random.nextLong(), now - behind[i]);
+        World w = new World(
+                World.settings(i, routers.length, false, List.of(new Tenant("t", 50, 1))),
+                random.nextLong(),
+                now - behind[i]);
         w.on(new Rests(true));
         w.fleet(3);
         w.actions.clear();
@@ -84,7 +89,7 @@
 
     /** Lets time pass in steps of 10 ms, in each of which routers get so many requests that miss. */
     void pass(long nanos, double... misses) {
-        for (long end = now + nanos; now < end;) {
+        for (long end = now + nanos; now < end; ) {
             now += 10 * MS;
             for (int i = 0; i < routers.length; i++) {
                 if (routers[i] == null || paused[i]) {
@@ -109,7 +114,8 @@
     }
 
     private void deliver() {
-        List<Letter> arrived = post.stream().filter(l -> l.due() <= now && !paused[l.to()]).toList();
+        List<Letter> arrived =
+                post.stream().filter(l -> l.due() <= now && !paused[l.to()]).toList();
         post.removeAll(arrived);
         for (Letter l : arrived) {
             if (routers[l.to()] != null && random.nextDouble() >= loss && !mute[l.from()]) {
--- a/src/test/java/slateseam/decision/RulesPropertyTest.java
+++ b/src/test/java/slateseam/decision/RulesPropertyTest.java
@@ -47,7 +47,8 @@
         }
         assertFalse(sends.isEmpty());
         for (long at : sends) {
-            long inWindow = sends.stream().filter(t -> t >= at && t < at + 2000 * MS).count();
+            long inWindow =
+                    sends.stream().filter(t -> t >= at && t < at + 2000 * MS).count();
             double age = Math.min(1, (at - up) / (8000.0 * MS));
             assertTrue(inWindow <= 3 * (0.3 + 0.7 * age) * fairShare * 2, inWindow + " sent at age " + age);
         }
--- a/src/test/java/slateseam/decision/SlicesPlacementTest.java
+++ b/src/test/java/slateseam/decision/SlicesPlacementTest.java
@@ -27,26 +27,52 @@
     private long version = 10;
 
     private static Endpoint endpoint(int i) {
-        return new Endpoint(List.of("10.0.0." + i), true, null, null, "a", null, List.of(),
-                UUID.nameUUIDFromBytes(new byte[] {(byte) i}).toString(), "pod");
+        return new Endpoint(
+                List.of("10.0.0." + i),
+                true,
+                null,
+                null,
+                "a",
+                null,
+                List.of(),
+                UUID.nameUUIDFromBytes(new byte[] {(byte) i}).toString(),
+                "pod");
     }
 
     private Slice slice(String name, int from, int to) {
-        return new Slice(name, "of-" + name, ++version, false, 1, IntStream.range(from, to)
-                .mapToObj(SlicesPlacementTest::endpoint).toList(), Map.of(), Map.of());
+        return new Slice(
+                name,
+                "of-" + name,
+                ++version,
+                false,
+                1,
+                IntStream.range(from, to)
+                        .mapToObj(SlicesPlacementTest::endpoint)
+                        .toList(),
+                Map.of(),
+                Map.of());
     }
 
     private long[] homes() {
         List<Member> members = new ArrayList<>();
         members.add(World.member(World.ORIGIN, MemberState.READY, 0));
-        membership.servers(version * MS).forEach(s -> members.add(new Member(
-                Hash.of(s.name().getBytes(StandardCharsets.UTF_8)) >>> 1, 0, 0, 0,
-                s.ready() ? MemberState.READY : MemberState.DRAINING, s.weight(), s.bornAtNanos())));
+        membership
+                .servers(version * MS)
+                .forEach(s -> members.add(new Member(
+                        Hash.of(s.name().getBytes(StandardCharsets.UTF_8)) >>> 1,
+                        0,
+                        0,
+                        0,
+                        s.ready() ? MemberState.READY : MemberState.DRAINING,
+                        s.weight(),
+                        s.bornAtNanos())));
         world.on(new MembersChanged(ListKind.FULL, members));
-        return IntStream.range(0, KEYS).mapToLong(key -> {
-            world.actions.clear();
-            return world.homeOf(JumpHash.mix(key + 1));
-        }).toArray();
+        return IntStream.range(0, KEYS)
+                .mapToLong(key -> {
+                    world.actions.clear();
+                    return world.homeOf(JumpHash.mix(key + 1));
+                })
+                .toArray();
     }
 
     private static long moved(long[] before, long[] after) {
@@ -71,6 +97,9 @@
         long[] after = homes();
         long gone = Hash.of(endpoint(0).targetUid().getBytes(StandardCharsets.UTF_8)) >>> 1;
         long ofIt = IntStream.range(0, KEYS).filter(i -> before[i] == gone).count();
-        assertThat(moved(before, after)).as("one of a hundred gone").isEqualTo(ofIt).isBetween(100L, 400L);
+        assertThat(moved(before, after))
+                .as("one of a hundred gone")
+                .isEqualTo(ofIt)
+                .isBetween(100L, 400L);
     }
 }
--- a/src/test/java/slateseam/decision/StrainTest.java
+++ b/src/test/java/slateseam/decision/StrainTest.java
@@ -18,15 +18,13 @@
     private static final int CACHES = 12;
 
     /** How an attempt ends, and after how long. */
-    private record End(Outcome outcome, long took) {
-    }
+    private record End(Outcome outcome, long took) {}
 
     private interface Fate {
         End of(int cache);
     }
 
-    private record Out(Send send, int attempt, End end, long due) {
-    }
+    private record Out(Send send, int attempt, End end, long due) {}
 
     private static final End WELL = new End(Outcome.OK, 20 * MS);
 
@@ -47,13 +45,19 @@
     private void pass(long nanos, int requests) {
         sends = new int[CACHES];
         refused = 0;
-        for (long end = w.now + nanos; w.now < end;) {
+        for (long end = w.now + nanos; w.now < end; ) {
             w.now += 10 * MS;
-            for (Deque<Out> due = out; !due.isEmpty();) {
+            for (Deque<Out> due = out; !due.isEmpty(); ) {
                 out = new ArrayDeque<>(due.stream().filter(o -> o.due() > w.now).toList());
                 due.removeIf(o -> o.due() > w.now);
-                due.forEach(o -> w.on(new AttemptEnded(o.send().request(), o.send().member(), o.attempt(),
-                        o.end().outcome(), false, o.end().outcome() == Outcome.OK, o.end().took())));
+                due.forEach(o -> w.on(new AttemptEnded(
+                        o.send().request(),
+                        o.send().member(),
+                        o.attempt(),
+                        o.end().outcome(),
+                        false,
+                        o.end().outcome() == Outcome.OK,
+                        o.end().took())));
                 look();
                 due.clear();
             }
@@ -69,7 +73,8 @@
         for (; seen < w.actions.size(); seen++) {
             if (w.actions.get(seen) instanceof Send s) {
                 long attempt = w.actions.subList(0, seen).stream()
-                        .filter(a -> a instanceof Send t && t.request() == s.request()).count();
+                        .filter(a -> a instanceof Send t && t.request() == s.request())
+                        .count();
                 boolean origin = s.member() == World.ORIGIN;
                 sends[origin ? 0 : (int) s.member() - 10] += origin ? 0 : 1;
                 End end = origin ? WELL : fate.of((int) s.member() - 10);
@@ -147,8 +152,9 @@
             t.pass(2_500 * MS, 2);
             t.pass(5_000 * MS, 2);
             for (int cache = 0; cache < CACHES; cache++) {
-                assertThat(t.sends[cache]).as("%s, cache %d", end, cache).isBetween(cache < 7 ? 0 : 100,
-                        cache < 7 ? 8 : 1_000);
+                assertThat(t.sends[cache])
+                        .as("%s, cache %d", end, cache)
+                        .isBetween(cache < 7 ? 0 : 100, cache < 7 ? 8 : 1_000);
             }
             assertThat(t.refused).isLessThan(10);
             t.fate = cache -> WELL;
@@ -164,8 +170,9 @@
         for (int struck : new int[] {5, CACHES}) {
             StrainTest t = new StrainTest();
             int[] got = new int[CACHES];
-            t.fate = cache -> cache >= struck || ++got[cache] > 1 ? WELL : cache % 2 == 0
-                    ? new End(Outcome.FULL, 5 * MS) : new End(Outcome.TIMEOUT, 350 * MS);
+            t.fate = cache -> cache >= struck || ++got[cache] > 1
+                    ? WELL
+                    : cache % 2 == 0 ? new End(Outcome.FULL, 5 * MS) : new End(Outcome.TIMEOUT, 350 * MS);
             t.pass(500 * MS, 3);
             t.pass(300 * MS, 3);
             assertThat(t.used()).as("%d struck", struck).hasSize(CACHES);
--- a/src/test/java/slateseam/decision/SupplyLinksTest.java
+++ b/src/test/java/slateseam/decision/SupplyLinksTest.java
@@ -48,13 +48,18 @@
             now += 10 * MS;
             brain.handle(now, new TimerFired(1), actions::add);
         }
-        return actions.stream().filter(TellPeer.class::isInstance).map(TellPeer.class::cast).toList();
+        return actions.stream()
+                .filter(TellPeer.class::isInstance)
+                .map(TellPeer.class::cast)
+                .toList();
     }
 
     private static PeerMessage ask(int from) {
         int[] none = new int[1];
-        return new PeerMessage(from, new SupplyMessage(true, false, true, 5, 0, 1, 0, 40, none, none, none,
-                new double[] {1}, Map.of()).encode());
+        return new PeerMessage(
+                from,
+                new SupplyMessage(true, false, true, 5, 0, 1, 0, 40, none, none, none, new double[] {1}, Map.of())
+                        .encode());
     }
 
     @Test
@@ -88,7 +93,8 @@
         assertThat(back.to()).isEqualTo(7);
         assertThat(back.units()).containsExactly(3, -4);
         assertThat(SupplyReminder.decode(bytes, 1)).isNull();
-        assertThat(SupplyReminder.decode(Arrays.copyOf(bytes, bytes.length - 1), 2)).isNull();
+        assertThat(SupplyReminder.decode(Arrays.copyOf(bytes, bytes.length - 1), 2))
+                .isNull();
         assertThat(SupplyReminder.isOne(new byte[0])).isFalse();
         // A build without links takes it for a message of another version.
         assertThat(SupplyMessage.decode(bytes, 2)).isNull();
--- a/src/test/java/slateseam/decision/SupplyReturnTest.java
+++ b/src/test/java/slateseam/decision/SupplyReturnTest.java
@@ -23,6 +23,7 @@
     private static final long EXCHANGE = 130 * MS;
     /** Else it no longer waits for its neighbours. */
     private static final long WAIT = 250 * MS;
+
     private static final long MOST = Account.WHOLE / 32 * 33L;
 
     private static double[] demand(Ring ring) {
@@ -47,7 +48,7 @@
     }
 
     private static void passUntilItHolds(Ring ring, long most) {
-        for (long end = ring.now + most; ring.held(ITS, 0) == 0 && ring.now < end;) {
+        for (long end = ring.now + most; ring.held(ITS, 0) == 0 && ring.now < end; ) {
             ring.pass(10 * MS, demand(ring));
         }
     }
@@ -207,7 +208,9 @@
                 spent += old.sends(old.request(0, 2));
             }
             // A burst that it had, of the supply of a quarter of a second, and nothing that accrues.
-            assertThat(spent).isLessThanOrEqualTo(1 + (int) (SupplyTest.accounts(old.brain).get(0).supply() / 4));
+            assertThat(spent)
+                    .isLessThanOrEqualTo(
+                            1 + (int) (SupplyTest.accounts(old.brain).get(0).supply() / 4));
             passUntilItHolds(ring, EXCHANGE);
             assertThat(ring.held(ITS, 0)).as("seed " + seed).isGreaterThan(before / 2);
             ring.pass(4000 * MS, demand(ring));
@@ -228,7 +231,9 @@
                 ring.pass(pause, demand(ring));
                 Arrays.fill(ring.paused, false);
                 ring.pass(2_000 * MS, demand(ring));
-                assertThat(ring.most).as("%d routers, all paused %d ms", n, pause / MS).isLessThan(MOST);
+                assertThat(ring.most)
+                        .as("%d routers, all paused %d ms", n, pause / MS)
+                        .isLessThan(MOST);
                 assertThat(ring.least).isGreaterThan(Account.WHOLE / 10 * 9L);
             }
         }
@@ -267,9 +272,11 @@
         tell(ring, heir, ITS, Sight.UNKNOWN, Trust.FULL);
         ring.pass(4_000 * MS, demand(ring));
         assertThat(ring.total(0)).isGreaterThan(MOST);
-        assertThat(SupplyTest.accounts(ring.routers[heir].brain).get(0).inherited).isPositive();
+        assertThat(SupplyTest.accounts(ring.routers[heir].brain).get(0).inherited)
+                .isPositive();
         tell(ring, heir, ITS, Sight.THERE, Trust.FULL);
-        assertThat(SupplyTest.accounts(ring.routers[heir].brain).get(0).inherited).isZero();
+        assertThat(SupplyTest.accounts(ring.routers[heir].brain).get(0).inherited)
+                .isZero();
         // What it had passed on meanwhile it owes, and the ring brings it back.
         ring.pass(8_000 * MS, demand(ring));
         assertThat(ring.total(0)).isLessThan(MOST);
--- a/src/test/java/slateseam/decision/SupplyTest.java
+++ b/src/test/java/slateseam/decision/SupplyTest.java
@@ -93,8 +93,23 @@
         w.fleet(10);
         int to = (int) field(w.brain, "budgets", "life");
         int[] all = {Account.WHOLE / 2, Account.WHOLE / 2};
-        w.on(new PeerMessage(1, new SupplyMessage(false, true, false, 5, to, 1, 0, 40, all, new int[2], new int[2],
-                new double[] {1, 1}, Map.of()).encode()));
+        w.on(new PeerMessage(
+                1,
+                new SupplyMessage(
+                                false,
+                                true,
+                                false,
+                                5,
+                                to,
+                                1,
+                                0,
+                                40,
+                                all,
+                                new int[2],
+                                new int[2],
+                                new double[] {1, 1},
+                                Map.of())
+                        .encode()));
         double rate = accounts(w.brain).get(0).rate;
         for (int i = 0; i < 300; i++) {
             w.drive(w.request(1000 + i, 0), i < 200 && i % 3 > 0 ? Outcome.FULL : Outcome.OK);
@@ -120,7 +135,9 @@
         int most = SupplyMessage.MOST_ACCOUNTS;
         double[] demand = new double[most];
         Arrays.fill(demand, 2);
-        byte[] bytes = new SupplyMessage(true, false, true, 5, 6, 7, 8, 9, new int[most], new int[most], new int[most], demand, Map.of()).encode();
+        byte[] bytes = new SupplyMessage(
+                        true, false, true, 5, 6, 7, 8, 9, new int[most], new int[most], new int[most], demand, Map.of())
+                .encode();
         assertTrue(bytes.length <= 256);
         SupplyMessage back = SupplyMessage.decode(bytes, most);
         assertEquals(7, back.sequence());
@@ -128,8 +145,21 @@
         assertNull(SupplyMessage.decode(bytes, most - 1));
         assertNull(SupplyMessage.decode(Arrays.copyOf(bytes, bytes.length - 1), most));
         for (double rate : new double[] {0, -1, Double.NaN, Double.POSITIVE_INFINITY, 1e9}) {
-            byte[] absurd = new SupplyMessage(true, false, true, 5, 6, 7, 8, rate, new int[most], new int[most],
-                    new int[most], demand, Map.of()).encode();
+            byte[] absurd = new SupplyMessage(
+                            true,
+                            false,
+                            true,
+                            5,
+                            6,
+                            7,
+                            8,
+                            rate,
+                            new int[most],
+                            new int[most],
+                            new int[most],
+                            demand,
+                            Map.of())
+                    .encode();
             assertNull(SupplyMessage.decode(absurd, most), "a rate of " + rate);
         }
         bytes[0]++;
@@ -145,8 +175,21 @@
             }
         }
         int room = SupplyMessage.room(3);
-        byte[] bytes = new SupplyMessage(true, false, true, 5, 6, 7, 8, 9, new int[3], new int[3], new int[3], new double[] {1, 1, 1},
-                keys.tell(1, room, 0.5)).encode();
+        byte[] bytes = new SupplyMessage(
+                        true,
+                        false,
+                        true,
+                        5,
+                        6,
+                        7,
+                        8,
+                        9,
+                        new int[3],
+                        new int[3],
+                        new int[3],
+                        new double[] {1, 1, 1},
+                        keys.tell(1, room, 0.5))
+                .encode();
         assertTrue(bytes.length <= 256);
         Map<Long, Double> told = SupplyMessage.decode(bytes, 3).popular();
         assertEquals(room, told.size());
--- a/src/test/java/slateseam/decision/World.java
+++ b/src/test/java/slateseam/decision/World.java
@@ -30,7 +30,17 @@
                 new RequestClass("hold", 500 * MS, 1000 * MS, 1, 0.5, Effect.TOKEN, Group.CELL, 200 * MS, false),
                 new RequestClass("pay", 500 * MS, 1000 * MS, 1, 0.5, Effect.SIDE_EFFECT, Group.ALL, 0, false),
                 new RequestClass("feed", 500 * MS, 1000 * MS, 1, 0.5, Effect.PURE, Group.ALL, 0, true));
-        return new Settings(me, routers, 0, MS, asked, CacheMode.ASIDE, 1, 0.1, classes, tenants,
+        return new Settings(
+                me,
+                routers,
+                0,
+                MS,
+                asked,
+                CacheMode.ASIDE,
+                1,
+                0.1,
+                classes,
+                tenants,
                 new Limits(4, false, true, true, true, true, 500 * MS, 100 * MS, 32),
                 new Rules(500 * MS, 10_000 * MS, 0.3, 8_000 * MS, 3, 2_000 * MS, 8 * MS));
     }
@@ -65,7 +75,7 @@
     /** Lets time pass, with the module's housekeeping. */
     List<Action> pass(long nanos) {
         List<Action> all = new ArrayList<>();
-        for (long end = now + nanos; now < end;) {
+        for (long end = now + nanos; now < end; ) {
             now += 10 * MS;
             all.addAll(on(new TimerFired(1)));
         }
@@ -79,8 +89,8 @@
     }
 
     List<Action> end(Send send, Outcome outcome, int attempt, long took) {
-        return on(new AttemptEnded(send.request(), send.member(), attempt, outcome, false, outcome == Outcome.OK,
-                took));
+        return on(
+                new AttemptEnded(send.request(), send.member(), attempt, outcome, false, outcome == Outcome.OK, took));
     }
 
     /** Ends the request's first attempt so, and serves it at the next that it gets at once. */
@@ -110,7 +120,9 @@
     }
 
     long sends(long request) {
-        return actions.stream().filter(a -> a instanceof Send s && s.request() == request).count();
+        return actions.stream()
+                .filter(a -> a instanceof Send s && s.request() == request)
+                .count();
     }
 
     /** The n-th key that belongs to a cache while there are ten. */
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -53,6 +53,7 @@
 final class Recorded {
     /** A guard against waiting for ever; no test depends on how long a round takes. */
     private static final int MOST_ROUNDS = 5_000;
+
     private static final long MILLI = 1_000_000L;
     private static final int MOST_STATS = 64 * 1024;
     private static final Pattern LONG = Pattern.compile("\\{(\\d+) (.)}");
@@ -75,7 +76,8 @@
     private long now = 1_000_000_000_000L * MILLI;
 
     Recorded(Path file) throws Exception {
-        steps = repeated(Files.readAllLines(file).stream().filter(line -> !line.isBlank() && !line.startsWith("#"))
+        steps = repeated(Files.readAllLines(file).stream()
+                .filter(line -> !line.isBlank() && !line.startsWith("#"))
                 .toList());
         String text = Files.readString(Path.of("src/test/resources/node.json"));
         for (String line : steps) {
@@ -99,8 +101,7 @@
     private void start() throws Exception {
         NodeConfig node = NodeConfig.parse(fill(config));
         Features features = Features.read(settings("", ""), node);
-        router = new Router(node, features, () -> now,
-                new Log("n0", () -> now, console), console);
+        router = new Router(node, features, () -> now, new Log("n0", () -> now, console), console);
         if (!router.listens() && steps.stream().noneMatch(line -> line.startsWith("discovery"))) {
             tellKnown(node.known().toString());
         }
@@ -109,9 +110,12 @@
     /** A discovery that the exchange says nothing of tells what the router knows already, and then nothing more. */
     private void tellKnown(String list) throws IOException {
         channels.remove("discovery");
-        assertThat(read("discovery", WHOLE_LIST.length())).isEqualTo(text(WHOLE_LIST.getBytes(StandardCharsets.US_ASCII)));
-        write(channel("discovery"), ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
-                .getBytes(StandardCharsets.US_ASCII));
+        assertThat(read("discovery", WHOLE_LIST.length()))
+                .isEqualTo(text(WHOLE_LIST.getBytes(StandardCharsets.US_ASCII)));
+        write(
+                channel("discovery"),
+                ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
     }
 
     private static List<String> repeated(List<String> lines) {
@@ -201,7 +205,8 @@
             Path file = Files.createTempFile("node", ".json");
             String[] change = line.substring(7).split(" => ", -1);
             boolean node = config.contains(change[0]);
-            router.reload(Files.writeString(file, fill(node ? changed(config, line.substring(7)) : config)),
+            router.reload(
+                    Files.writeString(file, fill(node ? changed(config, line.substring(7)) : config)),
                     settings(node ? "" : change[0], node ? "" : change[1]));
             round();
             Files.delete(file);
@@ -295,13 +300,17 @@
 
     private SocketChannel open(String who) throws IOException {
         SocketChannel channel = SocketChannel.open();
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true); // or a second part waits until the first is acknowledged
+        channel.setOption(
+                StandardSocketOptions.TCP_NODELAY, true); // or a second part waits until the first is acknowledged
         if (who.startsWith("tap")) {
             channel.setOption(StandardSocketOptions.SO_RCVBUF, 4096); // so that one which does not read is soon full
         }
-        channel.connect(who.startsWith("call") ? router.controlAddress()
-                : who.startsWith("tap") ? router.tapAddress() : who.startsWith("mget") ? router.multiGetAddress()
-                : router.address());
+        channel.connect(
+                who.startsWith("call")
+                        ? router.controlAddress()
+                        : who.startsWith("tap")
+                                ? router.tapAddress()
+                                : who.startsWith("mget") ? router.multiGetAddress() : router.address());
         return channel;
     }
 
@@ -349,9 +358,11 @@
     private byte[] bytes(String recorded) throws IOException {
         String plain = LONG.matcher(fill(recorded).replace("\\r", "\r").replace("\\n", "\n"))
                 .replaceAll(run -> run.group(2).repeat(Integer.parseInt(run.group(1))));
-        plain = CHUNK.matcher(plain).replaceAll(chunk -> Matcher.quoteReplacement(
-                Integer.toHexString(chunk.group(1).length()) + "\r\n" + chunk.group(1) + "\r\n"));
+        plain = CHUNK.matcher(plain)
+                .replaceAll(chunk -> Matcher.quoteReplacement(
+                        Integer.toHexString(chunk.group(1).length()) + "\r\n" + chunk.group(1) + "\r\n"));
         int body = plain.indexOf("\r\n\r\n") + 4;
-        return plain.replace("{length}", Integer.toString(plain.length() - body)).getBytes(StandardCharsets.ISO_8859_1);
+        return plain.replace("{length}", Integer.toString(plain.length() - body))
+                .getBytes(StandardCharsets.ISO_8859_1);
     }
 }
--- a/src/test/java/slateseam/router/config/NodeConfigTest.java
+++ b/src/test/java/slateseam/router/config/NodeConfigTest.java
@@ -32,27 +32,35 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"seed\": \"|\"seed\": \"zz|seed",
-        "127.0.0.1:6379|localhost:6379|listen",
-        "127.0.0.1:6379|127.0.0.1:66000|listen",
-        "\"sockets\": 1024|\"sockets\": 8|limits.sockets",
-        "\"effect\": \"pure\"|\"effect\": \"perhaps\"|effect",
-        "\"replicas_of_me\": 1|\"replicas_of_me\": 2|peers",
-        "\"known\"|\"unknown\"|known"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"seed\": \"|\"seed\": \"zz|seed",
+                "127.0.0.1:6379|localhost:6379|listen",
+                "127.0.0.1:6379|127.0.0.1:66000|listen",
+                "\"sockets\": 1024|\"sockets\": 8|limits.sockets",
+                "\"effect\": \"pure\"|\"effect\": \"perhaps\"|effect",
+                "\"replicas_of_me\": 1|\"replicas_of_me\": 2|peers",
+                "\"known\"|\"unknown\"|known"
+            })
     void aBadValueIsNamedInOneLine(String good, String bad, String named) throws Exception {
         String text = example();
         assertThat(text).contains(good);
         assertThatThrownBy(() -> NodeConfig.parse(text.replace(good, bad)))
-                .isInstanceOf(InvalidConfigException.class).hasMessageContaining(named)
+                .isInstanceOf(InvalidConfigException.class)
+                .hasMessageContaining(named)
                 .hasMessageNotContaining("\n");
     }
 
     @Test
     void nestedSettingsBecomeTheWiresPaths() {
-        assertThat(NodeConfig.flat(new JSONObject("{\"a\":{\"b\":1.5},\"l\":[\"x\",\"y\"],\"o\":[{\"n\":true}],\"z\":null}")))
-                .containsOnly(Map.entry("a.b", "1.5"), Map.entry("l", "x,y"),
-                        Map.entry("o.count", "1"), Map.entry("o.0.n", "true"));
+        assertThat(NodeConfig.flat(
+                        new JSONObject("{\"a\":{\"b\":1.5},\"l\":[\"x\",\"y\"],\"o\":[{\"n\":true}],\"z\":null}")))
+                .containsOnly(
+                        Map.entry("a.b", "1.5"),
+                        Map.entry("l", "x,y"),
+                        Map.entry("o.count", "1"),
+                        Map.entry("o.0.n", "true"));
     }
 
     private static JSONObject parent(JSONObject whole, String path) {
@@ -94,37 +102,45 @@
                 JSONObject broken = new JSONObject(example());
                 Object was = parent(broken, key).get(last);
                 // What only some classes have may be left out; a text may be another one.
-                if (bad == null && last.equals("window_ns") || bad instanceof String && was instanceof String
+                if (bad == null && last.equals("window_ns")
+                        || bad instanceof String && was instanceof String
                         || bad instanceof JSONArray && was instanceof JSONArray && ((JSONArray) was).isEmpty()) {
                     continue;
                 }
                 parent(broken, key).put(last, bad);
                 Files.writeString(file, broken.toString());
-                assertThatThrownBy(() -> used.reread(file)).as(key + " = " + bad).isInstanceOf(InvalidConfigException.class)
+                assertThatThrownBy(() -> used.reread(file))
+                        .as(key + " = " + bad)
+                        .isInstanceOf(InvalidConfigException.class)
                         .hasMessageNotContaining("\n");
             }
         }
         String text = example().trim();
         for (int length = 0; length < text.length(); length++) {
             Files.writeString(file, text.substring(0, length));
-            assertThatThrownBy(() -> used.reread(file)).as("cut off after " + length)
+            assertThatThrownBy(() -> used.reread(file))
+                    .as("cut off after " + length)
                     .isInstanceOf(InvalidConfigException.class);
         }
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"deadline_ns\": 1500000000|\"deadline_ns\": 0|class read has a deadline",
-        "\"deadline_ns\": 1500000000|\"deadline_ns\": -5|class read has a deadline",
-        "\"objective_ns\": 500000000|\"objective_ns\": 0|class read has a deadline or an aim",
-        "\"try_limit\": 3|\"try_limit\": 0|try_limit is 0",
-        "\"try_limit\": 3|\"try_limit\": -1|try_limit is -1",
-        "\"name\": \"put\"|\"name\": \"read\"|class read stands twice",
-        "\"name\": \"put\"|\"name\": \"\"|has no name"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"deadline_ns\": 1500000000|\"deadline_ns\": 0|class read has a deadline",
+                "\"deadline_ns\": 1500000000|\"deadline_ns\": -5|class read has a deadline",
+                "\"objective_ns\": 500000000|\"objective_ns\": 0|class read has a deadline or an aim",
+                "\"try_limit\": 3|\"try_limit\": 0|try_limit is 0",
+                "\"try_limit\": 3|\"try_limit\": -1|try_limit is -1",
+                "\"name\": \"put\"|\"name\": \"read\"|class read stands twice",
+                "\"name\": \"put\"|\"name\": \"\"|has no name"
+            })
     void settingsThatCouldServeNobodyAreNamed(String good, String bad, String named) throws Exception {
         String text = example();
         assertThat(text).contains(good);
         assertThatThrownBy(() -> NodeConfig.parse(text.replace(good, bad)))
-                .isInstanceOf(InvalidConfigException.class).hasMessageContaining(named);
+                .isInstanceOf(InvalidConfigException.class)
+                .hasMessageContaining(named);
     }
 }
--- a/src/test/java/slateseam/router/config/PolicyDocumentTest.java
+++ b/src/test/java/slateseam/router/config/PolicyDocumentTest.java
@@ -11,7 +11,8 @@
 /** A document laid over a router's own file, and those that are turned down whole. */
 class PolicyDocumentTest {
     private static NodeConfig over(String document) throws InvalidConfigException {
-        return PolicyDocument.over(NodeConfig.read(Path.of("examples/config.json")), document.getBytes(StandardCharsets.UTF_8));
+        return PolicyDocument.over(
+                NodeConfig.read(Path.of("examples/config.json")), document.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
@@ -24,7 +25,8 @@
 
     @Test
     void whatCannotBeServedByNamesItsPlace() {
-        String type = "{\"name\": \"read\", \"effect\": \"pure\", \"group\": \"all\", \"objective_ns\": 1, \"deadline_ns\": 1, \"value\": 1.0}";
+        String type =
+                "{\"name\": \"read\", \"effect\": \"pure\", \"group\": \"all\", \"objective_ns\": 1, \"deadline_ns\": 1, \"value\": 1.0}";
         refused("{\"settings\": {\"profiles\": [" + type + ", " + type + "]}}", "class read stands twice");
         refused("{\"settings\": {\"limits\": {\"try_limit\": 0}}}", "settings.limits.try_limit is 0");
         refused("{\"settings\": {\"me\": 4}}", "settings.me cannot be changed without a restart");
@@ -35,6 +37,8 @@
     }
 
     private static void refused(String document, String fault) {
-        assertThatThrownBy(() -> over(document)).isInstanceOf(InvalidConfigException.class).hasMessageContaining(fault);
+        assertThatThrownBy(() -> over(document))
+                .isInstanceOf(InvalidConfigException.class)
+                .hasMessageContaining(fault);
     }
 }
--- a/src/test/java/slateseam/router/connections/servers/AnyOrderTest.java
+++ b/src/test/java/slateseam/router/connections/servers/AnyOrderTest.java
@@ -18,12 +18,15 @@
     void noUseIsLostAndTheBoundsHold(long seed, int most, int streams) {
         SplittableRandom random = new SplittableRandom(seed);
         Rig rig = new Rig(most, streams);
-        List<Pool> servers = IntStream.range(0, 12).mapToObj(i -> rig.server(i % 4 != 0)).collect(Collectors.toList());
+        List<Pool> servers =
+                IntStream.range(0, 12).mapToObj(i -> rig.server(i % 4 != 0)).collect(Collectors.toList());
         List<Request> all = new ArrayList<>();
         List<Request> open = new ArrayList<>();
         for (int step = 0; step < 30_000; step++) {
             Pool pool = servers.get(random.nextInt(servers.size()));
-            List<Link> busy = rig.up.entrySet().stream().filter(e -> !e.getValue().isEmpty()).map(e -> e.getKey())
+            List<Link> busy = rig.up.entrySet().stream()
+                    .filter(e -> !e.getValue().isEmpty())
+                    .map(e -> e.getKey())
                     .toList();
             switch (random.nextInt(40)) {
                 case 0 -> rig.connections.ready(rig.now, pool, random.nextInt(4) > 0);
@@ -52,7 +55,8 @@
                     rig.giveUp(request);
                 }
             }
-            assertThat(rig.up.size() + rig.comingUp.size()).isLessThanOrEqualTo(most)
+            assertThat(rig.up.size() + rig.comingUp.size())
+                    .isLessThanOrEqualTo(most)
                     .isEqualTo(rig.connections.figures().open());
             assertThat(rig.up.values().stream().mapToInt(List::size).max().orElse(0))
                     .isLessThanOrEqualTo(Math.min(streams, Pool.MOST_SHARED));
@@ -60,8 +64,12 @@
                 // Uses that wait where nothing is out and nothing comes up would wait for ever.
                 boolean moves = server.links.stream().anyMatch(link -> !link.uses.isEmpty() || !link.isOpen());
                 boolean rests = server.links.stream().anyMatch(Link::isFree);
-                assertThat(server.waiting() == 0 || moves || rests || rig.connections.figures().comingUp() > 0)
-                        .as("step %d", step).isTrue();
+                assertThat(server.waiting() == 0
+                                || moves
+                                || rests
+                                || rig.connections.figures().comingUp() > 0)
+                        .as("step %d", step)
+                        .isTrue();
             }
         }
         servers.forEach(server -> rig.connections.remove(rig.now, server));
--- a/src/test/java/slateseam/router/connections/servers/FarmModel.java
+++ b/src/test/java/slateseam/router/connections/servers/FarmModel.java
@@ -53,6 +53,7 @@
         boolean broken;
         /** When the last answer leaves. */
         long lastAt;
+
         final Deque<Call> out = new ArrayDeque<>();
 
         Wire(Server server) {
@@ -87,7 +88,7 @@
         }
 
         private void obey() {
-            for (Order order; (order = connections.next()) != null;) {
+            for (Order order; (order = connections.next()) != null; ) {
                 if (order instanceof Order.Open open) {
                     open(open.link());
                 } else if (order instanceof Order.Carry carry && carry.holds()) {
--- a/src/test/java/slateseam/router/connections/servers/FarmStartTest.java
+++ b/src/test/java/slateseam/router/connections/servers/FarmStartTest.java
@@ -54,8 +54,11 @@
         assertThat(handshakes()).isLessThan(110);
         model.run(6 * SECOND);
         assertThat(lost()).isZero();
-        List<Long> first = calls.stream().filter(call -> call.askedAt < SECOND / 2).map(c -> c.servedAt - c.askedAt)
-                .sorted().toList();
+        List<Long> first = calls.stream()
+                .filter(call -> call.askedAt < SECOND / 2)
+                .map(c -> c.servedAt - c.askedAt)
+                .sorted()
+                .toList();
         assertThat(first.get(first.size() * 99 / 100)).isLessThan((long) (cold * 140 * MILLI));
     }
 
@@ -80,12 +83,18 @@
         model.at(SECOND, () -> servers.get(0).silent = true);
         model.at(SECOND, () -> servers.get(1).refuses = true);
         model.run(6 * SECOND);
-        long others = calls.stream().filter(call -> call.servedAt == 0).filter(call -> routers.stream()
-                .noneMatch(r -> call.pool() == r.pools.get(0) || call.pool() == r.pools.get(1))).count();
+        long others = calls.stream()
+                .filter(call -> call.servedAt == 0)
+                .filter(call ->
+                        routers.stream().noneMatch(r -> call.pool() == r.pools.get(0) || call.pool() == r.pools.get(1)))
+                .count();
         assertThat(others).isZero();
         // What is open stays in use where new connections are refused.
-        assertThat(calls.stream().filter(call -> routers.stream().anyMatch(r -> call.pool() == r.pools.get(1)))
-                .filter(call -> call.servedAt == 0).count()).isZero();
+        assertThat(calls.stream()
+                        .filter(call -> routers.stream().anyMatch(r -> call.pool() == r.pools.get(1)))
+                        .filter(call -> call.servedAt == 0)
+                        .count())
+                .isZero();
         assertThat(routers).allMatch(router -> router.connections.figures().open() < 130);
     }
 }
--- a/src/test/java/slateseam/router/connections/servers/Rig.java
+++ b/src/test/java/slateseam/router/connections/servers/Rig.java
@@ -128,7 +128,7 @@
     }
 
     void obey() {
-        for (Order order; (order = connections.next()) != null;) {
+        for (Order order; (order = connections.next()) != null; ) {
             if (order instanceof Order.Open open) {
                 comingUp.add(open.link());
             } else if (order instanceof Order.Carry carry && carry.holds()) {
--- a/src/test/java/slateseam/router/connections/servers/ServerConnectionsTest.java
+++ b/src/test/java/slateseam/router/connections/servers/ServerConnectionsTest.java
@@ -105,7 +105,8 @@
     void atAStartRequestsShareFewConnectionsWhoseNumberIsBounded() {
         for (boolean shares : List.of(true, false)) {
             rig = new Rig(130, 100);
-            List<Pool> servers = IntStream.range(0, 24).mapToObj(i -> rig.server(shares)).toList();
+            List<Pool> servers =
+                    IntStream.range(0, 24).mapToObj(i -> rig.server(shares)).toList();
             List<Request> all = new ArrayList<>();
             for (Pool pool : servers) {
                 for (int i = 0; i < 12; i++) {
@@ -119,10 +120,14 @@
                 rig.comeUp();
                 rig.pass(10);
                 rig.answerAll();
-                assertThat(servers).allMatch(pool -> pool.links.stream().filter(Link::isYoung).count() <= 16);
+                assertThat(servers)
+                        .allMatch(pool ->
+                                pool.links.stream().filter(Link::isYoung).count() <= 16);
             }
             assertThat(all).allMatch(request -> request.served);
-            assertThat(rig.connections.figures().opened()).as("of %d requests", all.size()).isLessThan(shares ? 100 : 200);
+            assertThat(rig.connections.figures().opened())
+                    .as("of %d requests", all.size())
+                    .isLessThan(shares ? 100 : 200);
         }
     }
 
@@ -150,9 +155,13 @@
         assertThat(rig.comingUp).isEmpty(); // the server takes no more of them just now
         rig.breakOff(link);
         // What was written may have run; what was not waits for a connection, and ends with that.
-        assertThat(all.stream().filter(request -> request.why == Why.CUT)).hasSize(4).allMatch(r -> r.on == link);
+        assertThat(all.stream().filter(request -> request.why == Why.CUT))
+                .hasSize(4)
+                .allMatch(r -> r.on == link);
         rig.refuse(rig.comingUp.get(0));
-        assertThat(all.stream().filter(request -> request.why == Why.NOT_UP)).hasSize(2).allMatch(r -> r.on == null);
+        assertThat(all.stream().filter(request -> request.why == Why.NOT_UP))
+                .hasSize(2)
+                .allMatch(r -> r.on == null);
     }
 
     @Test
@@ -179,7 +188,8 @@
         assertThat(row.get(1).served).isFalse();
         rig.answer(link);
         assertThat(row.get(2).served).isTrue();
-        List<Request> again = IntStream.range(0, 3).mapToObj(i -> rig.ask(server)).toList();
+        List<Request> again =
+                IntStream.range(0, 3).mapToObj(i -> rig.ask(server)).toList();
         rig.giveUp(again.get(0));
         rig.connections.cut(rig.now, again.get(0));
         rig.obey();
--- a/src/test/java/slateseam/router/connections/useragents/Crowd.java
+++ b/src/test/java/slateseam/router/connections/useragents/Crowd.java
@@ -16,8 +16,7 @@
     private static final long SEEN = 2 * MILLI;
     private static final long REQUEST = 50 * MILLI;
 
-    private record Due(long at, long number, Runnable action) {
-    }
+    private record Due(long at, long number, Runnable action) {}
 
     /** One connection, at both sides. */
     final class Link {
@@ -54,8 +53,8 @@
     final Random random = new Random(7);
     final List<Link> links = new ArrayList<>();
     final Map<String, Integer> unreached = new HashMap<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-            : Long.compare(a.number, b.number));
+    private final PriorityQueue<Due> dues =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private long numbers;
     private long looking = Long.MAX_VALUE;
     long now;
@@ -84,7 +83,8 @@
 
     /** A connection of a user agent; null if there is none to be had, for the user agents or for the front. */
     Link open(String address) {
-        boolean reached = links.stream().filter(link -> link.kept.phase() != Phase.GONE).count() < held;
+        boolean reached =
+                links.stream().filter(link -> link.kept.phase() != Phase.GONE).count() < held;
         if (reached && !room.isCrowding(address, now)) {
             makeRoom();
         }
@@ -101,7 +101,8 @@
     private void makeRoom() {
         for (int i = 0; i < 16 && room.isFull(); i++) {
             Kept ending = room.endingForLongest(now);
-            Kept goes = ending != null ? ending : room.surplus(now) != null ? room.surplus(now) : room.halfForLongest(now);
+            Kept goes =
+                    ending != null ? ending : room.surplus(now) != null ? room.surplus(now) : room.halfForLongest(now);
             if (goes == null) {
                 return;
             }
@@ -114,7 +115,7 @@
     }
 
     private void look() {
-        for (Kept kept; (kept = room.surplus(now)) != null;) {
+        for (Kept kept; (kept = room.surplus(now)) != null; ) {
             end(kept);
         }
         long next = room.lookAgain(now);
@@ -146,7 +147,7 @@
             after((long) (-Math.log(1 - random.nextDouble()) * 1e9 / perSecond), () -> once(address, perSecond, until));
             Link link = open(address);
             if (link != null) {
-                after(MILLI / 2, () -> link.ask(0, () -> { }));
+                after(MILLI / 2, () -> link.ask(0, () -> {}));
             }
         }
     }
--- a/src/test/java/slateseam/router/connections/useragents/UserAgentRoomTest.java
+++ b/src/test/java/slateseam/router/connections/useragents/UserAgentRoomTest.java
@@ -29,7 +29,9 @@
         }
         crowd.runFor(10 * SECOND);
         assertThat(crowd.unreached).isEmpty();
-        assertThat(often[0]).as("connections of 20 user agents that ask 70 times each").isLessThan(40);
+        assertThat(often[0])
+                .as("connections of 20 user agents that ask 70 times each")
+                .isLessThan(40);
         int[] later = {0};
         for (int i = 0; i < 40; i++) {
             crowd.after(i * 10 * MILLI, () -> crowd.regular("b", 1, 100 * MILLI, 20 * SECOND, later, null));
@@ -140,6 +142,7 @@
         }
         assertThat(crowd.mostOpen).isEqualTo(table);
         assertThat(crowd.room.open() + crowd.room.ending()).isEqualTo(crowd.links.size());
-        assertThat(crowd.room.idle()).isEqualTo((int) crowd.links.stream().filter(l -> l.kept.isSpare()).count());
+        assertThat(crowd.room.idle()).isEqualTo((int)
+                crowd.links.stream().filter(l -> l.kept.isSpare()).count());
     }
 }
--- a/src/test/java/slateseam/router/farm/FarmTest.java
+++ b/src/test/java/slateseam/router/farm/FarmTest.java
@@ -21,7 +21,8 @@
     private final Farm farm = new Farm(List.of("a", "b"), List.of("box", "origin"), 1);
 
     private MembersChanged take(boolean whole, String... hosts) throws MalformedException {
-        return farm.take(new JSONObject("{\"seq\":7,\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}"),
+        return farm.take(
+                new JSONObject("{\"seq\":7,\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}"),
                 false);
     }
 
@@ -32,18 +33,30 @@
 
     @Test
     void anIdDependsOnTheHostAlone() throws Exception {
-        Member here = take(true, host("s1", "127.0.0.1:1", "box", "ready")).members().get(0);
-        Member there = take(true, host("s0", "127.0.0.1:2", "box", "ready"), host("s1", "127.9.0.1:3", "origin", "draining"))
-                .members().get(1);
+        Member here =
+                take(true, host("s1", "127.0.0.1:1", "box", "ready")).members().get(0);
+        Member there = take(
+                        true,
+                        host("s0", "127.0.0.1:2", "box", "ready"),
+                        host("s1", "127.9.0.1:3", "origin", "draining"))
+                .members()
+                .get(1);
         assertThat(there.id()).isEqualTo(here.id()).isEqualTo(Farm.id("s1")).isNotEqualTo(Farm.id("s0"));
     }
 
     @Test
     void namesAreMappedByTheirPlacesInTheSettings() throws Exception {
-        Member member = take(true, host("o", "127.0.0.1:1", "origin", "ready")).members().get(0);
-        assertThat(member).isEqualTo(new Member(Farm.id("o"), 1, 1, 3, MemberState.READY, 0.5, 1_700_000_000_001_000_000L));
+        Member member = take(true, host("o", "127.0.0.1:1", "origin", "ready"))
+                .members()
+                .get(0);
+        assertThat(member)
+                .isEqualTo(new Member(Farm.id("o"), 1, 1, 3, MemberState.READY, 0.5, 1_700_000_000_001_000_000L));
         assertThat(farm.entry(member.id()).isOrigin()).isTrue();
-        assertThat(take(true, host("s", "127.0.0.1:1", "unheard", "ready")).members().get(0).kind()).isEqualTo(2);
+        assertThat(take(true, host("s", "127.0.0.1:1", "unheard", "ready"))
+                        .members()
+                        .get(0)
+                        .kind())
+                .isEqualTo(2);
     }
 
     @Test
@@ -58,18 +71,21 @@
     @Test
     void aListWithOneBadEntryIsNotTakenInPart() throws Exception {
         take(true, host("s1", "127.0.0.1:1", "box", "ready"));
-        assertThatThrownBy(() -> take(false, host("s1", "127.0.0.1:1", "box", "draining"),
-                host("s2", "no address", "box", "ready"))).isInstanceOf(MalformedException.class);
+        assertThatThrownBy(() -> take(
+                        false, host("s1", "127.0.0.1:1", "box", "draining"), host("s2", "no address", "box", "ready")))
+                .isInstanceOf(MalformedException.class);
         assertThat(farm.entry(Farm.id("s1")).isReady()).isTrue();
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"\"share\":-1", "\"share\":1e300", "\"born_ms\":-5",
-        "\"born_ms\":9223372036854775807"})
+    @ValueSource(strings = {"\"share\":-1", "\"share\":1e300", "\"born_ms\":-5", "\"born_ms\":9223372036854775807"})
     void aListWithAnAbsurdNumberIsDroppedAndNamesTheServer(String number) throws Exception {
         take(true, host("s1", "127.0.0.1:1", "box", "ready"));
-        String absurd = "{\"host\":\"s9\",\"dial\":\"127.0.0.1:9\",\"class\":\"box\",\"health\":\"ready\"," + number + "}";
-        assertThatThrownBy(() -> take(true, absurd)).isInstanceOf(MalformedException.class).hasMessageContaining("s9");
+        String absurd =
+                "{\"host\":\"s9\",\"dial\":\"127.0.0.1:9\",\"class\":\"box\",\"health\":\"ready\"," + number + "}";
+        assertThatThrownBy(() -> take(true, absurd))
+                .isInstanceOf(MalformedException.class)
+                .hasMessageContaining("s9");
         assertThat(farm.entry(Farm.id("s1")).isReady()).isTrue();
     }
 
@@ -79,7 +95,9 @@
         for (int i = 0; i < hosts.length; i++) {
             hosts[i] = host("s" + i, "127.0.0.1:1", "box", "ready");
         }
-        assertThatThrownBy(() -> take(true, hosts)).isInstanceOf(MalformedException.class).hasMessageContaining("4097");
+        assertThatThrownBy(() -> take(true, hosts))
+                .isInstanceOf(MalformedException.class)
+                .hasMessageContaining("4097");
         assertThat(take(true, Arrays.copyOf(hosts, 4_096)).members()).hasSize(4_096);
     }
 
@@ -87,13 +105,17 @@
     @Test
     void aListThatIsNestedWithoutEndIsNoMoreThanMalformed() throws Exception {
         AtomicReference<Throwable> thrown = new AtomicReference<>();
-        Thread thread = new Thread(null, () -> {
-            try {
-                new JSONObject("{\"hosts\":" + "[{\"a\":".repeat(200_000));
-            } catch (JSONException | StackOverflowError e) {
-                thrown.set(e);
-            }
-        }, "small", 512 * 1024);
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    try {
+                        new JSONObject("{\"hosts\":" + "[{\"a\":".repeat(200_000));
+                    } catch (JSONException | StackOverflowError e) {
+                        thrown.set(e);
+                    }
+                },
+                "small",
+                512 * 1024);
         thread.start();
         thread.join();
         assertThat(thrown.get()).isInstanceOf(JSONException.class);
--- a/src/test/java/slateseam/router/farm/WatchTest.java
+++ b/src/test/java/slateseam/router/farm/WatchTest.java
@@ -27,13 +27,23 @@
     private static final long MILLI = 1_000_000L;
     /** Of a drain, which is to be kept by others than the watch. */
     private static final long GRACE_MILLIS = 500;
+
     private static final long STEP_MILLIS = 10;
 
     /** How discovery fails a call. */
-    private enum Fault { SILENT, RESET, ENDED, REFUSED, BUSY, HALF, SPOILT, OLDER }
+    private enum Fault {
+        SILENT,
+        RESET,
+        ENDED,
+        REFUSED,
+        BUSY,
+        HALF,
+        SPOILT,
+        OLDER
+    }
 
     private long now = 1_000_000 * MILLI;
-    private final Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
+    private final Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> {}));
     private final Farm farm = new Farm(List.of("a"), List.of("box"), -1);
     private final List<SocketChannel> open = new ArrayList<>();
     private ServerSocketChannel discovery = listen(0);
@@ -43,8 +53,7 @@
     /** Calls that came, by what they ask. */
     private final List<String> calls = new ArrayList<>();
 
-    WatchTest() throws IOException {
-    }
+    WatchTest() throws IOException {}
 
     private static ServerSocketChannel listen(int port) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
@@ -69,7 +78,8 @@
     }
 
     static Stream<Arguments> twoFaults() {
-        return Stream.of(Fault.values()).flatMap(first -> Stream.of(Fault.values()).map(second -> Arguments.of(first, second)));
+        return Stream.of(Fault.values())
+                .flatMap(first -> Stream.of(Fault.values()).map(second -> Arguments.of(first, second)));
     }
 
     /** No list of a new address is older than that of another. */
@@ -91,8 +101,10 @@
         }
         answer(next(), 43, "draining");
         await(() -> drainedAt > 0);
-        assertThat((drainedAt - told) / MILLI).as("calls " + calls)
-                .isLessThanOrEqualTo(Watch.longestMillis() + STEP_MILLIS).isLessThanOrEqualTo(Watch.TOLD_MILLIS - GRACE_MILLIS);
+        assertThat((drainedAt - told) / MILLI)
+                .as("calls " + calls)
+                .isLessThanOrEqualTo(Watch.longestMillis() + STEP_MILLIS)
+                .isLessThanOrEqualTo(Watch.TOLD_MILLIS - GRACE_MILLIS);
     }
 
     @Test
@@ -180,7 +192,7 @@
 
     private SocketChannel take() throws IOException {
         loop.round(0);
-        for (SocketChannel accepted; discovery.isOpen() && (accepted = discovery.accept()) != null;) {
+        for (SocketChannel accepted; discovery.isOpen() && (accepted = discovery.accept()) != null; ) {
             accepted.configureBlocking(false);
             open.add(accepted);
         }
@@ -208,7 +220,8 @@
 
     private static String list(int seq, String health) {
         return new JSONObject("{'seq':" + seq + ",'whole':true,'hosts':[{'host':'s1','dial':'127.0.0.1:9','site':'a',"
-                + "'class':'box','health':'" + health + "','share':1,'born_ms':0}]}").toString(1); // lists may come indented
+                        + "'class':'box','health':'" + health + "','share':1,'born_ms':0}]}")
+                .toString(1); // lists may come indented
     }
 
     private static String reply(String body) {
@@ -225,7 +238,7 @@
 
     private void fail(SocketChannel call, Fault fault) throws IOException {
         switch (fault) {
-            case SILENT -> { }
+            case SILENT -> {}
             case RESET -> {
                 call.setOption(StandardSocketOptions.SO_LINGER, 0);
                 call.close();
--- a/src/test/java/slateseam/router/figures/FiguresTest.java
+++ b/src/test/java/slateseam/router/figures/FiguresTest.java
@@ -33,7 +33,8 @@
     /** As many combinations are kept where the heap is small. */
     private static final int KEPT = 1_024;
 
-    private final Names names = new Names(List.of("read"),
+    private final Names names = new Names(
+            List.of("read"),
             IntStream.range(0, TENANTS).mapToObj(i -> "tenant-" + i).toList());
     private final Reader reader = new Reader();
     private final Console console = new Console("n0", reader);
@@ -47,7 +48,11 @@
 
     private Figures figures(long cap, Path file, InetSocketAddress udp) throws Exception {
         loop = new Loop(SelectorProvider.provider(), () -> now, new Log("n0", () -> now, console), 1024 * 1024);
-        return new Figures(new Features.Figures(false, 10_000 * MILLI, cap, file, udp), loop, names, console,
+        return new Figures(
+                new Features.Figures(false, 10_000 * MILLI, cap, file, udp),
+                loop,
+                names,
+                console,
                 new Counts().gauge("conns", () -> 3).gauge("servers_ready", () -> 12));
     }
 
@@ -59,7 +64,10 @@
     }
 
     private static List<String> ofTenants(String lines) {
-        return lines.lines().filter(line -> line.startsWith("slateseam.req:1|c|#c:read,t:tenant-")).distinct().toList();
+        return lines.lines()
+                .filter(line -> line.startsWith("slateseam.req:1|c|#c:read,t:tenant-"))
+                .distinct()
+                .toList();
     }
 
     @Test
@@ -119,9 +127,13 @@
         figures.flush();
         figures.flush();
         console.close();
-        assertThat(Files.readString(file).lines()).containsExactly("slateseam.figures_dropped:2|c",
-                "slateseam.conns:3|g", "slateseam.servers_ready:12|g", "slateseam.conns:3|g",
-                "slateseam.servers_ready:12|g");
+        assertThat(Files.readString(file).lines())
+                .containsExactly(
+                        "slateseam.figures_dropped:2|c",
+                        "slateseam.conns:3|g",
+                        "slateseam.servers_ready:12|g",
+                        "slateseam.conns:3|g",
+                        "slateseam.servers_ready:12|g");
     }
 
     @Test
@@ -137,7 +149,8 @@
                 ByteBuffer packet = ByteBuffer.allocate(65_536);
                 collector.receive(packet);
                 assertThat(packet.flip().remaining()).isBetween(1, 1_432);
-                lines.addAll(StandardCharsets.UTF_8.decode(packet).toString().lines().toList());
+                lines.addAll(
+                        StandardCharsets.UTF_8.decode(packet).toString().lines().toList());
             }
             assertThat(lines).hasSize(82).allMatch(line -> line.startsWith("slateseam.") && line.matches(".*(g|hit)"));
             assertThat(ofTenants(String.join("\n", lines))).hasSize(40);
@@ -167,10 +180,12 @@
         }
         List<String> lines = new ArrayList<>();
         Format.STATSD.timer("latency_ms", Format.STATSD.tags("a|b", "t,u:v#", "hit"), cell, lines::add);
-        assertThat(lines).containsExactly("slateseam.latency_ms:0.0|ms|#c:a_b,t:t_u_v_,out:hit",
-                "slateseam.latency_ms:45.3|ms|@0.3333333333333333|#c:a_b,t:t_u_v_,out:hit",
-                "slateseam.latency_ms:64.0|ms|#c:a_b,t:t_u_v_,out:hit",
-                "slateseam.latency_ms:100000.0|ms|#c:a_b,t:t_u_v_,out:hit");
+        assertThat(lines)
+                .containsExactly(
+                        "slateseam.latency_ms:0.0|ms|#c:a_b,t:t_u_v_,out:hit",
+                        "slateseam.latency_ms:45.3|ms|@0.3333333333333333|#c:a_b,t:t_u_v_,out:hit",
+                        "slateseam.latency_ms:64.0|ms|#c:a_b,t:t_u_v_,out:hit",
+                        "slateseam.latency_ms:100000.0|ms|#c:a_b,t:t_u_v_,out:hit");
         Cell many = new Cell();
         for (int i = 0; i < 3_000; i++) {
             many.add(0);
--- a/src/test/java/slateseam/router/handover/HandoverTest.java
+++ b/src/test/java/slateseam/router/handover/HandoverTest.java
@@ -75,9 +75,12 @@
             assertThat(second.farm()).as("damaged at " + at).isNull();
         }
         first.keepFarm("{\"seq\":8}");
-        assertThatThrownBy(() -> first.keepFarm(" ".repeat(8 * 1024 * 1024 + 1))).isInstanceOf(IOException.class)
+        assertThatThrownBy(() -> first.keepFarm(" ".repeat(8 * 1024 * 1024 + 1)))
+                .isInstanceOf(IOException.class)
                 .hasMessageContaining("8388609");
-        assertThat(file).as("neither what nobody reads, nor what is no longer so").doesNotExist();
+        assertThat(file)
+                .as("neither what nobody reads, nor what is no longer so")
+                .doesNotExist();
         Files.write(file, new byte[9 * 1024 * 1024]);
         assertThat(second.farm()).as("another's").isNull();
         first.close();
--- a/src/test/java/slateseam/router/hot/SpaceSavingTest.java
+++ b/src/test/java/slateseam/router/hot/SpaceSavingTest.java
@@ -29,11 +29,16 @@
             }
             List<SpaceSaving.Count> top = counts.top(100);
             assertThat(counts.mostError()).isEqualTo(400);
-            assertThat(top).hasSize(50).isSortedAccordingTo((a, b) -> Long.compare(b.count(), a.count()))
-                    .extracting(c -> c.tenant() + Bytes.text(ByteBuffer.wrap(c.key()))).doesNotHaveDuplicates();
+            assertThat(top)
+                    .hasSize(50)
+                    .isSortedAccordingTo((a, b) -> Long.compare(b.count(), a.count()))
+                    .extracting(c -> c.tenant() + Bytes.text(ByteBuffer.wrap(c.key())))
+                    .doesNotHaveDuplicates();
             assertThat(top.stream().mapToLong(SpaceSaving.Count::count).sum()).isEqualTo(20_000);
-            assertThat(top).allSatisfy(c -> assertThat(c.count() - exact.get(c.tenant()
-                    + Bytes.text(ByteBuffer.wrap(c.key())))).isBetween(0L, 400L));
+            assertThat(top)
+                    .allSatisfy(c -> assertThat(
+                                    c.count() - exact.get(c.tenant() + Bytes.text(ByteBuffer.wrap(c.key()))))
+                            .isBetween(0L, 400L));
         }
     }
 
@@ -46,7 +51,8 @@
         counts.count(0, Bytes.of("x".repeat(256)));
         assertThat(counts.top(8)).allMatch(c -> c.key().length <= 264); // or they would fill the memory
         assertThat(counts.top(8)).extracting(SpaceSaving.Count::count).containsExactly(2L, 2L, 2L, 1L);
-        assertThat(counts.top(8)).extracting(c -> Names.key(c.key()))
+        assertThat(counts.top(8))
+                .extracting(c -> Names.key(c.key()))
                 .containsExactly("x".repeat(256) + "…", "x".repeat(256) + "…", "x".repeat(256) + "…", "x".repeat(256));
     }
 
--- a/src/test/java/slateseam/router/kubernetes/CacheFleet.java
+++ b/src/test/java/slateseam/router/kubernetes/CacheFleet.java
@@ -15,12 +15,12 @@
     private static final byte[] PONG = "+PONG\r\n".getBytes(StandardCharsets.US_ASCII);
 
     /** A connection, with what came of a command that is not whole. */
-    private record Peer(int server, StringBuilder rest) {
-    }
+    private record Peer(int server, StringBuilder rest) {}
 
     final int port;
     /** When a request last came to each, by System.nanoTime(); 0 for never. */
     private final long[] last;
+
     private final long[] served;
     private final Selector selector = Selector.open();
     private final ByteBuffer room = ByteBuffer.allocate(64 * 1024);
@@ -85,7 +85,7 @@
             return false;
         }
         peer.rest.append(StandardCharsets.ISO_8859_1.decode(room.flip()));
-        for (int end; (end = whole(peer.rest)) > 0;) {
+        for (int end; (end = whole(peer.rest)) > 0; ) {
             boolean read = peer.rest.indexOf("CACHE.GET") > 0 && peer.rest.indexOf("CACHE.GET") < end;
             peer.rest.delete(0, end);
             if (read) {
--- a/src/test/java/slateseam/router/kubernetes/Followed.java
+++ b/src/test/java/slateseam/router/kubernetes/Followed.java
@@ -35,8 +35,13 @@
         Clock clock = () -> system.nanos() + skipped;
         loop = new Loop(clock, new Log("n", clock, log::add));
         NodeConfig config = config();
-        source = new KubernetesFarm(loop, new Errands(), settings,
-                new Farm(config.zones(), config.kinds(), config.settings().originKind()), 7, told::add);
+        source = new KubernetesFarm(
+                loop,
+                new Errands(),
+                settings,
+                new Farm(config.zones(), config.kinds(), config.settings().originKind()),
+                7,
+                told::add);
     }
 
     private static NodeConfig config() throws Exception {
@@ -45,8 +50,12 @@
 
     /** The settings for an API, with what else a settings file tells. */
     static KubernetesSettings settings(Path dir, String url, String... more) throws Exception {
-        List<String> lines = new ArrayList<>(List.of("kubernetes_api " + url, "kubernetes_namespace shop",
-                "kubernetes_service caches", "kubernetes_port resp", "kubernetes_origin 127.0.0.1:1",
+        List<String> lines = new ArrayList<>(List.of(
+                "kubernetes_api " + url,
+                "kubernetes_namespace shop",
+                "kubernetes_service caches",
+                "kubernetes_port resp",
+                "kubernetes_origin 127.0.0.1:1",
                 "kubernetes_page 2"));
         lines.addAll(List.of(more));
         return settings(Files.write(dir.resolve("s.conf"), lines));
@@ -103,7 +112,8 @@
         TreeSet<String> lines = new TreeSet<>();
         for (String line : truth) {
             String[] words = line.split(" ");
-            boolean ready = !line.contains("ready=false") && !line.contains("serving=false")
+            boolean ready = !line.contains("ready=false")
+                    && !line.contains("serving=false")
                     && !line.contains("terminating=true");
             if (words[1].indexOf(':') < 0) {
                 lines.add(words[2] + " " + words[1] + " " + ready);
--- a/src/test/java/slateseam/router/kubernetes/JsonStreamTest.java
+++ b/src/test/java/slateseam/router/kubernetes/JsonStreamTest.java
@@ -70,7 +70,7 @@
             ByteBuffer rest = ByteBuffer.wrap(all);
             for (int end : new int[] {cut, all.length}) {
                 rest.limit(end);
-                for (ByteBuffer part; (part = body.next(rest)) != null;) {
+                for (ByteBuffer part; (part = body.next(rest)) != null; ) {
                     stream.take(part);
                 }
             }
@@ -85,30 +85,42 @@
 
     @Test
     void eventsAreReadWhereverTheyAreCut() throws Exception {
-        everyCut(EVENTS, false, List.of(
-                new JSONObject("{\"type\":\"A\",\"object\":{\"managedFields\":null,\"n\":\"ü€\\\\é\","
-                        + "\"items\":[{\"managedFields\":null}]}}").toString(),
-                new JSONObject("{\"type\":\"B\",\"x\":[1,[2,{}]]}").toString()), null);
+        everyCut(
+                EVENTS,
+                false,
+                List.of(
+                        new JSONObject("{\"type\":\"A\",\"object\":{\"managedFields\":null,\"n\":\"ü€\\\\é\","
+                                        + "\"items\":[{\"managedFields\":null}]}}")
+                                .toString(),
+                        new JSONObject("{\"type\":\"B\",\"x\":[1,[2,{}]]}").toString()),
+                null);
     }
 
     @Test
     void aListIsReadItemByItemWhereverItIsCut() throws Exception {
-        everyCut(LIST, true, List.of(new JSONObject("{\"a\":[{},{}]}").toString(),
-                new JSONObject("{\"managedFields\":null,\"b\":\"]}\"}").toString()),
+        everyCut(
+                LIST,
+                true,
+                List.of(
+                        new JSONObject("{\"a\":[{},{}]}").toString(),
+                        new JSONObject("{\"managedFields\":null,\"b\":\"]}\"}").toString()),
                 new JSONObject("{\"kind\":\"L\",\"x\":{\"items\":[{\"no\":1}]},\"items\":[],"
-                        + "\"metadata\":{\"items\":[{\"c\":2}]}}").toString());
+                                + "\"metadata\":{\"items\":[{\"c\":2}]}}")
+                        .toString());
     }
 
     @Test
     void whatIsLongIsShortenedWhereNobodyNeedsItOrLeftOutAndTold() throws Exception {
         String text = "é".repeat(2_000_000);
-        assertThat(take("{\"managedFields\":\"" + text + "\",\"a\":1}{\"b\":2}").objects).containsExactly(
-                "{\"a\":1,\"managedFields\":null}", "{\"b\":2}");
-        JSONObject shortened = new JSONObject(take("{\"a\":\"" + text + "\\u00e9\"}").objects.get(0));
+        assertThat(take("{\"managedFields\":\"" + text + "\",\"a\":1}{\"b\":2}").objects)
+                .containsExactly("{\"a\":1,\"managedFields\":null}", "{\"b\":2}");
+        JSONObject shortened =
+                new JSONObject(take("{\"a\":\"" + text + "\\u00e9\"}").objects.get(0));
         assertThat(shortened.getString("a")).isEqualTo("é".repeat(4_096));
         Kept kept = take("{\"name\":\"n\",\"a\":[" + "{\"x\":\"yyyyyyyy\"},".repeat(100_000) + "{}]}{\"b\":2}");
         assertThat(kept.objects).containsExactly("{\"b\":2}");
-        assertThat(kept.begins).hasSize(1)
+        assertThat(kept.begins)
+                .hasSize(1)
                 .allMatch(begin -> begin.startsWith("{\"name\":\"n\"") && begin.length() <= 512);
     }
 
@@ -125,9 +137,10 @@
         Body body = new Body(new HttpHead(200, Map.of("transfer-encoding", "chunked")));
         ByteBuffer in = bytes(chunk + "\r\n\r\n");
         assertThatThrownBy(() -> {
-            while (body.next(in) != null) {
-                assertThat(body.isOver()).isFalse();
-            }
-        }).isInstanceOf(MalformedException.class);
+                    while (body.next(in) != null) {
+                        assertThat(body.isOver()).isFalse();
+                    }
+                })
+                .isInstanceOf(MalformedException.class);
     }
 }
--- a/src/test/java/slateseam/router/kubernetes/KubernetesFarmTest.java
+++ b/src/test/java/slateseam/router/kubernetes/KubernetesFarmTest.java
@@ -31,11 +31,14 @@
 class KubernetesFarmTest {
     @TempDir
     Path dir;
+
     private final Certificates authority = new Certificates("ours");
 
     private String[] files(Certificates ca, String token) throws Exception {
-        return new String[] {"kubernetes_ca " + Files.writeString(dir.resolve("ca.pem"), ca.pem()),
-            "kubernetes_token " + Files.writeString(dir.resolve("token"), token)};
+        return new String[] {
+            "kubernetes_ca " + Files.writeString(dir.resolve("ca.pem"), ca.pem()),
+            "kubernetes_token " + Files.writeString(dir.resolve("token"), token)
+        };
     }
 
     private Followed follow(Served served, String... more) throws Exception {
@@ -69,12 +72,18 @@
     @Test
     void theOriginIsASecondServiceAndOneWatchTellsOfBoth() throws Exception {
         try (Served served = new Served(null)) {
-            served.command("service caches port=resp:6379", "pods a 2 service=caches", "service store port=resp:80",
-                    "pods o 1 service=store", "service others port=resp:81", "pods x 1 service=others");
+            served.command(
+                    "service caches port=resp:6379",
+                    "pods a 2 service=caches",
+                    "service store port=resp:80",
+                    "pods o 1 service=store",
+                    "service others port=resp:81",
+                    "pods x 1 service=others");
             Path file = dir.resolve("s.conf");
             Followed.settings(dir, served.url());
-            Files.writeString(file, Files.readString(file).replace("kubernetes_origin 127.0.0.1:1",
-                    "kubernetes_origin_service store"));
+            Files.writeString(
+                    file,
+                    Files.readString(file).replace("kubernetes_origin 127.0.0.1:1", "kubernetes_origin_service store"));
             Followed followed = new Followed(Followed.settings(file)).begin();
             followed.rounds(() -> followed.source.servers().size() == 3);
             served.command("pod o-1 unready");
@@ -85,7 +94,10 @@
     }
 
     private static Member last(Followed followed, String pod) {
-        Server server = followed.source.servers().stream().filter(s -> s.pod().equals(pod)).findAny().orElseThrow();
+        Server server = followed.source.servers().stream()
+                .filter(s -> s.pod().equals(pod))
+                .findAny()
+                .orElseThrow();
         Member last = null;
         for (MembersChanged change : followed.told) {
             for (Member member : change.members()) {
@@ -111,13 +123,17 @@
             Followed after = new Followed(Followed.settings(dir, served.url())).restore(remembered);
             MembersChanged known = after.told.get(0);
             assertThat(known.kind()).isEqualTo(ListKind.CACHED);
-            assertThat(known.members()).as("the origin among them").hasSize(10)
+            assertThat(known.members())
+                    .as("the origin among them")
+                    .hasSize(10)
                     .allMatch(member -> member.state() == MemberState.READY);
             after.begin();
             long lists = served.net.call(served.server::lists);
             awaitTruth(after, served);
             assertThat(last(after, "a-1").state()).isEqualTo(MemberState.DRAINING);
-            assertThat(served.net.call(served.server::lists) - lists > 0).as("read a list").isEqualTo(compacted);
+            assertThat(served.net.call(served.server::lists) - lists > 0)
+                    .as("read a list")
+                    .isEqualTo(compacted);
             // What the API did not tell as new is what it was: no server but the restarted one is cold.
             assertThat(last(after, "a-3").upSinceNanos()).isZero();
             assertThat(last(after, "a-5").upSinceNanos()).isPositive();
@@ -131,8 +147,13 @@
             Followed followed = follow(served);
             awaitTruth(followed, served);
             List<String> known = followed.servers();
-            served.command("down", "pod a-1 gone", "pod a-2 restart", "pods b 3 service=caches",
-                    "repack caches per-slice=2", "compact");
+            served.command(
+                    "down",
+                    "pod a-1 gone",
+                    "pod a-2 restart",
+                    "pods b 3 service=caches",
+                    "repack caches per-slice=2",
+                    "compact");
             followed.rounds(() -> followed.logged("kubernetes-unreachable"));
             int lines = followed.log.size();
             for (int second = 0; second < 600; second++) {
@@ -167,8 +188,8 @@
             Certificates other = new Certificates("theirs");
             served.net.tls("api", other.server("127.0.0.1"));
             served.command("cut all by=reset", "pod a-1 ready");
-            followed.rounds(() -> followed.logged("kubernetes-tls: " + served.url()
-                    + ": its certificate comes from an unknown authority"));
+            followed.rounds(() -> followed.logged(
+                    "kubernetes-tls: " + served.url() + ": its certificate comes from an unknown authority"));
             assertThat(followed.servers()).hasSize(3);
             files(other, "second");
             awaitTruth(followed, served);
@@ -184,8 +205,13 @@
 
     @Test
     void anApiThatMovesIsFollowedThoughItsVersionsAreLower() throws Exception {
-        try (Served old = new Served(null); Served other = new Served(null)) {
-            old.command("service caches port=resp:6379", "pods a 3 service=caches", "pod a-1 unready", "pod a-1 ready",
+        try (Served old = new Served(null);
+                Served other = new Served(null)) {
+            old.command(
+                    "service caches port=resp:6379",
+                    "pods a 3 service=caches",
+                    "pod a-1 unready",
+                    "pod a-1 ready",
                     "pod a-1 unready");
             other.command("service caches port=resp:6379", "pods a 2 service=caches");
             Followed followed = follow(old);
--- a/src/test/java/slateseam/router/kubernetes/KubernetesMeasured.java
+++ b/src/test/java/slateseam/router/kubernetes/KubernetesMeasured.java
@@ -25,9 +25,16 @@
     private static final int SERVERS = 40;
     private static final int AGENTS = 16;
     private static final long WATCHED_NANOS = 1_000_000_000L;
-    private static final List<String> FLAGS = List.of("-Xms24m", "-Xmx64m", "-XX:MaxDirectMemorySize=16m",
-            "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m", "-Xss512k", "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+    private static final List<String> FLAGS = List.of(
+            "-Xms24m",
+            "-Xmx64m",
+            "-XX:MaxDirectMemorySize=16m",
+            "-XX:MaxMetaspaceSize=40m",
+            "-XX:ReservedCodeCacheSize=24m",
+            "-Xss512k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData");
 
     private final Path dir = Files.createTempDirectory("slateseam");
     private final Certificates authority = new Certificates("measured");
@@ -49,11 +56,17 @@
 
     /** Starts a router and waits until it serves. */
     private void start(String... more) throws Exception {
-        Path config = Files.writeString(dir.resolve("config.json"),
-                Files.readString(Path.of("examples/config.json")).replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
+        Path config = Files.writeString(
+                dir.resolve("config.json"),
+                Files.readString(Path.of("examples/config.json"))
+                        .replaceAll("127.0.0.1:(6379|7946)", "127.0.0.1:0")
                         .replaceFirst("(?s)\"hosts\": \\[.*?\\]", "\"hosts\": []"));
-        List<String> settings = new ArrayList<>(List.of("kubernetes_api " + served.url(), "kubernetes_namespace shop",
-                "kubernetes_service caches", "kubernetes_port resp", "kubernetes_origin 127.0.0.1:1"));
+        List<String> settings = new ArrayList<>(List.of(
+                "kubernetes_api " + served.url(),
+                "kubernetes_namespace shop",
+                "kubernetes_service caches",
+                "kubernetes_port resp",
+                "kubernetes_origin 127.0.0.1:1"));
         if (tls) {
             settings.add("kubernetes_ca " + dir.resolve("ca.pem"));
             settings.add("kubernetes_token " + dir.resolve("token"));
@@ -63,7 +76,13 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
-        command.addAll(List.of("-jar", "target/slateseam.jar", "serve", "--config", config.toString(), "--features",
+        command.addAll(List.of(
+                "-jar",
+                "target/slateseam.jar",
+                "serve",
+                "--config",
+                config.toString(),
+                "--features",
                 features.toString()));
         process = new ProcessBuilder(command).start();
         BufferedReader err = new BufferedReader(new InputStreamReader(process.getErrorStream()));
@@ -138,9 +157,14 @@
 
     private static void tell(String what, List<Long> nanos) {
         long[] sorted = nanos.stream().mapToLong(Long::longValue).sorted().toArray();
-        System.out.printf("%s: %d, median %.2f ms, p99 %.2f ms, longest %.2f ms, over 500 ms: %d%n", what,
-                sorted.length, sorted[sorted.length / 2] / 1e6, sorted[(int) (sorted.length * 0.99)] / 1e6,
-                sorted[sorted.length - 1] / 1e6, Arrays.stream(sorted).filter(n -> n > 500_000_000L).count());
+        System.out.printf(
+                "%s: %d, median %.2f ms, p99 %.2f ms, longest %.2f ms, over 500 ms: %d%n",
+                what,
+                sorted.length,
+                sorted[sorted.length / 2] / 1e6,
+                sorted[(int) (sorted.length * 0.99)] / 1e6,
+                sorted[sorted.length - 1] / 1e6,
+                Arrays.stream(sorted).filter(n -> n > 500_000_000L).count());
     }
 
     /** From the moment a change is written until the last request that reaches the server. */
@@ -158,11 +182,30 @@
             List<Long> vanished = new ArrayList<>();
             long idle = 0;
             // Pods that end drain before they leave; a tenth of the changes are pods that just vanish.
-            String[] changes = {"terminating", "terminating", "terminating", "unready", "unready", "unready",
-                "set ready=yes serving=no", "set ready=no", "set terminating=yes", "gone"};
-            String[] troubles = {"cut watch at=object", "cut watch at=letter by=reset", "cut watch at=head", "expire",
-                "end-watches", "swap 1", "duplicate 1", "cut all by=reset", "repack caches per-slice=7",
-                "repack caches per-slice=10"};
+            String[] changes = {
+                "terminating",
+                "terminating",
+                "terminating",
+                "unready",
+                "unready",
+                "unready",
+                "set ready=yes serving=no",
+                "set ready=no",
+                "set terminating=yes",
+                "gone"
+            };
+            String[] troubles = {
+                "cut watch at=object",
+                "cut watch at=letter by=reset",
+                "cut watch at=head",
+                "expire",
+                "end-watches",
+                "swap 1",
+                "duplicate 1",
+                "cut all by=reset",
+                "repack caches per-slice=7",
+                "repack caches per-slice=10"
+            };
             int started = 0;
             int dead = 0;
             while (took.size() + vanished.size() < runs) {
@@ -194,7 +237,8 @@
             }
             tell("drained (" + way + "), from the change to the last request", took);
             tell("vanished (" + way + ")", vanished);
-            System.out.printf("  %d answers, %d unavailable; %d servers had no request 200 ms before the change%n",
+            System.out.printf(
+                    "  %d answers, %d unavailable; %d servers had no request 200 ms before the change%n",
                     measured.answers.get(), measured.unavailable.get(), idle);
             measured.troubles();
         }
@@ -202,7 +246,8 @@
 
     private void back(int server) {
         served.net.run(() -> {
-            if (served.server.cluster().pods().stream().noneMatch(pod -> pod.name().equals("c-" + server))) {
+            if (served.server.cluster().pods().stream()
+                    .noneMatch(pod -> pod.name().equals("c-" + server))) {
                 served.command("pod c-" + server + " add service=caches ipv4=" + CacheFleet.address(server));
             } else {
                 served.command("pod c-" + server + " ready");
@@ -212,11 +257,17 @@
 
     private void troubles() {
         synchronized (log) {
-            log.stream().filter(line -> line.contains("farm-")).limit(5)
+            log.stream()
+                    .filter(line -> line.contains("farm-"))
+                    .limit(5)
                     .forEach(line -> System.out.println("  " + line));
-            log.stream().map(line -> line.replaceFirst("^\\w+: ([-a-z]+): .*", "$1")).distinct()
+            log.stream()
+                    .map(line -> line.replaceFirst("^\\w+: ([-a-z]+): .*", "$1"))
+                    .distinct()
                     .forEach(kind -> System.out.println("  log: " + kind + " "
-                            + log.stream().filter(line -> line.contains(": " + kind + ": ")).count()));
+                            + log.stream()
+                                    .filter(line -> line.contains(": " + kind + ": "))
+                                    .count()));
         }
     }
 
@@ -245,9 +296,15 @@
                             took[i] = measured.first(2_000) ? System.nanoTime() - begun : Long.MAX_VALUE;
                             measured.stop();
                         }
-                        System.out.printf("start with %s, %s snapshot, API %s: %s%n", tls ? "TLS" : "no TLS",
-                                snapshot ? "a" : "no", up ? "up" : "down", Arrays.stream(took).sorted().mapToObj(n ->
-                                        n == Long.MAX_VALUE ? "never" : n / 1_000_000 + " ms").toList());
+                        System.out.printf(
+                                "start with %s, %s snapshot, API %s: %s%n",
+                                tls ? "TLS" : "no TLS",
+                                snapshot ? "a" : "no",
+                                up ? "up" : "down",
+                                Arrays.stream(took)
+                                        .sorted()
+                                        .mapToObj(n -> n == Long.MAX_VALUE ? "never" : n / 1_000_000 + " ms")
+                                        .toList());
                     }
                 }
             }
@@ -275,8 +332,8 @@
     private static void sizes(int seconds, boolean tls) throws Exception {
         for (int size : new int[] {100, 500, 1_000, 2_000, 5_000}) {
             try (KubernetesMeasured measured = new KubernetesMeasured(tls)) {
-                measured.served.command("service caches port=resp:6379 per-slice=100",
-                        "pods c " + size + " service=caches");
+                measured.served.command(
+                        "service caches port=resp:6379 per-slice=100", "pods c " + size + " service=caches");
                 measured.start();
                 Thread.sleep(3_000);
                 long[] pings = new long[60 * seconds * 1_000];
@@ -290,12 +347,19 @@
                 long busy = measured.ticks() - ticks;
                 long[] times = Arrays.copyOf(pings, count);
                 Arrays.sort(times);
-                System.out.printf("%5d servers: %.2f%% of a core at rest, %.2f%% under 200 changes a second (%.0f us a "
-                        + "change); PING at rest at most %.1f ms, under changes p99 %.2f, p99.9 %.2f, at most %.1f ms; "
-                        + "resident %d MB%n", size, (double) rest / seconds, (double) busy / seconds,
-                        (busy - rest) * 10_000.0 / (200.0 * seconds), longestAtRest / 1e6,
-                        times[(int) (count * 0.99)] / 1e6, times[(int) (count * 0.999)] / 1e6,
-                        times[count - 1] / 1e6, measured.residentMegabytes());
+                System.out.printf(
+                        "%5d servers: %.2f%% of a core at rest, %.2f%% under 200 changes a second (%.0f us a "
+                                + "change); PING at rest at most %.1f ms, under changes p99 %.2f, p99.9 %.2f, at most %.1f ms; "
+                                + "resident %d MB%n",
+                        size,
+                        (double) rest / seconds,
+                        (double) busy / seconds,
+                        (busy - rest) * 10_000.0 / (200.0 * seconds),
+                        longestAtRest / 1e6,
+                        times[(int) (count * 0.99)] / 1e6,
+                        times[(int) (count * 0.999)] / 1e6,
+                        times[count - 1] / 1e6,
+                        measured.residentMegabytes());
                 measured.troubles();
             }
         }
@@ -319,15 +383,18 @@
 
     /** User and system time of the router, in hundredths of a second. */
     private long ticks() throws IOException {
-        String[] words = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).replaceFirst(".*\\) ", "")
+        String[] words = Files.readString(Path.of("/proc/" + process.pid() + "/stat"))
+                .replaceFirst(".*\\) ", "")
                 .split(" ");
         return Long.parseLong(words[11]) + Long.parseLong(words[12]);
     }
 
     private long residentMegabytes() throws IOException {
         return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmRSS"))
-                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).sum() / 1024;
+                        .filter(line -> line.startsWith("VmRSS"))
+                        .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                        .sum()
+                / 1024;
     }
 
     @Override
--- a/src/test/java/slateseam/router/membership/GuardTest.java
+++ b/src/test/java/slateseam/router/membership/GuardTest.java
@@ -22,8 +22,11 @@
         List<Server> before = told.servers();
         told.after(60_000).listed(20);
         assertThat(told.after(3_000).servers()).isEqualTo(before);
-        assertThat(told.membership.notes()).singleElement().extracting(Note::text).asString().startsWith(
-                "100 of 100 ready application servers are listed no more; they count for another 10000 ms");
+        assertThat(told.membership.notes())
+                .singleElement()
+                .extracting(Note::text)
+                .asString()
+                .startsWith("100 of 100 ready application servers are listed no more; they count for another 10000 ms");
         for (int i = 0; i < 10; i++) { // slice by slice: the rest stays while they return
             told.changed("b" + i, 30 + i, row(10 * i, 10 * i + 10)).after(200);
             assertThat(told.servers()).isEqualTo(before);
@@ -40,7 +43,10 @@
         assertThat(told.servers()).hasSize(100);
         assertThat(told.membership.nextChange()).isEqualTo(due);
         assertThat(told.after(1).pods()).isEqualTo(row(0, 50));
-        assertThat(told.membership.notes()).extracting(Note::text).last().asString()
+        assertThat(told.membership.notes())
+                .extracting(Note::text)
+                .last()
+                .asString()
                 .startsWith("50 servers are still not");
     }
 
@@ -49,10 +55,14 @@
         Told told = of(100).changed("a", 11, row(0, 60));
         assertThat(told.after(200).pods()).isEqualTo(row(0, 60));
         told.after(9_000).changed("a", 12, row(0, 59));
-        assertThat(told.after(9_000).servers()).as("little by little counts together").hasSize(60);
+        assertThat(told.after(9_000).servers())
+                .as("little by little counts together")
+                .hasSize(60);
         Told two = of(2).changed("a", 11, "0");
         assertThat(two.after(200).pods()).as("one of several may always leave").isEqualTo("0");
-        assertThat(two.changed("a", 12, "").after(200).pods()).as("the last may not").isEqualTo("0");
+        assertThat(two.changed("a", 12, "").after(200).pods())
+                .as("the last may not")
+                .isEqualTo("0");
     }
 
     @Test
@@ -67,7 +77,9 @@
         Told held = of(10).after(60_000).listed(20);
         assertThat(held.after(1_000).ready()).isEqualTo(10);
         held.changed("b", 21, "0x 1-");
-        assertThat(held.ready()).as("two of those that are kept are told to drain").isEqualTo(8);
+        assertThat(held.ready())
+                .as("two of those that are kept are told to drain")
+                .isEqualTo(8);
         held.membership.changed(new Slice("c", "of-c", 22, false, null, endpoints("2x"), Map.of(), Map.of()), held.now);
         assertThat(held.ready()).as("even by a slice that is of no use else").isEqualTo(7);
         assertThat(held.after(200).servers()).as("which then leaves").hasSize(9);
--- a/src/test/java/slateseam/router/membership/HistoriesPropertyTest.java
+++ b/src/test/java/slateseam/router/membership/HistoriesPropertyTest.java
@@ -22,8 +22,7 @@
     private static final int REACH = 12;
 
     /** What was written: the slice, or its last state where it was deleted. */
-    private record Event(Slice slice, boolean deleted) {
-    }
+    private record Event(Slice slice, boolean deleted) {}
 
     /** A cluster as it truly is, and all that was ever written. */
     private static final class Cluster {
@@ -32,11 +31,13 @@
         final TreeMap<Integer, String> pods = new TreeMap<>();
         /** Pods by slices; the pod's state is as last written. */
         final TreeMap<String, TreeMap<Integer, String>> slices = new TreeMap<>();
+
         final Map<String, String> uids = new HashMap<>();
         final Map<String, Slice> written = new TreeMap<>();
         final List<Event> events = new ArrayList<>();
         /** Writes that are still to be made, in their order. */
         final List<Runnable> pending = new ArrayList<>();
+
         long version = 100;
         int made;
 
@@ -77,7 +78,8 @@
         }
 
         Slice slice(String name) {
-            String all = slices.get(name).entrySet().stream().map(e -> e.getKey() + e.getValue())
+            String all = slices.get(name).entrySet().stream()
+                    .map(e -> e.getKey() + e.getValue())
                     .collect(Collectors.joining(" "));
             return new Slice(name, uids.get(name), ++version, false, 1, Told.endpoints(all), Map.of(), Map.of());
         }
@@ -107,8 +109,10 @@
                 case 1, 2, 3 -> {
                     if (pod != null && pods.containsKey(pod) && !pods.get(pod).equals("x")) {
                         pods.put(pod, List.of("", "-", "x").get(random.nextInt(3)));
-                        new ArrayList<>(slices.keySet()).stream().filter(s -> slices.get(s).containsKey(pod))
-                                .forEach(s -> pending.add(() -> write(s)));
+                        new ArrayList<>(slices.keySet())
+                                .stream()
+                                        .filter(s -> slices.get(s).containsKey(pod))
+                                        .forEach(s -> pending.add(() -> write(s)));
                     }
                 }
                 case 4 -> {
@@ -146,7 +150,8 @@
                 }
             };
             Runnable drop = () -> {
-                if (slices.containsKey(from) && slices.getOrDefault(to, new TreeMap<>()).containsKey(pod)) {
+                if (slices.containsKey(from)
+                        && slices.getOrDefault(to, new TreeMap<>()).containsKey(pod)) {
                     slices.get(from).remove(pod);
                     write(from);
                 }
@@ -162,8 +167,12 @@
         }
 
         String truth() {
-            return slices.values().stream().flatMap(s -> s.keySet().stream()).distinct().sorted()
-                    .map(pod -> pod + (pods.get(pod).isEmpty() ? "" : "x")).collect(Collectors.joining(" "));
+            return slices.values().stream()
+                    .flatMap(s -> s.keySet().stream())
+                    .distinct()
+                    .sorted()
+                    .map(pod -> pod + (pods.get(pod).isEmpty() ? "" : "x"))
+                    .collect(Collectors.joining(" "));
         }
     }
 
@@ -171,6 +180,7 @@
     private Told told;
     /** The newest view of each pod that was seen, and whether it drains in it. */
     private final Map<String, Long> seen = new HashMap<>();
+
     private final Map<String, Boolean> drains = new HashMap<>();
     private final Map<String, Long> born = new HashMap<>();
     private long listedAt;
@@ -261,8 +271,11 @@
     private void check(String seed) {
         for (Server server : told.servers()) {
             if (server.ready()) {
-                assertThat(drains.getOrDefault(server.name(), false)).as(seed + " drained " + server.name()).isFalse();
-                assertThat(born.merge(server.name(), server.bornAtNanos(), (a, b) -> a)).as(seed + " born")
+                assertThat(drains.getOrDefault(server.name(), false))
+                        .as(seed + " drained " + server.name())
+                        .isFalse();
+                assertThat(born.merge(server.name(), server.bornAtNanos(), (a, b) -> a))
+                        .as(seed + " born")
                         .isEqualTo(server.bornAtNanos());
             }
         }
--- a/src/test/java/slateseam/router/membership/MembershipMeasured.java
+++ b/src/test/java/slateseam/router/membership/MembershipMeasured.java
@@ -30,20 +30,42 @@
     }
 
     private static Endpoint endpoint(int i, boolean ready, String uid) {
-        return new Endpoint(List.of("10." + i / 65_536 + "." + i / 256 % 256 + "." + i % 256), ready, ready, false,
-                "zone-" + i % 4, "node-" + i / 10, List.of("zone-" + i % 4), uid, "cache-" + i);
+        return new Endpoint(
+                List.of("10." + i / 65_536 + "." + i / 256 % 256 + "." + i % 256),
+                ready,
+                ready,
+                false,
+                "zone-" + i % 4,
+                "node-" + i / 10,
+                List.of("zone-" + i % 4),
+                uid,
+                "cache-" + i);
     }
 
     private Slice slice(int n) {
         // Strings of their own, as a parser makes them.
         List<Endpoint> fresh = new ArrayList<>();
         for (Endpoint e : slices.get(n)) {
-            fresh.add(new Endpoint(List.of(new String(e.addresses().get(0))), e.ready(), e.serving(), e.terminating(),
-                    new String(e.zone()), new String(e.nodeName()), List.of(new String(e.hintZones().get(0))),
-                    new String(e.targetUid()), new String(e.targetName())));
+            fresh.add(new Endpoint(
+                    List.of(new String(e.addresses().get(0))),
+                    e.ready(),
+                    e.serving(),
+                    e.terminating(),
+                    new String(e.zone()),
+                    new String(e.nodeName()),
+                    List.of(new String(e.hintZones().get(0))),
+                    new String(e.targetUid()),
+                    new String(e.targetName())));
         }
-        return new Slice("cache-" + n, "uid-" + n, ++version, false, 6379, fresh,
-                Map.of("kubernetes.io/service-name", "cache"), Map.of());
+        return new Slice(
+                "cache-" + n,
+                "uid-" + n,
+                ++version,
+                false,
+                6379,
+                fresh,
+                Map.of("kubernetes.io/service-name", "cache"),
+                Map.of());
     }
 
     private Slice changed() {
@@ -101,11 +123,19 @@
         int remembered = membership.remembered().servers().size();
         long remembering = thread.getCurrentThreadCpuTime() - cpu;
         if (shown) {
-            System.out.printf("%5d servers: list %6.1f ms, change %5.1f us (longest %.1f ms, %d KB), "
-                    + "%.2f servers told a change, memory +%d KB with its slices, %d KB after; "
-                    + "remembered %d in %.2f ms%n",
-                    membership.servers(now).size(), listed / 1e6, spent / 1e3 / CHANGES, longest / 1e6,
-                    bytes / CHANGES / 1024, (double) told / CHANGES, own / 1024, after / 1024, remembered,
+            System.out.printf(
+                    "%5d servers: list %6.1f ms, change %5.1f us (longest %.1f ms, %d KB), "
+                            + "%.2f servers told a change, memory +%d KB with its slices, %d KB after; "
+                            + "remembered %d in %.2f ms%n",
+                    membership.servers(now).size(),
+                    listed / 1e6,
+                    spent / 1e3 / CHANGES,
+                    longest / 1e6,
+                    bytes / CHANGES / 1024,
+                    (double) told / CHANGES,
+                    own / 1024,
+                    after / 1024,
+                    remembered,
                     remembering / 1e6);
         }
     }
--- a/src/test/java/slateseam/router/membership/MembershipTest.java
+++ b/src/test/java/slateseam/router/membership/MembershipTest.java
@@ -18,18 +18,30 @@
 class MembershipTest {
     private static final MembershipSettings USUAL = MembershipSettings.USUAL;
 
-    private static MembershipSettings settings(Origin origin, boolean ipv6, boolean comparable, Places places,
-            Keys keys) {
+    private static MembershipSettings settings(
+            Origin origin, boolean ipv6, boolean comparable, Places places, Keys keys) {
         return new MembershipSettings(origin, ipv6, comparable, places, keys, USUAL.guard(), USUAL.bounds());
     }
 
     @ParameterizedTest
-    @CsvSource(nullValues = "?", value = {"?,?,?,true", "true,?,?,true", "true,true,false,true", "false,?,?,false",
-        "false,true,?,false", "?,false,?,false", "true,false,false,false", "?,?,true,false", "true,true,true,false",
-        "false,true,true,false", "false,false,true,false"})
+    @CsvSource(
+            nullValues = "?",
+            value = {
+                "?,?,?,true",
+                "true,?,?,true",
+                "true,true,false,true",
+                "false,?,?,false",
+                "false,true,?,false",
+                "?,false,?,false",
+                "true,false,false,false",
+                "?,?,true,false",
+                "true,true,true,false",
+                "false,true,true,false",
+                "false,false,true,false"
+            })
     void conditionsComeToAState(Boolean ready, Boolean serving, Boolean terminating, boolean takesNew) {
-        Endpoint endpoint = new Endpoint(List.of("10.0.0.1"), ready, serving, terminating, null, null, List.of(), "u",
-                "p");
+        Endpoint endpoint =
+                new Endpoint(List.of("10.0.0.1"), ready, serving, terminating, null, null, List.of(), "u", "p");
         Told told = new Told();
         told.listed(1, new Slice("a", "of-a", 1, false, 80, List.of(endpoint), Map.of(), Map.of()));
         assertThat(told.servers()).extracting(Server::ready).containsExactly(takesNew);
@@ -101,10 +113,12 @@
         told.deleted("b", 20).after(300);
         told.changed("b", 19, "4").changed("c", 9, "9");
         assertThat(told.pods()).isEqualTo("1 2 3");
-        told.membership.changed(new Slice("b", "another", 21, false, 6379, Told.endpoints("5"), Map.of(), Map.of()),
-                told.now);
+        told.membership.changed(
+                new Slice("b", "another", 21, false, 6379, Told.endpoints("5"), Map.of(), Map.of()), told.now);
         told.deleted("b", 20);
-        assertThat(told.after(300).pods()).as("made anew, and the old deletion told once more").isEqualTo("1 2 3 5");
+        assertThat(told.after(300).pods())
+                .as("made anew, and the old deletion told once more")
+                .isEqualTo("1 2 3 5");
         told.changed("b", 19, "4").changed("a", 5, "1 2 3 4");
         assertThat(told.pods()).isEqualTo("1 2 3 5");
     }
@@ -155,17 +169,23 @@
     void aNewPodAtTheSameAddressIsANewColdServer() {
         Told told = new Told().listed(10, slice("a", 5, "1 2"));
         Endpoint second = Told.endpoint("2");
-        Endpoint again = new Endpoint(second.addresses(), null, null, null, "zone-a", "node", List.of(), "uid-3",
-                "pod-2");
+        Endpoint again =
+                new Endpoint(second.addresses(), null, null, null, "zone-a", "node", List.of(), "uid-3", "pod-2");
         long first = told.now;
-        told.after(500).membership.changed(new Slice("a", "of-a", 11, false, 6379, List.of(Told.endpoint("1"), again),
-                Map.of(), Map.of()), told.now);
-        assertThat(told.server(3)).extracting(Server::address, Server::bornAtNanos).containsExactly("10.0.0.2",
-                told.now);
+        told.after(500)
+                .membership
+                .changed(
+                        new Slice("a", "of-a", 11, false, 6379, List.of(Told.endpoint("1"), again), Map.of(), Map.of()),
+                        told.now);
+        assertThat(told.server(3))
+                .extracting(Server::address, Server::bornAtNanos)
+                .containsExactly("10.0.0.2", told.now);
         assertThat(told.server(1).bornAtNanos()).as("of the first list").isZero();
         assertThat(first).isLessThan(told.now);
         told.after(300).changed("a", 12, "1 3 4-").after(5_000).changed("a", 13, "1 3 4");
-        assertThat(told.server(4).bornAtNanos()).as("cold from when it is ready").isEqualTo(told.now);
+        assertThat(told.server(4).bornAtNanos())
+                .as("cold from when it is ready")
+                .isEqualTo(told.now);
         long born = told.server(3).bornAtNanos();
         told.changed("a", 14, "1 4").after(1_000).servers();
         told.changed("b", 15, "3");
@@ -175,12 +195,17 @@
     @Test
     void withoutAPodTheAddressTellsServersApart() {
         Endpoint bare = new Endpoint(List.of("10.9.9.9"), null, null, null, null, null, List.of(), null, null);
-        Told told = new Told().listed(10, slice("a", 5, "1 2"), new Slice("b", "of-b", 6, false, 80,
-                List.of(bare, bare), Map.of(), Map.of()));
+        Told told = new Told()
+                .listed(
+                        10,
+                        slice("a", 5, "1 2"),
+                        new Slice("b", "of-b", 6, false, 80, List.of(bare, bare), Map.of(), Map.of()));
         assertThat(told.servers()).extracting(Server::name).containsExactly("10.9.9.9", "uid-1", "uid-2");
         told.deleted("b", 11).after(300).servers();
         told.membership.changed(new Slice("b", "of-b2", 12, false, 80, List.of(bare), Map.of(), Map.of()), told.now);
-        assertThat(told.servers().get(0).bornAtNanos()).as("it may be another process").isEqualTo(told.now);
+        assertThat(told.servers().get(0).bornAtNanos())
+                .as("it may be another process")
+                .isEqualTo(told.now);
     }
 
     @Test
@@ -203,7 +228,10 @@
 
     @Test
     void placesKindsWeightsAndStartsAreRead() {
-        Told told = new Told(settings(USUAL.origin(), false, true,
+        Told told = new Told(settings(
+                USUAL.origin(),
+                false,
+                true,
                 new Places(Map.of("eu-1a", "manila"), Map.of("cebu-", "cebu", "cebu-old-", "davao")),
                 new Keys("x/kind", "x/weight", "x/start")));
         List<Endpoint> endpoints = List.of(
@@ -212,40 +240,64 @@
                 new Endpoint(List.of("10.0.0.3"), null, null, null, null, "cebu-old-7", List.of(), "3", null),
                 new Endpoint(List.of("10.0.0.4"), null, null, null, "eu-1c", "cebu-7", List.of(), "4", null),
                 new Endpoint(List.of("10.0.0.5"), null, null, null, null, "x", List.of("eu-1a", "eu-1c"), "5", null));
-        told.listed(1, new Slice("a", "of-a", 1, false, 80, endpoints, Map.of("x/kind", "box", "x/weight", "0.5"),
-                Map.of("x/kind", "half", "x/start", "2026-01-02T03:04:05.5Z", "other", "x")));
+        told.listed(
+                1,
+                new Slice(
+                        "a",
+                        "of-a",
+                        1,
+                        false,
+                        80,
+                        endpoints,
+                        Map.of("x/kind", "box", "x/weight", "0.5"),
+                        Map.of("x/kind", "half", "x/start", "2026-01-02T03:04:05.5Z", "other", "x")));
         assertThat(told.servers()).extracting(Server::zone).containsExactly("manila", "manila", "davao", "eu-1c", "");
-        assertThat(told.servers().get(0)).extracting(Server::kind, Server::weight, Server::bornAtNanos)
+        assertThat(told.servers().get(0))
+                .extracting(Server::kind, Server::weight, Server::bornAtNanos)
                 .containsExactly("half", 0.5, 1_767_323_045_500L * MS);
-        told.membership.changed(new Slice("a", "of-a", 2, false, 80, endpoints.subList(0, 1), Map.of("x/weight", "NaN",
-                "x/start", "1767323045500"), Map.of("x/kind", "k".repeat(257))), told.now);
-        assertThat(told.servers().get(0)).extracting(Server::kind, Server::weight, Server::bornAtNanos)
+        told.membership.changed(
+                new Slice(
+                        "a",
+                        "of-a",
+                        2,
+                        false,
+                        80,
+                        endpoints.subList(0, 1),
+                        Map.of("x/weight", "NaN", "x/start", "1767323045500"),
+                        Map.of("x/kind", "k".repeat(257))),
+                told.now);
+        assertThat(told.servers().get(0))
+                .extracting(Server::kind, Server::weight, Server::bornAtNanos)
                 .containsExactly("", 1.0, 1_767_323_045_500L * MS);
     }
 
     @Test
     void theOriginIsASecondServiceOrAFixedAddress() {
         Told told = new Told(settings(new Origin("archive", null, 0), false, true, USUAL.places(), USUAL.keys()));
-        told.listed(1, slice("a", 1, "1 2 3"), new Slice("o", "of-o", 1, false, 80, Told.endpoints("1"),
-                Map.of(Keys.SERVICE, "archive"), Map.of()));
-        assertThat(told.servers()).extracting(Server::origin, Server::port)
-                .contains(tuple(true, 80));
+        told.listed(
+                1,
+                slice("a", 1, "1 2 3"),
+                new Slice("o", "of-o", 1, false, 80, Told.endpoints("1"), Map.of(Keys.SERVICE, "archive"), Map.of()));
+        assertThat(told.servers()).extracting(Server::origin, Server::port).contains(tuple(true, 80));
         told.deleted("o", 5).after(5_000);
         assertThat(told.servers()).as("the last origin is guarded for itself").anyMatch(Server::origin);
         assertThat(told.after(5_000).servers()).noneMatch(Server::origin);
         Told fixed = new Told(settings(new Origin(null, "10.1.1.1", 81), false, true, USUAL.places(), USUAL.keys()));
-        assertThat(fixed.listed(1).servers()).extracting(Server::address, Server::port, Server::ready, Server::origin)
+        assertThat(fixed.listed(1).servers())
+                .extracting(Server::address, Server::port, Server::ready, Server::origin)
                 .containsExactly(tuple("10.1.1.1", 81, true, true));
     }
 
     @Test
     void aSliceWithoutThePortTellsOnlyOfDrains() {
         Told told = new Told().listed(10, slice("a", 5, "1 2"));
-        told.membership.changed(new Slice("b", "of-b", 11, false, null, Told.endpoints("1x 2 3"), Map.of(), Map.of()),
-                told.now);
+        told.membership.changed(
+                new Slice("b", "of-b", 11, false, null, Told.endpoints("1x 2 3"), Map.of(), Map.of()), told.now);
         assertThat(told.pods()).isEqualTo("1x 2");
-        told.listed(12, slice("a", 5, "1 2"), new Slice("b", "of-b", 11, false, null, Told.endpoints("1x 2 3"),
-                Map.of(), Map.of()));
+        told.listed(
+                12,
+                slice("a", 5, "1 2"),
+                new Slice("b", "of-b", 11, false, null, Told.endpoints("1x 2 3"), Map.of(), Map.of()));
         assertThat(told.pods()).isEqualTo("1x 2");
     }
 
@@ -264,21 +316,53 @@
         assertThat(servers.pods()).isEqualTo("1 2 3");
         servers.changed("a", 11, "2x 1").changed("a", 12, "2x");
         assertThat(servers.pods()).isEqualTo("1 2x 3");
-        assertThat(servers.after(200).pods()).as("one that found no room comes in").isEqualTo("2x 3 4");
+        assertThat(servers.after(200).pods())
+                .as("one that found no room comes in")
+                .isEqualTo("2x 3 4");
 
         Told deleted = new Told(Told.bounds(10, 100, 1, 256)).listed(10, slice("a", 5, "1 6 7 8 9"));
         deleted.changed("b", 11, "2").deleted("b", 12).changed("c", 13, "3").deleted("c", 14);
-        assertThat(deleted.after(300).changed("b", 11, "2").pods()).as("of a forgotten deletion")
+        assertThat(deleted.after(300).changed("b", 11, "2").pods())
+                .as("of a forgotten deletion")
                 .isEqualTo("1 6 7 8 9");
         deleted.changed("d", 15, "4");
         assertThat(deleted.pods()).isEqualTo("1 4 6 7 8 9");
 
         Told text = new Told(Told.bounds(10, 100, 10, 8));
-        text.listed(1, new Slice("a", "of-a", 1, false, 80, List.of(
-                new Endpoint(List.of("10.0.0.1"), null, null, null, "z".repeat(9), "n", List.of(), "u", "é".repeat(5)),
-                new Endpoint(List.of("10.0.0.2"), null, null, null, null, null, List.of(), "u".repeat(9), null),
-                new Endpoint(List.of(), null, null, null, null, null, List.of(), "v", null)), Map.of(), Map.of()));
-        assertThat(text.servers()).extracting(Server::name, Server::zone, Server::pod)
+        text.listed(
+                1,
+                new Slice(
+                        "a",
+                        "of-a",
+                        1,
+                        false,
+                        80,
+                        List.of(
+                                new Endpoint(
+                                        List.of("10.0.0.1"),
+                                        null,
+                                        null,
+                                        null,
+                                        "z".repeat(9),
+                                        "n",
+                                        List.of(),
+                                        "u",
+                                        "é".repeat(5)),
+                                new Endpoint(
+                                        List.of("10.0.0.2"),
+                                        null,
+                                        null,
+                                        null,
+                                        null,
+                                        null,
+                                        List.of(),
+                                        "u".repeat(9),
+                                        null),
+                                new Endpoint(List.of(), null, null, null, null, null, List.of(), "v", null)),
+                        Map.of(),
+                        Map.of()));
+        assertThat(text.servers())
+                .extracting(Server::name, Server::zone, Server::pod)
                 .containsExactly(tuple("u", "", ""));
     }
 
--- a/src/test/java/slateseam/router/membership/RestoreTest.java
+++ b/src/test/java/slateseam/router/membership/RestoreTest.java
@@ -21,12 +21,17 @@
     @Test
     void aRestartGoesOnFromWhereItStood() {
         Told old = new Told().listed(10, slice("a", 5, row(0, 10)), slice("b", 6, "10 11"));
-        old.after(60_000).changed("a", 11, row(0, 9) + " 12 13-").changed("c", 12, "0x").after(1_000).deleted("b", 13);
+        old.after(60_000)
+                .changed("a", 11, row(0, 9) + " 12 13-")
+                .changed("c", 12, "0x")
+                .after(1_000)
+                .deleted("b", 13);
         old.after(100);
         Told told = restarted(old, 30_000);
         assertThat(told.servers()).isEqualTo(old.servers());
         assertThat(told.membership.version()).isEqualTo("13");
-        assertThat(told.after(200).pods()).as("of the slice deleted just before")
+        assertThat(told.after(200).pods())
+                .as("of the slice deleted just before")
                 .isEqualTo("0x 1 2 3 4 5 6 7 8 12 13x");
         told.changed("b", 12, "10 11");
         assertThat(told.pods()).as("still deleted").isEqualTo("0x 1 2 3 4 5 6 7 8 12 13x");
@@ -34,7 +39,9 @@
         assertThat(told.server(13).bornAtNanos()).as("first ready now").isEqualTo(told.now);
         assertThat(told.server(14).bornAtNanos()).as("came while this was down").isEqualTo(told.now);
         assertThat(told.server(12).bornAtNanos()).isLessThan(told.now).isPositive();
-        assertThat(told.server(0).ready()).as("drained by a slice newer than this one's view").isTrue();
+        assertThat(told.server(0).ready())
+                .as("drained by a slice newer than this one's view")
+                .isTrue();
     }
 
     @Test
@@ -59,7 +66,11 @@
 
     @Test
     void whatTheGuardKeepsIsKeptOverARestart() {
-        Told old = new Told().listed(10, slice("a", 5, row(0, 10))).after(60_000).listed(20).after(3_000);
+        Told old = new Told()
+                .listed(10, slice("a", 5, row(0, 10)))
+                .after(60_000)
+                .listed(20)
+                .after(3_000);
         Told told = restarted(old, 60_000);
         assertThat(told.after(9_999).servers()).isEqualTo(old.servers());
         assertThat(told.after(1).servers()).isEmpty();
@@ -70,9 +81,14 @@
         Told told = new Told().listed(10, slice("a", 5, row(0, 10)));
         Remembered remembered = told.membership.remembered();
         assertThat(remembered.servers()).isEmpty();
-        assertThat(remembered.slices()).singleElement().extracting(Slice::labels).isEqualTo(Map.of());
+        assertThat(remembered.slices())
+                .singleElement()
+                .extracting(Slice::labels)
+                .isEqualTo(Map.of());
         Told empty = new Told();
         empty.membership.restore(new Remembered(null, -1, List.of(), List.of(), List.of()), empty.now);
-        assertThat(empty.listed(1, slice("a", 1, "1")).server(1).bornAtNanos()).as("a first list after all").isZero();
+        assertThat(empty.listed(1, slice("a", 1, "1")).server(1).bornAtNanos())
+                .as("a first list after all")
+                .isZero();
     }
 }
--- a/src/test/java/slateseam/router/membership/Told.java
+++ b/src/test/java/slateseam/router/membership/Told.java
@@ -22,7 +22,13 @@
 
     static MembershipSettings bounds(int slices, int servers, int deleted, int text) {
         MembershipSettings u = MembershipSettings.USUAL;
-        return new MembershipSettings(u.origin(), u.preferIpv6(), u.comparable(), u.places(), u.keys(), u.guard(),
+        return new MembershipSettings(
+                u.origin(),
+                u.preferIpv6(),
+                u.comparable(),
+                u.places(),
+                u.keys(),
+                u.guard(),
                 new MembershipSettings.Bounds(slices, servers, deleted, text));
     }
 
@@ -30,9 +36,16 @@
     static Endpoint endpoint(String pod) {
         String name = pod.replaceAll("[-x]$", "");
         int number = Integer.parseInt(name);
-        return new Endpoint(List.of("10.0." + number / 256 + "." + number % 256),
+        return new Endpoint(
+                List.of("10.0." + number / 256 + "." + number % 256),
                 !pod.endsWith("-") && !pod.endsWith("x"),
-                null, pod.endsWith("x") ? true : null, "zone-a", "node", List.of(), "uid-" + name, "pod-" + name);
+                null,
+                pod.endsWith("x") ? true : null,
+                "zone-a",
+                "node",
+                List.of(),
+                "uid-" + name,
+                "pod-" + name);
     }
 
     static List<Endpoint> endpoints(String pods) {
@@ -44,7 +57,9 @@
     }
 
     static String row(int from, int to) {
-        return java.util.stream.IntStream.range(from, to).mapToObj(Integer::toString).collect(Collectors.joining(" "));
+        return java.util.stream.IntStream.range(from, to)
+                .mapToObj(Integer::toString)
+                .collect(Collectors.joining(" "));
     }
 
     static Slice slice(String name, long version, String pods) {
@@ -77,13 +92,19 @@
     }
 
     Server server(int pod) {
-        return servers().stream().filter(s -> s.name().endsWith("uid-" + pod)).findFirst().orElse(null);
+        return servers().stream()
+                .filter(s -> s.name().endsWith("uid-" + pod))
+                .findFirst()
+                .orElse(null);
     }
 
     /** All pods, those that drain with an x, in the order of their numbers. */
     String pods() {
-        return servers().stream().filter(s -> !s.origin()).sorted((a, b) -> Integer.compare(number(a), number(b)))
-                .map(s -> number(s) + (s.ready() ? "" : "x")).collect(Collectors.joining(" "));
+        return servers().stream()
+                .filter(s -> !s.origin())
+                .sorted((a, b) -> Integer.compare(number(a), number(b)))
+                .map(s -> number(s) + (s.ready() ? "" : "x"))
+                .collect(Collectors.joining(" "));
     }
 
     long ready() {
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -33,27 +33,30 @@
     private final List<Long> asked = new ArrayList<>();
     private final List<Long> left = new ArrayList<>();
     private long now;
-    private final Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
-    private final Requests requests = new Requests(new Intake() {
-        @Override
-        public long arrived(Request request, Front front, long exchange) {
-            asked.add(exchange);
-            return exchange;
-        }
+    private final Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> {}));
+    private final Requests requests = new Requests(
+            new Intake() {
+                @Override
+                public long arrived(Request request, Front front, long exchange) {
+                    asked.add(exchange);
+                    return exchange;
+                }
 
-        @Override
-        public void withdrawn(long ticket, Ending why) {
-            left.add(ticket);
-        }
-    }, new Versions(NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings()), 1_000);
+                @Override
+                public void withdrawn(long ticket, Ending why) {
+                    left.add(ticket);
+                }
+            },
+            new Versions(NodeConfig.parse(Files.readString(Path.of("examples/config.json")))
+                    .settings()),
+            1_000);
     private final MultiGet multiGet = new MultiGet(loop, requests, new Lifecycle(), MANY, 2_000 * MILLI, 10_000);
 
-    MultiGetTest() throws Exception {
-    }
+    MultiGetTest() throws Exception {}
 
     private Exchange begin(int... waits) throws Exception {
         asked.clear();
-        Exchange batch = multiGet.exchange(() -> { });
+        Exchange batch = multiGet.exchange(() -> {});
         batch.take(command("SLATE.MGET", Integer.toString(waits.length)));
         for (int i = 0; i < waits.length; i++) {
             batch.take(command("CACHE.GET", "k" + i, "i" + i, "c=read,t=acme,d=" + waits[i]));
--- a/src/test/java/slateseam/router/net/ConnectionFaultTest.java
+++ b/src/test/java/slateseam/router/net/ConnectionFaultTest.java
@@ -67,8 +67,9 @@
     @ParameterizedTest
     @CsvSource({"0, received 5 broken", "50, broken"})
     void aLoopThatIsLateLooksForTheEndFirst(long busyMillis, String expected) throws Exception {
-        Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
-        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        Loop loop = new Loop(() -> now, new Log("n0", () -> now, line -> {}));
+        try (ServerSocketChannel listener =
+                ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             SocketChannel other = SocketChannel.open(listener.getLocalAddress());
             new Quick(loop, listener.accept());
             loop.after(0, () -> now += busyMillis * 1_000_000);
@@ -86,7 +87,8 @@
     void aConnectionOfWhichNobodyKnowsWhatWasTakenIsClosed() throws Exception {
         List<String> log = new ArrayList<>();
         Loop loop = new Loop(() -> now, new Log("n0", () -> now, log::add));
-        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        try (ServerSocketChannel listener =
+                        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
                 SocketChannel other = SocketChannel.open(listener.getLocalAddress())) {
             new Faulty(loop, listener.accept());
             other.write(ByteBuffer.wrap(new byte[5]));
--- a/src/test/java/slateseam/router/net/ConsoleTest.java
+++ b/src/test/java/slateseam/router/net/ConsoleTest.java
@@ -44,8 +44,11 @@
         long lines = all.lines().filter(line -> line.startsWith("line ")).count();
         assertThat(bulk).isBetween(1, 48);
         assertThat(lines).isBetween(1L, 99L);
-        assertThat(all.lines()).hasSize(1 + bulk + (int) lines + 1).startsWith("first")
-                .contains("n0: lines-dropped: " + (100 - lines) + " lines did not fit while standard error was not read")
+        assertThat(all.lines())
+                .hasSize(1 + bulk + (int) lines + 1)
+                .startsWith("first")
+                .contains(
+                        "n0: lines-dropped: " + (100 - lines) + " lines did not fit while standard error was not read")
                 .allMatch(line -> line.equals("first") || line.endsWith(LONG) || line.startsWith("n0: "));
     }
 
--- a/src/test/java/slateseam/router/net/ParsersTest.java
+++ b/src/test/java/slateseam/router/net/ParsersTest.java
@@ -44,8 +44,9 @@
 
     @Test
     void anHttpAnswerIsReadWhereverItIsCut() throws Exception {
-        HttpReply reply = readWhole(HttpReply::read, "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nConnection: Close\r\n"
-                + "content-length: 4\r\n\r\n\r\n\r\n");
+        HttpReply reply = readWhole(
+                HttpReply::read,
+                "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nConnection: Close\r\n" + "content-length: 4\r\n\r\n\r\n\r\n");
         assertThat(reply.status()).isEqualTo(503);
         assertThat(reply.headers()).containsEntry("x-unprocessed", "1");
         assertThat(reply.keepsAlive()).isFalse();
@@ -54,14 +55,29 @@
 
     @Test
     void aChunkedHttpAnswerIsReadWhereverItIsCut() throws Exception {
-        HttpReply reply = readWhole(HttpReply::read,
+        HttpReply reply = readWhole(
+                HttpReply::read,
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\n");
         assertThat(new String(reply.body(), StandardCharsets.US_ASCII)).isEqualTo("abc0123456789");
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"*1\r\n+PING\r\n", "*0\r\n", "*-1\r\n", "*1025\r\n", "*1\r\n$4194305\r\n", "*1\r\n$-2\r\n",
-        "*x\r\n", "*\r\n", "*1\r\n$\r\n", "PING\r\n", "*1\r\n$1\r\nab\r\n", "*1\r\n*1\r\n*1\r\n*1\r\n", "*1\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "*1\r\n+PING\r\n",
+                "*0\r\n",
+                "*-1\r\n",
+                "*1025\r\n",
+                "*1\r\n$4194305\r\n",
+                "*1\r\n$-2\r\n",
+                "*x\r\n",
+                "*\r\n",
+                "*1\r\n$\r\n",
+                "PING\r\n",
+                "*1\r\n$1\r\nab\r\n",
+                "*1\r\n*1\r\n*1\r\n*1\r\n",
+                "*1\r\n\r\n"
+            })
     void whatIsNoCommandIsMalformed(String text) {
         assertThatThrownBy(() -> Resp.command(bytes(text))).isInstanceOf(MalformedException.class);
     }
@@ -72,9 +88,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"SSH-2.0\r\n", "HTTP/1.1 20 OK\r\n", "HTTP/1.1 200 OK\r\nnameless\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n"})
+    @ValueSource(
+            strings = {
+                "SSH-2.0\r\n",
+                "HTTP/1.1 20 OK\r\n",
+                "HTTP/1.1 200 OK\r\nnameless\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n"
+            })
     void whatIsNoHttpAnswerIsMalformed(String text) {
         assertThatThrownBy(() -> HttpReply.read(bytes(text))).isInstanceOf(MalformedException.class);
     }
@@ -88,7 +110,8 @@
             head.append(String.format(line, i));
         }
         assertThat(HttpReply.read(bytes(head.toString()))).isNull();
-        assertThat(HttpReply.read(bytes("HTTP/1.1 204 None" + head.substring(15) + "\r\n"))).isNotNull();
+        assertThat(HttpReply.read(bytes("HTTP/1.1 204 None" + head.substring(15) + "\r\n")))
+                .isNotNull();
         head.append(String.format(line, HttpHead.MOST_HEADERS));
         assertThatThrownBy(() -> HttpReply.read(bytes(head.toString()))).isInstanceOf(MalformedException.class);
     }
--- a/src/test/java/slateseam/router/net/TablesTest.java
+++ b/src/test/java/slateseam/router/net/TablesTest.java
@@ -53,7 +53,7 @@
         deadlines.cancel(null);
         assertThat(deadlines.next()).isEqualTo(10);
         assertThat(deadlines.due(9)).isNull();
-        for (Runnable action; (action = deadlines.due(20)) != null;) {
+        for (Runnable action; (action = deadlines.due(20)) != null; ) {
             action.run();
         }
         assertThat(done).containsExactly("first", "second", "third");
@@ -80,7 +80,7 @@
             }
         }
         Collections.sort(expected);
-        for (Runnable action; (action = deadlines.due(100)) != null;) {
+        for (Runnable action; (action = deadlines.due(100)) != null; ) {
             action.run();
         }
         set.forEach(deadlines::cancel); // too late, which changes nothing
@@ -99,15 +99,19 @@
         log.line("overdue", "another kind");
         now[0] = 1_000_000_000L;
         log.line("farm-malformed", "later");
-        assertThat(out).hasSize(7).contains("n1: farm-malformed: line?4", "n1: overdue: another kind",
-                "n1: farm-malformed: later (and 3 such lines before)");
+        assertThat(out)
+                .hasSize(7)
+                .contains(
+                        "n1: farm-malformed: line?4",
+                        "n1: overdue: another kind",
+                        "n1: farm-malformed: later (and 3 such lines before)");
     }
 
     /** A loop that is held up by one happening, or stands still while it waits, tells for how long others waited for it. */
     @Test
     void theLongestStallIsToldOnceAndThenForgotten() throws Exception {
         long[] now = {1_000_000_000L};
-        Loop loop = new Loop(() -> now[0], new Log("n0", () -> now[0], line -> { }));
+        Loop loop = new Loop(() -> now[0], new Log("n0", () -> now[0], line -> {}));
         loop.after(0, () -> now[0] += 700 * Clock.MILLI);
         loop.round(0);
         loop.round(0);
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -32,19 +32,31 @@
     private long id;
 
     PassesTest() throws Exception {
-        loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
-        passes = new Passes(loop, farm, new PassListener() {
-            @Override
-            public void passEnded(long request, int attempt, long to, Outcome outcome, boolean fetching, Answer served,
-                    long durationNanos) {
-                told.add(outcome);
-            }
-
-            @Override
-            public void happened(Event event) {
-                told.add(event);
-            }
-        }, SECOND / 5, new Bounds(1, 60 * SECOND, 100), () -> dispatched++);
+        loop = new Loop(() -> now, new Log("n0", () -> now, line -> {}));
+        passes = new Passes(
+                loop,
+                farm,
+                new PassListener() {
+                    @Override
+                    public void passEnded(
+                            long request,
+                            int attempt,
+                            long to,
+                            Outcome outcome,
+                            boolean fetching,
+                            Answer served,
+                            long durationNanos) {
+                        told.add(outcome);
+                    }
+
+                    @Override
+                    public void happened(Event event) {
+                        told.add(event);
+                    }
+                },
+                SECOND / 5,
+                new Bounds(1, 60 * SECOND, 100),
+                () -> dispatched++);
         id = list("ready");
     }
 
@@ -53,14 +65,34 @@
     }
 
     private long list(String host, String health) throws Exception {
-        return farm.take(new JSONObject("{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"" + host + "\",\"dial\":\"127.0.0.1:"
-                + server.socket().getLocalPort() + "\",\"site\":\"a\",\"class\":\"box\",\"health\":\"" + health + "\"}]}"),
-                false).members().get(0).id();
+        return farm.take(
+                        new JSONObject("{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"" + host
+                                + "\",\"dial\":\"127.0.0.1:" + server.socket().getLocalPort()
+                                + "\",\"site\":\"a\",\"class\":\"box\",\"health\":\"" + health + "\"}]}"),
+                        false)
+                .members()
+                .get(0)
+                .id();
     }
 
     private void begin(long ticket) {
-        passes.begin(ticket, new Request(new byte[] {'k'}, new byte[] {'i'}, "c=read,d=9".getBytes(), null, null, 0, 0, false,
-                SECOND, false), 0, id, SECOND, Long.MAX_VALUE);
+        passes.begin(
+                ticket,
+                new Request(
+                        new byte[] {'k'},
+                        new byte[] {'i'},
+                        "c=read,d=9".getBytes(),
+                        null,
+                        null,
+                        0,
+                        0,
+                        false,
+                        SECOND,
+                        false),
+                0,
+                id,
+                SECOND,
+                Long.MAX_VALUE);
     }
 
     /** Serves the pass that the server's next connection brings. */
@@ -164,7 +196,17 @@
     }
 
     private static Request write(byte[] value) {
-        return new Request(new byte[] {'k'}, new byte[] {'i'}, "c=put,d=9,k=1".getBytes(), value, null, 0, 0, false, SECOND, false);
+        return new Request(
+                new byte[] {'k'},
+                new byte[] {'i'},
+                "c=put,d=9,k=1".getBytes(),
+                value,
+                null,
+                0,
+                0,
+                false,
+                SECOND,
+                false);
     }
 
     /** How many bytes come up to the end. */
--- a/src/test/java/slateseam/router/peer/PeersTest.java
+++ b/src/test/java/slateseam/router/peer/PeersTest.java
@@ -25,7 +25,8 @@
     void messagesGoToPeersAndComeFromPeersOnly() throws Exception {
         Log log = new Log("n0", () -> 0, logged::add);
         Loop loop = new Loop(() -> 0, log);
-        try (DatagramChannel peer = bound(); DatagramChannel stranger = bound()) {
+        try (DatagramChannel peer = bound();
+                DatagramChannel stranger = bound()) {
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
             InetSocketAddress other = (InetSocketAddress) peer.getLocalAddress();
             Peers peers = new Peers(loop, any, List.of(any, other), null, told::add);
--- a/src/test/java/slateseam/router/request/VersionsTest.java
+++ b/src/test/java/slateseam/router/request/VersionsTest.java
@@ -12,21 +12,29 @@
 import slateseam.router.config.NodeConfig;
 
 class VersionsTest {
-    private final Settings start = NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings();
+    private final Settings start =
+            NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings();
     private final Versions versions = new Versions(start);
 
-    VersionsTest() throws Exception {
-    }
+    VersionsTest() throws Exception {}
 
     private Version adopt(String... names) {
         List<RequestClass> classes = new ArrayList<>();
         for (String name : names) {
             RequestClass c = start.classes().get(0);
-            classes.add(new RequestClass(name, c.aimNanos(), c.deadlineNanos(), c.worth(), c.lateShare(), c.effect(),
-                    c.group(), c.windowNanos(), c.stream()));
+            classes.add(new RequestClass(
+                    name,
+                    c.aimNanos(),
+                    c.deadlineNanos(),
+                    c.worth(),
+                    c.lateShare(),
+                    c.effect(),
+                    c.group(),
+                    c.windowNanos(),
+                    c.stream()));
         }
-        return versions.adopt(new Settings(7, 9, 1, 1, true, start.mode(), 0, 0.5, classes, List.of(), start.limits(),
-                start.rules()));
+        return versions.adopt(new Settings(
+                7, 9, 1, 1, true, start.mode(), 0, 0.5, classes, List.of(), start.limits(), start.rules()));
     }
 
     @Test
--- a/src/test/java/slateseam/router/snapshot/SnapshotsTest.java
+++ b/src/test/java/slateseam/router/snapshot/SnapshotsTest.java
@@ -31,6 +31,7 @@
 
     @TempDir
     private Path folder;
+
     private final List<String> lines = new ArrayList<>();
 
     private static Content discovery(String host) {
@@ -61,17 +62,34 @@
     }
 
     private static String host(Found found) {
-        return ((Content.Discovery) found.content()).list().getJSONArray("hosts").getJSONObject(0).getString("host");
+        return ((Content.Discovery) found.content())
+                .list()
+                .getJSONArray("hosts")
+                .getJSONObject(0)
+                .getString("host");
     }
 
     @Test
     void whatIsWrittenIsReadAgain() throws Exception {
         Server held = new Server("u2", "10.0.0.2", 80, true, "z", "k", 0.5, 9, true, "p", "n");
-        Remembered all = new Remembered("12", 11, List.of(new Slice("a", "u", 12, true, 80, List.of(
-                new Endpoint(List.of("fd00::1"), true, null, false, "z\u00e9", "n", List.of("x"), "u1", "p"),
-                new Endpoint(List.of("fd00::2"), null, null, null, null, null, List.of(), null, null)),
-                Map.of("k", "v"), Map.of("a", "\"\n"))), List.of(new Deleted("b", "ub", 3)),
-                List.of(new Known("u2", true, 5, true, 4, held, true),
+        Remembered all = new Remembered(
+                "12",
+                11,
+                List.of(new Slice(
+                        "a",
+                        "u",
+                        12,
+                        true,
+                        80,
+                        List.of(
+                                new Endpoint(
+                                        List.of("fd00::1"), true, null, false, "z\u00e9", "n", List.of("x"), "u1", "p"),
+                                new Endpoint(List.of("fd00::2"), null, null, null, null, null, List.of(), null, null)),
+                        Map.of("k", "v"),
+                        Map.of("a", "\"\n"))),
+                List.of(new Deleted("b", "ub", 3)),
+                List.of(
+                        new Known("u2", true, 5, true, 4, held, true),
                         new Known("u3", false, NOW, false, -1, null, false)));
         Found found = written(new Content.Slices(all)).read(NOW + SECOND);
         assertThat(found.content()).isEqualTo(new Content.Slices(all));
@@ -85,17 +103,20 @@
         Snapshots snapshots = written(OLD);
         byte[] whole = Files.readAllBytes(file());
         for (int length = 0; length < whole.length; length++) {
-            assertThat(Frame.read(Arrays.copyOf(whole, length), settings(), NOW).finding()).as("cut at " + length)
+            assertThat(Frame.read(Arrays.copyOf(whole, length), settings(), NOW).finding())
+                    .as("cut at " + length)
                     .isEqualTo(Finding.TORN);
         }
         for (int at = 0; at < whole.length; at++) {
             byte[] flipped = whole.clone();
             flipped[at] ^= 1 << at % 8;
-            assertThat(Frame.read(flipped, settings(), NOW).finding()).as("flipped at " + at)
+            assertThat(Frame.read(flipped, settings(), NOW).finding())
+                    .as("flipped at " + at)
                     .isNotEqualTo(Finding.GOOD);
         }
         Files.write(file(), Arrays.copyOf(whole, whole.length + 1));
-        assertThat(snapshots.read(NOW)).extracting(Found::finding, Found::content)
+        assertThat(snapshots.read(NOW))
+                .extracting(Found::finding, Found::content)
                 .containsExactly(Finding.DAMAGED, null);
     }
 
@@ -107,17 +128,27 @@
         assertThat(snapshots.read(NOW + 3_600 * SECOND + 1).finding()).isEqualTo(Finding.TOO_OLD);
         assertThat(snapshots.read(NOW - 60 * SECOND).finding()).isEqualTo(Finding.GOOD);
         assertThat(snapshots.read(NOW - 60 * SECOND - 1).finding()).isEqualTo(Finding.AHEAD);
-        assertThat(new Store(settings("r1", "discovery", 10_000), new Disk()).read(NOW)).satisfies(found -> {
-            assertThat(found.finding()).isEqualTo(Finding.OTHER_SOURCE);
-            assertThat(found.text()).endsWith("r1.farm: it tells of another source of the farm (slices)");
-        });
-        assertThat(new Store(settings("r1", "slices", whole.length), new Disk()).read(NOW).finding())
+        assertThat(new Store(settings("r1", "discovery", 10_000), new Disk()).read(NOW))
+                .satisfies(found -> {
+                    assertThat(found.finding()).isEqualTo(Finding.OTHER_SOURCE);
+                    assertThat(found.text()).endsWith("r1.farm: it tells of another source of the farm (slices)");
+                });
+        assertThat(new Store(settings("r1", "slices", whole.length), new Disk())
+                        .read(NOW)
+                        .finding())
                 .isEqualTo(Finding.GOOD);
-        assertThat(new Store(settings("r1", "slices", whole.length - 1), new Disk()).read(NOW).finding())
+        assertThat(new Store(settings("r1", "slices", whole.length - 1), new Disk())
+                        .read(NOW)
+                        .finding())
                 .isEqualTo(Finding.TOO_LARGE);
-        assertThat(new Store(settings("r2", "slices", 10_000), new Disk()).read(NOW).finding()).isEqualTo(Finding.NONE);
+        assertThat(new Store(settings("r2", "slices", 10_000), new Disk())
+                        .read(NOW)
+                        .finding())
+                .isEqualTo(Finding.NONE);
         Files.write(folder.resolve("r2.farm"), whole);
-        assertThat(new Store(settings("r2", "slices", 10_000), new Disk()).read(NOW).finding())
+        assertThat(new Store(settings("r2", "slices", 10_000), new Disk())
+                        .read(NOW)
+                        .finding())
                 .isEqualTo(Finding.OTHER_ROUTER);
         byte[] later = whole.clone();
         later[9] = 2;
@@ -126,8 +157,10 @@
         Files.writeString(file(), "{\"hosts\": []}");
         assertThat(snapshots.read(NOW).finding()).isEqualTo(Finding.FOREIGN);
         for (byte kind : new byte[] {1, 2, 3}) {
-            Files.write(file(), Frame.write(settings(), kind, (kind == 1 ? "[" : "{\"floor\":{}}").getBytes(),
-                    NOW).array());
+            Files.write(
+                    file(),
+                    Frame.write(settings(), kind, (kind == 1 ? "[" : "{\"floor\":{}}").getBytes(), NOW)
+                            .array());
             assertThat(snapshots.read(NOW).finding()).as("kind " + kind).isEqualTo(Finding.MALFORMED);
         }
     }
@@ -250,11 +283,16 @@
 
     @Test
     void anotherProcessHoldsTheLockUntilItEnds() throws Exception {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), SnapshotsTest.class.getName(), folder.toString())
-                .redirectError(ProcessBuilder.Redirect.INHERIT).start();
-        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
-                StandardCharsets.UTF_8))) {
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        SnapshotsTest.class.getName(),
+                        folder.toString())
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        try (BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             assertThat(out.readLine()).isEqualTo("held");
             Store store = new Store(settings(), new Disk());
             assertThat(store.write(NEW, NOW).finding()).isEqualTo(Finding.LOCKED);
--- a/src/test/java/slateseam/router/tls/TlsTransportTest.java
+++ b/src/test/java/slateseam/router/tls/TlsTransportTest.java
@@ -86,6 +86,7 @@
 
     @TempDir
     Path dir;
+
     private Certificates authority;
     private Loop loop;
     private ServerSocket listener;
@@ -95,7 +96,7 @@
     @BeforeEach
     void begin() throws Exception {
         authority = new Certificates("ours");
-        loop = new Loop(Clock.system(), new Log("n", Clock.system(), text -> { }));
+        loop = new Loop(Clock.system(), new Log("n", Clock.system(), text -> {}));
         listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     }
 
@@ -180,7 +181,10 @@
 
     @Test
     void aNameIsCheckedAsAnAddressIs() throws Exception {
-        serve(authority.server("localhost"), "TLSv1.3", socket -> socket.getOutputStream().write(1));
+        serve(
+                authority.server("localhost"),
+                "TLSv1.3",
+                socket -> socket.getOutputStream().write(1));
         Client client = connect("localhost");
         rounds(() -> client.come.position() > 0);
     }
@@ -258,7 +262,10 @@
             done[0]++;
             errand.run();
         });
-        serve(authority.server("127.0.0.1"), "TLSv1.3", socket -> socket.getOutputStream().write(1));
+        serve(
+                authority.server("127.0.0.1"),
+                "TLSv1.3",
+                socket -> socket.getOutputStream().write(1));
         Client client = connect("127.0.0.1");
         rounds(() -> client.come.position() > 0);
         assertThat(done[0]).isPositive();
@@ -266,11 +273,14 @@
 
     @Test
     void aFileWithoutAuthoritiesIsRefused() throws Exception {
-        assertThatThrownBy(() -> Trust.read(dir.resolve("none"))).isInstanceOf(RefusedException.class)
+        assertThatThrownBy(() -> Trust.read(dir.resolve("none")))
+                .isInstanceOf(RefusedException.class)
                 .hasMessageContaining("there is no file");
         assertThatThrownBy(() -> Trust.read(dir)).isInstanceOf(RefusedException.class);
         Path file = Files.writeString(dir.resolve("empty"), "# nothing\n");
-        assertThatThrownBy(() -> Trust.read(file)).isInstanceOf(RefusedException.class).hasMessageContaining("empty");
+        assertThatThrownBy(() -> Trust.read(file))
+                .isInstanceOf(RefusedException.class)
+                .hasMessageContaining("empty");
         Files.writeString(file, "-----BEGIN CERTIFICATE-----\nAAAA\n-----END CERTIFICATE-----\n");
         assertThatThrownBy(() -> Trust.read(file)).hasMessageContaining("something else than certificates");
     }
--- a/src/test/java/slateseam/router/useragent/AcceptorTest.java
+++ b/src/test/java/slateseam/router/useragent/AcceptorTest.java
@@ -23,7 +23,7 @@
     private final FullGate gate = new FullGate();
 
     AcceptorTest() throws IOException {
-        loop = new Loop(() -> now, new Log("n0", () -> now, line -> { }));
+        loop = new Loop(() -> now, new Log("n0", () -> now, line -> {}));
     }
 
     /** Has no room, though it says again and again that there may be some. */
@@ -67,7 +67,8 @@
     void roomThatOpensAndFillsAgainDoesNotMakeTheLoopLookMoreOften() throws Exception {
         Acceptor acceptor = new Acceptor(loop, ANYWHERE, gate);
         acceptor.begin();
-        try (Socket waits = new Socket(acceptor.address().getAddress(), acceptor.address().getPort())) {
+        try (Socket waits =
+                new Socket(acceptor.address().getAddress(), acceptor.address().getPort())) {
             assertThat(waits.isConnected()).isTrue();
             pass(10);
             assertThat(gate.asked).as("looks while there is one pause").isEqualTo(1);
--- a/src/test/java/slateseam/router/warmup/WarmUpTest.java
+++ b/src/test/java/slateseam/router/warmup/WarmUpTest.java
@@ -9,11 +9,11 @@
 import slateseam.router.config.NodeConfig;
 
 class WarmUpTest {
-    private final Settings settings = NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings();
+    private final Settings settings =
+            NodeConfig.parse(Files.readString(Path.of("examples/config.json"))).settings();
     private long now;
 
-    WarmUpTest() throws Exception {
-    }
+    WarmUpTest() throws Exception {}
 
     /** A made-up request that were turned away at its first step would warm nothing up. */
     @Test
--- a/src/test/java/slateseam/simulate/AgreementBugsTest.java
+++ b/src/test/java/slateseam/simulate/AgreementBugsTest.java
@@ -16,13 +16,21 @@
             entries are taken without the one before | APPLIED_OTHER
             """)
     void isFound(String name, String rule) {
-        PlantedBug bug = AgreementBugs.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
-        assertThat(TierBugs.find("agreement", bug, 64)).isNotNull().extracting(Planted.Found::rule).isEqualTo(rule);
+        PlantedBug bug = AgreementBugs.all().stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+        assertThat(TierBugs.find("agreement", bug, 64))
+                .isNotNull()
+                .extracting(Planted.Found::rule)
+                .isEqualTo(rule);
     }
 
     @Test
     void daysOfFaultsBreakNothing() {
         StringBuilder lines = new StringBuilder();
-        assertThat(TierDays.playAgreement(1, 600, line -> lines.append(line).append('\n'))).as(lines.toString()).isZero();
+        assertThat(TierDays.playAgreement(1, 600, line -> lines.append(line).append('\n')))
+                .as(lines.toString())
+                .isZero();
     }
 }
--- a/src/test/java/slateseam/simulate/FoundScenariosTest.java
+++ b/src/test/java/slateseam/simulate/FoundScenariosTest.java
@@ -14,7 +14,11 @@
     void breakNoRuleAnyMore(String name) {
         ByteArrayOutputStream said = new ByteArrayOutputStream();
         PrintStream out = new PrintStream(said, true);
-        assertThat(SimulateCommand.run(new String[] {"run", "--scenario", "src/test/resources/scenarios/" + name
-                + ".scenario"}, out, out)).as(said.toString()).isZero();
+        assertThat(SimulateCommand.run(
+                        new String[] {"run", "--scenario", "src/test/resources/scenarios/" + name + ".scenario"},
+                        out,
+                        out))
+                .as(said.toString())
+                .isZero();
     }
 }
--- a/src/test/java/slateseam/simulate/HardCasesTest.java
+++ b/src/test/java/slateseam/simulate/HardCasesTest.java
@@ -19,8 +19,11 @@
 /** Hard days: the router keeps every rule on them, and without the code that each of them needs it does not. */
 class HardCasesTest {
     private static final long SECOND = 1_000_000_000L;
-    private static final Scenario CALM = Scenarios.usual().withoutDrawnFaults().withDuration(8 * SECOND)
-            .with("servers", "small", "number", count(6)).with("routers", "", "number", count(4));
+    private static final Scenario CALM = Scenarios.usual()
+            .withoutDrawnFaults()
+            .withDuration(8 * SECOND)
+            .with("servers", "small", "number", count(6))
+            .with("routers", "", "number", count(4));
 
     private static Value count(int number) {
         return new Value.Range(number, number, Unit.COUNT);
@@ -31,9 +34,10 @@
         return Fault.of(kind, at, at + (long) (lasts * SECOND), List.of(targets), size);
     }
 
-    private static final List<Fault> DEAD_AND_SLOW = List.of(at(2, FaultKind.CRASH, 6, 0, "big-1", "small-2"),
-            at(2, FaultKind.ORIGIN_SLOW, 6, 7.7));
-    private static final List<Fault> RESTARTED_IN_A_DRAIN = List.of(at(2, FaultKind.DRAIN, 5, 0, "big-2", "small-3"),
+    private static final List<Fault> DEAD_AND_SLOW =
+            List.of(at(2, FaultKind.CRASH, 6, 0, "big-1", "small-2"), at(2, FaultKind.ORIGIN_SLOW, 6, 7.7));
+    private static final List<Fault> RESTARTED_IN_A_DRAIN = List.of(
+            at(2, FaultKind.DRAIN, 5, 0, "big-2", "small-3"),
             at(2.2, FaultKind.RESTART, 0, 0.4 * SECOND, "router-1", "router-2", "router-3", "router-4"));
 
     private static List<Fault> together() {
@@ -52,18 +56,23 @@
 
     /** What happens, and the planted bug that breaks a rule on just that day. */
     enum Case {
-        A_FIFTH_OF_THE_SERVERS_DIES_WHILE_THE_ORIGIN_SLOWS(CALM.withScript(DEAD_AND_SLOW), "tries beyond the limit",
-                "ATTEMPTS"),
-        ROUTERS_ARE_RESTARTED_WHILE_SERVERS_DRAIN(CALM.withScript(RESTARTED_IN_A_DRAIN),
-                "closes at once in a planned end", "LOST"),
+        A_FIFTH_OF_THE_SERVERS_DIES_WHILE_THE_ORIGIN_SLOWS(
+                CALM.withScript(DEAD_AND_SLOW), "tries beyond the limit", "ATTEMPTS"),
+        ROUTERS_ARE_RESTARTED_WHILE_SERVERS_DRAIN(
+                CALM.withScript(RESTARTED_IN_A_DRAIN), "closes at once in a planned end", "LOST"),
         BOTH_AT_ONCE(CALM.withScript(together()), "hears a drain and drops it", "DRAIN"),
-        MESSAGES_ARE_SPLIT_EVERYWHERE(CALM.with("network", "", "split", new Value.Range(100, 100, Unit.PERCENT)),
-                "loses its place where a message is split", "MISREAD"),
-        RESETS_CROSS_COMMANDS(CALM.withScript(resets()).with("class", "once", "share",
-                new Value.Range(40, 40, Unit.PERCENT)), "sends a once-write again that may have run", "RESEND"),
-        CONNECTIONS_COME_UP_AS_THEIR_PASSES_ARE_GIVEN_UP(CALM.withScript(DEAD_AND_SLOW)
-                .with("user-agents", "", "patience", new Value.Range(2, 3, Unit.PERCENT)),
-                "writes a pass that was given up while it waited for its connection", "AFTER_ANSWER");
+        MESSAGES_ARE_SPLIT_EVERYWHERE(
+                CALM.with("network", "", "split", new Value.Range(100, 100, Unit.PERCENT)),
+                "loses its place where a message is split",
+                "MISREAD"),
+        RESETS_CROSS_COMMANDS(
+                CALM.withScript(resets()).with("class", "once", "share", new Value.Range(40, 40, Unit.PERCENT)),
+                "sends a once-write again that may have run",
+                "RESEND"),
+        CONNECTIONS_COME_UP_AS_THEIR_PASSES_ARE_GIVEN_UP(
+                CALM.withScript(DEAD_AND_SLOW).with("user-agents", "", "patience", new Value.Range(2, 3, Unit.PERCENT)),
+                "writes a pass that was given up while it waited for its connection",
+                "AFTER_ANSWER");
 
         private final Scenario scenario;
         private final String bug;
@@ -79,11 +88,19 @@
     @ParameterizedTest
     @EnumSource
     void isKeptAndTheCodeForItIsNeeded(Case hard, @TempDir Path folder) throws Exception {
-        String file = Files.writeString(folder.resolve("hard.scenario"), hard.scenario.toString()).toString();
-        assertThat(new Planted(null).run("run", "--scenario", file, "--seeds", "1..2").text())
+        String file = Files.writeString(folder.resolve("hard.scenario"), hard.scenario.toString())
+                .toString();
+        assertThat(new Planted(null)
+                        .run("run", "--scenario", file, "--seeds", "1..2")
+                        .text())
                 .startsWith("2 seeds, 0 broke a rule");
-        PlantedBug bug = PlantedBug.all().stream().filter(one -> one.name().equals(hard.bug)).findFirst().orElseThrow();
-        assertThat(new Planted(bug).run("run", "--scenario", file, "--seeds", "1..2").text()).contains(": "
-                + hard.rule);
+        PlantedBug bug = PlantedBug.all().stream()
+                .filter(one -> one.name().equals(hard.bug))
+                .findFirst()
+                .orElseThrow();
+        assertThat(new Planted(bug)
+                        .run("run", "--scenario", file, "--seeds", "1..2")
+                        .text())
+                .contains(": " + hard.rule);
     }
 }
--- a/src/test/java/slateseam/simulate/LongRun.java
+++ b/src/test/java/slateseam/simulate/LongRun.java
@@ -9,8 +9,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import org.json.JSONArray;
-import org.json.JSONObject;
 import slateseam.Census;
 import slateseam.decision.Api.*;
 import slateseam.decision.Brain;
@@ -36,6 +34,7 @@
     private static final int EVERY_SECONDS = 40;
     /** Fewer entries than this more, or a tenth, is no rise: a day has its ups and downs. */
     private static final long NOISE = 24;
+
     private static final double RISE = 1.1;
     private static final int DECISIONS = 400;
     /** Tables that fill up for long: what they hold at most, which the review states. */
@@ -47,6 +46,7 @@
     private final long nanos;
     /** Of each table of the one router that lives throughout its entries at each sample. */
     private final Map<String, long[]> curves = new TreeMap<>();
+
     private final List<double[]> decisions = new ArrayList<>();
     private final int[] threads = new int[SAMPLES];
     private int sample;
@@ -117,13 +117,30 @@
                 silent 20
                 [script]
                 """.formatted(seconds));
-        String[] kinds = {"replace big-1 for 8 s", "replace big-2 big-3 for 6 s", "router-kill router-2 for 4 s",
-            "restart router-2 size 1 s", "drain big-4 for 8 s", "replace big-4 for 5 s", "crash big-5 for 10 s",
-            "reset router-1", "origin-slow size 5 for 10 s", "void size 80 %", "rude silent pipeline half-silent size 1 for 6 s",
-            "restart router-3 size 1 s", "datagram-loss size 60 % for 10 s", "silence big-2 for 12 s",
-            "spoilt big-3 size 20 % for 8 s", "reload router-1 router-2 router-3"};
+        String[] kinds = {
+            "replace big-1 for 8 s",
+            "replace big-2 big-3 for 6 s",
+            "router-kill router-2 for 4 s",
+            "restart router-2 size 1 s",
+            "drain big-4 for 8 s",
+            "replace big-4 for 5 s",
+            "crash big-5 for 10 s",
+            "reset router-1",
+            "origin-slow size 5 for 10 s",
+            "void size 80 %",
+            "rude silent pipeline half-silent size 1 for 6 s",
+            "restart router-3 size 1 s",
+            "datagram-loss size 60 % for 10 s",
+            "silence big-2 for 12 s",
+            "spoilt big-3 size 20 % for 8 s",
+            "reload router-1 router-2 router-3"
+        };
         for (int at = EVERY_SECONDS, i = 0; at < seconds - EVERY_SECONDS; at += EVERY_SECONDS, i++) {
-            text.append("at ").append(at).append(" s ").append(kinds[i % kinds.length]).append('\n');
+            text.append("at ")
+                    .append(at)
+                    .append(" s ")
+                    .append(kinds[i % kinds.length])
+                    .append('\n');
         }
         return text.toString();
     }
@@ -154,9 +171,21 @@
                 NodeConfig used = (NodeConfig) field(router, "used");
                 Settings was = used.settings();
                 List<RequestClass> classes = new ArrayList<>(was.classes().subList(0, 3));
-                classes.add(new RequestClass("extra-" + changes, SECOND, 2 * SECOND, 1, 0, Effect.PURE, Group.ALL, 0, false));
-                Settings now = new Settings(was.me(), was.routers(), was.zone(), was.tickNanos(), was.askedDiscovery(),
-                        was.mode(), was.originKind(), was.overShareWorth(), classes, was.tenants(), was.limits(), was.rules());
+                classes.add(new RequestClass(
+                        "extra-" + changes, SECOND, 2 * SECOND, 1, 0, Effect.PURE, Group.ALL, 0, false));
+                Settings now = new Settings(
+                        was.me(),
+                        was.routers(),
+                        was.zone(),
+                        was.tickNanos(),
+                        was.askedDiscovery(),
+                        was.mode(),
+                        was.originKind(),
+                        was.overShareWorth(),
+                        classes,
+                        was.tenants(),
+                        was.limits(),
+                        was.rules());
                 ((slateseam.router.core.Core) field(router, "core")).retune(now);
             }
             net.at(net.now() + 60 * SECOND, this::retune);
@@ -197,11 +226,13 @@
             took[i] = System.nanoTime() - begin;
             for (Action action : List.copyOf(actions)) {
                 if (action instanceof Send send && send.request() == ticket) {
-                    brain.handle(net.now(), new AttemptEnded(ticket, send.member(), 0, Outcome.OK, false, true, 1_000_000),
-                            a -> { });
+                    brain.handle(
+                            net.now(),
+                            new AttemptEnded(ticket, send.member(), 0, Outcome.OK, false, true, 1_000_000),
+                            a -> {});
                 }
             }
-            brain.handle(net.now(), new ClientGone(ticket), a -> { });
+            brain.handle(net.now(), new ClientGone(ticket), a -> {});
             actions.clear();
         }
         Arrays.sort(took);
@@ -240,8 +271,13 @@
         LongRun run = new LongRun(Math.round(hours * 3600), args.length > 1 ? Long.parseLong(args[1]) : 1);
         Result result = run.run();
         PrintStream out = System.out;
-        out.printf(Locale.ROOT, "%.1f virtual hours, %d changes of classes, rules broken %s, rising %s%n", hours, run.changes,
-                result.counts(), run.rising());
+        out.printf(
+                Locale.ROOT,
+                "%.1f virtual hours, %d changes of classes, rules broken %s, rising %s%n",
+                hours,
+                run.changes,
+                result.counts(),
+                run.rising());
         if (!result.isSound()) {
             out.println(result.breaches().get(0));
         }
@@ -249,13 +285,18 @@
         run.curves.forEach((table, curve) -> {
             long most = Arrays.stream(curve).max().orElse(0);
             if (most > 8) {
-                out.println("| " + table + " | " + curve[0] + " | " + curve[5] + " | " + curve[11] + " | " + curve[17] + " | "
-                        + curve[23] + " | " + most + " |");
+                out.println("| " + table + " | " + curve[0] + " | " + curve[5] + " | " + curve[11] + " | " + curve[17]
+                        + " | " + curve[23] + " | " + most + " |");
             }
         });
         for (int i : new int[] {0, 5, 11, 17, 23}) {
-            out.printf(Locale.ROOT, "sample %d: one decision %.1f us, p99 %.1f us; threads of the machine %d%n", i + 1,
-                    run.decisions.get(i)[0], run.decisions.get(i)[1], run.threads[i]);
+            out.printf(
+                    Locale.ROOT,
+                    "sample %d: one decision %.1f us, p99 %.1f us; threads of the machine %d%n",
+                    i + 1,
+                    run.decisions.get(i)[0],
+                    run.decisions.get(i)[1],
+                    run.threads[i]);
         }
         System.exit(result.isSound() && run.rising().isEmpty() ? 0 : 1);
     }
