--- a/src/test/java/slateseam/simulate/Planted.java
+++ b/src/test/java/slateseam/simulate/Planted.java
@@ -37,12 +37,10 @@
     private static final int AT_ONCE = 4;
 
     /** What a command printed, and its exit status. */
-    record Said(int status, String text) {
-    }
+    record Said(int status, String text) {}
 
     /** The first seed that found a bug, and the rule that it broke. */
-    record Found(long seed, String rule) {
-    }
+    record Found(long seed, String rule) {}
 
     static {
         registerAsParallelCapable();
@@ -100,7 +98,11 @@
     /** Plays seeds in their order until one breaks a rule; null if none does. */
     Found find(long first, long last, int threads) {
         for (long from = first; from <= last; from += AT_ONCE) {
-            Said said = run("run", "--seeds", from + ".." + Math.min(last, from + AT_ONCE - 1), "--threads",
+            Said said = run(
+                    "run",
+                    "--seeds",
+                    from + ".." + Math.min(last, from + AT_ONCE - 1),
+                    "--threads",
                     Integer.toString(threads));
             Matcher seed = SEED.matcher(said.text);
             if (said.status != 0 && seed.lookingAt()) {
@@ -143,8 +145,8 @@
             String text = texts.computeIfAbsent(change.file(), Planted::read);
             Matcher found = anyLayout(change.text()).matcher(text);
             if (found.results().count() != 1) {
-                throw new IllegalStateException("to plant '" + bug.name() + "', " + change.file()
-                        + " must hold once: " + change.text());
+                throw new IllegalStateException(
+                        "to plant '" + bug.name() + "', " + change.file() + " must hold once: " + change.text());
             }
             texts.put(change.file(), found.replaceFirst(Matcher.quoteReplacement(change.instead())));
         }
@@ -153,20 +155,21 @@
 
     private static Map<String, byte[]> compile(PlantedBug bug) {
         List<JavaFileObject> sources = new ArrayList<>();
-        changed(bug).forEach((file, text) -> sources.add(new SimpleJavaFileObject(URI.create("string:///" + file),
-                JavaFileObject.Kind.SOURCE) {
-            @Override
-            public CharSequence getCharContent(boolean ignoreErrors) {
-                return text;
-            }
-        }));
+        changed(bug)
+                .forEach((file, text) -> sources.add(
+                        new SimpleJavaFileObject(URI.create("string:///" + file), JavaFileObject.Kind.SOURCE) {
+                            @Override
+                            public CharSequence getCharContent(boolean ignoreErrors) {
+                                return text;
+                            }
+                        }));
         Map<String, ByteArrayOutputStream> written = new HashMap<>();
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         StandardJavaFileManager files = compiler.getStandardFileManager(null, null, null);
         JavaFileManager memory = new ForwardingJavaFileManager<>(files) {
             @Override
-            public JavaFileObject getJavaFileForOutput(Location location, String name, JavaFileObject.Kind kind,
-                    FileObject sibling) {
+            public JavaFileObject getJavaFileForOutput(
+                    Location location, String name, JavaFileObject.Kind kind, FileObject sibling) {
                 return new SimpleJavaFileObject(URI.create("bytes:///" + name), kind) {
                     @Override
                     public OutputStream openOutputStream() {
@@ -175,8 +178,14 @@
                 };
             }
         };
-        if (!compiler.getTask(null, memory, null, List.of("-nowarn", "-proc:none", "-classpath",
-                System.getProperty("java.class.path")), null, sources).call()) {
+        if (!compiler.getTask(
+                        null,
+                        memory,
+                        null,
+                        List.of("-nowarn", "-proc:none", "-classpath", System.getProperty("java.class.path")),
+                        null,
+                        sources)
+                .call()) {
             throw new IllegalStateException("the changed copy does not compile: " + bug.name());
         }
         Map<String, byte[]> classes = new HashMap<>();
@@ -186,8 +195,10 @@
 
     /** Finds a text of a source whatever its spaces and line ends are, so that it is found however the file is formatted. */
     private static Pattern anyLayout(String text) {
-        return Pattern.compile(text.chars().filter(c -> !Character.isWhitespace(c))
-                .mapToObj(c -> Pattern.quote(Character.toString(c))).collect(Collectors.joining("\\s*")));
+        return Pattern.compile(text.chars()
+                .filter(c -> !Character.isWhitespace(c))
+                .mapToObj(c -> Pattern.quote(Character.toString(c)))
+                .collect(Collectors.joining("\\s*")));
     }
 
     private static Path written(Scenario scenario) {
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -28,69 +28,145 @@
             .with("servers", "small", "miss-work", new Value.Range(100, 100, Unit.PERCENT));
 
     /** In a source file, a text that stands there once and what stands there instead. */
-    record Change(String file, String text, String instead) {
-    }
+    record Change(String file, String text, String instead) {}
 
     static List<PlantedBug> all() {
         return List.of(
-                new PlantedBug("sends to a draining server", "drain", null, List.of(
-                        change(ROUTER + "pass/Passes", "|| !farm.entry(serverId).isReady()", ""),
-                        change(ROUTER + "pass/Passes", "server.pool(), entry.isReady()", "server.pool(), true"),
-                        change(ROUTER + "pass/Passes", "met.pool(), entry.isReady()", "met.pool(), true"),
-                        change(UPSTREAM_SERVER, "boolean ready() { return member.isReady(); }",
-                                "boolean ready() { return !member.isGone(); }"))),
-                new PlantedBug("sends a once-write again that may have run", null, null, List.of(
-                        change(JOB, "return repeatsAreHarmless() && (",
+                new PlantedBug(
+                        "sends to a draining server",
+                        "drain",
+                        null,
+                        List.of(
+                                change(ROUTER + "pass/Passes", "|| !farm.entry(serverId).isReady()", ""),
+                                change(ROUTER + "pass/Passes", "server.pool(), entry.isReady()", "server.pool(), true"),
+                                change(ROUTER + "pass/Passes", "met.pool(), entry.isReady()", "met.pool(), true"),
+                                change(
+                                        UPSTREAM_SERVER,
+                                        "boolean ready() { return member.isReady(); }",
+                                        "boolean ready() { return !member.isGone(); }"))),
+                new PlantedBug(
+                        "sends a once-write again that may have run",
+                        null,
+                        null,
+                        List.of(change(
+                                JOB,
+                                "return repeatsAreHarmless() && (",
                                 "return type.effect() == Effect.SIDE_EFFECT || repeatsAreHarmless() && ("))),
-                new PlantedBug("answers -BUSY after one that may have run", null, null, List.of(
-                        change(BRAIN, "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true"))),
-                new PlantedBug("writes a pass that was given up while it waited for its connection", null, null,
-                List.of(
-                        change(POOL, "waiting.remove(use);\n            use.state = Use.State.OVER;", ""))),
-                new PlantedBug("gives a late answer to the next request on the connection", null, null, List.of(
-                        change(POOL, "use.state = Use.State.GIVEN_UP;\n            use.last = last;",
-                                "use.link.uses.remove(use);\n            use.link.freeSince = now;\n"
-                                        + "            use.state = Use.State.OVER;\n            if (true) return;"),
-                        change(ROUTER + "pass/ServerConnection", "        awaited.add(pass);",
-                                "        awaited.removeIf(Pass::isGivenUp);\n        awaited.add(pass);"))),
-                new PlantedBug("does not raise a slot's generation", null, null, List.of(
-                        change(ROUTER + "net/Slots", "generations[slot] + 1 & GENERATION_MASK",
-                                "generations[slot]"))),
-                new PlantedBug("ignores a cold server's budget", "crash,replace", TIGHT, List.of(
-                        change("decision/SlowStart", "double warmth = warmth(server);", "double warmth = 1;"))),
-                new PlantedBug("closes at once in a planned end", "restart", null, List.of(
-                        change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
-                new PlantedBug("tries beyond the limit", null, null, List.of(
-                        change(ROUTER + "core/Core", "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()",
-                        "left <= 0"),
-                        change(JOB, "return attempts + times <= most;", "return true;"))),
-                new PlantedBug("loses its place where a message is split", null, null, List.of(
-                        change(ROUTER + "net/Resp", "            in.position(start);\n        }\n        return value;",
+                new PlantedBug(
+                        "answers -BUSY after one that may have run",
+                        null,
+                        null,
+                        List.of(change(BRAIN, "!(job.mayHaveRun || job.open) || job.repeatsAreHarmless()", "true"))),
+                new PlantedBug(
+                        "writes a pass that was given up while it waited for its connection",
+                        null,
+                        null,
+                        List.of(change(POOL, "waiting.remove(use);\n            use.state = Use.State.OVER;", ""))),
+                new PlantedBug(
+                        "gives a late answer to the next request on the connection",
+                        null,
+                        null,
+                        List.of(
+                                change(
+                                        POOL,
+                                        "use.state = Use.State.GIVEN_UP;\n            use.last = last;",
+                                        "use.link.uses.remove(use);\n            use.link.freeSince = now;\n"
+                                                + "            use.state = Use.State.OVER;\n            if (true) return;"),
+                                change(
+                                        ROUTER + "pass/ServerConnection",
+                                        "        awaited.add(pass);",
+                                        "        awaited.removeIf(Pass::isGivenUp);\n        awaited.add(pass);"))),
+                new PlantedBug(
+                        "does not raise a slot's generation",
+                        null,
+                        null,
+                        List.of(change(
+                                ROUTER + "net/Slots", "generations[slot] + 1 & GENERATION_MASK", "generations[slot]"))),
+                new PlantedBug(
+                        "ignores a cold server's budget",
+                        "crash,replace",
+                        TIGHT,
+                        List.of(change("decision/SlowStart", "double warmth = warmth(server);", "double warmth = 1;"))),
+                new PlantedBug(
+                        "closes at once in a planned end",
+                        "restart",
+                        null,
+                        List.of(change(ROUTER + "Router", "loop.after(LINGER_NANOS, this::close)", "stop()"))),
+                new PlantedBug(
+                        "tries beyond the limit",
+                        null,
+                        null,
+                        List.of(
+                                change(
+                                        ROUTER + "core/Core",
+                                        "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()",
+                                        "left <= 0"),
+                                change(JOB, "return attempts + times <= most;", "return true;"))),
+                new PlantedBug(
+                        "loses its place where a message is split",
+                        null,
+                        null,
+                        List.of(change(
+                                ROUTER + "net/Resp",
+                                "            in.position(start);\n        }\n        return value;",
                                 "        }\n        return value;"))),
-                new PlantedBug("hears a drain and drops it", "drain", null, List.of(
-                        change(ROUTER + "farm/Farm", "entry(hosts.getJSONObject(i));\n                if (entry.member.state()"
-                                + " == MemberState.GONE) {", "entry(hosts.getJSONObject(i));\n"
-                                + "if (entry.member.state() == MemberState.DRAINING) {\n    continue;\n"
+                new PlantedBug(
+                        "hears a drain and drops it",
+                        "drain",
+                        null,
+                        List.of(change(
+                                ROUTER + "farm/Farm",
+                                "entry(hosts.getJSONObject(i));\n                if (entry.member.state()"
+                                        + " == MemberState.GONE) {",
+                                "entry(hosts.getJSONObject(i));\n"
+                                        + "if (entry.member.state() == MemberState.DRAINING) {\n    continue;\n"
                                         + "} else if (entry.member.state() == MemberState.GONE) {"))),
-                new PlantedBug("never answers a request that failed", null, null, List.of(
-                        change(ROUTER + "core/Core", "slot.front.answer(slot.exchange, answer);",
+                new PlantedBug(
+                        "never answers a request that failed",
+                        null,
+                        null,
+                        List.of(change(
+                                ROUTER + "core/Core",
+                                "slot.front.answer(slot.exchange, answer);",
                                 "if (!(answer instanceof Answer.Failed)) slot.front.answer(slot.exchange, answer);"))),
-                new PlantedBug("answers pipelined commands out of order", "rude", null, List.of(
-                        change(ROUTER + "useragent/UserAgent",
+                new PlantedBug(
+                        "answers pipelined commands out of order",
+                        "rude",
+                        null,
+                        List.of(change(
+                                ROUTER + "useragent/UserAgent",
                                 "while (flowing == null && !inOrder.isEmpty() && inOrder.peek().answer() != null && !isClosed()) {",
                                 "for (Exchange done; flowing == null && !isClosed() && (done = inOrder.stream()"
                                         + ".filter(e -> e.answer() != null).findFirst().orElse(null)) != null;) {\n"
                                         + "            inOrder.remove(done);\n            inOrder.addFirst(done);"))),
-                new PlantedBug("asks discovery once and never again", "drain,crash,replace", null, List.of(
-                        change(ROUTER + "farm/Watch", "if (reply.keepsAlive()) {\n                ask();",
-                                "if (reply.keepsAlive()) {"),
-                        change(ROUTER + "farm/Watch", "next = loop.after(millis * Clock.MILLI, this::tooLate);", ""))),
-                new PlantedBug("does not see an end behind commands that wait", null, null, List.of(
-                        change(ROUTER + "useragent/UserAgent", "AHEAD = 256 * 1024", "AHEAD = 0"))),
-                new PlantedBug("sends datagrams that are too long", null, null, List.of(
-                        change("decision/SupplyMessage", "/ KEY_BYTES;\n    }\n\n    byte[] encode",
-                                "/ KEY_BYTES + 1;\n    }\n\n    byte[] encode"),
-                        change(ROUTER + "peer/Peers", "MOST_BYTES = 256", "MOST_BYTES = 512"))));
+                new PlantedBug(
+                        "asks discovery once and never again",
+                        "drain,crash,replace",
+                        null,
+                        List.of(
+                                change(
+                                        ROUTER + "farm/Watch",
+                                        "if (reply.keepsAlive()) {\n                ask();",
+                                        "if (reply.keepsAlive()) {"),
+                                change(
+                                        ROUTER + "farm/Watch",
+                                        "next = loop.after(millis * Clock.MILLI, this::tooLate);",
+                                        ""))),
+                new PlantedBug(
+                        "does not see an end behind commands that wait",
+                        null,
+                        null,
+                        List.of(change(ROUTER + "useragent/UserAgent", "AHEAD = 256 * 1024", "AHEAD = 0"))),
+                new PlantedBug(
+                        "sends datagrams that are too long",
+                        null,
+                        null,
+                        List.of(
+                                change(
+                                        "decision/SupplyMessage",
+                                        "/ KEY_BYTES;\n    }\n\n    byte[] encode",
+                                        "/ KEY_BYTES + 1;\n    }\n\n    byte[] encode"),
+                                change(ROUTER + "peer/Peers", "MOST_BYTES = 256", "MOST_BYTES = 512"))));
     }
 
     static Change change(String file, String text, String instead) {
--- a/src/test/java/slateseam/simulate/PlantedBugsTable.java
+++ b/src/test/java/slateseam/simulate/PlantedBugsTable.java
@@ -16,11 +16,12 @@
     private static final int MOST_SEEDS = 500;
     private static final Pattern SMALLEST = Pattern.compile("scenario: (.*); play it");
 
-    private PlantedBugsTable() {
-    }
+    private PlantedBugsTable() {}
 
     public static void main(String[] args) throws Exception {
-        int threads = args.length > 0 ? Integer.parseInt(args[0]) : Runtime.getRuntime().availableProcessors();
+        int threads = args.length > 0
+                ? Integer.parseInt(args[0])
+                : Runtime.getRuntime().availableProcessors();
         System.out.println("| planted bug | faults | seeds until found | rule | replayed alike | shrunk to |");
         System.out.println("| --- | --- | --- | --- | --- | --- |");
         List<PlantedBug> bugs = PlantedBug.all();
@@ -36,16 +37,24 @@
                 continue;
             }
             String seed = Long.toString(found.seed());
-            boolean alike = hash(planted.run("replay", seed).text()).equals(hash(new Planted(bug).run("replay",
-                    seed).text()));
+            boolean alike = hash(planted.run("replay", seed).text())
+                    .equals(hash(new Planted(bug).run("replay", seed).text()));
             Path file = Files.createTempFile("shrunk", ".scenario");
-            Matcher smallest = SMALLEST.matcher(planted.run("shrink", seed, "--out", file.toString()).text());
+            Matcher smallest = SMALLEST.matcher(
+                    planted.run("shrink", seed, "--out", file.toString()).text());
             String shrunk = smallest.find() ? smallest.group(1) : "not shrunk";
             boolean again = planted.run("run", "--scenario", file.toString()).status() == 1;
             Files.delete(file);
-            System.out.printf(Locale.ROOT, "| %s | %s | %s | `%s` | %s | %s%s |%n", bug.name(), faults, seed,
+            System.out.printf(
+                    Locale.ROOT,
+                    "| %s | %s | %s | `%s` | %s | %s%s |%n",
+                    bug.name(),
+                    faults,
+                    seed,
                     found.rule(),
-                    alike ? "yes" : "no", shrunk, again ? "" : " (plays otherwise)");
+                    alike ? "yes" : "no",
+                    shrunk,
+                    again ? "" : " (plays otherwise)");
         }
     }
 
--- a/src/test/java/slateseam/simulate/PlantedBugsTest.java
+++ b/src/test/java/slateseam/simulate/PlantedBugsTest.java
@@ -16,7 +16,9 @@
             gives a late answer to the next request on the connection | TWO_AT_ONCE
             """)
     void isFoundReplayedAndShrunk(String name, String rule, @TempDir Path folder) {
-        Planted planted = new Planted(PlantedBug.all().stream().filter(bug -> bug.name().equals(name)).findFirst()
+        Planted planted = new Planted(PlantedBug.all().stream()
+                .filter(bug -> bug.name().equals(name))
+                .findFirst()
                 .orElseThrow());
         Found found = planted.find(1, 32, 4);
         assertThat(found.rule()).isEqualTo(rule);
@@ -26,6 +28,7 @@
         Path file = folder.resolve("smallest.scenario");
         assertThat(planted.run("shrink", seed, "--out", file.toString()).text()).contains("play it with");
         assertThat(planted.run("run", "--scenario", file.toString()).text()).startsWith("seed " + seed + ": " + rule);
-        assertThat(new Planted(null).run("run", "--scenario", file.toString()).status()).isZero();
+        assertThat(new Planted(null).run("run", "--scenario", file.toString()).status())
+                .isZero();
     }
 }
--- a/src/test/java/slateseam/simulate/PlantedTextsTest.java
+++ b/src/test/java/slateseam/simulate/PlantedTextsTest.java
@@ -10,7 +10,8 @@
 /** Each planted bug finds the one place of the sources that it changes; few of them are played in the build. */
 class PlantedTextsTest {
     static Stream<PlantedBug> bugs() {
-        return Stream.of(PlantedBug.all(), TierBugs.all(), AgreementBugs.all(), PolicyBugs.all()).flatMap(List::stream);
+        return Stream.of(PlantedBug.all(), TierBugs.all(), AgreementBugs.all(), PolicyBugs.all())
+                .flatMap(List::stream);
     }
 
     @ParameterizedTest
--- a/src/test/java/slateseam/simulate/PolicyBugs.java
+++ b/src/test/java/slateseam/simulate/PolicyBugs.java
@@ -6,26 +6,60 @@
 final class PolicyBugs {
     private static final String AT = "tier/policy/";
 
-    private PolicyBugs() {
-    }
+    private PolicyBugs() {}
 
     static List<PlantedBug> all() {
         return List.of(
-                bug("one that cannot know serves on", AT + "Policy", "nanos - knownAt <= settings.leaseNanos();\n        boolean holds", "true;\n        boolean holds"),
-                bug("ages are not added up", AT + "Policy", "stateLength, (int) age,", "stateLength, (int) Math.min(0, age),"),
-                bug("a leader tells what it cannot prove", "tier/agreement/Raft", "return role == Role.LEADER ? leadership.provenAt(seats) : -1;",
+                bug(
+                        "one that cannot know serves on",
+                        AT + "Policy",
+                        "nanos - knownAt <= settings.leaseNanos();\n        boolean holds",
+                        "true;\n        boolean holds"),
+                bug(
+                        "ages are not added up",
+                        AT + "Policy",
+                        "stateLength, (int) age,",
+                        "stateLength, (int) Math.min(0, age),"),
+                bug(
+                        "a leader tells what it cannot prove",
+                        "tier/agreement/Raft",
+                        "return role == Role.LEADER ? leadership.provenAt(seats) : -1;",
                         "return role == Role.LEADER ? now : -1;"),
                 bug("a refusal is passed over", AT + "Steward", "if (verdicts.refuser() >= 0) {", "if (false) {"),
-                bug("a change does not wait for all", AT + "Steward", "} else if (kept && sure && verdicts.hasAll(alive)) {", "} else if (kept && sure) {"),
-                bug("one that was away serves what was before the last but one", AT + "Policy",
-                        "pending.put(one.number(), one.state() == Version.State.SETTLED ? now : UNKNOWN);", ""),
-                bug("one that knew nothing takes a version for new", AT + "Policy", "knownBefore == NEVER ? UNKNOWN : knownBefore + settings.holdNanos()",
+                bug(
+                        "a change does not wait for all",
+                        AT + "Steward",
+                        "} else if (kept && sure && verdicts.hasAll(alive)) {",
+                        "} else if (kept && sure) {"),
+                bug(
+                        "one that was away serves what was before the last but one",
+                        AT + "Policy",
+                        "pending.put(one.number(), one.state() == Version.State.SETTLED ? now : UNKNOWN);",
+                        ""),
+                bug(
+                        "one that knew nothing takes a version for new",
+                        AT + "Policy",
+                        "knownBefore == NEVER ? UNKNOWN : knownBefore + settings.holdNanos()",
                         "now + settings.holdNanos()"),
-                bug("an aborted version holds", AT + "Version", "return state == State.COMMITTED ||", "return state == State.ABORTED || state == State.COMMITTED ||"),
-                bug("a late word of an old memory takes a seat away", "tier/agreement/Admission", "raft.isSilent(seat)\n                && ", ""),
-                bug("a state is taken for known before it is here", AT + "Policy", "            if (versions == null || versions.revision() != newer.word.revision()) {\n                return;\n            }\n            learned = versions;",
+                bug(
+                        "an aborted version holds",
+                        AT + "Version",
+                        "return state == State.COMMITTED ||",
+                        "return state == State.ABORTED || state == State.COMMITTED ||"),
+                bug(
+                        "a late word of an old memory takes a seat away",
+                        "tier/agreement/Admission",
+                        "raft.isSilent(seat)\n                && ",
+                        ""),
+                bug(
+                        "a state is taken for known before it is here",
+                        AT + "Policy",
+                        "            if (versions == null || versions.revision() != newer.word.revision()) {\n                return;\n            }\n            learned = versions;",
                         "            if (versions != null) {\n                learned = versions;\n            }"),
-                bug("a lost memory is written on", "simulate/tier/PolicyWorld", "            memory.empty();\n        }\n\n        @Override\n        public String check",
+                bug(
+                        "a lost memory is written on",
+                        "simulate/tier/PolicyWorld",
+                        "            memory.empty();\n        }\n\n        @Override\n        public String check",
                         "        }\n\n        @Override\n        public String check"));
     }
 
@@ -36,7 +70,8 @@
     public static void main(String[] args) {
         for (PlantedBug bug : all()) {
             Planted.Found found = TierBugs.find("policy", bug, args.length > 0 ? Integer.parseInt(args[0]) : 2_048);
-            System.out.println("| " + bug.name() + " | " + (found == null ? "not found |" : found.seed() + " | `" + found.rule() + "` |"));
+            System.out.println("| " + bug.name() + " | "
+                    + (found == null ? "not found |" : found.seed() + " | `" + found.rule() + "` |"));
         }
     }
 }
--- a/src/test/java/slateseam/simulate/RingMeasurement.java
+++ b/src/test/java/slateseam/simulate/RingMeasurement.java
@@ -21,8 +21,7 @@
     /** Samples, four a second, before all routers have told what they hold. */
     private static final int FROM = 8;
 
-    private RingMeasurement() {
-    }
+    private RingMeasurement() {}
 
     /** Takes a scenario file, its number of routers in steps, and the seconds. */
     public static void main(String[] args) throws Exception {
@@ -33,26 +32,54 @@
                     .with("user-agents", "", "beside-each", new Value.Range(1, 1, Unit.COUNT));
             Day day = Day.draw(of, 1, FaultChoice.NONE);
             List<UserAgentFigures> shifted = new ArrayList<>();
-            double rate = day.userAgents().stream().mapToDouble(UserAgentFigures::rate).sum();
+            double rate = day.userAgents().stream()
+                    .mapToDouble(UserAgentFigures::rate)
+                    .sum();
             int few = Math.max(1, number / 10);
             for (int u = 0; u < number; u++) {
                 UserAgentFigures one = day.userAgents().get(u);
-                shifted.add(new UserAgentFigures(one.name(), one.address(), one.router(),
-                        rate / 2 / (u < few ? few : number - few), one.heeds()));
+                shifted.add(new UserAgentFigures(
+                        one.name(),
+                        one.address(),
+                        one.router(),
+                        rate / 2 / (u < few ? few : number - few),
+                        one.heeds()));
             }
-            Day changed = new Day(day.scenario(), day.streams(), day.durationNanos(), day.network(), day.routers(),
-                    day.routerRules(), day.servers(), day.origin(), day.discovery(), day.work(), day.values(),
+            Day changed = new Day(
+                    day.scenario(),
+                    day.streams(),
+                    day.durationNanos(),
+                    day.network(),
+                    day.routers(),
+                    day.routerRules(),
+                    day.servers(),
+                    day.origin(),
+                    day.discovery(),
+                    day.work(),
+                    day.values(),
                     day.classes(),
-                    day.tenants(), shifted, day.habits(), day.rate(), day.popularity(), day.rude(), day.timeline());
+                    day.tenants(),
+                    shifted,
+                    day.habits(),
+                    day.rate(),
+                    day.popularity(),
+                    day.rude(),
+                    day.timeline());
             Result result = new Play(changed, null).play();
             List<Double> left = result.supplies().imbalance();
             double first = left.stream().skip(FROM).mapToDouble(d -> d).max().orElse(0);
-            System.out.printf(Locale.ROOT,
+            System.out.printf(
+                    Locale.ROOT,
                     "%d routers: imbalance %.2f at first, half of that after %.2f s, a quarter after "
-                    + "%.2f s; service %.3f, worst ten seconds %.3f, supplies %.3f in the median, "
-                    + "fetches asked %d in %.0f s%n",
-                    number, first, after(left, first / 2), after(left, first / 4), result.service().whole().service(),
-                    result.service().worstTenSeconds(), result.supplies().median(),
+                            + "%.2f s; service %.3f, worst ten seconds %.3f, supplies %.3f in the median, "
+                            + "fetches asked %d in %.0f s%n",
+                    number,
+                    first,
+                    after(left, first / 2),
+                    after(left, first / 4),
+                    result.service().whole().service(),
+                    result.service().worstTenSeconds(),
+                    result.supplies().median(),
                     result.tallies().get("origin ASKED"),
                     result.nanos() / 1e9);
             System.out.println("  each second: " + every(left));
--- a/src/test/java/slateseam/simulate/RulesModel.java
+++ b/src/test/java/slateseam/simulate/RulesModel.java
@@ -12,13 +12,30 @@
     private static final long MILLI = 1_000_000L;
 
     /** What a second run of a request does. */
-    enum Effect { REPEATABLE, KEYED, ONCE }
+    enum Effect {
+        REPEATABLE,
+        KEYED,
+        ONCE
+    }
 
     /** How a request was answered. */
-    enum Answered { NOT_YET, SERVED, UNAVAILABLE, FAILED, LEFT }
+    enum Answered {
+        NOT_YET,
+        SERVED,
+        UNAVAILABLE,
+        FAILED,
+        LEFT
+    }
 
     /** How an attempt went, as the protocol page tells outcomes apart. */
-    enum Went { OUT, SERVED, MISSED, TURNED_AWAY, MAY_HAVE_RUN, NOT_WHOLE }
+    enum Went {
+        OUT,
+        SERVED,
+        MISSED,
+        TURNED_AWAY,
+        MAY_HAVE_RUN,
+        NOT_WHOLE
+    }
 
     /** One attempt, as the server sees it. */
     static final class Attempt {
@@ -54,7 +71,14 @@
         Answered answered = Answered.NOT_YET;
         long answeredAt;
 
-        Taken(int router, String id, Effect effect, long at, long ttl, long window, int attemptsAllowed,
+        Taken(
+                int router,
+                String id,
+                Effect effect,
+                long at,
+                long ttl,
+                long window,
+                int attemptsAllowed,
                 boolean tellsWhen) {
             this.router = router;
             this.id = id;
@@ -68,8 +92,7 @@
     }
 
     /** That a router was told to send a server nothing new. */
-    private record ToldOff(int router, String server, long at) {
-    }
+    private record ToldOff(int router, String server, long at) {}
 
     /** A server that has just started, and what it was sent since. */
     private static final class Cold {
@@ -89,6 +112,7 @@
     private final long wayNanos;
     /** Time to notice: a router looks after its requests this often. */
     private final long noticeNanos;
+
     private final double coldFrom;
     private final long coldNanos;
     private final long windowNanos;
@@ -103,8 +127,15 @@
      *
      * @param perSecond what a warm server does in a second
      */
-    RulesModel(long graceNanos, long slackNanos, long wayNanos, long noticeNanos, double coldFrom, long coldNanos,
-            long windowNanos, double perSecond) {
+    RulesModel(
+            long graceNanos,
+            long slackNanos,
+            long wayNanos,
+            long noticeNanos,
+            double coldFrom,
+            long coldNanos,
+            long windowNanos,
+            double perSecond) {
         this.graceNanos = graceNanos;
         this.slackNanos = slackNanos;
         this.wayNanos = wayNanos;
@@ -162,7 +193,8 @@
         }
         request.answered = how;
         request.answeredAt = now;
-        boolean made = request.attempts.stream().anyMatch(a -> a.went == Went.SERVED && value(id).equals(value));
+        boolean made = request.attempts.stream()
+                .anyMatch(a -> a.went == Went.SERVED && value(id).equals(value));
         if (how == Answered.SERVED && !made) {
             breaks("FOREIGN", request, "served with " + value);
         }
@@ -247,7 +279,10 @@
         }
         for (ToldOff told : toldOff) {
             if (told.router == request.router && told.server.equals(server) && sentAt - told.at > graceNanos) {
-                breaks("DRAIN", request, "to " + server + " " + (sentAt - told.at) / MILLI + " ms after it was told off");
+                breaks(
+                        "DRAIN",
+                        request,
+                        "to " + server + " " + (sentAt - told.at) / MILLI + " ms after it was told off");
             }
         }
         return attempt;
@@ -284,8 +319,11 @@
         double age = Math.max(0, now - one.since - windowNanos / 2.0) / coldNanos;
         double most = overload * perSecond * (coldFrom + (1 - coldFrom) * age) * windowNanos / 1e9;
         if (inWindow > most + 3 * Math.sqrt(most)) {
-            breaks("FALLEN", null, one.server + " was sent " + inWindow + " in " + windowNanos / MILLI + " ms at an age of "
-                    + (now - one.since) / MILLI + " ms, where " + (int) most + " push it over");
+            breaks(
+                    "FALLEN",
+                    null,
+                    one.server + " was sent " + inWindow + " in " + windowNanos / MILLI + " ms at an age of "
+                            + (now - one.since) / MILLI + " ms, where " + (int) most + " push it over");
         }
     }
 
@@ -325,8 +363,11 @@
         boolean spent = request.attempts.size() >= request.attemptsAllowed;
         boolean ran = request.effect == Effect.ONCE && last.went == Went.MAY_HAVE_RUN;
         if (spent || ran) {
-            breaks("KEPT", request, "waits though " + (spent ? "its attempts are spent" : "it may have run") + ", "
-                    + (now - last.knownAt) / MILLI + " ms after the last attempt went " + last.went);
+            breaks(
+                    "KEPT",
+                    request,
+                    "waits though " + (spent ? "its attempts are spent" : "it may have run") + ", "
+                            + (now - last.knownAt) / MILLI + " ms after the last attempt went " + last.went);
         }
     }
 }
--- a/src/test/java/slateseam/simulate/RulesModelTest.java
+++ b/src/test/java/slateseam/simulate/RulesModelTest.java
@@ -25,33 +25,65 @@
     /** At least one for each rule. */
     static Stream<PlantedBug> bugs() {
         return Stream.of(
-                bug("ANSWERED_TWICE", change("router/core/Core", "            slot.front.answer(slot.exchange, answer);",
-                        "slot.front.answer(slot.exchange, answer);\n            slot.front.answer(slot.exchange, answer);")),
+                bug(
+                        "ANSWERED_TWICE",
+                        change(
+                                "router/core/Core",
+                                "            slot.front.answer(slot.exchange, answer);",
+                                "slot.front.answer(slot.exchange, answer);\n            slot.front.answer(slot.exchange, answer);")),
                 known("LATE", "never answers a request that failed"),
-                bug("FOREIGN", change("router/core/Core", "finish(ticket, served);",
-                        "finish(ticket, served instanceof Answer.Served ? new Answer.Served(new byte[] {'x'}) : served);")),
+                bug(
+                        "FOREIGN",
+                        change(
+                                "router/core/Core",
+                                "finish(ticket, served);",
+                                "finish(ticket, served instanceof Answer.Served ? new Answer.Served(new byte[] {'x'}) : served);")),
                 // Two guards: when it is sent, and when it is written.
-                bug("RESEND KEYED", change("decision/Job", "now - arrivedAt < type.windowNanos()", "true"),
-                        change("decision/Job", "boolean bound = mayHaveRun && type.effect() == Effect.TOKEN;", "boolean bound = false;")),
+                bug(
+                        "RESEND KEYED",
+                        change("decision/Job", "now - arrivedAt < type.windowNanos()", "true"),
+                        change(
+                                "decision/Job",
+                                "boolean bound = mayHaveRun && type.effect() == Effect.TOKEN;",
+                                "boolean bound = false;")),
                 known("RESEND ONCE", "sends a once-write again that may have run"),
                 bug("TWO_AT_ONCE", change("decision/Job", "return open && attempt == attempts - 1;", "return true;")),
-                bug("ATTEMPTS", change("router/core/Core",
-                        "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()", "left <= 0 || attempt > 4"),
-                        change("decision/Job", "return attempts + times <= most;",
+                bug(
+                        "ATTEMPTS",
+                        change(
+                                "router/core/Core",
+                                "left <= 0 || attempt >= slot.request.version().settings().limits().attempts()",
+                                "left <= 0 || attempt > 4"),
+                        change(
+                                "decision/Job",
+                                "return attempts + times <= most;",
                                 "return attempts + times <= most + 1;")),
-                bug("AFTER_ANSWER", change("router/pass/Passes", "            pass.isLast = true;\n            if (!pass.isWritten()) {",
-                        "            pass.isLast = true;\n            if (false) {"),
-                        change("decision/Brain", "if (job.open && !fills && context.settings().limits().cancel())", "if (false)")),
+                bug(
+                        "AFTER_ANSWER",
+                        change(
+                                "router/pass/Passes",
+                                "            pass.isLast = true;\n            if (!pass.isWritten()) {",
+                                "            pass.isLast = true;\n            if (false) {"),
+                        change(
+                                "decision/Brain",
+                                "if (job.open && !fills && context.settings().limits().cancel())",
+                                "if (false)")),
                 known("DRAIN", "sends to a draining server"),
                 known("FALLEN", "ignores a cold server's budget"),
                 known("REFUSAL", "answers -BUSY after one that may have run"),
-                bug("NO_TIME", change("decision/Brain", "limits.retryAfter() ? limits.maxRetryAfterNanos() : 0",
-                        "0")),
-                bug("KEPT REPEATABLE", change("decision/Brain", "if (job.mayTry(1)) {\n            requests.awaitSupply(job);\n        } else {\n            decline(job);\n        }",
-                        "requests.awaitSupply(job);")),
-                bug("KEPT ONCE", change("decision/Brain",
-                        "else if (job.mayHaveRun && !job.repeatable(context.now())) {\n            decline(job);",
-                        "else if (job.mayHaveRun && !job.repeatable(context.now())) {\n            job.reached = true;")));
+                bug("NO_TIME", change("decision/Brain", "limits.retryAfter() ? limits.maxRetryAfterNanos() : 0", "0")),
+                bug(
+                        "KEPT REPEATABLE",
+                        change(
+                                "decision/Brain",
+                                "if (job.mayTry(1)) {\n            requests.awaitSupply(job);\n        } else {\n            decline(job);\n        }",
+                                "requests.awaitSupply(job);")),
+                bug(
+                        "KEPT ONCE",
+                        change(
+                                "decision/Brain",
+                                "else if (job.mayHaveRun && !job.repeatable(context.now())) {\n            decline(job);",
+                                "else if (job.mayHaveRun && !job.repeatable(context.now())) {\n            job.reached = true;")));
     }
 
     private static PlantedBug bug(String rule, Change... changes) {
@@ -60,7 +92,10 @@
 
     /** One that is planted in whole days too. */
     private static PlantedBug known(String rule, String name) {
-        PlantedBug bug = PlantedBug.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+        PlantedBug bug = PlantedBug.all().stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow();
         return new PlantedBug(rule, null, null, bug.changes());
     }
 
@@ -71,7 +106,10 @@
     @ParameterizedTest
     @MethodSource("bugs")
     void aPlantedBugIsFound(PlantedBug bug) throws Exception {
-        String found = assertTimeoutPreemptively(MOST, () -> new Planted(bug).call("slateseam.simulate.RulesStage", "play", 1, HISTORIES));
-        assertThat(found).as("what the model says of a bug that breaks " + bug.name()).startsWith(bug.name());
+        String found = assertTimeoutPreemptively(
+                MOST, () -> new Planted(bug).call("slateseam.simulate.RulesStage", "play", 1, HISTORIES));
+        assertThat(found)
+                .as("what the model says of a bug that breaks " + bug.name())
+                .startsWith(bug.name());
     }
 }
--- a/src/test/java/slateseam/simulate/RulesStage.java
+++ b/src/test/java/slateseam/simulate/RulesStage.java
@@ -51,6 +51,7 @@
     private static final int MOST_AWAY = 2;
     /** Some 400 requests a second come; a warm server does a fair part of them, whoever is away. */
     private static final double PER_SECOND = 100;
+
     private static final List<String> CLASSES = List.of("read", "note", "checkout");
 
     /** A router: its core and what carries its actions out. */
@@ -72,9 +73,9 @@
             loop = new Loop(process, net::now, new Log("n" + me, net::now, line -> log(line)), 64L << 20);
             versions = new Versions(settings(me));
             core = new Core(loop, versions, random.nextLong(), 300);
-            passes = new Passes(loop, farm, core, 100 * MS, new Bounds(200, 60_000 * MS, 1), () -> { });
+            passes = new Passes(loop, farm, core, 100 * MS, new Bounds(200, 60_000 * MS, 1), () -> {});
             Peers peers = new Peers(loop, NodeConfig.address(ip(me) + ":7946"), peers(), null, core::happened);
-            core.start(passes, peers, () -> { });
+            core.start(passes, peers, () -> {});
             take(known);
             process.drive(new Program() {
                 @Override
@@ -99,7 +100,8 @@
                 model.tells(me, host, hosts.getJSONObject(i).getString("health").equals("ready"), net.now());
             }
             if (list.getBoolean("whole")) {
-                health.keySet().stream().filter(host -> !listed.contains(host))
+                health.keySet().stream()
+                        .filter(host -> !listed.contains(host))
                         .forEach(host -> model.tells(me, host, false, net.now()));
             }
             MembersChanged changed = farm.take(list, false);
@@ -109,18 +111,39 @@
 
         void asks() {
             Version version = versions.current();
-            int type = random.nextInt(10) < 8 ? 0 : random.nextInt(version.settings().classes().size());
+            int type = random.nextInt(10) < 8
+                    ? 0
+                    : random.nextInt(version.settings().classes().size());
             RequestClass of = version.type(type);
             long ttl = random.nextInt(8) == 0 ? (1 + random.nextInt(60)) * MS : (200 + random.nextInt(1200)) * MS;
             ttl = Math.min(ttl, of.deadlineNanos());
             String id = "r" + me + "-" + ++asked;
             boolean write = type > 0;
-            model.takes(new Taken(me, id, effect(of), net.now(), ttl, of.windowNanos(),
-                    version.settings().limits().attempts(), version.settings().limits().retryAfter()));
+            model.takes(new Taken(
+                    me,
+                    id,
+                    effect(of),
+                    net.now(),
+                    ttl,
+                    of.windowNanos(),
+                    version.settings().limits().attempts(),
+                    version.settings().limits().retryAfter()));
             ids.add(id);
             String key = "k" + (random.nextInt(3) == 0 ? random.nextInt(4) : random.nextInt(400));
-            long ticket = core.arrived(new Request(bytes(key), bytes(id), bytes("c=" + of.name() + ",t=a,d=" + ttl / MS),
-                    write ? bytes("x") : null, version, type, random.nextInt(3), false, ttl, false), this, ids.size() - 1);
+            long ticket = core.arrived(
+                    new Request(
+                            bytes(key),
+                            bytes(id),
+                            bytes("c=" + of.name() + ",t=a,d=" + ttl / MS),
+                            write ? bytes("x") : null,
+                            version,
+                            type,
+                            random.nextInt(3),
+                            false,
+                            ttl,
+                            false),
+                    this,
+                    ids.size() - 1);
             tickets.put(id, ticket);
             if (random.nextInt(40) == 0) {
                 leaves(id); // at once, while a connection may still be coming up for it
@@ -137,8 +160,14 @@
             boolean served = answer instanceof Answer.Served;
             String value = served ? new String(((Answer.Served) answer).value(), StandardCharsets.US_ASCII) : null;
             long again = answer instanceof Answer.Unavailable unavailable ? unavailable.retryAfterNanos() : 0;
-            model.answers(ids.get((int) exchange), served ? Answered.SERVED : answer instanceof Answer.Unavailable
-                    ? Answered.UNAVAILABLE : Answered.FAILED, value, again, net.now());
+            model.answers(
+                    ids.get((int) exchange),
+                    served
+                            ? Answered.SERVED
+                            : answer instanceof Answer.Unavailable ? Answered.UNAVAILABLE : Answered.FAILED,
+                    value,
+                    again,
+                    net.now());
         }
 
         /** A user agent leaves, or an outcome comes once more, late, or for a ticket that nobody has. */
@@ -156,9 +185,11 @@
             Outcome outcome = odd[random.nextInt(odd.length)];
             int attempts = model.attempts(id);
             if (attempts > 1) {
-                core.passEnded(ticket, attempts - 2, Farm.id(model.server(id, attempts - 2)), outcome, false, null, 5 * MS);
+                core.passEnded(
+                        ticket, attempts - 2, Farm.id(model.server(id, attempts - 2)), outcome, false, null, 5 * MS);
             }
-            core.passEnded(random.nextLong() | 1L << 62, 0, Farm.id("c" + random.nextInt(CACHES)), outcome, false, null, MS);
+            core.passEnded(
+                    random.nextLong() | 1L << 62, 0, Farm.id("c" + random.nextInt(CACHES)), outcome, false, null, MS);
         }
     }
 
@@ -205,18 +236,23 @@
 
         private void answer(Wire wire, Attempt mine, String id, int kind) {
             boolean origin = name.equals("o");
-            mine.went = kind < 12 ? Went.MAY_HAVE_RUN : kind < 18 ? Went.TURNED_AWAY
-                    : kind < 45 && !origin ? Went.MISSED : Went.SERVED;
+            mine.went = kind < 12
+                    ? Went.MAY_HAVE_RUN
+                    : kind < 18 ? Went.TURNED_AWAY : kind < 45 && !origin ? Went.MISSED : Went.SERVED;
             mine.open = false;
             String value = RulesModel.value(id);
             String text = switch (mine.went) {
-                case SERVED -> origin ? "HTTP/1.1 200 OK\r\nContent-Length: " + value.length() + "\r\n\r\n" + value
-                        : "*1\r\n$" + value.length() + "\r\n" + value + "\r\n";
+                case SERVED ->
+                    origin
+                            ? "HTTP/1.1 200 OK\r\nContent-Length: " + value.length() + "\r\n\r\n" + value
+                            : "*1\r\n$" + value.length() + "\r\n" + value + "\r\n";
                 case MISSED -> "*1\r\n$-1\r\n";
-                case TURNED_AWAY -> origin ? "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-                        : "-BUSY\r\n";
-                default -> origin ? "HTTP/1.1 500 Fault\r\nContent-Length: 0\r\n\r\n"
-                        : kind < 9 ? "&noise\r\n" : "-ERR failed\r\n";
+                case TURNED_AWAY ->
+                    origin ? "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n" : "-BUSY\r\n";
+                default ->
+                    origin
+                            ? "HTTP/1.1 500 Fault\r\nContent-Length: 0\r\n\r\n"
+                            : kind < 9 ? "&noise\r\n" : "-ERR failed\r\n";
             };
             wire.write(bytes(text));
         }
@@ -273,10 +309,12 @@
 
     private final Random random;
     private final VirtualNetwork net;
-    private final RulesModel model = new RulesModel(500 * MS, SLACK, WAY, 60 * MS, 0.33, 7_800 * MS, 2_000 * MS, PER_SECOND);
+    private final RulesModel model =
+            new RulesModel(500 * MS, SLACK, WAY, 60 * MS, 0.33, 7_800 * MS, 2_000 * MS, PER_SECOND);
     private final List<Node> nodes = new ArrayList<>();
     /** What discovery knows of each server. */
     private final Map<String, String> health = new LinkedHashMap<>();
+
     private final Map<String, Long> born = new LinkedHashMap<>();
     private final int routers;
     private final double overload;
@@ -290,8 +328,10 @@
         random = new Random(seed);
         Conditions calm = Conditions.calm();
         Conditions.Datagrams datagrams = new Conditions.Datagrams(3 * MS, 37 * MS, 0.05, 0.1, 0.1);
-        net = new VirtualNetwork(calm.with(new Conditions.Delays(WAY, WAY, WAY, WAY, WAY, 0)).with(datagrams),
-                actor -> RandomSource.XO_RO_SHI_RO_128_PP.create(seed << 32 ^ actor.hashCode()), START);
+        net = new VirtualNetwork(
+                calm.with(new Conditions.Delays(WAY, WAY, WAY, WAY, WAY, 0)).with(datagrams),
+                actor -> RandomSource.XO_RO_SHI_RO_128_PP.create(seed << 32 ^ actor.hashCode()),
+                START);
         routers = 1 + random.nextInt(4);
         overload = random.nextInt(3) == 0 ? 1.2 : 3;
         model.overload(overload);
@@ -365,7 +405,7 @@
                 }
             }
             case 8 -> net.loseDatagrams(random.nextInt(3) == 0 ? 0.9 : 0.05);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -377,7 +417,8 @@
             case 1 -> "gone";
             default -> "ready";
         };
-        long away = health.values().stream().filter(state -> !state.equals("ready")).count();
+        long away =
+                health.values().stream().filter(state -> !state.equals("ready")).count();
         if (!now.equals("ready") && health.get(name).equals("ready") && away >= MOST_AWAY) {
             return;
         }
@@ -396,28 +437,69 @@
     }
 
     private JSONObject whole() {
-        return list(true, health.keySet().stream().filter(name -> !health.get(name).equals("gone")).toList());
+        return list(
+                true,
+                health.keySet().stream()
+                        .filter(name -> !health.get(name).equals("gone"))
+                        .toList());
     }
 
     private JSONObject list(boolean whole, List<String> names) {
         JSONArray hosts = new JSONArray();
         for (String name : names) {
-            hosts.put(new JSONObject().put("host", name).put("dial", dial(name)).put("site", "a").put("class",
-                    name.equals("o") ? "origin" : "box").put("health", health.get(name)).put("born_ms",
-                    born.getOrDefault(name, 0L)));
+            hosts.put(new JSONObject()
+                    .put("host", name)
+                    .put("dial", dial(name))
+                    .put("site", "a")
+                    .put("class", name.equals("o") ? "origin" : "box")
+                    .put("health", health.get(name))
+                    .put("born_ms", born.getOrDefault(name, 0L)));
         }
         return new JSONObject().put("seq", version).put("whole", whole).put("hosts", hosts);
     }
 
     private Settings settings(int me) {
         List<RequestClass> classes = List.of(
-                new RequestClass(CLASSES.get(0), 500 * MS, 1_500 * MS, 2, 0, slateseam.decision.Api.Effect.PURE, Group.ALL, 0,
+                new RequestClass(
+                        CLASSES.get(0),
+                        500 * MS,
+                        1_500 * MS,
+                        2,
+                        0,
+                        slateseam.decision.Api.Effect.PURE,
+                        Group.ALL,
+                        0,
+                        false),
+                new RequestClass(
+                        CLASSES.get(1),
+                        1_200 * MS,
+                        4_000 * MS,
+                        3,
+                        0,
+                        slateseam.decision.Api.Effect.TOKEN,
+                        Group.ALL,
+                        window * MS,
                         false),
-                new RequestClass(CLASSES.get(1), 1_200 * MS, 4_000 * MS, 3, 0, slateseam.decision.Api.Effect.TOKEN, Group.ALL,
-                        window * MS, false),
-                new RequestClass(CLASSES.get(2), 1_500 * MS, 4_000 * MS, 3, 0, slateseam.decision.Api.Effect.SIDE_EFFECT,
-                        Group.ALL, 0, false));
-        return new Settings(me, routers, 0, 5 * MS, false, CacheMode.ASIDE, 1, 0.1, classes,
+                new RequestClass(
+                        CLASSES.get(2),
+                        1_500 * MS,
+                        4_000 * MS,
+                        3,
+                        0,
+                        slateseam.decision.Api.Effect.SIDE_EFFECT,
+                        Group.ALL,
+                        0,
+                        false));
+        return new Settings(
+                me,
+                routers,
+                0,
+                5 * MS,
+                false,
+                CacheMode.ASIDE,
+                1,
+                0.1,
+                classes,
                 List.of(new Tenant("a", 40, 0.5), new Tenant("b", 200, 0.5)),
                 new Limits(attemptsNow, false, true, true, routers > 1, true, 2_000 * MS, 100 * MS, 1),
                 new Rules(500 * MS, 10_000 * MS, 0.33, 7_800 * MS, overload, 2_000 * MS, SLACK));
--- a/src/test/java/slateseam/simulate/SamenessTest.java
+++ b/src/test/java/slateseam/simulate/SamenessTest.java
@@ -19,7 +19,9 @@
     private static final Scenario SHORT = Scenarios.usual().withDuration(4_000_000_000L);
 
     private static String hash(long seed) {
-        return new Play(Day.draw(SHORT, seed, FaultChoice.AS_WRITTEN), null).play().hashText();
+        return new Play(Day.draw(SHORT, seed, FaultChoice.AS_WRITTEN), null)
+                .play()
+                .hashText();
     }
 
     private static List<String> hashes(int threads) {
@@ -39,10 +41,19 @@
     /** Where sets are salted otherwise and identity hashes are others. */
     @Test
     void anotherProcessChangesNothing() throws Exception {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx300m", "-XX:+UnlockExperimentalVMOptions", "-XX:hashCode=2", "-cp",
-                System.getProperty("java.class.path"),
-                "slateseam.Main", "simulate", "replay", "3").redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx300m",
+                        "-XX:+UnlockExperimentalVMOptions",
+                        "-XX:hashCode=2",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "slateseam.Main",
+                        "simulate",
+                        "replay",
+                        "3")
+                .redirectErrorStream(true)
+                .start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertThat(process.waitFor(60, TimeUnit.SECONDS)).isTrue();
         Result here = new Play(Day.draw(Scenarios.usual(), 3, FaultChoice.AS_WRITTEN), null).play();
--- a/src/test/java/slateseam/simulate/SimulateCommandTest.java
+++ b/src/test/java/slateseam/simulate/SimulateCommandTest.java
@@ -27,8 +27,9 @@
     @Test
     void theSeedsOfEachBuildBreakNoRule(@TempDir Path folder) throws Exception {
         Path json = folder.resolve("days.json");
-        assertThat(run("run", "--seeds", "1..16", "--threads", "4", "--json",
-                json.toString())).as(out.toString()).isZero();
+        assertThat(run("run", "--seeds", "1..16", "--threads", "4", "--json", json.toString()))
+                .as(out.toString())
+                .isZero();
         JSONArray days = new JSONArray(Files.readString(json));
         assertThat(days.length()).isEqualTo(16);
         assertThat(days.getJSONObject(15).getInt("seed")).isEqualTo(16);
@@ -72,7 +73,8 @@
         Path second = folder.resolve("second");
         assertThat(run("replay", "2", "--trace", first.toString())).isZero();
         assertThat(run("replay", "2", "--trace", second.toString())).isZero();
-        List<String> hashes = out.toString().lines().filter(line -> line.startsWith("hash ")).toList();
+        List<String> hashes =
+                out.toString().lines().filter(line -> line.startsWith("hash ")).toList();
         assertThat(hashes).hasSize(2).allMatch(hash -> hash.equals(hashes.get(0)));
         assertThat(Files.mismatch(first, second)).isEqualTo(-1);
         String trace = Files.readString(first, StandardCharsets.UTF_8);
--- a/src/test/java/slateseam/simulate/SupplyBugs.java
+++ b/src/test/java/slateseam/simulate/SupplyBugs.java
@@ -6,20 +6,32 @@
 final class SupplyBugs {
     private static final String AT = "decision/";
 
-    private SupplyBugs() {
-    }
+    private SupplyBugs() {}
 
     static List<PlantedBug> all() {
         return List.of(
-                bug("a transfer is counted again with each message that tells it", "Neighbour",
-                        "            own.units += moved;\n            flow[a] += moved;\n", "            own.units += moved;\n"),
+                bug(
+                        "a transfer is counted again with each message that tells it",
+                        "Neighbour",
+                        "            own.units += moved;\n            flow[a] += moved;\n",
+                        "            own.units += moved;\n"),
                 bug("a lost acknowledgement gives the supply back", "Neighbour", "m.heard() == sent) {", "true) {"),
-                bug("what is asked back is used before it is given", "Neighbour", "-= Math.max(0, moved);\n    }", "-= moved;\n    }"),
-                bug("a restart forgets what its partners' books say", "Neighbour",
-                        "            accounts.get(a).units += lower ? -theirs[a] : theirs[a];\n", ""),
+                bug(
+                        "what is asked back is used before it is given",
+                        "Neighbour",
+                        "-= Math.max(0, moved);\n    }",
+                        "-= moved;\n    }"),
+                bug(
+                        "a restart forgets what its partners' books say",
+                        "Neighbour",
+                        "            accounts.get(a).units += lower ? -theirs[a] : theirs[a];\n",
+                        ""),
                 bug("a restart behind a cut uses an even share", "EarlierSupply", "hasPartners ? -base[a] : 0;", "0;"),
-                bug("a message of an earlier life is believed", "Neighbour",
-                        "if (!anew && (m.from() != life || m.sequence() - heard <= 0)) {", "if (false) {"));
+                bug(
+                        "a message of an earlier life is believed",
+                        "Neighbour",
+                        "if (!anew && (m.from() != life || m.sequence() - heard <= 0)) {",
+                        "if (false) {"));
     }
 
     private static PlantedBug bug(String name, String file, String text, String instead) {
@@ -30,7 +42,8 @@
     public static void main(String[] args) {
         for (PlantedBug bug : all()) {
             Planted.Found found = TierBugs.find("supply", bug, 1_024);
-            System.out.println("| " + bug.name() + " | " + (found == null ? "not in 1024 | |" : found.seed() + " | `" + found.rule() + "` |"));
+            System.out.println("| " + bug.name() + " | "
+                    + (found == null ? "not in 1024 | |" : found.seed() + " | `" + found.rule() + "` |"));
         }
     }
 }
--- a/src/test/java/slateseam/simulate/SupplyBugsTest.java
+++ b/src/test/java/slateseam/simulate/SupplyBugsTest.java
@@ -13,7 +13,13 @@
             a restart forgets what its partners' books say              | MINTED
             """)
     void isFound(String name, String rule) {
-        PlantedBug bug = SupplyBugs.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
-        assertThat(TierBugs.find("supply", bug, 64)).isNotNull().extracting(Planted.Found::rule).isEqualTo(rule);
+        PlantedBug bug = SupplyBugs.all().stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+        assertThat(TierBugs.find("supply", bug, 64))
+                .isNotNull()
+                .extracting(Planted.Found::rule)
+                .isEqualTo(rule);
     }
 }
--- a/src/test/java/slateseam/simulate/TierBugs.java
+++ b/src/test/java/slateseam/simulate/TierBugs.java
@@ -12,28 +12,74 @@
     private static final Pattern SEED = Pattern.compile("(?m)^seed (\\d+): ([A-Z_]+) ");
     private static final String TIER = "tier/members/";
 
-    private TierBugs() {
-    }
+    private TierBugs() {}
 
     static List<PlantedBug> all() {
         return List.of(
-                bug("a refutation is ignored", "Members", "            answerFor(sender, sender.incarnation);\n        } else if (sender.state == State.FAILED)",
+                bug(
+                        "a refutation is ignored",
+                        "Members",
+                        "            answerFor(sender, sender.incarnation);\n        } else if (sender.state == State.FAILED)",
                         "        } else if (sender.state == State.FAILED)"),
-                bug("a suspicion of itself is not answered", "Own", "                is(life, anIncarnation + 1);\n", ""),
-                bug("a pause is not noticed", "OwnDoubt", "if (gap > STOOD_STILL) {", "if (gap > 1000 * STOOD_STILL) {"),
-                bug("an old life is believed", "Members", "        if (message.life() < sender.life) {\n            count(Traffic.DROPPED_LATE, 1);\n"
-                        + "            second(sender, message, from);\n            return false;\n        }\n", ""),
-                bug("a suspicion never ends", "Watch", "member.state == State.SUSPECT && now >= member.suspectUntil", "false"),
-                bug("a cut is taken for a death", "Watch", "            if (each.getValue().ear() == Ear.HEARS) {\n                return false;\n            }\n", ""),
+                bug(
+                        "a suspicion of itself is not answered",
+                        "Own",
+                        "                is(life, anIncarnation + 1);\n",
+                        ""),
+                bug(
+                        "a pause is not noticed",
+                        "OwnDoubt",
+                        "if (gap > STOOD_STILL) {",
+                        "if (gap > 1000 * STOOD_STILL) {"),
+                bug(
+                        "an old life is believed",
+                        "Members",
+                        "        if (message.life() < sender.life) {\n            count(Traffic.DROPPED_LATE, 1);\n"
+                                + "            second(sender, message, from);\n            return false;\n        }\n",
+                        ""),
+                bug(
+                        "a suspicion never ends",
+                        "Watch",
+                        "member.state == State.SUSPECT && now >= member.suspectUntil",
+                        "false"),
+                bug(
+                        "a cut is taken for a death",
+                        "Watch",
+                        "            if (each.getValue().ear() == Ear.HEARS) {\n                return false;\n            }\n",
+                        ""),
                 bug("one who doubts declares failed", "Watch", "member.state == State.SUSPECT && doubts", "false"),
-                bug("the smaller part does not know it", "OwnDoubt", "silentPart > LEAST_MINORITY || there * 2 <= base", "false"),
-                bug("one that left comes back in the same life", "Member", "return state != State.LEFT; // nobody", "return anIncarnation >= incarnation; // nobody"),
-                bug("views are not compared", "Members", "    private void compare(Member with) {\n        if (with != null) {", "    private void compare(Member with) {\n        if (false) {"),
-                bug("a later life by its own name is not noticed", "Own", "            raised = true;\n            lives(ofLife + 1);", "            raised = true;"),
-                bug("whoever watches anew accuses for the time before", "Watch", "member.watchedSince = subjects.contains(member) ? member.watchedSince : Math.max(member.watchedSince, time);", ""),
+                bug(
+                        "the smaller part does not know it",
+                        "OwnDoubt",
+                        "silentPart > LEAST_MINORITY || there * 2 <= base",
+                        "false"),
+                bug(
+                        "one that left comes back in the same life",
+                        "Member",
+                        "return state != State.LEFT; // nobody",
+                        "return anIncarnation >= incarnation; // nobody"),
+                bug(
+                        "views are not compared",
+                        "Members",
+                        "    private void compare(Member with) {\n        if (with != null) {",
+                        "    private void compare(Member with) {\n        if (false) {"),
+                bug(
+                        "a later life by its own name is not noticed",
+                        "Own",
+                        "            raised = true;\n            lives(ofLife + 1);",
+                        "            raised = true;"),
+                bug(
+                        "whoever watches anew accuses for the time before",
+                        "Watch",
+                        "member.watchedSince = subjects.contains(member) ? member.watchedSince : Math.max(member.watchedSince, time);",
+                        ""),
                 bug("nobody is told that it is unheard", "OwnDoubt", "unheard = so;", ""),
-                bug("an end is not believed", "Members", "        if (message.kind() == Message.Kind.LEAVE) {\n            sender.sequence = message.sequence();\n"
-                        + "            message.records().forEach(record -> take(sender, record));", "        if (message.kind() == Message.Kind.LEAVE) {\n            sender.sequence = message.sequence();"));
+                bug(
+                        "an end is not believed",
+                        "Members",
+                        "        if (message.kind() == Message.Kind.LEAVE) {\n            sender.sequence = message.sequence();\n"
+                                + "            message.records().forEach(record -> take(sender, record));",
+                        "        if (message.kind() == Message.Kind.LEAVE) {\n            sender.sequence = message.sequence();"));
     }
 
     private static PlantedBug bug(String name, String file, String text, String instead) {
@@ -49,7 +95,8 @@
     static Planted.Found find(String command, PlantedBug bug, int mostSeeds) {
         Planted planted = new Planted(bug);
         for (int from = 1; from <= mostSeeds; from += AT_ONCE) {
-            Matcher lines = SEED.matcher(planted.run(command, "--seeds", from + ".." + (from + AT_ONCE - 1)).text());
+            Matcher lines = SEED.matcher(planted.run(command, "--seeds", from + ".." + (from + AT_ONCE - 1))
+                    .text());
             Planted.Found first = null;
             while (lines.find()) {
                 long seed = Long.parseLong(lines.group(1));
@@ -67,7 +114,11 @@
         System.out.println("| --- | --- | --- |");
         for (PlantedBug bug : all()) {
             Planted.Found found = find(bug, MOST_SEEDS);
-            System.out.printf(Locale.ROOT, "| %s | %s | %s |%n", bug.name(), found == null ? "not in " + MOST_SEEDS : found.seed(),
+            System.out.printf(
+                    Locale.ROOT,
+                    "| %s | %s | %s |%n",
+                    bug.name(),
+                    found == null ? "not in " + MOST_SEEDS : found.seed(),
                     found == null ? "" : "`" + found.rule() + "`");
         }
     }
--- a/src/test/java/slateseam/simulate/TierBugsTest.java
+++ b/src/test/java/slateseam/simulate/TierBugsTest.java
@@ -14,7 +14,13 @@
             a suspicion never ends           | ONE_VIEW
             """)
     void isFound(String name, String rule) {
-        PlantedBug bug = TierBugs.all().stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
-        assertThat(TierBugs.find(bug, 256)).isNotNull().extracting(Planted.Found::rule).isEqualTo(rule);
+        PlantedBug bug = TierBugs.all().stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+        assertThat(TierBugs.find(bug, 256))
+                .isNotNull()
+                .extracting(Planted.Found::rule)
+                .isEqualTo(rule);
     }
 }
--- a/src/test/java/slateseam/simulate/check/CheckerTest.java
+++ b/src/test/java/slateseam/simulate/check/CheckerTest.java
@@ -23,14 +23,25 @@
     private long now = 1_700_000_000_000L * MILLI;
     private final Map<String, Long> wires = new HashMap<>();
     private final Map<String, String> types = new HashMap<>();
-    private final Checker checker = new Checker(new Figures(List.of(
-            new ClassFigures("read", Repeats.HARMLESS, 1500 * MILLI, 0),
-            new ClassFigures("put", Repeats.KEYED, 4000 * MILLI, 2000 * MILLI),
-            new ClassFigures("once", Repeats.FORBIDDEN, 4000 * MILLI, 0)), 3, 20 * MILLI, 500 * MILLI, 2000 * MILLI,
-            100, 5_000), "origin", List.of("10.0.0.1:7946"), () -> now);
+    private final Checker checker = new Checker(
+            new Figures(
+                    List.of(
+                            new ClassFigures("read", Repeats.HARMLESS, 1500 * MILLI, 0),
+                            new ClassFigures("put", Repeats.KEYED, 4000 * MILLI, 2000 * MILLI),
+                            new ClassFigures("once", Repeats.FORBIDDEN, 4000 * MILLI, 0)),
+                    3,
+                    20 * MILLI,
+                    500 * MILLI,
+                    2000 * MILLI,
+                    100,
+                    5_000),
+            "origin",
+            List.of("10.0.0.1:7946"),
+            () -> now);
 
     CheckerTest() {
-        checker.routerStarts(new Place("n0", "10.0.0.1", "10.0.0.1:6379", "10.0.0.1:7946", List.of("10.2.0.1:8500")),
+        checker.routerStarts(
+                new Place("n0", "10.0.0.1", "10.0.0.1:6379", "10.0.0.1:7946", List.of("10.2.0.1:8500")),
                 list("ready", 0));
     }
 
@@ -94,7 +105,8 @@
             play(step.split(" "));
             checker.step();
         }
-        assertThat(checker.breaches()).extracting(breach -> breach.rule().name())
+        assertThat(checker.breaches())
+                .extracting(breach -> breach.rule().name())
                 .isEqualTo(rules == null ? List.of() : List.of(rules.split(" ")));
     }
 
@@ -104,8 +116,12 @@
             case "u" -> user(words);
             case "s", "t", "o" -> server(words);
             case "d" -> {
-                byte[] body = bytes(list(what, words[2].equals("0") ? 0 : now / MILLI).toString());
-                write(wire("d", "10.0.0.1", "10.2.0.1:8500"), "10.2.0.1", "10.0.0.1",
+                byte[] body =
+                        bytes(list(what, words[2].equals("0") ? 0 : now / MILLI).toString());
+                write(
+                        wire("d", "10.0.0.1", "10.2.0.1:8500"),
+                        "10.2.0.1",
+                        "10.0.0.1",
                         "HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n" + text(body));
             }
             case "agent" -> checker.agentHas("n0", list(what, 0));
@@ -131,12 +147,17 @@
             case "garbage" -> write(wire, "10.9.0.1", "10.0.0.1", "*1\r\n$x\r\n");
             case "leaves" -> checker.endedBy(wire, "10.9.0.1");
             case "router" -> checker.endedBy(wire, "10.0.0.1");
-            default -> write(wire, "10.0.0.1", "10.9.0.1", switch (words[1]) {
-                case "value" -> "$8\r\nvalue-" + words[2] + "\r\n";
-                case "busy" -> "-BUSY 20\r\n";
-                case "protocol" -> "-ERR protocol error: why\r\n";
-                default -> "-ERR failed\r\n";
-            });
+            default ->
+                write(
+                        wire,
+                        "10.0.0.1",
+                        "10.9.0.1",
+                        switch (words[1]) {
+                            case "value" -> "$8\r\nvalue-" + words[2] + "\r\n";
+                            case "busy" -> "-BUSY 20\r\n";
+                            case "protocol" -> "-ERR protocol error: why\r\n";
+                            default -> "-ERR failed\r\n";
+                        });
         }
     }
 
@@ -148,10 +169,15 @@
                 + ",t=acme,d=1\r\n";
         switch (words[1]) {
             case "send" -> write(wire, "10.0.0.1", machine, command(words[2], "read", "100"));
-            case "part" -> write(wire, "10.0.0.1", machine, command(words[2], "read", "100").substring(0, 30));
+            case "part" ->
+                write(
+                        wire,
+                        "10.0.0.1",
+                        machine,
+                        command(words[2], "read", "100").substring(0, 30));
             case "fetch" -> write(wire, "10.0.0.1", machine, "GET /k HTTP/1.1\r\n" + head + "\r\n");
-            case "store" -> write(wire, "10.0.0.1", machine,
-                    "PUT /k HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\nxx");
+            case "store" ->
+                write(wire, "10.0.0.1", machine, "PUT /k HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\nxx");
             case "router" -> {
                 checker.endedBy(wire, "10.0.0.1");
                 wires.remove(words[0]);
@@ -160,17 +186,21 @@
                 if (words[1].equals("hit") || words[1].equals("value")) {
                     checker.made(words[0], words[2], bytes("value-" + words[2]));
                 }
-                write(wire, machine, "10.0.0.1", switch (words[1]) {
-                    case "hit" -> "*3\r\n$8\r\nvalue-" + words[2] + "\r\n$3\r\nhit\r\n$-1\r\n";
-                    case "value" -> "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nvalue-" + words[2];
-                    case "miss" -> "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
-                    case "busy" -> "-BUSY\r\n";
-                    case "garbage" -> "+what\r\n";
-                    case "syntax" -> "-SYNTAX no\r\n";
-                    case "flood" -> "*1\r\n$9999\r\n" + "x".repeat(Integer.parseInt(words[2]));
-                    case "unprocessed" -> "HTTP/1.1 " + words[2] + " No\r\nX-Unprocessed: 1\r\n\r\n";
-                    default -> "HTTP/1.1 " + words[2] + " No\r\nContent-Length: 0\r\n\r\n";
-                });
+                write(
+                        wire,
+                        machine,
+                        "10.0.0.1",
+                        switch (words[1]) {
+                            case "hit" -> "*3\r\n$8\r\nvalue-" + words[2] + "\r\n$3\r\nhit\r\n$-1\r\n";
+                            case "value" -> "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nvalue-" + words[2];
+                            case "miss" -> "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
+                            case "busy" -> "-BUSY\r\n";
+                            case "garbage" -> "+what\r\n";
+                            case "syntax" -> "-SYNTAX no\r\n";
+                            case "flood" -> "*1\r\n$9999\r\n" + "x".repeat(Integer.parseInt(words[2]));
+                            case "unprocessed" -> "HTTP/1.1 " + words[2] + " No\r\nX-Unprocessed: 1\r\n\r\n";
+                            default -> "HTTP/1.1 " + words[2] + " No\r\nContent-Length: 0\r\n\r\n";
+                        });
             }
         }
     }
--- a/src/test/java/slateseam/simulate/network/DatagramsTest.java
+++ b/src/test/java/slateseam/simulate/network/DatagramsTest.java
@@ -24,8 +24,8 @@
 
     /** Sends numbered ones and returns the numbers as they come. */
     private List<Integer> send(double lost, double swapped, double doubled) throws Exception {
-        net = RouterStage.network(Conditions.calm().with(new Conditions.Datagrams(3_000_000, 37_000_000, lost, swapped,
-                doubled)), 11);
+        net = RouterStage.network(
+                Conditions.calm().with(new Conditions.Datagrams(3_000_000, 37_000_000, lost, swapped, doubled)), 11);
         List.of("10.0.0.1", "10.0.0.2").forEach(ip -> net.machine(ip, "a"));
         DatagramChannel from = open("10.0.0.1");
         DatagramChannel to = open("10.0.0.2");
@@ -55,7 +55,9 @@
     @Test
     void eachTroubleComesAsOftenAsItShould() throws Exception {
         assertThat(send(0, 0, 0)).hasSize(COUNT).isSorted();
-        assertThat(send(0.1, 0, 0)).hasSizeBetween(COUNT * 85 / 100, COUNT * 95 / 100).isSorted()
+        assertThat(send(0.1, 0, 0))
+                .hasSizeBetween(COUNT * 85 / 100, COUNT * 95 / 100)
+                .isSorted()
                 .doesNotHaveDuplicates();
         List<Integer> swapped = send(0, 0.1, 0);
         assertThat(swapped).hasSize(COUNT);
@@ -83,7 +85,8 @@
         assertThat(channels.get(0).receive(in)).isNull();
         assertThat(channels.get(2).receive(in)).isNull();
         assertThat(List.of(channels.get(1).receive(in), channels.get(1).receive(in)))
-                .containsExactlyInAnyOrder(channels.get(0).getLocalAddress(), channels.get(2).getLocalAddress());
+                .containsExactlyInAnyOrder(
+                        channels.get(0).getLocalAddress(), channels.get(2).getLocalAddress());
         assertThat(in.position()).isEqualTo(266);
     }
 }
--- a/src/test/java/slateseam/simulate/network/Exchange.java
+++ b/src/test/java/slateseam/simulate/network/Exchange.java
@@ -21,6 +21,7 @@
 final class Exchange {
     /** A guard against waiting for ever. */
     private static final int MOST_ROUNDS = 5_000;
+
     private static final int BULK = 64 * 1024;
 
     /** Lets things happen for a moment. */
@@ -65,8 +66,8 @@
                 seen = e.getClass().getSimpleName() + " " + e.getMessage();
             }
             moment.pass();
-            clientSelector.selectNow(key -> { });
-            serverSelector.selectNow(key -> { });
+            clientSelector.selectNow(key -> {});
+            serverSelector.selectNow(key -> {});
         }
         observed.add(what + ": " + seen);
         return seen;
@@ -91,8 +92,9 @@
         begin();
         finish();
         accept();
-        observed.add("addresses match " + (server.getRemoteAddress().equals(client.getLocalAddress())
-                && client.getRemoteAddress().equals(address)));
+        observed.add("addresses match "
+                + (server.getRemoteAddress().equals(client.getLocalAddress())
+                        && client.getRemoteAddress().equals(address)));
     }
 
     void accept() throws IOException {
@@ -147,7 +149,8 @@
         ByteBuffer in = ByteBuffer.allocate(length);
         await("read", () -> {
             int n = channel.read(in);
-            String text = StandardCharsets.ISO_8859_1.decode(in.duplicate().flip()).toString();
+            String text =
+                    StandardCharsets.ISO_8859_1.decode(in.duplicate().flip()).toString();
             return n < 0 ? text + "(end)" : in.hasRemaining() ? null : text;
         });
     }
--- a/src/test/java/slateseam/simulate/network/LikeLoopbackTest.java
+++ b/src/test/java/slateseam/simulate/network/LikeLoopbackTest.java
@@ -112,15 +112,18 @@
     @Test
     void bothEndsSeeTheSame() throws Exception {
         SelectorProvider system = SelectorProvider.provider();
-        List<String> real = play(new Exchange(system, system, new InetSocketAddress("127.0.0.1", 0),
-                Thread::onSpinWait));
+        List<String> real =
+                play(new Exchange(system, system, new InetSocketAddress("127.0.0.1", 0), Thread::onSpinWait));
 
         Conditions.Streams linux = new Conditions.Streams(100_000, 100_000, 0.5, 1_000_000, 0, 0, 0, 0);
         VirtualNetwork net = RouterStage.network(Conditions.usual().with(linux), 1);
         net.machine("10.0.0.1", "a");
         net.machine("10.0.0.2", "b");
-        List<String> virtual = play(new Exchange(net.provider("10.0.0.1"), net.provider("10.0.0.2"),
-                new InetSocketAddress("10.0.0.2", 0), () -> net.run(net.now() + RouterStage.MILLI)));
+        List<String> virtual = play(new Exchange(
+                net.provider("10.0.0.1"),
+                net.provider("10.0.0.2"),
+                new InetSocketAddress("10.0.0.2", 0),
+                () -> net.run(net.now() + RouterStage.MILLI)));
         assertThat(virtual).isEqualTo(real);
         assertThat(real).noneMatch(line -> line.endsWith(": null"));
     }
--- a/src/test/java/slateseam/simulate/network/RouterOnNetworkTest.java
+++ b/src/test/java/slateseam/simulate/network/RouterOnNetworkTest.java
@@ -9,12 +9,12 @@
 
 /** The unchanged router on the virtual network. */
 class RouterOnNetworkTest {
-    private static final Conditions ROUGH = Conditions.usual()
-            .with(new Conditions.Streams(4_096, 4_096, 0.9, RouterStage.MILLI, 0.5, 0.5, 0, 0.5));
+    private static final Conditions ROUGH =
+            Conditions.usual().with(new Conditions.Streams(4_096, 4_096, 0.9, RouterStage.MILLI, 0.5, 0.5, 0, 0.5));
 
     private static void ask(Teller userAgent, int i) {
-        userAgent.wire.write(Teller.bytes(command("PING")
-                + command("CACHE.GET", "k" + i, "i" + i, "c=read,t=acme,d=1500")));
+        userAgent.wire.write(
+                Teller.bytes(command("PING") + command("CACHE.GET", "k" + i, "i" + i, "c=read,t=acme,d=1500")));
     }
 
     private static String answer(int i) {
@@ -88,8 +88,7 @@
                 case 12 -> stage.net.kill("10.0.3.1");
                 case 14 -> stage.serve();
                 case 18 -> stage.process.kill();
-                default -> {
-                }
+                default -> {}
             }
         }
         return stage.net.hash();
--- a/src/test/java/slateseam/simulate/network/RouterStage.java
+++ b/src/test/java/slateseam/simulate/network/RouterStage.java
@@ -33,14 +33,21 @@
         serve();
         String config = Files.readString(Path.of("src/test/resources/node.json"))
                 .replace("\"listen\": \"127.0.0.1:0", "\"listen\": \"10.0.0.1:7400")
-                .replace("127.0.0.1:0", "10.0.0.1:7946").replace("127.0.0.1:1\"]", "10.0.0.1:7946\"]")
-                .replace("{discovery}", "127.0.0.1:8500").replace("{s1}", "10.0.3.1:6379")
+                .replace("127.0.0.1:0", "10.0.0.1:7946")
+                .replace("127.0.0.1:1\"]", "10.0.0.1:7946\"]")
+                .replace("{discovery}", "127.0.0.1:8500")
+                .replace("{s1}", "10.0.3.1:6379")
                 .replace("{origin}", "10.0.3.9:80");
         Path none = Files.createTempFile("slateseam", ".conf");
         NodeConfig node = NodeConfig.parse(config);
         process = net.provider("10.0.0.1");
-        router = new Router(node, Features.read(none, node), Router.Place.on(process, Features.OFF), net::now,
-                new Log("n0", net::now, log::add), new Console("n0", new ByteArrayOutputStream()));
+        router = new Router(
+                node,
+                Features.read(none, node),
+                Router.Place.on(process, Features.OFF),
+                net::now,
+                new Log("n0", net::now, log::add),
+                new Console("n0", new ByteArrayOutputStream()));
         Files.delete(none);
         process.drive(new Program() {
             @Override
@@ -90,7 +97,11 @@
     static String command(String... words) {
         StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
         for (String word : words) {
-            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            command.append('$')
+                    .append(word.length())
+                    .append("\r\n")
+                    .append(word)
+                    .append("\r\n");
         }
         return command.toString();
     }
@@ -104,7 +115,9 @@
             if (got.toString().startsWith("*1") && lines.length == 3) {
                 on.write(bytes("+PONG\r\n"));
                 got.setLength(0);
-            } else if (lines.length == 9 && got.toString().endsWith("\r\n") && lines[8].endsWith("d=" + time(lines[8]))
+            } else if (lines.length == 9
+                    && got.toString().endsWith("\r\n")
+                    && lines[8].endsWith("d=" + time(lines[8]))
                     && lines[7].equals("$" + lines[8].length())) {
                 on.write(bytes("*1\r\n$" + lines[4].length() + "\r\n" + lines[4] + "\r\n"));
                 got.setLength(0);
--- a/src/test/java/slateseam/simulate/network/StagesTest.java
+++ b/src/test/java/slateseam/simulate/network/StagesTest.java
@@ -33,15 +33,30 @@
 
     /** How far the request has come. */
     enum Stage {
-        HALF_COMMAND, HELD_FOR_SUPPLY, CONNECTING, HALF_WRITTEN, WRITTEN, HALF_ANSWERED, ORIGIN_CONNECTING, ORIGIN_WRITTEN,
-        ORIGIN_STREAMING, ANSWER_UNREAD
+        HALF_COMMAND,
+        HELD_FOR_SUPPLY,
+        CONNECTING,
+        HALF_WRITTEN,
+        WRITTEN,
+        HALF_ANSWERED,
+        ORIGIN_CONNECTING,
+        ORIGIN_WRITTEN,
+        ORIGIN_STREAMING,
+        ANSWER_UNREAD
     }
 
     /** What then happens. */
-    enum End { LEFT, DEADLINE, SERVER_GONE, DRAIN, PLANNED_END }
+    enum End {
+        LEFT,
+        DEADLINE,
+        SERVER_GONE,
+        DRAIN,
+        PLANNED_END
+    }
 
     static Stream<Arguments> all() {
-        return Stream.of(Stage.values()).flatMap(stage -> Stream.of(End.values()).map(end -> Arguments.of(stage, end)));
+        return Stream.of(Stage.values())
+                .flatMap(stage -> Stream.of(End.values()).map(end -> Arguments.of(stage, end)));
     }
 
     /** A server that does with what comes as is told, at both protocols. */
@@ -67,7 +82,8 @@
             if (origin ? text.contains("\r\n\r\n") : text.split("\r\n", -1).length > 9) {
                 got.setLength(0);
                 String answer = origin ? script.origin : script.cache;
-                String key = origin ? text.substring(text.indexOf('/') + 1, text.indexOf(" HTTP")) : text.split("\r\n")[4];
+                String key =
+                        origin ? text.substring(text.indexOf('/') + 1, text.indexOf(" HTTP")) : text.split("\r\n")[4];
                 on.write(bytes(answer.replace("KEY", key).replace("LENGTH", Integer.toString(key.length()))));
             }
         }
@@ -164,10 +180,15 @@
         Farm farm = (Farm) field(passes, "farm");
         JSONArray hosts = new JSONArray();
         for (String[] host : new String[][] {{"s1", "10.0.3.1:6379", "box"}, {"o", "10.0.3.9:80", "origin"}}) {
-            hosts.put(new JSONObject().put("host", host[0]).put("dial", host[1]).put("site", "a").put("class", host[2])
+            hosts.put(new JSONObject()
+                    .put("host", host[0])
+                    .put("dial", host[1])
+                    .put("site", "a")
+                    .put("class", host[2])
                     .put("health", health));
         }
-        var changed = farm.take(new JSONObject().put("seq", 50).put("whole", false).put("hosts", hosts), false);
+        var changed =
+                farm.take(new JSONObject().put("seq", 50).put("whole", false).put("hosts", hosts), false);
         passes.farmChanged();
         core.happened(changed);
     }
@@ -197,8 +218,9 @@
         }
         stage.run(8_000);
         assertThat(left()).as("what is left").isEmpty();
-        assertThat(counted() - before).as("counts that rose").isBetween(how == End.LEFT || at == Stage.HALF_COMMAND ? 0L : 1L,
-                1L);
+        assertThat(counted() - before)
+                .as("counts that rose")
+                .isBetween(how == End.LEFT || at == Stage.HALF_COMMAND ? 0L : 1L, 1L);
         assertThat(stage.log).noneMatch(line -> line.contains("internal-error") || line.contains("overdue"));
         if (how == End.PLANNED_END) {
             assertThat(stage.process.isDriven()).as("whether it still runs").isFalse();
@@ -216,7 +238,11 @@
         end(End.SERVER_GONE, userAgent);
         stage.run(6_000);
         assertThat(userAgent.happened).containsExactly("opened", "broken");
-        assertThat(new JSONObject((String) stats()).getJSONObject("replies").getJSONObject("read").getLong("success")).isZero();
+        assertThat(new JSONObject((String) stats())
+                        .getJSONObject("replies")
+                        .getJSONObject("read")
+                        .getLong("success"))
+                .isZero();
     }
 
     /** A user agent that reads a long answer while its router is sent into a drain, and takes new settings there. */
@@ -239,7 +265,9 @@
         stage.run(100);
         assertThat(asks.got.toString()).startsWith("-ERR");
         assertThat(lifecycle.resume()).isTrue();
-        assertThat(stage.log).anyMatch(line -> line.contains("reloaded")).noneMatch(line -> line.contains("internal-error"));
+        assertThat(stage.log)
+                .anyMatch(line -> line.contains("reloaded"))
+                .noneMatch(line -> line.contains("internal-error"));
     }
 
     /** Guards the heap: a write beyond what may be held is turned away at once, with a time to come back. */
@@ -252,7 +280,9 @@
         List<Teller> writers = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             writers.add(stage.userAgentAfter(50));
-            writers.get(i).wire.write(Teller.bytes(command("CACHE.SET", "w" + i, "w" + i, "c=once,t=acme,d=4000", LONG_VALUE)));
+            writers.get(i)
+                    .wire
+                    .write(Teller.bytes(command("CACHE.SET", "w" + i, "w" + i, "c=once,t=acme,d=4000", LONG_VALUE)));
             stage.run(600); // through a narrow window; the first is given up 1.5 s after it came
         }
         assertThat(core.open()).isEqualTo(1);
@@ -275,7 +305,9 @@
         stage.run(9_000);
         assertThat(connections()).isZero();
         assertThat(stage.log).anyMatch(line -> line.contains("user-agent-stuck"));
-        assertThat((Map<?, ?>) field(passes, "byLink")).as("connections to servers").isEmpty();
+        assertThat((Map<?, ?>) field(passes, "byLink"))
+                .as("connections to servers")
+                .isEmpty();
     }
 
     /** The bound on what nobody reads cuts those who have been at it for longest, and serves everyone else. */
@@ -300,7 +332,8 @@
         other.wire.write(Teller.bytes(command("CACHE.GET", "quick", "quick", "c=read,t=acme,d=1500")));
         stage.run(100);
         assertThat(other.got).hasToString("$5\r\nquick\r\n");
-        assertThat(most).as("bytes that nobody reads; one answer's beginning beyond the bound at most")
+        assertThat(most)
+                .as("bytes that nobody reads; one answer's beginning beyond the bound at most")
                 .isBetween(400_000L, 4_000_000L / 8 + 70_000);
         assertThat(connections()).as("those that are left").isBetween(5, 10);
         readers.get(29).wire.pause(false);
@@ -341,8 +374,9 @@
             stage.run(1_600);
             answers.add(next.got.toString());
         }
-        assertThat(answers).contains("$5\r\nnext3\r\n").allMatch(answer -> answer.startsWith("-BUSY")
-                || answer.matches("\\$5\r\nnext\\d\r\n"));
+        assertThat(answers)
+                .contains("$5\r\nnext3\r\n")
+                .allMatch(answer -> answer.startsWith("-BUSY") || answer.matches("\\$5\r\nnext\\d\r\n"));
     }
 
     private long counted() throws Exception {
--- a/src/test/java/slateseam/simulate/network/StreamsTest.java
+++ b/src/test/java/slateseam/simulate/network/StreamsTest.java
@@ -318,7 +318,7 @@
     private static final class Idler implements Program {
         final Selector selector;
         int rounds;
-        Runnable once = () -> { };
+        Runnable once = () -> {};
 
         Idler(Selector selector) {
             this.selector = selector;
@@ -327,9 +327,9 @@
         @Override
         public boolean round() throws IOException {
             rounds++;
-            selector.selectNow(key -> { });
+            selector.selectNow(key -> {});
             Runnable action = once;
-            once = () -> { };
+            once = () -> {};
             action.run();
             return true;
         }
@@ -366,7 +366,8 @@
         idler.once = () -> assertThatCode(channel::close).doesNotThrowAnyException();
         idler.selector.wakeup();
         run(SECOND);
-        assertThat(accepted.get(0).happened).as("the close is whole though no round follows")
+        assertThat(accepted.get(0).happened)
+                .as("the close is whole though no round follows")
                 .containsExactly("opened", "ended", "broken");
         int rounds = idler.rounds;
         idler.selector.wakeup();
--- a/src/test/java/slateseam/simulate/network/Throughput.java
+++ b/src/test/java/slateseam/simulate/network/Throughput.java
@@ -81,16 +81,26 @@
 
     private void start(int i, Path none) throws Exception {
         JSONObject config = new JSONObject(Files.readString(Path.of("src/test/resources/node.json")));
-        config.put("listen", router(i) + ":7400").put("discovery", "127.0.0.1:8500")
+        config.put("listen", router(i) + ":7400")
+                .put("discovery", "127.0.0.1:8500")
                 .put("peer_listen", router(i) + ":7946")
-                .put("peers", new JSONArray(IntStream.range(0, routers).mapToObj(n -> router(n) + ":7946").toList()))
+                .put(
+                        "peers",
+                        new JSONArray(IntStream.range(0, routers)
+                                .mapToObj(n -> router(n) + ":7946")
+                                .toList()))
                 .put("known", farm());
         config.remove("peers_all");
         config.getJSONObject("settings").put("me", i).put("replicas_of_me", routers);
         VirtualProvider process = net.provider(router(i));
         Log log = new Log("n" + i, net::now, line -> lines++);
         NodeConfig node = NodeConfig.parse(config.toString());
-        Router router = new Router(node, Features.read(none, node), Router.Place.on(process, Features.OFF), net::now, log,
+        Router router = new Router(
+                node,
+                Features.read(none, node),
+                Router.Place.on(process, Features.OFF),
+                net::now,
+                log,
                 new Console("n" + i, new ByteArrayOutputStream()));
         process.drive(new Program() {
             @Override
@@ -116,8 +126,15 @@
     }
 
     private static JSONObject host(String name, String dial, String kind) {
-        return new JSONObject().put("host", name).put("dial", dial).put("site", "a").put("class", kind)
-                .put("block", kind.equals("box") ? 1 : 0).put("health", "ready").put("share", 1.0).put("born_ms", 0);
+        return new JSONObject()
+                .put("host", name)
+                .put("dial", dial)
+                .put("site", "a")
+                .put("class", kind)
+                .put("block", kind.equals("box") ? 1 : 0)
+                .put("health", "ready")
+                .put("share", 1.0)
+                .put("born_ms", 0);
     }
 
     private void load(double perSecond, long until) {
@@ -159,8 +176,8 @@
         @Override
         public void received(Wire on, byte[] bytes) {
             super.received(on, bytes);
-            boolean whole = got.charAt(0) == '$' ? got.length() > 400 && got.indexOf("\r\n", 6) > 0
-                    : got.indexOf("\r\n") > 0;
+            boolean whole =
+                    got.charAt(0) == '$' ? got.length() > 400 && got.indexOf("\r\n", 6) > 0 : got.indexOf("\r\n") > 0;
             if (whole) {
                 answered++;
                 unavailable += got.charAt(0) == '-' ? 1 : 0;
@@ -231,8 +248,10 @@
                 boolean watch = got.indexOf("wait=") > 0;
                 got.setLength(0);
                 String body = farm().put("seq", 42).toString();
-                net.at(net.now() + (watch ? 5 * SECOND : 0), () -> on.write(bytes("HTTP/1.1 200 OK\r\nContent-Length: "
-                        + body.length() + "\r\n\r\n" + body)));
+                net.at(
+                        net.now() + (watch ? 5 * SECOND : 0),
+                        () -> on.write(
+                                bytes("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)));
             }
         }
     }
@@ -245,21 +264,31 @@
             return thread;
         });
         double[] spent = new double[n[4]];
-        List<Future<String>> runs = IntStream.range(0, n[4]).mapToObj(seed -> threads.submit(() -> {
-            long start = cpu();
-            Throughput run = new Throughput(n[0], n[1], seed);
-            long built = cpu();
-            long end = run.net.now() + n[3] * SECOND;
-            run.load(n[2], end);
-            long steps = 0;
-            for (; run.net.next() <= end; steps++) {
-                run.net.step();
-            }
-            spent[seed] = (cpu() - start) / 1e9;
-            return String.format("built in %.3f s, steps %d, happenings %d, asked %d, answered %d, unavailable %d,"
-                    + " log lines %d, hash %016x", (built - start) / 1e9, steps, run.net.happenings(), run.asked,
-                    run.answered, run.unavailable, run.lines, run.net.hash());
-        })).collect(Collectors.toList());
+        List<Future<String>> runs = IntStream.range(0, n[4])
+                .mapToObj(seed -> threads.submit(() -> {
+                    long start = cpu();
+                    Throughput run = new Throughput(n[0], n[1], seed);
+                    long built = cpu();
+                    long end = run.net.now() + n[3] * SECOND;
+                    run.load(n[2], end);
+                    long steps = 0;
+                    for (; run.net.next() <= end; steps++) {
+                        run.net.step();
+                    }
+                    spent[seed] = (cpu() - start) / 1e9;
+                    return String.format(
+                            "built in %.3f s, steps %d, happenings %d, asked %d, answered %d, unavailable %d,"
+                                    + " log lines %d, hash %016x",
+                            (built - start) / 1e9,
+                            steps,
+                            run.net.happenings(),
+                            run.asked,
+                            run.answered,
+                            run.unavailable,
+                            run.lines,
+                            run.net.hash());
+                }))
+                .collect(Collectors.toList());
         String last = "";
         for (Future<String> run : runs) {
             last = run.get();
@@ -267,9 +296,16 @@
         threads.shutdown();
         double total = Arrays.stream(spent).sum();
         Arrays.sort(spent);
-        System.out.printf("%d runs, %.1f virtual seconds a second of the processor; a run took %.3f s at the median,"
-                + " %.3f to %.3f; heap %d MB%nthe last: %s%n", n[4], n[4] * n[3] / total, spent[n[4] / 2], spent[0],
-                spent[n[4] - 1], Runtime.getRuntime().totalMemory() >> 20, last);
+        System.out.printf(
+                "%d runs, %.1f virtual seconds a second of the processor; a run took %.3f s at the median,"
+                        + " %.3f to %.3f; heap %d MB%nthe last: %s%n",
+                n[4],
+                n[4] * n[3] / total,
+                spent[n[4] / 2],
+                spent[0],
+                spent[n[4] - 1],
+                Runtime.getRuntime().totalMemory() >> 20,
+                last);
     }
 
     /** Of this thread: how busy the machine is with other things must not count. */
--- a/src/test/java/slateseam/simulate/network/TimelineTest.java
+++ b/src/test/java/slateseam/simulate/network/TimelineTest.java
@@ -21,8 +21,9 @@
                 waiting.add(new long[] {random.nextInt(100), number});
                 timeline.add(waiting.get(waiting.size() - 1)[0], () -> ran.add(number));
             } else {
-                long[] first = waiting.stream().min(Comparator.comparingLong((long[] w) -> w[0])
-                        .thenComparingLong(w -> w[1])).orElseThrow();
+                long[] first = waiting.stream()
+                        .min(Comparator.comparingLong((long[] w) -> w[0]).thenComparingLong(w -> w[1]))
+                        .orElseThrow();
                 waiting.remove(first);
                 assertThat(timeline.next()).isEqualTo(first[0]);
                 timeline.poll().run();
--- a/src/test/java/slateseam/simulate/scenario/ScenarioFileTest.java
+++ b/src/test/java/slateseam/simulate/scenario/ScenarioFileTest.java
@@ -42,14 +42,18 @@
     }
 
     private static List<String> marked(List<String> lines, String mark) {
-        return lines.stream().filter(line -> line.startsWith(mark)).map(line -> line.substring(1).strip()).toList();
+        return lines.stream()
+                .filter(line -> line.startsWith(mark))
+                .map(line -> line.substring(1).strip())
+                .toList();
     }
 
     @ParameterizedTest(name = "{0}")
     @MethodSource("broken")
     void aBrokenFileIsRefusedWithAllItsFaults(String name, String text, List<String> faults) {
         assertThat(faults(text.getBytes(StandardCharsets.UTF_8)))
-                .containsExactlyElementsOf(faults.stream().map(fault -> "x:" + fault).toList());
+                .containsExactlyElementsOf(
+                        faults.stream().map(fault -> "x:" + fault).toList());
     }
 
     private static List<String> faults(byte[] bytes) {
@@ -66,9 +70,13 @@
         String small = Files.readString(FOLDER.resolve("small.scenario"));
         byte[] latin = (small + "# caf\u00e9\n").getBytes(StandardCharsets.ISO_8859_1);
 
-        assertThat(faults(new byte[0])).singleElement().asString()
+        assertThat(faults(new byte[0]))
+                .singleElement()
+                .asString()
                 .startsWith("x:1: the file is empty; it needs at least [[day], [sites], [routers], [class NAME],");
-        assertThat(faults("# nothing\n\n".getBytes(StandardCharsets.UTF_8))).singleElement().asString()
+        assertThat(faults("# nothing\n\n".getBytes(StandardCharsets.UTF_8)))
+                .singleElement()
+                .asString()
                 .startsWith("x:1: the file is empty");
         assertThat(faults(latin))
                 .containsExactly("x:43: the file is no UTF-8 from here on (byte 0xe9); save it as UTF-8");
@@ -76,18 +84,24 @@
                 .containsExactly("x:43: the line has 4002 characters; 4,000 are the most");
         assertThat(faults((small + "\n".repeat(10_000)).getBytes(StandardCharsets.UTF_8)))
                 .containsExactly("x:10001: the file has over 10,000 lines; what lies behind is not read");
-        assertThat(faults(("[day]\n" + "odd 1\n".repeat(9_000)).getBytes(StandardCharsets.UTF_8))).hasSize(201)
-                .last().asString().endsWith("further faults");
-        assertThatThrownBy(() -> Scenarios.read(FOLDER.resolve("absent"))).hasMessageEndingWith(
-                "absent:1: there is no such file");
+        assertThat(faults(("[day]\n" + "odd 1\n".repeat(9_000)).getBytes(StandardCharsets.UTF_8)))
+                .hasSize(201)
+                .last()
+                .asString()
+                .endsWith("further faults");
+        assertThatThrownBy(() -> Scenarios.read(FOLDER.resolve("absent")))
+                .hasMessageEndingWith("absent:1: there is no such file");
         assertThatThrownBy(() -> Scenarios.read(FOLDER))
                 .hasMessageMatching(".*scenarios:1: the file cannot be read .*");
     }
 
     static Stream<Path> good() throws IOException {
         try (Stream<Path> examples = Files.list(EXAMPLES)) {
-            return Stream.concat(examples.sorted().toList().stream(), Stream.of(FOLDER.resolve("small.scenario"),
-                    Path.of("src/main/resources/slateseam/scenarios/usual.scenario")));
+            return Stream.concat(
+                    examples.sorted().toList().stream(),
+                    Stream.of(
+                            FOLDER.resolve("small.scenario"),
+                            Path.of("src/main/resources/slateseam/scenarios/usual.scenario")));
         }
     }
 
@@ -105,7 +119,9 @@
         for (int i = 0; i < 4_000; i += 3) {
             some.set(i);
         }
-        Scenario changed = Scenarios.read(FOLDER.resolve("small.scenario")).withSeed(77).withDuration(9_000_000_000L)
+        Scenario changed = Scenarios.read(FOLDER.resolve("small.scenario"))
+                .withSeed(77)
+                .withDuration(9_000_000_000L)
                 .withKept(new Kept(Map.of("user-1", some, "user-2", new BitSet())))
                 .without(Set.of("big-1", "router-2"));
         Scenario read = Scenarios.parse("written", changed.toString());
@@ -113,7 +129,8 @@
         assertThat(read).isEqualTo(changed);
         assertThat(read.script()).extracting(Fault::targets).containsExactly(List.of("big-2"));
         assertThat(read.kept().keeps("user-1", 3)).isTrue();
-        assertThat(read.kept().keeps("user-1", 4) || read.kept().keeps("user-2", 0)).isFalse();
+        assertThat(read.kept().keeps("user-1", 4) || read.kept().keeps("user-2", 0))
+                .isFalse();
         assertThat(Day.draw(read, 1, FaultChoice.NONE).seed()).isEqualTo(77);
     }
 
@@ -121,8 +138,11 @@
     @Test
     void theOperatorsPageHasEverySectionAndNameAndAnExampleThatIsValid() throws IOException, InvalidScenarioException {
         List<String> rows = Files.readAllLines(Path.of("docs/operators/scenario-file.md"));
-        String example = String.join("\n", rows.subList(0, rows.indexOf("## Form")).stream()
-                .filter(row -> row.startsWith("    ")).toList());
+        String example = String.join(
+                "\n",
+                rows.subList(0, rows.indexOf("## Form")).stream()
+                        .filter(row -> row.startsWith("    "))
+                        .toList());
         assertThat(Scenarios.parse("page", example).script()).hasSize(2);
         for (Schema.Type type : Schema.all()) {
             assertThat(rows).as(type.type()).anyMatch(row -> row.contains("`[" + type.type()));
@@ -137,9 +157,9 @@
 
     @Test
     void anUnknownFaultOnTheCommandLineIsToldWithTheNearest() {
-        assertThatThrownBy(() -> FaultChoice.parse("crash,draining")).hasMessage(
-                "there is no fault draining; did you mean drain?");
-        assertThat(FaultChoice.parse(" crash , void").only()).containsExactlyElementsOf(
-                Arrays.asList(FaultKind.CRASH, FaultKind.VOID));
+        assertThatThrownBy(() -> FaultChoice.parse("crash,draining"))
+                .hasMessage("there is no fault draining; did you mean drain?");
+        assertThat(FaultChoice.parse(" crash , void").only())
+                .containsExactlyElementsOf(Arrays.asList(FaultKind.CRASH, FaultKind.VOID));
     }
 }
--- a/src/test/java/slateseam/simulate/scenario/ScenarioPage.java
+++ b/src/test/java/slateseam/simulate/scenario/ScenarioPage.java
@@ -5,8 +5,7 @@
 
 /** The tables of the operators' page, from the same schema that files are checked by; its main prints them. */
 final class ScenarioPage {
-    private ScenarioPage() {
-    }
+    private ScenarioPage() {}
 
     static String row(Name name) {
         String form = switch (name.form()) {
@@ -15,8 +14,9 @@
             case CHOICE -> String.join(" \\| ", name.words());
             case NAMES -> "names";
         };
-        String usual = name.usual() == null ? "must be written" : name.usual().isEmpty() ? "-"
-                : name.usual().replace("|", "\\|");
+        String usual = name.usual() == null
+                ? "must be written"
+                : name.usual().isEmpty() ? "-" : name.usual().replace("|", "\\|");
         return "| `" + name.word() + "` | " + form + " | " + usual + " | " + name.meaning() + " |";
     }
 
--- a/src/test/java/slateseam/simulate/tier/MembersEveryCutTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersEveryCutTest.java
@@ -71,20 +71,28 @@
                 for (MemberView view : world.members(i).view()) {
                     int of = Integer.parseInt(view.name().substring("router-".length())) - 1;
                     if (view.state() == State.FAILED && reaches[of][i] && reaches[i][of]) {
-                        return text(n, patterns, "router " + i + " takes " + of + " for dead, though ways lead there and back");
+                        return text(
+                                n,
+                                patterns,
+                                "router " + i + " takes " + of + " for dead, though ways lead there and back");
                     }
                 }
             }
             cut(world, n, pattern, false);
         }
-        String decided = world.seen().stream().filter(one -> one.change().kind() == Kind.FAILED
-                && one.change().why().contains(" by=" + MembersWorld.name(one.by()) + " ")).filter(one -> 2 * heard(n, one.by(), patterns) <= n)
-                .findFirst().map(one -> text(n, patterns, one + ": it can hear no majority")).orElse(null);
+        String decided = world.seen().stream()
+                .filter(one -> one.change().kind() == Kind.FAILED
+                        && one.change().why().contains(" by=" + MembersWorld.name(one.by()) + " "))
+                .filter(one -> 2 * heard(n, one.by(), patterns) <= n)
+                .findFirst()
+                .map(one -> text(n, patterns, one + ": it can hear no majority"))
+                .orElse(null);
         if (decided != null) {
             return decided;
         }
         world.run(HEALED);
-        boolean one = MembersFigures.isOne(world) && IntStream.range(0, n).allMatch(i -> world.members(i).doubt() == Doubt.NONE);
+        boolean one = MembersFigures.isOne(world)
+                && IntStream.range(0, n).allMatch(i -> world.members(i).doubt() == Doubt.NONE);
         return one ? null : text(n, patterns, "after all cuts not all see the same");
     }
 
@@ -93,7 +101,12 @@
         int most = 0;
         for (int pattern : patterns) {
             boolean[][] reaches = reaches(n, pattern);
-            most = Math.max(most, 1 + (int) IntStream.range(0, n).filter(i -> i != by && reaches[i][by]).count());
+            most = Math.max(
+                    most,
+                    1
+                            + (int) IntStream.range(0, n)
+                                    .filter(i -> i != by && reaches[i][by])
+                                    .count());
         }
         return most;
     }
@@ -111,13 +124,21 @@
 
     @Test
     void threeInAnyTwoPatternsOneAfterAnother() {
-        List<String> broken = IntStream.range(0, 64 * 64).parallel().mapToObj(i -> broken(3, i / 64, i % 64)).filter(Objects::nonNull).toList();
+        List<String> broken = IntStream.range(0, 64 * 64)
+                .parallel()
+                .mapToObj(i -> broken(3, i / 64, i % 64))
+                .filter(Objects::nonNull)
+                .toList();
         assertThat(broken).isEmpty();
     }
 
     @Test
     void fourInAnyPattern() {
-        List<String> broken = IntStream.range(0, 1 << ways(4)).parallel().mapToObj(i -> broken(4, i)).filter(Objects::nonNull).toList();
+        List<String> broken = IntStream.range(0, 1 << ways(4))
+                .parallel()
+                .mapToObj(i -> broken(4, i))
+                .filter(Objects::nonNull)
+                .toList();
         assertThat(broken).isEmpty();
     }
 }
--- a/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
@@ -31,18 +31,29 @@
     }
 
     private static void assertOneView(MembersWorld world, String what) {
-        int there = (int) IntStream.range(0, world.size()).filter(i -> world.members(i) != null).count();
+        int there = (int) IntStream.range(0, world.size())
+                .filter(i -> world.members(i) != null)
+                .count();
         for (int i = 0; i < world.size(); i++) {
             if (world.members(i) != null) {
-                assertThat(world.members(i).present()).as("%s: how many router %d sees", what, i).isEqualTo(there);
-                assertThat(world.members(i).doubt()).as("%s: doubt of router %d", what, i).isEqualTo(Doubt.NONE);
-                assertThat(world.members(i).digest()).as("%s: view of router %d", what, i).isEqualTo(first(world).digest());
+                assertThat(world.members(i).present())
+                        .as("%s: how many router %d sees", what, i)
+                        .isEqualTo(there);
+                assertThat(world.members(i).doubt())
+                        .as("%s: doubt of router %d", what, i)
+                        .isEqualTo(Doubt.NONE);
+                assertThat(world.members(i).digest())
+                        .as("%s: view of router %d", what, i)
+                        .isEqualTo(first(world).digest());
             }
         }
     }
 
     private static slateseam.tier.members.Members first(MembersWorld world) {
-        return world.members(IntStream.range(0, world.size()).filter(i -> world.members(i) != null).findFirst().orElseThrow());
+        return world.members(IntStream.range(0, world.size())
+                .filter(i -> world.members(i) != null)
+                .findFirst()
+                .orElseThrow());
     }
 
     private static List<MembersWorld.Seen> seen(MembersWorld world, Kind kind) {
@@ -50,7 +61,10 @@
     }
 
     private static MemberView view(MembersWorld world, int by, int of) {
-        return world.members(by).view().stream().filter(one -> one.name().equals(MembersWorld.name(of))).findFirst().orElseThrow();
+        return world.members(by).view().stream()
+                .filter(one -> one.name().equals(MembersWorld.name(of)))
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -62,9 +76,12 @@
                 world.kill(1);
                 world.run(4 * SECOND);
                 assertOneView(world, n + " routers, seed " + seed);
-                assertThat(seen(world, Kind.FAILED)).hasSize(n - 1).allMatch(one -> one.change().member().equals("router-2"))
+                assertThat(seen(world, Kind.FAILED))
+                        .hasSize(n - 1)
+                        .allMatch(one -> one.change().member().equals("router-2"))
                         .allMatch(one -> one.at() - death < 3 * SECOND);
-                assertThat(seen(world, Kind.SUSPECTED)).allMatch(one -> one.change().member().equals("router-2"));
+                assertThat(seen(world, Kind.SUSPECTED))
+                        .allMatch(one -> one.change().member().equals("router-2"));
             }
         }
     }
@@ -92,7 +109,9 @@
             }
             world.run(2 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).isEmpty();
-            assertThat(seen(world, Kind.SUSPECTED)).as("suspicions, seed " + seed).hasSizeLessThan(10);
+            assertThat(seen(world, Kind.SUSPECTED))
+                    .as("suspicions, seed " + seed)
+                    .hasSizeLessThan(10);
             assertOneView(world, "seed " + seed);
         }
     }
@@ -161,8 +180,12 @@
             world.run(20 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).isEmpty();
             assertThat(seen(world, Kind.SUSPECTED)).as("seed " + seed).isEmpty();
-            assertThat(view(world, 1, 0)).extracting(MemberView::state, MemberView::reach).containsExactly(State.ALIVE, Reach.BY_OTHERS);
-            assertThat(view(world, 0, 1)).extracting(MemberView::state, MemberView::reach).containsExactly(State.ALIVE, Reach.DIRECT);
+            assertThat(view(world, 1, 0))
+                    .extracting(MemberView::state, MemberView::reach)
+                    .containsExactly(State.ALIVE, Reach.BY_OTHERS);
+            assertThat(view(world, 0, 1))
+                    .extracting(MemberView::state, MemberView::reach)
+                    .containsExactly(State.ALIVE, Reach.DIRECT);
             assertThat(world.members(1).isSilent(MembersWorld.name(0))).isTrue();
             world.cut(0, 1, false);
             world.run(SECOND);
@@ -222,13 +245,15 @@
         for (long seed = 0; seed < SEEDS; seed++) {
             for (int n : new int[] {4, 5, 9, 20}) {
                 MembersWorld world = world(n, seed, Ways.USUAL);
-                // Up to nine all watch all; among more the smaller part is known for sure where it is well below a half.
+                // Up to nine all watch all; among more the smaller part is known for sure where it is well below a
+                // half.
                 int fewer = n <= 9 ? n / 2 : n * 3 / 10;
                 world.halve(fewer, true);
                 world.run(20 * SECOND);
                 for (int i = 0; i < n; i++) {
                     boolean most = i >= fewer && 2 * fewer < n;
-                    assertThat(world.members(i).doubt()).as("%d routers, seed %d, router %d", n, seed, i)
+                    assertThat(world.members(i).doubt())
+                            .as("%d routers, seed %d, router %d", n, seed, i)
                             .isEqualTo(most ? Doubt.NONE : Doubt.MINORITY);
                     assertThat(world.members(i).present()).isEqualTo(most ? n - fewer : n);
                 }
@@ -244,11 +269,16 @@
     void lostDoubledSwappedAndLateMessagesAreNoDeath() {
         for (long seed = 0; seed < SEEDS; seed++) {
             MembersWorld world = world(9, seed, Ways.USUAL);
-            for (Ways ways : List.of(Ways.USUAL.losing(0.2), Ways.USUAL.losing(0.4), new Ways(0, 1, 0.5, MS, 8 * MS),
+            for (Ways ways : List.of(
+                    Ways.USUAL.losing(0.2),
+                    Ways.USUAL.losing(0.4),
+                    new Ways(0, 1, 0.5, MS, 8 * MS),
                     new Ways(0, 0, 0, 3_000 * MS, 3_008 * MS))) {
                 world.ways(ways);
                 world.run(20 * SECOND);
-                assertThat(seen(world, Kind.FAILED)).as("seed %d, %s", seed, ways).isEmpty();
+                assertThat(seen(world, Kind.FAILED))
+                        .as("seed %d, %s", seed, ways)
+                        .isEmpty();
                 world.ways(Ways.USUAL);
                 world.run(5 * SECOND);
                 assertOneView(world, "seed " + seed + ", " + ways);
@@ -343,12 +373,20 @@
             world.run(5 * SECOND);
             world.start(5, MembersWorld.name(1), 7_000);
             world.run(30 * SECOND);
-            assertThat(seen(world, Kind.TWICE)).as("seed " + seed).extracting(MembersWorld.Seen::by).contains(1);
-            assertThat(seen(world, Kind.TWICE)).extracting(MembersWorld.Seen::by).anyMatch(by -> by != 1);
+            assertThat(seen(world, Kind.TWICE))
+                    .as("seed " + seed)
+                    .extracting(MembersWorld.Seen::by)
+                    .contains(1);
+            assertThat(seen(world, Kind.TWICE))
+                    .extracting(MembersWorld.Seen::by)
+                    .anyMatch(by -> by != 1);
             assertThat(seen(world, Kind.TWICE)).hasSizeLessThan(12);
             assertThat(world.members(1).isTwice()).isTrue();
             // The later of the two is the member, in one life.
-            assertThat(seen(world, Kind.JOINED).stream().filter(one -> one.by() == 0 && one.change().member().equals("router-2"))).hasSize(2);
+            assertThat(seen(world, Kind.JOINED).stream()
+                            .filter(one ->
+                                    one.by() == 0 && one.change().member().equals("router-2")))
+                    .hasSize(2);
             assertThat(seen(world, Kind.FAILED)).isEmpty();
         }
     }
@@ -356,8 +394,22 @@
     /** A thousand names come and go in a day: nothing grows. */
     @Test
     void whoIsGoneForGoodIsForgotten() {
-        MembersWorld world = new MembersWorld(3, 1, Ways.USUAL, usual -> new MembersSettings(usual.tier(), usual.name(), usual.number(),
-                usual.peers(), 2_000 * MS, usual.watchers(), usual.suspicionNanos() * 10, usual.recentNanos(), 300 * SECOND, usual.most(), true));
+        MembersWorld world = new MembersWorld(
+                3,
+                1,
+                Ways.USUAL,
+                usual -> new MembersSettings(
+                        usual.tier(),
+                        usual.name(),
+                        usual.number(),
+                        usual.peers(),
+                        2_000 * MS,
+                        usual.watchers(),
+                        usual.suspicionNanos() * 10,
+                        usual.recentNanos(),
+                        300 * SECOND,
+                        usual.most(),
+                        true));
         IntStream.range(0, 3).forEach(world::start);
         world.run(20 * SECOND);
         for (int i = 0; i < 1_000; i++) {
@@ -375,8 +427,22 @@
 
     @Test
     void noMoreThanSoManyAreTaken() {
-        MembersWorld world = new MembersWorld(1, 1, Ways.USUAL, usual -> new MembersSettings(usual.tier(), usual.name(), usual.number(),
-                usual.peers(), usual.periodNanos(), usual.watchers(), usual.suspicionNanos(), usual.recentNanos(), usual.forgetNanos(), 8, true));
+        MembersWorld world = new MembersWorld(
+                1,
+                1,
+                Ways.USUAL,
+                usual -> new MembersSettings(
+                        usual.tier(),
+                        usual.name(),
+                        usual.number(),
+                        usual.peers(),
+                        usual.periodNanos(),
+                        usual.watchers(),
+                        usual.suspicionNanos(),
+                        usual.recentNanos(),
+                        usual.forgetNanos(),
+                        8,
+                        true));
         IntStream.range(0, 12).forEach(world::start);
         world.run(5 * SECOND);
         for (int i = 0; i < 12; i++) {
@@ -391,18 +457,21 @@
         MembersWorld world = world(3, 7, Ways.USUAL);
         MembersWorld heard = new MembersWorld(2, 1, Ways.USUAL, UnaryOperator.identity());
         byte[][] kept = new byte[1][];
-        slateseam.tier.members.Members other = new slateseam.tier.members.Members(MembersSettings.usual("tier", "router-2", 1,
-                List.of(world.place(0))), MembersWorld.BEGIN - SECOND, new java.util.SplittableRandom(1), new slateseam.tier.members.Sink() {
-            @Override
-            public void send(InetSocketAddress to, byte[] datagram) {
-                kept[0] = datagram;
-            }
+        slateseam.tier.members.Members other = new slateseam.tier.members.Members(
+                MembersSettings.usual("tier", "router-2", 1, List.of(world.place(0))),
+                MembersWorld.BEGIN - SECOND,
+                new java.util.SplittableRandom(1),
+                new slateseam.tier.members.Sink() {
+                    @Override
+                    public void send(InetSocketAddress to, byte[] datagram) {
+                        kept[0] = datagram;
+                    }
 
-            @Override
-            public void changed(slateseam.tier.members.Change change) {
-                // Not looked at.
-            }
-        });
+                    @Override
+                    public void changed(slateseam.tier.members.Change change) {
+                        // Not looked at.
+                    }
+                });
         other.tick(MembersWorld.BEGIN - SECOND);
         int digest = world.members(0).digest();
         for (int bit = 0; bit < kept[0].length * 8; bit++) {
@@ -412,7 +481,9 @@
         }
         assertThat(world.members(0).count(Traffic.DROPPED_UNREADABLE)).isEqualTo(kept[0].length * 8L);
         world.inject(0, world.place(1), kept[0]);
-        assertThat(world.members(0).count(Traffic.DROPPED_LATE)).as("of an earlier life").isPositive();
+        assertThat(world.members(0).count(Traffic.DROPPED_LATE))
+                .as("of an earlier life")
+                .isPositive();
         assertThat(world.members(0).digest()).isEqualTo(digest);
         assertThat(heard.size()).isZero();
     }
--- a/src/test/java/slateseam/simulate/tier/PolicyHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/PolicyHardCasesTest.java
@@ -27,13 +27,15 @@
     }
 
     private static void run(PolicyWorld world, long nanos) {
-        world.net().run(nanos, () -> { });
+        world.net().run(nanos, () -> {});
     }
 
     private static void held(PolicyWorld world, String document) {
         assertThat(world.broken()).isNull();
         for (int i = 0; i < world.size(); i++) {
-            assertThat(world.policy(i) == null || world.held(i).equals(document)).as(world.look()).isTrue();
+            assertThat(world.policy(i) == null || world.held(i).equals(document))
+                    .as(world.look())
+                    .isTrue();
         }
     }
 
@@ -97,7 +99,8 @@
         Version version = world.propose(1, "bad", PolicyWorld.REFUSED_BY + "4;", true, 0);
         run(world, 3 * SECOND);
         assertThat(world.policy(1).outcome(version)).isEqualTo("aborted");
-        assertThat(world.policy(0).versions().find("bad").cause()).isEqualTo("router 4: settings.profiles: class x has no name");
+        assertThat(world.policy(0).versions().find("bad").cause())
+                .isEqualTo("router 4: settings.profiles: class x has no name");
         held(world, "");
     }
 
@@ -193,7 +196,9 @@
         world.kill(1);
         run(world, 3 * SECOND);
         for (int i = 2; i < 5; i++) {
-            assertThat(world.policy(i).mayServe(world.net().now())).as(world.look()).isFalse();
+            assertThat(world.policy(i).mayServe(world.net().now()))
+                    .as(world.look())
+                    .isFalse();
         }
         world.start(0);
         run(world, 8 * SECOND);
@@ -212,7 +217,8 @@
     void threeHundredProposalsAtOnceBecomeOne() {
         PolicyWorld world = world(5);
         for (int i = 0; i < 300; i++) {
-            world.policy(i % 5).propose("change-" + i, ("document " + i).getBytes(StandardCharsets.UTF_8), true, false, 0, 10);
+            world.policy(i % 5)
+                    .propose("change-" + i, ("document " + i).getBytes(StandardCharsets.UTF_8), true, false, 0, 10);
         }
         run(world, HOLD + 4 * SECOND);
         assertThat(world.policy(0).versions().all()).hasSize(1);
@@ -223,6 +229,8 @@
     @Test
     void drawnDaysBreakNothing() {
         StringBuilder lines = new StringBuilder();
-        assertThat(TierDays.playPolicy(1, 60, line -> lines.append(line).append('\n'))).as(lines.toString()).isZero();
+        assertThat(TierDays.playPolicy(1, 60, line -> lines.append(line).append('\n')))
+                .as(lines.toString())
+                .isZero();
     }
 }
--- a/src/test/java/slateseam/simulate/tier/SupplyHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/SupplyHardCasesTest.java
@@ -185,7 +185,8 @@
         world.startAll();
         run(world, 20 * SECOND);
         assertThat(world.owned()).isGreaterThan(1 - ON_ITS_WAY);
-        // All pairs beside one another on the ring, and of links those of two new routers: six at a distance of 2, three at 4 and 8.
+        // All pairs beside one another on the ring, and of links those of two new routers: six at a distance of 2,
+        // three at 4 and 8.
         assertThat(world.books().pairs()).isEqualTo(12 + 6 + 6);
         // All are of the new build in the end, one after the other.
         for (int i = 0; i < 12; i += 2) {
--- a/src/test/java/slateseam/standin/ApplicationServerTest.java
+++ b/src/test/java/slateseam/standin/ApplicationServerTest.java
@@ -27,17 +27,26 @@
 
     /** Slots that are all cores, one place to wait; each request is 100 ms of work. */
     private static ServerFigures figures(int cores, boolean stops, int requests, Beyond beyond) {
-        return new ServerFigures(cores, 1, cores, 1, new ServerFigures.Crowding(100, 0),
+        return new ServerFigures(
+                cores,
+                1,
+                cores,
+                1,
+                new ServerFigures.Crowding(100, 0),
                 new ServerFigures.Cold(0.5, 4 * SECOND, 3, 2 * SECOND),
                 new ServerFigures.Connections(3, beyond, 0.01, MILLI, 10 * SECOND, requests, 0),
                 new ServerFigures.Keeping(1_000, 3, 20 * SECOND, true, SECOND, 0.5),
-                new ServerFigures.Probing(true, 0.001, false), stops, true, true, 0);
+                new ServerFigures.Probing(true, 0.001, false),
+                stops,
+                true,
+                true,
+                0);
     }
 
     private ApplicationServer server(String name, ServerFigures figures) {
         WorkFigures work = new WorkFigures(List.of(new WorkFigures.OfClass("read", WORK_MILLIS / 1e3, 0, 0)));
-        return new ApplicationServer(name, name, figures, work, stage.world, RandomSource.XO_SHI_RO_256_PP.create(7L),
-                shared);
+        return new ApplicationServer(
+                name, name, figures, work, stage.world, RandomSource.XO_SHI_RO_256_PP.create(7L), shared);
     }
 
     private ApplicationServer started(ServerFigures figures, boolean cold) {
@@ -74,9 +83,12 @@
     /** Guards against a reader that loses its place: whatever comes together or apart, the answers are the same. */
     @Test
     void aCommandSplitAnywhereGetsTheSameAnswers() {
-        String said = command("CLIENT", "SETNAME", "r") + command("CACHE.GET", "k", "i1", "c=read")
-                + command("CACHE.SET", "k", "i2", "c=read", "two\r\nlines".repeat(60)) + command("HELLO", "3")
-                + command("CACHE.GET", "k", "i3") + command("CACHE.GET", "k", "i4", "read");
+        String said = command("CLIENT", "SETNAME", "r")
+                + command("CACHE.GET", "k", "i1", "c=read")
+                + command("CACHE.SET", "k", "i2", "c=read", "two\r\nlines".repeat(60))
+                + command("HELLO", "3")
+                + command("CACHE.GET", "k", "i3")
+                + command("CACHE.GET", "k", "i4", "read");
         String whole = null;
         for (int split = 0; split <= said.length(); split++) {
             shared = shared();
@@ -93,8 +105,11 @@
             assertThat(heard).as("split at " + split).isEqualTo(whole);
             assertThat(server.tallies().of(Tally.UNREADABLE)).isEqualTo(2);
         }
-        assertThat(whole).startsWith("+OK\r\n*3\r\n$80\r\nvalue k 1 i1 ").contains("receipt k 2 i2 ")
-                .contains("-ERR unknown command\r\n-SYNTAX too").endsWith("-SYNTAX not a list of names and values\r\n");
+        assertThat(whole)
+                .startsWith("+OK\r\n*3\r\n$80\r\nvalue k 1 i1 ")
+                .contains("receipt k 2 i2 ")
+                .contains("-ERR unknown command\r\n-SYNTAX too")
+                .endsWith("-SYNTAX not a list of names and values\r\n");
     }
 
     @Test
@@ -212,8 +227,11 @@
             assertThat(peer.broken).isEqualTo(cold);
             assertThat(stage.dial("s" + cold).broken).isEqualTo(cold);
         }
-        assertThat(stage.witnessed).containsOnlyOnce("fell strue").doesNotContain("fell sfalse")
-                .contains("ran sfalse i1").doesNotContain("ran strue i1");
+        assertThat(stage.witnessed)
+                .containsOnlyOnce("fell strue")
+                .doesNotContain("fell sfalse")
+                .contains("ran sfalse i1")
+                .doesNotContain("ran strue i1");
     }
 
     @Test
--- a/src/test/java/slateseam/standin/DiscoveryTest.java
+++ b/src/test/java/slateseam/standin/DiscoveryTest.java
@@ -20,8 +20,12 @@
     private final Stage stage = new Stage();
 
     private DiscoveryAgent agent(boolean alwaysWhole) {
-        return new DiscoveryAgent("d", new DiscoveryFigures(0, 1_500 * MILLI, alwaysWhole), stage.world,
-                RandomSource.XO_SHI_RO_256_PP.create(1L), List.of(A, B));
+        return new DiscoveryAgent(
+                "d",
+                new DiscoveryFigures(0, 1_500 * MILLI, alwaysWhole),
+                stage.world,
+                RandomSource.XO_SHI_RO_256_PP.create(1L),
+                List.of(A, B));
     }
 
     private void ask(Stage.Peer peer, String query) {
@@ -37,10 +41,12 @@
         }
         JSONObject list = new JSONObject(heard.substring(heard.indexOf("\r\n\r\n")));
         JSONArray hosts = list.getJSONArray("hosts");
-        return list.getLong("seq") + (list.getBoolean("whole") ? " whole" : "")
-                + IntStream.range(0, hosts.length()).mapToObj(hosts::getJSONObject)
-                .map(host -> ' ' + host.getString("host") + ':' + host.getString("health"))
-                .collect(Collectors.joining());
+        return list.getLong("seq")
+                + (list.getBoolean("whole") ? " whole" : "")
+                + IntStream.range(0, hosts.length())
+                        .mapToObj(hosts::getJSONObject)
+                        .map(host -> ' ' + host.getString("host") + ':' + host.getString("health"))
+                        .collect(Collectors.joining());
     }
 
     @Test
--- a/src/test/java/slateseam/standin/FleetTest.java
+++ b/src/test/java/slateseam/standin/FleetTest.java
@@ -25,13 +25,28 @@
     private final ApplicationServer two = server("two");
 
     private ApplicationServer server(String name) {
-        ServerFigures figures = new ServerFigures(2, 1, 2, 4, new ServerFigures.Crowding(100, 0),
+        ServerFigures figures = new ServerFigures(
+                2,
+                1,
+                2,
+                4,
+                new ServerFigures.Crowding(100, 0),
                 new ServerFigures.Cold(0.5, 4 * SECOND, 3, 2 * SECOND),
                 new ServerFigures.Connections(3, ServerFigures.Beyond.REFUSED, 0, 0, 60 * SECOND, 10, 0),
                 new ServerFigures.Keeping(100_000, 1_000, 0, true, SECOND, 1),
-                new ServerFigures.Probing(false, 0, true), true, true, false, 0);
-        return new ApplicationServer(name, name, figures,
-                new WorkFigures(List.of(new WorkFigures.OfClass("read", 0.01, 0, 0))), stage.world, source(), shared);
+                new ServerFigures.Probing(false, 0, true),
+                true,
+                true,
+                false,
+                0);
+        return new ApplicationServer(
+                name,
+                name,
+                figures,
+                new WorkFigures(List.of(new WorkFigures.OfClass("read", 0.01, 0, 0))),
+                stage.world,
+                source(),
+                shared);
     }
 
     private static UniformRandomProvider source() {
@@ -40,8 +55,13 @@
 
     /** One place, 100 ms a read, 200 a write; two wait, for 150 ms. */
     private Origin origin(boolean goesOn) {
-        Origin origin = new Origin("origin", "origin", new OriginFigures(1, 0.1, 0, 2, 2, 150 * MILLI, 0, goesOn, 50,
-                60 * SECOND, 0, false, 0, false), stage.world, source(), shared);
+        Origin origin = new Origin(
+                "origin",
+                "origin",
+                new OriginFigures(1, 0.1, 0, 2, 2, 150 * MILLI, 0, goesOn, 50, 60 * SECOND, 0, false, 0, false),
+                stage.world,
+                source(),
+                shared);
         origin.start();
         return origin;
     }
@@ -82,7 +102,9 @@
         for (Stage.Peer peer : List.of(atOne, atTwo)) {
             peer.ask("CACHE.GET", "k", "i3", "c=read");
             stage.pass(12 * MILLI);
-            assertThat(peer.heard()).startsWith("*3\r\n$80\r\nvalue k 1 i3 ").contains("hit\r\n$")
+            assertThat(peer.heard())
+                    .startsWith("*3\r\n$80\r\nvalue k 1 i3 ")
+                    .contains("hit\r\n$")
                     .endsWith(peer == atOne ? ",hits=33\r\n" : ",hits=50\r\n");
         }
         atOrigin.say(put("k", "w", "c=put"));
@@ -237,7 +259,10 @@
         assertThat(peer.heard()).startsWith(HEAD);
         peer.say("GET /-/healthy HTTP/1.1\r\n\r\nGET /-/load HTTP/1.1\r\n\r\nGET /k HTTP/1.1\r\n\r\n");
         stage.pass(2 * MILLI);
-        assertThat(peer.heard()).contains("\r\n\r\nok\n").contains("inwork=0,waiting=0\n").contains("HTTP/1.1 400 ");
+        assertThat(peer.heard())
+                .contains("\r\n\r\nok\n")
+                .contains("inwork=0,waiting=0\n")
+                .contains("HTTP/1.1 400 ");
         assertThat(peer.ended).isTrue();
         origin.stop();
         origin.slow(3);
--- a/src/test/java/slateseam/standin/SpoilTest.java
+++ b/src/test/java/slateseam/standin/SpoilTest.java
@@ -19,8 +19,7 @@
     private static final byte[] VALUE = new Archive(new ValueFigures(300, 0, 300), 1).value("k", 1, "i");
 
     private final Stage stage = new Stage();
-    private final Spoiler spoiler =
-            new Spoiler(stage, RandomSource.XO_SHI_RO_256_PP.create(5L), new Tallies());
+    private final Spoiler spoiler = new Spoiler(stage, RandomSource.XO_SHI_RO_256_PP.create(5L), new Tallies());
 
     @ParameterizedTest
     @EnumSource(Kind.class)
@@ -69,8 +68,13 @@
     void bytesBehindAnAnswerComeWhenTheyAreToldTo(Kind kind) throws MalformedException {
         for (int delay : new int[] {0, 5}) {
             Archive archive = new Archive(ValueFigures.usual(), 1);
-            ApplicationServer server = new ApplicationServer("s" + delay, "s" + delay, ServerFigures.large(),
-                    WorkFigures.usual(), stage.world, RandomSource.XO_SHI_RO_256_PP.create(5L),
+            ApplicationServer server = new ApplicationServer(
+                    "s" + delay,
+                    "s" + delay,
+                    ServerFigures.large(),
+                    WorkFigures.usual(),
+                    stage.world,
+                    RandomSource.XO_SHI_RO_256_PP.create(5L),
                     new Shared(archive, new Copies(archive), new Receipts(stage, 0)));
             server.start(false);
             server.prefill("k");
--- a/src/test/java/slateseam/standin/Stage.java
+++ b/src/test/java/slateseam/standin/Stage.java
@@ -16,14 +16,13 @@
     public static final long SECOND = 1_000 * MILLI;
     private static final long WAY = MILLI / 2;
 
-    private record Happening(long time, long order, Runnable action) {
-    }
+    private record Happening(long time, long order, Runnable action) {}
 
     final List<String> witnessed = new ArrayList<>();
     final Map<String, byte[]> made = new HashMap<>();
     public final World world = new World(this, this, this);
-    private final PriorityQueue<Happening> happenings = new PriorityQueue<>(
-            Comparator.comparingLong(Happening::time).thenComparingLong(Happening::order));
+    private final PriorityQueue<Happening> happenings =
+            new PriorityQueue<>(Comparator.comparingLong(Happening::time).thenComparingLong(Happening::order));
     private final Map<String, Function<Wire, Party>> listeners = new HashMap<>();
     private long now = 1_700_000_000 * SECOND;
     private long orders;
--- a/src/test/java/slateseam/standin/kubernetes/ApiServerTest.java
+++ b/src/test/java/slateseam/standin/kubernetes/ApiServerTest.java
@@ -28,8 +28,11 @@
     /** Seven pods in slices of two: 1 to 4, by the number that scripts give them; and one slice of another service. */
     @BeforeEach
     void fill() throws Exception {
-        play("service caches port=resp:6379 per-slice=2 annotation=note:größe", "pods a 7 service=caches",
-                "service others", "pods x 1 service=others");
+        play(
+                "service caches port=resp:6379 per-slice=2 annotation=note:größe",
+                "pods a 7 service=caches",
+                "service others",
+                "pods x 1 service=others");
         asker = new Asker(stage);
     }
 
@@ -62,37 +65,53 @@
         JSONObject second = list("?limit=2&continue=" + meta(first).getString("continue"));
         JSONObject third = list("?limit=2&continue=" + meta(second).getString("continue"));
         assertThat(names(first) + ' ' + names(second) + ' ' + names(third)).isEqualTo(all);
-        assertThat(meta(third).getString("resourceVersion")).isEqualTo(meta(first).getString("resourceVersion"));
+        assertThat(meta(third).getString("resourceVersion"))
+                .isEqualTo(meta(first).getString("resourceVersion"));
         assertThat(meta(third).has("continue")).isFalse();
         String version = meta(first).getString("resourceVersion");
-        assertThat(names(list("?resourceVersionMatch=Exact&resourceVersion=" + version))).isEqualTo(all);
-        assertThat(names(list("?resourceVersion=0&limit=1")).split(" ")).as("an old server's cache has no pages")
+        assertThat(names(list("?resourceVersionMatch=Exact&resourceVersion=" + version)))
+                .isEqualTo(all);
+        assertThat(names(list("?resourceVersion=0&limit=1")).split(" "))
+                .as("an old server's cache has no pages")
                 .hasSize(2);
         play("compact");
         JSONObject gone = list("?limit=2&continue=" + meta(second).getString("continue"));
         assertThat(gone.getInt("http")).isEqualTo(410);
         assertThat(gone.getString("reason")).isEqualTo("Expired");
-        assertThat(names(list("?limit=9&continue=" + meta(gone).getString("continue"))).split(" "))
+        assertThat(names(list("?limit=9&continue=" + meta(gone).getString("continue")))
+                        .split(" "))
                 .as("goes on behind the last name, in today's state")
                 .containsExactly(Stream.of(names(list("")).split(" "))
-                        .filter(name -> name.compareTo(all.split(" ")[3]) > 0).toArray(String[]::new));
-        assertThat(list("?resourceVersionMatch=Exact&resourceVersion=" + version).getInt("http")).isEqualTo(410);
+                        .filter(name -> name.compareTo(all.split(" ")[3]) > 0)
+                        .toArray(String[]::new));
+        assertThat(list("?resourceVersionMatch=Exact&resourceVersion=" + version)
+                        .getInt("http"))
+                .isEqualTo(410);
     }
 
     @Test
     void selectorsChooseAndAWatchTellsWhatTheyBeginAndCeaseToMatch() {
-        assertThat(names(list("?labelSelector=kubernetes.io%2Fservice-name%3Dothers")).split(" ")).hasSize(1);
-        assertThat(names(list("?labelSelector=kubernetes.io%2Fservice-name+notin(others,+more)")).split(" "))
+        assertThat(names(list("?labelSelector=kubernetes.io%2Fservice-name%3Dothers"))
+                        .split(" "))
+                .hasSize(1);
+        assertThat(names(list("?labelSelector=kubernetes.io%2Fservice-name+notin(others,+more)"))
+                        .split(" "))
                 .hasSize(4);
         assertThat(names(list("?fieldSelector=metadata.name%3D" + name(2)))).isEqualTo(name(2));
         assertThat(list("?fieldSelector=spec.x%3D1").getInt("http")).isEqualTo(400);
         assertThat(names(asker.answer(SLICES.replace("shop", "else")))).isEmpty();
         asker.ask(WATCH + server.version() + "&labelSelector=tier%3Dgold");
-        play("slice caches/1 label key=tier value=gold", "pod a-1 unready", "pod a-3 unready",
-                "slice caches/1 label key=tier", "pod a-2 unready");
-        assertThat(asker.events()).satisfiesExactly(event -> assertThat(event).startsWith("ADDED " + name(1)),
-                event -> assertThat(event).startsWith("MODIFIED " + name(1)),
-                event -> assertThat(event).startsWith("DELETED " + name(1)));
+        play(
+                "slice caches/1 label key=tier value=gold",
+                "pod a-1 unready",
+                "pod a-3 unready",
+                "slice caches/1 label key=tier",
+                "pod a-2 unready");
+        assertThat(asker.events())
+                .satisfiesExactly(
+                        event -> assertThat(event).startsWith("ADDED " + name(1)),
+                        event -> assertThat(event).startsWith("MODIFIED " + name(1)),
+                        event -> assertThat(event).startsWith("DELETED " + name(1)));
     }
 
     @Test
@@ -100,8 +119,11 @@
         long before = server.version();
         play("pod a-1 unready", "slice caches/4 recreate");
         asker.ask(WATCH + before + "&timeoutSeconds=90");
-        assertThat(asker.events()).containsExactly("MODIFIED " + name(1) + ' ' + (before + 2),
-                "DELETED " + name(4) + ' ' + (before + 3), "ADDED " + name(4) + ' ' + (before + 4));
+        assertThat(asker.events())
+                .containsExactly(
+                        "MODIFIED " + name(1) + ' ' + (before + 2),
+                        "DELETED " + name(4) + ' ' + (before + 3),
+                        "ADDED " + name(4) + ' ' + (before + 4));
         stage.pass(60 * SECOND);
         assertThat(asker.events()).containsExactly("BOOKMARK - " + (before + 4));
         play("bookmark back=3");
@@ -110,7 +132,9 @@
         assertThat(asker.raw()).isEqualTo("0\r\n\r\n");
         assertThat(list("").getInt("http")).as("the connection is kept").isEqualTo(200);
         asker.ask(SLICES + "?watch=true");
-        assertThat(asker.events()).as("without a version it tells all there is first").hasSize(5)
+        assertThat(asker.events())
+                .as("without a version it tells all there is first")
+                .hasSize(5)
                 .allMatch(event -> event.startsWith("ADDED"));
     }
 
@@ -145,12 +169,14 @@
         JSONObject refused = asker.answer(SLICES, old);
         assertThat(refused.getInt("http")).isEqualTo(401);
         assertThat(refused.getString("kind") + refused.getString("reason")).isEqualTo("StatusUnauthorized");
-        assertThat(asker.answer(SLICES, "Authorization: Bearer new\r\n").getInt("http")).isEqualTo(200);
+        assertThat(asker.answer(SLICES, "Authorization: Bearer new\r\n").getInt("http"))
+                .isEqualTo(200);
         play("tokens", "answer 429 times=1 retry=3");
         JSONObject later = list("");
         assertThat(later.getInt("http")).isEqualTo(429);
         assertThat(later.getString("head")).contains("\r\nRetry-After: 3\r\n");
-        assertThat(list("?watch=1&sendInitialEvents=true&resourceVersionMatch=NotOlderThan").getInt("http"))
+        assertThat(list("?watch=1&sendInitialEvents=true&resourceVersionMatch=NotOlderThan")
+                        .getInt("http"))
                 .isEqualTo(422);
         play("forbid yes");
         assertThat(list("").getString("message")).contains("cannot list resource \"endpointslices\"");
@@ -167,8 +193,10 @@
         switch (where) {
             case "object" -> assertThat(told).contains("{\"type\":\"MODIFIED\"").doesNotContain("}\n");
             case "head" -> assertThat(told).hasSize(1);
-            default -> assertThat(told.getBytes(StandardCharsets.ISO_8859_1)).endsWith(0xc3)
-                    .startsWith(told.substring(0, 5).getBytes(StandardCharsets.ISO_8859_1));
+            default ->
+                assertThat(told.getBytes(StandardCharsets.ISO_8859_1))
+                        .endsWith(0xc3)
+                        .startsWith(told.substring(0, 5).getBytes(StandardCharsets.ISO_8859_1));
         }
         assertThat(asker.peer.broken).isEqualTo(byReset);
         assertThat(asker.peer.ended).isEqualTo(!byReset);
@@ -182,12 +210,15 @@
         play("duplicate 1", "pod a-1 unready");
         assertThat(asker.events()).hasSize(2).containsOnly("MODIFIED " + name(1) + ' ' + (at + 2));
         play("swap 1", "pod a-1 ready", "bookmark", "pod a-3 unready");
-        assertThat(asker.events()).as("a bookmark does not pass what was not told").containsExactly(
-                "BOOKMARK - " + (at + 3), "MODIFIED " + name(2) + ' ' + (at + 6),
-                "MODIFIED " + name(1) + ' ' + (at + 4));
+        assertThat(asker.events())
+                .as("a bookmark does not pass what was not told")
+                .containsExactly(
+                        "BOOKMARK - " + (at + 3),
+                        "MODIFIED " + name(2) + ' ' + (at + 6),
+                        "MODIFIED " + name(1) + ' ' + (at + 4));
         play("swap 1", "pod a-3 ready", "pod a-3 gone");
-        assertThat(asker.events()).containsExactly("MODIFIED " + name(2) + ' ' + (at + 8),
-                "MODIFIED " + name(2) + ' ' + (at + 10));
+        assertThat(asker.events())
+                .containsExactly("MODIFIED " + name(2) + ' ' + (at + 8), "MODIFIED " + name(2) + ' ' + (at + 10));
         play("swap 1", "pod a-1 unready");
         assertThat(asker.events()).isEmpty();
         stage.pass(SECOND);
@@ -198,8 +229,8 @@
         other.ask(WATCH + (at + 12));
         stage.pass(60 * MILLI);
         assertThat(other.events()).as("told at its start, and not again").hasSize(2);
-        assertThat(asker.events()).containsExactly("MODIFIED " + name(1) + ' ' + (at + 14),
-                "MODIFIED " + name(2) + ' ' + (at + 16));
+        assertThat(asker.events())
+                .containsExactly("MODIFIED " + name(1) + ' ' + (at + 14), "MODIFIED " + name(2) + ' ' + (at + 16));
     }
 
     @Test
@@ -208,7 +239,9 @@
         asker.raw();
         play("chunks 5", "stall yes", "pod a-1 unready", "garbage json");
         assertThat(asker.raw()).isEmpty();
-        assertThat(new Asker(stage).answer(SLICES).getInt("http")).as("new connections are served").isEqualTo(200);
+        assertThat(new Asker(stage).answer(SLICES).getInt("http"))
+                .as("new connections are served")
+                .isEqualTo(200);
         play("stall no");
         String told = asker.raw();
         assertThat(told).startsWith("5\r\n{\"typ\r\n5\r\ne\":\"M\r\n").endsWith("}\n\r\n");
--- a/src/test/java/slateseam/standin/kubernetes/Asker.java
+++ b/src/test/java/slateseam/standin/kubernetes/Asker.java
@@ -41,7 +41,8 @@
         String all = raw();
         int body = all.indexOf("\r\n\r\n") + 4;
         String text = all.contains("Transfer-Encoding: chunked") ? unchunked(all, body) : all.substring(body);
-        return new JSONObject(utf8(text)).put("http", Integer.parseInt(all.substring(9, 12)))
+        return new JSONObject(utf8(text))
+                .put("http", Integer.parseInt(all.substring(9, 12)))
                 .put("head", all.substring(0, body));
     }
 
@@ -55,8 +56,11 @@
                 JSONObject event = new JSONObject(utf8(line));
                 JSONObject object = event.getJSONObject("object");
                 JSONObject meta = object.getJSONObject("metadata");
-                events.add(event.getString("type") + ' ' + (object.getString("kind").equals("Status")
-                        ? object.getInt("code") : meta.optString("name", "-") + ' ' + meta.getLong("resourceVersion")));
+                events.add(event.getString("type")
+                        + ' '
+                        + (object.getString("kind").equals("Status")
+                                ? object.getInt("code")
+                                : meta.optString("name", "-") + ' ' + meta.getLong("resourceVersion")));
             }
         }
         return events;
@@ -66,7 +70,7 @@
     private String unchunked(String all, int from) {
         StringBuilder data = new StringBuilder();
         int at = from;
-        for (int line; (line = all.indexOf("\r\n", at)) >= 0;) {
+        for (int line; (line = all.indexOf("\r\n", at)) >= 0; ) {
             int length = Integer.parseInt(all.substring(at, line), 16);
             if (line + 4 + length > all.length()) {
                 break;
@@ -85,7 +89,10 @@
     /** The names of a list's slices. */
     static String names(JSONObject list) {
         return IntStream.range(0, list.getJSONArray("items").length())
-                .mapToObj(i -> list.getJSONArray("items").getJSONObject(i).getJSONObject("metadata").getString("name"))
+                .mapToObj(i -> list.getJSONArray("items")
+                        .getJSONObject(i)
+                        .getJSONObject("metadata")
+                        .getString("name"))
                 .collect(Collectors.joining(" "));
     }
 
--- a/src/test/java/slateseam/standin/kubernetes/Informed.java
+++ b/src/test/java/slateseam/standin/kubernetes/Informed.java
@@ -27,15 +27,25 @@
 
     /** Follows a service; the CA's certificate is null without TLS, the token where none is asked for. */
     public Informed(String url, String caPem, String token, String namespace, String service) {
-        ConfigBuilder config = new ConfigBuilder(Config.empty()).withMasterUrl(url).withNamespace(namespace)
-                .withOauthToken(token).withOnlyHttpWatches(true).withHttp2Disable(true)
-                .withWatchReconnectInterval(20).withRequestRetryBackoffInterval(20).withRequestRetryBackoffLimit(50);
+        ConfigBuilder config = new ConfigBuilder(Config.empty())
+                .withMasterUrl(url)
+                .withNamespace(namespace)
+                .withOauthToken(token)
+                .withOnlyHttpWatches(true)
+                .withHttp2Disable(true)
+                .withWatchReconnectInterval(20)
+                .withRequestRetryBackoffInterval(20)
+                .withRequestRetryBackoffLimit(50);
         if (caPem != null) {
             config.withCaCertData(Base64.getEncoder().encodeToString(caPem.getBytes()));
         }
         client = new KubernetesClientBuilder().withConfig(config.build()).build();
-        informer = client.discovery().v1().endpointSlices().inNamespace(namespace)
-                .withLabel("kubernetes.io/service-name", service).runnableInformer(0)
+        informer = client.discovery()
+                .v1()
+                .endpointSlices()
+                .inNamespace(namespace)
+                .withLabel("kubernetes.io/service-name", service)
+                .runnableInformer(0)
                 .exceptionHandler((started, failure) -> true)
                 .addEventHandler(new ResourceEventHandler<>() {
                     @Override
@@ -67,9 +77,16 @@
         TreeSet<String> lines = new TreeSet<>();
         for (EndpointSlice slice : informer.getStore().list()) {
             for (Endpoint one : slice.getEndpoints() == null ? List.<Endpoint>of() : slice.getEndpoints()) {
-                lines.add(Pod.line(slice.getMetadata().getName(), one.getAddresses(), one.getTargetRef().getName(),
-                        one.getTargetRef().getUid(), one.getNodeName(), one.getZone(), one.getConditions().getReady(),
-                        one.getConditions().getServing(), one.getConditions().getTerminating()));
+                lines.add(Pod.line(
+                        slice.getMetadata().getName(),
+                        one.getAddresses(),
+                        one.getTargetRef().getName(),
+                        one.getTargetRef().getUid(),
+                        one.getNodeName(),
+                        one.getZone(),
+                        one.getConditions().getReady(),
+                        one.getConditions().getServing(),
+                        one.getConditions().getTerminating()));
             }
         }
         return new ArrayList<>(lines);
--- a/src/test/java/slateseam/standin/kubernetes/ScriptTest.java
+++ b/src/test/java/slateseam/standin/kubernetes/ScriptTest.java
@@ -11,8 +11,8 @@
 import slateseam.standin.Stage;
 
 class ScriptTest {
-    private static final String BEGIN = "# two slices\n\nat 0ms service s port=resp:1 per-slice=2\n"
-            + "at 0ms pods a 4 service=s\n";
+    private static final String BEGIN =
+            "# two slices\n\nat 0ms service s port=resp:1 per-slice=2\n" + "at 0ms pods a 4 service=s\n";
 
     private final Stage stage = new Stage();
     private final Cluster cluster = new Cluster("shop", stage, 1_000);
@@ -32,8 +32,10 @@
     }
 
     private String told(Asker asker) {
-        return String.join(", ", asker.events()).replaceAll(" [0-9]+", "")
-                .replace(cluster.packing("s").names().get(0), "1").replace(cluster.packing("s").names().get(1), "2");
+        return String.join(", ", asker.events())
+                .replaceAll(" [0-9]+", "")
+                .replace(cluster.packing("s").names().get(0), "1")
+                .replace(cluster.packing("s").names().get(1), "2");
     }
 
     @Test
@@ -73,16 +75,24 @@
         cluster.remove("a-1");
         cluster.remove("a-2");
         cluster.packing("s").drop("a-3", 1);
-        assertThat(cluster.packing("s").names()).as("an empty slice goes, but not the last").hasSize(1);
+        assertThat(cluster.packing("s").names())
+                .as("an empty slice goes, but not the last")
+                .hasSize(1);
         cluster.remove("a-3");
         cluster.remove("a-4");
-        assertThat(new Asker(stage).answer(Asker.SLICES).getJSONArray("items").getJSONObject(0).isNull("endpoints"))
+        assertThat(new Asker(stage)
+                        .answer(Asker.SLICES)
+                        .getJSONArray("items")
+                        .getJSONObject(0)
+                        .isNull("endpoints"))
                 .isTrue();
     }
 
     private String uid() {
-        return new Asker(stage).answer(Asker.SLICES + '/' + cluster.packing("s").names().get(0))
-                .getJSONObject("metadata").getString("uid");
+        return new Asker(stage)
+                .answer(Asker.SLICES + '/' + cluster.packing("s").names().get(0))
+                .getJSONObject("metadata")
+                .getString("uid");
     }
 
     @Test
@@ -97,24 +107,28 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "at 5ms pod a-9 ready | line 5: there is no pod a-9",
-        "at 5ms pod a-1 gone; at 6ms pod a-1 ready | line 6: there is no pod a-1",
-        "at 5ms slice s/3 split | line 5: there is no slice s/3",
-        "at 5ms slice s/1 take a-1 | line 5: a-1 is in slice 1 already",
-        "at 5ms repack t | line 5: there is no service t",
-        "at 5ms pods b 0 service=s | line 5: count is 0, no whole number from 1 to 20000",
-        "at 5ms pod a-1 redy | line 5: what becomes of the pod is redy, not one of add, ready, unready, terminating, "
-                + "gone, restart, set",
-        "at 5ms pod a-1 ready now | line 5: too much: now",
-        "at 5ms cut watch where=head | line 5: too much: where=",
-        "at 5 compact | line 5: time is 5, no time such as 250us, 40ms or 2s up to an hour",
-        "at 5ms compact; at 4ms compact | line 6: the time lies before that of the line before",
-        "5ms compact | line 5: at is 5ms, not one of at",
-        "at 5ms explode | line 5: there is no command explode",
-        "at 5ms service s | line 5: there is a service s already"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "at 5ms pod a-9 ready | line 5: there is no pod a-9",
+                "at 5ms pod a-1 gone; at 6ms pod a-1 ready | line 6: there is no pod a-1",
+                "at 5ms slice s/3 split | line 5: there is no slice s/3",
+                "at 5ms slice s/1 take a-1 | line 5: a-1 is in slice 1 already",
+                "at 5ms repack t | line 5: there is no service t",
+                "at 5ms pods b 0 service=s | line 5: count is 0, no whole number from 1 to 20000",
+                "at 5ms pod a-1 redy | line 5: what becomes of the pod is redy, not one of add, ready, unready, terminating, "
+                        + "gone, restart, set",
+                "at 5ms pod a-1 ready now | line 5: too much: now",
+                "at 5ms cut watch where=head | line 5: too much: where=",
+                "at 5 compact | line 5: time is 5, no time such as 250us, 40ms or 2s up to an hour",
+                "at 5ms compact; at 4ms compact | line 6: the time lies before that of the line before",
+                "5ms compact | line 5: at is 5ms, not one of at",
+                "at 5ms explode | line 5: there is no command explode",
+                "at 5ms service s | line 5: there is a service s already"
+            })
     void whatIsWrongIsToldWithItsLine(String lines, String message) {
         assertThatThrownBy(() -> Script.read(BEGIN + lines.replace("; ", "\n")))
-                .isInstanceOf(InvalidScriptException.class).hasMessage(message);
+                .isInstanceOf(InvalidScriptException.class)
+                .hasMessage(message);
     }
 }
--- a/src/test/java/slateseam/standin/kubernetes/Served.java
+++ b/src/test/java/slateseam/standin/kubernetes/Served.java
@@ -19,6 +19,7 @@
     public final SocketNet net;
     /** The server; to be used on the net's thread only. */
     public final ApiServer server;
+
     private final boolean tls;
 
     /** Serves it, with TLS unless the context is null. */
@@ -26,8 +27,8 @@
         net = new SocketNet(64);
         tls = context != null;
         net.tls(PLACE, context);
-        server = net.call(() -> new ApiServer(PLACE, ApiFigures.USUAL, new World(net, net, new Witness() { }),
-                new Cluster("shop", net, 1_000)));
+        server = net.call(() -> new ApiServer(
+                PLACE, ApiFigures.USUAL, new World(net, net, new Witness() {}), new Cluster("shop", net, 1_000)));
     }
 
     /** Its address. */
--- a/src/test/java/slateseam/standin/sockets/Certificates.java
+++ b/src/test/java/slateseam/standin/sockets/Certificates.java
@@ -64,8 +64,13 @@
     public SSLContext server(String host, Instant from, Instant until) {
         try {
             KeyPair own = keys();
-            X509Certificate signed = sign(new X500Name("CN=" + host), own, from, until, new GeneralNames(new GeneralName(
-                    host.matches("[0-9.]+|.*:.*") ? GeneralName.iPAddress : GeneralName.dNSName, host)));
+            X509Certificate signed = sign(
+                    new X500Name("CN=" + host),
+                    own,
+                    from,
+                    until,
+                    new GeneralNames(new GeneralName(
+                            host.matches("[0-9.]+|.*:.*") ? GeneralName.iPAddress : GeneralName.dNSName, host)));
             KeyStore store = KeyStore.getInstance("PKCS12");
             store.load(null, null);
             store.setKeyEntry("server", own.getPrivate(), NO_SECRET, new X509Certificate[] {signed, certificate});
@@ -97,15 +102,16 @@
     }
 
     private X509Certificate sign(X500Name subject, KeyPair own, Instant from, Instant until, GeneralNames names) {
-        X509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(name, BigInteger.valueOf(serial++), Date.from(from),
-                Date.from(until), subject, own.getPublic());
+        X509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(
+                name, BigInteger.valueOf(serial++), Date.from(from), Date.from(until), subject, own.getPublic());
         try {
             builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(names == null));
             if (names != null) {
                 builder.addExtension(Extension.subjectAlternativeName, false, names);
             }
-            return new JcaX509CertificateConverter().getCertificate(
-                    builder.build(new JcaContentSignerBuilder("SHA256withECDSA").build(keys.getPrivate())));
+            return new JcaX509CertificateConverter()
+                    .getCertificate(
+                            builder.build(new JcaContentSignerBuilder("SHA256withECDSA").build(keys.getPrivate())));
         } catch (CertIOException | OperatorCreationException | GeneralSecurityException e) {
             throw new IllegalStateException(e);
         }
--- a/src/test/java/slateseam/standin/sockets/SocketNetTest.java
+++ b/src/test/java/slateseam/standin/sockets/SocketNetTest.java
@@ -71,8 +71,7 @@
         }
 
         @Override
-        public void broken(Wire wire) {
-        }
+        public void broken(Wire wire) {}
     }
 
     private void listen(int pausesAfter) {
@@ -100,14 +99,17 @@
     private SSLSocket secured(Certificates authority, String host) throws Exception {
         KeyStore store = KeyStore.getInstance("PKCS12");
         store.load(null, null);
-        store.setCertificateEntry("ca", CertificateFactory.getInstance("X.509").generateCertificate(
-                new ByteArrayInputStream(authority.pem().getBytes(StandardCharsets.US_ASCII))));
+        store.setCertificateEntry(
+                "ca",
+                CertificateFactory.getInstance("X.509")
+                        .generateCertificate(
+                                new ByteArrayInputStream(authority.pem().getBytes(StandardCharsets.US_ASCII))));
         TrustManagerFactory managers = TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
         managers.init(store);
         SSLContext context = SSLContext.getInstance("TLS");
         context.init(null, managers.getTrustManagers(), null);
-        SSLSocket socket = (SSLSocket) context.getSocketFactory().createSocket(dial(), host,
-                net.address("a").getPort(), true);
+        SSLSocket socket = (SSLSocket) context.getSocketFactory()
+                .createSocket(dial(), host, net.address("a").getPort(), true);
         SSLParameters parameters = socket.getSSLParameters();
         parameters.setEndpointIdentificationAlgorithm("HTTPS");
         socket.setSSLParameters(parameters);
@@ -169,15 +171,22 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"expired, validity check failed", "name, No subject alternative DNS name matching localhost",
-        "authority, unable to find valid certification path"})
+    @CsvSource({
+        "expired, validity check failed",
+        "name, No subject alternative DNS name matching localhost",
+        "authority, unable to find valid certification path"
+    })
     void aCertificateThatIsWrongIsRefusedForWhatItIs(String wrong, String message) throws Exception {
         Certificates authority = new Certificates("a");
         net.run(() -> net.listen("a", wire -> new Echo(MUCH)));
-        net.tls("a", wrong.equals("expired") ? authority.server("localhost", Instant.now().minusSeconds(60))
-                : authority.server(wrong.equals("name") ? "other" : "localhost"));
+        net.tls(
+                "a",
+                wrong.equals("expired")
+                        ? authority.server("localhost", Instant.now().minusSeconds(60))
+                        : authority.server(wrong.equals("name") ? "other" : "localhost"));
         try (SSLSocket socket = secured(wrong.equals("authority") ? new Certificates("b") : authority, "localhost")) {
-            assertThatThrownBy(socket::startHandshake).isInstanceOf(SSLHandshakeException.class)
+            assertThatThrownBy(socket::startHandshake)
+                    .isInstanceOf(SSLHandshakeException.class)
                     .hasStackTraceContaining(message);
         }
     }
@@ -203,14 +212,17 @@
     @Test
     void connectionsBeyondTheBoundAndThoseResetAreBroken() throws Exception {
         listen(MUCH);
-        try (Socket first = dial(); Socket second = dial(); Socket third = dial()) {
+        try (Socket first = dial();
+                Socket second = dial();
+                Socket third = dial()) {
             third.getOutputStream().write('x');
             assertThat(third.getInputStream().read()).isEqualTo('x');
             assertThatThrownBy(() -> {
-                try (Socket fourth = dial()) {
-                    fourth.getInputStream().read();
-                }
-            }).isInstanceOf(SocketException.class);
+                        try (Socket fourth = dial()) {
+                            fourth.getInputStream().read();
+                        }
+                    })
+                    .isInstanceOf(SocketException.class);
             net.run(() -> taken.reset());
             assertThatThrownBy(() -> third.getInputStream().read()).isInstanceOf(SocketException.class);
             first.getOutputStream().write('x');
@@ -232,8 +244,7 @@
             }
 
             @Override
-            public void ended(Wire wire) {
-            }
+            public void ended(Wire wire) {}
 
             @Override
             public void broken(Wire wire) {
--- a/src/test/java/slateseam/standin/useragent/CrowdTest.java
+++ b/src/test/java/slateseam/standin/useragent/CrowdTest.java
@@ -21,10 +21,10 @@
 /** What all user agents of a day ask together, what rude ones do, and how service is counted. */
 class CrowdTest {
     private static final String ROUTER = "10.1.0.1:6379";
-    private static final ClassFigures READ = new ClassFigures("read", 0.9, false, Effect.REPEATABLE, "all", 0,
-            500 * Stage.MILLI, 1_000 * Stage.MILLI, 2, 0);
-    private static final ClassFigures PUT = new ClassFigures("put", 0.1, true, Effect.KEYED, "all",
-            1_000 * Stage.MILLI, 500 * Stage.MILLI, 1_000 * Stage.MILLI, 3, 0.5);
+    private static final ClassFigures READ = new ClassFigures(
+            "read", 0.9, false, Effect.REPEATABLE, "all", 0, 500 * Stage.MILLI, 1_000 * Stage.MILLI, 2, 0);
+    private static final ClassFigures PUT = new ClassFigures(
+            "put", 0.1, true, Effect.KEYED, "all", 1_000 * Stage.MILLI, 500 * Stage.MILLI, 1_000 * Stage.MILLI, 3, 0.5);
     private static final TenantFigures ACME = new TenantFigures("acme", 0.7, 0.7, 3);
     private static final TenantFigures UMBRA = new TenantFigures("umbra", 0.3, 0.3, 1_000);
     private static final PopularityFigures KEYS = new PopularityFigures(1_000, 1.1, 4, 0.02, 9);
@@ -41,8 +41,19 @@
             }
         };
         Habits habits = new Habits(Habits.Connections.REUSED, 64, 1, false, 0, 0, true, 0, 0, true, 0, 0);
-        return new Surroundings(stage, stage, outcomes, List.of(READ, PUT), List.of(ACME, UMBRA), habits, rate,
-                new Popularity(KEYS), ValueFigures.usual(), asks, begin, 100_000 * Stage.MILLI);
+        return new Surroundings(
+                stage,
+                stage,
+                outcomes,
+                List.of(READ, PUT),
+                List.of(ACME, UMBRA),
+                habits,
+                rate,
+                new Popularity(KEYS),
+                ValueFigures.usual(),
+                asks,
+                begin,
+                100_000 * Stage.MILLI);
     }
 
     private static UniformRandomProvider stream(String actor) {
@@ -63,7 +74,7 @@
     /** The router never answers, so that whoever waited for answers would ask far less. */
     @Test
     void arrivalsComeAtTheirRateAndNeverWaitForAnswers() {
-        new Scripted(stage, ROUTER, (line, command) -> { });
+        new Scripted(stage, ROUTER, (line, command) -> {});
         List<Request> all = asked(RateFigures.STEADY, Surroundings.Asks.ALL, 2);
 
         // 20,000 expected of a Poisson process: 4 standard deviations are 566, and so on for its parts.
@@ -95,7 +106,8 @@
         }
         for (int rank : new int[] {0, 1, 9, 99, 999}) {
             double expected = draws * Math.pow(rank + 5, -1.1) / law;
-            assertThat((double) counts[rank]).as("rank " + rank)
+            assertThat((double) counts[rank])
+                    .as("rank " + rank)
                     .isCloseTo(expected, within(4 * Math.sqrt(expected) + 1));
         }
         List<String> first = popularity.hottest(1_000, 0);
@@ -110,15 +122,21 @@
     void surgesAddAndWanesTakeAwayAndAllOthersAreTheSame() {
         List<Request> steady = asked(RateFigures.STEADY, Surroundings.Asks.ALL, 1);
         long shift = stage.now() - begin;
-        RateFigures both = new RateFigures(0, 1, 0, List.of(new RateFigures.Surge(10_000 * Stage.MILLI,
-                20_000 * Stage.MILLI, 3), new RateFigures.Surge(50_000 * Stage.MILLI, 60_000 * Stage.MILLI, 0.25)));
+        RateFigures both = new RateFigures(
+                0,
+                1,
+                0,
+                List.of(
+                        new RateFigures.Surge(10_000 * Stage.MILLI, 20_000 * Stage.MILLI, 3),
+                        new RateFigures.Surge(50_000 * Stage.MILLI, 60_000 * Stage.MILLI, 0.25)));
         CrowdTest other = new CrowdTest();
         List<Request> changed = other.asked(both, Surroundings.Asks.ALL, 1);
 
         assertThat(shift).isPositive();
         Map<Long, Request> bySeed = new HashMap<>();
         steady.forEach(request -> bySeed.put(request.seed(), request));
-        assertThat(changed.stream().filter(r -> !bySeed.containsKey(r.seed()))).hasSizeBetween(1_821, 2_179)
+        assertThat(changed.stream().filter(r -> !bySeed.containsKey(r.seed())))
+                .hasSizeBetween(1_821, 2_179)
                 .allMatch(r -> r.number() >= 1_000_000);
         assertThat(changed.stream().filter(r -> bySeed.containsKey(r.seed())).count())
                 .isBetween(steady.size() - 860L, steady.size() - 640L);
@@ -128,28 +146,33 @@
     void leavingOutRequestsOrProcessesLeavesTheOthersAsTheyWere() {
         List<Request> all = asked(RateFigures.STEADY, Surroundings.Asks.ALL, 2);
         CrowdTest other = new CrowdTest();
-        List<Request> fewer = other.asked(RateFigures.STEADY,
-                (name, number) -> name.equals("user-2") && number % 3 == 0, 2);
-
-        assertThat(fewer).isEqualTo(all.stream()
-                .filter(r -> r.userAgent().equals("user-2") && r.number() % 3 == 0).toList()).hasSizeGreaterThan(3_000);
+        List<Request> fewer =
+                other.asked(RateFigures.STEADY, (name, number) -> name.equals("user-2") && number % 3 == 0, 2);
+
+        assertThat(fewer)
+                .isEqualTo(all.stream()
+                        .filter(r -> r.userAgent().equals("user-2") && r.number() % 3 == 0)
+                        .toList())
+                .hasSizeGreaterThan(3_000);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {
-        "ENDLESS_LINE; (?s)\\*4\\r\\n\\$9\\r\\nCACHE\\.GET\\r\\n\\$1{4096}.*",
-        "BAD_LENGTH; (?s)(\\*(-5|0|4|99999999)\\r\\n.*|GET / .*)",
-        "UNKNOWN_CLASS; (?s).*c=nobody-knows,t=acme,d=500\\r\\n",
-        "BAD_DEADLINE; (?s).*c=read,t=acme(,d=(soon|-5|9{20}|1e3|))?\\r\\n",
-        "NO_ID; (?s)(\\*3\\r\\n.*|\\*2\\r\\n.*|.*\\$0\\r\\n\\r\\n.*)",
-        "SAME_ID; (?s).*\\r\\nthe-id-of-another\\r\\n.*",
-        "HALF_SILENT; (?s)\\*.*",
-        "HALF_CLOSED; (?s)\\*.*",
-        "PIPELINE; (?s)(\\*4\\r\\n\\$9\\r\\nCACHE.GET(\\r\\n\\$16\\r\\n.{16}){2}\\r\\n\\$20\\r\\n"
-            + "c=read,t=acme,d=1000\\r\\n){300}",
-        "SILENT; ''",
-        "HAMMER; (?s)(\\*4\\r\\n\\$9\\r\\nCACHE.GET\\r\\n.*){10,}",
-    })
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "ENDLESS_LINE; (?s)\\*4\\r\\n\\$9\\r\\nCACHE\\.GET\\r\\n\\$1{4096}.*",
+                "BAD_LENGTH; (?s)(\\*(-5|0|4|99999999)\\r\\n.*|GET / .*)",
+                "UNKNOWN_CLASS; (?s).*c=nobody-knows,t=acme,d=500\\r\\n",
+                "BAD_DEADLINE; (?s).*c=read,t=acme(,d=(soon|-5|9{20}|1e3|))?\\r\\n",
+                "NO_ID; (?s)(\\*3\\r\\n.*|\\*2\\r\\n.*|.*\\$0\\r\\n\\r\\n.*)",
+                "SAME_ID; (?s).*\\r\\nthe-id-of-another\\r\\n.*",
+                "HALF_SILENT; (?s)\\*.*",
+                "HALF_CLOSED; (?s)\\*.*",
+                "PIPELINE; (?s)(\\*4\\r\\n\\$9\\r\\nCACHE.GET(\\r\\n\\$16\\r\\n.{16}){2}\\r\\n\\$20\\r\\n"
+                        + "c=read,t=acme,d=1000\\r\\n){300}",
+                "SILENT; ''",
+                "HAMMER; (?s)(\\*4\\r\\n\\$9\\r\\nCACHE.GET\\r\\n.*){10,}",
+            })
     void rudeOnesDoWhatTheirKindDoesUntilTheirTimeIsOver(RudeKind kind, String sent) {
         Scripted router = new Scripted(stage, ROUTER, (line, command) -> {
             if (kind != RudeKind.HALF_SILENT && kind != RudeKind.ENDLESS_LINE) {
@@ -185,12 +208,22 @@
         TreeMap<Ending, Long> endings = new TreeMap<>();
         int number = 0;
         for (Object[] row : new Object[][] {
-            {READ, ACME, 0, 400, Ending.SERVED}, {READ, ACME, 10, 600, Ending.SERVED},
-            {PUT, ACME, 20, 600, Ending.SERVED}, {READ, ACME, 30, 100, Ending.SERVED},
+            {READ, ACME, 0, 400, Ending.SERVED},
+            {READ, ACME, 10, 600, Ending.SERVED},
+            {PUT, ACME, 20, 600, Ending.SERVED},
+            {READ, ACME, 30, 100, Ending.SERVED},
             {READ, UMBRA, 40, 50, Ending.LEFT},
-            {PUT, UMBRA, 11_000, 20, Ending.UNAVAILABLE}, {READ, UMBRA, 11_500, 20, Ending.SERVED}}) {
-            Request request = new Request("user-1", number++, (ClassFigures) row[0], (TenantFigures) row[1], "k",
-                    number, begin + (int) row[2] * Stage.MILLI);
+            {PUT, UMBRA, 11_000, 20, Ending.UNAVAILABLE},
+            {READ, UMBRA, 11_500, 20, Ending.SERVED}
+        }) {
+            Request request = new Request(
+                    "user-1",
+                    number++,
+                    (ClassFigures) row[0],
+                    (TenantFigures) row[1],
+                    "k",
+                    number,
+                    begin + (int) row[2] * Stage.MILLI);
             service.asked(request);
             service.ended(request, (Ending) row[4], request.asked() + (int) row[3] * Stage.MILLI);
             endings.merge((Ending) row[4], 1L, Long::sum);
--- a/src/test/java/slateseam/standin/useragent/Stage.java
+++ b/src/test/java/slateseam/standin/useragent/Stage.java
@@ -122,8 +122,7 @@
         }
 
         @Override
-        public void pause(boolean stop) {
-        }
+        public void pause(boolean stop) {}
 
         private void deliver(Runnable action) {
             if (open && !ended && other != null) {
--- a/src/test/java/slateseam/standin/useragent/UserAgentTest.java
+++ b/src/test/java/slateseam/standin/useragent/UserAgentTest.java
@@ -23,8 +23,7 @@
 class UserAgentTest {
     private static final String ROUTER = "10.1.0.1:6379";
     private static final String VALUE = "$3\r\nabc\r\n";
-    private static final Pattern COMMAND = Pattern.compile(
-            "\\*[45]\r\n\\$9\r\nCACHE\\.(GET|SET)\r\n"
+    private static final Pattern COMMAND = Pattern.compile("\\*[45]\r\n\\$9\r\nCACHE\\.(GET|SET)\r\n"
             + "\\$16\r\n([0-9a-f]{16})\r\n\\$16\r\n([0-9a-f]{16})\r\n\\$\\d+\r\n(\\S+)\r\n");
 
     private final Stage stage = new Stage();
@@ -45,13 +44,33 @@
     }
 
     private static Habits habits(Connections connections, boolean waitsForLate, int retries) {
-        return new Habits(connections, 8, 0.5, waitsForLate, 100 * Stage.MILLI, retries, false, 40 * Stage.MILLI,
-                2_000 * Stage.MILLI, true, 0, 1_000 * Stage.MILLI);
+        return new Habits(
+                connections,
+                8,
+                0.5,
+                waitsForLate,
+                100 * Stage.MILLI,
+                retries,
+                false,
+                40 * Stage.MILLI,
+                2_000 * Stage.MILLI,
+                true,
+                0,
+                1_000 * Stage.MILLI);
     }
 
     private static ClassFigures kind(Effect effect) {
-        return new ClassFigures(effect.name().toLowerCase(Locale.ROOT), 1, effect != Effect.REPEATABLE, effect,
-                "all", effect == Effect.KEYED ? 400 * Stage.MILLI : 0, 500 * Stage.MILLI, 1_000 * Stage.MILLI, 1, 0);
+        return new ClassFigures(
+                effect.name().toLowerCase(Locale.ROOT),
+                1,
+                effect != Effect.REPEATABLE,
+                effect,
+                "all",
+                effect == Effect.KEYED ? 400 * Stage.MILLI : 0,
+                500 * Stage.MILLI,
+                1_000 * Stage.MILLI,
+                1,
+                0);
     }
 
     /** A process that asks nothing by itself. */
@@ -73,11 +92,24 @@
                 told.add("unasked");
             }
         };
-        Surroundings at = new Surroundings(stage, stage, outcomes, List.of(kind(Effect.REPEATABLE)), List.of(), habits,
-                RateFigures.STEADY, new Popularity(new PopularityFigures(10, 1, 0, 0, 1)), ValueFigures.usual(),
-                Surroundings.Asks.ALL, stage.now(), 0);
-        return new UserAgent(new UserAgentFigures("user-1", "10.4.0.1", entry == null ? ROUTER : null, 0, true), at,
-                entry, RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {1, 2}));
+        Surroundings at = new Surroundings(
+                stage,
+                stage,
+                outcomes,
+                List.of(kind(Effect.REPEATABLE)),
+                List.of(),
+                habits,
+                RateFigures.STEADY,
+                new Popularity(new PopularityFigures(10, 1, 0, 0, 1)),
+                ValueFigures.usual(),
+                Surroundings.Asks.ALL,
+                stage.now(),
+                0);
+        return new UserAgent(
+                new UserAgentFigures("user-1", "10.4.0.1", entry == null ? ROUTER : null, 0, true),
+                at,
+                entry,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {1, 2}));
     }
 
     private UserAgent process(Habits habits, BiConsumer<Scripted.Line, String> script) {
@@ -124,7 +156,8 @@
         List<Asked> asked = router.commands().stream().map(Asked::of).toList();
         assertThat(asked).hasSize(tries);
         assertThat(asked).extracting(Asked::id).doesNotHaveDuplicates();
-        assertThat(asked).extracting(a -> a.fact("k"))
+        assertThat(asked)
+                .extracting(a -> a.fact("k"))
                 .containsOnly(effect == Effect.KEYED ? asked.get(0).fact("k") : null)
                 .allMatch(k -> effect != Effect.KEYED || k != null);
         assertThat(asked.subList(1, tries)).allMatch(again -> "1".equals(again.fact("r")));
@@ -134,8 +167,9 @@
 
     @Test
     void anUnreachableRouterLetsEveryClassAskAgainAndAnUnavailableAnswerIsHeeded() {
-        UserAgent process = process(habits(Connections.REUSED, false, 2), (line, command) ->
-                line.answer(router.commands().size() == 1 ? "-BUSY 250\r\n" : VALUE));
+        UserAgent process = process(
+                habits(Connections.REUSED, false, 2),
+                (line, command) -> line.answer(router.commands().size() == 1 ? "-BUSY 250\r\n" : VALUE));
         stage.unlisten(ROUTER);
         process.ask(request(0, Effect.ONCE));
         stage.runFor(20);
@@ -169,14 +203,17 @@
         assertThat(router.lines).hasSize(2);
         List<Asked> asked = router.commands().stream().map(Asked::of).toList();
         assertThat(asked).hasSize(3);
-        assertThat(asked.get(2).id()).isEqualTo(asked.get(1).id()).isNotEqualTo(asked.get(0).id());
+        assertThat(asked.get(2).id())
+                .isEqualTo(asked.get(1).id())
+                .isNotEqualTo(asked.get(0).id());
         assertThat(told).containsExactly("answered 0 SERVED abc", "ended 0 SERVED", "ended 1 BROKEN");
     }
 
     @Test
     void whatIsGivenUpIsClosedAndNothingComesBehindTheClose() {
-        UserAgent process = process(habits(Connections.REUSED, false, 0), (line, command) ->
-                stage.at(stage.now() + 700 * Stage.MILLI, () -> line.answer(VALUE)));
+        UserAgent process = process(
+                habits(Connections.REUSED, false, 0),
+                (line, command) -> stage.at(stage.now() + 700 * Stage.MILLI, () -> line.answer(VALUE)));
         process.ask(request(0, Effect.REPEATABLE));
         stage.runFor(595);
         assertThat(router.lines.get(0).ended || router.lines.get(0).broken).isFalse();
@@ -192,8 +229,10 @@
 
     @Test
     void aLateAnswerThatIsWaitedForIsNotTakenForTheNextRequests() {
-        UserAgent process = process(habits(Connections.REUSED, true, 0), (line, command) ->
-                stage.at(stage.now() + (router.commands().size() == 1 ? 700 : 10) * Stage.MILLI,
+        UserAgent process = process(
+                habits(Connections.REUSED, true, 0),
+                (line, command) -> stage.at(
+                        stage.now() + (router.commands().size() == 1 ? 700 : 10) * Stage.MILLI,
                         () -> line.answer(router.commands().size() == 1 ? "$4\r\nlate\r\n" : VALUE)));
         process.ask(request(0, Effect.REPEATABLE));
         stage.runFor(650);
@@ -226,8 +265,9 @@
 
     @Test
     void whatFindsNoConnectionWaitsAndIsTakenInOrder() {
-        UserAgent process = process(habits(Connections.REUSED, false, 0), (line, command) ->
-                stage.at(stage.now() + 100 * Stage.MILLI, () -> line.answer(VALUE)));
+        UserAgent process = process(
+                habits(Connections.REUSED, false, 0),
+                (line, command) -> stage.at(stage.now() + 100 * Stage.MILLI, () -> line.answer(VALUE)));
         for (int i = 0; i < 20; i++) {
             process.ask(request(i, Effect.REPEATABLE));
         }
@@ -235,15 +275,17 @@
 
         assertThat(router.lines).hasSize(8);
         assertThat(router.commands()).hasSize(20);
-        assertThat(told.stream().filter(line -> line.startsWith("ended"))).hasSize(20)
+        assertThat(told.stream().filter(line -> line.startsWith("ended")))
+                .hasSize(20)
                 .allMatch(line -> line.endsWith("SERVED"));
     }
 
     @Test
     void answersInAnyPiecesAreReadAndWhatNobodyAskedForIsTold() {
         String answer = "*3\r\n$8\r\na\r\n\u00c3\u00a4\r\nb\r\n$3\r\nhit\r\n$-1\r\n";
-        UserAgent process = process(habits(Connections.REUSED, false, 0), (line, command) ->
-                answer.chars().forEach(c -> line.answer(String.valueOf((char) c))));
+        UserAgent process = process(
+                habits(Connections.REUSED, false, 0),
+                (line, command) -> answer.chars().forEach(c -> line.answer(String.valueOf((char) c))));
         process.ask(request(0, Effect.REPEATABLE));
         stage.runFor(50);
         assertThat(told).containsExactly("answered 0 SERVED a\r\n\u00c3\u00a4\r\nb", "ended 0 SERVED");
@@ -264,7 +306,12 @@
             }
         });
         new Scripted(stage, other, (line, command) -> line.answer(command.contains("PING") ? "+PONG\r\n" : VALUE));
-        Front front = new Front(stage, stage, "10.5.0.1", List.of(ROUTER, other), 1_000 * Stage.MILLI,
+        Front front = new Front(
+                stage,
+                stage,
+                "10.5.0.1",
+                List.of(ROUTER, other),
+                1_000 * Stage.MILLI,
                 stage.now() + 60_000 * Stage.MILLI);
         front.start();
         stage.runFor(500);
--- a/src/test/java/slateseam/tier/agreement/RaftExplorationTest.java
+++ b/src/test/java/slateseam/tier/agreement/RaftExplorationTest.java
@@ -28,8 +28,7 @@
     private static final int MOST_UNDER_WAY = 5;
 
     /** What happened: a message came, or something befell a router. */
-    private record Step(int kind, int at) {
-    }
+    private record Step(int kind, int at) {}
 
     /** A small world in which a path of steps is played from the beginning. */
     private static final class Play {
@@ -49,7 +48,9 @@
                 seats.add(new Seat(i, 1));
             }
             for (int i = 0; i < VOTERS; i++) {
-                disks.add(new ArrayList<>(List.of(new Stable.Begin(GROUP, seats.get(i)), new Stable.Snapshot(1, 1, seats, new byte[0]),
+                disks.add(new ArrayList<>(List.of(
+                        new Stable.Begin(GROUP, seats.get(i)),
+                        new Stable.Snapshot(1, 1, seats, new byte[0]),
                         new Stable.Term(1, null))));
                 applied.add(new ArrayList<>());
                 start(i, false);
@@ -93,8 +94,7 @@
                 }
 
                 @Override
-                public void install(long index, byte[] state) {
-                }
+                public void install(long index, byte[] state) {}
 
                 @Override
                 public byte[] content(byte[] hash, int length, int from) {
@@ -139,7 +139,10 @@
                     // The others answer at once what they had from it, so that it goes on.
                     for (int other = 0; other < VOTERS; other++) {
                         if (other != at) {
-                            rafts[at].heard(clocks[at], new Rpc.Recalled(new Rpc.Head(GROUP, rafts[other].self(), rafts[at].self(), 0), 0, 0));
+                            rafts[at].heard(
+                                    clocks[at],
+                                    new Rpc.Recalled(
+                                            new Rpc.Head(GROUP, rafts[other].self(), rafts[at].self(), 0), 0, 0));
                         }
                     }
                     rafts[at].tick(clocks[at]);
@@ -150,7 +153,8 @@
                 }
             }
             for (int i = 0; i < VOTERS; i++) {
-                if (rafts[i].role() == Raft.Role.LEADER && !leaders.computeIfAbsent(rafts[i].term(), x -> -1).equals(i)) {
+                if (rafts[i].role() == Raft.Role.LEADER
+                        && !leaders.computeIfAbsent(rafts[i].term(), x -> -1).equals(i)) {
                     broken = leaders.put(rafts[i].term(), i) == -1 ? broken : "two lead in term " + rafts[i].term();
                 }
             }
@@ -188,7 +192,10 @@
             for (Raft raft : rafts) {
                 text.append(raft.fingerprint()).append(';');
             }
-            underWay.stream().map(message -> Arrays.toString(message.encode())).sorted().forEach(text::append);
+            underWay.stream()
+                    .map(message -> Arrays.toString(message.encode()))
+                    .sorted()
+                    .forEach(text::append);
             return text.toString();
         }
     }
@@ -205,7 +212,9 @@
                 return path + ": " + play.broken;
             }
             String key = play.key();
-            if (path.size() >= depth || !seen.add(((long) key.hashCode() << 32) ^ key.chars().asLongStream().reduce(7, (a, b) -> a * 1_000_003 + b))) {
+            if (path.size() >= depth
+                    || !seen.add(((long) key.hashCode() << 32)
+                            ^ key.chars().asLongStream().reduce(7, (a, b) -> a * 1_000_003 + b))) {
                 continue;
             }
             deepest = Math.max(deepest, path.size());
@@ -215,7 +224,8 @@
                 open.add(longer);
             }
         }
-        return "held in " + seen.size() + " states, " + deepest + " steps deep" + (open.isEmpty() ? "" : ", " + open.size() + " open");
+        return "held in " + seen.size() + " states, " + deepest + " steps deep"
+                + (open.isEmpty() ? "" : ", " + open.size() + " open");
     }
 
     /** Far deeper, but not every path: each is drawn. */
--- a/src/test/java/slateseam/trial/DatagramLinksTest.java
+++ b/src/test/java/slateseam/trial/DatagramLinksTest.java
@@ -25,16 +25,18 @@
     private final DatagramSocket a = new DatagramSocket(0, InetAddress.getLoopbackAddress());
     private final DatagramSocket b = new DatagramSocket(0, InetAddress.getLoopbackAddress());
     private final List<String> lost = new ArrayList<>();
-    private final DatagramLinks links = new DatagramLinks(routers(), new DatagramLinks.Conditions(0, 1_000_000, 0, 0),
-            RandomSource.XO_RO_SHI_RO_128_PP.create(1L), (from, to, bytes, gone) -> {
+    private final DatagramLinks links = new DatagramLinks(
+            routers(),
+            new DatagramLinks.Conditions(0, 1_000_000, 0, 0),
+            RandomSource.XO_RO_SHI_RO_128_PP.create(1L),
+            (from, to, bytes, gone) -> {
                 synchronized (lost) {
                     lost.addAll(gone ? List.of(new String(bytes, StandardCharsets.US_ASCII)) : List.of());
                     lost.notifyAll();
                 }
             });
 
-    DatagramLinksTest() throws IOException {
-    }
+    DatagramLinksTest() throws IOException {}
 
     private Map<String, InetSocketAddress> routers() {
         Map<String, InetSocketAddress> routers = new LinkedHashMap<>();
@@ -105,13 +107,16 @@
         send(b, "b~a", "passes");
         assertThat(text(receive(a))).isEqualTo("passes");
         b.setSoTimeout(50);
-        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> b.receive(new DatagramPacket(new byte[300], 300))))
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(
+                        () -> b.receive(new DatagramPacket(new byte[300], 300))))
                 .isInstanceOf(SocketTimeoutException.class);
         links.stall("a~b", false);
         List<String> come = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             come.add(text(receive(b)));
         }
-        assertThat(come).containsExactlyElementsOf(IntStream.range(0, 200).mapToObj(i -> "held " + i).toList());
+        assertThat(come)
+                .containsExactlyElementsOf(
+                        IntStream.range(0, 200).mapToObj(i -> "held " + i).toList());
     }
 }
