--- a/src/test/java/slateseam/trial/disk/LyingFolderTest.java
+++ b/src/test/java/slateseam/trial/disk/LyingFolderTest.java
@@ -21,22 +21,24 @@
     private final Map<String, byte[]> left = new TreeMap<>();
 
     private LyingFolder folder(long seed) throws IOException {
-        return new LyingFolder(new Platter() {
-            @Override
-            public Map<String, byte[]> all() {
-                return new TreeMap<>(left);
-            }
-
-            @Override
-            public void put(String name, byte[] bytes) {
-                left.put(name, bytes.clone());
-            }
-
-            @Override
-            public void remove(String name) {
-                left.remove(name);
-            }
-        }, new SplittableRandom(seed));
+        return new LyingFolder(
+                new Platter() {
+                    @Override
+                    public Map<String, byte[]> all() {
+                        return new TreeMap<>(left);
+                    }
+
+                    @Override
+                    public void put(String name, byte[] bytes) {
+                        left.put(name, bytes.clone());
+                    }
+
+                    @Override
+                    public void remove(String name) {
+                        left.remove(name);
+                    }
+                },
+                new SplittableRandom(seed));
     }
 
     /** As a program replaces a file that is to last. */
@@ -137,9 +139,13 @@
         LyingFolder folder = folder(1);
         replace(folder, OLD);
         folder.lie(EnumSet.of(Lie.FULL));
-        assertThatThrownBy(() -> replace(folder, NEW)).isInstanceOf(FileSystemException.class).hasMessageContaining("No space left");
+        assertThatThrownBy(() -> replace(folder, NEW))
+                .isInstanceOf(FileSystemException.class)
+                .hasMessageContaining("No space left");
         folder.lie(EnumSet.of(Lie.READ_ONLY));
-        assertThatThrownBy(() -> replace(folder, NEW)).isInstanceOf(FileSystemException.class).hasMessageContaining("Read-only");
+        assertThatThrownBy(() -> replace(folder, NEW))
+                .isInstanceOf(FileSystemException.class)
+                .hasMessageContaining("Read-only");
         assertThat(seen(folder)).isEqualTo(OLD);
         folder.lie(EnumSet.of(Lie.GONE));
         assertThatThrownBy(() -> seen(folder)).isInstanceOf(NoSuchFileException.class);
--- a/src/test/java/slateseam/wire/WireTest.java
+++ b/src/test/java/slateseam/wire/WireTest.java
@@ -17,10 +17,23 @@
 import slateseam.wire.Frames.MalformedFrameException;
 
 class WireTest {
-    private static final String SETTINGS = String.join("\n", "me=0", "replicas_of_me=2", "discovery=ask",
-            "family_info.mode=aside", "family_info.origin_kind=1", "profiles.count=1", "profiles.0.deadline_ns=1000000000",
-            "profiles.0.objective_ns=500000000", "profiles.0.effect=pure", "profiles.0.name=read", "limits.try_limit=4",
-            "limits.peers=true", "rules.drain_grace_ns=500000000", "accounts.count=1", "accounts.0.quota_per_s=12.5",
+    private static final String SETTINGS = String.join(
+            "\n",
+            "me=0",
+            "replicas_of_me=2",
+            "discovery=ask",
+            "family_info.mode=aside",
+            "family_info.origin_kind=1",
+            "profiles.count=1",
+            "profiles.0.deadline_ns=1000000000",
+            "profiles.0.objective_ns=500000000",
+            "profiles.0.effect=pure",
+            "profiles.0.name=read",
+            "limits.try_limit=4",
+            "limits.peers=true",
+            "rules.drain_grace_ns=500000000",
+            "accounts.count=1",
+            "accounts.0.quota_per_s=12.5",
             "unheard.of=1");
 
     /** Keeps what a reader hands over. */
@@ -73,29 +86,44 @@
                 3f000000 90bf68f501000000 05000000 1b0300
                 12 c4913a5d8e570a00 640ad2557c3bf091 0000 001bb70000000000 0000 0100 001c4e0e00000000 00000000
                 16 4d000000 1b0500 15 192b6f0e67080300""");
-        assertEquals(List.of(
-                new RequestArrived(0xa578e5d3a91c4L, 0x91f03b7c55d20a64L, 0, 0, false, false, 12_000_000L, 240_000_000L),
-                new TimerFired(77), new ClientGone(0x308670e6f2b19L)), all);
+        assertEquals(
+                List.of(
+                        new RequestArrived(
+                                0xa578e5d3a91c4L, 0x91f03b7c55d20a64L, 0, 0, false, false, 12_000_000L, 240_000_000L),
+                        new TimerFired(77),
+                        new ClientGone(0x308670e6f2b19L)),
+                all);
     }
 
     @Test
     void goldenListAndItsNews() throws Exception {
-        List<Object> all = decode(batch(3, ("1b0300 1a 00 02000000"
-                + "074a1203 0000 0000 0000 01 0000803f 0000000000000000"
-                + "f211902c 0100 0000 0000 01 0000c03f 009d966b01000000 11 02 00 2900000000000000").replace(" ", "")));
-        assertEquals(List.of(new MembersChanged(ListKind.CACHED, List.of(
-                new Member(0x03124a07L, 0, 0, 0, MemberState.READY, 1, 0),
-                new Member(0x2c9011f2L, 1, 0, 0, MemberState.READY, 1.5, 6_100_000_000L)))), all);
+        List<Object> all = decode(batch(
+                3,
+                ("1b0300 1a 00 02000000"
+                                + "074a1203 0000 0000 0000 01 0000803f 0000000000000000"
+                                + "f211902c 0100 0000 0000 01 0000c03f 009d966b01000000 11 02 00 2900000000000000")
+                        .replace(" ", "")));
+        assertEquals(
+                List.of(new MembersChanged(
+                        ListKind.CACHED,
+                        List.of(
+                                new Member(0x03124a07L, 0, 0, 0, MemberState.READY, 1, 0),
+                                new Member(0x2c9011f2L, 1, 0, 0, MemberState.READY, 1.5, 6_100_000_000L)))),
+                all);
     }
 
     @Test
     void goldenOutcomesProbesAndNotes() throws Exception {
-        List<Object> all = decode(batch(5, ("1b0300"
-                + "14 c4913a5d8e570a00 0000 a0491a0100000000 00 074a1203 00 01 00"
-                + "13 c4913a5d8e570a00 074a1203 d0248d0000000000 00"
-                + "17 f211902c c05c150000000000 0000 00"
-                + "18 02000000 0400 68692037").replace(" ", "")));
-        assertEquals(new AttemptEnded(0xa578e5d3a91c4L, 0x03124a07L, 0, Outcome.OK, false, true, 18_500_000L), all.get(0));
+        List<Object> all = decode(batch(
+                5,
+                ("1b0300"
+                                + "14 c4913a5d8e570a00 0000 a0491a0100000000 00 074a1203 00 01 00"
+                                + "13 c4913a5d8e570a00 074a1203 d0248d0000000000 00"
+                                + "17 f211902c c05c150000000000 0000 00"
+                                + "18 02000000 0400 68692037")
+                        .replace(" ", "")));
+        assertEquals(
+                new AttemptEnded(0xa578e5d3a91c4L, 0x03124a07L, 0, Outcome.OK, false, true, 18_500_000L), all.get(0));
         assertEquals(new StreamEstablished(0xa578e5d3a91c4L, 0x03124a07L, 0), all.get(1));
         assertEquals(new ProbeEnded(0x2c9011f2L, Outcome.OK, 1_400_000L), all.get(2));
         PeerMessage note = (PeerMessage) all.get(3);
@@ -129,13 +157,13 @@
         byte[] frame = w.finish();
         assertArrayEquals(hex("""
                 100300 15 c4913a5d8e570a00 00 17 192b6f0e67080300 80b2e60e00000000 13 192b6f0e67080300 16 f211902c
-                14 f211902c 18 ffffffff 0400 68692037 12 01 11 1200 696e646578206f7574206f662072616e6765"""),
-                java.util.Arrays.copyOfRange(frame, 8, frame.length));
+                14 f211902c 18 ffffffff 0400 68692037 12 01 11 1200 696e646578206f7574206f662072616e6765"""), java.util.Arrays.copyOfRange(frame, 8, frame.length));
         assertEquals(9, frame[4]);
     }
 
     private static String complaint(String hex) {
-        return assertThrows(MalformedFrameException.class, () -> serve(hex(hex))).getMessage();
+        return assertThrows(MalformedFrameException.class, () -> serve(hex(hex)))
+                .getMessage();
     }
 
     private static byte[] serve(byte[] input) throws Exception {
@@ -147,10 +175,13 @@
     @Test
     void malformedInputIsNamedByRecordAndOffset() {
         assertTrue(complaint("00000000").contains("truncated header"));
-        assertTrue(complaint("ffffffff 90bf68f501000000 05000000 1b".replace(" ", "")).contains("truncated frame"));
+        assertTrue(complaint("ffffffff 90bf68f501000000 05000000 1b".replace(" ", ""))
+                .contains("truncated frame"));
         assertTrue(complaint(batch(1, "1b03")).contains("record 0 at offset 16"));
-        assertTrue(complaint(batch(1, "63")).contains("never") || complaint(batch(1, "63")).contains("no instance"));
-        assertTrue(complaint(batch(2, "1b0300" + "15192b6f0e67080300")).contains("instance 3 never launched in record 1"));
+        assertTrue(complaint(batch(1, "63")).contains("never")
+                || complaint(batch(1, "63")).contains("no instance"));
+        assertTrue(
+                complaint(batch(2, "1b0300" + "15192b6f0e67080300")).contains("instance 3 never launched in record 1"));
         assertTrue(complaint(batch(1, "1b03001b0300")).contains("left-over"));
         assertTrue(complaint(batch(1, "1a00ffffffff")).contains("truncated list"));
         assertTrue(complaint(launched(1, "63")).contains("unknown code 99"));
@@ -160,7 +191,12 @@
     private static String launched(int more, String body) {
         byte[] settings = SETTINGS.getBytes(StandardCharsets.UTF_8);
         ByteBuffer b = ByteBuffer.allocate(3 + 13 + settings.length).order(ByteOrder.LITTLE_ENDIAN);
-        b.put((byte) 27).putShort((short) 3).put((byte) 16).putLong(9).putInt(settings.length).put(settings);
+        b.put((byte) 27)
+                .putShort((short) 3)
+                .put((byte) 16)
+                .putLong(9)
+                .putInt(settings.length)
+                .put(settings);
         return batch(2 + more, HexFormat.of().formatHex(b.array()) + body);
     }
 
@@ -181,8 +217,14 @@
     void anUnreadableSettingCrashesOnlyItsInstance() throws Exception {
         byte[] bad = "me=0\nreplicas_of_me=two".getBytes(StandardCharsets.UTF_8);
         ByteBuffer b = ByteBuffer.allocate(3 + 13 + bad.length).order(ByteOrder.LITTLE_ENDIAN);
-        b.put((byte) 27).putShort((short) 4).put((byte) 16).putLong(9).putInt(bad.length).put(bad);
-        byte[] reply = serve(hex(batch(4, HexFormat.of().formatHex(b.array()) + launched(0, "").substring(32))));
+        b.put((byte) 27)
+                .putShort((short) 4)
+                .put((byte) 16)
+                .putLong(9)
+                .putInt(bad.length)
+                .put(bad);
+        byte[] reply = serve(hex(
+                batch(4, HexFormat.of().formatHex(b.array()) + launched(0, "").substring(32))));
         String text = new String(reply, StandardCharsets.ISO_8859_1);
         assertTrue(text.contains("setting replicas_of_me=two cannot be read"));
         assertTrue(text.indexOf('\u0019', text.indexOf("be read")) > 0, "the other one set its timer");
@@ -209,10 +251,14 @@
     @Test
     void aMissingSettingIsNamed() {
         String text = SETTINGS.replace("limits.try_limit=4\n", "");
-        assertEquals("setting limits.try_limit is missing",
-                assertThrows(InvalidSettingException.class, () -> SettingsParser.parse(text)).getMessage());
+        assertEquals(
+                "setting limits.try_limit is missing",
+                assertThrows(InvalidSettingException.class, () -> SettingsParser.parse(text))
+                        .getMessage());
         String odd = SETTINGS.replace("effect=pure", "effect=wild");
-        assertEquals("setting profiles.0.effect=wild cannot be read",
-                assertThrows(InvalidSettingException.class, () -> SettingsParser.parse(odd)).getMessage());
+        assertEquals(
+                "setting profiles.0.effect=wild cannot be read",
+                assertThrows(InvalidSettingException.class, () -> SettingsParser.parse(odd))
+                        .getMessage());
     }
 }
