--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -27,6 +27,8 @@
     private static final double RATE_WEIGHT = 0.25;
     /** Requests that bear the cost of one exchange. */
     private static final double REQUESTS_AN_EXCHANGE = 5;
+    /** Exchanges in which all pages behind the first are told, if requests bear that many messages. */
+    private static final int EXCHANGES_A_ROUND = 8;
 
     private static final long START = 2 * Timing.SECOND;
     private final DecisionContext context;
@@ -36,7 +38,10 @@
     private final Account origin;
     private final OriginRate originRate;
     private final List<Account> accounts = new ArrayList<>();
-    /** Those beside it on the ring, and the partners of its links. */
+    /** How many accounts each page of the messages holds. */
+    private final List<Integer> pages;
+
+    /** Those beside it on the ring, and the partners of its links, with whom it exchanges the first page alone. */
     private final List<Neighbour> neighbours = new ArrayList<>();
 
     private final SupplyLinks links;
@@ -62,12 +67,11 @@
         origin = new Account(START_RATE * routers, evenShare);
         originRate = new OriginRate(context, origin, evenShare);
         accounts.add(origin);
-        context.settings().tenants().stream()
-                .limit(SupplyMessage.MOST_ACCOUNTS - 1)
-                .forEach(tenant -> accounts.add(new Account(tenant.quotaPerSecond(), evenShare)));
+        context.settings().tenants().forEach(tenant -> accounts.add(new Account(tenant.quotaPerSecond(), evenShare)));
+        pages = SupplyMessage.pages(accounts.size());
         boolean peers = context.settings().limits().peers();
         partners = peers ? links.partners(context.settings().me(), routers) : Set.of();
-        earlier = new EarlierSupply(accounts);
+        earlier = new EarlierSupply(firstPage());
     }
 
     OriginRate originRate() {
@@ -97,6 +101,10 @@
         earlier.start(!partners.isEmpty(), now);
     }
 
+    private List<Account> firstPage() {
+        return accounts.subList(0, pages.get(0));
+    }
+
     /** What this router holds of the origin's budget. */
     Holding holding() {
         return new Holding(origin, joined && !resting);
@@ -119,11 +127,12 @@
 
     private void meet(int peer) {
         long now = context.now();
+        List<Account> shared = partners.contains(peer) ? firstPage() : accounts;
         Neighbour neighbour =
-                new Neighbour(context.settings().me(), context.settings().routers(), peer, accounts, now);
+                new Neighbour(context.settings().me(), context.settings().routers(), peer, shared, now);
         neighbours.add(neighbour);
         neighbour.asked(now);
-        send(neighbour, true);
+        send(neighbour, 0, true);
     }
 
     /** Until it has seen what is asked for here, nothing moves by a demand that is only the floor. */
@@ -140,40 +149,41 @@
         return neighbour.heir && earlier.isWaiting();
     }
 
-    private void send(Neighbour to, boolean ask) {
+    private void send(Neighbour to, int page, boolean ask) {
         Map<Long, Double> popular =
-                to.ring ? keys.tell(to.peer, SupplyMessage.room(accounts.size()), PASSED_ON) : Map.of();
-        SupplyMessage message = to.message(ask, starting(to), life, origin.rate, popular);
+                to.ring ? keys.tell(to.peer, SupplyMessage.room(page, pages.get(page)), PASSED_ON) : Map.of();
+        SupplyMessage message = to.ledger(page).message(ask, starting(to), life, origin.rate, popular);
         context.emit(new TellPeer(to.peer, message.encode()));
     }
 
     /** Tells a router that has just started what its earlier life had, if this router is its heir. */
     private void remind(Neighbour neighbour) {
-        SupplyReminder reminder = partners.isEmpty() ? null : neighbour.reminder();
+        boolean may = neighbour.buddy && !partners.isEmpty();
+        SupplyReminder reminder = may ? neighbour.ledger(0).reminder() : null;
         if (reminder != null) {
             context.emit(new TellPeer(neighbour.peer, reminder.encode()));
         }
     }
 
     private void reminded(Neighbour by, SupplyReminder reminder) {
-        if (reminder != null && reminder.to() == life && by.heir && by.known()) {
+        if (reminder != null && reminder.to() == life && by.heir && by.ledger(0).known()) {
             earlier.told(reminder);
         }
     }
 
     private boolean allKnown() {
-        return neighbours.stream().allMatch(Neighbour::known);
+        return neighbours.stream().allMatch(each -> each.ledger(0).known());
     }
 
     void received(PeerMessage event) {
-        SupplyMessage message = SupplyMessage.decode(event.payload(), accounts.size());
+        SupplyMessage message = SupplyMessage.decode(event.payload(), pages);
         for (Neighbour neighbour : neighbours) {
             if (neighbour.peer != event.from()) {
                 continue;
             }
             if (!partners.isEmpty() && SupplyReminder.isOne(event.payload())) {
-                reminded(neighbour, SupplyReminder.decode(event.payload(), accounts.size()));
-            } else if (message != null) {
+                reminded(neighbour, SupplyReminder.decode(event.payload(), pages.get(0)));
+            } else if (message != null && (neighbour.ring || message.page() == 0)) {
                 received(neighbour, message);
             } else {
                 neighbour.isThere(context.now()); // of another build: what it says is passed over
@@ -186,34 +196,47 @@
         if (message.to() != 0 && message.to() - life > 0) {
             life = message.to() + 1 == 0 ? 1 : message.to() + 1;
         }
-        boolean knew = from.known();
+        Ledger ledger = from.ledger(message.page());
+        boolean knew = ledger.known();
         earlier.hearing();
         boolean news = from.hear(message, life, context.now());
-        if (!knew && from.known()) {
+        if (message.page() == 0 && !knew && ledger.known()) {
             earlier.adopted(allKnown());
         }
         if (news) {
             take(from, message, knew);
         }
-        if (message.ask() && (news || message.from() != from.life())) {
-            send(from, false);
+        if (message.ask() && (news || message.from() != ledger.life())) {
+            send(from, message.page(), false);
         }
-        if (message.ask() && message.starting()) {
+        if (message.page() == 0 && message.ask() && message.starting()) {
             remind(from);
         }
+        if (from.ring && !knew && ledger.known()) {
+            askForUnknownPage(from);
+        }
+    }
+
+    /** One that has just started takes over all pages at once: it asks for each as the one before is answered. */
+    private void askForUnknownPage(Neighbour of) {
+        int page = of.unknownPage();
+        if (page > 0) {
+            send(of, page, true);
+        }
     }
 
     private void take(Neighbour from, SupplyMessage message, boolean knew) {
         // Neighbours learn R together, each from few fetches; a new one takes it over.
         double weight = from.ring ? RATE_WEIGHT : links.rateWeight(partners.size());
-        double part = !message.known() ? 0 : !knew && starting() ? 1 : weight;
+        double part = message.page() > 0 || !message.known() ? 0 : !knew && starting() ? 1 : weight;
         origin.rate = Math.pow(origin.rate, 1 - part) * Math.pow(message.rate(), part);
         if (from.ring) {
             keys.hear(from.peer, message.popular());
         }
         joined |= neighbours.stream().allMatch(Neighbour::answered);
-        for (int a = 0; a < accounts.size() && from.mayMove() && !starting(from); a++) {
-            from.move(a, wanted(accounts.get(a), message.held()[a], message.demand()[a], movedPart(from)));
+        Ledger ledger = from.ledger(message.page());
+        for (int a = 0; a < message.held().length && ledger.mayMove() && !starting(from); a++) {
+            ledger.move(a, wanted(ledger.account(a), message.held()[a], message.demand()[a], movedPart(from)));
         }
     }
 
@@ -276,8 +299,23 @@
                 neighbour.inherit();
             }
             neighbour.asked(now);
-            if (neighbour.lower || doubt || !neighbour.known() || awaitsWordOf(neighbour)) {
-                send(neighbour, true);
+            if (neighbour.lower || doubt || !neighbour.ledger(0).known() || awaitsWordOf(neighbour)) {
+                send(neighbour, 0, true);
+            }
+            if (!doubt && neighbour.ring) {
+                askForFurtherPages(neighbour, usual / bearable);
+            }
+        }
+    }
+
+    /** Asks for pages behind the first, in turn; no more of them than the requests since the last exchange bear, but for one. */
+    private void askForFurtherPages(Neighbour of, double bearable) {
+        int further = pages.size() - 1;
+        int most = (further + EXCHANGES_A_ROUND - 1) / EXCHANGES_A_ROUND;
+        for (int i = 0; i < Math.min(most, Math.max(1, bearable)); i++) {
+            int page = of.nextPage();
+            if (of.lower || !of.ledger(page).known()) {
+                send(of, page, true);
             }
         }
     }
--- a/src/main/java/slateseam/decision/SupplyReminder.java
+++ b/src/main/java/slateseam/decision/SupplyReminder.java
@@ -7,10 +7,10 @@
  * had as it told last. By that the one that starts knows what the ledgers of partners say that it has not heard yet.
  *
  * @param to life of the receiver
- * @param units for each account, the receiver's own supply as its earlier life told it last
+ * @param units for each account on the first page of messages, the receiver's own supply as its earlier life told it last
  */
 record SupplyReminder(int to, int[] units) {
-    private static final byte VERSION = 4;
+    private static final byte VERSION = 5;
     private static final int HEADER_BYTES = 2 + Integer.BYTES;
 
     /** Whether these bytes are to be read as a reminder. */
--- a/src/main/java/slateseam/router/tier/Tier.java
+++ b/src/main/java/slateseam/router/tier/Tier.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,12 +21,12 @@
 import slateseam.router.net.Loop;
 import slateseam.router.peer.Peers;
 import slateseam.tier.members.Change;
-import slateseam.tier.members.Doubt;
+import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
 import slateseam.tier.members.Members;
+import slateseam.tier.members.MembersPort;
 import slateseam.tier.members.MembersSettings;
 import slateseam.tier.members.Reach;
-import slateseam.tier.members.Sink;
 import slateseam.tier.members.State;
 import slateseam.tier.members.Traffic;
 
@@ -43,6 +42,7 @@
     private final NodeConfig config;
     private final Loop loop;
     private final Consumer<Event> decision;
+    private Consumer<Change> observer = change -> {};
     private final Map<Integer, Sight> sights = new HashMap<>();
     private Trust trust = Trust.FULL;
     /** Null while another process of this router speaks for it. */
@@ -62,6 +62,11 @@
         this.decision = decision;
     }
 
+    /** Tells of each change of this router's view, too, from now on. */
+    public void observe(Consumer<Change> told) {
+        observer = told;
+    }
+
     /** Begins a life, by these datagrams; null to fall silent without a word, as another process of this router goes on. */
     public void talk(Peers by) {
         peers = by;
@@ -88,7 +93,7 @@
                         settings.toldPlaces()),
                 loop.now(),
                 new SplittableRandom(config.seed() ^ SEED),
-                new Sink() {
+                new MembersPort() {
                     @Override
                     public void send(InetSocketAddress to, byte[] datagram) {
                         if (peers != null) {
@@ -133,6 +138,7 @@
                 .line(
                         change.kind().word(),
                         lastChange.substring(change.kind().word().length() + 1));
+        observer.accept(change);
     }
 
     /** Tells the decision module what its ring needs to know. */
@@ -168,18 +174,12 @@
 
     /** The numbers of the routers that are there, this one among them. */
     public Set<Integer> present() {
-        Set<Integer> present = new HashSet<>(Set.of(config.settings().me()));
-        if (members != null) {
-            members.view().stream()
-                    .filter(one -> !one.state().isGone() && one.number() >= 0)
-                    .forEach(one -> present.add(one.number()));
-        }
-        return present;
+        return members == null ? Set.of(config.settings().me()) : members.numbers();
     }
 
     /** Whether it trusts that. */
     public boolean isTrusted() {
-        return members != null && members.doubt() == Doubt.NONE;
+        return members != null && members.doubt() == LocalHealthIssue.NONE;
     }
 
     /** It ends, and says so. */
@@ -204,7 +204,7 @@
                 .gauge("tier_suspect", () -> count(State.SUSPECT))
                 .gauge("tier_failed", () -> count(State.FAILED))
                 .gauge("tier_detect_ms", () -> (int) Math.min(Integer.MAX_VALUE, detectNanos / Clock.MILLI))
-                .gauge("tier_doubt", () -> members == null || members.doubt() == Doubt.NONE ? 0 : 1)
+                .gauge("tier_doubt", () -> members == null || members.doubt() == LocalHealthIssue.NONE ? 0 : 1)
                 .gauge(
                         "tier_not_heard",
                         () -> members == null
--- a/src/main/java/slateseam/simulate/scenario/Schema.java
+++ b/src/main/java/slateseam/simulate/scenario/Schema.java
@@ -203,7 +203,7 @@
                 Often.ONCE,
                 1,
                 List.of(
-                        Name.count("number", 1, 250, null, "how many there are"),
+                        Name.count("number", 1, 1024, null, "how many there are"),
                         Name.count("descriptors", 64, 65_536, "1024", "descriptors that each may hold"),
                         Name.size("memory", 32 * 1024, 16 * 1024 * 1024, "192 MiB", "memory of each"),
                         Name.count("held", 1, 4096, "4096", "requests that each may hold open"),
@@ -299,7 +299,7 @@
         return new Type(
                 "tenant",
                 Often.NAMED,
-                64,
+                1024,
                 List.of(
                         Name.share("share", 0, 100, null, "its part of the service"),
                         Name.share("use", 0, 1000, "100 %", "how much of its part it asks for"),
@@ -313,7 +313,7 @@
                 Often.NAMED,
                 16,
                 List.of(
-                        Name.count("number", 0, 1000, null, "how many there are"),
+                        Name.count("number", 0, 4096, null, "how many there are"),
                         Name.count("cores", 1, 256, null, "cores of each"),
                         Name.factor("speed", 0.01, 100, "1", "speed of a core, drawn for each machine"),
                         Name.count("slots", 1, 4096, "", "requests in work; as many as cores, where it is not written"),
@@ -359,6 +359,11 @@
                                 List.of("stops", "goes-on"),
                                 "stops | goes-on",
                                 "what becomes of work that nobody waits for"),
+                        Name.choice(
+                                "falls",
+                                YES_NO,
+                                "yes",
+                                "whether one that is cold falls by the work that its requests happen to be"),
                         Name.share("errors", 0, 100, "0..0.1 %", "requests that end in an error"),
                         Name.share(
                                 "told-size",
--- a/src/main/java/slateseam/tier/members/Members.java
+++ b/src/main/java/slateseam/tier/members/Members.java
@@ -18,7 +18,7 @@
 import slateseam.tier.members.Message.Verdict;
 
 /**
- * One router's view of the tier. It is told the time and datagrams, and tells its {@link Sink} what to send and what has changed. Not
+ * One router's view of the tier. It is told the time and datagrams, and tells its {@link MembersPort} what to send and what has changed. Not
  * thread-safe. The same settings, source of chance and calls give the same actions.
  */
 public final class Members {
@@ -44,14 +44,14 @@
 
     private final MembersSettings settings;
     private final RandomGenerator random;
-    private final Sink sink;
+    private final MembersPort sink;
     private final long self;
     private final int tier;
     private final Roster roster;
     private final Watch watch;
-    private final OwnDoubt doubt;
+    private final LocalHealth doubt;
     private final Map<Traffic, Long> traffic = new EnumMap<>(Traffic.class);
-    private final Own own;
+    private final SelfState own;
     private final Parts parts;
     private boolean left;
     private long now;
@@ -62,14 +62,14 @@
     /** Whose digest was another for long. */
     private final Set<Long> differing = new LinkedHashSet<>();
 
-    private Doubt told = Doubt.NONE;
+    private LocalHealthIssue told = LocalHealthIssue.NONE;
 
     /**
      * Begins a life.
      *
      * @param now in Unix time; its milliseconds are the life's number
      */
-    public Members(MembersSettings settings, long now, RandomGenerator random, Sink sink) {
+    public Members(MembersSettings settings, long now, RandomGenerator random, MembersPort sink) {
         this.settings = settings;
         this.random = random;
         this.sink = sink;
@@ -77,7 +77,7 @@
         nextPeriod = now;
         self = Ids.of(settings.name());
         tier = (int) Ids.of(settings.tier());
-        roster = new Roster(settings, self, new Sink() {
+        roster = new Roster(settings, self, new MembersPort() {
             @Override
             public void send(InetSocketAddress to, byte[] datagram) {
                 throw new IllegalStateException("the roster sends nothing");
@@ -97,8 +97,8 @@
                 self,
                 roster,
                 (to, verdict) -> send(to.place, Message.Kind.HEARTBEAT, false, accused(to, verdict), true));
-        doubt = new OwnDoubt(settings, self, roster, watch, now);
-        own = new Own(settings, self, now, roster, doubt, sink);
+        doubt = new LocalHealth(settings, self, roster, watch, now);
+        own = new SelfState(settings, self, now, roster, doubt, sink);
     }
 
     private void count(Traffic what, long more) {
@@ -117,12 +117,12 @@
             period();
         }
         boolean doubted = doubt.isThere();
-        Doubt is = doubt.look(now);
-        if (doubted && is == Doubt.NONE) {
+        LocalHealthIssue is = doubt.look(now);
+        if (doubted && is == LocalHealthIssue.NONE) {
             watch.listenAnew(now);
         }
-        watch.look(now, is != Doubt.NONE);
-        watch.judge(now, is != Doubt.NONE);
+        watch.look(now, is != LocalHealthIssue.NONE);
+        watch.judge(now, is != LocalHealthIssue.NONE);
         is = doubt.look(now);
         if (is != told) {
             sink.changed(new Change(
@@ -134,8 +134,8 @@
     private void period() {
         periods++;
         whoLeft = MOST_WHO_A_PERIOD;
-        Set<Long> to = roster.rings.watchers(self);
-        if (doubt.now() == Doubt.UNHEARD || doubt.now() == Doubt.MINORITY) {
+        Set<Long> to = ownWatchers();
+        if (doubt.now() == LocalHealthIssue.UNHEARD || doubt.now() == LocalHealthIssue.MINORITY) {
             for (int i = 0; i < BESIDE; i++) {
                 Member other = any();
                 if (other != null) {
@@ -158,14 +158,24 @@
         }
     }
 
+    /** Who watches this router, in the rings' order. */
+    private Set<Long> ownWatchers() {
+        Set<Long> watchers = new LinkedHashSet<>();
+        for (long id : roster.rings.watchers(self)) {
+            watchers.add(id);
+        }
+        return watchers;
+    }
+
     private Member any() {
-        List<Member> there = new ArrayList<>();
+        int others = roster.present() - 1;
+        int left = others == 0 ? 0 : random.nextInt(others);
         for (Member member : roster.all()) {
-            if (!member.state.isGone()) {
-                there.add(member);
+            if (!member.state.isGone() && left-- == 0) {
+                return member;
             }
         }
-        return there.isEmpty() ? null : there.get(random.nextInt(there.size()));
+        return null;
     }
 
     /** Whoever is a suspect here is told so with each message, as others lose or overtake one another and it has little time to answer. */
@@ -261,7 +271,7 @@
                         own.incarnation(),
                         own.next(),
                         roster.digest(),
-                        (int) Math.round(255 * doubt.silentPart()),
+                        (int) Math.round(Member.MOST_SILENT * doubt.silentPart()),
                         all)
                 .encode();
         count(Traffic.SENT, 1);
@@ -392,8 +402,8 @@
         sender.sequence = message.sequence();
         sender.place = from;
         sender.hear(now, settings.periodNanos(), !doubt.isThere());
-        sender.silentPart = message.silent() / 255.0;
-        doubt.heard(sender.id);
+        sender.silent = message.silent();
+        doubt.heard(sender);
         if (message.incarnation() > sender.incarnation) {
             roster.take(sender, message.life(), message.incarnation(), State.ALIVE, sender.id, now);
         } else if (sender.state == State.SUSPECT) {
@@ -503,7 +513,7 @@
         now = nanos;
         if (!left) {
             Claim claim = new Claim(self, own.life(), own.incarnation(), State.LEFT, self);
-            Set<Long> to = roster.rings.watchers(self);
+            Set<Long> to = ownWatchers();
             for (Member member : roster.all()) {
                 if (to.contains(member.id)
                         || member.state == State.ALIVE
@@ -518,7 +528,7 @@
     }
 
     /** Why this router does not trust its view; none if it does. */
-    public Doubt doubt() {
+    public LocalHealthIssue doubt() {
         return doubt.now();
     }
 
@@ -564,6 +574,11 @@
         return List.copyOf(views.values());
     }
 
+    /** The numbers of those that are there, this router among them; the same object until that changes. */
+    public Set<Integer> numbers() {
+        return roster.numbers();
+    }
+
     /** A digest of who is there; the same at all routers that see the same. */
     public int digest() {
         return roster.digest();
--- a/src/test/java/slateseam/decision/SupplyLinksTest.java
+++ b/src/test/java/slateseam/decision/SupplyLinksTest.java
@@ -58,7 +58,7 @@
         int[] none = new int[1];
         return new PeerMessage(
                 from,
-                new SupplyMessage(true, false, true, 5, 0, 1, 0, 40, none, none, none, new double[] {1}, Map.of())
+                new SupplyMessage(0, true, false, true, 5, 0, 1, 0, 40, none, none, none, new double[] {1}, Map.of())
                         .encode());
     }
 
@@ -82,7 +82,8 @@
     @Test
     void partnersAreToldNoKeys() {
         for (TellPeer tell : told(ON, ask(4))) {
-            assertThat(SupplyMessage.decode(tell.payload(), 1).popular()).isEmpty();
+            assertThat(SupplyMessage.decode(tell.payload(), List.of(1)).popular())
+                    .isEmpty();
         }
     }
 
@@ -97,6 +98,6 @@
                 .isNull();
         assertThat(SupplyReminder.isOne(new byte[0])).isFalse();
         // A build without links takes it for a message of another version.
-        assertThat(SupplyMessage.decode(bytes, 2)).isNull();
+        assertThat(SupplyMessage.decode(bytes, List.of(2))).isNull();
     }
 }
--- a/src/test/java/slateseam/simulate/SupplyBugs.java
+++ b/src/test/java/slateseam/simulate/SupplyBugs.java
@@ -12,26 +12,26 @@
         return List.of(
                 bug(
                         "a transfer is counted again with each message that tells it",
-                        "Neighbour",
+                        "Ledger",
                         "            own.units += moved;\n            flow[a] += moved;\n",
                         "            own.units += moved;\n"),
-                bug("a lost acknowledgement gives the supply back", "Neighbour", "m.heard() == sent) {", "true) {"),
+                bug("a lost acknowledgement gives the supply back", "Ledger", "m.heard() == sent) {", "true) {"),
                 bug(
                         "what is asked back is used before it is given",
-                        "Neighbour",
+                        "Ledger",
                         "-= Math.max(0, moved);\n    }",
                         "-= moved;\n    }"),
                 bug(
                         "a restart forgets what its partners' books say",
-                        "Neighbour",
+                        "Ledger",
                         "            accounts.get(a).units += lower ? -theirs[a] : theirs[a];\n",
                         ""),
                 bug("a restart behind a cut uses an even share", "EarlierSupply", "hasPartners ? -base[a] : 0;", "0;"),
                 bug(
                         "a message of an earlier life is believed",
-                        "Neighbour",
-                        "if (!anew && (m.from() != life || m.sequence() - heard <= 0)) {",
-                        "if (false) {"));
+                        "Ledger",
+                        "return isAnew(m) || m.from() == life && m.sequence() - heard > 0;",
+                        "return true;"));
     }
 
     private static PlantedBug bug(String name, String file, String text, String instead) {
--- a/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
+++ b/src/test/java/slateseam/simulate/tier/MembersHardCasesTest.java
@@ -4,13 +4,18 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import slateseam.Census;
 import slateseam.simulate.tier.MembersWorld.Ways;
+import slateseam.tier.members.Change;
 import slateseam.tier.members.Change.Kind;
-import slateseam.tier.members.Doubt;
+import slateseam.tier.members.LocalHealthIssue;
 import slateseam.tier.members.MemberView;
+import slateseam.tier.members.Members;
+import slateseam.tier.members.MembersPort;
 import slateseam.tier.members.MembersSettings;
 import slateseam.tier.members.Reach;
 import slateseam.tier.members.State;
@@ -41,7 +46,7 @@
                         .isEqualTo(there);
                 assertThat(world.members(i).doubt())
                         .as("%s: doubt of router %d", what, i)
-                        .isEqualTo(Doubt.NONE);
+                        .isEqualTo(LocalHealthIssue.NONE);
                 assertThat(world.members(i).digest())
                         .as("%s: view of router %d", what, i)
                         .isEqualTo(first(world).digest());
@@ -125,7 +130,7 @@
             world.run(30 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).hasSize(4).noneMatch(one -> one.by() == 1);
             world.pause(1, false);
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.PAUSED);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.PAUSED);
             world.run(3 * SECOND);
             assertThat(seen(world, Kind.SUSPECTED)).noneMatch(one -> one.by() == 1);
             assertThat(seen(world, Kind.FAILED)).hasSize(4);
@@ -143,8 +148,8 @@
             }
             world.run(5 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).isEmpty();
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.MINORITY);
-            assertThat(world.members(4).doubt()).isEqualTo(Doubt.MINORITY);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.MINORITY);
+            assertThat(world.members(4).doubt()).isEqualTo(LocalHealthIssue.MINORITY);
             for (int i : new int[] {0, 2, 3}) {
                 world.pause(i, false);
             }
@@ -215,9 +220,9 @@
             world.mute(1, true);
             world.run(5 * SECOND);
             assertThat(seen(world, Kind.FAILED)).as("seed " + seed).hasSize(4).noneMatch(one -> one.by() == 1);
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.UNHEARD);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.UNHEARD);
             world.run(15 * SECOND);
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.UNHEARD);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.UNHEARD);
             assertThat(world.members(1).present()).isEqualTo(5);
             world.mute(1, false);
             world.run(3 * SECOND);
@@ -232,7 +237,7 @@
             world.deaf(1, true);
             world.run(20 * SECOND);
             assertThat(seen(world, Kind.SUSPECTED)).as("seed " + seed).isEmpty();
-            assertThat(world.members(1).doubt()).isEqualTo(Doubt.MINORITY);
+            assertThat(world.members(1).doubt()).isEqualTo(LocalHealthIssue.MINORITY);
             assertThat(world.members(0).present()).isEqualTo(5);
             world.deaf(1, false);
             world.run(2 * SECOND);
@@ -254,7 +259,7 @@
                     boolean most = i >= fewer && 2 * fewer < n;
                     assertThat(world.members(i).doubt())
                             .as("%d routers, seed %d, router %d", n, seed, i)
-                            .isEqualTo(most ? Doubt.NONE : Doubt.MINORITY);
+                            .isEqualTo(most ? LocalHealthIssue.NONE : LocalHealthIssue.MINORITY);
                     assertThat(world.members(i).present()).isEqualTo(most ? n - fewer : n);
                 }
                 world.halve(fewer, false);
@@ -422,7 +427,7 @@
         world.run(400 * SECOND);
         assertThat(world.members(0).view()).hasSize(2);
         assertThat(seen(world, Kind.FORGOTTEN)).hasSize(3_000);
-        assertThat(world.members(0).doubt()).isEqualTo(Doubt.NONE);
+        assertThat(world.members(0).doubt()).isEqualTo(LocalHealthIssue.NONE);
     }
 
     @Test
@@ -451,6 +456,49 @@
         assertThat(seen(world, Kind.FULL)).isNotEmpty();
     }
 
+    /** A tier of thousands has room; names without end fill no more than the bound, which is told once, and each costs no more. */
+    @Test
+    void thousandsAreTakenAndNoMoreThanTheBound() {
+        int tier = 3_000;
+        MembersWorld world = new MembersWorld(1, 1, Ways.USUAL, UnaryOperator.identity());
+        world.start(0);
+        for (int number = 1; number <= MembersSettings.MOST + 1_000; number++) {
+            world.inject(0, new InetSocketAddress("127.0.0.1", number), firstWord("guest-" + number, world.place(0)));
+            if (number == tier) {
+                assertThat(world.members(0).view()).hasSize(tier);
+                assertThat(seen(world, Kind.FULL)).isEmpty();
+            }
+        }
+        assertThat(world.members(0).view()).hasSize(MembersSettings.MOST);
+        assertThat(seen(world, Kind.FULL)).hasSize(1);
+        long entries = Census.of(world.members(0), "slateseam.tier.").values().stream()
+                .mapToLong(entry -> entry)
+                .sum();
+        assertThat(entries).isLessThan(10L * MembersSettings.MOST);
+    }
+
+    /** What a router says first to another that its list has. */
+    private static byte[] firstWord(String name, InetSocketAddress to) {
+        byte[][] said = new byte[1][];
+        new Members(
+                        MembersSettings.usual("tier", name, 1, List.of(to)),
+                        MembersWorld.BEGIN,
+                        new SplittableRandom(1),
+                        new MembersPort() {
+                            @Override
+                            public void send(InetSocketAddress place, byte[] datagram) {
+                                said[0] = datagram;
+                            }
+
+                            @Override
+                            public void changed(Change change) {
+                                // only its word is wanted
+                            }
+                        })
+                .tick(MembersWorld.BEGIN);
+        return said[0];
+    }
+
     /** Bits that flip, a tier of another name, an absurd life, and what an earlier life sent: dropped, counted, nothing changed. */
     @Test
     void whatCannotBeIsDroppedAndCounted() {
@@ -461,7 +509,7 @@
                 MembersSettings.usual("tier", "router-2", 1, List.of(world.place(0))),
                 MembersWorld.BEGIN - SECOND,
                 new java.util.SplittableRandom(1),
-                new slateseam.tier.members.Sink() {
+                new slateseam.tier.members.MembersPort() {
                     @Override
                     public void send(InetSocketAddress to, byte[] datagram) {
                         kept[0] = datagram;
