--- a/src/main/java/slateseam/decision/Ledger.java
+++ b/src/main/java/slateseam/decision/Ledger.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 /**
  * What this router and one ring neighbour have moved between them of the accounts on one page of their messages: one total for each
@@ -19,6 +20,9 @@
     private boolean answered;
     private boolean mayMove;
     private boolean told;
+    /** Whether what it told last is what its books said, and not what a life that has just started makes of them. */
+    private boolean toldByBooks;
+
     private int life;
     private int sent;
     private int heard;
@@ -78,7 +82,7 @@
                 heard,
                 rate,
                 flow.clone(),
-                accounts.stream().mapToInt(a -> a.units).toArray(),
+                accounts.stream().mapToInt(Account::own).toArray(),
                 accounts.stream().mapToInt(Account::held).toArray(),
                 accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(),
                 popular);
@@ -103,6 +107,7 @@
             theirUnits = m.units().clone();
             theirFlow = m.flow();
             told = true;
+            toldByBooks = m.known() && !m.starting();
         }
         mayMove = false;
         if (m.to() == me) {
@@ -170,12 +175,24 @@
     void inherit() {
         loan = new int[flow.length];
         for (int a = 0; a < loan.length; a++) {
-            int underway = lower ? debited(a) - theirFlow[a] : 0;
-            loan[a] = Math.max(0, theirUnits[a] + underway);
+            loan[a] = Math.max(0, theirs(a));
             accounts.get(a).inherited += loan[a];
         }
     }
 
+    /** The other router's own supply as it told last, with what has moved to it since. */
+    private int theirs(int a) {
+        return theirUnits[a] + (lower ? debited(a) - theirFlow[a] : 0);
+    }
+
+    /** What a life of the other router that has just started is to know of the one before; null if this one does not know it. */
+    SupplyReminder reminder() {
+        return toldByBooks && known
+                ? new SupplyReminder(
+                        life, IntStream.range(0, flow.length).map(this::theirs).toArray())
+                : null;
+    }
+
     /**
      * Stops using the other router's supply.
      *
--- a/src/main/java/slateseam/decision/Neighbour.java
+++ b/src/main/java/slateseam/decision/Neighbour.java
@@ -43,6 +43,10 @@
     final boolean lower;
     /** Whether this router inherits the other's supply: it is its ring successor. */
     final boolean buddy;
+    /** Whether the other is beside this router on the ring; else it is the partner of a link. */
+    final boolean ring;
+    /** Whether the other inherits this router's supply. */
+    final boolean heir;
 
     private final List<Account> accounts;
     /** One for each page of the messages. */
@@ -65,6 +69,8 @@
         this.accounts = accounts;
         lower = me < peer;
         buddy = (peer + 1) % routers == me;
+        heir = (me + 1) % routers == peer;
+        ring = buddy || heir;
         heardAt = now;
         lookedAt = now;
         int first = 0;
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -128,7 +128,7 @@
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
         longestNanos = config.settings().longestAnswerNanos();
         versions = new Versions(config.settings());
-        core = new Core(loop, versions, config.seed(), config.mostHeld());
+        core = new Core(loop, versions, config.seed(), config.mostHeld(), features.supplyLinks());
         passes = new Passes(
                 loop,
                 farm,
--- a/src/main/java/slateseam/simulate/scenario/Day.java
+++ b/src/main/java/slateseam/simulate/scenario/Day.java
@@ -141,6 +141,7 @@
      * @param probes whether servers may be probed
      * @param messages whether routers may send each other datagrams
      * @param tier whether routers know their tier in common: off, keep or rest
+     * @param supplyLinks whether routers exchange supply beyond their ring neighbours
      * @param comeBack whether an unavailable answer may tell when to come back
      * @param longestComeBackNanos the latest such time
      * @param connectNanos a server's connection that is not up by then has failed
@@ -166,6 +167,7 @@
             boolean probes,
             boolean messages,
             String tier,
+            boolean supplyLinks,
             boolean comeBack,
             long longestComeBackNanos,
             long connectNanos,
--- a/src/main/java/slateseam/simulate/scenario/DayDraw.java
+++ b/src/main/java/slateseam/simulate/scenario/DayDraw.java
@@ -188,6 +188,7 @@
                 r.yes("probes"),
                 r.yes("messages"),
                 r.word("tier"),
+                r.word("supply-links").equals("on"),
                 r.yes("come-back"),
                 r.nanos("longest-come-back"),
                 r.nanos("connect-within"),
--- a/src/main/java/slateseam/trial/Routers.java
+++ b/src/main/java/slateseam/trial/Routers.java
@@ -148,6 +148,7 @@
                             ? "tier on\ntier_places listed\ntier_in_doubt "
                                     + (shares ? "keep" : day.routerRules().tier()) + "\n"
                             : "")
+                    + (day.routerRules().supplyLinks() ? "supply_links on\n" : "")
                     + (shares ? "policy on\npolicy_proposal " + PolicyLook.proposal(folder, router) + "\n" : "");
             line = extra.isEmpty()
                     ? line
