Tell sums of more than 32,767 requests a second by their shares

Cause: PolicyMessage.encode and Policy.numbers cut each sum at 15 bits for itself. Where more was asked for and served below a router, both were told as 32,767: the watch over a new version saw a share of 1 and no fall. Change: beyond 15 bits all sums of a message become smaller by one factor, which keeps the shares; the form of the message stays. A subtree of more than that counts as 32,767 against others. Test: aFallOfTheServedShareIsSeenInSumsOfAHundredRoutersAtThePeak was expected to fail and is a plain test now; with it LargeTierPolicyTest, the policy's, the supply's, ManyTenantsTest, PackagesTest and PlantedTextsTest passed.

--- a/src/main/java/slateseam/show/FarmShow.java
+++ b/src/main/java/slateseam/show/FarmShow.java
@@ -20,8 +20,8 @@
 import slateseam.router.membership.Remembered;
 import slateseam.router.membership.Server;
 import slateseam.router.membership.Slice;
-import slateseam.router.net.Clock;
 import slateseam.router.net.BackgroundExecutor;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
@@ -70,7 +70,8 @@
                 throw new IOException(from + ": " + e.getMessage());
             }
         }
-        KubernetesFarm source = new KubernetesFarm(loop, new BackgroundExecutor(), settings, farm(), config.seed(), change -> {});
+        KubernetesFarm source =
+                new KubernetesFarm(loop, new BackgroundExecutor(), settings, farm(), config.seed(), change -> {});
         source.begin();
         await(() -> source.version() != null, "the API at " + settings.api());
         return shown(source.servers(), source.remembered());
--- a/src/main/java/slateseam/tier/policy/Policy.java
+++ b/src/main/java/slateseam/tier/policy/Policy.java
@@ -264,13 +264,13 @@
                                 verdicts.why(),
                                 numbers(sum.asked),
                                 numbers(sum.served),
-                                (int) sum.refused)
+                                (int) Math.min(Integer.MAX_VALUE, sum.refused))
                         .encode());
     }
 
     private static int[] numbers(long[] longs) {
         return Arrays.stream(longs)
-                .mapToInt(n -> (int) Math.max(0, Math.min(Short.MAX_VALUE, n)))
+                .mapToInt(n -> (int) Math.max(0, Math.min(Integer.MAX_VALUE, n)))
                 .toArray();
     }
 
--- a/src/main/java/slateseam/tier/policy/PolicyMessage.java
+++ b/src/main/java/slateseam/tier/policy/PolicyMessage.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32C;
 
 /**
@@ -29,7 +30,8 @@
      * @param open the version that is looked at; 0 for none
      * @param accepted who takes it, a bit each, as far as the asker knows
      * @param refuser who does not; -1 for nobody
-     * @param asked,served requests a second of each class at the asker and those that ask it
+     * @param asked,served requests a second of each class at the asker and those that ask it; beyond 32,767 all sums of the message are
+     *     told smaller by one factor, which keeps the shares
      * @param refused unavailable answers a second there
      */
     record Poll(
@@ -45,7 +47,15 @@
             int[] asked,
             int[] served,
             int refused)
-            implements PolicyMessage {}
+            implements PolicyMessage {
+        /** The largest of the sums that it tells. */
+        int largestSum() {
+            int largestOfClasses = IntStream.concat(Arrays.stream(asked), Arrays.stream(served))
+                    .max()
+                    .orElse(0);
+            return Math.max(largestOfClasses, refused);
+        }
+    }
 
     /**
      * The answer: what the newest state is, how old that knowledge is at the most, and how long it is until the newest version holds.
@@ -88,10 +98,11 @@
                     .putInt(t.sequence)
                     .putLong(t.revision)
                     .putInt(t.open);
+            int largest = t.largestSum();
             for (int i = 0; i < CLASSES; i++) {
-                out.putShort(number(t.asked, i)).putShort(number(t.served, i));
+                out.putShort(scaled(number(t.asked, i), largest)).putShort(scaled(number(t.served, i), largest));
             }
-            out.putShort((short) Math.min(Short.MAX_VALUE, t.refused));
+            out.putShort(scaled(t.refused, largest));
             out.put((byte) t.accepted.length).put(t.accepted).putShort((short) t.refuser);
             Version.put(out, t.why, Math.min(Version.MOST_CAUSE, MOST_BYTES - out.position() - 1));
         } else if (this instanceof Word t) {
@@ -123,8 +134,13 @@
         return ByteBuffer.wrap(bytes).putInt(4, checksum(bytes)).array();
     }
 
-    private static short number(int[] numbers, int i) {
-        return i < numbers.length ? (short) Math.min(Short.MAX_VALUE, numbers[i]) : 0;
+    private static int number(int[] numbers, int i) {
+        return i < numbers.length ? numbers[i] : 0;
+    }
+
+    /** A sum as it fits into 15 bits: where the largest of a message does not fit, all become smaller by the same factor. */
+    private static short scaled(int sum, int largest) {
+        return (short) (largest <= Short.MAX_VALUE ? sum : (long) sum * Short.MAX_VALUE / largest);
     }
 
     private static int checksum(byte[] bytes) {
--- a/src/test/java/slateseam/router/kubernetes/Followed.java
+++ b/src/test/java/slateseam/router/kubernetes/Followed.java
@@ -14,8 +14,8 @@
 import slateseam.router.farm.Farm;
 import slateseam.router.membership.Remembered;
 import slateseam.router.membership.Server;
-import slateseam.router.net.Clock;
 import slateseam.router.net.BackgroundExecutor;
+import slateseam.router.net.Clock;
 import slateseam.router.net.Log;
 import slateseam.router.net.Loop;
 
--- a/src/test/java/slateseam/tier/policy/LargeTierPolicyTest.java
+++ b/src/test/java/slateseam/tier/policy/LargeTierPolicyTest.java
@@ -51,7 +51,6 @@
     }
 
     @Test
-    @ExpectedToFail("sums are told in 15 bits: above 32,767 requests a second below a router the watch sees no fall")
     void aFallOfTheServedShareIsSeenInSumsOfAHundredRoutersAtThePeak() {
         assertThat(servedShare(65_000, 40_000)).isBetween(0.55, 0.68);
     }
