--- a/src/test/java/slateseam/simulate/RulesModelTest.java
+++ b/src/test/java/slateseam/simulate/RulesModelTest.java
@@ -13,7 +13,7 @@
 
 /** The rules' model beside the real core, module and ring, over fixed seeds; and bugs that it must find. */
 class RulesModelTest {
-    private static final long HISTORIES = 40;
+    private static final long HISTORIES = 60;
     /** A planted bug may spin without end; by far more than any takes. */
     private static final Duration MOST = Duration.ofMinutes(2);
 
