--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -192,10 +192,7 @@
     }
 
     private void received(Neighbour from, SupplyMessage message) {
-        // Guards against a clock set back between two lives: this must be the later.
-        if (message.to() != 0 && message.to() - life > 0) {
-            life = message.to() + 1 == 0 ? 1 : message.to() + 1;
-        }
+        beginLaterLifeThan(message.to());
         Ledger ledger = from.ledger(message.page());
         boolean knew = ledger.known();
         earlier.hearing();
@@ -217,6 +214,13 @@
         }
     }
 
+    /** Guards against a clock set back between two lives: this must be the later. */
+    private void beginLaterLifeThan(int earlierLife) {
+        if (earlierLife != 0 && earlierLife - life > 0) {
+            life = earlierLife + 1 == 0 ? 1 : earlierLife + 1;
+        }
+    }
+
     /** One that has just started takes over all pages at once: it asks for each as the one before is answered. */
     private void askForUnknownPage(Neighbour of) {
         int page = of.unknownPage();
@@ -294,17 +298,21 @@
             if (now - neighbour.askedAt() < (doubt ? Timing.INTERVAL / 5 : pause)) {
                 continue;
             }
-            // Guards against a router that nobody hears after its start, and that takes what it guesses others to have.
-            if (!earlier.isWaiting() && neighbour.vanished(SILENCE, now)) {
-                neighbour.inherit();
-            }
-            neighbour.asked(now);
-            if (neighbour.lower || doubt || !neighbour.ledger(0).known() || awaitsWordOf(neighbour)) {
-                send(neighbour, 0, true);
-            }
-            if (!doubt && neighbour.ring) {
-                askForFurtherPages(neighbour, usual / bearable);
-            }
+            ask(neighbour, doubt, usual / bearable);
+        }
+    }
+
+    private void ask(Neighbour neighbour, boolean doubt, double bearable) {
+        // Guards against a router that nobody hears after its start, and that takes what it guesses others to have.
+        if (!earlier.isWaiting() && neighbour.vanished(SILENCE, context.now())) {
+            neighbour.inherit();
+        }
+        neighbour.asked(context.now());
+        if (neighbour.lower || doubt || !neighbour.ledger(0).known() || awaitsWordOf(neighbour)) {
+            send(neighbour, 0, true);
+        }
+        if (!doubt && neighbour.ring) {
+            askForFurtherPages(neighbour, bearable);
         }
     }
 
--- a/src/main/java/slateseam/scale/RealRouter.java
+++ b/src/main/java/slateseam/scale/RealRouter.java
@@ -33,13 +33,20 @@
             InetSocketAddress datagrams,
             InetSocketAddress discovery) {}
 
+    /**
+     * How it is started.
+     *
+     * @param root the folder in which the line is run
+     * @param line the line that starts it
+     */
+    record Launch(Path root, String line) {}
+
     private final int number;
     private final Addresses addresses;
     private final List<InetSocketAddress> peers;
     private final RouterTexts texts;
     private final Path folder;
-    private final Path root;
-    private final String run;
+    private final Launch launch;
     private final BiConsumer<String, String> said;
     private RouterChild child;
 
@@ -47,8 +54,7 @@
      * Prepares it.
      *
      * @param peers where it reaches the others, by number, and where it listens itself
-     * @param root the folder in which the line is run
-     * @param run the line that starts it
+     * @param launch how it is started
      * @param said is told each line of its log
      */
     RealRouter(
@@ -57,16 +63,14 @@
             List<InetSocketAddress> peers,
             RouterTexts texts,
             Path folder,
-            Path root,
-            String run,
+            Launch launch,
             BiConsumer<String, String> said) {
         this.number = number;
         this.addresses = addresses;
         this.peers = peers;
         this.texts = texts;
         this.folder = folder;
-        this.root = root;
-        this.run = run;
+        this.launch = launch;
         this.said = said;
     }
 
@@ -95,11 +99,12 @@
         }
         Path file = Files.writeString(own.resolve("config.json"), config.toString());
         String line = mode == Mode.ALL
-                ? RunLine.withFeatures(run, texts.features(proposal().toString()), root, own.resolve("features"))
-                : run;
+                ? RunLine.withFeatures(
+                        launch.line(), texts.features(proposal().toString()), launch.root(), own.resolve("features"))
+                : launch.line();
         Map<String, String> environment =
                 new HashMap<>(Map.of("NODE_CONFIG", file.toString(), "NODE_NAME", name(), "TMPDIR", own.toString()));
-        child = new RouterChild(name(), line, root, environment, folder.resolve(name() + ".log"), said);
+        child = new RouterChild(name(), line, launch.root(), environment, folder.resolve(name() + ".log"), said);
     }
 
     private Path proposal() {
--- a/src/main/java/slateseam/scale/ScaleRun.java
+++ b/src/main/java/slateseam/scale/ScaleRun.java
@@ -170,7 +170,8 @@
         }
         RealRouter.Addresses addresses = new RealRouter.Addresses(
                 places.connections(router), places.connections(router), listens.get(router), discovery);
-        return new RealRouter(router, addresses, peers, texts, folder, root, run, sightings::said);
+        return new RealRouter(
+                router, addresses, peers, texts, folder, new RealRouter.Launch(root, run), sightings::said);
     }
 
     /** All start at once; until all see all. */
--- a/src/main/java/slateseam/simulate/check/Judge.java
+++ b/src/main/java/slateseam/simulate/check/Judge.java
@@ -170,11 +170,7 @@
         if (!excused && report.now() > asked.wire.due(asked) && !asked.late) {
             late(asked, "the answer came");
         }
-        byte[] value = answer.type() == '$'
-                ? answer.bytes()
-                : answer.type() == '*' && !answer.items().isEmpty()
-                        ? answer.items().get(0).bytes()
-                        : null;
+        byte[] value = value(answer);
         if (value != null) {
             List<byte[]> whole = made.getOrDefault(asked.id, List.of());
             if (whole.stream().noneMatch(one -> Arrays.equals(one, value))) {
@@ -195,6 +191,16 @@
         router.end(asked, Asked.State.ANSWERED, report.now());
     }
 
+    /** The value that an answer serves; null where it serves none. */
+    private static byte[] value(Resp answer) {
+        if (answer.type() == '$') {
+            return answer.bytes();
+        }
+        return answer.type() == '*' && !answer.items().isEmpty()
+                ? answer.items().get(0).bytes()
+                : null;
+    }
+
     private void refused(RouterState router, Asked asked) {
         for (Attempt earlier : asked.attempts) {
             if (asked.figures.repeats() == Figures.Repeats.FORBIDDEN && earlier.outcome == Attempt.Outcome.MAYBE) {
