Divide supply by the demand within shares first

Cause: the ring moves supply by fill ratio, and demand counted a miss beyond a share like one within. The trace of parts shows it: 0.98 of the supply at the noisy router, 0.01 at the three others. Beside it: work beyond shares spent each token as it came (12% refused where it entered by all of 20 routers), a router that has just started drew supply by demand that it could not classify yet, and one request counted as demand again at each miss. Change: up to 1.25 times the demand within shares supply is divided by that demand, the rest by all (Account.fillDemand); routers tell the demand whose fill ratio is meant, so the layout of messages, the ledgers and the part that moves stay. Both ends of a pair compare by one learned rate: with each end's own, the one with the larger rate drew 0.47 of the supply. Beyond shares only what exceeds three quarters of a burst is spent. A request counts once. Why it holds: demand within shares is in the fill ratio alone until it is covered everywhere, whatever is asked beyond; what is left goes by all demand, so no budget lies idle. The test's fixture takes the number of routers, links and restarts; its checks and bounds are as they were.

--- a/src/main/java/slateseam/decision/Account.java
+++ b/src/main/java/slateseam/decision/Account.java
@@ -5,6 +5,11 @@
     /** A whole budget, in indivisible parts so that transfers are exact. */
     static final int WHOLE = 1 << 30;
 
+    /** Of the demand within shares, reserved for it: demand comes in bursts, and what waits for supply is late. */
+    private static final double HEADROOM = 1.25;
+    /** Of what may be spent at once beyond the first, kept for demand within shares. */
+    private static final double RESERVED_BURST = 0.75;
+
     /** This router's own part of the whole: an even share and what its neighbours moved; below 0 while it owes. */
     int units;
     /** What ledgers that have not been heard since the start are taken to say; what they owe this router is not used. */
@@ -15,10 +20,13 @@
     boolean rests;
     /** The whole budget a second. */
     double rate;
-    /** What is asked for. */
+    /** What is asked for, but for what is counted as beyond tenants' shares. */
     final Tally demand = new Tally();
+    /** What is asked for beyond tenants' shares. */
+    final Tally beyondShares = new Tally(0);
 
     private double tokens;
+    private double burst = 1;
 
     Account(double rate, int units) {
         this.rate = rate;
@@ -45,8 +53,32 @@
         return Math.max(0, held()) * rate / WHOLE;
     }
 
+    /**
+     * The demand by which supply is divided, a second: the fill ratio of this account is its supply by this. Guards
+     * against a tenant whose overload at one router draws the supply that others need within their shares: up to
+     * {@link #HEADROOM} times the demand within shares, supply is divided by that demand alone. Only what is left over
+     * everywhere is divided by all demand. Without demand beyond shares this is the demand.
+     */
+    double fillDemand(double wholeRate) {
+        double within = demand.perSecond();
+        double reserved = HEADROOM * within;
+        double supply = Math.max(0, held()) * wholeRate / WHOLE;
+        if (supply <= reserved) {
+            return within;
+        }
+        double fillRatio = HEADROOM + (supply - reserved) / (within + beyondShares.perSecond());
+        return supply / fillRatio;
+    }
+
+    /** Ends an interval of the demand's measurement. */
+    void endInterval() {
+        demand.endInterval(Timing.INTERVAL_SECONDS, Timing.DEMAND_WEIGHT);
+        beyondShares.endInterval(Timing.INTERVAL_SECONDS, Timing.DEMAND_WEIGHT);
+    }
+
     /** Adds the supply of some seconds, keeping at most a burst. */
     void accrue(double seconds, double burst) {
+        this.burst = burst;
         tokens = Math.min(burst, tokens + supply() * seconds);
     }
 
@@ -56,6 +88,11 @@
         return take();
     }
 
+    /** Takes one beyond shares, if enough is left for a burst of demand within. */
+    boolean takeBeyondShares() {
+        return tokens >= 1 + RESERVED_BURST * (burst - 1) && take();
+    }
+
     boolean take() {
         boolean enough = tokens >= 1;
         if (enough) {
--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -172,10 +172,9 @@
     private void arrived(RequestArrived event) {
         traffic.arrivals.count();
         Settings settings = context.settings();
-        boolean overShare = !settings.lists(event.tenant()) || budgets.exceedsShare(event.tenant());
-        Job job = jobOf(event, overShare);
+        Job job = jobOf(event, settings.lists(event.tenant()) ? budgets.useShare(event.tenant()) : ShareUse.BEYOND);
         requests.add(job);
-        boolean shed = admission.sheds(overShare);
+        boolean shed = admission.sheds(job.overShare);
         // Guards against a try with so little time left that the next housekeeping comes too late.
         if (job.giveUpAt <= context.now()) {
             decline(job);
@@ -186,14 +185,14 @@
         }
     }
 
-    private Job jobOf(RequestArrived event, boolean overShare) {
+    private Job jobOf(RequestArrived event, ShareUse share) {
         Settings settings = context.settings();
         RequestClass type = settings.classes().get(event.requestClass());
         long now = context.now();
         long margin = 2 * context.housekeepingPeriod();
         long last = event.ttlNanos() - margin;
         long useful = type.lateShare() > 0 ? last : Math.min(last, type.aimNanos());
-        Job job = new Job(event, type, settings.limits().attempts(), now, now + useful, overShare);
+        Job job = new Job(event, type, settings.limits().attempts(), now, now + useful, share);
         // Guards against holding work for which nothing was done until its client could go nowhere else.
         job.dueAt = Math.min(job.giveUpAt, now + event.ttlNanos() / 2 - margin);
         return job;
@@ -236,12 +235,10 @@
      * start, or where most caches fail together, the rest waits for room.
      */
     private void overflow(Job job, boolean patient) {
-        if (!job.waited) {
-            budgets.countOriginDemand();
-        }
+        countOriginDemand(job);
         job.waited |= patient && !job.overShare;
         boolean unused = requests.firstAwaitingSupply() == null;
-        if (cluster.origin() != null && !job.overShare && unused && takeSupply()) {
+        if (cluster.origin() != null && !job.overShare && unused && takeSupply(job)) {
             send(job, cluster.origin());
         } else if (job.waited) {
             requests.awaitRoom(job);
@@ -250,9 +247,17 @@
         }
     }
 
+    /** Guards against a request that counts as several, each time it misses or looks for room again. */
+    private void countOriginDemand(Job job) {
+        if (!job.countedAsDemand) {
+            budgets.countOriginDemand(job.demandWithinShare);
+            job.countedAsDemand = true;
+        }
+    }
+
     /** Guards against bursts of more connections than the origin admits: it has a window too. */
-    private boolean takeSupply() {
-        return cluster.origin().hasRoom(1, traffic.answerTime(), context.now()) && originRate.take();
+    private boolean takeSupply(Job job) {
+        return cluster.origin().hasRoom(1, traffic.answerTime(), context.now()) && originRate.take(job.overShare);
     }
 
     private void send(Job job, UpstreamServer to) {
@@ -280,7 +285,7 @@
 
     /** A miss or a write: joins a fetch of its key that is out, else pays from supply, else waits for it. */
     private void fetch(Job job) {
-        budgets.countOriginDemand();
+        countOriginDemand(job);
         long key = job.asked.key();
         if (!job.asked.write() && key != 0) {
             hotKeys.counts.missed(key);
@@ -308,7 +313,7 @@
         for (Job job; (job = requests.firstAwaitingSupply()) != null; ) {
             long left = job.giveUpAt - context.now();
             boolean tooLate = left < originRate.fetchTimes.recent() || cluster.origin() == null;
-            if (!job.done && !tooLate && !takeSupply()) {
+            if (!job.done && !tooLate && !takeSupply(job)) {
                 return;
             }
             requests.removeFirstAwaitingSupply();
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -19,11 +19,17 @@
 
     final long arrivedAt;
     final long giveUpAt;
+    /** Whether it comes after all work within tenants' shares. */
     final boolean overShare;
+    /** Whether its demand for the origin counts as demand within shares. */
+    final boolean demandWithinShare;
+
     int attempts;
     boolean open;
     /** Whether it has been let wait for room at a cache. */
     boolean waited;
+    /** Whether it has been counted as demand for the origin. */
+    boolean countedAsDemand;
 
     boolean mayHaveRun;
     /** Whether an attempt has come to a member. */
@@ -36,13 +42,14 @@
     /** Misses of the same key that wait for this one's fetch; null unless it leads one. */
     List<Job> followers;
 
-    Job(RequestArrived asked, RequestClass type, int most, long arrivedAt, long giveUpAt, boolean overShare) {
+    Job(RequestArrived asked, RequestClass type, int most, long arrivedAt, long giveUpAt, ShareUse share) {
         this.asked = asked;
         this.type = type;
         this.most = most;
         this.arrivedAt = arrivedAt;
         this.giveUpAt = giveUpAt;
-        this.overShare = overShare;
+        this.overShare = share == ShareUse.BEYOND;
+        this.demandWithinShare = share == ShareUse.WITHIN;
     }
 
     /** Whether this is the attempt that is out; they are numbered from 0. */
--- a/src/main/java/slateseam/decision/Ledger.java
+++ b/src/main/java/slateseam/decision/Ledger.java
@@ -84,7 +84,9 @@
                 flow.clone(),
                 accounts.stream().mapToInt(Account::own).toArray(),
                 accounts.stream().mapToInt(Account::held).toArray(),
-                accounts.stream().mapToDouble(a -> a.demand.perSecond()).toArray(),
+                accounts.stream()
+                        .mapToDouble(account -> account.fillDemand(account.rate))
+                        .toArray(),
                 popular);
     }
 
--- a/src/main/java/slateseam/decision/OriginRate.java
+++ b/src/main/java/slateseam/decision/OriginRate.java
@@ -42,8 +42,8 @@
     }
 
     /** Takes a fetch from the origin's budget, if there is one. */
-    boolean take() {
-        boolean taken = origin.take();
+    boolean take(boolean beyondShares) {
+        boolean taken = beyondShares ? origin.takeBeyondShares() : origin.take();
         bound |= !taken;
         return taken;
     }
--- a/src/main/java/slateseam/decision/SharedBudgets.java
+++ b/src/main/java/slateseam/decision/SharedBudgets.java
@@ -240,7 +240,9 @@
         joined |= neighbours.stream().allMatch(Neighbour::answered);
         Ledger ledger = from.ledger(message.page());
         for (int a = 0; a < message.held().length && ledger.mayMove() && !starting(from); a++) {
-            ledger.move(a, wanted(ledger.account(a), message.held()[a], message.demand()[a], movedPart(from)));
+            ledger.move(
+                    a,
+                    wanted(ledger.account(a), message.rate(), message.held()[a], message.demand()[a], movedPart(from)));
         }
     }
 
@@ -249,8 +251,8 @@
     }
 
     /** What is to move to the neighbour, by the fill-ratio gap. */
-    private static int wanted(Account own, int theirs, double theirDemand, double movedPart) {
-        double demand = own.demand.perSecond();
+    private static int wanted(Account own, double rate, int theirs, double theirDemand, double movedPart) {
+        double demand = own.fillDemand(rate);
         double gap = own.held() / demand - theirs / theirDemand;
         return (int) (movedPart * gap * 2 * demand * theirDemand / (demand + theirDemand));
     }
@@ -279,7 +281,7 @@
         if (traffic.arrivals.isKnown()) {
             busyIntervals++;
         }
-        accounts.forEach(a -> a.demand.endInterval(Timing.INTERVAL_SECONDS, Timing.DEMAND_WEIGHT));
+        accounts.forEach(Account::endInterval);
         originRate.endInterval(resting);
     }
 
@@ -329,17 +331,18 @@
     }
 
     /** Counts a request of the origin, whether or not there is supply for it. */
-    void countOriginDemand() {
-        origin.demand.count();
+    void countOriginDemand(boolean withinShare) {
+        (withinShare ? origin.demand : origin.beyondShares).count();
     }
 
-    /** Guards against turning work away because the ring has not yet brought the share that it is due. */
-    boolean exceedsShare(int tenant) {
+    /** Takes a request from its tenant's share. */
+    ShareUse useShare(int tenant) {
         int index = tenant + 1;
         Account account = index < accounts.size() ? accounts.get(index) : null;
-        return account != null
-                && !account.ask()
-                && account.held() > evenShare / 16
-                && context.now() - startedAt > START;
+        // Guards against turning work away because the ring has not yet brought the share that it is due.
+        if (account == null || account.ask() || account.held() <= evenShare / 16) {
+            return ShareUse.WITHIN;
+        }
+        return context.now() - startedAt > START ? ShareUse.BEYOND : ShareUse.UNSETTLED;
     }
 }
--- a/src/main/java/slateseam/decision/Tally.java
+++ b/src/main/java/slateseam/decision/Tally.java
@@ -7,16 +7,28 @@
     /** Intervals after which it is no longer that of a start, or of one process beside another. */
     private static final int SETTLED = 4;
 
+    private final double floor;
     private double recent;
-    private double perSecond = 1;
+    private double perSecond;
     private int intervals;
 
+    /** Counts with a floor of one an interval, so that what divides by the figure is safe at no load. */
+    Tally() {
+        this(1);
+    }
+
+    /** Counts with a floor of so many an interval. */
+    Tally(double floor) {
+        this.floor = floor;
+        this.perSecond = floor;
+    }
+
     /** Counts one. */
     void count() {
         recent++;
     }
 
-    /** How many a second; never under the floor of one an interval. */
+    /** How many a second; never under the floor. */
     double perSecond() {
         return perSecond;
     }
@@ -35,7 +47,7 @@
     void endInterval(double seconds, double weight) {
         // Guards a router that has just started: the first intervals in which any came count alike.
         intervals = recent > 0 || intervals > 0 ? Math.min(MOST, intervals + 1) : 0;
-        perSecond += Math.max(weight, 1.0 / Math.max(1, intervals)) * (Math.max(1, recent) / seconds - perSecond);
+        perSecond += Math.max(weight, 1.0 / Math.max(1, intervals)) * (Math.max(floor, recent) / seconds - perSecond);
         recent = 0;
     }
 }
--- a/src/test/java/slateseam/decision/NoisyTenantTest.java
+++ b/src/test/java/slateseam/decision/NoisyTenantTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.junitpioneer.jupiter.ExpectedToFail;
 import slateseam.decision.Api.*;
 
 /**
@@ -23,12 +22,24 @@
  */
 class NoisyTenantTest {
     private static final int ROUTERS = 4;
-    private static final int ORIGIN_A_SECOND = 60;
+    /** Fetches a second, for each router. */
+    private static final int ORIGIN_A_SECOND = 15;
+
     private static final int SECONDS = 40;
     /** Reads a second of the tenant that behaves, at each router. */
     private static final int GOOD = 30;
-    /** Requests a second of the other, over all routers; its share is 40. */
-    private static final int BAD = 600;
+    /** Its keys, for each router. */
+    private static final int GOOD_KEYS = 100;
+    /** Requests a second of the other, for each router: 600 of four. */
+    private static final int BAD = 150;
+    /** Its share a second, for each router: 40 of four. */
+    private static final int BAD_SHARE = 10;
+
+    private static final SupplyLinks LINKS = new SupplyLinks(true, 500 * MS);
+    /** Where routers restart: one after the other, each for so many steps of 10 ms. */
+    private static final int STEPS_BETWEEN_RESTARTS = 300;
+
+    private static final int STEPS_AWAY = 30;
 
     /** What the other tenant does. */
     enum Habit {
@@ -46,7 +57,9 @@
     private record Asked(int router, int tenant, long key, boolean write) {}
 
     private final Random random = new Random(7);
-    private final World[] worlds = new World[ROUTERS];
+    private World[] worlds = new World[ROUTERS];
+    private SupplyLinks links = SupplyLinks.OFF;
+    private boolean restarts;
     private final Map<Long, Asked> asked = new HashMap<>();
     private final Set<Long> stored = new HashSet<>();
     private final List<Object[]> letters = new ArrayList<>();
@@ -55,14 +68,34 @@
     private long next = 1;
     private double tokens;
 
+    private static NoisyTenantTest of(int routers, SupplyLinks links, boolean restarts) {
+        NoisyTenantTest test = new NoisyTenantTest();
+        test.worlds = new World[routers];
+        test.links = links;
+        test.restarts = restarts;
+        return test;
+    }
+
+    private void start(int i) {
+        List<Tenant> tenants =
+                List.of(new Tenant("good", 50 * worlds.length, 0.8), new Tenant("bad", BAD_SHARE * worlds.length, 0.2));
+        worlds[i] = new World(World.settings(i, worlds.length, false, tenants), i, now, links);
+        worlds[i].fleet(6);
+    }
+
+    /** Restarts routers other than the first, by which the other tenant enters; what they held is asked for by nobody. */
+    private void restart(int step) {
+        int one = 1 + step / STEPS_BETWEEN_RESTARTS % (worlds.length - 1);
+        if (step % STEPS_BETWEEN_RESTARTS == 0) {
+            worlds[one] = null;
+        } else if (step % STEPS_BETWEEN_RESTARTS == STEPS_AWAY) {
+            start(one);
+        }
+    }
+
     Seen play(Habit habit, boolean byOne) {
-        for (int i = 0; i < ROUTERS; i++) {
-            worlds[i] = new World(
-                    World.settings(
-                            i, ROUTERS, false, List.of(new Tenant("good", 200, 0.8), new Tenant("bad", 40, 0.2))),
-                    i,
-                    now);
-            worlds[i].fleet(6);
+        for (int i = 0; i < worlds.length; i++) {
+            start(i);
         }
         int goodAsked = 0;
         int[] otherFetches = new int[1];
@@ -70,15 +103,26 @@
         double most = 0;
         for (int step = 0; step < SECONDS * 100; step++) {
             now += 10 * MS;
-            tokens = Math.min(20, tokens + ORIGIN_A_SECOND / 100.0);
-            for (int i = 0; i < ROUTERS; i++) {
+            tokens = Math.min(5 * worlds.length, tokens + ORIGIN_A_SECOND * worlds.length / 100.0);
+            if (restarts && step > 500) {
+                restart(step);
+            }
+            for (int i = 0; i < worlds.length; i++) {
+                if (worlds[i] == null) {
+                    continue;
+                }
                 worlds[i].now = now;
                 if (random.nextInt(100) < GOOD) {
                     boolean counted = step > 1_000;
                     goodAsked += counted ? 1 : 0;
-                    ask(i, 0, 1 + (long) (Math.pow(random.nextDouble(), 3) * 400), false, counted);
+                    ask(
+                            i,
+                            0,
+                            1 + (long) (Math.pow(random.nextDouble(), 3) * GOOD_KEYS * worlds.length),
+                            false,
+                            counted);
                 }
-                int bad = habit == Habit.NOTHING ? 0 : byOne ? i == 0 ? BAD : 0 : BAD / ROUTERS;
+                int bad = habit == Habit.NOTHING ? 0 : byOne ? i == 0 ? BAD * worlds.length : 0 : BAD;
                 for (double n = bad / 100.0; n > random.nextDouble(); n--) {
                     long key = habit == Habit.NEW_KEYS ? 1_000_000 + next : 5_000 + random.nextInt(50);
                     ask(i, 1, key, habit == Habit.WRITES, false);
@@ -88,6 +132,9 @@
             settle(habit, otherFetches);
             if (step > 1_000 && step % 100 == 0) {
                 for (World w : worlds) {
+                    if (w == null) {
+                        continue;
+                    }
                     double part = (double) SupplyTest.accounts(w.brain).get(0).held() / Account.WHOLE;
                     least = Math.min(least, part);
                     most = Math.max(most, part);
@@ -114,7 +161,10 @@
     private void settle(Habit habit, int[] otherFetches) {
         for (boolean more = true; more; ) {
             more = false;
-            for (int i = 0; i < ROUTERS; i++) {
+            for (int i = 0; i < worlds.length; i++) {
+                if (worlds[i] == null) {
+                    continue;
+                }
                 List<Action> actions = List.copyOf(worlds[i].actions);
                 worlds[i].actions.clear();
                 for (Action action : actions) {
@@ -124,7 +174,9 @@
         }
         List<Object[]> due = letters.stream().filter(l -> (long) l[3] <= now).toList();
         letters.removeAll(due);
-        due.forEach(l -> worlds[(int) l[1]].on(new PeerMessage((int) l[0], (byte[]) l[2])));
+        due.stream()
+                .filter(l -> worlds[(int) l[1]] != null)
+                .forEach(l -> worlds[(int) l[1]].on(new PeerMessage((int) l[0], (byte[]) l[2])));
     }
 
     private boolean carryOut(Habit habit, int router, Action action, int[] otherFetches) {
@@ -185,20 +237,50 @@
         assertThat(lost(Habit.COMES_AGAIN_AT_ONCE, true)).isLessThan(0.03);
     }
 
-    /** The ring brings supply to where misses are, whoever's they are: 10% of the other tenant's reads are refused. */
+    /**
+     * What happened: 10% of a well-behaved tenant's reads were refused, at every router, while another tenant asked 600 a second at
+     * one router where its share was 40. Why: the ring moves supply to where it is short against demand, and a miss beyond a share
+     * counted as demand like one within, so that nearly all supply went to that router. What showed it: the parts of supply
+     * in the table of {@code main}, 0.01 at three routers and 0.98 at the fourth, with 0.07 and 0.79 since the mend.
+     */
     @Test
-    @ExpectedToFail("open: what is beyond a share draws supply like what is within (docs/hardening-review.md)")
     void oneThatMissesAtOneRouterLeavesTheOthersTheirSupply() {
         assertThat(lost(Habit.NEW_KEYS, true)).isLessThan(0.03);
     }
 
+    @ParameterizedTest
+    @EnumSource(value = Habit.class, names = "NOTHING", mode = EnumSource.Mode.EXCLUDE)
+    void soItIsWithLinksAndWhileRoutersRestart(Habit habit) {
+        assertThat(lost(habit, true, ROUTERS, LINKS, true)).isLessThan(0.03);
+        assertThat(lost(habit, false, ROUTERS, LINKS, true)).isLessThan(0.03);
+    }
+
+    /** Among twenty routers the supply of each is small, and what is spent beyond shares left nothing for a burst within. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Habit.class,
+            names = {"NEW_KEYS", "WRITES"})
+    void soItIsAmongTwentyRouters(Habit habit) {
+        assertThat(lost(habit, true, 20, SupplyLinks.OFF, false)).isLessThan(0.03);
+        assertThat(lost(habit, false, 20, SupplyLinks.OFF, false)).isLessThan(0.03);
+    }
+
+    private static double lost(Habit habit, boolean byOne, int routers, SupplyLinks links, boolean restarts) {
+        return of(routers, links, restarts).play(Habit.NOTHING, false).served()
+                - of(routers, links, restarts).play(habit, byOne).served();
+    }
+
+    /** The table of the review; with arguments (routers, links on or off, restarts or none) at another size. */
     public static void main(String[] args) {
+        int routers = args.length == 0 ? ROUTERS : Integer.parseInt(args[0]);
+        SupplyLinks links = args.length > 1 && args[1].equals("on") ? LINKS : SupplyLinks.OFF;
+        boolean restarts = args.length > 2 && args[2].equals("restarts");
         System.out.println(
                 "| the other tenant | enters by | good served | good refused | good fetches/s | other's fetches/s"
                         + " | parts of supply |\n| --- | --- | --- | --- | --- | --- | --- |");
         for (Habit habit : Habit.values()) {
             for (boolean byOne : habit == Habit.NOTHING ? new boolean[] {false} : new boolean[] {false, true}) {
-                Seen seen = new NoisyTenantTest().play(habit, byOne);
+                Seen seen = of(routers, links, restarts).play(habit, byOne);
                 System.out.printf(
                         Locale.ROOT,
                         "| %s | %s | %.3f | %.3f | %.1f | %.1f | %.2f..%.2f |%n",
--- a/src/test/java/slateseam/decision/World.java
+++ b/src/test/java/slateseam/decision/World.java
@@ -18,8 +18,12 @@
     }
 
     World(Settings settings, long seed, long now) {
+        this(settings, seed, now, SupplyLinks.OFF);
+    }
+
+    World(Settings settings, long seed, long now, SupplyLinks links) {
         this.now = now;
-        brain = new Brain(settings, seed);
+        brain = new Brain(settings, seed, links);
         on(new Started());
     }
 
--- a/src/test/java/slateseam/simulate/RulesModelTest.java
+++ b/src/test/java/slateseam/simulate/RulesModelTest.java
@@ -14,6 +14,8 @@
 /** The rules' model beside the real core, module and ring, over fixed seeds; and bugs that it must find. */
 class RulesModelTest {
     private static final long HISTORIES = 60;
+    /** A planted bug is looked for in so many; the rarest breaks a rule in one history of a hundred. */
+    private static final long HISTORIES_WITH_A_BUG = 600;
     /** A planted bug may spin without end; by far more than any takes. */
     private static final Duration MOST = Duration.ofMinutes(2);
 
@@ -107,7 +109,7 @@
     @MethodSource("bugs")
     void aPlantedBugIsFound(PlantedBug bug) throws Exception {
         String found = assertTimeoutPreemptively(
-                MOST, () -> new Planted(bug).call("slateseam.simulate.RulesStage", "play", 1, HISTORIES));
+                MOST, () -> new Planted(bug).call("slateseam.simulate.RulesStage", "play", 1, HISTORIES_WITH_A_BUG));
         assertThat(found)
                 .as("what the model says of a bug that breaks " + bug.name())
                 .startsWith(bug.name());
