Put a fetch ahead that a read within its share joins

Symptom: a read within its tenant's share waits behind all work beyond shares, and is refused, where another tenant's request for the same key was there first. Change: such a fetch is handled as within a share from then on. Why it holds: the queue's order follows the most urgent of those who wait for the fetch.

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -292,6 +292,10 @@
             Job leader = requests.joinFetch(job);
             if (leader != job && job.mayTry(2)) {
                 leader.followers.add(job);
+                if (leader.overShare && !job.overShare) {
+                    requests.putAhead(leader);
+                    release();
+                }
                 return;
             }
         }
--- a/src/main/java/slateseam/decision/Job.java
+++ b/src/main/java/slateseam/decision/Job.java
@@ -20,7 +20,7 @@
     final long arrivedAt;
     final long giveUpAt;
     /** Whether it comes after all work within tenants' shares. */
-    final boolean overShare;
+    boolean overShare;
     /** Whether its demand for the origin counts as demand within shares. */
     final boolean demandWithinShare;
 
--- a/src/main/java/slateseam/decision/RequestTable.java
+++ b/src/main/java/slateseam/decision/RequestTable.java
@@ -78,6 +78,15 @@
         return job;
     }
 
+    /** Guards against work within its share that waits for a fetch which waits behind all such work. */
+    void putAhead(Job leader) {
+        boolean waits = awaitingSupply.remove(leader);
+        leader.overShare = false;
+        if (waits) {
+            awaitingSupply.add(leader);
+        }
+    }
+
     /** Lets a request wait for supply. */
     void awaitSupply(Job job) {
         awaitingSupply.add(job);
--- a/src/test/java/slateseam/decision/NoisyTenantTest.java
+++ b/src/test/java/slateseam/decision/NoisyTenantTest.java
@@ -270,6 +270,26 @@
                 - of(routers, links, restarts).play(habit, byOne).served();
     }
 
+    /** A read within its share that joins a fetch begun for work beyond one does not wait behind such work. */
+    @Test
+    void aReadThatJoinsAFetchBeyondASharePutsItAhead() {
+        World world = new World(World.settings(0, 1, false, List.of(new Tenant("good", 200, 1))), 7);
+        world.fleet(6);
+        int unlisted = 9;
+        for (int key = 1; key <= 100; key++) {
+            world.drive(world.request(key, 0, unlisted), Outcome.MISS);
+        }
+        long wanted = world.request(1_000, 0, unlisted);
+        world.end(world.sent(wanted), Outcome.MISS, 0, MS);
+        world.end(world.sent(world.request(1_000, 0, 0)), Outcome.MISS, 0, MS);
+        for (int key = 2_000; key <= 2_020; key++) {
+            world.drive(world.request(key, 0, unlisted), Outcome.MISS);
+        }
+        assertThat(world.sent(wanted).member()).isNotEqualTo(World.ORIGIN);
+        world.pass(100 * MS);
+        assertThat(world.sent(wanted).member()).isEqualTo(World.ORIGIN);
+    }
+
     /** The table of the review; with arguments (routers, links on or off, restarts or none) at another size. */
     public static void main(String[] args) {
         int routers = args.length == 0 ? ROUTERS : Integer.parseInt(args[0]);
