Withdraw what was asked of a router's earlier life

Cause: the lower end of a pair asks for supply by telling a lower total; a higher end that restarted before that arrived took the total over, and so gave what its heir counted as its own, or more than it had. Ring neighbours share the ledger, so the fault is theirs too. Change: a lower end that hears a new life without the ledger withdraws what has not been granted. Why it holds: it credits itself only for what is told back, and a message to an earlier life is never taken by the next, so nobody has acted on the request.

--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -172,7 +172,8 @@
     private void arrived(RequestArrived event) {
         traffic.arrivals.count();
         Settings settings = context.settings();
-        Job job = jobOf(event, settings.lists(event.tenant()) ? budgets.useShare(event.tenant()) : ShareUse.BEYOND);
+        boolean listed = settings.lists(event.tenant());
+        Job job = jobOf(event, listed ? budgets.useShare(event.tenant()) : ShareUse.BEYOND);
         requests.add(job);
         boolean shed = admission.sheds(job.overShare);
         // Guards against a try with so little time left that the next housekeeping comes too late.
--- a/src/main/java/slateseam/decision/Ledger.java
+++ b/src/main/java/slateseam/decision/Ledger.java
@@ -102,6 +102,9 @@
 
     /** Takes a message that is news. */
     void hear(SupplyMessage m, int me) {
+        if (lower && isAnew(m) && !m.known()) {
+            withdrawRequests();
+        }
         life = m.from();
         heard = m.sequence();
         // One that has just started does not know its supply yet; what its earlier life told still holds.
@@ -140,6 +143,16 @@
         }
     }
 
+    /**
+     * The lower end takes back what it has asked for and not been granted. Guards against a higher end that has just
+     * started and takes the total over as it is told: it would give what its heir counts as its own, or what it never had.
+     */
+    private void withdrawRequests() {
+        for (int a = 0; a < flow.length; a++) {
+            flow[a] = debited(a);
+        }
+    }
+
     /** The higher end: takes what has come, and gives what is asked back as far as it has it. */
     private void apply(int[] theirs) {
         for (int a = 0; a < flow.length; a++) {
--- a/src/test/java/slateseam/simulate/tier/SupplyDaysTest.java
+++ b/src/test/java/slateseam/simulate/tier/SupplyDaysTest.java
@@ -15,18 +15,22 @@
         assertThat(TierDays.playSupply(1, 24, lines::add)).as(lines.toString()).isZero();
     }
 
+    /** See LedgerTest: what was asked of an earlier life was given by the next. */
     @Test
-    @ExpectedToFail("MINTED: a router that starts again carries out what its earlier life was asked for")
     void noSupplyIsMintedWhereARequestMeetsARestartAtSeed416() {
         assertHolds(416);
     }
 
     @Test
-    @ExpectedToFail("MINTED: a router that starts again carries out what its earlier life was asked for")
     void noSupplyIsMintedWhereARequestMeetsARestartAtSeed461() {
         assertHolds(461);
     }
 
+    /**
+     * What happened: six routers owned 1.002719 of the budget at 13,008 ms. Why: router 5 had used what it inherited of a router that
+     * stood still, died owing 0.0619, and came back in the smaller half of a cut, where it used what was moved to it, as
+     * nobody told it of its debt. What showed it: each router's own part at each step (owned -0.061922 before, 0.000000 after its return).
+     */
     @Test
     @ExpectedToFail("MINTED, not traced")
     void noSupplyIsMintedAtSeed870135() {
