--- a/src/main/java/slateseam/decision/Brain.java
+++ b/src/main/java/slateseam/decision/Brain.java
@@ -258,7 +258,8 @@
 
     /** Guards against bursts of more connections than the origin admits: it has a window too. */
     private boolean takeSupply(Job job) {
-        return cluster.origin().hasRoom(1, traffic.answerTime(), context.now()) && originRate.take(job.overShare);
+        boolean room = cluster.origin().hasRoom(1, traffic.answerTime(), context.now());
+        return room && originRate.take(job.overShare);
     }
 
     private void send(Job job, UpstreamServer to) {
