--- a/src/test/java/slateseam/simulate/tier/SupplyDaysTest.java
+++ b/src/test/java/slateseam/simulate/tier/SupplyDaysTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junitpioneer.jupiter.ExpectedToFail;
 
 /** Days of drawn faults; some thousands more are played by {@code simulate supply}. */
 class SupplyDaysTest {
@@ -35,6 +36,20 @@
         assertHolds(870_135);
     }
 
+    /** Router 0, heir of router 4 that is away, restarts and lends itself an even share for it, more than router 4 had. */
+    @Test
+    @ExpectedToFail("an heir that has restarted guesses what the router that is away had")
+    void noSupplyIsMintedByAnHeirThatHasRestartedAtSeed846() {
+        assertHolds(846);
+    }
+
+    /** Router 1 dies within a cut from its heir, which uses what router 1 had when it was heard last. */
+    @Test
+    @ExpectedToFail("an heir knows what the router that is away had before a cut, and not what it had when it died")
+    void noSupplyIsMintedByAnHeirThatWasCutOffAtSeed1856() {
+        assertHolds(1856);
+    }
+
     private static void assertHolds(long seed) {
         List<String> lines = new ArrayList<>();
         assertThat(TierDays.playSupply(seed, seed, lines::add))
