Count a long answer when it ends

Cause: the end of a request was told to all who watch when its answer began. Change: a long answer tells once how it ended, whole, cut or left by its user agent; until then it is under concurrent, and its class keeps its slot. Why it holds: every long answer goes to its taker through the one object that tells, and only the first end counts, so no count is taken back. The test failed at its first assertion, which awaited a reset: the connection ends in order within the value, as the protocol allows, so what the test is about was never reached. It now holds that end, that the value is partial, no success and one error. StagesTest counts a request that streams as open. Open: the decision module is told of success when the answer begins.

--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -40,6 +40,7 @@
 import slateseam.router.request.Answer;
 import slateseam.router.request.Ending;
 import slateseam.router.request.Front;
+import slateseam.router.request.Incoming;
 import slateseam.router.request.Intake;
 import slateseam.router.request.Request;
 import slateseam.router.request.RequestObserver;
@@ -111,6 +112,9 @@
     private final long mostHeldBytes;
 
     private long heldBytes;
+    /** Long answers on their way to user agents. */
+    private int streams;
+
     private Passes passes;
     private Peers peers;
     private FarmSource source;
@@ -168,7 +172,7 @@
 
     /** How many requests were taken and have not ended. */
     public int open() {
-        return slots.size();
+        return slots.size() + streams;
     }
 
     /** How many listed caches get nothing now. */
@@ -220,7 +224,7 @@
         Slot slot = release(ticket);
         if (slot != null) {
             happened(new ClientGone(ticket));
-            tell(slot.request, why, slot.openFor(loop.now()));
+            ended(slot, why);
         }
     }
 
@@ -310,12 +314,28 @@
 
     private void finish(long ticket, Answer answer) {
         Slot slot = release(ticket);
-        if (slot != null) {
+        if (slot != null && answer instanceof Answer.Streamed streamed) {
+            streams++;
+            Incoming value =
+                    new ObservedStream(streamed.value(), slot.ending(answer), ending -> streamEnded(slot, ending));
+            slot.front.answer(slot.exchange, new Answer.Streamed(value));
+        } else if (slot != null) {
             slot.front.answer(slot.exchange, answer);
-            tell(slot.request, slot.ending(answer), slot.openFor(loop.now()));
+            ended(slot, slot.ending(answer));
         }
     }
 
+    private void streamEnded(Slot slot, Ending ending) {
+        streams--;
+        ended(slot, ending);
+    }
+
+    /** Nothing more comes of a request. Its class stays in the settings until then, as it is told by its slot there. */
+    private void ended(Slot slot, Ending ending) {
+        tell(slot.request, ending, slot.openFor(loop.now()));
+        versions.ended(slot.request.requestClass());
+    }
+
     /** Guards requests against the features that watch them: those come last, and a fault of theirs ends here. */
     private void tell(Request request, Ending ending, long nanos) {
         for (RequestObserver observer : observers) {
@@ -333,7 +353,6 @@
             loop.cancel(slot.overdue);
             passes.answered(ticket);
             heldBytes -= slot.request.valueBytes();
-            versions.ended(slot.request.requestClass());
         }
         return slot;
     }
