End a connection behind what is written when a long answer is cut

Symptom: a user agent that reads slowly loses an answer that had been whole, where a long one behind it on the connection is cut by its server. Cause: the connection was closed at once, over answers that the system had had no room for. Change: what is written goes out, then the sending ends within the value. Why it holds: it is the way that every last answer takes, with the same deadline for who does not read; commands behind are withdrawn and long values there stopped, as when a connection breaks. Measured: StagesTest.answersAheadOfALongOneThatIsCutArriveWhole failed without it (a part of the first answer's 50,000 bytes); the router's and the network's tests pass.

--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -325,11 +325,16 @@
         flushAnswers();
     }
 
-    /** The user agent can tell by the end of its connection that the value is not whole. */
+    /**
+     * The user agent can tell by the end of its connection that the value is not whole. That end comes behind what is written
+     * already: answers ahead of the value may wait there for a user agent that reads slowly.
+     */
     @Override
     public void cut() {
-        flowing = null;
-        cutShort(Cause.CUT);
+        takeNoMore(Cause.CUT);
+        withdrawAll();
+        settle();
+        closeWhenDone();
     }
 
     @Override
@@ -400,6 +405,11 @@
     protected void broken() {
         loop().cancel(limit);
         front.forget(ticket, kept, cause);
+        withdrawAll();
+    }
+
+    /** Nothing more is answered here. */
+    private void withdrawAll() {
         flowing = null;
         for (Exchange exchange : inOrder) {
             if (exchange.stream() != null) {
--- a/src/test/java/slateseam/simulate/network/StagesTest.java
+++ b/src/test/java/slateseam/simulate/network/StagesTest.java
@@ -6,6 +6,7 @@
 import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -80,9 +81,9 @@
             String text = got.toString();
             if (origin ? text.contains("\r\n\r\n") : text.split("\r\n", -1).length > 9) {
                 got.setLength(0);
-                String answer = origin ? script.origin : script.cache;
                 String key =
                         origin ? text.substring(text.indexOf('/') + 1, text.indexOf(" HTTP")) : text.split("\r\n")[4];
+                String answer = origin ? script.origin : script.cacheOf.getOrDefault(key, script.cache);
                 on.write(bytes(answer.replace("KEY", key).replace("LENGTH", Integer.toString(key.length()))));
             }
         }
@@ -91,6 +92,9 @@
     private static final class Script {
         String cache = "*1\r\n$LENGTH\r\nKEY\r\n";
         String origin = "HTTP/1.1 200 OK\r\nContent-Length: LENGTH\r\n\r\nKEY";
+        /** What the cache answers for some keys, where that is not what it answers for all. */
+        final Map<String, String> cacheOf = new HashMap<>();
+
         boolean deaf;
     }
 
@@ -250,6 +254,29 @@
         assertThat(reads.getLong("error")).isEqualTo(1);
     }
 
+    /**
+     * What happened: a user agent that read slowly lost an answer that had been whole, as the long one behind it was cut. Why: the
+     * connection was closed over what the system had had no room for yet. What showed it: 36 KB of a first answer of 50 KB, and the end.
+     */
+    @Test
+    void answersAheadOfALongOneThatIsCutArriveWhole() throws Exception {
+        Teller userAgent = stage.userAgentAfter(50);
+        userAgent.wire.pause(true);
+        script.cacheOf.put("short", "*1\r\n$50000\r\n" + LONG_VALUE + "\r\n");
+        script.cache = "*1\r\n$-1\r\n";
+        script.origin = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(5_000);
+        userAgent.wire.write(Teller.bytes(command("CACHE.GET", "short", "first", "c=read,t=acme,d=1400")
+                + command("CACHE.GET", "long", "second", "c=read,t=acme,d=1400")));
+        stage.run(200);
+        end(End.SERVER_GONE, userAgent);
+        stage.run(100);
+        userAgent.wire.pause(false);
+        stage.run(6_000);
+        assertThat(userAgent.got.toString()).startsWith("$50000\r\n" + LONG_VALUE + "\r\n");
+        assertThat(userAgent.got.length()).isLessThan(250_000);
+        assertThat(userAgent.happened).containsExactly("opened", "ended");
+    }
+
     /** A long answer is under way until its last byte, and stands under no count before that. */
     @Test
     void aLongAnswerIsCountedAtItsEndAndIsConcurrentUntilThen() throws Exception {
