--- a/src/test/java/slateseam/decision/OriginRateTest.java
+++ b/src/test/java/slateseam/decision/OriginRateTest.java
@@ -4,8 +4,11 @@
 import static slateseam.decision.World.MS;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junitpioneer.jupiter.ExpectedToFail;
 import slateseam.decision.Api.*;
 
 /** What a router that has just started, or has just taken over, learns of the origin. */
@@ -76,4 +79,29 @@
         pass(4_000 * MS, 80, Outcome.OK, 4 * USUAL);
         assertThat(rate()).as("R after the second overload").isLessThan(0.9 * calm);
     }
+
+    /** R has a floor of one fetch a second for each router, so that 1,024 of them never ask an origin for less than 1,024 a second. */
+    @Test
+    @ExpectedToFail("open: R's floor grows with the number of routers")
+    void manyRoutersLearnAnOriginThatBearsAHundredASecond() {
+        World one = new World(World.settings(0, 1_024, false, List.of()), 7);
+        one.fleet(10);
+        Map<Long, Integer> attempts = new HashMap<>();
+        for (int step = 0; step < 60_000 / 10; step++) {
+            one.now += 10 * MS;
+            one.on(new TimerFired(1));
+            one.request(++key, 1);
+            List<Action> actions = List.copyOf(one.actions);
+            one.actions.clear();
+            for (Action action : actions) {
+                if (action instanceof Send send) {
+                    int attempt = attempts.merge(send.request(), 1, Integer::sum) - 1;
+                    one.end(send, Outcome.FULL, attempt, USUAL);
+                }
+            }
+        }
+        assertThat(SupplyTest.accounts(one.brain).get(0).rate)
+                .as("R of an origin that has borne nothing for a minute")
+                .isLessThanOrEqualTo(100);
+    }
 }
