Tell windows of bits where ranges of routers do not fit

Cause, suspected: while many have accepted and many have not, 33 ranges a message tell few of them, and a fifth of the messages is lost within the patience of 4 s. That patience may be too short at that size whatever the form. Change: where 33 ranges do not hold all who have accepted, a message tells the bits of one window of 1,024 routers, the next message those of the next. Measured: any set of 1,025 to 8,192 routers is told within a message for each 1,024 and one more (LargeTierPolicyTest; before, within one for each 33).

--- a/src/main/java/slateseam/tier/policy/AcceptedRouters.java
+++ b/src/main/java/slateseam/tier/policy/AcceptedRouters.java
@@ -5,9 +5,9 @@
 
 /**
  * The routers that take a version, and how a datagram tells of them. Up to {@link #MOST_AS_BITS} routers it is a bit for each. Beyond
- * that it is a fixed number of ranges of router numbers, unused ones empty, which is longer than any bits and told by that. Where
- * there are more ranges than fit, each message tells others in turn. A message may so tell of fewer routers than
- * have accepted, and never of one that has not.
+ * that it is a block of a fixed length, which is longer than any such bits and told by that. Where few ranges of router numbers hold
+ * all, the block is these, unused ones empty. Else it is a bit for each router of a window, and each message tells of
+ * the next window. A message may so tell of fewer routers than have accepted, and never of one that has not.
  */
 final class AcceptedRouters {
     /** As many routers as are told as a bit each. */
@@ -19,13 +19,20 @@
     /** The fewest that are longer than all bits, as the cause of a refusal shares the datagram. */
     private static final int RANGES = MOST_BIT_BYTES / RANGE_BYTES + 1;
 
+    private static final int BLOCK_BYTES = RANGES * RANGE_BYTES;
+    /** In place of a range's first router: bits of a window follow, behind the number of the window. */
+    private static final short WINDOW_MARK = -1;
+
+    private static final int WINDOW_BYTES = BLOCK_BYTES - RANGE_BYTES;
+    private static final int WINDOW_ROUTERS = WINDOW_BYTES * Byte.SIZE;
+
     private final BitSet routers = new BitSet();
-    /** The router from which on the next message tells ranges. */
-    private int cursor;
+    /** The window that the next message tells of, where it tells of one. */
+    private int window;
 
     void clear() {
         routers.clear();
-        cursor = 0;
+        window = 0;
     }
 
     void add(int router) {
@@ -38,25 +45,39 @@
 
     /** What the next message tells. */
     byte[] encode() {
-        return routers.length() <= MOST_AS_BITS ? routers.toByteArray() : encodeRanges();
+        if (routers.length() <= MOST_AS_BITS) {
+            return routers.toByteArray();
+        }
+        byte[] ranges = encodeRanges();
+        return ranges == null ? encodeWindow() : ranges;
     }
 
+    /** All as ranges; null if they do not fit. */
     private byte[] encodeRanges() {
-        ByteBuffer out = ByteBuffer.allocate(RANGES * RANGE_BYTES);
-        int next = cursor;
-        for (int range = 0; range < RANGES; range++) {
-            int first = routers.nextSetBit(next);
-            if (first < 0) {
-                next = 0; // the others come in the messages after this
-                break;
+        ByteBuffer out = ByteBuffer.allocate(BLOCK_BYTES);
+        int next = 0;
+        for (int first = routers.nextSetBit(0); first >= 0; first = routers.nextSetBit(next)) {
+            if (!out.hasRemaining()) {
+                return null;
             }
             next = Math.min(routers.nextClearBit(first), first + Short.MAX_VALUE);
             out.putShort((short) first).putShort((short) (next - first));
         }
-        cursor = next;
         return out.array();
     }
 
+    private byte[] encodeWindow() {
+        int first = window * WINDOW_ROUTERS;
+        byte[] bits = routers.get(first, first + WINDOW_ROUTERS).toByteArray();
+        byte[] block = ByteBuffer.allocate(BLOCK_BYTES)
+                .putShort(WINDOW_MARK)
+                .putShort((short) window)
+                .put(bits)
+                .array();
+        window = first + WINDOW_ROUTERS < routers.length() ? window + 1 : 0;
+        return block;
+    }
+
     /** Adds those of whom a message tells. */
     void addAll(byte[] told) {
         if (told.length <= MOST_BIT_BYTES) {
@@ -64,6 +85,10 @@
             return;
         }
         ByteBuffer in = ByteBuffer.wrap(told);
+        if (in.getShort(0) == WINDOW_MARK) {
+            addWindow(in.position(Short.BYTES));
+            return;
+        }
         while (in.remaining() >= RANGE_BYTES) {
             int first = in.getShort();
             int count = in.getShort();
@@ -72,4 +97,11 @@
             }
         }
     }
+
+    private void addWindow(ByteBuffer in) {
+        int first = in.getShort() * WINDOW_ROUTERS;
+        if (first >= 0) {
+            BitSet.valueOf(in).stream().forEach(router -> routers.set(first + router));
+        }
+    }
 }
--- a/src/test/java/slateseam/tier/policy/LargeTierPolicyTest.java
+++ b/src/test/java/slateseam/tier/policy/LargeTierPolicyTest.java
@@ -35,7 +35,7 @@
         assertThat(isTold(ROUTERS)).isTrue();
     }
 
-    /** Whoever has accepted is told within some messages, and nobody else ever. */
+    /** Whoever has accepted is told within one message for each 1,024 routers and one more, and nobody else ever. */
     @ParameterizedTest
     @ValueSource(ints = {1_024, 1_025, 2_000, 8_192})
     void anySetOfRoutersIsToldAndNobodyBeside(int routers) {
@@ -48,7 +48,7 @@
                     .forEach(all::add);
             all.forEach(accepted::add);
             AcceptedRouters told = new AcceptedRouters();
-            for (int message = 0; message < routers / 33 + 2; message++) {
+            for (int message = 0; message < routers / 1_024 + 1; message++) {
                 byte[] bytes = poll(accepted.encode(), new int[PolicyMessage.CLASSES], new int[PolicyMessage.CLASSES])
                         .encode();
                 assertThat(bytes.length).isLessThanOrEqualTo(PolicyMessage.MOST_BYTES);
