Give the worlds of log and policy one base for a router's process

Need: a process on the virtual clock, with its lives, its disk and what waits while it stands still, was written twice (AgreementWorld, PolicyWorld). Change: VirtualProcess holds it once.

--- a/src/main/java/slateseam/simulate/tier/AgreementWorld.java
+++ b/src/main/java/slateseam/simulate/tier/AgreementWorld.java
@@ -1,10 +1,8 @@
 package slateseam.simulate.tier;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,25 +25,28 @@
  */
 final class AgreementWorld {
     private static final long MILLI = 1_000_000L;
-    private static final long TICK = 50 * MILLI;
-    private static final int MOST_INBOX = 2_000;
     /** After so long another router's memory is known, as polls tell it. */
     private static final long TOLD = 300 * MILLI;
 
     /** A router: its process, through its lives, and its disk. */
-    private final class Node implements RaftPort {
-        final int index;
-        final VirtualMemory memory = new VirtualMemory();
-        final Deque<Runnable> inbox = new ArrayDeque<>();
+    private final class Node extends VirtualProcess implements RaftPort {
         final List<String> log = new ArrayList<>();
         Raft raft;
-        int life;
-        boolean paused;
         boolean lost;
         long sent;
 
         Node(int index) {
-            this.index = index;
+            super(net, index);
+        }
+
+        @Override
+        boolean isUp() {
+            return raft != null;
+        }
+
+        @Override
+        void persisted(long number) {
+            raft.persisted(number);
         }
 
         @Override
@@ -53,32 +54,12 @@
             byte[] bytes = message.encode();
             Node target = nodes.get(to.router());
             sent++;
-            net.post(index, to.router(), () -> target.arrives(bytes));
+            net.post(index, to.router(), () -> target.arrives(() -> target.hear(bytes)));
         }
 
-        private void arrives(byte[] bytes) {
-            if (raft == null) {
-                return;
-            }
-            if (!paused) {
-                raft.heard(net.now(), Rpc.decode(bytes));
-                afterwards();
-            } else if (inbox.size() < MOST_INBOX) {
-                inbox.add(() -> raft.heard(net.now(), Rpc.decode(bytes)));
-            }
-        }
-
-        @Override
-        public void persist(long number, DurableState.Change change) {
-            memory.write(change);
-            int of = life;
-            int size = memory.size();
-            net.after(memory.forceNanos, () -> {
-                if (life == of && raft != null) {
-                    memory.force(size);
-                    raft.persisted(number);
-                }
-            });
+        private void hear(byte[] bytes) {
+            raft.heard(net.now(), Rpc.decode(bytes));
+            afterwards();
         }
 
         @Override
@@ -204,24 +185,12 @@
 
     private void start(int index, DurableState stable, boolean fromDisk) {
         Node node = nodes.get(index);
-        node.life++;
-        node.paused = false;
-        node.inbox.clear();
+        node.begins();
         node.log.clear();
         node.raft = new Raft(settings, stable, fromDisk, net.now(), random.split(), node);
-        tick(node, node.life, random.nextLong(TICK));
-    }
-
-    private void tick(Node node, int life, long in) {
-        net.after(in, () -> {
-            if (node.life != life || node.raft == null) {
-                return;
-            }
-            if (!node.paused) {
-                node.raft.tick(net.now());
-                node.afterwards();
-            }
-            tick(node, life, TICK);
+        node.tick(random.nextLong(VirtualProcess.TICK), () -> {
+            node.raft.tick(net.now());
+            node.afterwards();
         });
     }
 
@@ -245,8 +214,7 @@
     void kill(int index) {
         Node node = nodes.get(index);
         node.raft = null;
-        node.life++;
-        node.memory.cut();
+        node.ends();
     }
 
     /** It starts with what its disk has. */
@@ -272,10 +240,7 @@
             node.paused = false;
             node.raft.tick(net.now());
             node.afterwards();
-            while (!node.inbox.isEmpty() && node.raft != null) {
-                node.inbox.poll().run();
-                node.afterwards();
-            }
+            node.catchUp(() -> {});
         }
         node.paused = on;
     }
--- a/src/main/java/slateseam/simulate/tier/PolicyWorld.java
+++ b/src/main/java/slateseam/simulate/tier/PolicyWorld.java
@@ -1,9 +1,7 @@
 package slateseam.simulate.tier;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,7 +11,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import slateseam.simulate.tier.MembersWorld.Ways;
-import slateseam.tier.agreement.DurableState;
 import slateseam.tier.agreement.Raft;
 import slateseam.tier.policy.Policy;
 import slateseam.tier.policy.PolicyPort;
@@ -27,24 +24,17 @@
 final class PolicyWorld {
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1_000 * MILLI;
-    private static final long TICK = 50 * MILLI;
     private static final long SAMPLE = 10 * MILLI;
     /** Until others know that one is not there. */
     private static final long KNOWN = 2_300 * MILLI;
 
-    private static final int MOST_INBOX = 2_000;
     /** A document that only this router refuses begins so, its number behind it. */
     static final String REFUSED_BY = "refused by ";
     /** A document by which fewer are served. */
     static final String HURTS = "hurts";
 
-    private final class Node implements PolicyPort {
-        final int index;
-        final VirtualMemory memory = new VirtualMemory();
-        final Deque<Runnable> inbox = new ArrayDeque<>();
+    private final class Node extends VirtualProcess implements PolicyPort {
         Policy policy;
-        int life;
-        boolean paused;
         /** Since when others cannot know that it is there; 0 if they can. */
         long apartSince;
 
@@ -59,39 +49,25 @@
         long bytes;
 
         Node(int index) {
-            this.index = index;
+            super(net, index);
         }
 
         @Override
-        public void send(int router, byte[] datagram) {
-            Node target = nodes.get(router);
-            datagrams++;
-            bytes += datagram.length;
-            net.post(index, router, () -> target.arrives(index, datagram));
+        boolean isUp() {
+            return policy != null;
         }
 
-        private void arrives(int from, byte[] datagram) {
-            if (policy == null) {
-                return;
-            }
-            if (!paused) {
-                policy.heard(net.now(), from, datagram);
-            } else if (inbox.size() < MOST_INBOX) {
-                inbox.add(() -> policy.heard(net.now(), from, datagram));
-            }
+        @Override
+        void persisted(long number) {
+            policy.persisted(number);
         }
 
         @Override
-        public void persist(long number, DurableState.Change change) {
-            memory.write(change);
-            int of = life;
-            int size = memory.size();
-            net.after(memory.forceNanos, () -> {
-                if (life == of && policy != null) {
-                    memory.force(size);
-                    policy.persisted(number);
-                }
-            });
+        public void send(int router, byte[] datagram) {
+            Node target = nodes.get(router);
+            datagrams++;
+            bytes += datagram.length;
+            net.post(index, router, () -> target.arrives(() -> target.policy.heard(net.now(), index, datagram)));
         }
 
         @Override
@@ -201,28 +177,16 @@
 
     void start(int index) {
         Node node = nodes.get(index);
-        node.life++;
-        node.paused = false;
-        node.inbox.clear();
+        node.begins();
         node.document = "";
         node.heldNumber = 0;
         apart(node, 0);
         node.backSince = net.now();
         node.policy = new Policy(
                 PolicySettings.usual(index, nodes.size(), voters), node.memory.read(), net.now(), random.split(), node);
-        tick(node, node.life, random.nextLong(TICK));
-    }
-
-    private void tick(Node node, int life, long in) {
-        net.after(in, () -> {
-            if (node.life != life || node.policy == null) {
-                return;
-            }
-            if (!node.paused) {
-                view(node);
-                node.policy.tick(net.now());
-            }
-            tick(node, life, TICK);
+        node.tick(random.nextLong(VirtualProcess.TICK), () -> {
+            view(node);
+            node.policy.tick(net.now());
         });
     }
 
@@ -260,8 +224,7 @@
     void kill(int index) {
         Node node = nodes.get(index);
         node.policy = null;
-        node.life++;
-        node.memory.cut();
+        node.ends();
         apart(node, net.now());
     }
 
@@ -283,10 +246,7 @@
         apart(node, on ? net.now() : node.policy == null ? node.apartSince : 0);
         if (!on && node.policy != null) {
             look(node); // requests that came meanwhile are the first that it sees
-            while (!node.inbox.isEmpty() && node.policy != null) {
-                node.inbox.poll().run();
-                look(node);
-            }
+            node.catchUp(() -> look(node));
         }
     }
 
