Rename the checker's Judge and Place to RequestChecker and RouterAddresses

Change: two types of simulate.check and the fields that hold them. No behaviour changes: the checker's tests pass.

--- a/src/main/java/slateseam/simulate/RouterProcess.java
+++ b/src/main/java/slateseam/simulate/RouterProcess.java
@@ -12,7 +12,7 @@
 import slateseam.router.net.Clock;
 import slateseam.router.net.Log;
 import slateseam.simulate.check.Checker;
-import slateseam.simulate.check.Place;
+import slateseam.simulate.check.RouterAddresses;
 import slateseam.simulate.network.Program;
 import slateseam.simulate.network.VirtualNetwork;
 import slateseam.simulate.network.VirtualProvider;
@@ -84,7 +84,7 @@
             return;
         }
         checker.routerStarts(
-                new Place(
+                new RouterAddresses(
                         place.name(),
                         place.address(),
                         place.listen(),
--- a/src/main/java/slateseam/simulate/check/Checker.java
+++ b/src/main/java/slateseam/simulate/check/Checker.java
@@ -45,7 +45,7 @@
     private final Map<Long, PassWire> passWires = new HashMap<>();
     private final Map<Long, DiscoveryWire> discoveryWires = new HashMap<>();
     private final DayCounts dayCounts;
-    private final Judge judge;
+    private final RequestChecker requestChecker;
     private final PriorityQueue<Watched> watched =
             new PriorityQueue<>(Comparator.comparingLong(Watched::at).thenComparingLong(Watched::number));
     /** Addresses from which what came to a router made no sense, and routers whose user agents sent such. */
@@ -67,13 +67,13 @@
         this.report = new Report(clock);
         this.coldStarts = new ColdStarts(figures.cold(), report);
         this.dayCounts = new DayCounts(report);
-        this.judge = new Judge(figures, report, coldStarts, dayCounts);
+        this.requestChecker = new RequestChecker(figures, report, coldStarts, dayCounts);
         this.logged = new Logged(report, garbled);
         this.peers = Set.copyOf(peers);
     }
 
     /** A router starts, with the list that it had last; what an earlier one of its name did is over. */
-    public void routerStarts(Place place, JSONObject known) {
+    public void routerStarts(RouterAddresses place, JSONObject known) {
         RouterState router = new RouterState(place, new Told(originClass));
         router.told.take(known, true, report.now());
         byListen.put(place.listen(), router);
@@ -187,7 +187,7 @@
                     || !asked.read && !asked.wire.isUndisturbed(asked.writtenAt)) {
                 watch(asked, now + AGAIN_NANOS);
             } else {
-                judge.late(asked, "no answer");
+                requestChecker.late(asked, "no answer");
             }
         }
     }
@@ -220,8 +220,8 @@
         return dayCounts;
     }
 
-    Judge judge() {
-        return judge;
+    RequestChecker requestChecker() {
+        return requestChecker;
     }
 
     Figures figures() {
@@ -360,7 +360,7 @@
     @Override
     public void ran(String server, String id, String key, boolean write, String idempotencyKey) {
         if (write && isOnce(id)) {
-            judge.ranOnce(server, id);
+            requestChecker.ranOnce(server, id);
         }
     }
 
@@ -377,7 +377,7 @@
 
     @Override
     public void made(String server, String id, byte[] value) {
-        judge.made(id, value);
+        requestChecker.made(id, value);
     }
 
     @Override
--- a/src/main/java/slateseam/simulate/check/PassWire.java
+++ b/src/main/java/slateseam/simulate/check/PassWire.java
@@ -51,7 +51,7 @@
                 unanswered.add(attempt);
                 onTheWay.add(attempt);
                 if (!passed.isProbe()) {
-                    checker.judge().attempt(router, passed, attempt, firstAt);
+                    checker.requestChecker().attempt(router, passed, attempt, firstAt);
                 }
             }
         } catch (Garbled e) {
@@ -114,7 +114,7 @@
         while (!onTheWay.isEmpty() && onTheWay.peek().end <= cameTo) {
             Attempt attempt = onTheWay.poll();
             if (attempt.asked != null) {
-                checker.judge().came(router, attempt);
+                checker.requestChecker().came(router, attempt);
             }
         }
     }
--- a/src/main/java/slateseam/simulate/check/Judge.java
+++ b/src/main/java/slateseam/simulate/check/RequestChecker.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 
 /** Judges what a router sends on and what it answers, request by request. */
-final class Judge {
+final class RequestChecker {
     /** In which a router hears that a user agent has left. */
     private static final long LEFT_NANOS = 100_000_000L;
     /** By how much the time that an attempt tells may be more than what is left to the user agent. */
@@ -22,7 +22,7 @@
     /** By id, where a write that must not run twice has run. */
     private final Map<String, String> ranOnce = new HashMap<>();
 
-    Judge(Figures figures, Report report, ColdStarts coldStarts, DayCounts dayCounts) {
+    RequestChecker(Figures figures, Report report, ColdStarts coldStarts, DayCounts dayCounts) {
         this.figures = figures;
         this.report = report;
         this.coldStarts = coldStarts;
--- a/src/main/java/slateseam/simulate/check/Place.java
+++ b/src/main/java/slateseam/simulate/check/RouterAddresses.java
@@ -11,9 +11,9 @@
  * @param peerListen where datagrams arrive and leave; null where there are none
  * @param agents where discovery may be, for this router alone
  */
-public record Place(String router, String machine, String listen, String peerListen, List<String> agents) {
+public record RouterAddresses(String router, String machine, String listen, String peerListen, List<String> agents) {
     /** Copies the list. */
-    public Place {
+    public RouterAddresses {
         agents = List.copyOf(agents);
     }
 }
--- a/src/main/java/slateseam/simulate/check/RouterState.java
+++ b/src/main/java/slateseam/simulate/check/RouterState.java
@@ -5,7 +5,7 @@
 
 /** A router from one of its starts to its end, as the wires show it. */
 final class RouterState {
-    final Place place;
+    final RouterAddresses place;
     final Told told;
     /** By id; those that have ended too, as an attempt for one of them is a breach. */
     final Map<String, Asked> asked = new HashMap<>();
@@ -27,7 +27,7 @@
 
     long turnsAwaySince;
 
-    RouterState(Place place, Told told) {
+    RouterState(RouterAddresses place, Told told) {
         this.place = place;
         this.told = told;
     }
--- a/src/main/java/slateseam/simulate/check/UserWire.java
+++ b/src/main/java/slateseam/simulate/check/UserWire.java
@@ -229,7 +229,7 @@
             report.breach(Rule.GARBLED, router, asked == null ? "" : asked.id, "answered before it was read");
         }
         if (asked != null && asked.isOpen()) {
-            checker.judge().finalAnswer(asked, value);
+            checker.requestChecker().finalAnswer(asked, value);
         }
         lastAnswerAt = report.now();
         headChanged();
--- a/src/test/java/slateseam/simulate/check/CheckerTest.java
+++ b/src/test/java/slateseam/simulate/check/CheckerTest.java
@@ -41,7 +41,7 @@
 
     CheckerTest() {
         checker.routerStarts(
-                new Place("n0", "10.0.0.1", "10.0.0.1:6379", "10.0.0.1:7946", List.of("10.2.0.1:8500")),
+                new RouterAddresses("n0", "10.0.0.1", "10.0.0.1:6379", "10.0.0.1:7946", List.of("10.2.0.1:8500")),
                 list("ready", 0));
     }
 
