Rename Phases, Platter and the stand-ins' workshop by what they are

Need: the table of names has ServiceByPhase and DurableFiles as agreed; the stand-ins' WorkerPool was still called a workshop where it is held. Change: the names alone, in simulate, trial and standin. No behaviour changes: the tests of standin and of trial.disk pass.

--- a/src/main/java/slateseam/simulate/Play.java
+++ b/src/main/java/slateseam/simulate/Play.java
@@ -49,7 +49,7 @@
     private final Service service;
     private final Arrived arrived;
     /** Null where nobody asks for them. */
-    private final Phases phases;
+    private final ServiceByPhase phases;
 
     private final SupplyWatch supplyWatch;
     private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
@@ -67,7 +67,7 @@
     }
 
     /** The same with phases that are told what user agents got, what the origin gave and how supply was used. */
-    Play(Day day, Consumer<String> lines, Phases phases) {
+    Play(Day day, Consumer<String> lines, ServiceByPhase phases) {
         List<Fault> lacking = day.timeline().faults().stream()
                 .filter(fault -> !fault.kind().isVirtual())
                 .toList();
--- a/src/main/java/slateseam/simulate/Phases.java
+++ b/src/main/java/slateseam/simulate/ServiceByPhase.java
@@ -12,7 +12,7 @@
 import slateseam.standin.useragent.Request;
 
 /** What user agents got, by the phase in which they first asked; a phase ends where a fault begins or ends. */
-public final class Phases implements Outcomes {
+public final class ServiceByPhase implements Outcomes {
     private static final long SECOND = 1_000_000_000L;
     /** Parts of the served share by which a second may be under the calm ones and still be like them. */
     private static final double LIKE_CALM = 0.03;
@@ -122,7 +122,7 @@
     private long turnedBefore;
 
     /** Cuts a day into phases; the beginning is Unix time in nanoseconds. */
-    public Phases(long begin, long duration, List<Fault> faults) {
+    public ServiceByPhase(long begin, long duration, List<Fault> faults) {
         this.begin = begin;
         this.faults = new ArrayList<>(
                 faults.stream().filter(fault -> !(fault instanceof Fault.Cued)).toList());
@@ -143,7 +143,7 @@
                             faults.stream()
                                     .filter(fault ->
                                             fault.at() <= from && from < Math.max(fault.until(), fault.at() + 1))
-                                    .map(Phases::text)
+                                    .map(ServiceByPhase::text)
                                     .toList())));
         }
     }
--- a/src/main/java/slateseam/simulate/VirtualTrial.java
+++ b/src/main/java/slateseam/simulate/VirtualTrial.java
@@ -11,11 +11,11 @@
  * @param begin when it began, in Unix time in nanoseconds
  * @param breaches the first rules that were broken, by the checker that sees every byte
  */
-public record VirtualTrial(Phases phases, long begin, List<Breach> breaches) {
+public record VirtualTrial(ServiceByPhase phases, long begin, List<Breach> breaches) {
     /** Plays a day on the calling thread. */
     public static VirtualTrial play(Day day) {
-        Phases phases =
-                new Phases(Play.BEGIN, day.durationNanos(), day.timeline().faults());
+        ServiceByPhase phases = new ServiceByPhase(
+                Play.BEGIN, day.durationNanos(), day.timeline().faults());
         Result result = new Play(day, null, phases).play();
         return new VirtualTrial(phases, result.begin(), result.breaches());
     }
--- a/src/main/java/slateseam/standin/ApplicationServer.java
+++ b/src/main/java/slateseam/standin/ApplicationServer.java
@@ -29,7 +29,7 @@
     private Store store;
     private Warmth warmth;
     private ColdLoad coldLoad;
-    private WorkerPool workshop;
+    private WorkerPool workers;
     private double slowness = 1;
     private int starts;
     private long born;
@@ -84,7 +84,7 @@
         fetches.clear();
         warmth = new Warmth(born, figures.cold().share(), cold ? figures.cold().warmNanos() : 0);
         coldLoad = new ColdLoad(figures.cold());
-        workshop = new WorkerPool(
+        workers = new WorkerPool(
                 clock,
                 warmth,
                 figures.cores(),
@@ -92,14 +92,14 @@
                 figures.slots(),
                 figures.waitingRoom(),
                 figures.crowding());
-        workshop.slow(slowness);
+        workers.slow(slowness);
         openUp();
     }
 
     /** The process dies: its connections are reset, its work and its copies are lost, new connections are refused. */
     public void stop() {
         if (isUp()) {
-            workshop.close();
+            workers.close();
             store = new Store(clock, figures.keeping());
             fetches.clear();
             shutDown();
@@ -118,7 +118,7 @@
         Range.check("slowness", factor, 0.01, 1_000);
         slowness = factor;
         if (isUp()) {
-            workshop.slow(factor);
+            workers.slow(factor);
         }
     }
 
@@ -154,7 +154,7 @@
 
     /** Requests in work and waiting. */
     public int held() {
-        return isUp() ? workshop.held() : 0;
+        return isUp() ? workers.held() : 0;
     }
 
     /** Copies kept. */
@@ -194,13 +194,13 @@
 
     @Override
     void counted(int open) {
-        workshop.tax(figures.connections().tax()
+        workers.tax(figures.connections().tax()
                 * Math.min(1, open / (double) figures.connections().most()));
     }
 
     /** Does a new connection's work, then lets its first request wait, then goes on. */
     void handshake(ServerLink link) {
-        workshop.beside(new WorkerPool.Job() {
+        workers.beside(new WorkerPool.Job() {
             @Override
             double begin() {
                 return figures.connections().openSeconds();
@@ -264,15 +264,15 @@
     String report() {
         long reads = tallies.of(Counter.HIT) + tallies.of(Counter.MISS) + tallies.of(Counter.PENDING);
         long hits = reads == 0 ? 0 : 100 * tallies.of(Counter.HIT) / reads;
-        return "inwork=" + workshop.inWork() + ",waiting=" + (workshop.held() - workshop.inWork()) + ",hits=" + hits;
+        return "inwork=" + workers.inWork() + ",waiting=" + (workers.held() - workers.inWork()) + ",hits=" + hits;
     }
 
     Store store() {
         return store;
     }
 
-    WorkerPool workshop() {
-        return workshop;
+    WorkerPool workers() {
+        return workers;
     }
 
     Shared shared() {
--- a/src/main/java/slateseam/standin/Origin.java
+++ b/src/main/java/slateseam/standin/Origin.java
@@ -13,7 +13,7 @@
     private final Witness witness;
     private final Shared shared;
     private final Spoiler spoiler;
-    private WorkerPool workshop;
+    private WorkerPool workers;
     private double slowness = 1;
     private double trouble;
 
@@ -44,7 +44,7 @@
         if (isUp()) {
             throw new IllegalStateException(name + " is up");
         }
-        workshop = new WorkerPool(
+        workers = new WorkerPool(
                 clock,
                 new Warmth(clock.now(), 1, 0),
                 figures.places(),
@@ -52,14 +52,14 @@
                 figures.places(),
                 figures.queue(),
                 new ServerFigures.Crowding(1, figures.crowding()));
-        workshop.slow(slowness);
+        workers.slow(slowness);
         openUp();
     }
 
     /** The process dies: its connections are reset, its work is lost, new connections are refused. */
     public void stop() {
         if (isUp()) {
-            workshop.close();
+            workers.close();
             shutDown();
         }
     }
@@ -69,7 +69,7 @@
         Range.check("slowness", factor, 0.01, 1_000);
         slowness = factor;
         if (isUp()) {
-            workshop.slow(factor);
+            workers.slow(factor);
         }
     }
 
@@ -99,7 +99,7 @@
 
     /** Requests in work and queued. */
     public int held() {
-        return isUp() ? workshop.held() : 0;
+        return isUp() ? workers.held() : 0;
     }
 
     @Override
@@ -124,7 +124,7 @@
 
     /** The load report, as names and values. */
     String report() {
-        return "inwork=" + workshop.inWork() + ",waiting=" + (workshop.held() - workshop.inWork());
+        return "inwork=" + workers.inWork() + ",waiting=" + (workers.held() - workers.inWork());
     }
 
     /** The header with the load report, if answers carry it. */
@@ -132,8 +132,8 @@
         return figures.reports() ? "X-Backend-Load: " + report() + "\r\n" : "";
     }
 
-    WorkerPool workshop() {
-        return workshop;
+    WorkerPool workers() {
+        return workers;
     }
 
     Shared shared() {
--- a/src/main/java/slateseam/standin/OriginRequest.java
+++ b/src/main/java/slateseam/standin/OriginRequest.java
@@ -53,10 +53,10 @@
         origin.tallies.add(Counter.ASKED);
         if (trouble == 503 || trouble == 504) {
             turnAway(trouble);
-        } else if (origin.workshop().isFull()) {
+        } else if (origin.workers().isFull()) {
             turnAway(503);
         } else {
-            origin.workshop().submit(job);
+            origin.workers().submit(job);
             if (job.isWaiting()) {
                 origin.clock.at(origin.clock.now() + origin.figures().queueNanos(), this::waitedTooLong);
             }
@@ -64,7 +64,7 @@
     }
 
     private void waitedTooLong() {
-        if (job.isWaiting() && origin.workshop().remove(job)) {
+        if (job.isWaiting() && origin.workers().remove(job)) {
             turnAway(504);
         }
     }
@@ -150,7 +150,7 @@
     protected void withdrawn() {
         gone = true;
         boolean mayStop = !origin.figures().goesOn() && !(job.isInWork() && course == Course.WRITE);
-        if (mayStop && origin.workshop().remove(job)) {
+        if (mayStop && origin.workers().remove(job)) {
             origin.tallies.add(Counter.STOPPED);
         }
     }
--- a/src/main/java/slateseam/standin/ServerProbe.java
+++ b/src/main/java/slateseam/standin/ServerProbe.java
@@ -25,15 +25,15 @@
     }
 
     void enter() {
-        if (server.workshop().isFull()) {
+        if (server.workers().isFull()) {
             answer(Answers.line("-ERR no room"));
         } else {
-            server.workshop().submit(job);
+            server.workers().submit(job);
         }
     }
 
     @Override
     protected void withdrawn() {
-        server.workshop().remove(job);
+        server.workers().remove(job);
     }
 }
--- a/src/main/java/slateseam/standin/ServerRequest.java
+++ b/src/main/java/slateseam/standin/ServerRequest.java
@@ -74,10 +74,10 @@
         if (isAnswered()) {
             return;
         }
-        if (server.workshop().isFull()) {
+        if (server.workers().isFull()) {
             turnAway();
         } else {
-            server.workshop().submit(job);
+            server.workers().submit(job);
         }
     }
 
@@ -171,7 +171,7 @@
             return;
         }
         boolean begun = job.isInWork();
-        server.workshop().remove(job);
+        server.workers().remove(job);
         if (begun) {
             server.tallies.add(Counter.STOPPED);
             answer(Answers.line("-ERR failed"));
@@ -183,7 +183,7 @@
     @Override
     protected void withdrawn() {
         gone = true;
-        if (mayStop() && server.workshop().remove(job)) {
+        if (mayStop() && server.workers().remove(job)) {
             server.tallies.add(Counter.STOPPED);
         }
     }
--- a/src/main/java/slateseam/trial/Look.java
+++ b/src/main/java/slateseam/trial/Look.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import slateseam.simulate.Phases;
+import slateseam.simulate.ServiceByPhase;
 import slateseam.simulate.check.Supplies;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.FaultKind;
@@ -48,7 +48,7 @@
     /** Null where no policy is shared. */
     private final PolicyLook policy;
 
-    private Phases phases;
+    private ServiceByPhase phases;
     private ServiceLook service;
     private long begin;
     private long lastTick;
@@ -66,7 +66,7 @@
         this.policy = PolicyLook.isIn(day) ? new PolicyLook(day, net, routers, findings, history) : null;
     }
 
-    void start(long from, Phases told, ServiceLook served) {
+    void start(long from, ServiceByPhase told, ServiceLook served) {
         begin = from;
         phases = told;
         service = served;
--- a/src/main/java/slateseam/trial/TierLook.java
+++ b/src/main/java/slateseam/trial/TierLook.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import org.json.JSONArray;
 import org.json.JSONObject;
-import slateseam.simulate.Phases;
+import slateseam.simulate.ServiceByPhase;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.standin.sockets.SocketNet;
@@ -30,7 +30,7 @@
     private final Map<String, JSONObject> last = new TreeMap<>();
     private final Map<String, Long> lastAt = new HashMap<>();
     private final Set<String> asked = new HashSet<>();
-    private Phases phases;
+    private ServiceByPhase phases;
 
     TierLook(Day day, SocketNet net, Routers routers, Findings findings, History history) {
         this.day = day;
@@ -40,7 +40,7 @@
         this.history = history;
     }
 
-    void start(Phases told) {
+    void start(ServiceByPhase told) {
         phases = told;
     }
 
--- a/src/main/java/slateseam/trial/TrialFaults.java
+++ b/src/main/java/slateseam/trial/TrialFaults.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import slateseam.simulate.Cues;
 import slateseam.simulate.Fleet;
-import slateseam.simulate.Phases;
+import slateseam.simulate.ServiceByPhase;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.simulate.scenario.FaultKind;
@@ -38,7 +38,7 @@
     private final Look look;
     private final Findings findings;
     private final History history;
-    private final Phases phases;
+    private final ServiceByPhase phases;
     private final Cues cues;
     private final Crowd crowd;
     private long begin;
@@ -53,7 +53,7 @@
             Look look,
             Findings findings,
             History history,
-            Phases phases,
+            ServiceByPhase phases,
             Crowd crowd) {
         this.day = day;
         this.net = net;
--- a/src/main/java/slateseam/trial/TrialPlay.java
+++ b/src/main/java/slateseam/trial/TrialPlay.java
@@ -9,7 +9,7 @@
 import java.util.stream.Collectors;
 import slateseam.simulate.Both;
 import slateseam.simulate.Fleet;
-import slateseam.simulate.Phases;
+import slateseam.simulate.ServiceByPhase;
 import slateseam.simulate.scenario.Day;
 import slateseam.standin.World;
 import slateseam.standin.sockets.SocketNet;
@@ -42,7 +42,7 @@
     private final Look look;
     private DatagramLinks links;
     private Fleet fleet;
-    private Phases phases;
+    private ServiceByPhase phases;
     private long begin;
     private boolean closing;
 
@@ -141,7 +141,7 @@
         begin = net.now();
         findings.begins(begin);
         history.begins(begin);
-        phases = new Phases(begin, day.durationNanos(), day.timeline().faults());
+        phases = new ServiceByPhase(begin, day.durationNanos(), day.timeline().faults());
         ServiceLook service = new ServiceLook(
                 begin,
                 phases.faults(),
--- a/src/main/java/slateseam/trial/TrialResult.java
+++ b/src/main/java/slateseam/trial/TrialResult.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import org.json.JSONArray;
 import org.json.JSONObject;
-import slateseam.simulate.Phases;
+import slateseam.simulate.ServiceByPhase;
 import slateseam.simulate.scenario.Day;
 import slateseam.simulate.scenario.Fault;
 import slateseam.standin.useragent.Outcomes.Ending;
@@ -17,7 +17,7 @@
  * @param stoodStillNanos for how long the rig itself stood still at the longest
  * @param folder where the logs lie
  */
-record TrialResult(Day day, Phases phases, List<Findings.Finding> findings, long stoodStillNanos, Path folder) {
+record TrialResult(Day day, ServiceByPhase phases, List<Findings.Finding> findings, long stoodStillNanos, Path folder) {
     /** Whether its figures say something. */
     boolean isSpoilt() {
         return TrialPlay.isSpoilt(stoodStillNanos);
@@ -46,7 +46,7 @@
                 "supply",
                 "largest",
                 "faults"));
-        for (Phases.Phase phase : phases.all()) {
+        for (ServiceByPhase.Phase phase : phases.all()) {
             double asked = Math.max(1, phase.asked());
             double seconds = (phase.until() - phase.from()) / 1e9;
             lines.add(String.format(
@@ -84,7 +84,7 @@
 
     JSONObject json() {
         JSONArray rows = new JSONArray();
-        for (Phases.Phase phase : phases.all()) {
+        for (ServiceByPhase.Phase phase : phases.all()) {
             JSONObject row = new JSONObject()
                     .put("from_s", phase.from() / 1e9)
                     .put("to_s", phase.until() / 1e9)
--- a/src/main/java/slateseam/trial/disk/Platter.java
+++ b/src/main/java/slateseam/trial/disk/DurableFiles.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** What outlives a power cut: the files of one folder, by name. */
-public interface Platter {
+public interface DurableFiles {
     /** All that lies there. */
     Map<String, byte[]> all() throws IOException;
 
--- a/src/main/java/slateseam/trial/disk/LyingFolder.java
+++ b/src/main/java/slateseam/trial/disk/LyingFolder.java
@@ -30,14 +30,14 @@
         }
     }
 
-    private final Platter platter;
+    private final DurableFiles disk;
     private final RandomGenerator random;
     private final Set<Lie> lies = EnumSet.noneOf(Lie.class);
     /** As the program sees them. */
     private final Map<String, Node> names = new LinkedHashMap<>();
     /** As they would be after a power cut. */
     private final Map<String, Node> lasting = new HashMap<>();
-    /** What the platter holds, and held before that. */
+    /** What the disk holds, and held before that. */
     private final Map<String, byte[]> written = new TreeMap<>();
 
     private final Map<String, byte[]> before = new HashMap<>();
@@ -46,11 +46,11 @@
 
     private boolean namesLate;
 
-    /** A folder with what lies on the platter. */
-    public LyingFolder(Platter platter, RandomGenerator random) throws IOException {
-        this.platter = platter;
+    /** A folder with what lies on the disk. */
+    public LyingFolder(DurableFiles disk, RandomGenerator random) throws IOException {
+        this.disk = disk;
         this.random = random;
-        platter.all().forEach((name, bytes) -> {
+        disk.all().forEach((name, bytes) -> {
             Node node = new Node(bytes, bytes);
             names.put(name, node);
             lasting.put(name, node);
@@ -201,7 +201,7 @@
         }
     }
 
-    /** Brings the platter to what would be left. */
+    /** Brings the disk to what would be left. */
     private void sync() throws IOException {
         Map<String, byte[]> left = new TreeMap<>();
         lasting.forEach((name, node) -> left.put(name, node.lasting == null ? new byte[0] : node.lasting));
@@ -217,13 +217,13 @@
         for (String name : Set.copyOf(written.keySet())) {
             if (!left.containsKey(name)) {
                 written.remove(name);
-                platter.remove(name);
+                disk.remove(name);
             }
         }
     }
 
     private void put(String name, byte[] bytes) throws IOException {
         written.put(name, bytes);
-        platter.put(name, bytes);
+        disk.put(name, bytes);
     }
 }
--- a/src/main/java/slateseam/trial/disk/LyingProvider.java
+++ b/src/main/java/slateseam/trial/disk/LyingProvider.java
@@ -70,7 +70,7 @@
     }
 
     /** What the system keeps; a file is replaced by renaming, so that no end of the process leaves half of it. */
-    private final class Real implements Platter {
+    private final class Real implements DurableFiles {
         @Override
         public Map<String, byte[]> all() throws IOException {
             Map<String, byte[]> all = new HashMap<>();
--- a/src/test/java/slateseam/trial/TrialTest.java
+++ b/src/test/java/slateseam/trial/TrialTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
-import slateseam.simulate.Phases;
 import slateseam.simulate.Planted;
+import slateseam.simulate.ServiceByPhase;
 import slateseam.simulate.VirtualTrial;
 import slateseam.simulate.scenario.Scenarios;
 
@@ -66,7 +66,7 @@
     void aPauseAOneSidedCutAndAKillBreakNoRule() throws Exception {
         TrialResult result = play("short", "");
         assertThat(result.findings()).isEmpty();
-        List<Phases.Phase> phases = result.phases().all();
+        List<ServiceByPhase.Phase> phases = result.phases().all();
         assertThat(phases)
                 .extracting(phase -> phase.faults())
                 .containsExactly("", "pause router-2", "", "one-way router-1~router-3", "router-kill router-3", "");
@@ -86,7 +86,7 @@
         VirtualTrial virtual = VirtualTrial.play(TrialCommand.day("short", null, 1));
         assertThat(virtual.breaches()).isEmpty();
         for (int i = 0; i < phases.size(); i++) {
-            Phases.Phase other = virtual.phases().all().get(i);
+            ServiceByPhase.Phase other = virtual.phases().all().get(i);
             assertThat(other.faults()).isEqualTo(phases.get(i).faults());
             assertThat((double) phases.get(i).asked()).isCloseTo(other.asked(), withinPercentage(5));
         }
@@ -244,7 +244,7 @@
                                 + "at 3 s reset discovery-1"),
                 "");
         assertThat(result.findings()).isEmpty();
-        List<Phases.Phase> phases = result.phases().all();
+        List<ServiceByPhase.Phase> phases = result.phases().all();
         assertThat(phases.get(0).servedPart()).isGreaterThan(0.7);
         assertThat(phases.get(phases.size() - 1).servedPart()).isGreaterThan(0.7);
         assertThat(phases.stream()
--- a/src/test/java/slateseam/trial/disk/LyingFolderTest.java
+++ b/src/test/java/slateseam/trial/disk/LyingFolderTest.java
@@ -13,7 +13,7 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
-/** A power cut is a new folder on the same platter. */
+/** A power cut is a new folder on the same disk. */
 class LyingFolderTest {
     private static final byte[] OLD = {1, 1, 1, 1, 1, 1, 1, 1};
     private static final byte[] NEW = {2, 2, 2, 2, 2, 2, 2, 2};
@@ -22,7 +22,7 @@
 
     private LyingFolder folder(long seed) throws IOException {
         return new LyingFolder(
-                new Platter() {
+                new DurableFiles() {
                     @Override
                     public Map<String, byte[]> all() {
                         return new TreeMap<>(left);
