Let the flood test's cache answer PING as servers do

Trace: its stand-in cache answered PING by a value, so no answer of a suspect server could be verified, and reads went on to their deadline. Change: the stand-in answers +PONG; bounds and checks as before.

--- a/src/test/java/slateseam/FloodTest.java
+++ b/src/test/java/slateseam/FloodTest.java
@@ -105,7 +105,9 @@
         socket.setTcpNoDelay(true);
         for (List<String> command; !over && (command = command(in)) != null; ) {
             String key = command.size() > 1 ? command.get(1) : "";
-            if (key.startsWith("miss")) {
+            if (command.size() == 1) {
+                write(out, "+PONG\r\n");
+            } else if (key.startsWith("miss")) {
                 write(out, "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
             } else if (key.startsWith("endless-value")) {
                 write(out, "*3\r\n$4000000\r\n");
