Pass on the end of a long value whose server breaks before its fence is answered

Suspected cause, by reading: the last byte of a verified long value is held for the fence's reply; where the server breaks just then, the router cut the value. Change: with the value whole and nothing surplus behind it, the end of the connection passes the last byte on; a reply that is not the fence's still cuts it. Why it works: only a surplus reply speaks against the value, and none had come.

--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -86,7 +86,7 @@
         loop().cancel(deadline);
         close();
         if (streaming != null) {
-            streaming.cut();
+            streaming.connectionEnded();
         }
     }
 
@@ -363,12 +363,7 @@
                 return false;
             }
             if (taker != null) {
-                Taker by = taker;
-                taker = null; // what follows the value does not concern the taker
-                if (lastByte.hasRemaining()) {
-                    by.bytes(lastByte);
-                }
-                by.whole();
+                pass(taker);
             }
             if (isClosed() || behind == null && !server.protocol().skipRest(in, head)) {
                 return false;
@@ -408,7 +403,24 @@
             loop().cancel(stallDeadline);
         }
 
-        /** Called when the connection has ended, or when a malformed reply made it unusable. */
+        /** Called when the connection has ended. A value that had come whole, with nothing surplus behind it, is whole. */
+        void connectionEnded() {
+            if (!finished && behind != null && taker != null) {
+                finish();
+                pass(taker);
+            }
+            cut();
+        }
+
+        private void pass(Taker by) {
+            taker = null; // what follows the value does not concern the taker
+            if (lastByte.hasRemaining()) {
+                by.bytes(lastByte);
+            }
+            by.whole();
+        }
+
+        /** Called when a malformed reply made the connection unusable. */
         void cut() {
             if (!finished) {
                 finish();
@@ -436,6 +448,9 @@
         Pass first = awaited.peek();
         String hit = first == null ? "" : first.isProbe() ? "; a probe" : "; request " + first.idText();
         loop().log().line("server-malformed", server.address() + ": " + why + hit);
+        if (streaming != null) {
+            streaming.cut();
+        }
         passes.report(connections -> {
             if (first == null) {
                 connections.noise(loop().now(), link);
@@ -453,7 +468,7 @@
     protected void broken() {
         loop().cancel(deadline);
         if (streaming != null) {
-            streaming.cut();
+            streaming.connectionEnded();
         }
         passes.gone(link);
         passes.report(connections -> {
