--- a/src/test/java/slateseam/UnaskedServer.java
+++ b/src/test/java/slateseam/UnaskedServer.java
@@ -202,7 +202,7 @@
         String id = null;
         String facts = null;
         int length = 0;
-        for (String line; !(line = RouterProcess.line(in)).isEmpty(); ) {
+        for (String line = RouterProcess.line(in); !line.isEmpty(); line = RouterProcess.line(in)) {
             String value = line.substring(line.indexOf(':') + 1).strip();
             id = line.startsWith("X-Correlation-Id:") ? value : id;
             facts = line.startsWith("X-Facts:") ? value : facts;
