Bound what answers take of the heap, so that slow readers do not end the router

Cause: an answer that had to be collected, and each answer that waited behind an earlier one of its connection, was counted nowhere. The one bound (RespFront.limitUnread) counted bytes left to write, not the array behind them, and closed only who had taken nothing since the last look.

Ways weighed: a bound for each place where bytes lie (simple, but the sum is what fills the heap); closing slow readers (they read); reading no further from the server (right where the length is known; a value in chunks has to be whole before its first byte); one account for all of them. Taken: the last, with less buffered for each stream as it fills.

Change: MessageMemory counts input and answers in one place. A request whose answer finds no room fails (-ERR) without a further attempt; beyond 5/16 new requests get -BUSY. Nobody is closed for room. Beyond 1/8 a stream has one piece buffered and a connection one command in progress. Gauges input_bytes, answer_bytes.

--- a/src/main/java/slateseam/router/Parts.java
+++ b/src/main/java/slateseam/router/Parts.java
@@ -306,6 +306,8 @@
                 .gauge("conns", front::connections)
                 .gauge("servers_ready", base.farm()::readyServers)
                 .gauge("loop_stall_ms", () -> (int) Math.min(Integer.MAX_VALUE, loop.takeStall() / Clock.MILLI))
+                .gauge("input_bytes", () -> (int) loop.memory().inputBytes())
+                .gauge("answer_bytes", () -> (int) loop.memory().answerBytes())
                 .gauge("conns_idle", room::idle)
                 .gauge("conns_ending", room::ending)
                 .total("conns_opened", room.figures()::opened)
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -159,7 +159,7 @@
         front = new RespFront(
                 loop, lifecycle, longestAnswerNanos, userAgents, config.sockets() / HELD_DESCRIPTORS_DIVISOR);
         boolean sharesAddress = handover != null;
-        upgrade = sharesAddress ? new Upgrade(loop, handover, this::takeOver, this::shareDescriptors) : null;
+        upgrade = sharesAddress ? new Upgrade(loop, handover, this::takeOver, this::shareMachine) : null;
         parts = new Parts(
                 new Parts.Base(
                         config,
@@ -283,8 +283,9 @@
         }
     }
 
-    /** Limits this process to half of the descriptors while another process of this router runs. */
-    private void shareDescriptors(boolean halved) {
+    /** Limits this process to half of the descriptors and buffers while another process of this router runs. */
+    private void shareMachine(boolean halved) {
+        loop.memory().setShared(halved);
         int available = halved ? (sharedDescriptors - RESERVED_DESCRIPTORS) / 2 : sharedDescriptors;
         int ofUserAgents = userAgents(available);
         front.bound(ofUserAgents, config.sockets() / HELD_DESCRIPTORS_DIVISOR / (halved ? 2 : 1));
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -221,7 +221,9 @@
         long now = loop.now();
         long ttl = Math.min(request.ttlNanos(), answersDueAt - now);
         boolean ended = answersDueAt <= now;
-        if (!mayServe.getAsBoolean() || slots.isFull() || ended || heldBytes + request.valueBytes() > mostHeldBytes) {
+        boolean fits = heldBytes + request.valueBytes() <= mostHeldBytes
+                && loop.memory().hasRoom(0);
+        if (!mayServe.getAsBoolean() || slots.isFull() || ended || !fits) {
             front.answer(
                     exchange,
                     new Answer.Unavailable(request.version().settings().limits().maxRetryAfterNanos()));
@@ -351,8 +353,8 @@
                     new ObservedStream(streamed.value(), slot.ending(answer), ending -> streamEnded(slot, ending));
             slot.front.answer(slot.exchange, new Answer.Streamed(value));
         } else if (slot != null) {
-            slot.front.answer(slot.exchange, answer);
-            requestEnded(slot, slot.ending(answer));
+            Answer given = slot.front.answer(slot.exchange, answer);
+            requestEnded(slot, slot.ending(given));
         }
     }
 
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -51,8 +51,8 @@
     }
 
     @Override
-    public Exchange exchange(Runnable ready) {
-        return new Batch(ready);
+    public Exchange exchange(Exchange.Pipeline pipeline) {
+        return new Batch(pipeline);
     }
 
     private final class Batch extends Exchange {
@@ -61,8 +61,8 @@
         private int settledElements;
         private long held;
 
-        Batch(Runnable ready) {
-            super(ready);
+        Batch(Pipeline pipeline) {
+            super(pipeline);
         }
 
         @Override
@@ -129,7 +129,7 @@
          */
         Answer hold(Answer answer) {
             int bytes = answer instanceof Answer.Served served ? served.value().length : 0;
-            if (heldBytes + bytes > maxHeldBytes) {
+            if (heldBytes + bytes > maxHeldBytes || !reserve(bytes)) {
                 return busy;
             }
             heldBytes += bytes;
@@ -173,10 +173,11 @@
         }
 
         @Override
-        protected void answered(Answer given) {
+        protected Answer answered(Answer given) {
             Answer kept = batch.hold(given);
             served = kept instanceof Answer.Served;
             settle(Replies.of(kept));
+            return kept;
         }
 
         /**
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -32,6 +32,9 @@
 
     private final SelectionKey key;
     private final Deque<ByteBuffer> unwritten = new ArrayDeque<>();
+    /** The sizes of the buffers in {@link #unwritten}, in bytes. */
+    private long retained;
+
     private ByteBuffer input = NOTHING;
     private int counted;
     private boolean paused;
@@ -117,9 +120,17 @@
     /** Bytes came after {@link #linger} and were thrown away. */
     protected void discarded() {}
 
+    /** Part of what was to be written has been handed to the system. */
+    protected void progressed() {}
+
     /** All that was to be written has been. */
     protected void written() {}
 
+    /** There is no room on the heap for the rest of a message of which so much has come. */
+    protected void noRoom(int bytes) {
+        malformed(new MalformedException("no room for a message of over " + bytes + " bytes"));
+    }
+
     /** Whether all that was to be written has been handed to the system. */
     protected final boolean isFlushed() {
         return unwritten.isEmpty() && (transport == null || !transport.holdsOutput());
@@ -202,6 +213,7 @@
         for (ByteBuffer b : buffers) {
             if (b.hasRemaining()) {
                 unwritten.add(b);
+                retained += b.capacity();
             }
         }
         flush();
@@ -213,6 +225,7 @@
             closed = true;
             dropInput();
             unwritten.clear();
+            retained = 0;
             if (transport != null && open) {
                 transport.close();
             }
@@ -379,12 +392,12 @@
     private boolean grow() {
         int larger = Math.min(paused ? ahead : INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
         if (larger > UNCOUNTED) {
-            if (paused && !loop.reserveAhead(larger - counted)) {
+            if (paused && !loop.memory().reserveAhead(larger - counted)) {
                 stopReadingAhead();
                 return false;
             }
-            if (!paused && !loop.reserve(larger - counted)) {
-                malformed(new MalformedException("no room for a message of over " + input.capacity() + " bytes"));
+            if (!paused && !loop.memory().reserveInput(larger - counted)) {
+                noRoom(input.capacity());
                 return false;
             }
             counted = larger;
@@ -402,7 +415,7 @@
 
     private void dropInput() {
         input = NOTHING;
-        loop.reserve(-counted);
+        loop.memory().reserveInput(-counted);
         counted = 0;
     }
 
@@ -440,11 +453,9 @@
             return;
         }
         try {
-            while (!unwritten.isEmpty()) {
-                if (!writeChunk()) {
-                    interest();
-                    return;
-                }
+            if (!writeUnwritten()) {
+                interest();
+                return;
             }
             if (lingering) {
                 endSending();
@@ -460,6 +471,19 @@
         }
     }
 
+    /** Writes as much as the system takes; returns whether that is all. */
+    private boolean writeUnwritten() throws IOException {
+        long before = handed;
+        boolean all = true;
+        while (all && !unwritten.isEmpty()) {
+            all = writeChunk();
+        }
+        if (handed > before) {
+            progressed();
+        }
+        return all;
+    }
+
     private void endSending() throws IOException {
         if (transport == null) {
             channel.shutdownOutput();
@@ -491,6 +515,7 @@
             taken -= part;
             if (!first.hasRemaining()) {
                 unwritten.poll();
+                retained -= first.capacity();
             }
         }
         return all;
@@ -506,6 +531,14 @@
         return unwritten.stream().mapToLong(ByteBuffer::remaining).sum();
     }
 
+    /**
+     * The size of the buffers that wait to be handed to the system, in bytes. A buffer takes its whole size until its
+     * last byte has been handed over.
+     */
+    protected final long retainedBytes() {
+        return retained;
+    }
+
     private void interest() {
         if (key.isValid() && channel.isConnected()) {
             boolean reads = transport == null || open ? reads() : !transport.waits();
--- a/src/main/java/slateseam/router/net/Loop.java
+++ b/src/main/java/slateseam/router/net/Loop.java
@@ -31,6 +31,7 @@
     private final Clock clock;
     private final Log log;
     private final long heapBytes;
+    private final MessageMemory memory;
     private final Deadlines deadlines = new Deadlines();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> handedOver = new ConcurrentLinkedQueue<>();
@@ -38,7 +39,6 @@
     /** Kept: making one for each round costs more than the round does. */
     private final Consumer<SelectionKey> dispatch = this::dispatch;
 
-    private long reserved;
     private long now;
     private boolean stopped;
     /** When the present round had waited for long enough; 0 while it waits. */
@@ -62,6 +62,7 @@
         this.clock = clock;
         this.log = log;
         this.heapBytes = heapBytes;
+        this.memory = new MessageMemory(heapBytes);
         this.now = clock.nanos();
     }
 
@@ -85,20 +86,9 @@
         return heapBytes;
     }
 
-    /** Counts bytes of long messages in, or with a negative number out; whether there is room for them. */
-    boolean reserve(int bytes) {
-        return reserve(bytes, heapBytes / 4);
-    }
-
-    /** The same for what is read though nobody takes it yet: half of the room is left to messages that are waited for. */
-    boolean reserveAhead(int bytes) {
-        return reserve(bytes, heapBytes / 8);
-    }
-
-    private boolean reserve(int bytes, long most) {
-        boolean room = bytes <= 0 || reserved + bytes <= most;
-        reserved += room ? bytes : 0;
-        return room;
+    /** What messages take of the heap. */
+    public MessageMemory memory() {
+        return memory;
     }
 
     /** An empty buffer outside the heap, for what is used up before the next call; the same one at each call. */
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -444,6 +444,24 @@
         unusable(e.getMessage(), connections -> connections.spoilt(loop().now(), link));
     }
 
+    /** Called when a reply finds no room on the heap. Its server has done its work, and another attempt would not fit. */
+    @Override
+    protected void noRoom(int bytes) {
+        Pass first = awaited.peek();
+        if (first == null || first.isProbe()) {
+            super.noRoom(bytes); // nothing that long is expected
+            return;
+        }
+        loop().log().line("answer-dropped", "no room for an answer of over " + bytes + " bytes; " + first.idText());
+        passes.report(connections -> {
+            boolean givenUp = first.isGivenUp();
+            connections.unfinished(loop().now(), link);
+            if (!givenUp) {
+                passes.end(first, new ServerProtocol.Reply(Outcome.OK), new Answer.Failed());
+            }
+        });
+    }
+
     private void unusable(String why, Consumer<ServerConnections> event) {
         Pass first = awaited.peek();
         String hit = first == null ? "" : first.isProbe() ? "; a probe" : "; request " + first.idText();
--- a/src/main/java/slateseam/router/request/Front.java
+++ b/src/main/java/slateseam/router/request/Front.java
@@ -8,6 +8,8 @@
     /**
      * Delivers the final answer of an exchange. An answer is ignored if the user agent of its exchange has
      * disconnected.
+     *
+     * @return the answer that the user agent gets, which is a failure if there is no memory to hold this one
      */
-    void answer(long exchange, Answer answer);
+    Answer answer(long exchange, Answer answer);
 }
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -20,8 +20,8 @@
     }
 
     @Override
-    public Exchange exchange(Runnable ready) {
-        return new SingleCommand(ready);
+    public Exchange exchange(Exchange.Pipeline pipeline) {
+        return new SingleCommand(pipeline);
     }
 
     /** Returns the name of a command in upper case. */
@@ -32,12 +32,15 @@
     private final class SingleCommand extends Exchange {
         private final Requests.Open asked = new Requests.Open() {
             @Override
-            protected void answered(Answer answer) {
+            protected Answer answered(Answer answer) {
                 if (answer instanceof Answer.Streamed streamed) {
                     finish(streamed.value(), Replies.head(streamed.value().length()));
-                } else {
-                    finish(Replies.of(answer));
+                    return answer;
                 }
+                boolean fits = !(answer instanceof Answer.Served served) || reserve(served.value().length);
+                Answer given = fits ? answer : new Answer.Failed();
+                finish(Replies.of(given));
+                return given;
             }
 
             @Override
@@ -46,8 +49,8 @@
             }
         };
 
-        SingleCommand(Runnable ready) {
-            super(ready);
+        SingleCommand(Pipeline pipeline) {
+            super(pipeline);
         }
 
         @Override
--- a/src/main/java/slateseam/router/useragent/Dialect.java
+++ b/src/main/java/slateseam/router/useragent/Dialect.java
@@ -3,9 +3,6 @@
 /** Interprets the commands received at one listener. */
 @FunctionalInterface
 public interface Dialect {
-    /**
-     * Begins the exchange that the next command belongs to; {@code ready} runs when the answer of the exchange is
-     * available.
-     */
-    Exchange exchange(Runnable ready);
+    /** Begins the exchange that the next command on a connection belongs to. */
+    Exchange exchange(Exchange.Pipeline pipeline);
 }
--- a/src/main/java/slateseam/router/useragent/Exchange.java
+++ b/src/main/java/slateseam/router/useragent/Exchange.java
@@ -10,19 +10,33 @@
  * the answers of all earlier exchanges of the connection.
  */
 public abstract class Exchange {
-    private final Runnable ready;
+    /** The connection that carries an exchange, between other exchanges. */
+    public interface Pipeline {
+        /** Called when the answer of an exchange has become available. */
+        void answered();
+
+        /**
+         * Reserves memory for an answer until it has been sent; returns false if there is no room for it.
+         *
+         * @param bytes the size of the answer, or of a further part of it
+         */
+        boolean reserve(Exchange exchange, long bytes);
+    }
+
+    private final Pipeline pipeline;
     private ByteBuffer[] answer;
+    private long reservedBytes;
     /** The streamed value that follows the answer; null if there is none. */
     private Incoming stream;
 
-    /** Creates an exchange that runs {@code ready} when its answer is available. */
-    protected Exchange(Runnable ready) {
-        this.ready = ready;
+    /** Creates an exchange that is carried by the given connection. */
+    protected Exchange(Pipeline pipeline) {
+        this.pipeline = pipeline;
     }
 
     /** Returns an exchange that already has its answer and takes no command. */
-    static Exchange answered(ByteBuffer... bytes) {
-        Exchange exchange = new Exchange(() -> {}) {
+    static Exchange answered(Pipeline pipeline, ByteBuffer... bytes) {
+        Exchange exchange = new Exchange(pipeline) {
             @Override
             public void take(List<ByteBuffer> command) {
                 throw new IllegalStateException("exchange is already answered");
@@ -60,10 +74,24 @@
     /** Called when the whole answer has been handed to the connection. */
     public void handedOver() {}
 
+    /** Reserves memory for an answer, or a part of it, until it has been sent; returns false if there is no room. */
+    protected final boolean reserve(long bytes) {
+        boolean room = pipeline.reserve(this, bytes);
+        reservedBytes += room ? bytes : 0;
+        return room;
+    }
+
+    /** Gives up what was reserved; returns the number of bytes. */
+    final long release() {
+        long released = reservedBytes;
+        reservedBytes = 0;
+        return released;
+    }
+
     /** Sets the answer and reports that it is available. */
     protected final void finish(ByteBuffer... bytes) {
         answer = bytes;
-        ready.run();
+        pipeline.answered();
     }
 
     /** Sets the head of the answer, which a streamed value follows, and reports that it is available. */
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -31,8 +31,8 @@
         /** The id of the request while it is open. */
         private String id;
 
-        /** Called once, with the final answer. */
-        protected abstract void answered(Answer answer);
+        /** Called once, with the final answer; returns the answer that the user agent gets. */
+        protected abstract Answer answered(Answer answer);
 
         /** Returns whether a long value may be delivered as a stream instead of as a whole. */
         protected boolean streams() {
@@ -127,14 +127,16 @@
     }
 
     @Override
-    public void answer(long exchange, Answer answer) {
+    public Answer answer(long exchange, Answer answer) {
         Open asked = open.remove(exchange);
         if (asked != null) {
             openIds.remove(asked.id);
-            asked.answered(answer);
-        } else if (answer instanceof Answer.Streamed streamed) {
+            return asked.answered(answer);
+        }
+        if (answer instanceof Answer.Streamed streamed) {
             streamed.value().stop();
         }
+        return answer;
     }
 
     /** Accepts only visible ASCII, as keys, ids and facts are written into the HTTP head of origin fetches. */
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -5,7 +5,6 @@
 import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import slateseam.router.connections.useragents.Cause;
 import slateseam.router.connections.useragents.Kept;
@@ -20,8 +19,6 @@
  * the {@link Dialect} of the listener at which a connection was accepted interprets its commands.
  */
 public final class RespFront {
-    /** Divisor of the heap size that gives the memory limit for answers that user agents do not read: one eighth. */
-    private static final int UNREAD_HEAP_DIVISOR = 8;
     /** Maximum number of connections that are ended at a time to make room in the table. */
     private static final int MAX_ENDED_AT_ONCE = 16;
 
@@ -198,24 +195,6 @@
         return readNanos;
     }
 
-    /**
-     * Closes the connections that have not read for longest, until the unread answers fit their share of the heap.
-     */
-    void limitUnread() {
-        List<UserAgent> unread = userAgents.all().stream()
-                .filter(UserAgent::isUnread)
-                .sorted(Comparator.comparingLong(UserAgent::since))
-                .toList();
-        long bytes = unread.stream().mapToLong(UserAgent::unwrittenBytes).sum();
-        for (UserAgent u : unread) {
-            if (bytes <= loop.heapBytes() / UNREAD_HEAP_DIVISOR) {
-                return;
-            }
-            bytes -= u.unwrittenBytes();
-            u.deadlinePassed();
-        }
-    }
-
     /** Called when a connection is closed. */
     void forget(long ticket, Kept kept, Cause cause) {
         userAgents.remove(ticket);
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -14,13 +14,16 @@
 import slateseam.router.net.Deadlines.Deadline;
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
+import slateseam.router.net.MessageMemory;
 import slateseam.router.net.Resp;
 import slateseam.router.request.Incoming;
 
 /** One connection of a user agent. Answers are sent in the order of the commands. */
-final class UserAgent extends Connection implements Incoming.Taker {
+final class UserAgent extends Connection implements Incoming.Taker, Exchange.Pipeline {
     /** A streamed value is not read further while this many bytes wait to be handed to the operating system. */
     private static final int MAX_UNWRITTEN_BYTES = 64 * 1024;
+    /** There is always room for answers of this size, among them all errors. */
+    private static final int SMALL_ANSWER_BYTES = 1024;
 
     /** Maximum number of commands that are in progress at a time on one connection. */
     private static final int MAX_COMMANDS = 16;
@@ -86,6 +89,10 @@
     private boolean endedIdle;
     /** The value being streamed behind the head of the first answer; null if none is. */
     private Incoming flowing;
+    /** What the exchanges in progress have reserved for their answers, in bytes. */
+    private long reservedBytes;
+    /** What the memory of messages counts for this connection, in bytes. */
+    private long countedBytes;
     /** How many bytes had been handed to the operating system at the last check of the reading progress. */
     private long handedAtLastCheck;
 
@@ -102,14 +109,6 @@
         closeWhenDone(); // applies to silent connections too, while connections are not kept
     }
 
-    long since() {
-        return since;
-    }
-
-    boolean isUnread() {
-        return state == State.UNREAD_ANSWER;
-    }
-
     @Override
     protected void received(ByteBuffer in) throws MalformedException {
         for (int taken = 0; !isClosed() && mayBegin() && isFlushed(); taken++) {
@@ -139,9 +138,7 @@
         pause(true);
         loop().nextRound(() -> {
             yields = false;
-            if (mayBegin() && isFlushed()) {
-                pause(false);
-            }
+            resume();
         });
     }
 
@@ -151,7 +148,12 @@
      * at its end.
      */
     private boolean mayBegin() {
-        return !takesNoMore && (commandsInProgress < MAX_COMMANDS || isPartial() || front.isClosing());
+        return !takesNoMore && (commandsInProgress < maxCommands() || isPartial() || front.isClosing());
+    }
+
+    /** While memory is short, no answer is fetched that would have to wait for an earlier one. */
+    private int maxCommands() {
+        return loop().memory().isShort() ? 1 : MAX_COMMANDS;
     }
 
     /** Returns whether the last exchange waits for more commands. */
@@ -279,7 +281,7 @@
 
     private void take(List<ByteBuffer> command) throws MalformedException {
         if (!isPartial()) {
-            inOrder.add(dialect.exchange(this::flushAnswers));
+            inOrder.add(dialect.exchange(this));
         }
         commandsInProgress++;
         updateState();
@@ -290,7 +292,7 @@
                 front.room().asksFor(kept, current.tenant());
             }
         } catch (MalformedException e) {
-            inOrder.pollLast().withdraw(); // the error is the only answer of the exchange
+            withdraw(inOrder.pollLast()); // the error is the only answer of the exchange
             throw e;
         }
         flushAnswers();
@@ -308,34 +310,77 @@
             }
         }
         updateState();
-        if (state == State.UNREAD_ANSWER) {
-            front.limitUnread();
-        }
+        resume();
         closeWhenDone();
     }
 
+    /** Takes commands again once there is nothing to wait for. */
+    private void resume() {
+        if (mayBegin() && !yields && isFlushed()) {
+            pause(false);
+        }
+    }
+
     private void handedOver() {
         Exchange done = inOrder.poll();
         commandsInProgress -= done.commands();
         done.handedOver();
+        release(done);
+    }
+
+    @Override
+    public void answered() {
+        flushAnswers();
+    }
+
+    @Override
+    public boolean reserve(Exchange exchange, long bytes) {
+        MessageMemory memory = loop().memory();
+        boolean goesOutAtOnce = inOrder.peek() == exchange && isFlushed() && bytes <= LONG_VALUE;
+        boolean room =
+                bytes <= SMALL_ANSWER_BYTES || (goesOutAtOnce ? memory.hasRoom(bytes) : memory.hasRoomToWait(bytes));
+        if (room) {
+            reservedBytes += bytes;
+            countMemory();
+        } else {
+            loop().log().line("answer-dropped", "no room for an answer of " + bytes + " bytes; its request fails");
+        }
+        return room;
+    }
+
+    private void release(Exchange exchange) {
+        reservedBytes -= exchange.release();
+        countMemory();
+    }
+
+    private void withdraw(Exchange exchange) {
+        exchange.withdraw();
+        release(exchange);
+    }
+
+    /** Counts what this connection holds of answers: those that wait, and those that the system has not taken. */
+    private void countMemory() {
+        long bytes = reservedBytes + retainedBytes();
+        loop().memory().countAnswers(bytes - countedBytes);
+        countedBytes = bytes;
+    }
+
+    @Override
+    protected void progressed() {
+        countMemory();
     }
 
     @Override
     public void bytes(ByteBuffer bytes) {
         ByteBuffer kept = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         write(kept);
-        // A user agent that stops reading within a
-        // long answer has a deadline too, and its
-        // unread bytes count against the limit.
-        updateState();
-        if (state == State.UNREAD_ANSWER) {
-            front.limitUnread();
-        }
+        countMemory();
+        updateState(); // a user agent that stops reading within a long answer has a deadline too
     }
 
     @Override
     public boolean wantsMore() {
-        return unwrittenBytes() < MAX_UNWRITTEN_BYTES;
+        return loop().memory().isShort() ? isFlushed() : unwrittenBytes() < MAX_UNWRITTEN_BYTES;
     }
 
     @Override
@@ -364,9 +409,7 @@
             flowing.more();
         }
         updateState();
-        if (mayBegin() && !yields) {
-            pause(false);
-        }
+        resume();
         closeWhenDone();
     }
 
@@ -414,7 +457,7 @@
         hasPartialCommand = false;
         ignoreInput();
         if (isPartial()) {
-            inOrder.pollLast().withdraw();
+            withdraw(inOrder.pollLast());
         }
     }
 
@@ -422,7 +465,7 @@
     protected void malformed(MalformedException e) {
         loop().log().line("user-agent-malformed", e.getMessage());
         takeNoMore(Cause.MALFORMED);
-        inOrder.add(Exchange.answered(Replies.line("-ERR protocol error: " + e.getMessage())));
+        inOrder.add(Exchange.answered(this, Replies.line("-ERR protocol error: " + e.getMessage())));
         flushAnswers();
     }
 
@@ -431,6 +474,7 @@
         loop().cancel(deadline);
         front.forget(ticket, kept, cause);
         withdrawAll();
+        countMemory();
     }
 
     /** Withdraws all exchanges in progress; none of them is answered. */
@@ -441,7 +485,7 @@
                 exchange.stream().stop();
             }
         }
-        inOrder.forEach(Exchange::withdraw);
+        inOrder.forEach(this::withdraw);
         inOrder.clear();
     }
 }
--- a/src/main/java/slateseam/router/warmup/WarmUp.java
+++ b/src/main/java/slateseam/router/warmup/WarmUp.java
@@ -54,6 +54,16 @@
     private static final long STEP = 10 * Clock.MILLI;
     /** The round's own requests are answered so long after they came. */
     private static final long TOOK = 5 * Clock.MILLI;
+    /** A connection that has room for each answer and sends none. */
+    private static final Exchange.Pipeline PIPELINE = new Exchange.Pipeline() {
+        @Override
+        public void answered() {}
+
+        @Override
+        public boolean reserve(Exchange of, long bytes) {
+            return true;
+        }
+    };
 
     private final Brain brain;
     private final Commands commands;
@@ -136,7 +146,7 @@
         List<ByteBuffer> command =
                 Resp.command(ByteBuffer.wrap(Bytes.of("*4\r\n$9\r\nCACHE.GET\r\n$" + key.length() + "\r\n" + key
                         + "\r\n$" + id.length() + "\r\n" + id + "\r\n$" + facts.length() + "\r\n" + facts + "\r\n")));
-        Exchange open = commands.exchange(() -> {});
+        Exchange open = commands.exchange(PIPELINE);
         asked = null;
         open.take(command);
         if (asked == null) {
