Tell a slow reader from one that has stopped, and cut off only who takes nothing

Cause: what the router watches is what the system takes. The system took up to 4 MiB for a connection, and more only when a third of that was free: at 64 KiB a second every 20 s. The router looked every 4 s (the longest deadline) and took that for a stop.

Ways weighed: closing nobody, but for room (a connection and its server's stay with a reader that has gone); asking the system how much is unsent (not to be had from Java without native code); a bounded send buffer with a longer time. Taken: the last.

Change: 128 KiB of send buffer for each user agent's connection, so that progress shows after some 85 KiB; a connection is closed (user-agent-stuck) when it took nothing for 30 s, counted from the last byte that the system took, not between two looks.

A reader under some 2 KiB a second can still be cut off.

--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -1,6 +1,7 @@
 package slateseam.router.useragent;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
@@ -50,6 +51,17 @@
     private static final long COMMAND_TIMEOUT_NANOS = 2_500 * Clock.MILLI;
     /** How long a new connection may take to send its first command while connections are not kept. */
     private static final long FIRST_COMMAND_GRACE_NANOS = 250 * Clock.MILLI;
+    /**
+     * How long a user agent may take none of its answers. It cannot be seen to read before it has made room for a segment,
+     * which is up to 64 KiB of its buffer.
+     */
+    private static final long UNREAD_TIMEOUT_NANOS = 30_000 * Clock.MILLI;
+    /**
+     * What the system buffers for one connection, in bytes. By default it takes up to 4 MiB, and more only when a third of
+     * that is free again, so that a slow reader cannot be told from one that has stopped.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 * 1024;
+
     /** How long the user agent may take to close the connection after the last answer. */
     private static final long LINGER_TIMEOUT_NANOS = 1_000 * Clock.MILLI;
 
@@ -99,11 +111,12 @@
     private long reservedBytes;
     /** What the memory of messages counts for this connection, in bytes. */
     private long countedBytes;
-    /** How many bytes had been handed to the operating system at the last check of the reading progress. */
-    private long handedAtLastCheck;
+    /** When the operating system last took bytes of an answer, on the loop's clock, in nanoseconds. */
+    private long progressedAt;
 
     UserAgent(RespFront front, Loop loop, SocketChannel channel, Dialect dialect) throws IOException {
         super(loop, channel, MAX_READ_AHEAD_BYTES);
+        channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES);
         this.front = front;
         this.dialect = dialect;
     }
@@ -211,7 +224,7 @@
         deadline = switch (next) {
             case ANSWER -> null; // the core has its own deadline, or the next round takes the waiting commands
             case FIRST_COMMAND, REST_OF_COMMAND -> loop().after(COMMAND_TIMEOUT_NANOS, this::deadlinePassed);
-            case UNREAD_ANSWER -> loop().after(front.readNanos(), this::deadlinePassed);
+            case UNREAD_ANSWER -> loop().after(unreadNanos(), this::deadlinePassed);
             case NEXT_COMMAND -> loop().after(front.room().mostIdleNanos(), this::deadlinePassed);
             case END -> loop().after(LINGER_TIMEOUT_NANOS, this::deadlinePassed);
         };
@@ -226,10 +239,9 @@
      * first, so that a command that arrived just before the deadline is served.
      */
     void deadlinePassed() {
-        if (state == State.UNREAD_ANSWER && handedBytes() != handedAtLastCheck) {
-            // A user agent that reads a long value slowly is stuck only when it takes nothing at all.
-            handedAtLastCheck = handedBytes();
-            deadline = loop().after(front.readNanos(), this::deadlinePassed);
+        long stillMayStop = Math.max(since, progressedAt) + unreadNanos() - loop().now();
+        if (state == State.UNREAD_ANSWER && stillMayStop > 0) {
+            deadline = loop().after(stillMayStop, this::deadlinePassed);
         } else if (state == State.UNREAD_ANSWER) {
             loop().log().line("user-agent-stuck", "user agent did not read its answers in time; connection closed");
             closeNow(Cause.UNREAD);
@@ -249,6 +261,11 @@
         }
     }
 
+    /** Returns how long a user agent may read nothing: it is no use to anybody then, and holds connections. */
+    private long unreadNanos() {
+        return Math.max(UNREAD_TIMEOUT_NANOS, front.readNanos());
+    }
+
     /** Reads what has arrived since the selector last reported. Returns whether nothing has. */
     private boolean isQuiet() {
         Deadline before = deadline;
@@ -402,6 +419,7 @@
 
     @Override
     protected void progressed() {
+        progressedAt = loop().now();
         countMemory();
     }
 
--- a/src/main/java/slateseam/simulate/network/VirtualSocketChannel.java
+++ b/src/main/java/slateseam/simulate/network/VirtualSocketChannel.java
@@ -240,6 +240,9 @@
         if (name == StandardSocketOptions.SO_REUSEADDR) {
             return this; // Of no effect: a port is free once the listener that had it has closed.
         }
+        if (name == StandardSocketOptions.SO_SNDBUF) {
+            return this; // Of no effect: the conditions of the network say what a system buffers.
+        }
         if (name != StandardSocketOptions.TCP_NODELAY) {
             throw new UnsupportedOperationException("option " + name);
         }
@@ -258,7 +261,8 @@
 
     @Override
     public Set<SocketOption<?>> supportedOptions() {
-        return Set.of(StandardSocketOptions.TCP_NODELAY, StandardSocketOptions.SO_REUSEADDR);
+        return Set.of(
+                StandardSocketOptions.TCP_NODELAY, StandardSocketOptions.SO_REUSEADDR, StandardSocketOptions.SO_SNDBUF);
     }
 
     /** Takes a port and no more: one that is bound cannot be connected here. */
--- a/src/test/java/slateseam/simulate/network/SlowReadersTest.java
+++ b/src/test/java/slateseam/simulate/network/SlowReadersTest.java
@@ -82,6 +82,21 @@
         assertThat(stage.log).noneMatch(line -> line.contains("internal-error"));
     }
 
+    /** Failure: a reader whose system makes room more seldom than every 4 s was closed as if it had stopped. */
+    @Test
+    void aReaderThatIsSlowAndNeverStopsIsNotCutOff() {
+        script.cache = "*1\r\n$" + LONG_BYTES + "\r\n" + LONG + "\r\n";
+        connectReader(read("first", "i1") + read("second", "i2"));
+        for (int i = 0; i < 4; i++) {
+            run(20_000);
+            readers.get(0).wire.pause(false);
+            run(10);
+            readers.get(0).wire.pause(true);
+        }
+        readAll();
+        assertThat(answers(readers.get(0))).containsExactly("$" + LONG_BYTES, "$" + LONG_BYTES);
+    }
+
     /** Failure: values in chunks, collected for slow readers, were counted nowhere; 14 of 4 MiB ended the process. */
     @Test
     void collectedAnswersOfSlowReadersAreBoundedAndEachRequestIsAnswered() {
