Collect a value with commands behind it at its turn: long reads in a row are served

Change: a long value streams to its user agent's connection always. When it is its turn there, and commands were read behind it, the connection collects it (CollectedValue) and sends it whole; until then its server is not read on. It waits for room, until its request is due, or 0.3 s. So a connection collects one value at a time. If it breaks off it fails as an answer, without a further attempt: the module has counted the attempt as served. Incoming.stop says how the request ends.

--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -269,7 +269,7 @@
             long durationNanos) {
         if (outcome == Outcome.OK) {
             if (served instanceof Answer.Streamed streamed && slots.get(ticket) == null) {
-                streamed.value().stop();
+                streamed.value().stop(Ending.LEFT);
             }
             finish(ticket, served);
         }
--- a/src/main/java/slateseam/router/core/ObservedStream.java
+++ b/src/main/java/slateseam/router/core/ObservedStream.java
@@ -56,9 +56,9 @@
     }
 
     @Override
-    public void stop() {
-        reportOnce(Ending.LEFT);
-        value.stop();
+    public void stop(Ending why) {
+        reportOnce(why);
+        value.stop(why);
     }
 
     @Override
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -143,6 +143,11 @@
         return input.position() > 0;
     }
 
+    /** How many bytes have come that {@link #received} has left. */
+    protected final int inputBytes() {
+        return input.position();
+    }
+
     /** The loop that the connection lives on. */
     protected final Loop loop() {
         return loop;
@@ -536,11 +541,6 @@
         return all;
     }
 
-    /** How many bytes have been handed to the system so far. */
-    protected final long handedBytes() {
-        return handed;
-    }
-
     /** How many bytes are still to be handed to the system. */
     public final long unwrittenBytes() {
         return unwritten.stream().mapToLong(ByteBuffer::remaining).sum();
--- a/src/main/java/slateseam/router/pass/ServerConnection.java
+++ b/src/main/java/slateseam/router/pass/ServerConnection.java
@@ -17,6 +17,7 @@
 import slateseam.router.net.Loop;
 import slateseam.router.net.MalformedException;
 import slateseam.router.request.Answer;
+import slateseam.router.request.Ending;
 import slateseam.router.request.Incoming;
 
 /**
@@ -213,7 +214,7 @@
         return held == null
                 && awaited.size() == 1
                 && !first.isProbe()
-                && first.request.streams().getAsBoolean()
+                && first.request.streams()
                 && first.isWritten()
                 && !first.isGivenUp();
     }
@@ -351,7 +352,7 @@
         }
 
         @Override
-        public void stop() {
+        public void stop(Ending why) {
             taker = null;
             if (!finished) {
                 finish();
--- a/src/main/java/slateseam/router/request/Incoming.java
+++ b/src/main/java/slateseam/router/request/Incoming.java
@@ -34,6 +34,6 @@
     /** Resumes the transfer; the taker calls this when it accepts bytes again. */
     void more();
 
-    /** Aborts the transfer, because its bytes are no longer wanted. */
-    void stop();
+    /** Aborts the transfer, because its bytes are no longer wanted; the request ends as given. */
+    void stop(Ending why);
 }
--- a/src/main/java/slateseam/router/request/Request.java
+++ b/src/main/java/slateseam/router/request/Request.java
@@ -1,7 +1,5 @@
 package slateseam.router.request;
 
-import java.util.function.BooleanSupplier;
-
 /**
  * A request as a front received it.
  *
@@ -14,8 +12,7 @@
  * @param tenant the number of the tenant
  * @param repeated whether the user agent marked the request as a retry
  * @param ttlNanos how long the user agent waits for the answer, from the time it sent the request
- * @param streams whether a long value may be streamed to the user agent while it arrives from the server; asked when
- *     its beginning has arrived
+ * @param streams whether a long value may be streamed to the user agent while it arrives from the server
  */
 public record Request(
         byte[] key,
@@ -27,7 +24,7 @@
         int tenant,
         boolean repeated,
         long ttlNanos,
-        BooleanSupplier streams) {
+        boolean streams) {
     /** Returns the slot of the request class, under which the request is counted. */
     public int requestClass() {
         return version.slots().get(type);
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -45,7 +45,7 @@
 
             @Override
             protected boolean streams() {
-                return isLast();
+                return true;
             }
         };
 
@@ -70,6 +70,11 @@
             return asked.tenant();
         }
 
+        @Override
+        public long waitNanos() {
+            return asked.waitNanos();
+        }
+
         @Override
         public void withdraw() {
             requests.withdraw(asked, Ending.LEFT);
--- a/src/main/java/slateseam/router/useragent/Exchange.java
+++ b/src/main/java/slateseam/router/useragent/Exchange.java
@@ -21,14 +21,13 @@
          * @param bytes the size of the answer, or of a further part of it
          */
         boolean reserve(Exchange exchange, long bytes);
-
-        /** Returns whether no command has been read behind those of an exchange. */
-        boolean isLast(Exchange exchange);
     }
 
     private final Pipeline pipeline;
     private ByteBuffer[] answer;
     private long reservedBytes;
+    /** When the user agent stops waiting for the answer, on the loop's clock, in nanoseconds. */
+    private long dueAt;
     /** The streamed value that follows the answer; null if there is none. */
     private Incoming stream;
 
@@ -71,6 +70,11 @@
         return -1;
     }
 
+    /** Returns how long the user agent waits for the answer, in nanoseconds; 0 if it has not said so. */
+    public long waitNanos() {
+        return 0;
+    }
+
     /** Called when no answer is wanted any more, because the user agent has left or the connection is ending. */
     public void withdraw() {}
 
@@ -84,9 +88,14 @@
         return room;
     }
 
-    /** Returns whether no command has been read behind this exchange. */
-    protected final boolean isLast() {
-        return pipeline.isLast(this);
+    /** Sets when the user agent stops waiting for the answer, on the loop's clock, in nanoseconds. */
+    final void setDueAt(long at) {
+        dueAt = at;
+    }
+
+    /** Returns when the user agent stops waiting for the answer, on the loop's clock, in nanoseconds. */
+    final long dueAt() {
+        return dueAt;
     }
 
     /** Gives up what was reserved; returns the number of bytes. */
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -34,7 +34,7 @@
         /** Called once, with the final answer; returns the answer that the user agent gets. */
         protected abstract Answer answered(Answer answer);
 
-        /** Returns whether a long value may be delivered as a stream now, instead of as a whole. */
+        /** Returns whether a long value may be delivered as a stream instead of as a whole. */
         protected boolean streams() {
             return false;
         }
@@ -110,7 +110,7 @@
                 asked.tenant,
                 "1".equals(Facts.value(facts, 'r')),
                 ttl,
-                asked::streams);
+                asked.streams());
         asked.number = open.add(asked);
         asked.id = openId;
         openIds.add(openId);
@@ -134,7 +134,7 @@
             return asked.answered(answer);
         }
         if (answer instanceof Answer.Streamed streamed) {
-            streamed.value().stop();
+            streamed.value().stop(Ending.LEFT);
         }
         return answer;
     }
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -18,6 +18,7 @@
 import slateseam.router.net.MessageMemory;
 import slateseam.router.net.Resp;
 import slateseam.router.request.Answer;
+import slateseam.router.request.Ending;
 import slateseam.router.request.Incoming;
 
 /** One connection of a user agent. Answers are sent in the order of the commands. */
@@ -44,6 +45,10 @@
      * then only commands that were not read are sent again.
      */
     private static final int MAX_READ_AHEAD_BYTES_BEHIND_STREAM = 1;
+    /** A value that must be collected has at least this long from when it is its turn, whatever its request had. */
+    private static final long MIN_COLLECT_NANOS = 300 * Clock.MILLI;
+    /** How often a value that must be collected, and finds no room, tries again. */
+    private static final long ROOM_POLL_NANOS = 20 * Clock.MILLI;
     /**
      * How long a first command, or the rest of a partly received command, may take: longer than any user agent that
      * waits for an answer needs to send it.
@@ -105,6 +110,12 @@
      * was seen.
      */
     private boolean endedIdle;
+    /** The answer of the first exchange while it is collected; null if none is. */
+    private CollectedValue collected;
+    /** When the first exchange fails if its value is not collected by then; 0 if there is no such value. */
+    private long collectBy;
+    /** Tries again to send answers while the first one is to be collected. */
+    private Deadline collectCheck;
     /** The value being streamed behind the head of the first answer; null if none is. */
     private Incoming flowing;
     /** What the exchanges in progress have reserved for their answers, in bytes. */
@@ -178,9 +189,9 @@
         return !inOrder.isEmpty() && inOrder.peekLast().stream() != null;
     }
 
-    @Override
-    public boolean isLast(Exchange exchange) {
-        boolean hasReadCommand = hasInput() && !hasPartialCommand;
+    /** Returns whether no command has been read behind an exchange. */
+    private boolean isLast(Exchange exchange) {
+        boolean hasReadCommand = inputBytes() > MAX_READ_AHEAD_BYTES_BEHIND_STREAM && !hasPartialCommand;
         return inOrder.peekLast() == exchange && !hasReadCommand;
     }
 
@@ -325,6 +336,7 @@
         try {
             Exchange current = inOrder.peekLast();
             current.take(command);
+            current.setDueAt(loop().now() + current.waitNanos());
             if (current.tenant() >= 0) {
                 front.room().asksFor(kept, current.tenant());
             }
@@ -341,12 +353,10 @@
             if (first.stream() == null) {
                 write(first.answer());
                 handedOver();
-            } else if (first.stream().to(this)) {
-                flowing = first.stream();
-                write(first.answer());
-            } else {
-                write(Replies.of(new Answer.Failed()));
-                endOfStream();
+            } else if (collected == null && isLast(first)) {
+                flow(first);
+            } else if (!collect(first)) {
+                break;
             }
         }
         updateState();
@@ -354,6 +364,53 @@
         closeWhenDone();
     }
 
+    /** Passes a streamed value on as it comes. */
+    private void flow(Exchange first) {
+        if (first.stream().to(this)) {
+            flowing = first.stream();
+            write(first.answer());
+        } else {
+            endOfStream(Replies.of(new Answer.Failed()));
+        }
+    }
+
+    /**
+     * Collects a streamed value behind which commands have been read, and sends it when it is whole. If it broke off
+     * once its beginning was sent, the connection would have to end without the answers to those commands.
+     *
+     * @return whether the exchange has ended, with the value or with a failure
+     */
+    private boolean collect(Exchange first) {
+        Incoming stream = first.stream();
+        long now = loop().now();
+        collectBy = collectBy != 0 ? collectBy : Math.max(first.dueAt(), now + MIN_COLLECT_NANOS);
+        boolean fails = false;
+        if (collected == null && loop().memory().hasRoomToWait(stream.length()) && first.reserve(stream.length())) {
+            collected = new CollectedValue(stream.length(), this::flushAnswers);
+            fails = !stream.to(collected);
+        }
+        fails |= collected != null && collected.isBroken();
+        if (!fails && (collected == null || collected.value() == null)) {
+            if (now < collectBy) {
+                loop().cancel(collectCheck);
+                long next = collected == null ? Math.min(now + ROOM_POLL_NANOS, collectBy) : collectBy;
+                collectCheck = loop().after(next - now, this::flushAnswers);
+                return false;
+            }
+            fails = true;
+            loop().log()
+                    .line(
+                            "answer-dropped",
+                            "a value of " + stream.length() + " bytes did not come in time, or found no room");
+            stream.stop(Ending.FAILED);
+        }
+        endOfStream(
+                fails
+                        ? Replies.of(new Answer.Failed())
+                        : new ByteBuffer[] {first.answer()[0], collected.value(), Replies.end()});
+        return true;
+    }
+
     /** Takes commands again once there is nothing to wait for. */
     private void resume() {
         if (mayBegin() && !yields && isFlushed()) {
@@ -361,8 +418,12 @@
         }
     }
 
-    /** Reads again what the user agent sends, its end behind that first of all. */
-    private void endOfStream() {
+    /** Sends the rest of an answer, and reads again what the user agent sends, its end behind that first of all. */
+    private void endOfStream(ByteBuffer... rest) {
+        collected = null;
+        collectBy = 0;
+        loop().cancel(collectCheck);
+        write(rest);
         handedOver();
         if (!takesNoMore) {
             limitReadAhead(MAX_READ_AHEAD_BYTES);
@@ -439,8 +500,7 @@
     @Override
     public void whole() {
         flowing = null;
-        write(Replies.end());
-        endOfStream();
+        endOfStream(Replies.end());
         flushAnswers();
     }
 
@@ -535,9 +595,11 @@
     /** Withdraws all exchanges in progress; none of them is answered. */
     private void withdrawAll() {
         flowing = null;
+        collected = null;
+        loop().cancel(collectCheck);
         for (Exchange exchange : inOrder) {
             if (exchange.stream() != null) {
-                exchange.stream().stop();
+                exchange.stream().stop(Ending.LEFT);
             }
         }
         inOrder.forEach(this::withdraw);
--- a/src/main/java/slateseam/router/warmup/WarmUp.java
+++ b/src/main/java/slateseam/router/warmup/WarmUp.java
@@ -63,11 +63,6 @@
         public boolean reserve(Exchange of, long bytes) {
             return true;
         }
-
-        @Override
-        public boolean isLast(Exchange of) {
-            return true;
-        }
     };
 
     private final Brain brain;
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -64,11 +64,6 @@
         public boolean reserve(Exchange exchange, long bytes) {
             return hasRoom;
         }
-
-        @Override
-        public boolean isLast(Exchange exchange) {
-            return true;
-        }
     };
 
     MultiGetTest() throws Exception {}
--- a/src/test/java/slateseam/router/pass/PassesTest.java
+++ b/src/test/java/slateseam/router/pass/PassesTest.java
@@ -93,7 +93,7 @@
                         0,
                         false,
                         SECOND,
-                        () -> false),
+                        false),
                 0,
                 id,
                 SECOND,
@@ -247,7 +247,7 @@
                 0,
                 false,
                 SECOND,
-                () -> false);
+                false);
     }
 
     /** Returns how many bytes are received up to the end of the connection. */
--- a/src/test/java/slateseam/simulate/RulesStage.java
+++ b/src/test/java/slateseam/simulate/RulesStage.java
@@ -141,7 +141,7 @@
                             random.nextInt(3),
                             false,
                             ttl,
-                            () -> false),
+                            false),
                     this,
                     ids.size() - 1);
             tickets.put(id, ticket);
