Read nothing behind a streamed value when an earlier collected one has ended

Cause: the end of a collected value let the connection read ahead again, also where a further long value behind it was the last and streamed; what was read then would have made that one be collected too, though nothing needed it. Change: reading ahead goes on when no value streams. Measured: SlowReadersTest, SlowReadersProcessTest, StagesTest, RecordedExchangesTest and CommandsAtOnceTest pass.

--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -425,7 +425,7 @@
         loop().cancel(collectCheck);
         write(rest);
         handedOver();
-        if (!takesNoMore) {
+        if (!takesNoMore && !isStreaming()) {
             limitReadAhead(MAX_READ_AHEAD_BYTES);
         }
     }
