--- a/review/lib-2/BehindHung.java
+++ b/review/lib-2/BehindHung.java
@@ -16,8 +16,20 @@
                 discovery.put(cache.name, cache.address(), "full-box", "ready");
             }
             discovery.put("o", origin.address(), "origin", "ready");
-            String check = Kit.profile("check", "side_effect", 1200, 4000, 5000).replace("\"late_share\":0.0", "\"late_share\":0.1");
-            Kit.Router router = kit.new Router(discovery, Kit.READ, check);
+            // Classes and limits as in deploy/sites/ferry-manifests.toml.
+            String[] classes = {
+                Kit.profile("view", "pure", 750, 5000, 5000),
+                Kit.profile("amend", "token", 1200, 3000, 1200),
+                Kit.profile("issue", "side_effect", 1000, 4000, 5000)
+            };
+            for (int i = 0; i < classes.length; i++) {
+                classes[i] = classes[i].replace("\"late_share\":0.0", "\"late_share\":0.4");
+            }
+            Kit.Router router = kit.new Router(discovery, classes);
+            router.limits = "{\"try_limit\":2,\"may_duplicate\":false,\"cancel\":false,\"probes\":false,\"peers\":false,"
+                    + "\"retry_after\":false,\"max_retry_after_ns\":2000000000,\"connect_timeout_ns\":250000000,"
+                    + "\"streams_per_conn\":1,\"conn_idle_ns\":4000000000,\"most_held\":21197}";
+            router.configure(classes);
             router.start();
             router.awaitReady();
             Kit.Client client = kit.new Client(router.port);
@@ -25,7 +37,7 @@
             List<String> c2 = new ArrayList<>();
             for (int k = 0; k < 80; k++) {
                 int before = kit.asks.size();
-                client.ask(Kit.get("k" + k, "w" + k, "c=check,t=acme,d=4000"));
+                client.ask(Kit.get("k" + k, "w" + k, "c=view,t=acme,d=5000"));
                 String at = kit.asks.get(before).server();
                 (at.equals("c1") ? c1 : at.equals("c2") ? c2 : new ArrayList<String>()).add("k" + k);
             }
@@ -44,7 +56,7 @@
             }
             StringBuilder all = new StringBuilder();
             for (int i = 0; i < keys.size(); i++) {
-                all.append(Kit.text(Kit.get(keys.get(i), "p" + i, "c=check,t=acme,d=4000")));
+                all.append(Kit.text(Kit.get(keys.get(i), "p" + i, "c=view,t=acme,d=5000")));
             }
             client.send(Kit.bytes(all.toString()));
             kit.note(keys.size() + " commands are written");
--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -510,6 +510,10 @@
                 + "000000,\"value\":2.0,\"late_share\":0.0,\"stream\":false}";
     }
 
+    static final String LIMITS = "{\"try_limit\":3,\"may_duplicate\":false,\"cancel\":true,\"probes\":true,\"peers\":false,"
+            + "\"retry_after\":true,\"max_retry_after_ns\":2000000000,\"connect_timeout_ns\":200000000,"
+            + "\"streams_per_conn\":100,\"conn_idle_ns\":60000000000,\"most_held\":21197}";
+
     static final String READ = profile("read", "pure", 500, 1500, 5000);
     static final String KEYED = profile("keyed-write", "token", 1200, 4000, 4000);
     static final String ONCE = profile("once-write", "side_effect", 1500, 4000, 5000);
@@ -524,6 +528,8 @@
         Discovery discovery;
         /** How the settings say that discovery tells changes: push or ask. */
         String mode = "push";
+        /** The limits in the settings. */
+        String limits = LIMITS;
         final String known;
         Process process;
 
@@ -559,9 +565,7 @@
                     + "\"kinds\":[\"full-box\",\"half-box\",\"origin\"],\"over_share_worth\":0.1,"
                     + "\"accounts\":[{\"name\":\"acme\",\"quota_per_s\":250.0,\"fraction\":1.0}],"
                     + "\"profiles\":[" + String.join(",", profiles) + "],"
-                    + "\"limits\":{\"try_limit\":3,\"may_duplicate\":false,\"cancel\":true,\"probes\":true,\"peers\":false,"
-                    + "\"retry_after\":true,\"max_retry_after_ns\":2000000000,\"connect_timeout_ns\":200000000,"
-                    + "\"streams_per_conn\":100,\"conn_idle_ns\":60000000000,\"most_held\":21197},"
+                    + "\"limits\":" + limits + ","
                     + "\"rules\":{\"drain_grace_ns\":500000000,\"ask_within_ns\":10000000000,\"start_capacity\":0.33,"
                     + "\"cold_ns\":7800000000,\"overload_factor\":3.0,\"fall_ns\":2000000000,\"answer_slack_ns\":20000000}}}";
             Path next = temp.resolve("next-" + port + ".json");
@@ -609,17 +613,6 @@
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
         }
 
-        /** One call at the second address; the status. */
-        String control(String method, String path) throws IOException {
-            try (Socket s = new Socket(HOST, control)) {
-                s.setSoTimeout(2_000);
-                s.getOutputStream().write(bytes(method + " " + path + " HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n"));
-                String all = text(s.getInputStream().readAllBytes());
-                note(method + " " + path + ": " + all.split("\r\n", 2)[0]);
-                return all;
-            }
-        }
-
         void kill() {
             if (process != null && process.isAlive()) {
                 process.destroyForcibly();
