--- a/review/lib-2/SlowAtEnd.java
+++ b/review/lib-2/SlowAtEnd.java
@@ -1,6 +1,9 @@
 import java.io.IOException;
 
-/** A client reads a long value slowly while its router is told to end; nobody kills the router. */
+/**
+ * A client asks for a long value, sends a once-write behind it, and reads slowly while its router is told to end; nobody kills the
+ * router.
+ */
 final class SlowAtEnd {
     private static final int PART = 64 * 1024;
     private static final int BYTES_PER_SECOND = 512 * 1024;
@@ -34,7 +37,8 @@
             router.start();
             router.awaitReady();
             Kit.Client client = kit.new Client(router.port, PART);
-            client.send(Kit.get("big", "a1", "c=read,t=acme,d=1500"));
+            client.send(Kit.bytes(Kit.text(Kit.get("big", "a1", "c=read,t=acme,d=1500"))
+                    + Kit.text(Kit.resp("CACHE.SET", "note", "a2", "c=once-write,t=acme,d=4000", "new"))));
             String head = Kit.line(client.in);
             kit.note("the first line of the answer to a1: " + head);
             if (!head.equals("$" + big.length)) {
@@ -45,6 +49,7 @@
             int got = 0;
             byte[] part = new byte[PART];
             String how = "whole";
+            String receipt = "no answer";
             try {
                 while (got < big.length) {
                     int n = client.in.read(part, 0, Math.min(PART, big.length - got));
@@ -62,6 +67,10 @@
                     }
                     Kit.sleep((long) (began + got * 1000.0 / BYTES_PER_SECOND - Kit.ms()));
                 }
+                if (got == big.length) {
+                    client.in.readNBytes(2);
+                    receipt = client.answer().toString();
+                }
             } catch (IOException e) {
                 how = e.toString();
             }
@@ -69,8 +78,11 @@
                 kit.note("that was " + Math.round(Kit.ms() - term) + " ms after SIGTERM");
             }
             Kit.sleep(200);
+            long carriedOut = kit.asks.stream().filter(a -> a.command().equals("PUT") && a.id().equals("a2")).count();
             kit.note("router alive: " + router.process.isAlive() + "; " + server[0]);
-            kit.end(got == big.length ? 0 : 1, "the client got " + got + " of " + big.length + " bytes, " + how);
+            kit.note("the once-write a2 was carried out " + carriedOut + " times; its client has: " + receipt);
+            kit.end(got == big.length && !receipt.equals("no answer") ? 0 : 1, "the client got " + got + " of " + big.length
+                    + " bytes of the value, " + how + "; its once-write, carried out " + carriedOut + " times, has: " + receipt);
         });
     }
 }
