--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -32,6 +33,7 @@
 final class Kit {
     static final InetAddress HOST = InetAddress.getLoopbackAddress();
     private static final long T0 = System.nanoTime();
+    private static final SecureRandom PORTS = new SecureRandom();
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Path folder;
@@ -82,10 +84,17 @@
         void run() throws Exception;
     }
 
+    /** A free port below those that the system gives to connections, so that none of them takes it before the router does. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, HOST)) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 100; i++) {
+            int port = 12_000 + PORTS.nextInt(18_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, HOST)) {
+                return port;
+            } catch (IOException e) {
+                // taken
+            }
         }
+        throw new IOException("no free port");
     }
 
     void close() {
