Reckon a planned end with the classes in force, not with those that were dropped

Cause: Router.adopt and RespFront.longest took the maximum with what was before, so a dropped class of 4 s counted for ever.

Evidence: the exchanges planned-end-shorter-deadline and planned-end-reload fail on (nothing comes at 2.13 s) and pass now.

Change: PlannedEnd takes the times from the classes in force, and shortens them if settings behind SIGTERM do. Requests that are open under earlier settings keep their own deadlines, up to 3.6 s. Router is shorter by these constants.

--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -46,23 +46,10 @@
      * Time from the start of a planned shutdown until listeners close: new connections still arrive for up to 0.4 s.
      */
     private static final long LINGER_NANOS = 550_000_000L;
-    /**
-     * Upper bound of the longest deadline that a planned shutdown waits for. The process is killed no sooner than
-     * after the longest deadline, or this bound if it is shorter, plus the time in which requests may still arrive.
-     */
-    private static final long MAX_DEADLINE_NANOS = 3_000_000_000L;
-    /**
-     * Time after the start of a planned shutdown in which requests may still arrive at this process; slightly shorter
-     * than the actual time, because answers take time to be sent.
-     */
-    private static final long LATE_ARRIVAL_NANOS = 600_000_000L;
-    /** Time that connections have to close once they accept no more commands. */
-    private static final long CLOSE_TIMEOUT_NANOS = 1_100_000_000L;
     /** Time that a process that is to take over waits for discovery before it accepts user agents. */
     private static final long FARM_WAIT_NANOS = 2_000_000_000L;
 
     private final Loop loop;
-    private long longestAnswerNanos;
     private final RespFront front;
     private final Lifecycle lifecycle = new Lifecycle();
     private final ServiceCounts served = new ServiceCounts();
@@ -81,6 +68,9 @@
     /** Null if no other process of this router ever runs. */
     private final Upgrade upgrade;
 
+    /** Null until a planned shutdown begins. */
+    private PlannedEnd plannedEnd;
+
     private Peers peers;
     private List<Listener> listeners = new ArrayList<>();
     private final ConfiguredFarmSource farmSource;
@@ -134,7 +124,6 @@
         sharedDescriptors = config.sockets() - RESERVED_DESCRIPTORS - Parts.descriptors(config, features, handover);
         int userAgents = userAgents(sharedDescriptors);
         Farm farm = new Farm(config.zones(), config.kinds(), config.settings().originKind());
-        longestAnswerNanos = config.settings().longestAnswerNanos();
         versions = new Versions(config.settings());
         core = new Core(loop, versions, config.seed(), config.mostHeld(), features.supplyLinks());
         passes = new Passes(
@@ -157,7 +146,7 @@
         peers = isHeir ? null : openPeers();
         Names names = features.equals(Features.OFF) ? null : Names.of(config.settings(), versions.names());
         front = new RespFront(
-                loop, lifecycle, longestAnswerNanos, userAgents, config.sockets() / HELD_DESCRIPTORS_DIVISOR);
+                loop, lifecycle, longestAnswerNanos(), userAgents, config.sockets() / HELD_DESCRIPTORS_DIVISOR);
         boolean sharesAddress = handover != null;
         upgrade = sharesAddress ? new Upgrade(loop, handover, this::takeOver, this::shareMachine) : null;
         parts = new Parts(
@@ -368,11 +357,18 @@
         });
     }
 
+    /** Returns the longest deadline of the classes in force, in nanoseconds. */
+    private long longestAnswerNanos() {
+        return versions.current().settings().longestAnswerNanos();
+    }
+
     /** Puts settings into force, whether they come from a file or from the policy of the tier. */
     private void adopt(NodeConfig changed) {
         core.retune(changed.settings());
-        longestAnswerNanos = Math.max(longestAnswerNanos, changed.settings().longestAnswerNanos());
-        front.longest(longestAnswerNanos);
+        front.setLongestAnswer(longestAnswerNanos());
+        if (plannedEnd != null) {
+            plannedEnd.limit(longestAnswerNanos());
+        }
         parts.settingsChanged(changed);
         served.name(versions.names());
     }
@@ -410,10 +406,7 @@
     public void end() {
         loop.handOver(() -> {
             if (lifecycle.end()) {
-                long remainingNanos = Math.min(longestAnswerNanos, MAX_DEADLINE_NANOS) + LATE_ARRIVAL_NANOS;
-                core.endAnswersBy(loop.now() + remainingNanos);
-                loop.after(remainingNanos, front::finish);
-                loop.after(remainingNanos + CLOSE_TIMEOUT_NANOS, this::stop);
+                plannedEnd = new PlannedEnd(loop, core, front, longestAnswerNanos(), this::stop);
                 if (upgrade != null && upgrade.beginEnd()) {
                     handOver();
                 } else {
--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -173,13 +173,20 @@
     /**
      * Sets the time by which every answer is sent. Requests that arrive from now on get a deadline no later than that
      * time, and requests that are still open then fail. A process that has been told to end still accepts requests,
-     * and it is killed some time later; without this limit such requests would be left without an answer.
+     * and it is killed some time later; without this limit such requests would be left without an answer. May be called
+     * again with an earlier time.
      *
      * @param at the time on the loop's clock, in nanoseconds
+     * @param latest the same for requests that arrived with a later deadline, under settings no longer in force
      */
-    public void endAnswersBy(long at) {
+    public void endAnswersBy(long at, long latest) {
         answersDueAt = at;
-        loop.after(at - loop.now(), () -> slots.all().forEach(Slot::fail));
+        loop.after(at - loop.now(), () -> failRequestsDueBy(at));
+        loop.after(latest - loop.now(), () -> failRequestsDueBy(Long.MAX_VALUE));
+    }
+
+    private void failRequestsDueBy(long at) {
+        slots.all().stream().filter(slot -> slot.deadline <= at).forEach(Slot::fail);
     }
 
     /** Adds an observer, which is notified of each request that ends from now on. */
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -69,9 +69,9 @@
         scheduleSurplusCheck();
     }
 
-    /** Raises the time that user agents have to read an answer to the given nanoseconds; never lowers it. */
-    public void longest(long longestAnswerNanos) {
-        readNanos = Math.max(readNanos, longestAnswerNanos);
+    /** Sets the longest deadline of the classes in force, in nanoseconds. */
+    public void setLongestAnswer(long longestAnswerNanos) {
+        readNanos = longestAnswerNanos;
     }
 
     /** Returns the policy that decides which connections are kept, for its counters. */
