See a user agent's end while a request is open, though a long value waits behind it

Cause: once the last command had a value that streams, the connection was read ahead for one byte only, although an earlier command was open; the end lay behind the bytes of the next command.

Evidence: the exchange user-agent-leaves-behind-long fails on (the origin gets GET /k1 for one that has left).

Change: what is behind a streamed value is left unread only once every request of the connection has its answer.

--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -40,8 +40,8 @@
      */
     private static final int MAX_READ_AHEAD_BYTES = 256 * 1024;
     /**
-     * The same behind a streamed value, and less than any command: the connection ends if the value breaks off, and
-     * then only commands that were not read are sent again.
+     * The same behind a streamed value once nothing ahead can begin any more, and less than any command: the connection
+     * ends if the value breaks off, and then only commands that were not read are sent again.
      */
     private static final int MAX_READ_AHEAD_BYTES_BEHIND_STREAM = 1;
     /**
@@ -107,6 +107,8 @@
     private boolean endedIdle;
     /** The delivery of the first exchange's value; null if none is being delivered. */
     private ValueDelivery delivery;
+    /** The current maximum number of bytes that are read ahead. */
+    private int readAheadBytes = MAX_READ_AHEAD_BYTES;
     /** What the exchanges in progress have reserved for their answers, in bytes. */
     private long reservedBytes;
     /** What the memory of messages counts for this connection, in bytes. */
@@ -184,6 +186,24 @@
         return inOrder.peekLast() == exchange && !hasReadCommand;
     }
 
+    /** Returns whether a request of the connection has no answer yet, so that a further attempt may be made for it. */
+    private boolean awaitsAnswer() {
+        return inOrder.stream().anyMatch(exchange -> exchange.answer() == null);
+    }
+
+    /**
+     * Reads ahead, to see the end of the connection, as long as a request has no answer yet. Otherwise what comes behind
+     * a streamed value stays unread until the value is whole.
+     */
+    private void updateReadAhead() {
+        boolean leavesUnread = isStreaming() && !awaitsAnswer();
+        int bytes = leavesUnread ? MAX_READ_AHEAD_BYTES_BEHIND_STREAM : MAX_READ_AHEAD_BYTES;
+        if (bytes != readAheadBytes && !takesNoMore) {
+            readAheadBytes = bytes;
+            limitReadAhead(bytes);
+        }
+    }
+
     /** While memory is short, no answer is fetched that would have to wait for an earlier one. */
     private int maxCommands() {
         return loop().memory().isShort() ? 1 : MAX_COMMANDS;
@@ -422,9 +442,7 @@
         delivery = null;
         write(rest);
         handedOver();
-        if (!takesNoMore && !isStreaming()) {
-            limitReadAhead(MAX_READ_AHEAD_BYTES);
-        }
+        updateReadAhead();
         flushAnswers();
     }
 
@@ -437,8 +455,9 @@
 
     @Override
     public void answered() {
+        updateReadAhead();
         if (isStreaming()) {
-            limitReadAhead(MAX_READ_AHEAD_BYTES_BEHIND_STREAM);
+            hasPartialCommand &= readAheadBytes < MAX_READ_AHEAD_BYTES; // else its rest is read unseen
             pause(true);
         }
         flushAnswers();
