Begin no attempt for a user agent whose end may lie behind unread bytes

Cause: 256 KiB are read ahead, the end lay behind that, and nothing looked before a further attempt.

Change: as much as the longest command is read ahead, out of the memory for input; Core looks for the user agent before an attempt that does not begin with its command, and declines the request if its end may be hidden. Connection consumes its buffer by an index, so that a long queue of commands is not moved for every sixteen taken.

Worse: with over 4 MiB behind it, or the memory for input used up, a miss is refused with -BUSY instead of being fetched.

--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -12,6 +12,7 @@
 import slateseam.decision.Api.Cancel;
 import slateseam.decision.Api.ClientGone;
 import slateseam.decision.Api.CloseIdle;
+import slateseam.decision.Api.Effect;
 import slateseam.decision.Api.Event;
 import slateseam.decision.Api.Fail;
 import slateseam.decision.Api.Log;
@@ -19,6 +20,7 @@
 import slateseam.decision.Api.Probe;
 import slateseam.decision.Api.Refuse;
 import slateseam.decision.Api.RequestArrived;
+import slateseam.decision.Api.RequestClass;
 import slateseam.decision.Api.Retuned;
 import slateseam.decision.Api.Send;
 import slateseam.decision.Api.SetTimer;
@@ -87,6 +89,23 @@
             happened(new ClientGone(ticket));
         }
 
+        /**
+         * Ends the request, if it is still open, because its user agent may have left. It is refused if it cannot have
+         * had an effect, and fails otherwise.
+         *
+         * @param attempts the number of attempts that have been made
+         */
+        void decline(int attempts) {
+            boolean isHarmless = attempts == 0 || requestClass().effect() == Effect.PURE;
+            long retryAfterNanos = request.version().settings().limits().maxRetryAfterNanos();
+            finish(ticket, isHarmless ? new Answer.Unavailable(retryAfterNanos) : new Answer.Failed());
+            happened(new ClientGone(ticket));
+        }
+
+        RequestClass requestClass() {
+            return request.version().type(request.type());
+        }
+
         long ageNanos(long now) {
             return now - arrivedAt;
         }
@@ -341,6 +360,10 @@
         Slot slot = slots.get(send.request());
         // Counted even if the attempt cannot be made, as the module numbers the attempts that it has asked for.
         int attempt = slot == null ? 0 : slot.attempts++;
+        if (slot != null && isUserAgentMissed(slot)) {
+            slot.decline(attempt);
+            slot = null;
+        }
         long remainingNanos = slot == null ? 0 : slot.deadline - loop.now();
         if (remainingNanos <= 0
                 || attempt >= slot.request.version().settings().limits().attempts()) {
@@ -352,6 +375,14 @@
         passes.begin(send.request(), slot.request, attempt, send.member(), timeout, send.sentByNanos(), slot.deadline);
     }
 
+    /**
+     * Looks for the user agent before an attempt that does not begin with its command: its end may have come since, and
+     * may not have been handled yet.
+     */
+    private boolean isUserAgentMissed(Slot slot) {
+        return loop.now() > slot.arrivedAt && !slot.front.isPresent(slot.exchange);
+    }
+
     private void finish(long ticket, Answer answer) {
         Slot slot = release(ticket);
         if (slot != null && answer instanceof Answer.Streamed streamed) {
--- a/src/main/java/slateseam/router/multiget/MultiGet.java
+++ b/src/main/java/slateseam/router/multiget/MultiGet.java
@@ -137,6 +137,10 @@
             return answer;
         }
 
+        boolean isPresent() {
+            return isUserAgentPresent();
+        }
+
         void elementSettled() {
             if (++settledElements < expected) {
                 return;
@@ -180,6 +184,11 @@
             return kept;
         }
 
+        @Override
+        protected boolean isPresent() {
+            return batch.isPresent();
+        }
+
         /**
          * Withdraws this read from the core when its deadline passes, as the user agent still waits for the rest of
          * the batch.
--- a/src/main/java/slateseam/router/net/Connection.java
+++ b/src/main/java/slateseam/router/net/Connection.java
@@ -16,10 +16,14 @@
     /** Longer ones stream. */
     public static final int LONG_VALUE = 64 * 1024;
 
-    private static final int INPUT_LIMIT = VALUE_LIMIT + 8 * 1024;
+    /** The longest message, in bytes: the longest value and what stands round it. */
+    protected static final int MESSAGE_LIMIT = VALUE_LIMIT + 8 * 1024;
+
     private static final int FIRST_INPUT = 4 * 1024;
     /** Larger buffers are counted, so that many long values, or beginnings of commands, at once cannot fill the heap. */
     private static final int UNCOUNTED = 16 * 1024;
+
+    private static final int GROWTH_FACTOR = 4;
     /** Of one read: the system's copies lie outside the heap, where there is little room. */
     private static final int CHUNK = 128 * 1024;
 
@@ -35,8 +39,17 @@
     /** The sizes of the buffers in {@link #unwritten}, in bytes. */
     private long retained;
 
+    /** What has come, up to its position; the bytes before {@link #consumed} have been taken. */
     private ByteBuffer input = NOTHING;
+    /** How many bytes at the beginning of {@link #input} have been taken by {@link #received}. */
+    private int consumed;
+
     private int counted;
+    /** Whether {@link #received} is running, so that the buffer must not be read into. */
+    private boolean handingOut;
+    /** Whether what was read ahead is about to be handed out, so that it may hold whole messages. */
+    private boolean awaitsHandOut;
+
     private boolean paused;
     /** Of what is read while paused, so that the other side's end behind it is seen; 0 for nothing. */
     private int ahead;
@@ -140,12 +153,12 @@
 
     /** Whether bytes have come that {@link #received} has left. */
     protected final boolean hasInput() {
-        return input.position() > 0;
+        return inputBytes() > 0;
     }
 
     /** How many bytes have come that {@link #received} has left. */
     protected final int inputBytes() {
-        return input.position();
+        return handingOut ? input.remaining() : input.position() - consumed;
     }
 
     /** The loop that the connection lives on. */
@@ -206,7 +219,12 @@
 
     /** Whether anything is read now: while paused only what may be read ahead. */
     private boolean reads() {
-        return !paused || ignoring || input.position() < ahead;
+        return !paused || ignoring || inputBytes() < ahead && hasRoomAhead();
+    }
+
+    /** Whether the buffer takes more without moving most of what lies in it. */
+    private boolean hasRoomAhead() {
+        return input.hasRemaining() || input.capacity() < ahead || isMostlyConsumed();
     }
 
     /**
@@ -217,7 +235,8 @@
         if (paused != stop && !closed && !lingering) {
             paused = stop;
             interest();
-            if (!stop && input.position() > 0) {
+            if (!stop && hasInput()) {
+                awaitsHandOut = true;
                 loop.after(0, this::handOut);
             }
             lookAgain();
@@ -358,8 +377,9 @@
             return;
         }
         int come = readPart();
+        awaitsHandOut |= come > 0;
         // Guards against beginning what one asked for that has gone since: the end may lie there already.
-        while (come > 0 && (loop.isLate() || readsToTheEnd) && input.position() < ahead) {
+        while (come > 0 && (loop.isLate() || readsToTheEnd) && inputBytes() < ahead) {
             int more = readPart();
             if (more <= 0) {
                 come = more < 0 ? more : come;
@@ -376,8 +396,8 @@
 
     private void endInOrder() {
         try {
-            if (!paused && input.position() > 0) {
-                ended(input.flip());
+            if (!paused && hasInput()) {
+                ended(input.flip().position(consumed));
             }
         } catch (MalformedException e) {
             malformed(e);
@@ -386,12 +406,57 @@
         }
     }
 
+    /**
+     * Reads ahead all that has come, without handing it out, to see whether the other side has ended. What is read is
+     * handed out as usual later.
+     *
+     * @return whether the other side is still there; false as well if more has come than may be read ahead, as its end
+     *     may lie behind that
+     */
+    protected final boolean isSeenOpen() {
+        if (closed || handingOut) {
+            return !closed; // what is being handed out has been read just now
+        }
+        try {
+            return lingering || ignoring ? readsNoEnd() : readsAheadOfNoEnd();
+        } catch (IOException e) {
+            breakOff();
+            return false;
+        }
+    }
+
+    /** Throws away what has come; returns whether it was not the end. */
+    private boolean readsNoEnd() throws IOException {
+        int come = take(loop.scratch());
+        if (come < 0) {
+            breakOff();
+        }
+        return come >= 0;
+    }
+
+    /** Reads ahead what has come; returns whether that was all, and not the end. */
+    private boolean readsAheadOfNoEnd() throws IOException {
+        if (!paused && !awaitsHandOut) {
+            awaitsHandOut = true;
+            loop.after(0, this::handOut);
+        }
+        int come = 1;
+        while (!closed && come > 0 && inputBytes() < ahead) {
+            come = readPart();
+        }
+        if (come < 0) {
+            breakOff();
+        }
+        boolean mayHideMore = inputBytes() >= ahead || hasInput() && !input.hasRemaining();
+        return !closed && !mayHideMore;
+    }
+
     /** How much was read; 0 if there is no room either, -1 at the end. */
     private int readPart() throws IOException {
-        if (input.position() > 0 && input.position() == input.capacity() && !grow()) {
+        if (hasInput() && !input.hasRemaining() && !makeRoom()) {
             return 0;
         }
-        return input.position() == 0 ? readFirst() : readOn();
+        return hasInput() ? readOn() : readFirst();
     }
 
     /** Begins a buffer no longer than what has come: most messages come whole, and many polls find nothing. */
@@ -400,32 +465,73 @@
         int come = take(scratch);
         if (come > 0) {
             input = ByteBuffer.allocate(come).put(scratch.flip());
+            consumed = 0;
         }
         return come;
     }
 
     private int readOn() throws IOException {
         input.limit(Math.min(input.capacity(), input.position() + CHUNK));
-        return take(input);
+        int come = take(input);
+        input.limit(input.capacity());
+        return come;
     }
 
-    private boolean grow() {
-        int larger = Math.min(paused ? ahead : INPUT_LIMIT, Math.max(FIRST_INPUT, 4 * input.capacity()));
-        if (larger > UNCOUNTED) {
-            if (paused && !loop.memory().reserveAhead(larger - counted)) {
-                stopReadingAhead();
-                return false;
-            }
-            if (!paused && !loop.memory().reserveInput(larger - counted)) {
-                noRoom(input.capacity());
-                return false;
-            }
-            counted = larger;
+    /** Makes room for further bytes behind those that have come; false if there is none. */
+    private boolean makeRoom() {
+        if (isMostlyConsumed()) {
+            moveToFront();
+            return true;
         }
-        input = ByteBuffer.allocate(larger).put(input.flip());
+        return grow();
+    }
+
+    private boolean isMostlyConsumed() {
+        return consumed > input.capacity() / 2;
+    }
+
+    private void moveToFront() {
+        input.flip().position(consumed);
+        input.compact();
+        consumed = 0;
+    }
+
+    private boolean grow() {
+        int longest = readsAhead() ? ahead : MESSAGE_LIMIT;
+        int larger = Math.min(longest, Math.max(FIRST_INPUT, GROWTH_FACTOR * input.capacity()));
+        if (larger <= input.capacity() || larger > UNCOUNTED && !reserve(larger - counted)) {
+            return makeRoomWithinBounds();
+        }
+        counted = larger > UNCOUNTED ? larger : counted;
+        input.flip().position(consumed);
+        input = ByteBuffer.allocate(larger).put(input);
+        consumed = 0;
         return true;
     }
 
+    private boolean reserve(int bytes) {
+        return readsAhead() ? loop.memory().reserveAhead(bytes) : loop.memory().reserveInput(bytes);
+    }
+
+    /** Whether whole messages may lie in the buffer, so that it need not hold the next one yet. */
+    private boolean readsAhead() {
+        return paused || awaitsHandOut;
+    }
+
+    /** Uses what has been taken of a buffer that cannot grow. */
+    private boolean makeRoomWithinBounds() {
+        if (consumed > 0) {
+            moveToFront();
+            return true;
+        }
+        if (paused) {
+            stopReadingAhead();
+        } else if (!awaitsHandOut && input.capacity() < MESSAGE_LIMIT) {
+            noRoom(input.capacity());
+        }
+        return false;
+    }
+
     /** There is no room: what lies in the system waits until the pause is over. */
     private void stopReadingAhead() {
         if (key.isValid()) {
@@ -435,28 +541,32 @@
 
     private void dropInput() {
         input = NOTHING;
+        consumed = 0;
         loop.memory().reserveInput(-counted);
         counted = 0;
     }
 
     private void handOut() {
+        awaitsHandOut = false;
         if (closed || paused || lingering || ignoring) {
             if (!closed) {
                 interest();
             }
             return;
         }
-        ByteBuffer in = input.flip();
+        int end = input.position();
+        ByteBuffer in = input.flip().position(consumed);
         try {
-            received(in);
+            handOut(in);
             if (closed || lingering || ignoring) {
                 return;
             }
-            in.compact();
-            if (in.position() == 0) {
+            consumed = in.position();
+            input.limit(input.capacity()).position(end);
+            if (!hasInput()) {
                 dropInput();
-            } else if (in.position() == INPUT_LIMIT && !paused) {
-                throw new MalformedException("a message is longer than " + INPUT_LIMIT + " bytes");
+            } else if (inputBytes() == MESSAGE_LIMIT && !paused) {
+                throw new MalformedException("a message is longer than " + MESSAGE_LIMIT + " bytes");
             }
         } catch (MalformedException e) {
             malformed(e);
@@ -468,6 +578,15 @@
         }
     }
 
+    private void handOut(ByteBuffer in) throws MalformedException {
+        handingOut = true;
+        try {
+            received(in);
+        } finally {
+            handingOut = false;
+        }
+    }
+
     private void flush() {
         if (transport != null && !open) {
             return;
--- a/src/main/java/slateseam/router/request/Front.java
+++ b/src/main/java/slateseam/router/request/Front.java
@@ -12,4 +12,10 @@
      * @return the answer that the user agent gets, which is a failure if there is no memory to hold this one
      */
     Answer answer(long exchange, Answer answer);
+
+    /**
+     * Looks for the user agent of an exchange before a further attempt is made for it. A user agent whose end may lie
+     * behind input that is not read yet counts as absent.
+     */
+    boolean isPresent(long exchange);
 }
--- a/src/main/java/slateseam/router/useragent/Commands.java
+++ b/src/main/java/slateseam/router/useragent/Commands.java
@@ -47,6 +47,11 @@
             protected boolean streams() {
                 return true;
             }
+
+            @Override
+            protected boolean isPresent() {
+                return isUserAgentPresent();
+            }
         };
 
         SingleCommand(Pipeline pipeline) {
--- a/src/main/java/slateseam/router/useragent/Exchange.java
+++ b/src/main/java/slateseam/router/useragent/Exchange.java
@@ -21,6 +21,9 @@
          * @param bytes the size of the answer, or of a further part of it
          */
         boolean reserve(Exchange exchange, long bytes);
+
+        /** Looks for the user agent; returns false if it has left, or if that cannot be excluded. */
+        boolean isPresent();
     }
 
     private final Pipeline pipeline;
@@ -98,6 +101,11 @@
         return dueAt;
     }
 
+    /** Returns false if the user agent has left, or if that cannot be excluded. */
+    protected final boolean isUserAgentPresent() {
+        return pipeline.isPresent();
+    }
+
     /** Gives up a part of what was reserved. */
     final void release(long bytes) {
         reservedBytes -= bytes;
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -39,6 +39,9 @@
             return false;
         }
 
+        /** Returns false if the user agent has left, or if that cannot be excluded. */
+        protected abstract boolean isPresent();
+
         /** Returns the number of the requesting tenant; -1 before {@link Requests#take}. */
         public final int tenant() {
             return tenant;
@@ -139,6 +142,12 @@
         return answer;
     }
 
+    @Override
+    public boolean isPresent(long exchange) {
+        Open asked = open.get(exchange);
+        return asked != null && asked.isPresent();
+    }
+
     /** Accepts only visible ASCII, as keys, ids and facts are written into the HTTP head of origin fetches. */
     private static boolean isPlain(byte[] text) {
         for (byte b : text) {
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -35,10 +35,10 @@
      */
     private static final int MAX_COMMANDS_PER_ROUND = 64;
     /**
-     * Maximum number of bytes read ahead behind commands in progress. Reading ahead detects that the user agent has
-     * closed the connection; no further command is begun then.
+     * Maximum number of bytes read ahead behind commands in progress: the longest command. Reading ahead detects that
+     * the user agent has closed the connection; no further command is begun then.
      */
-    private static final int MAX_READ_AHEAD_BYTES = 256 * 1024;
+    private static final int MAX_READ_AHEAD_BYTES = MESSAGE_LIMIT;
     /**
      * The same behind a streamed value once nothing ahead can begin any more, and less than any command: the connection
      * ends if the value breaks off, and then only commands that were not read are sent again.
@@ -204,6 +204,11 @@
         }
     }
 
+    @Override
+    public boolean isPresent() {
+        return isSeenOpen();
+    }
+
     /** While memory is short, no answer is fetched that would have to wait for an earlier one. */
     private int maxCommands() {
         return loop().memory().isShort() ? 1 : MAX_COMMANDS;
--- a/src/main/java/slateseam/router/warmup/WarmUp.java
+++ b/src/main/java/slateseam/router/warmup/WarmUp.java
@@ -63,6 +63,11 @@
         public boolean reserve(Exchange of, long bytes) {
             return true;
         }
+
+        @Override
+        public boolean isPresent() {
+            return true;
+        }
     };
 
     private final Brain brain;
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -64,6 +64,11 @@
         public boolean reserve(Exchange exchange, long bytes) {
             return hasRoom;
         }
+
+        @Override
+        public boolean isPresent() {
+            return true;
+        }
     };
 
     MultiGetTest() throws Exception {}
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -22,6 +22,9 @@
     private static final String JOB = "decision/Job";
     private static final String UPSTREAM_SERVER = "decision/UpstreamServer";
     private static final String POOL = ROUTER + "connections/servers/Pool";
+    /** Or the look before each further attempt would find what the other change hides. */
+    private static final Change NO_LOOK_BEFORE_AN_ATTEMPT =
+            change(ROUTER + "core/Core", "!slot.front.isPresent(slot.exchange)", "false");
     /** With the usual figures the routers' windows alone keep a cold server from falling over. */
     private static final Scenario TIGHT = Scenarios.usual()
             .with("user-agents", "", "rate", new Value.Range(340, 360, Unit.A_SECOND))
@@ -122,7 +125,9 @@
                         "lets requests go on whose user agent has gone",
                         null,
                         null,
-                        List.of(change(ROUTER + "useragent/Requests", "core.withdrawn(asked.request, why);", ""))),
+                        List.of(
+                                change(ROUTER + "useragent/Requests", "core.withdrawn(asked.request, why);", ""),
+                                NO_LOOK_BEFORE_AN_ATTEMPT)),
                 new PlantedBug(
                         "gives up only when the time of a request is over",
                         "origin-slow,void",
@@ -207,10 +212,12 @@
                         "does not see an end behind commands that wait",
                         null,
                         null,
-                        List.of(change(
-                                ROUTER + "useragent/UserAgent",
-                                "MAX_READ_AHEAD_BYTES = 256 * 1024",
-                                "MAX_READ_AHEAD_BYTES = 0"))),
+                        List.of(
+                                change(
+                                        ROUTER + "useragent/UserAgent",
+                                        "MAX_READ_AHEAD_BYTES = MESSAGE_LIMIT",
+                                        "MAX_READ_AHEAD_BYTES = 0"),
+                                NO_LOOK_BEFORE_AN_ATTEMPT)),
                 new PlantedBug(
                         "tells the origin the user agent's whole wait",
                         null,
--- a/src/test/java/slateseam/simulate/RulesStage.java
+++ b/src/test/java/slateseam/simulate/RulesStage.java
@@ -91,6 +91,11 @@
             });
         }
 
+        @Override
+        public boolean isPresent(long exchange) {
+            return true;
+        }
+
         void take(JSONObject list) throws Exception {
             JSONArray hosts = list.getJSONArray("hosts");
             List<String> listed = new ArrayList<>();
