End a router with its last reader, not at a fixed time

Cause: Router.end stopped the loop 1.1 s behind the last deadline, whatever waited to be written.

Evidence: two tests of SlowReadersTest with planned ends and the exchange planned-end-control fail on (the router has stopped) and pass now.

Change: connections end by their own rules (30 s with nothing taken, 4 s with nothing from the server). Those without an answer to send are closed 1.1 s behind the last deadline. Callers of the second address are waited for, under 2 s.

Worse: a reader that has stopped keeps an ending router for 30 s, before 4.7 s.

--- a/src/main/java/slateseam/router/Part.java
+++ b/src/main/java/slateseam/router/Part.java
@@ -30,6 +30,11 @@
     /** Closes the listeners of the part during a planned shutdown; new connections are refused. */
     default void close() throws IOException {}
 
+    /** Returns whether someone still waits for an answer of the part, so that the router does not stop yet. */
+    default boolean isBusy() {
+        return false;
+    }
+
     /** Called once, just before the router stops. */
     default void stop() {}
 
--- a/src/main/java/slateseam/router/Parts.java
+++ b/src/main/java/slateseam/router/Parts.java
@@ -192,6 +192,11 @@
             public void close() throws IOException {
                 control.close();
             }
+
+            @Override
+            public boolean isBusy() {
+                return control.hasCallers();
+            }
         };
     }
 
@@ -349,6 +354,11 @@
         }
     }
 
+    /** Returns whether someone still waits for an answer of a part. */
+    boolean isBusy() {
+        return all.stream().anyMatch(Part::isBusy);
+    }
+
     /** Stops all parts, just before the router stops. */
     void stop() {
         all.forEach(Part::stop);
--- a/src/main/java/slateseam/router/PlannedEnd.java
+++ b/src/main/java/slateseam/router/PlannedEnd.java
@@ -7,7 +7,8 @@
 
 /**
  * The times of a planned shutdown. They follow from the classes in force, not from those of earlier settings; requests
- * that arrived under earlier settings keep their own deadlines.
+ * that arrived under earlier settings keep their own deadlines. Connections whose answers are still being read stay
+ * open after these times.
  */
 final class PlannedEnd {
     /**
@@ -20,7 +21,7 @@
      * than the actual time, because answers take time to be sent.
      */
     private static final long LATE_ARRIVAL_NANOS = 600_000_000L;
-    /** Time that connections have to close once they accept no more commands. */
+    /** Time that connections without an answer to send have to close once no request is open. */
     private static final long CLOSE_TIMEOUT_NANOS = 1_100_000_000L;
 
     private final Loop loop;
@@ -30,14 +31,14 @@
     private long answersDueAt = Long.MAX_VALUE;
     private Deadline finishDeadline;
 
-    /** Begins a planned shutdown, at the end of which the given action runs. */
-    PlannedEnd(Loop loop, Core core, RespFront front, long longestAnswerNanos, Runnable stop) {
+    /** Begins a planned shutdown. */
+    PlannedEnd(Loop loop, Core core, RespFront front, long longestAnswerNanos) {
         this.loop = loop;
         this.core = core;
         this.front = front;
         this.begunAt = loop.now();
         limit(longestAnswerNanos);
-        loop.after(latestAnswersDueAt() + CLOSE_TIMEOUT_NANOS - begunAt, stop);
+        loop.after(latestAnswersDueAt() + CLOSE_TIMEOUT_NANOS - begunAt, front::closeDone);
     }
 
     /** Limits the shutdown to the longest deadline of the classes in force. It never takes longer than it did before. */
--- a/src/main/java/slateseam/router/Router.java
+++ b/src/main/java/slateseam/router/Router.java
@@ -46,6 +46,8 @@
      * Time from the start of a planned shutdown until listeners close: new connections still arrive for up to 0.4 s.
      */
     private static final long LINGER_NANOS = 550_000_000L;
+    /** How often a router that is to stop looks whether a part is still busy. */
+    private static final long BUSY_POLL_NANOS = 20_000_000L;
     /** Time that a process that is to take over waits for discovery before it accepts user agents. */
     private static final long FARM_WAIT_NANOS = 2_000_000_000L;
 
@@ -401,12 +403,13 @@
 
     /**
      * Begins a planned shutdown; may be called from any thread. New connections are accepted for a short time, then
-     * connections are closed between requests, and the loop stops when the last connection has closed.
+     * connections are closed between requests, and the loop stops when the last connection has closed: a user agent
+     * that still reads its answers is waited for.
      */
     public void end() {
         loop.handOver(() -> {
             if (lifecycle.end()) {
-                plannedEnd = new PlannedEnd(loop, core, front, longestAnswerNanos(), this::stop);
+                plannedEnd = new PlannedEnd(loop, core, front, longestAnswerNanos());
                 if (upgrade != null && upgrade.beginEnd()) {
                     handOver();
                 } else {
@@ -447,7 +450,9 @@
     }
 
     private void stopWhenEmpty() {
-        if (front.connections() == 0) {
+        if (front.connections() == 0 && parts.isBusy()) {
+            loop.after(BUSY_POLL_NANOS, this::stopWhenEmpty);
+        } else if (front.connections() == 0) {
             stop();
         }
     }
--- a/src/main/java/slateseam/router/control/Control.java
+++ b/src/main/java/slateseam/router/control/Control.java
@@ -57,6 +57,11 @@
         acceptor.close();
     }
 
+    /** Returns whether a call has no answer yet, or its caller has not closed; either lasts less than 1 s. */
+    public boolean hasCallers() {
+        return !callers.isEmpty();
+    }
+
     @Override
     public boolean makeRoom() {
         while (callers.size() >= PLACES) {
--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -187,6 +187,11 @@
         userAgents.all().forEach(UserAgent::finish);
     }
 
+    /** Closes the connections that have no answer to send, whatever they wait for. */
+    public void closeDone() {
+        userAgents.all().stream().filter(UserAgent::isDone).forEach(UserAgent::closeNow);
+    }
+
     boolean isClosing() {
         return !lifecycle.keepsConnections();
     }
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -565,6 +565,11 @@
         }
     }
 
+    /** Returns whether the connection has neither a request in progress nor an answer to send. */
+    boolean isDone() {
+        return inOrder.isEmpty() && isFlushed();
+    }
+
     private void takeNoMore(Cause why) {
         cause = why;
         takesNoMore = true;
--- a/src/test/java/slateseam/router/Recorded.java
+++ b/src/test/java/slateseam/router/Recorded.java
@@ -45,7 +45,8 @@
  *   <li>{@code WHO reads to the end}: WHO receives the end of its connection, whatever comes before it.
  *   <li>{@code WHO stops listening}, {@code WHO listens again}: WHO closes or opens its listener.
  *   <li>{@code clock +MS}: advances the clock by MS milliseconds.
- *   <li>{@code end}: begins a planned shutdown; {@code ended}: the shutdown is complete.
+ *   <li>{@code end}: begins a planned shutdown; {@code ended}: the shutdown is complete;
+ *       {@code not ended}: it is not.
  *   <li>{@code start}: starts another router with the same files.
  *   <li>{@code log TEXT}: the log contains TEXT.
  *   <li>{@code log stops}, {@code log goes on}: the reader of the log stops or continues.
@@ -241,6 +242,8 @@
                 round();
             }
             assertThat(router.loop().isStopped()).as(line).isTrue();
+        } else if (line.equals("not ended")) {
+            assertThat(router.loop().isStopped()).as("whether it has stopped").isFalse();
         } else if (words[0].equals("file")) {
             Files.writeString(dir.resolve(words[1]), rest);
         } else if (words[0].equals("clock")) {
--- a/src/test/java/slateseam/simulate/network/SlowReadersTest.java
+++ b/src/test/java/slateseam/simulate/network/SlowReadersTest.java
@@ -141,4 +141,37 @@
         readAll();
         assertThat(readers).allSatisfy(reader -> assertThat(answers(reader)).containsExactly("$" + LONG_BYTES, "$5"));
     }
+
+    /** Failure: 4.7 s after it was told to end, the router cut off a value that its user agent was reading, and what was behind it. */
+    @Test
+    void aPlannedEndWaitsForAReaderThatGoesOnReading() {
+        script.cache = "*1\r\n$" + LONG_BYTES + "\r\n" + LONG + "\r\n";
+        script.cacheOf.put("short", "*1\r\n$5\r\nshort\r\n");
+        connectReader(read("first", "i1") + read("short", "i2"));
+        connectReader(read("second", "i3"));
+        stage.router.end();
+        for (int i = 0; i < 10; i++) {
+            run(1_000);
+            readers.forEach(reader -> reader.wire.pause(false));
+            run(20);
+            readers.forEach(reader -> reader.wire.pause(true));
+        }
+        assertThat(stage.process.isDriven()).as("whether it still runs").isTrue();
+        readAll();
+        assertThat(answers(readers.get(0))).containsExactly("$" + LONG_BYTES, "$5");
+        assertThat(answers(readers.get(1))).containsExactly("$" + LONG_BYTES);
+        assertThat(stage.process.isDriven()).as("whether it still runs").isFalse();
+    }
+
+    /** Failure guarded against: a user agent that has stopped reading keeps a router that was told to end for ever. */
+    @Test
+    void aPlannedEndDoesNotWaitForAReaderThatHasStopped() {
+        script.cache = "*1\r\n$" + LONG_BYTES + "\r\n" + LONG + "\r\n";
+        connectReader(read("first", "i1"));
+        stage.router.end();
+        run(29_000);
+        assertThat(stage.process.isDriven()).as("whether it still runs").isTrue();
+        run(3_000);
+        assertThat(stage.process.isDriven()).as("whether it still runs").isFalse();
+    }
 }
