Answer every command that was read before a planned end closes its connection

Cause: commands that wait behind sixteen others were taken up only by an answer, and takeNoMore threw them away at the end.

Change: when connections cease to be kept, waiting commands are taken up; at the last deadline a connection goes on taking what it has read (refused by the core) and ends when no whole command may be unanswered.

--- a/src/main/java/slateseam/router/useragent/RespFront.java
+++ b/src/main/java/slateseam/router/useragent/RespFront.java
@@ -176,13 +176,10 @@
 
     /** Closes every connection as soon as it is between requests. */
     private void closeBetweenRequests() {
-        userAgents.all().forEach(UserAgent::closeWhenDone);
+        userAgents.all().forEach(UserAgent::leave);
     }
 
-    /**
-     * Takes no further command on any connection; each connection ends after the answers to the commands it has
-     * begun.
-     */
+    /** Ends each connection as soon as everything that was read from it is answered and sent. */
     public void finish() {
         userAgents.all().forEach(UserAgent::finish);
     }
--- a/src/main/java/slateseam/router/useragent/UserAgent.java
+++ b/src/main/java/slateseam/router/useragent/UserAgent.java
@@ -90,6 +90,8 @@
     private long ticket;
     private Kept kept;
     private boolean takesNoMore;
+    /** Whether the connection ends as soon as everything that was read has been answered. */
+    private boolean finishing;
     /** Whether part of a command has arrived and the rest has not. */
     private boolean hasPartialCommand;
     /** Whether commands that have arrived wait for the next round of the loop. */
@@ -141,6 +143,7 @@
             if (command == null) {
                 hasPartialCommand = in.hasRemaining();
                 updateState();
+                closeWhenDone();
                 return;
             }
             hasPartialCommand = false;
@@ -540,29 +543,47 @@
                 loop().after(graceNanos, this::closeWhenDone);
                 return;
             }
-            loop().after(0, () -> {
-                if (!front.isClosing() && !takesNoMore) {
-                    return; // the shutdown was revoked in the meantime
-                }
-                if (inOrder.isEmpty() && isFlushed() && !isClosed() && state != State.END) {
-                    if (takesNoMore) {
-                        front.room().ends(kept, cause, loop().now());
-                        enter(State.END);
-                        linger();
-                    } else if (!hasInput() && isQuiet()) {
-                        endBetweenRequests(Cause.PLANNED);
-                    }
-                }
-            });
-        }
-    }
-
-    /** Takes no further command; the user agent sends later commands again to another router. */
-    void finish() {
-        if (state != State.END && !takesNoMore) {
-            takeNoMore(Cause.PLANNED);
-            closeWhenDone();
+            loop().after(0, this::closeIfDone);
+        }
+    }
+
+    private void closeIfDone() {
+        if (isClosed() || state == State.END || !front.isClosing() && !takesNoMore) {
+            return; // or the shutdown was revoked in the meantime
+        }
+        if (finishing && isPartial() && !hasUnansweredInput()) {
+            withdraw(inOrder.pollLast()); // its rest is not waited for
         }
+        if (!isDone()) {
+            return;
+        }
+        if (takesNoMore) {
+            front.room().ends(kept, cause, loop().now());
+            enter(State.END);
+            linger();
+        } else if (finishing ? !hasUnansweredInput() : !hasInput() && isQuiet()) {
+            endBetweenRequests(Cause.PLANNED);
+        }
+    }
+
+    /** Returns whether whole commands may have been read that have not been begun. */
+    private boolean hasUnansweredInput() {
+        return yields || hasInput() && !hasPartialCommand;
+    }
+
+    /** Begins all commands that wait for earlier ones, and closes the connection once it is between requests. */
+    void leave() {
+        resume();
+        closeWhenDone();
+    }
+
+    /**
+     * Ends the connection as soon as everything that was read is answered and sent, also if further commands come; the
+     * user agent sends those again to another router.
+     */
+    void finish() {
+        finishing = true;
+        leave();
     }
 
     /** Returns whether the connection has neither a request in progress nor an answer to send. */
