Refuse an id that comes again while the once-write of a client that left may run

Cause: Requests freed an id as soon as its user agent left, though the attempt that was out went on.

Change: the id of a request that may not be repeated freely, and for which an attempt was made, stays taken until the request's deadline (Intake.withdrawn tells when). The planted bug that goes without the withdrawal names the new text.

Not shared between the two processes of an upgrade: an id that comes again at the other process still runs twice (open).

--- a/src/main/java/slateseam/router/core/Core.java
+++ b/src/main/java/slateseam/router/core/Core.java
@@ -276,8 +276,15 @@
     }
 
     @Override
-    public void withdrawn(long ticket, Ending why) {
+    public void withdrawn(long ticket, Ending why, Runnable released) {
         Slot slot = release(ticket);
+        boolean mayStillRun =
+                slot != null && slot.attempts > 0 && slot.requestClass().effect() != Effect.PURE;
+        if (mayStillRun) {
+            loop.after(slot.deadline - loop.now(), released);
+        } else {
+            released.run();
+        }
         if (slot != null) {
             happened(new ClientGone(ticket));
             requestEnded(slot, why);
--- a/src/main/java/slateseam/router/request/Intake.java
+++ b/src/main/java/slateseam/router/request/Intake.java
@@ -10,6 +10,10 @@
      */
     long arrived(Request request, Front front, long exchange);
 
-    /** Drops a request whose user agent no longer waits, for the given reason; no answer follows. */
-    void withdrawn(long ticket, Ending why);
+    /**
+     * Drops a request whose user agent no longer waits, for the given reason; no answer follows.
+     *
+     * @param released called once a repeat of the request can no longer run beside an attempt that was made for it
+     */
+    void withdrawn(long ticket, Ending why, Runnable released);
 }
--- a/src/main/java/slateseam/router/useragent/Requests.java
+++ b/src/main/java/slateseam/router/useragent/Requests.java
@@ -57,7 +57,10 @@
     private final Versions versions;
     private final List<String> tenants;
     private final Slots<Open> open;
-    /** The ids of the requests whose answers are pending; an id may be used again once its request is over. */
+    /**
+     * The ids of the requests whose answers are pending, and of those that may still run though their user agents have
+     * left; an id may be used again once its request is over.
+     */
     private final Set<String> openIds = new HashSet<>();
 
     /**
@@ -124,8 +127,7 @@
     /** Withdraws a request if its answer is still pending; an answer that arrives later is discarded. */
     public void withdraw(Open asked, Ending why) {
         if (open.remove(asked.number) != null) {
-            openIds.remove(asked.id);
-            core.withdrawn(asked.request, why);
+            core.withdrawn(asked.request, why, () -> openIds.remove(asked.id));
         }
     }
 
--- a/src/main/java/slateseam/router/warmup/WarmUp.java
+++ b/src/main/java/slateseam/router/warmup/WarmUp.java
@@ -98,7 +98,8 @@
                     }
 
                     @Override
-                    public void withdrawn(long ticket, Ending why) {
+                    public void withdrawn(long ticket, Ending why, Runnable released) {
+                        released.run();
                         asked = null;
                     }
                 },
--- a/src/test/java/slateseam/router/multiget/MultiGetTest.java
+++ b/src/test/java/slateseam/router/multiget/MultiGetTest.java
@@ -46,7 +46,8 @@
                 }
 
                 @Override
-                public void withdrawn(long ticket, Ending why) {
+                public void withdrawn(long ticket, Ending why, Runnable released) {
+                    released.run();
                     left.add(ticket);
                 }
             },
--- a/src/test/java/slateseam/simulate/PlantedBug.java
+++ b/src/test/java/slateseam/simulate/PlantedBug.java
@@ -126,7 +126,10 @@
                         null,
                         null,
                         List.of(
-                                change(ROUTER + "useragent/Requests", "core.withdrawn(asked.request, why);", ""),
+                                change(
+                                        ROUTER + "useragent/Requests",
+                                        "core.withdrawn(asked.request, why, () -> openIds.remove(asked.id));",
+                                        ""),
                                 NO_LOOK_BEFORE_AN_ATTEMPT)),
                 new PlantedBug(
                         "gives up only when the time of a request is over",
--- a/src/test/java/slateseam/simulate/RulesStage.java
+++ b/src/test/java/slateseam/simulate/RulesStage.java
@@ -157,7 +157,7 @@
 
         private void leaves(String id) {
             model.leaves(id, net.now());
-            core.withdrawn(tickets.get(id), Ending.LEFT);
+            core.withdrawn(tickets.get(id), Ending.LEFT, () -> {});
         }
 
         @Override
